--- /dev/null
+++ b/crates/papayamux-daemon/src/command_line.rs
@@ -0,0 +1,122 @@
+//! The command line of a daemon.
+
+use std::process::ExitCode;
+
+use getopts::Options;
+use papayamux_settings::Findings;
+use thiserror::Error;
+
+/// What a daemon says about itself.
+#[derive(Debug, Clone, Copy)]
+pub struct DaemonName {
+    /// The program's name.
+    pub program: &'static str,
+    /// One sentence on what it does.
+    pub purpose: &'static str,
+}
+
+/// What the command line asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DaemonTask {
+    /// Print the text and leave.
+    Print(String),
+    /// Check the settings file and leave.
+    Check(String),
+    /// Run with the settings file.
+    Run(String),
+}
+
+/// Why the command line can't be understood.
+#[derive(Debug, Error)]
+pub enum CommandLineError {
+    /// An option is unknown or lacks its value.
+    #[error("{0}; try --help")]
+    Option(#[from] getopts::Fail),
+    /// The settings file is not named.
+    #[error("--settings FILE is missing; try --help")]
+    NoSettings,
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "the INI file with the settings", "FILE");
+    options.optflag("c", "check", "check the settings, report all findings, and leave");
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+/// Reads the arguments after the program's name.
+pub fn read_arguments(
+    name: DaemonName,
+    arguments: impl Iterator<Item = String>,
+) -> Result<DaemonTask, CommandLineError> {
+    let options = options();
+    let matches = options.parse(arguments)?;
+    if matches.opt_present("help") {
+        let brief = format!(
+            "{program}: {purpose}\n\nUsage: {program} --settings FILE [--check]\n\nExample: \
+             {program} --settings {program}.ini --check",
+            program = name.program,
+            purpose = name.purpose,
+        );
+        return Ok(DaemonTask::Print(options.usage(&brief)));
+    }
+    if matches.opt_present("version") {
+        let version = env!("CARGO_PKG_VERSION");
+        return Ok(DaemonTask::Print(format!("{} {version}\n", name.program)));
+    }
+    let file = matches.opt_str("settings").ok_or(CommandLineError::NoSettings)?;
+    match matches.opt_present("check") {
+        true => Ok(DaemonTask::Check(file)),
+        false => Ok(DaemonTask::Run(file)),
+    }
+}
+
+/// The exit code for a wrong command line or wrong settings.
+pub const EXIT_USAGE: u8 = 2;
+
+/// Runs a daemon's `main`: reads the command line and the settings, then runs or checks.
+pub fn daemon_main<S>(
+    name: DaemonName,
+    read_settings: impl FnOnce(&str, &str) -> Result<S, Findings>,
+    run: impl FnOnce(S) -> Result<(), Box<dyn std::error::Error>>,
+) -> ExitCode {
+    let task = match read_arguments(name, std::env::args().skip(1)) {
+        Ok(task) => task,
+        Err(error) => return refuse(&error),
+    };
+    let (file, only_check) = match task {
+        DaemonTask::Print(text) => {
+            print!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        DaemonTask::Check(file) => (file, true),
+        DaemonTask::Run(file) => (file, false),
+    };
+    let text = match std::fs::read_to_string(&file) {
+        Ok(text) => text,
+        Err(error) => return refuse(&format!("{file}: {error}")),
+    };
+    let settings = match read_settings(&file, &text) {
+        Ok(settings) => settings,
+        Err(findings) => return refuse(&findings),
+    };
+    if only_check {
+        println!("{file}: no findings");
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!(error:% = error; "the daemon ends");
+            eprintln!("{}: {error}", name.program);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn refuse(error: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(EXIT_USAGE)
+}
--- /dev/null
+++ b/crates/papayamux-daemon/src/lib.rs
@@ -0,0 +1,7 @@
+//! What every daemon shares: command line, logs, signals, and the operators' port.
+
+pub mod command_line;
+pub mod logging;
+pub mod metrics;
+pub mod operations;
+pub mod signals;
--- /dev/null
+++ b/crates/papayamux-daemon/src/operations.rs
@@ -0,0 +1,81 @@
+//! The operators' port: `/metrics`, `/status` and `/ready`.
+
+use std::io;
+use std::rc::Rc;
+
+use http::header::CONTENT_TYPE;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use monoio::net::TcpListener;
+use papayamux_transport::http::{serve, AnswerBody, HttpLimits};
+use papayamux_transport::shutdown::ShutdownSignal;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::registry::Registry;
+
+/// What a daemon shows its operators.
+pub trait OperationsView {
+    /// Whether the balancer should send callers here.
+    fn is_ready(&self) -> bool;
+    /// The daemon's state, for people and programs.
+    fn status(&self) -> serde_json::Value;
+}
+
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+const JSON_TYPE: &str = "application/json";
+/// Connections of operators open at once.
+const MOST_CONNECTIONS: usize = 64;
+
+/// Serves the operators' port until `shutdown`.
+pub async fn serve_operations(
+    listener: TcpListener,
+    registry: Rc<Registry>,
+    view: Rc<dyn OperationsView>,
+    shutdown: ShutdownSignal,
+) -> io::Result<()> {
+    let limits = HttpLimits { connections: MOST_CONNECTIONS, ..HttpLimits::default() };
+    let handler = Rc::new(move |request: Request<Incoming>| {
+        let answer = answer_operator(&request, &registry, &*view);
+        async move { answer }
+    });
+    serve(listener, limits, shutdown, handler).await
+}
+
+fn answer_operator(
+    request: &Request<Incoming>,
+    registry: &Registry,
+    view: &dyn OperationsView,
+) -> Response<AnswerBody> {
+    if request.method() != Method::GET {
+        return answer(
+            StatusCode::METHOD_NOT_ALLOWED,
+            JSON_TYPE,
+            "{\"error\":\"only GET\"}".into(),
+        );
+    }
+    match request.uri().path() {
+        "/metrics" => {
+            let mut text = String::new();
+            let status = match encode(&mut text, registry) {
+                Ok(()) => StatusCode::OK,
+                Err(_) => StatusCode::INTERNAL_SERVER_ERROR,
+            };
+            answer(status, METRICS_TYPE, text)
+        }
+        "/status" => answer(StatusCode::OK, JSON_TYPE, view.status().to_string()),
+        "/ready" if view.is_ready() => answer(StatusCode::OK, JSON_TYPE, "{\"ready\":true}".into()),
+        "/ready" => answer(StatusCode::SERVICE_UNAVAILABLE, JSON_TYPE, "{\"ready\":false}".into()),
+        _ => answer(
+            StatusCode::NOT_FOUND,
+            JSON_TYPE,
+            "{\"error\":\"try /metrics, /status or /ready\"}".into(),
+        ),
+    }
+}
+
+fn answer(status: StatusCode, content_type: &'static str, text: String) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::Whole(text.into()));
+    *response.status_mut() = status;
+    let content_type = http::HeaderValue::from_static(content_type);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/command_line.rs
@@ -0,0 +1,37 @@
+//! The command line: `papayamux-measure TASK [options]`.
+
+use std::error::Error;
+use std::process::ExitCode;
+
+use getopts::Options;
+
+use crate::demo::run_demo;
+
+const TASKS: &str = "  demo     run a small fleet and a conversation of several turns\n";
+
+/// Runs the task that the command line names.
+pub fn measure_main() -> ExitCode {
+    match run_task() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("papayamux-measure: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_task() -> Result<(), Box<dyn Error>> {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this help");
+    let matches = options.parse(std::env::args().skip(1))?;
+    if matches.opt_present("help") {
+        let brief = format!("Usage: papayamux-measure TASK [options]\n\nTasks:\n{TASKS}");
+        print!("{}", options.usage(&brief));
+        return Ok(());
+    }
+    match matches.free.first().map(String::as_str) {
+        Some("demo") => run_demo(),
+        Some(other) => Err(format!("unknown task {other:?}; try --help").into()),
+        None => Err("name a task; try --help".into()),
+    }
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/lib.rs
@@ -0,0 +1,4 @@
+//! Measurements and the demo, on real processes.
+
+pub mod command_line;
+mod demo;
--- /dev/null
+++ b/crates/papayamux-protocol/src/lib.rs
@@ -0,0 +1,9 @@
+//! Messages between papayamux processes, and what papayamux says to callers, backend servers
+//! and the platform.
+
+pub mod chat;
+pub mod engine;
+pub mod failure;
+pub mod headers;
+pub mod link;
+pub mod wire;
--- /dev/null
+++ b/crates/papayamux-protocol/src/link.rs
@@ -0,0 +1,204 @@
+//! What a router and an agent say to each other, as the code uses it.
+//!
+//! The wire's own types are in [`crate::wire`].
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use papayamux_state::ids::{
+    AdapterId, ChatKey, FailureDomain, IdempotencyKey, Incarnation, ModelId, OrganisationId,
+    RequestId, ServerId,
+};
+use papayamux_state::refusal::RefusalReason;
+
+/// Version of the protocol between papayamux processes.
+pub const PROTOCOL_VERSION: u32 = 1;
+/// Bytes of an answer that an agent may send ahead of the router's acknowledgement.
+pub const STREAM_WINDOW: u64 = 256 * 1024;
+/// The longest frame, in bytes.
+pub const LONGEST_FRAME: usize = 8 * 1024 * 1024;
+
+/// A time on an agent's monotonic clock, in milliseconds since the agent started.
+///
+/// A router learns the clock from the agent's welcome and from each pong. What it adds is only
+/// time that has passed on its own clock since, so that its estimate is never ahead of the
+/// agent's clock and a deadline given in it is never late.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AgentClock(pub u64);
+
+impl AgentClock {
+    /// The time `later` after this one.
+    pub fn after(self, later: Duration) -> Self {
+        Self(self.0.saturating_add(later.as_millis() as u64))
+    }
+}
+
+/// How a call may be repeated.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RepeatRule {
+    /// The call is idempotent and may be run again.
+    Idempotent,
+    /// The call may run at most once.
+    AtMostOnce(Option<IdempotencyKey>),
+}
+
+/// One header of a request or an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeaderField {
+    /// The name, in lower case.
+    pub name: String,
+    /// The value.
+    pub value: Bytes,
+}
+
+/// What of a request only a model engine needs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChatTarget {
+    /// The model asked for.
+    pub model: ModelId,
+    /// The adapter asked for.
+    pub adapter: Option<AdapterId>,
+    /// The chat's key.
+    pub chat: ChatKey,
+}
+
+/// A request for the agent's backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OpenRequest {
+    /// The attempt's id.
+    pub id: RequestId,
+    /// The life of the agent that the request is meant for.
+    pub agent: Incarnation,
+    /// The organisation that calls.
+    pub organisation: OrganisationId,
+    /// The priority class; a lower number goes first.
+    pub priority: u32,
+    /// The request may start only before this time on the agent's own clock.
+    pub start_before: AgentClock,
+    /// How the call may be repeated.
+    pub repeat: RepeatRule,
+    /// Set for chats, absent for plain services.
+    pub chat: Option<ChatTarget>,
+    /// The HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// End-to-end headers.
+    pub headers: Vec<HeaderField>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The opening of a connection by a router.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouterHello {
+    /// Protocol version the router speaks.
+    pub version: u32,
+    /// The router's life.
+    pub incarnation: Incarnation,
+    /// The router's failure domain.
+    pub domain: FailureDomain,
+}
+
+/// An agent's answer to [`RouterHello`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentWelcome {
+    /// Protocol version the agent speaks.
+    pub version: u32,
+    /// The agent's life.
+    pub incarnation: Incarnation,
+    /// The backend server it stands beside.
+    pub server: ServerId,
+    /// The agent's failure domain.
+    pub domain: FailureDomain,
+    /// The agent's clock when it answered.
+    pub clock: AgentClock,
+}
+
+/// An agent's answer to a ping.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PongNotice {
+    /// The ping's number.
+    pub number: u64,
+    /// The agent's clock when it answered.
+    pub clock: AgentClock,
+}
+
+/// A refusal: the request was not run and won't be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RefusalNotice {
+    /// Why.
+    pub reason: RefusalReason,
+    /// Milliseconds after which it may be worth asking again.
+    pub retry_after_ms: u32,
+}
+
+/// Status and headers of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// The HTTP status.
+    pub status: u16,
+    /// End-to-end headers.
+    pub headers: Vec<HeaderField>,
+}
+
+/// A piece of an answer's body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerData {
+    /// Bytes of the body before this piece.
+    pub offset: u64,
+    /// The piece.
+    pub bytes: Bytes,
+}
+
+/// How an answer ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// The body is whole and has this many bytes.
+    Whole(u64),
+    /// The server failed after the request was given to it.
+    Failed(String),
+}
+
+/// What a router says about one stream, or about the connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RouterMessage {
+    /// Opens the connection.
+    Hello(RouterHello),
+    /// Opens a stream with a request.
+    Open(Box<OpenRequest>),
+    /// The caller has taken the answer up to this offset.
+    Acknowledge(u64),
+    /// The caller has gone.
+    Cancel,
+    /// Asks for a [`AgentMessage::Pong`] with the same number.
+    Ping(u64),
+}
+
+/// What an agent says about one stream, or about the connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AgentMessage {
+    /// Answers the hello.
+    Welcome(AgentWelcome),
+    /// The stream's request was not run.
+    Refused(RefusalNotice),
+    /// The answer's head.
+    Head(AnswerHead),
+    /// A piece of the answer.
+    Data(AnswerData),
+    /// The answer's end.
+    End(AnswerEnd),
+    /// Answers a ping.
+    Pong(PongNotice),
+    /// The agent takes no new work on this connection.
+    Leaving,
+}
+
+/// A message of either side with the stream it belongs to; stream 0 is the connection itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Addressed<M> {
+    /// The stream.
+    pub stream: u64,
+    /// The message.
+    pub message: M,
+}
--- /dev/null
+++ b/crates/papayamux-protocol/src/wire/convert_agent.rs
@@ -0,0 +1,130 @@
+//! Agent messages to and from their wire form.
+
+use papayamux_state::refusal::RefusalReason;
+
+use super::messages::*;
+use super::{identifier, required, FrameMessage, WireError};
+use crate::link::{
+    Addressed, AgentClock, AgentMessage, AgentWelcome, AnswerData, AnswerEnd, AnswerHead,
+    PongNotice, RefusalNotice,
+};
+
+impl From<Addressed<AgentMessage>> for AgentFrame {
+    fn from(addressed: Addressed<AgentMessage>) -> Self {
+        let body = match addressed.message {
+            AgentMessage::Welcome(welcome) => AgentBody::Welcome(welcome.into()),
+            AgentMessage::Refused(notice) => AgentBody::Refused(notice.into()),
+            AgentMessage::Head(head) => AgentBody::Head(head.into()),
+            AgentMessage::Data(data) => {
+                AgentBody::Data(WireData { offset: data.offset, bytes: data.bytes })
+            }
+            AgentMessage::End(end) => AgentBody::End(end.into()),
+            AgentMessage::Pong(pong) => {
+                AgentBody::Pong(WirePong { number: pong.number, clock_ms: pong.clock.0 })
+            }
+            AgentMessage::Leaving => AgentBody::Leaving(WireNothing {}),
+        };
+        Self { stream: addressed.stream, body: Some(body) }
+    }
+}
+
+impl FrameMessage for AgentFrame {
+    type Message = AgentMessage;
+
+    fn into_message(self) -> Result<Addressed<AgentMessage>, WireError> {
+        let message = match required("body", self.body)? {
+            AgentBody::Welcome(welcome) => AgentMessage::Welcome(welcome.try_into()?),
+            AgentBody::Refused(refusal) => AgentMessage::Refused(refusal.try_into()?),
+            AgentBody::Head(head) => AgentMessage::Head(head.try_into()?),
+            AgentBody::Data(data) => {
+                AgentMessage::Data(AnswerData { offset: data.offset, bytes: data.bytes })
+            }
+            AgentBody::End(end) => AgentMessage::End(end.into()),
+            AgentBody::Pong(pong) => AgentMessage::Pong(PongNotice {
+                number: pong.number,
+                clock: AgentClock(pong.clock_ms),
+            }),
+            AgentBody::Leaving(_) => AgentMessage::Leaving,
+        };
+        Ok(Addressed { stream: self.stream, message })
+    }
+}
+
+impl From<AgentWelcome> for WireWelcome {
+    fn from(welcome: AgentWelcome) -> Self {
+        Self {
+            version: welcome.version,
+            incarnation: welcome.incarnation.get(),
+            server: welcome.server.to_string(),
+            domain: welcome.domain.to_string(),
+            clock_ms: welcome.clock.0,
+        }
+    }
+}
+
+impl TryFrom<WireWelcome> for AgentWelcome {
+    type Error = WireError;
+
+    fn try_from(welcome: WireWelcome) -> Result<Self, WireError> {
+        Ok(Self {
+            version: welcome.version,
+            incarnation: welcome.incarnation.into(),
+            server: identifier("server", &welcome.server)?,
+            domain: identifier("domain", &welcome.domain)?,
+            clock: AgentClock(welcome.clock_ms),
+        })
+    }
+}
+
+impl From<RefusalNotice> for WireRefusal {
+    fn from(notice: RefusalNotice) -> Self {
+        Self { reason: notice.reason.number(), retry_after_ms: notice.retry_after_ms }
+    }
+}
+
+impl TryFrom<WireRefusal> for RefusalNotice {
+    type Error = WireError;
+
+    fn try_from(refusal: WireRefusal) -> Result<Self, WireError> {
+        let reason = RefusalReason::from_number(refusal.reason)
+            .ok_or(WireError::Number { part: "reason", number: refusal.reason })?;
+        Ok(Self { reason, retry_after_ms: refusal.retry_after_ms })
+    }
+}
+
+impl From<AnswerHead> for WireHead {
+    fn from(head: AnswerHead) -> Self {
+        Self {
+            status: u32::from(head.status),
+            headers: head.headers.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<WireHead> for AnswerHead {
+    type Error = WireError;
+
+    fn try_from(head: WireHead) -> Result<Self, WireError> {
+        let status = u16::try_from(head.status)
+            .map_err(|_| WireError::Number { part: "status", number: head.status })?;
+        Ok(Self { status, headers: head.headers.into_iter().map(Into::into).collect() })
+    }
+}
+
+impl From<AnswerEnd> for WireEnd {
+    fn from(end: AnswerEnd) -> Self {
+        match end {
+            AnswerEnd::Whole(length) => Self { length, failure: None },
+            AnswerEnd::Failed(failure) => Self { length: 0, failure: Some(failure) },
+        }
+    }
+}
+
+impl From<WireEnd> for AnswerEnd {
+    fn from(end: WireEnd) -> Self {
+        match end.failure {
+            None => Self::Whole(end.length),
+            Some(failure) => Self::Failed(failure),
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayamux-protocol/src/wire/convert_router.rs
@@ -0,0 +1,158 @@
+//! Router messages to and from their wire form.
+
+use papayamux_state::ids::RequestId;
+
+use super::messages::*;
+use super::{identifier, required, FrameMessage, WireError};
+use crate::link::{
+    Addressed, AgentClock, ChatTarget, HeaderField, OpenRequest, RepeatRule, RouterHello,
+    RouterMessage,
+};
+
+impl From<Addressed<RouterMessage>> for RouterFrame {
+    fn from(addressed: Addressed<RouterMessage>) -> Self {
+        let body = match addressed.message {
+            RouterMessage::Hello(hello) => RouterBody::Hello(hello.into()),
+            RouterMessage::Open(open) => RouterBody::Open(Box::new((*open).into())),
+            RouterMessage::Acknowledge(offset) => RouterBody::Acknowledge(offset),
+            RouterMessage::Cancel => RouterBody::Cancel(WireNothing {}),
+            RouterMessage::Ping(number) => RouterBody::Ping(number),
+        };
+        Self { stream: addressed.stream, body: Some(body) }
+    }
+}
+
+impl FrameMessage for RouterFrame {
+    type Message = RouterMessage;
+
+    fn into_message(self) -> Result<Addressed<RouterMessage>, WireError> {
+        let message = match required("body", self.body)? {
+            RouterBody::Hello(hello) => RouterMessage::Hello(hello.try_into()?),
+            RouterBody::Open(open) => RouterMessage::Open(Box::new((*open).try_into()?)),
+            RouterBody::Acknowledge(offset) => RouterMessage::Acknowledge(offset),
+            RouterBody::Cancel(_) => RouterMessage::Cancel,
+            RouterBody::Ping(number) => RouterMessage::Ping(number),
+        };
+        Ok(Addressed { stream: self.stream, message })
+    }
+}
+
+impl From<RouterHello> for WireHello {
+    fn from(hello: RouterHello) -> Self {
+        Self {
+            version: hello.version,
+            incarnation: hello.incarnation.get(),
+            domain: hello.domain.to_string(),
+        }
+    }
+}
+
+impl TryFrom<WireHello> for RouterHello {
+    type Error = WireError;
+
+    fn try_from(hello: WireHello) -> Result<Self, WireError> {
+        Ok(Self {
+            version: hello.version,
+            incarnation: hello.incarnation.into(),
+            domain: identifier("domain", &hello.domain)?,
+        })
+    }
+}
+
+impl From<RequestId> for WireRequestId {
+    fn from(id: RequestId) -> Self {
+        Self { incarnation: id.incarnation.get(), number: id.number }
+    }
+}
+
+impl From<WireRequestId> for RequestId {
+    fn from(id: WireRequestId) -> Self {
+        Self { incarnation: id.incarnation.into(), number: id.number }
+    }
+}
+
+impl From<HeaderField> for WireHeader {
+    fn from(header: HeaderField) -> Self {
+        Self { name: header.name, value: header.value }
+    }
+}
+
+impl From<WireHeader> for HeaderField {
+    fn from(header: WireHeader) -> Self {
+        Self { name: header.name, value: header.value }
+    }
+}
+
+impl From<ChatTarget> for WireChat {
+    fn from(target: ChatTarget) -> Self {
+        Self {
+            model: target.model.to_string(),
+            adapter: target.adapter.map(|adapter| adapter.to_string()),
+            chat: target.chat.to_string(),
+        }
+    }
+}
+
+impl TryFrom<WireChat> for ChatTarget {
+    type Error = WireError;
+
+    fn try_from(target: WireChat) -> Result<Self, WireError> {
+        Ok(Self {
+            model: identifier("model", &target.model)?,
+            adapter: target
+                .adapter
+                .as_deref()
+                .map(|adapter| identifier("adapter", adapter))
+                .transpose()?,
+            chat: identifier("chat", &target.chat)?,
+        })
+    }
+}
+
+impl From<OpenRequest> for WireOpen {
+    fn from(open: OpenRequest) -> Self {
+        let (at_most_once, idempotency_key) = match open.repeat {
+            RepeatRule::Idempotent => (false, None),
+            RepeatRule::AtMostOnce(key) => (true, key.map(|key| key.to_string())),
+        };
+        Self {
+            id: Some(open.id.into()),
+            agent: open.agent.get(),
+            organisation: open.organisation.to_string(),
+            priority: open.priority,
+            start_before_ms: open.start_before.0,
+            at_most_once,
+            idempotency_key,
+            chat: open.chat.map(Into::into),
+            method: open.method,
+            path: open.path,
+            headers: open.headers.into_iter().map(Into::into).collect(),
+            body: open.body,
+        }
+    }
+}
+
+impl TryFrom<WireOpen> for OpenRequest {
+    type Error = WireError;
+
+    fn try_from(open: WireOpen) -> Result<Self, WireError> {
+        let repeat = match (open.at_most_once, open.idempotency_key) {
+            (false, _) => RepeatRule::Idempotent,
+            (true, None) => RepeatRule::AtMostOnce(None),
+            (true, Some(key)) => RepeatRule::AtMostOnce(Some(identifier("idempotency_key", &key)?)),
+        };
+        Ok(Self {
+            id: required("id", open.id)?.into(),
+            agent: open.agent.into(),
+            organisation: identifier("organisation", &open.organisation)?,
+            priority: open.priority,
+            start_before: AgentClock(open.start_before_ms),
+            repeat,
+            chat: open.chat.map(TryInto::try_into).transpose()?,
+            method: open.method,
+            path: open.path,
+            headers: open.headers.into_iter().map(Into::into).collect(),
+            body: open.body,
+        })
+    }
+}
--- /dev/null
+++ b/crates/papayamux-protocol/src/wire/frame_codec.rs
@@ -0,0 +1,79 @@
+//! Frames: four bytes of length, then one prost message.
+
+use std::io;
+use std::marker::PhantomData;
+
+use bytes::{BufMut, BytesMut};
+use prost::Message;
+use thiserror::Error;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use super::WireError;
+use crate::link::{Addressed, LONGEST_FRAME};
+
+/// Why a frame can't be read or written.
+#[derive(Debug, Error)]
+pub enum CodecError {
+    /// The connection failed, or a frame is longer than its bound.
+    #[error("connection: {0}")]
+    Io(#[from] io::Error),
+    /// The frame is not a prost message.
+    #[error("frame: {0}")]
+    Prost(#[from] prost::DecodeError),
+    /// The message makes no sense.
+    #[error(transparent)]
+    Wire(#[from] WireError),
+}
+
+/// Reads messages that come as frames `In` and writes messages that go as frames `Out`.
+#[derive(Debug)]
+pub struct FrameCodec<Out, In> {
+    lengths: LengthDelimitedCodec,
+    kinds: PhantomData<(Out, In)>,
+}
+
+impl<Out, In> Default for FrameCodec<Out, In> {
+    fn default() -> Self {
+        let lengths = LengthDelimitedCodec::builder().max_frame_length(LONGEST_FRAME).new_codec();
+        Self { lengths, kinds: PhantomData }
+    }
+}
+
+impl<Out, In, M> Encoder<Addressed<M>> for FrameCodec<Out, In>
+where
+    Out: Message + From<Addressed<M>>,
+{
+    type Error = CodecError;
+
+    fn encode(&mut self, message: Addressed<M>, buffer: &mut BytesMut) -> Result<(), CodecError> {
+        let frame = Out::from(message);
+        let length = frame.encoded_len();
+        if length > LONGEST_FRAME {
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, "frame too long").into());
+        }
+        buffer.reserve(size_of::<u32>() + length);
+        buffer.put_u32(length as u32);
+        frame.encode_raw(buffer);
+        Ok(())
+    }
+}
+
+/// A frame type with the message it stands for.
+pub trait FrameMessage: Message + Default {
+    /// The message.
+    type Message;
+
+    /// Checks the frame and turns it into its message.
+    fn into_message(self) -> Result<Addressed<Self::Message>, WireError>;
+}
+
+impl<Out, In: FrameMessage> Decoder for FrameCodec<Out, In> {
+    type Item = Addressed<In::Message>;
+    type Error = CodecError;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Self::Item>, CodecError> {
+        let Some(frame) = self.lengths.decode(buffer)? else { return Ok(None) };
+        let message = In::decode(frame.freeze())?.into_message()?;
+        Ok(Some(message))
+    }
+}
--- /dev/null
+++ b/crates/papayamux-protocol/src/wire/messages.rs
@@ -0,0 +1,241 @@
+//! Prost types. Field numbers are never used again once retired.
+
+use bytes::Bytes;
+
+/// A frame from a router to an agent.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RouterFrame {
+    /// The stream; 0 is the connection.
+    #[prost(uint64, tag = "1")]
+    pub stream: u64,
+    /// What is said.
+    #[prost(oneof = "RouterBody", tags = "2, 3, 4, 5, 6")]
+    pub body: Option<RouterBody>,
+}
+
+/// What a router says.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum RouterBody {
+    /// See [`crate::link::RouterHello`].
+    #[prost(message, tag = "2")]
+    Hello(WireHello),
+    /// See [`crate::link::OpenRequest`].
+    #[prost(message, boxed, tag = "3")]
+    Open(Box<WireOpen>),
+    /// The offset up to which the answer was taken.
+    #[prost(uint64, tag = "4")]
+    Acknowledge(u64),
+    /// The caller has gone.
+    #[prost(message, tag = "5")]
+    Cancel(WireNothing),
+    /// A number to be sent back.
+    #[prost(uint64, tag = "6")]
+    Ping(u64),
+}
+
+/// A frame from an agent to a router.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AgentFrame {
+    /// The stream; 0 is the connection.
+    #[prost(uint64, tag = "1")]
+    pub stream: u64,
+    /// What is said.
+    #[prost(oneof = "AgentBody", tags = "2, 3, 4, 5, 6, 7, 8")]
+    pub body: Option<AgentBody>,
+}
+
+/// What an agent says.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum AgentBody {
+    /// See [`crate::link::AgentWelcome`].
+    #[prost(message, tag = "2")]
+    Welcome(WireWelcome),
+    /// See [`crate::link::RefusalNotice`].
+    #[prost(message, tag = "3")]
+    Refused(WireRefusal),
+    /// See [`crate::link::AnswerHead`].
+    #[prost(message, tag = "4")]
+    Head(WireHead),
+    /// See [`crate::link::AnswerData`].
+    #[prost(message, tag = "5")]
+    Data(WireData),
+    /// See [`crate::link::AnswerEnd`].
+    #[prost(message, tag = "6")]
+    End(WireEnd),
+    /// See [`crate::link::PongNotice`].
+    #[prost(message, tag = "7")]
+    Pong(WirePong),
+    /// The agent takes no new work.
+    #[prost(message, tag = "8")]
+    Leaving(WireNothing),
+}
+
+/// A message without content.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireNothing {}
+
+/// The wire form of [`crate::link::RouterHello`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireHello {
+    /// Protocol version.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// The router's life.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// The router's failure domain.
+    #[prost(string, tag = "3")]
+    pub domain: String,
+}
+
+/// The wire form of [`crate::link::AgentWelcome`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireWelcome {
+    /// Protocol version.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// The agent's life.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// The backend server.
+    #[prost(string, tag = "3")]
+    pub server: String,
+    /// The agent's failure domain.
+    #[prost(string, tag = "4")]
+    pub domain: String,
+    /// The agent's clock, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub clock_ms: u64,
+}
+
+/// The wire form of [`crate::link::PongNotice`].
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WirePong {
+    /// The ping's number.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// The agent's clock, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub clock_ms: u64,
+}
+
+/// The wire form of [`papayamux_state::ids::RequestId`].
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireRequestId {
+    /// The router's life.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// The attempt's number.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+}
+
+/// The wire form of [`crate::link::HeaderField`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireHeader {
+    /// The name, in lower case.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The value.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: Bytes,
+}
+
+/// The wire form of [`crate::link::ChatTarget`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireChat {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The adapter, or nothing.
+    #[prost(string, optional, tag = "2")]
+    pub adapter: Option<String>,
+    /// The chat's key.
+    #[prost(string, tag = "3")]
+    pub chat: String,
+}
+
+/// The wire form of [`crate::link::OpenRequest`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireOpen {
+    /// The attempt's id.
+    #[prost(message, optional, tag = "1")]
+    pub id: Option<WireRequestId>,
+    /// The agent's life.
+    #[prost(fixed64, tag = "2")]
+    pub agent: u64,
+    /// The organisation.
+    #[prost(string, tag = "3")]
+    pub organisation: String,
+    /// The priority class.
+    #[prost(uint32, tag = "4")]
+    pub priority: u32,
+    /// The agent's time before which to start, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub start_before_ms: u64,
+    /// Whether the call may run at most once.
+    #[prost(bool, tag = "6")]
+    pub at_most_once: bool,
+    /// The caller's key for repeats.
+    #[prost(string, optional, tag = "7")]
+    pub idempotency_key: Option<String>,
+    /// Set for chats.
+    #[prost(message, optional, tag = "8")]
+    pub chat: Option<WireChat>,
+    /// The HTTP method.
+    #[prost(string, tag = "9")]
+    pub method: String,
+    /// Path and query.
+    #[prost(string, tag = "10")]
+    pub path: String,
+    /// End-to-end headers.
+    #[prost(message, repeated, tag = "11")]
+    pub headers: Vec<WireHeader>,
+    /// The body.
+    #[prost(bytes = "bytes", tag = "12")]
+    pub body: Bytes,
+}
+
+/// The wire form of [`crate::link::RefusalNotice`].
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireRefusal {
+    /// The reason's number.
+    #[prost(uint32, tag = "1")]
+    pub reason: u32,
+    /// Milliseconds after which to ask again.
+    #[prost(uint32, tag = "2")]
+    pub retry_after_ms: u32,
+}
+
+/// The wire form of [`crate::link::AnswerHead`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireHead {
+    /// The HTTP status.
+    #[prost(uint32, tag = "1")]
+    pub status: u32,
+    /// End-to-end headers.
+    #[prost(message, repeated, tag = "2")]
+    pub headers: Vec<WireHeader>,
+}
+
+/// The wire form of [`crate::link::AnswerData`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireData {
+    /// Bytes of the body before this piece.
+    #[prost(uint64, tag = "1")]
+    pub offset: u64,
+    /// The piece.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub bytes: Bytes,
+}
+
+/// The wire form of [`crate::link::AnswerEnd`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireEnd {
+    /// Bytes of the whole body.
+    #[prost(uint64, tag = "1")]
+    pub length: u64,
+    /// Why the server failed, where it did.
+    #[prost(string, optional, tag = "2")]
+    pub failure: Option<String>,
+}
--- /dev/null
+++ b/crates/papayamux-router/src/callers/chat_handler.rs
@@ -0,0 +1,36 @@
+//! Chat completions.
+
+use papayamux_protocol::chat::read_chat_call;
+use papayamux_protocol::engine::CHAT_PATH;
+use papayamux_protocol::failure::{FailureBody, FailureCode};
+use papayamux_protocol::headers::CONVERSATION;
+use papayamux_protocol::link::{ChatTarget, RepeatRule};
+
+use super::caller_request::{end_to_end_headers, header_text, CallerRequest};
+use super::offer::{offer_request, RequestOffer, TakenRequest};
+use super::CallerDesk;
+
+/// Brings a chat request to a server of its model.
+pub async fn handle_chat(
+    desk: &CallerDesk,
+    request: CallerRequest,
+) -> Result<TakenRequest, FailureBody> {
+    let conversation = header_text(&request.head.headers, CONVERSATION);
+    let call = read_chat_call(&request.organisation, conversation, &request.body)
+        .map_err(|error| FailureBody::not_run(FailureCode::InvalidRequest, error.to_string()))?;
+    let peers = desk.peers_for_chat(&call.model, &call.chat);
+    if peers.is_empty() {
+        let message = format!("no server is declared for the model {}", call.model);
+        return Err(FailureBody::not_run(FailureCode::UnknownModel, message));
+    }
+    let offer = RequestOffer {
+        organisation: request.organisation,
+        repeat: RepeatRule::Idempotent,
+        chat: Some(ChatTarget { model: call.model, adapter: call.adapter, chat: call.chat }),
+        method: request.head.method.to_string(),
+        path: CHAT_PATH.to_string(),
+        headers: end_to_end_headers(&request.head.headers),
+        body: request.body,
+    };
+    offer_request(desk, &offer, &peers).await
+}
--- /dev/null
+++ b/crates/papayamux-router/src/callers/mod.rs
@@ -0,0 +1,10 @@
+//! Requests of callers.
+
+mod answer_stream;
+mod caller_request;
+mod chat_handler;
+mod offer;
+mod request_handler;
+mod service_handler;
+
+pub use request_handler::CallerDesk;
--- /dev/null
+++ b/crates/papayamux-router/src/callers/request_handler.rs
@@ -0,0 +1,152 @@
+//! Every request of a caller, from its arrival to its response.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Method, Request, Response};
+use hyper::body::Incoming;
+use papayamux_protocol::engine::CHAT_PATH;
+use papayamux_protocol::failure::{FailureBody, FailureCode};
+use papayamux_state::ids::{ChatKey, ModelId, RequestIdSource, ServerId};
+use papayamux_state::placement::rank_servers;
+use papayamux_transport::http::AnswerBody;
+
+use super::answer_stream::answer_response;
+use super::caller_request::read_request;
+use super::chat_handler::handle_chat;
+use super::offer::TakenRequest;
+use super::service_handler::handle_service;
+use crate::agents::{AgentPeer, RouterIdentity};
+use crate::metrics::RouterMetrics;
+use crate::settings::RouterSettings;
+
+/// Counts a request as in flight until it is dropped.
+pub struct InFlightGuard {
+    metrics: RouterMetrics,
+}
+
+impl InFlightGuard {
+    fn new(metrics: &RouterMetrics) -> Rc<Self> {
+        metrics.requests.inc();
+        metrics.in_flight.inc();
+        Rc::new(Self { metrics: metrics.clone() })
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.metrics.in_flight.dec();
+    }
+}
+
+/// Takes callers' requests and knows the agents they may go to.
+pub struct CallerDesk {
+    pub(super) settings: RouterSettings,
+    pub(super) metrics: RouterMetrics,
+    pub(super) request_ids: RequestIdSource,
+    peers: HashMap<ServerId, Rc<AgentPeer>>,
+}
+
+impl CallerDesk {
+    /// A desk for one life of a router.
+    pub fn new(
+        settings: RouterSettings,
+        identity: RouterIdentity,
+        metrics: RouterMetrics,
+    ) -> Rc<Self> {
+        let peers = settings
+            .servers
+            .iter()
+            .map(|entry| {
+                let server = entry.server.clone();
+                let peer =
+                    AgentPeer::new(server.clone(), entry.agent, identity.clone(), metrics.clone());
+                (server, Rc::new(peer))
+            })
+            .collect();
+        let request_ids = RequestIdSource::new(identity.incarnation);
+        Rc::new(Self { settings, metrics, request_ids, peers })
+    }
+
+    /// Answers one request.
+    pub async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let in_flight = InFlightGuard::new(&self.metrics);
+        match self.take(request).await {
+            Ok(taken) => answer_response(taken, in_flight),
+            Err(failure) => self.failure_response(&failure),
+        }
+    }
+
+    async fn take(&self, request: Request<Incoming>) -> Result<TakenRequest, FailureBody> {
+        let is_chat = request.uri().path() == CHAT_PATH;
+        if is_chat && request.method() != Method::POST {
+            let message = format!("{CHAT_PATH} takes POST only");
+            return Err(FailureBody::not_run(FailureCode::InvalidRequest, message));
+        }
+        let request = read_request(request, self.settings.longest_body).await?;
+        match is_chat {
+            true => handle_chat(self, request).await,
+            false => handle_service(self, request).await,
+        }
+    }
+
+    /// The agents of a model's servers, the chat's home first.
+    pub(super) fn peers_for_chat(&self, model: &ModelId, chat: &ChatKey) -> Vec<Rc<AgentPeer>> {
+        let serving = self.settings.servers.iter().filter(|entry| entry.models.contains(model));
+        let ranked = rank_servers(chat, serving.map(|entry| &entry.server));
+        ranked.into_iter().filter_map(|server| self.peers.get(server).cloned()).collect()
+    }
+
+    /// The agents for a path, by its longest declared prefix, and whether calls may be repeated.
+    pub(super) fn peers_for_path(&self, path: &str) -> Option<(bool, Vec<Rc<AgentPeer>>)> {
+        let servers = &self.settings.servers;
+        let prefixes = servers.iter().flat_map(|entry| &entry.paths);
+        let longest =
+            prefixes.filter(|prefix| has_prefix(path, prefix)).max_by_key(|prefix| prefix.len())?;
+        let entries: Vec<_> =
+            servers.iter().filter(|entry| entry.paths.contains(longest)).collect();
+        let idempotent = entries.iter().all(|entry| entry.idempotent);
+        let mut peers: Vec<_> =
+            entries.iter().filter_map(|entry| self.peers.get(&entry.server).cloned()).collect();
+        if !peers.is_empty() {
+            let first = rand::random_range(0..peers.len());
+            peers.rotate_left(first);
+        }
+        Some((idempotent, peers))
+    }
+
+    fn failure_response(&self, failure: &FailureBody) -> Response<AnswerBody> {
+        let label = serde_json::to_value(failure.code).unwrap_or_default();
+        log::info!(code:% = label, message = failure.message; "request failed");
+        self.metrics.failures.count(code_label(failure.code));
+        let mut response = Response::new(AnswerBody::from(failure.to_json()));
+        *response.status_mut() = failure.code.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(seconds) = failure.retry_after_seconds {
+            headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        response
+    }
+}
+
+fn has_prefix(path: &str, prefix: &str) -> bool {
+    let Some(rest) = path.strip_prefix(prefix) else { return false };
+    rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/')
+}
+
+fn code_label(code: FailureCode) -> &'static str {
+    match code {
+        FailureCode::InvalidRequest => "invalid_request",
+        FailureCode::BodyTooLarge => "body_too_large",
+        FailureCode::UnknownOrganisation => "unknown_organisation",
+        FailureCode::UnknownModel => "unknown_model",
+        FailureCode::UnknownRoute => "unknown_route",
+        FailureCode::Refused => "refused",
+        FailureCode::ConnectionLost => "connection_lost",
+        FailureCode::ServerFailed => "server_failed",
+        FailureCode::DeadlinePassed => "deadline_passed",
+        FailureCode::ShuttingDown => "shutting_down",
+    }
+}
--- /dev/null
+++ b/crates/papayamux-router/src/callers/service_handler.rs
@@ -0,0 +1,48 @@
+//! Calls to plain services.
+
+use papayamux_protocol::failure::{FailureBody, FailureCode};
+use papayamux_protocol::headers::IDEMPOTENCY_KEY;
+use papayamux_protocol::link::RepeatRule;
+use papayamux_state::ids::IdempotencyKey;
+
+use super::caller_request::{end_to_end_headers, header_text, CallerRequest};
+use super::offer::{offer_request, RequestOffer, TakenRequest};
+use super::CallerDesk;
+
+/// Brings a call to a server declared for its path.
+pub async fn handle_service(
+    desk: &CallerDesk,
+    request: CallerRequest,
+) -> Result<TakenRequest, FailureBody> {
+    let path = request.head.uri.path();
+    let Some((idempotent, peers)) = desk.peers_for_path(path) else {
+        let message = format!("no server is declared for the path {path}");
+        return Err(FailureBody::not_run(FailureCode::UnknownRoute, message));
+    };
+    let repeat = if idempotent || request.head.method.is_safe() {
+        RepeatRule::Idempotent
+    } else {
+        RepeatRule::AtMostOnce(read_key(&request)?)
+    };
+    let path_and_query = request.head.uri.path_and_query();
+    let offer = RequestOffer {
+        organisation: request.organisation,
+        repeat,
+        chat: None,
+        method: request.head.method.to_string(),
+        path: path_and_query.map_or("/", |path| path.as_str()).to_string(),
+        headers: end_to_end_headers(&request.head.headers),
+        body: request.body,
+    };
+    offer_request(desk, &offer, &peers).await
+}
+
+fn read_key(request: &CallerRequest) -> Result<Option<IdempotencyKey>, FailureBody> {
+    let Some(text) = header_text(&request.head.headers, IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    text.parse().map(Some).map_err(|error| {
+        let message = format!("the header {IDEMPOTENCY_KEY}: {error}");
+        FailureBody::not_run(FailureCode::InvalidRequest, message)
+    })
+}
--- /dev/null
+++ b/crates/papayamux-router/src/lib.rs
@@ -0,0 +1,7 @@
+//! The router: takes requests from callers and brings them to the agents of backend servers.
+
+mod agents;
+mod callers;
+pub mod daemon;
+pub mod metrics;
+pub mod settings;
--- /dev/null
+++ b/crates/papayamux-router/src/main.rs
@@ -0,0 +1,16 @@
+//! The router daemon.
+
+use std::process::ExitCode;
+
+use papayamux_daemon::command_line::{daemon_main, DaemonName};
+use papayamux_router::daemon::run_router;
+use papayamux_router::settings::RouterSettings;
+
+const NAME: DaemonName = DaemonName {
+    program: "papayamux-router",
+    purpose: "takes requests from callers and brings them to the agents of backend servers",
+};
+
+fn main() -> ExitCode {
+    daemon_main(NAME, RouterSettings::read, run_router)
+}
--- /dev/null
+++ b/crates/papayamux-router/src/settings.rs
@@ -0,0 +1,113 @@
+//! The router's settings.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bon::Builder;
+use papayamux_settings::{Findings, IniFile, Millis};
+use papayamux_state::ids::{FailureDomain, ModelId, ServerId};
+use papayamux_state::quantities::ByteCount;
+
+/// One backend server as the router knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerEntry {
+    /// The server.
+    pub server: ServerId,
+    /// Where its agent listens.
+    pub agent: SocketAddr,
+    /// Models it serves; none for a plain service.
+    pub models: Vec<ModelId>,
+    /// Path prefixes that lead to it; none for a model engine.
+    pub paths: Vec<String>,
+    /// Whether its calls may be run again; chats always may.
+    pub idempotent: bool,
+}
+
+/// All settings of a router.
+#[derive(Debug, Clone, PartialEq, Eq, Builder)]
+pub struct RouterSettings {
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where operators connect.
+    pub operations: SocketAddr,
+    /// The router's failure domain.
+    pub domain: FailureDomain,
+    /// Bytes of the longest request body.
+    #[builder(default = ByteCount::new(4 * 1024 * 1024))]
+    pub longest_body: ByteCount,
+    /// How long a request may wait before it has to start.
+    #[builder(default = Duration::from_secs(30))]
+    pub start_within: Duration,
+    /// Servers that one request may be offered to.
+    #[builder(default = 4)]
+    pub most_offers: usize,
+    /// How long the balancer needs to see that the router is not ready.
+    #[builder(default = Duration::from_secs(2))]
+    pub balancer_delay: Duration,
+    /// How long requests in flight may take to finish at a shutdown.
+    #[builder(default = Duration::from_secs(600))]
+    pub drain_within: Duration,
+    /// The backend servers.
+    pub servers: Vec<ServerEntry>,
+}
+
+impl RouterSettings {
+    /// Reads the settings from the text of an INI file, or reports all that is wrong with it.
+    pub fn read(name: &str, text: &str) -> Result<Self, Findings> {
+        let file = IniFile::parse(name, text)?;
+        let settings = read_router(&file);
+        file.finish(|| settings)
+    }
+}
+
+fn read_router(file: &IniFile) -> Option<RouterSettings> {
+    file.refuse_other_sections(&["router"], &["server"]);
+    let section = file.section("router");
+    let listen = section.required("listen");
+    let operations = section.required("operations");
+    let domain = section.required("failure_domain");
+    let longest_body = section.optional("longest_body");
+    let start_within = section.optional("start_within");
+    let most_offers = section.optional("most_offers");
+    let balancer_delay = section.optional("balancer_delay");
+    let drain_within = section.optional("drain_within");
+    section.refuse_other_keys();
+    let servers: Vec<_> =
+        file.names_of("server").iter().map(|name| read_server(file, name)).collect();
+    let servers = servers.into_iter().collect::<Option<Vec<_>>>();
+    let settings = RouterSettings::builder()
+        .listen(listen?)
+        .operations(operations?)
+        .domain(domain?)
+        .maybe_longest_body(longest_body)
+        .maybe_start_within(start_within.map(|within: Millis| within.0))
+        .maybe_most_offers(most_offers)
+        .maybe_balancer_delay(balancer_delay.map(|delay: Millis| delay.0))
+        .maybe_drain_within(drain_within.map(|within: Millis| within.0))
+        .servers(servers?)
+        .build();
+    Some(settings)
+}
+
+fn read_server(file: &IniFile, name: &str) -> Option<ServerEntry> {
+    let section = file.section(&format!("server {name}"));
+    let server = match name.parse() {
+        Ok(server) => Some(server),
+        Err(error) => {
+            section.report("", &format!("{name:?} does not fit: {error}"), "");
+            None
+        }
+    };
+    let agent = section.required("agent");
+    let models = section.list("models");
+    let paths: Vec<String> = section.list("paths");
+    let idempotent = section.or("idempotent", false);
+    if models.is_empty() == paths.is_empty() {
+        section.report("models", "either models or paths must be given", "");
+    }
+    for path in paths.iter().filter(|path| !path.starts_with('/')) {
+        section.report("paths", &format!("{path:?} does not start with a slash"), "");
+    }
+    section.refuse_other_keys();
+    Some(ServerEntry { server: server?, agent: agent?, models, paths, idempotent })
+}
--- /dev/null
+++ b/crates/papayamux-settings/src/ini_file.rs
@@ -0,0 +1,155 @@
+//! One INI file with the line of each section and key.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+use ini::Ini;
+
+use crate::finding::{Finding, Findings};
+use crate::section::SectionReader;
+
+/// A parsed file. Values come from `rust-ini`; their lines from a scan of the same text, because
+/// the library keeps none.
+#[derive(Debug)]
+pub struct IniFile {
+    name: String,
+    ini: Ini,
+    section_lines: HashMap<String, Vec<usize>>,
+    key_lines: HashMap<(String, String), Vec<usize>>,
+    findings: RefCell<Vec<Finding>>,
+}
+
+impl IniFile {
+    /// Parses `text`, which came from the file called `name`.
+    pub fn parse(name: &str, text: &str) -> Result<Self, Findings> {
+        let ini = Ini::load_from_str_noescape(text).map_err(|error| {
+            Findings(vec![Finding {
+                file: name.to_string(),
+                line: error.line,
+                place: "syntax".to_string(),
+                message: error.msg.to_string(),
+                help: "write [section] lines and key = value lines".to_string(),
+            }])
+        })?;
+        let mut file = Self {
+            name: name.to_string(),
+            ini,
+            section_lines: HashMap::new(),
+            key_lines: HashMap::new(),
+            findings: RefCell::default(),
+        };
+        file.locate(text);
+        file.report_repeats();
+        Ok(file)
+    }
+
+    fn locate(&mut self, text: &str) {
+        let mut section = String::new();
+        for (index, line) in text.lines().enumerate() {
+            let line = line.trim();
+            let number = index + 1;
+            if let Some(rest) = line.strip_prefix('[') {
+                section = rest.split(']').next().unwrap_or_default().trim().to_string();
+                self.section_lines.entry(section.clone()).or_default().push(number);
+            } else if !line.starts_with([';', '#']) {
+                if let Some((key, _)) = line.split_once(['=', ':']) {
+                    let place = (section.clone(), key.trim().to_string());
+                    self.key_lines.entry(place).or_default().push(number);
+                }
+            }
+        }
+    }
+
+    fn report_repeats(&self) {
+        for (section, lines) in &self.section_lines {
+            for line in &lines[1..] {
+                self.report(*line, format!("[{section}]"), "the section stands twice", "join them");
+            }
+        }
+        for ((section, key), lines) in &self.key_lines {
+            for line in &lines[1..] {
+                let place = format!("[{section}] {key}");
+                self.report(*line, place, "the key stands twice", "keep one of them");
+            }
+        }
+        for (key, _) in self.ini.general_section().iter() {
+            let line = self.key_line("", key);
+            self.report(line, key.to_string(), "the key stands before any section", "");
+        }
+    }
+
+    /// The file's name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// The section called `name`; one that is missing is read as empty and reported.
+    pub fn section<'a>(&'a self, name: &str) -> SectionReader<'a> {
+        if self.ini.section(Some(name)).is_none() {
+            self.report(1, format!("[{name}]"), "the section is missing", "");
+        }
+        self.optional_section(name)
+    }
+
+    /// The section called `name`; one that is missing is read as empty.
+    pub fn optional_section<'a>(&'a self, name: &str) -> SectionReader<'a> {
+        SectionReader::new(self, name, self.ini.section(Some(name)))
+    }
+
+    /// The names after `kind` of all sections `[kind name]`, in the order of the file.
+    pub fn names_of(&self, kind: &str) -> Vec<String> {
+        let mut names: Vec<_> = self
+            .section_lines
+            .iter()
+            .filter_map(|(section, lines)| {
+                let name = section.strip_prefix(kind)?.strip_prefix(' ')?;
+                Some((lines[0], name.trim().to_string()))
+            })
+            .collect();
+        names.sort();
+        names.into_iter().map(|(_, name)| name).collect()
+    }
+
+    /// Reports each section that is neither called `exact` nor of a kind in `kinds`.
+    pub fn refuse_other_sections(&self, exact: &[&str], kinds: &[&str]) {
+        for (section, lines) in &self.section_lines {
+            let kind = section.split(' ').next().unwrap_or_default();
+            let known = exact.contains(&section.as_str())
+                || (section.contains(' ') && kinds.contains(&kind));
+            if !known {
+                let help = format!("known sections: {}", [exact, kinds].concat().join(", "));
+                self.report(lines[0], format!("[{section}]"), "the section is unknown", &help);
+            }
+        }
+    }
+
+    /// The line of a key, or of its section where the key is missing.
+    pub(crate) fn key_line(&self, section: &str, key: &str) -> usize {
+        let place = (section.to_string(), key.to_string());
+        let key_line = self.key_lines.get(&place).and_then(|lines| lines.first());
+        let section_line = self.section_lines.get(section).and_then(|lines| lines.first());
+        key_line.or(section_line).copied().unwrap_or(1)
+    }
+
+    /// Adds a finding.
+    pub fn report(&self, line: usize, place: String, message: &str, help: &str) {
+        self.findings.borrow_mut().push(Finding {
+            file: self.name.clone(),
+            line,
+            place,
+            message: message.to_string(),
+            help: help.to_string(),
+        });
+    }
+
+    /// `value` where nothing was found in the file, else all findings.
+    pub fn finish<T>(self, value: impl FnOnce() -> Option<T>) -> Result<T, Findings> {
+        let findings = Findings(self.findings.into_inner());
+        if findings.0.is_empty() {
+            if let Some(value) = value() {
+                return Ok(value);
+            }
+        }
+        findings.or(()).and(Err(Findings::default()))
+    }
+}
--- /dev/null
+++ b/crates/papayamux-settings/src/lib.rs
@@ -0,0 +1,9 @@
+//! INI settings with findings that name file, line and key.
+
+mod finding;
+mod ini_file;
+mod section;
+
+pub use finding::{Finding, Findings};
+pub use ini_file::IniFile;
+pub use section::{Millis, SectionReader};
--- /dev/null
+++ b/crates/papayamux-settings/src/section.rs
@@ -0,0 +1,137 @@
+//! Typed reading of one section.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use ini::Properties;
+use thiserror::Error;
+
+use crate::ini_file::IniFile;
+
+/// A duration written in milliseconds (`250ms`), seconds (`2s`) or minutes (`5m`).
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Millis(pub Duration);
+
+/// Why a text is not a duration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("a duration is a whole number with ms, s or m behind it")]
+pub struct MillisError;
+
+impl FromStr for Millis {
+    type Err = MillisError;
+
+    fn from_str(text: &str) -> Result<Self, MillisError> {
+        let digits = text.trim_end_matches(|character: char| character.is_ascii_alphabetic());
+        let count: u64 = digits.parse().map_err(|_| MillisError)?;
+        let millis = match &text[digits.len()..] {
+            "ms" => Some(count),
+            "s" => count.checked_mul(1_000),
+            "m" => count.checked_mul(60_000),
+            _ => None,
+        };
+        millis.map(|millis| Self(Duration::from_millis(millis))).ok_or(MillisError)
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}ms", self.0.as_millis())
+    }
+}
+
+/// Reads the keys of one section and reports what is missing, malformed or unknown.
+#[derive(Debug)]
+pub struct SectionReader<'a> {
+    file: &'a IniFile,
+    name: String,
+    properties: Option<&'a Properties>,
+    read: RefCell<HashSet<String>>,
+}
+
+impl<'a> SectionReader<'a> {
+    pub(crate) fn new(file: &'a IniFile, name: &str, properties: Option<&'a Properties>) -> Self {
+        Self { file, name: name.to_string(), properties, read: RefCell::default() }
+    }
+
+    /// The text of a key, if it stands there.
+    pub fn text(&self, key: &str) -> Option<&'a str> {
+        self.read.borrow_mut().insert(key.to_string());
+        self.properties.and_then(|properties| properties.get(key))
+    }
+
+    /// The value of a key that may be missing.
+    pub fn optional<T>(&self, key: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        let text = self.text(key)?;
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.report(key, &format!("{text:?} does not fit: {error}"), "");
+                None
+            }
+        }
+    }
+
+    /// The value of a key, or `fallback` where the key is missing.
+    pub fn or<T>(&self, key: &str, fallback: T) -> T
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        self.optional(key).unwrap_or(fallback)
+    }
+
+    /// The value of a key that must be there.
+    pub fn required<T>(&self, key: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        if self.properties.is_some() && self.text(key).is_none() {
+            self.report(key, "the key is missing", "");
+        }
+        self.optional(key)
+    }
+
+    /// The values of a key that holds a list parted by commas.
+    pub fn list<T>(&self, key: &str) -> Vec<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        let texts = self.text(key).unwrap_or_default().split(',').map(str::trim);
+        let mut values = Vec::new();
+        for text in texts.filter(|text| !text.is_empty()) {
+            match text.parse() {
+                Ok(value) => values.push(value),
+                Err(error) => self.report(key, &format!("{text:?} does not fit: {error}"), ""),
+            }
+        }
+        values
+    }
+
+    /// Adds a finding about a key of this section.
+    pub fn report(&self, key: &str, message: &str, help: &str) {
+        let line = self.file.key_line(&self.name, key);
+        self.file.report(line, format!("[{}] {key}", self.name), message, help);
+    }
+
+    /// Reports each key that was not asked for.
+    pub fn refuse_other_keys(&self) {
+        let read = self.read.borrow();
+        let mut known: Vec<_> = read.iter().map(String::as_str).collect();
+        known.sort_unstable();
+        let help = format!("known keys: {}", known.join(", "));
+        for (key, _) in self.properties.into_iter().flat_map(Properties::iter) {
+            if !read.contains(key) {
+                self.report(key, "the key is unknown", &help);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayamux-standins/src/lib.rs
@@ -0,0 +1,6 @@
+//! Stand-ins of outside systems, for the demo, the tests and the measurements. Never shipped.
+
+pub mod command_line;
+pub mod engine;
+pub mod respond;
+pub mod service;
--- /dev/null
+++ b/crates/papayamux-standins/src/respond.rs
@@ -0,0 +1,29 @@
+//! Responses that all stand-ins give.
+
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Response, StatusCode};
+use papayamux_transport::http::AnswerBody;
+use serde::Serialize;
+
+/// A JSON response.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<AnswerBody> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    typed(status, "application/json", AnswerBody::from(body))
+}
+
+/// A response that says what is wrong with the request.
+pub fn refuse(status: StatusCode, message: &str) -> Response<AnswerBody> {
+    json(status, &serde_json::json!({ "error": { "message": message } }))
+}
+
+/// A response with the given content type.
+pub fn typed(
+    status: StatusCode,
+    content_type: &'static str,
+    body: AnswerBody,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
--- /dev/null
+++ b/crates/papayamux-standins/src/service.rs
@@ -0,0 +1,98 @@
+//! The plain service stand-in: answers each call with what it was asked, and counts its runs.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use monoio::net::TcpListener;
+use papayamux_protocol::headers::{IDEMPOTENCY_KEY, REQUEST_ID};
+use papayamux_transport::http::{serve, AnswerBody, HttpLimits};
+use papayamux_transport::shutdown::ShutdownSignal;
+use serde::{Deserialize, Serialize};
+
+use crate::respond;
+
+/// Bytes of the longest request body.
+const LONGEST_BODY: usize = 16 * 1024 * 1024;
+/// The path that says how often each request id and each key was run.
+pub const RUNS_PATH: &str = "/standin/runs";
+
+/// How a plain service stand-in behaves.
+#[derive(Debug, Clone)]
+pub struct ServiceOptions {
+    /// Its name.
+    pub name: String,
+    /// Time that one call takes.
+    pub call_time: Duration,
+}
+
+/// What was run, as a test reads it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRuns {
+    /// Runs by request id.
+    pub by_request: HashMap<String, u64>,
+    /// Runs by idempotency key.
+    pub by_key: HashMap<String, u64>,
+}
+
+/// The answer to a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceAnswer {
+    /// The service's name.
+    pub service: String,
+    /// The method of the call.
+    pub method: String,
+    /// Path and query of the call.
+    pub path: String,
+    /// The body of the call.
+    pub body: String,
+}
+
+/// Serves a plain service until `shutdown`.
+pub async fn serve_service(
+    listener: TcpListener,
+    options: ServiceOptions,
+    shutdown: ShutdownSignal,
+) -> std::io::Result<()> {
+    let options = Rc::new(options);
+    let runs: Rc<RefCell<ServiceRuns>> = Rc::default();
+    let handler = Rc::new(move |request| answer(options.clone(), runs.clone(), request));
+    serve(listener, HttpLimits::default(), shutdown, handler).await
+}
+
+async fn answer(
+    options: Rc<ServiceOptions>,
+    runs: Rc<RefCell<ServiceRuns>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    if request.method() == Method::GET && request.uri().path() == RUNS_PATH {
+        return respond::json(StatusCode::OK, &*runs.borrow());
+    }
+    let (head, body) = request.into_parts();
+    let body = match Limited::new(body, LONGEST_BODY).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return respond::refuse(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    count_run(&runs, &head);
+    monoio::time::sleep(options.call_time).await;
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_string();
+    let body = String::from_utf8_lossy(&body).into_owned();
+    let method = head.method.to_string();
+    let service = options.name.clone();
+    respond::json(StatusCode::OK, &ServiceAnswer { service, method, path, body })
+}
+
+fn count_run(runs: &RefCell<ServiceRuns>, head: &http::request::Parts) {
+    let text_of = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+    let mut runs = runs.borrow_mut();
+    if let Some(id) = text_of(REQUEST_ID) {
+        *runs.by_request.entry(id.to_string()).or_default() += 1;
+    }
+    if let Some(key) = text_of(IDEMPOTENCY_KEY) {
+        *runs.by_key.entry(key.to_string()).or_default() += 1;
+    }
+}
--- /dev/null
+++ b/crates/papayamux-state/src/ids/incarnation.rs
@@ -0,0 +1,52 @@
+//! Incarnations: one number for each life of a process.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use super::IdError;
+
+const RANDOM_BITS: u32 = 20;
+
+/// One life of a process. A later life of the same process has a higher number as long as the
+/// instance's clock does not step back by more than the time between the two starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Incarnation(u64);
+
+impl Incarnation {
+    /// Draws the incarnation of a process that starts now: milliseconds of the wall clock above,
+    /// random bits below.
+    pub fn draw() -> Self {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let millis = since_epoch.as_millis() as u64;
+        let noise = rand::random::<u64>() >> (u64::BITS - RANDOM_BITS);
+        Self((millis << RANDOM_BITS) | noise)
+    }
+
+    /// The number as sent on the wire.
+    pub fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl From<u64> for Incarnation {
+    fn from(number: u64) -> Self {
+        Self(number)
+    }
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        u64::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| IdError::Form { text: text.to_string(), form: "16 hexadecimal digits" })
+    }
+}
--- /dev/null
+++ b/crates/papayamux-state/src/ids/mod.rs
@@ -0,0 +1,43 @@
+//! Identifiers, each a type of its own.
+
+mod incarnation;
+mod request_id;
+mod text;
+
+pub use incarnation::Incarnation;
+pub use request_id::{RequestId, RequestIdSource};
+pub use text::{
+    AdapterId, ChatKey, FailureDomain, IdempotencyKey, ModelId, OrganisationId, ServerId,
+};
+
+use thiserror::Error;
+
+/// Why a text is not an identifier.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum IdError {
+    /// The text is empty.
+    #[error("an identifier may not be empty")]
+    Empty,
+    /// The text is longer than its bound in bytes.
+    #[error("an identifier may have at most {limit} bytes, this has {length}")]
+    TooLong {
+        /// Bytes the text has.
+        length: usize,
+        /// Bytes it may have.
+        limit: usize,
+    },
+    /// A character that is not allowed.
+    #[error("character {character:?} is not allowed in an identifier")]
+    Character {
+        /// The character.
+        character: char,
+    },
+    /// The text is not a number of the expected form.
+    #[error("{text:?} is not of the form {form}")]
+    Form {
+        /// The text as given.
+        text: String,
+        /// What was expected.
+        form: &'static str,
+    },
+}
--- /dev/null
+++ b/crates/papayamux-state/src/refusal.rs
@@ -0,0 +1,67 @@
+//! Why work is refused. A refusal always means that the work was not run.
+
+use std::fmt;
+
+macro_rules! refusal_reasons {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $label:literal;)*) => {
+        /// Why an agent or a router refused a request.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum RefusalReason {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl RefusalReason {
+            /// Every reason, in the order of their numbers.
+            pub const ALL: &'static [RefusalReason] = &[$(RefusalReason::$name,)*];
+
+            /// The number sent on the wire.
+            pub const fn number(self) -> u32 {
+                match self { $(RefusalReason::$name => $number,)* }
+            }
+
+            /// The reason with this number on the wire.
+            pub const fn from_number(number: u32) -> Option<Self> {
+                match number { $($number => Some(RefusalReason::$name),)* _ => None }
+            }
+
+            /// The stable word for metrics, logs and error bodies.
+            pub const fn label(self) -> &'static str {
+                match self { $(RefusalReason::$name => $label,)* }
+            }
+        }
+    };
+}
+
+refusal_reasons! {
+    /// The request names another incarnation of the agent.
+    WrongIncarnation = 1, "wrong_incarnation";
+    /// The request's id was seen before.
+    SeenBefore = 2, "seen_before";
+    /// The request came after its deadline.
+    DeadlinePassed = 3, "deadline_passed";
+    /// The server is leaving.
+    Leaving = 4, "leaving";
+    /// The server is at its bound.
+    AtCapacity = 5, "at_capacity";
+    /// The server can't be reached by its agent.
+    ServerUnreachable = 6, "server_unreachable";
+    /// The server does not serve the model or route.
+    NotServed = 7, "not_served";
+    /// No agent could be reached by the router.
+    NoAgentReachable = 8, "no_agent_reachable";
+    /// The request was cancelled before it ran.
+    Cancelled = 9, "cancelled";
+}
+
+impl RefusalReason {
+    /// Whether the same request may be asked of another server.
+    pub const fn may_ask_elsewhere(self) -> bool {
+        !matches!(self, RefusalReason::DeadlinePassed | RefusalReason::Cancelled)
+    }
+}
+
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.label())
+    }
+}
--- /dev/null
+++ b/crates/papayamux-testbed/src/caller.rs
@@ -0,0 +1,176 @@
+//! A caller: sends requests to a router and reads the answers as they come.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use papayamux_protocol::chat::{ChatChunk, ChatMessage, ChatRequest, UsageReport, STREAM_END};
+use papayamux_protocol::engine::CHAT_PATH;
+use papayamux_protocol::headers::{ORGANISATION, SERVED_BY};
+use papayamux_transport::http::{ClientAnswer, HttpClient, HttpClientError};
+use thiserror::Error;
+
+/// Bytes of the longest answer that a caller reads.
+const LONGEST_ANSWER: u64 = 64 * 1024 * 1024;
+
+/// Why a caller got no whole answer.
+#[derive(Debug, Error)]
+pub enum CallerError {
+    /// The connection failed.
+    #[error(transparent)]
+    Client(#[from] HttpClientError),
+    /// The router told a failure.
+    #[error("status {status}: {body}")]
+    Failure {
+        /// The status.
+        status: StatusCode,
+        /// The body.
+        body: String,
+    },
+    /// The answer is not what an engine sends.
+    #[error("the answer makes no sense: {0}")]
+    Nonsense(String),
+    /// The request could not be built.
+    #[error(transparent)]
+    Request(#[from] http::Error),
+}
+
+/// A whole streamed answer.
+#[derive(Debug, Clone)]
+pub struct CallerAnswer {
+    /// The text.
+    pub text: String,
+    /// The server that gave it.
+    pub server: String,
+    /// Token counts.
+    pub usage: UsageReport,
+    /// Time from sending to the first token.
+    pub first_token: Duration,
+    /// Events with text.
+    pub events: u64,
+}
+
+/// A caller of one organisation at one router.
+#[derive(Clone)]
+pub struct Caller {
+    client: HttpClient,
+    organisation: String,
+}
+
+impl Caller {
+    /// A caller of `organisation` at the router (or engine) at `address`.
+    pub fn new(address: SocketAddr, organisation: &str) -> Self {
+        Self { client: HttpClient::new(address), organisation: organisation.to_string() }
+    }
+
+    /// Sends any request and gives its answer's head, with the body still to be read.
+    pub async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<ClientAnswer, CallerError> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, self.client.address().to_string())
+            .header(ORGANISATION, &self.organisation);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        Ok(self.client.send_idempotent(request.body(body)?).await?)
+    }
+
+    /// Sends any request and reads its whole answer.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), CallerError> {
+        let answer = self.send(method, path, headers, body).await?;
+        let status = answer.head.status;
+        Ok((status, answer.whole_body(LONGEST_ANSWER).await?))
+    }
+
+    /// Sends a chat and reads its streamed answer to the end.
+    pub async fn chat(&self, request: &ChatRequest) -> Result<CallerAnswer, CallerError> {
+        let sent = Instant::now();
+        let body = serde_json::to_vec(request)
+            .map_err(|error| CallerError::Nonsense(error.to_string()))?;
+        let answer = self.send(Method::POST, CHAT_PATH, &[], body.into()).await?;
+        if answer.head.status != StatusCode::OK {
+            let status = answer.head.status;
+            let body = answer.whole_body(LONGEST_ANSWER).await?;
+            let body = String::from_utf8_lossy(&body).into_owned();
+            return Err(CallerError::Failure { status, body });
+        }
+        read_events(answer, sent).await
+    }
+}
+
+async fn read_events(mut answer: ClientAnswer, sent: Instant) -> Result<CallerAnswer, CallerError> {
+    let served_by = answer.head.headers.get(SERVED_BY).and_then(|value| value.to_str().ok());
+    let mut whole = CallerAnswer {
+        text: String::new(),
+        server: served_by.unwrap_or_default().to_string(),
+        usage: UsageReport::default(),
+        first_token: Duration::ZERO,
+        events: 0,
+    };
+    let mut pending = Vec::new();
+    let mut ended = false;
+    while let Some(piece) = answer.next_piece().await {
+        pending.extend_from_slice(&piece?);
+        while let Some(end) = pending.windows(2).position(|pair| pair == b"\n\n") {
+            let event: Vec<u8> = pending.drain(..end + 2).collect();
+            ended |= take_event(&event, sent, &mut whole)?;
+        }
+    }
+    if !ended || !pending.is_empty() {
+        return Err(CallerError::Nonsense("the stream ended before its end".to_string()));
+    }
+    answer.finish();
+    Ok(whole)
+}
+
+/// Adds one event to the answer; `true` for the event that ends the stream.
+fn take_event(event: &[u8], sent: Instant, whole: &mut CallerAnswer) -> Result<bool, CallerError> {
+    let nonsense = |text: &str| CallerError::Nonsense(text.to_string());
+    let text = std::str::from_utf8(event).map_err(|_| nonsense("an event is not UTF-8"))?;
+    let mut lines = text.lines();
+    let data = lines
+        .find_map(|line| line.strip_prefix("data: "))
+        .ok_or_else(|| nonsense("an event without data"))?;
+    if data == STREAM_END {
+        return Ok(true);
+    }
+    let chunk: ChatChunk =
+        serde_json::from_str(data).map_err(|error| nonsense(&error.to_string()))?;
+    for choice in &chunk.choices {
+        if !choice.delta.content.is_empty() {
+            if whole.events == 0 {
+                whole.first_token = sent.elapsed();
+            }
+            whole.events += 1;
+            whole.text.push_str(&choice.delta.content);
+        }
+    }
+    whole.usage = chunk.usage.unwrap_or(whole.usage);
+    Ok(false)
+}
+
+/// A streamed chat request with the given turns.
+pub fn chat_request(model: &str, messages: Vec<ChatMessage>, max_tokens: u32) -> ChatRequest {
+    ChatRequest {
+        model: model.to_string(),
+        adapter: None,
+        messages,
+        stream: true,
+        max_tokens: Some(max_tokens),
+        conversation: None,
+    }
+}
--- /dev/null
+++ b/crates/papayamux-testbed/src/process.rs
@@ -0,0 +1,209 @@
+//! One process of the fleet, with its log.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::Value;
+use thiserror::Error;
+
+/// The environment variable that, when set, has all logs of the fleet printed.
+const SHOW_LOGS: &str = "PAPAYAMUX_SHOW_LOGS";
+/// How long a process may take to say that it has started.
+const START_WITHIN: Duration = Duration::from_secs(20);
+
+/// Why a process of the fleet can't be used.
+#[derive(Debug, Error)]
+pub enum TestbedError {
+    /// The program could not be started.
+    #[error("{program}: {source}")]
+    Start {
+        /// The program.
+        program: String,
+        /// What failed.
+        source: std::io::Error,
+    },
+    /// The expected log line did not come.
+    #[error("{program}: no log line {message:?} within {within:?}; its log:\n{log}")]
+    NoLine {
+        /// The program.
+        program: String,
+        /// The line that was waited for.
+        message: String,
+        /// How long it was waited for.
+        within: Duration,
+        /// What it logged instead.
+        log: String,
+    },
+    /// A log line lacks an address.
+    #[error("{program}: its start line has no address {field:?}")]
+    NoAddress {
+        /// The program.
+        program: String,
+        /// The field that was expected.
+        field: &'static str,
+    },
+    /// A file or socket failed.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    /// A signal could not be sent.
+    #[error("signal: {0}")]
+    Signal(#[from] nix::Error),
+    /// The process did not end.
+    #[error("{program}: did not end within {within:?}")]
+    NoExit {
+        /// The program.
+        program: String,
+        /// How long it was waited for.
+        within: Duration,
+    },
+}
+
+#[derive(Debug, Default)]
+struct LogBook {
+    lines: Mutex<Vec<Value>>,
+    grown: Condvar,
+}
+
+/// A running process; dropping it kills it.
+#[derive(Debug)]
+pub struct ProcessHandle {
+    program: String,
+    child: Child,
+    log: Arc<LogBook>,
+    start_line: Value,
+}
+
+/// The folder that holds the workspace's programs: that of the running program, or its parent
+/// for a test.
+fn program_folder() -> std::io::Result<PathBuf> {
+    let mut folder = std::env::current_exe()?;
+    folder.pop();
+    if folder.ends_with("deps") {
+        folder.pop();
+    }
+    Ok(folder)
+}
+
+impl ProcessHandle {
+    /// Starts `program` and waits until it logs that it has started.
+    pub fn start(program: &str, arguments: &[String]) -> Result<Self, TestbedError> {
+        let started = |source| TestbedError::Start { program: program.to_string(), source };
+        let path = program_folder()?.join(program);
+        let mut child = Command::new(path)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .map_err(started)?;
+        let log = Arc::new(LogBook::default());
+        if let Some(stderr) = child.stderr.take() {
+            let log = log.clone();
+            std::thread::spawn(move || collect_log(BufReader::new(stderr), &log));
+        }
+        let program = program.to_string();
+        let mut process = Self { program, child, log, start_line: Value::Null };
+        process.start_line = process.wait_for_line("started", START_WITHIN)?;
+        Ok(process)
+    }
+
+    /// Waits until a log line's message contains `part`.
+    pub fn wait_for_line(&self, part: &str, within: Duration) -> Result<Value, TestbedError> {
+        let deadline = Instant::now() + within;
+        let mut lines = lock(&self.log.lines);
+        loop {
+            let found = lines
+                .iter()
+                .find(|line| line["message"].as_str().is_some_and(|text| text.contains(part)));
+            if let Some(line) = found {
+                return Ok(line.clone());
+            }
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                let log = lines.iter().map(|line| format!("{line}\n")).collect();
+                let (program, message) = (self.program.clone(), part.to_string());
+                return Err(TestbedError::NoLine { program, message, within, log });
+            }
+            let waited = self.log.grown.wait_timeout(lines, left);
+            lines = waited.map_or_else(|error| error.into_inner().0, |(lines, _)| lines);
+        }
+    }
+
+    /// All log lines whose message contains `part`.
+    pub fn lines_with(&self, part: &str) -> Vec<Value> {
+        let lines = lock(&self.log.lines);
+        let has_part =
+            |line: &&Value| line["message"].as_str().is_some_and(|text| text.contains(part));
+        lines.iter().filter(has_part).cloned().collect()
+    }
+
+    /// Where the process listens.
+    pub fn listen(&self) -> Result<SocketAddr, TestbedError> {
+        self.address("listen")
+    }
+
+    /// Where the process answers operators.
+    pub fn operations(&self) -> Result<SocketAddr, TestbedError> {
+        self.address("operations")
+    }
+
+    fn address(&self, field: &'static str) -> Result<SocketAddr, TestbedError> {
+        self.start_line[field]
+            .as_str()
+            .and_then(|text| text.parse().ok())
+            .ok_or_else(|| TestbedError::NoAddress { program: self.program.clone(), field })
+    }
+
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) -> Result<(), TestbedError> {
+        Ok(kill(Pid::from_raw(self.child.id() as i32), signal)?)
+    }
+
+    /// Waits for the process to end.
+    pub fn wait_exit(&mut self, within: Duration) -> Result<ExitStatus, TestbedError> {
+        let deadline = Instant::now() + within;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            if Instant::now() > deadline {
+                return Err(TestbedError::NoExit { program: self.program.clone(), within });
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for ProcessHandle {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+fn collect_log(reader: impl BufRead, log: &LogBook) {
+    let shown = std::env::var_os(SHOW_LOGS).is_some();
+    for line in reader.lines().map_while(Result::ok) {
+        if shown {
+            eprintln!("{line}");
+        }
+        let value =
+            serde_json::from_str(&line).unwrap_or_else(|_| serde_json::json!({ "message": line }));
+        lock(&log.lines).push(value);
+        log.grown.notify_all();
+    }
+}
--- /dev/null
+++ b/crates/papayamux-testbed/tests/whole_path.rs
@@ -0,0 +1,82 @@
+//! A chat and a plain call from a caller through router and agent to a server and back.
+
+use std::error::Error;
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use papayamux_protocol::chat::{ChatCompletion, ChatMessage};
+use papayamux_protocol::engine::{render_prompt, CHAT_PATH};
+use papayamux_protocol::failure::{FailureCode, FailureEnvelope, FailureOutcome};
+use papayamux_standins::engine::expected_answer;
+use papayamux_standins::service::ServiceAnswer;
+use papayamux_testbed::{chat_request, Caller, Fleet, FleetPlan, FLEET_MODEL};
+use papayamux_transport::runtime;
+
+type TestResult = Result<(), Box<dyn Error>>;
+
+fn user_says(text: &str) -> Vec<ChatMessage> {
+    vec![ChatMessage { role: "user".to_string(), content: text.to_string() }]
+}
+
+fn with_fleet(plan: FleetPlan, test: impl AsyncFnOnce(&Fleet) -> TestResult) -> TestResult {
+    let fleet = Fleet::start(plan)?;
+    runtime::run(test(&fleet))?
+}
+
+#[test]
+fn streamed_and_whole_answers_come_back_to_the_byte() -> TestResult {
+    with_fleet(FleetPlan::builder().build(), async |fleet| {
+        let messages = user_says("When does the last train leave the mine?");
+        let expected = expected_answer(FLEET_MODEL, &render_prompt(&messages), Some(200));
+        for router in &fleet.routers {
+            let caller = Caller::new(router.listen()?, "yanchang-desk");
+            let mut request = chat_request(FLEET_MODEL, messages.clone(), 200);
+            assert_eq!(caller.chat(&request).await?.text, expected);
+            request.stream = false;
+            let body = serde_json::to_vec(&request)?;
+            let (status, body) = caller.call(Method::POST, CHAT_PATH, &[], body.into()).await?;
+            assert_eq!(status, StatusCode::OK);
+            let completion: ChatCompletion = serde_json::from_slice(&body)?;
+            assert_eq!(completion.choices[0].message.content, expected);
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn a_plain_call_keeps_method_path_and_body() -> TestResult {
+    with_fleet(FleetPlan::builder().build(), async |fleet| {
+        let caller = Caller::new(fleet.routers[0].listen()?, "yanchang-desk");
+        let body = Bytes::from_static(b"{\"ticket\":7}");
+        let (status, body) = caller.call(Method::PUT, "/tickets/gate/3?fast=1", &[], body).await?;
+        assert_eq!(status, StatusCode::OK);
+        let answer: ServiceAnswer = serde_json::from_slice(&body)?;
+        assert_eq!(
+            (answer.method.as_str(), answer.path.as_str(), answer.body.as_str()),
+            ("PUT", "/tickets/gate/3?fast=1", "{\"ticket\":7}")
+        );
+        Ok(())
+    })
+}
+
+#[test]
+fn requests_that_cannot_run_say_so() -> TestResult {
+    with_fleet(FleetPlan::builder().routers(1).engines(1).build(), async |fleet| {
+        let caller = Caller::new(fleet.routers[0].listen()?, "yanchang-desk");
+        let unknown_model = serde_json::to_vec(&chat_request("nothing", user_says("x"), 1))?;
+        let cases = [
+            (CHAT_PATH, b"{\"model\":".to_vec(), FailureCode::InvalidRequest),
+            (CHAT_PATH, unknown_model, FailureCode::UnknownModel),
+            ("/nowhere", Vec::new(), FailureCode::UnknownRoute),
+            ("/tickets", vec![b'x'; 5 * 1024 * 1024], FailureCode::BodyTooLarge),
+        ];
+        for (path, body, code) in cases {
+            let (status, body) = caller.call(Method::POST, path, &[], body.into()).await?;
+            assert_eq!(status, code.status(), "{path}");
+            let failure: FailureEnvelope = serde_json::from_slice(&body)?;
+            assert_eq!(failure.error.code, code);
+            assert_eq!(failure.error.outcome, FailureOutcome::NotRun);
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/papayamux-transport/src/http/client.rs
@@ -0,0 +1,215 @@
+//! The HTTP/1.1 client towards backend servers and the platform.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use ::http::response::Parts;
+use ::http::Request;
+use bytes::Bytes;
+use monoio::io::sink::SinkExt;
+use monoio::io::stream::Stream;
+use monoio::net::TcpStream;
+use monoio_http::common::body::{FixedBody, HttpBody};
+use monoio_http::common::error::HttpError;
+use monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, FixedBodyDecoder, PayloadDecoder};
+use monoio_http::h1::codec::ClientCodec;
+use monoio_http::h1::BorrowFramedRead;
+use thiserror::Error;
+
+use crate::link::{connect, LinkError};
+
+/// How long an idle connection is kept for the next request.
+const KEEP_IDLE: Duration = Duration::from_secs(5);
+/// Idle connections kept.
+const MOST_IDLE: usize = 256;
+/// Bytes of the longest body that is given its length beforehand; it arrives in one piece.
+const LONGEST_FIXED_BODY: u64 = 16 * 1024 * 1024;
+
+/// Why a request to a server got no answer.
+#[derive(Debug, Error)]
+pub enum HttpClientError {
+    /// No connection could be opened: nothing was sent.
+    #[error(transparent)]
+    Connect(#[from] LinkError),
+    /// The connection failed after sending had begun.
+    #[error("the connection failed: {0}")]
+    Broken(#[from] HttpError),
+    /// The server closed the connection instead of answering.
+    #[error("the server closed the connection before its answer")]
+    Closed,
+    /// The answer's body is longer than its bound.
+    #[error("the answer has {length} bytes, the bound is {LONGEST_FIXED_BODY}")]
+    TooLong {
+        /// Bytes announced.
+        length: u64,
+    },
+}
+
+impl HttpClientError {
+    /// Whether nothing of the request can have reached the server.
+    pub fn nothing_was_sent(&self) -> bool {
+        matches!(self, HttpClientError::Connect(_))
+    }
+}
+
+type Codec = ClientCodec<TcpStream>;
+type BodyDecoder = PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>;
+
+struct IdleConnection {
+    codec: Codec,
+    since: Instant,
+}
+
+/// Requests to one server; clones share its idle connections.
+#[derive(Clone)]
+pub struct HttpClient {
+    address: SocketAddr,
+    idle: Rc<RefCell<Vec<IdleConnection>>>,
+}
+
+impl HttpClient {
+    /// A client for the server at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, idle: Rc::default() }
+    }
+
+    /// The server's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request that may be sent again, over an idle connection where there is one; one
+    /// that the server had closed is replaced by a fresh one.
+    pub async fn send_idempotent(
+        &self,
+        request: Request<Bytes>,
+    ) -> Result<ClientAnswer, HttpClientError> {
+        if let Some(codec) = self.take_idle() {
+            match self.exchange(codec, request.clone()).await {
+                Err(HttpClientError::Closed | HttpClientError::Broken(_)) => {}
+                outcome => return outcome,
+            }
+        }
+        self.send_once(request).await
+    }
+
+    /// Sends a request exactly once, over a fresh connection: a failure to connect then proves
+    /// that nothing ran.
+    pub async fn send_once(
+        &self,
+        request: Request<Bytes>,
+    ) -> Result<ClientAnswer, HttpClientError> {
+        let stream = connect(self.address).await?;
+        let _ = stream.set_nodelay(true);
+        self.exchange(ClientCodec::new(stream), request).await
+    }
+
+    async fn exchange(
+        &self,
+        mut codec: Codec,
+        request: Request<Bytes>,
+    ) -> Result<ClientAnswer, HttpClientError> {
+        let body = request.body().clone();
+        let request = request.map(|_| HttpBody::fixed_body(Some(body)));
+        codec.send_and_flush(request).await?;
+        let response = codec.next().await.ok_or(HttpClientError::Closed)??;
+        let (head, decoder) = response.into_parts();
+        let length = announced_length(&head);
+        if length > LONGEST_FIXED_BODY {
+            return Err(HttpClientError::TooLong { length });
+        }
+        Ok(ClientAnswer { client: self.clone(), head, codec, decoder, ended: false })
+    }
+
+    fn take_idle(&self) -> Option<Codec> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|connection| connection.since.elapsed() < KEEP_IDLE);
+        idle.pop().map(|connection| connection.codec)
+    }
+
+    fn keep_idle(&self, codec: Codec) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MOST_IDLE {
+            idle.push(IdleConnection { codec, since: Instant::now() });
+        }
+    }
+}
+
+fn announced_length(head: &Parts) -> u64 {
+    head.headers
+        .get(::http::header::CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok()?.parse().ok())
+        .unwrap_or(0)
+}
+
+/// An answer whose body is still to be read.
+pub struct ClientAnswer {
+    client: HttpClient,
+    /// Status and headers.
+    pub head: Parts,
+    codec: Codec,
+    decoder: BodyDecoder,
+    ended: bool,
+}
+
+impl ClientAnswer {
+    /// The next piece of the body; `None` after the whole.
+    pub async fn next_piece(&mut self) -> Option<Result<Bytes, HttpClientError>> {
+        if self.ended {
+            return None;
+        }
+        let framed = self.codec.framed_mut();
+        match &mut self.decoder {
+            PayloadDecoder::None => {
+                self.ended = true;
+                None
+            }
+            PayloadDecoder::Fixed(decoder) => {
+                let piece = framed.next_with(decoder).await;
+                self.ended = true;
+                Some(piece.map_or(Err(HttpClientError::Closed), |result| result.map_err(broken)))
+            }
+            PayloadDecoder::Streamed(decoder) => match framed.next_with(decoder).await {
+                None => Some(Err(HttpClientError::Closed)),
+                Some(Ok(Some(piece))) => Some(Ok(piece)),
+                Some(Ok(None)) => {
+                    self.ended = true;
+                    None
+                }
+                Some(Err(error)) => Some(Err(broken(error))),
+            },
+        }
+    }
+
+    /// Reads the whole body, up to `limit` bytes.
+    pub async fn whole_body(mut self, limit: u64) -> Result<Bytes, HttpClientError> {
+        let mut body = bytes::BytesMut::new();
+        while let Some(piece) = self.next_piece().await {
+            body.extend_from_slice(&piece?);
+            if body.len() as u64 > limit {
+                return Err(HttpClientError::TooLong { length: body.len() as u64 });
+            }
+        }
+        self.finish();
+        Ok(body.freeze())
+    }
+
+    /// Gives the connection back for the next request, where the body was read to its end.
+    /// Dropping the answer closes the connection instead.
+    pub fn finish(self) {
+        let close = self
+            .head
+            .headers
+            .get(::http::header::CONNECTION)
+            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+        if self.ended && !close {
+            self.client.keep_idle(self.codec);
+        }
+    }
+}
+
+fn broken(error: impl Into<HttpError>) -> HttpClientError {
+    HttpClientError::Broken(error.into())
+}
--- /dev/null
+++ b/crates/papayamux-transport/src/http/mod.rs
@@ -0,0 +1,9 @@
+//! HTTP towards callers, operators and backend servers.
+
+mod body;
+mod client;
+mod server;
+
+pub use body::{AnswerBody, BodyError};
+pub use client::{ClientAnswer, HttpClient, HttpClientError};
+pub use server::{serve, HttpLimits};
--- /dev/null
+++ b/crates/papayamux-transport/src/lib.rs
@@ -0,0 +1,8 @@
+//! Connections, listeners and timers on one `monoio` thread.
+
+pub mod http;
+pub mod link;
+pub mod listen;
+pub mod runtime;
+pub mod shutdown;
+pub mod timer;
--- /dev/null
+++ b/crates/papayamux-transport/src/timer.rs
@@ -0,0 +1,98 @@
+//! The timer service: parts subscribe to periods, and learn when the process was paused.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use local_sync::mpsc::unbounded;
+
+/// How often the service looks at the clock.
+pub const RESOLUTION: Duration = Duration::from_millis(50);
+/// A gap between two looks at the clock that counts as a pause of the process.
+pub const PAUSE_THRESHOLD: Duration = Duration::from_millis(500);
+
+/// What a subscriber receives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TimerTick {
+    /// When the tick was due.
+    pub due: Instant,
+    /// How long the process was paused before this tick, if it was.
+    pub paused: Option<Duration>,
+}
+
+struct Subscriber {
+    period: Duration,
+    next: Instant,
+    waiting: Rc<Cell<bool>>,
+    sender: unbounded::Tx<TimerTick>,
+}
+
+/// Gives ticks to those who subscribed. A subscriber that has not taken its last tick gets no
+/// further one, so that nothing piles up behind a slow part.
+#[derive(Clone, Default)]
+pub struct TimerService {
+    subscribers: Rc<RefCell<Vec<Subscriber>>>,
+}
+
+/// A subscription to a period; dropping it ends it.
+pub struct TimerSubscription {
+    waiting: Rc<Cell<bool>>,
+    receiver: unbounded::Rx<TimerTick>,
+}
+
+impl TimerService {
+    /// Starts the service on the current runtime.
+    pub fn start() -> Self {
+        let service = Self::default();
+        monoio::spawn(run_service(service.clone()));
+        service
+    }
+
+    /// Subscribes to a tick every `period`, the first after one period.
+    pub fn every(&self, period: Duration) -> TimerSubscription {
+        let (sender, receiver) = unbounded::channel();
+        let waiting = Rc::new(Cell::new(false));
+        self.subscribers.borrow_mut().push(Subscriber {
+            period,
+            next: Instant::now() + period,
+            waiting: waiting.clone(),
+            sender,
+        });
+        TimerSubscription { waiting, receiver }
+    }
+
+    fn give_ticks(&self, now: Instant, paused: Option<Duration>) {
+        self.subscribers.borrow_mut().retain_mut(|subscriber| {
+            if subscriber.next > now && paused.is_none() {
+                return !subscriber.sender.is_closed();
+            }
+            let due = subscriber.next.min(now);
+            subscriber.next = now + subscriber.period;
+            if subscriber.waiting.replace(true) && paused.is_none() {
+                return !subscriber.sender.is_closed();
+            }
+            subscriber.sender.send(TimerTick { due, paused }).is_ok()
+        });
+    }
+}
+
+impl TimerSubscription {
+    /// The next tick, or `None` once the service has ended.
+    pub async fn tick(&mut self) -> Option<TimerTick> {
+        let tick = self.receiver.recv().await;
+        self.waiting.set(false);
+        tick
+    }
+}
+
+async fn run_service(service: TimerService) {
+    let mut last = Instant::now();
+    loop {
+        monoio::time::sleep(RESOLUTION).await;
+        let now = Instant::now();
+        let gap = now - last;
+        let paused = (gap > PAUSE_THRESHOLD).then_some(gap);
+        service.give_ticks(now, paused);
+        last = now;
+    }
+}
