Keep the router's servers in a directory that can be replaced

Cause: the servers were fixed in the settings, while configuration and membership are to change them, and routing needs to look at them.

Change: ServerDirectory answers who serves a model or a path; replacing its entries keeps the connections of servers that stay.

--- a/crates/papayamux-router/src/callers/request_handler.rs
+++ b/crates/papayamux-router/src/callers/request_handler.rs
@@ -1,6 +1,5 @@
 //! Every request of a caller, from its arrival to its response.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
@@ -8,8 +7,7 @@
 use hyper::body::Incoming;
 use papayamux_protocol::engine::CHAT_PATH;
 use papayamux_protocol::failure::{FailureBody, FailureCode};
-use papayamux_state::ids::{ChatKey, ModelId, RequestIdSource, ServerId};
-use papayamux_state::placement::rank_servers;
+use papayamux_state::ids::{Incarnation, RequestIdSource};
 use papayamux_transport::http::AnswerBody;
 
 use super::answer_stream::answer_response;
@@ -17,7 +15,7 @@
 use super::chat_handler::handle_chat;
 use super::offer::TakenRequest;
 use super::service_handler::handle_service;
-use crate::agents::{AgentPeer, RouterIdentity};
+use crate::directory::ServerDirectory;
 use crate::metrics::RouterMetrics;
 use crate::settings::RouterSettings;
 
@@ -45,28 +43,19 @@
     pub(super) settings: RouterSettings,
     pub(super) metrics: RouterMetrics,
     pub(super) request_ids: RequestIdSource,
-    peers: HashMap<ServerId, Rc<AgentPeer>>,
+    pub(super) directory: Rc<ServerDirectory>,
 }
 
 impl CallerDesk {
     /// A desk for one life of a router.
     pub fn new(
         settings: RouterSettings,
-        identity: RouterIdentity,
+        directory: Rc<ServerDirectory>,
+        incarnation: Incarnation,
         metrics: RouterMetrics,
     ) -> Rc<Self> {
-        let peers = settings
-            .servers
-            .iter()
-            .map(|entry| {
-                let server = entry.server.clone();
-                let peer =
-                    AgentPeer::new(server.clone(), entry.agent, identity.clone(), metrics.clone());
-                (server, Rc::new(peer))
-            })
-            .collect();
-        let request_ids = RequestIdSource::new(identity.incarnation);
-        Rc::new(Self { settings, metrics, request_ids, peers })
+        let request_ids = RequestIdSource::new(incarnation);
+        Rc::new(Self { settings, metrics, request_ids, directory })
     }
 
     /// Answers one request.
@@ -91,31 +80,6 @@
         }
     }
 
-    /// The agents of a model's servers, the chat's home first.
-    pub(super) fn peers_for_chat(&self, model: &ModelId, chat: &ChatKey) -> Vec<Rc<AgentPeer>> {
-        let serving = self.settings.servers.iter().filter(|entry| entry.models.contains(model));
-        let ranked = rank_servers(chat, serving.map(|entry| &entry.server));
-        ranked.into_iter().filter_map(|server| self.peers.get(server).cloned()).collect()
-    }
-
-    /// The agents for a path, by its longest declared prefix, and whether calls may be repeated.
-    pub(super) fn peers_for_path(&self, path: &str) -> Option<(bool, Vec<Rc<AgentPeer>>)> {
-        let servers = &self.settings.servers;
-        let prefixes = servers.iter().flat_map(|entry| &entry.paths);
-        let longest =
-            prefixes.filter(|prefix| has_prefix(path, prefix)).max_by_key(|prefix| prefix.len())?;
-        let entries: Vec<_> =
-            servers.iter().filter(|entry| entry.paths.contains(longest)).collect();
-        let idempotent = entries.iter().all(|entry| entry.idempotent);
-        let mut peers: Vec<_> =
-            entries.iter().filter_map(|entry| self.peers.get(&entry.server).cloned()).collect();
-        if !peers.is_empty() {
-            let first = rand::random_range(0..peers.len());
-            peers.rotate_left(first);
-        }
-        Some((idempotent, peers))
-    }
-
     fn failure_response(&self, failure: &FailureBody) -> Response<AnswerBody> {
         let label = serde_json::to_value(failure.code).unwrap_or_default();
         log::info!(code:% = label, message = failure.message; "request failed");
@@ -131,11 +95,6 @@
     }
 }
 
-fn has_prefix(path: &str, prefix: &str) -> bool {
-    let Some(rest) = path.strip_prefix(prefix) else { return false };
-    rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/')
-}
-
 fn code_label(code: FailureCode) -> &'static str {
     match code {
         FailureCode::InvalidRequest => "invalid_request",
--- a/crates/papayamux-router/src/callers/service_handler.rs
+++ b/crates/papayamux-router/src/callers/service_handler.rs
@@ -1,5 +1,7 @@
 //! Calls to plain services.
 
+use std::rc::Rc;
+
 use papayamux_protocol::failure::{FailureBody, FailureCode};
 use papayamux_protocol::headers::IDEMPOTENCY_KEY;
 use papayamux_protocol::link::RepeatRule;
@@ -8,6 +10,8 @@
 use super::caller_request::{end_to_end_headers, header_text, CallerRequest};
 use super::offer::{offer_request, RequestOffer, TakenRequest};
 use super::CallerDesk;
+use crate::agents::AgentPeer;
+use crate::directory::PathRoute;
 
 /// Brings a call to a server declared for its path.
 pub async fn handle_service(
@@ -15,11 +19,11 @@
     request: CallerRequest,
 ) -> Result<TakenRequest, FailureBody> {
     let path = request.head.uri.path();
-    let Some((idempotent, peers)) = desk.peers_for_path(path) else {
+    let Some(route) = desk.directory.for_path(path) else {
         let message = format!("no server is declared for the path {path}");
         return Err(FailureBody::not_run(FailureCode::UnknownRoute, message));
     };
-    let repeat = if idempotent || request.head.method.is_safe() {
+    let repeat = if route.idempotent || request.head.method.is_safe() {
         RepeatRule::Idempotent
     } else {
         RepeatRule::AtMostOnce(read_key(&request)?)
@@ -34,7 +38,17 @@
         headers: end_to_end_headers(&request.head.headers),
         body: request.body,
     };
-    offer_request(desk, &offer, &peers).await
+    offer_request(desk, &offer, &rotated_peers(&route)).await
+}
+
+/// The agents of a route's servers, beginning anywhere.
+fn rotated_peers(route: &PathRoute) -> Vec<Rc<AgentPeer>> {
+    let mut peers: Vec<_> = route.servers.iter().map(|record| record.peer.clone()).collect();
+    if !peers.is_empty() {
+        let first = rand::random_range(0..peers.len());
+        peers.rotate_left(first);
+    }
+    peers
 }
 
 fn read_key(request: &CallerRequest) -> Result<Option<IdempotencyKey>, FailureBody> {
--- a/crates/papayamux-router/src/daemon.rs
+++ b/crates/papayamux-router/src/daemon.rs
@@ -19,6 +19,7 @@
 
 use crate::agents::RouterIdentity;
 use crate::callers::CallerDesk;
+use crate::directory::ServerDirectory;
 use crate::metrics::RouterMetrics;
 use crate::settings::RouterSettings;
 
@@ -92,7 +93,9 @@
     let shutdown = ShutdownSignal::new();
     let registry = Rc::new(registry);
     monoio::spawn(serve_operations(operators, registry, view.clone(), ShutdownSignal::new()));
-    let desk = CallerDesk::new(settings, identity, metrics);
+    let incarnation = identity.incarnation;
+    let directory = ServerDirectory::new(identity, metrics.clone(), settings.servers.clone());
+    let desk = CallerDesk::new(settings, directory, incarnation, metrics);
     let handler = Rc::new(move |request| {
         let desk = desk.clone();
         async move { desk.handle(request).await }
--- /dev/null
+++ b/crates/papayamux-router/src/directory.rs
@@ -0,0 +1,104 @@
+//! The backend servers that the router knows, each with its agent.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use papayamux_state::ids::{ModelId, ServerId};
+
+use crate::agents::{AgentPeer, RouterIdentity};
+use crate::metrics::RouterMetrics;
+use crate::settings::ServerEntry;
+
+/// A backend server with its agent.
+pub struct ServerRecord {
+    /// The server as declared.
+    pub entry: ServerEntry,
+    /// Its agent.
+    pub peer: Rc<AgentPeer>,
+}
+
+/// The servers for a path.
+pub struct PathRoute {
+    /// Whether calls may be run again.
+    pub idempotent: bool,
+    /// The servers.
+    pub servers: Vec<Rc<ServerRecord>>,
+}
+
+/// All servers in force. Replacing them keeps the connections of those that stay.
+pub struct ServerDirectory {
+    identity: RouterIdentity,
+    metrics: RouterMetrics,
+    records: RefCell<HashMap<ServerId, Rc<ServerRecord>>>,
+}
+
+impl ServerDirectory {
+    /// A directory with the given servers.
+    pub fn new(
+        identity: RouterIdentity,
+        metrics: RouterMetrics,
+        entries: Vec<ServerEntry>,
+    ) -> Rc<Self> {
+        let directory = Self { identity, metrics, records: RefCell::default() };
+        directory.replace(entries);
+        Rc::new(directory)
+    }
+
+    /// Puts `entries` in force in place of all servers known before.
+    pub fn replace(&self, entries: Vec<ServerEntry>) {
+        let mut records = self.records.borrow_mut();
+        let mut previous = std::mem::take(&mut *records);
+        for entry in entries {
+            let known = previous.remove(&entry.server);
+            let peer = match known {
+                Some(record) if record.entry.agent == entry.agent => record.peer.clone(),
+                _ => self.new_peer(&entry),
+            };
+            records.insert(entry.server.clone(), Rc::new(ServerRecord { entry, peer }));
+        }
+    }
+
+    fn new_peer(&self, entry: &ServerEntry) -> Rc<AgentPeer> {
+        let (identity, metrics) = (self.identity.clone(), self.metrics.clone());
+        Rc::new(AgentPeer::new(entry.server.clone(), entry.agent, identity, metrics))
+    }
+
+    /// How many servers are in force.
+    pub fn len(&self) -> usize {
+        self.records.borrow().len()
+    }
+
+    /// Whether no server is in force.
+    pub fn is_empty(&self) -> bool {
+        self.records.borrow().is_empty()
+    }
+
+    /// The servers of a model, in no particular order.
+    pub fn serving(&self, model: &ModelId) -> Vec<Rc<ServerRecord>> {
+        self.select(|entry| entry.models.contains(model))
+    }
+
+    /// The servers for a path, by its longest declared prefix.
+    pub fn for_path(&self, path: &str) -> Option<PathRoute> {
+        let longest = {
+            let records = self.records.borrow();
+            let prefixes = records.values().flat_map(|record| &record.entry.paths);
+            let fitting = prefixes.filter(|prefix| has_prefix(path, prefix));
+            fitting.max_by_key(|prefix| prefix.len())?.clone()
+        };
+        let servers = self.select(|entry| entry.paths.contains(&longest));
+        let idempotent = servers.iter().all(|record| record.entry.idempotent);
+        Some(PathRoute { idempotent, servers })
+    }
+
+    fn select(&self, wanted: impl Fn(&ServerEntry) -> bool) -> Vec<Rc<ServerRecord>> {
+        let records = self.records.borrow();
+        records.values().filter(|record| wanted(&record.entry)).cloned().collect()
+    }
+}
+
+fn has_prefix(path: &str, prefix: &str) -> bool {
+    let Some(rest) = path.strip_prefix(prefix) else { return false };
+    rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/')
+}
--- a/crates/papayamux-router/src/lib.rs
+++ b/crates/papayamux-router/src/lib.rs
@@ -3,5 +3,6 @@
 mod agents;
 mod callers;
 pub mod daemon;
+mod directory;
 pub mod metrics;
 pub mod settings;
