--- a/crates/papayamux-router/src/directory.rs
+++ b/crates/papayamux-router/src/directory.rs
@@ -64,16 +64,6 @@
         Rc::new(AgentPeer::new(entry.server.clone(), entry.agent, identity, metrics))
     }
 
-    /// How many servers are in force.
-    pub fn len(&self) -> usize {
-        self.records.borrow().len()
-    }
-
-    /// Whether no server is in force.
-    pub fn is_empty(&self) -> bool {
-        self.records.borrow().is_empty()
-    }
-
     /// The servers of a model, in no particular order.
     pub fn serving(&self, model: &ModelId) -> Vec<Rc<ServerRecord>> {
         self.select(|entry| entry.models.contains(model))
