Measure what router and agent add, and wait for a signal at constant cost

A profile put 70 % of the time into ShutdownSignal::given, which searched the wakers of all connections at every poll of every connection.

Change: each waiter has its own place in the signal; the measurement itself (added latency, requests and events a second per core, memory per stream).

--- a/crates/papayamux-measure/src/command_line.rs
+++ b/crates/papayamux-measure/src/command_line.rs
@@ -6,8 +6,11 @@
 use getopts::Options;
 
 use crate::demo::run_demo;
+use crate::path::run_path;
 
-const TASKS: &str = "  demo     run a small fleet and a conversation of several turns\n";
+const TASKS: &str = "  demo     run a small fleet and a conversation of several turns
+  path     what router and agent add to a call: latency, requests, events, memory
+";
 
 /// Runs the task that the command line names.
 pub fn measure_main() -> ExitCode {
@@ -31,6 +34,7 @@
     }
     match matches.free.first().map(String::as_str) {
         Some("demo") => run_demo(),
+        Some("path") => run_path(),
         Some(other) => Err(format!("unknown task {other:?}; try --help").into()),
         None => Err("name a task; try --help".into()),
     }
--- a/crates/papayamux-measure/src/lib.rs
+++ b/crates/papayamux-measure/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod command_line;
 mod demo;
+mod path;
--- /dev/null
+++ b/crates/papayamux-measure/src/path/streams.rs
@@ -0,0 +1,84 @@
+//! Events relayed a second for each core, and memory for each open stream.
+
+use std::cell::Cell;
+use std::error::Error;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Method;
+use papayamux_protocol::chat::ChatMessage;
+use papayamux_protocol::engine::CHAT_PATH;
+use papayamux_testbed::{chat_request, Caller, Fleet, ProcessHandle, FLEET_MODEL};
+use serde_json::json;
+
+use super::throughput::CpuMeter;
+
+/// Streams open while events are counted.
+const STREAMS: usize = 200;
+/// Streams open while memory is read.
+const MANY_STREAMS: usize = 1_000;
+/// Tokens of each answer: more than can come while it is measured.
+const TOKENS: u32 = 1_000_000;
+/// How long events are counted.
+const COUNT_FOR: Duration = Duration::from_secs(4);
+/// How long streams may take to settle.
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// Events that all streams have received.
+type EventCount = Rc<Cell<u64>>;
+
+async fn read_stream(caller: Caller, number: usize, events: EventCount) -> Option<()> {
+    let content = format!("stream number {number}");
+    let message = ChatMessage { role: "user".to_string(), content };
+    let request = chat_request(FLEET_MODEL, vec![message], TOKENS);
+    let body = serde_json::to_vec(&request).ok()?;
+    let mut answer = caller.send(Method::POST, CHAT_PATH, &[], body.into()).await.ok()?;
+    while let Some(Ok(piece)) = answer.next_piece().await {
+        let ends = piece.windows(2).filter(|pair| *pair == b"\n\n").count();
+        events.set(events.get() + ends as u64);
+    }
+    Some(())
+}
+
+fn open_streams(caller: &Caller, numbers: std::ops::Range<usize>, events: &EventCount) {
+    for number in numbers {
+        monoio::spawn(read_stream(caller.clone(), number, events.clone()));
+    }
+}
+
+fn resident_kib(process: &ProcessHandle) -> Result<f64, Box<dyn Error>> {
+    Ok(process.usage()?.resident.get() as f64 / 1_024.0)
+}
+
+/// Measures streams that go on for as long as the measurement lasts.
+pub async fn measure_streams(fleet: &Fleet) -> Result<serde_json::Value, Box<dyn Error>> {
+    let engine = fleet.servers.iter().find(|server| server.name.starts_with("engine"));
+    let agent = &engine.ok_or("the fleet lacks an engine")?.agent;
+    let router = &fleet.routers[0];
+    let caller = Caller::new(router.listen()?, "measure");
+    let events: EventCount = Rc::default();
+    open_streams(&caller, 0..STREAMS, &events);
+    monoio::time::sleep(SETTLE).await;
+    let few = [resident_kib(router)?, resident_kib(agent)?];
+    let (before, meter) = (events.get(), CpuMeter::start(router, agent)?);
+    monoio::time::sleep(COUNT_FOR).await;
+    let relayed = (events.get() - before) as f64;
+    let reading = meter.read()?;
+    open_streams(&caller, STREAMS..MANY_STREAMS, &events);
+    monoio::time::sleep(SETTLE + COUNT_FOR).await;
+    let many = [resident_kib(router)?, resident_kib(agent)?];
+    let added = (MANY_STREAMS - STREAMS) as f64;
+    let [router_cores, agent_cores] = reading.cores;
+    Ok(json!({
+        "measure": "streams",
+        "streams": STREAMS,
+        "events_per_s": relayed / reading.seconds,
+        "router_core_share": router_cores / reading.seconds,
+        "agent_core_share": agent_cores / reading.seconds,
+        "events_per_s_per_router_core": relayed / router_cores,
+        "events_per_s_per_agent_core": relayed / agent_cores,
+        "events_per_s_per_core_of_both": relayed / (router_cores + agent_cores),
+        "router_kib_per_stream": (many[0] - few[0]) / added,
+        "agent_kib_per_stream": (many[1] - few[1]) / added,
+    }))
+}
--- a/crates/papayamux-standins/src/service.rs
+++ b/crates/papayamux-standins/src/service.rs
@@ -78,7 +78,9 @@
         Err(error) => return respond::refuse(StatusCode::BAD_REQUEST, &error.to_string()),
     };
     count_run(&runs, &head);
-    monoio::time::sleep(options.call_time).await;
+    if !options.call_time.is_zero() {
+        monoio::time::sleep(options.call_time).await;
+    }
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_string();
     let body = String::from_utf8_lossy(&body).into_owned();
     let method = head.method.to_string();
--- a/crates/papayamux-transport/src/shutdown.rs
+++ b/crates/papayamux-transport/src/shutdown.rs
@@ -1,14 +1,16 @@
 //! A signal that is given once and seen by all who wait for it.
 
 use std::cell::RefCell;
-use std::future::poll_fn;
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Poll, Waker};
+use std::task::{Context, Poll, Waker};
 
 #[derive(Debug, Default)]
 struct SignalState {
     given: bool,
-    wakers: Vec<Waker>,
+    wakers: Vec<Option<Waker>>,
+    free: Vec<usize>,
 }
 
 /// A one-shot signal; clones share it.
@@ -30,7 +32,7 @@
             state.given = true;
             std::mem::take(&mut state.wakers)
         };
-        wakers.into_iter().for_each(Waker::wake);
+        wakers.into_iter().flatten().for_each(Waker::wake);
     }
 
     /// Whether the signal was given.
@@ -39,18 +41,52 @@
     }
 
     /// Waits until the signal is given.
-    pub async fn given(&self) {
-        poll_fn(|context| {
-            let mut state = self.state.borrow_mut();
-            if state.given {
-                return Poll::Ready(());
-            }
-            let waker = context.waker();
-            if !state.wakers.iter().any(|known| known.will_wake(waker)) {
-                state.wakers.push(waker.clone());
-            }
-            Poll::Pending
+    pub fn given(&self) -> SignalWait {
+        SignalWait { state: self.state.clone(), place: None }
+    }
+}
+
+/// Waits for a signal. Each waiter has its own place, so that polling it again costs the same
+/// however many others wait.
+#[derive(Debug)]
+pub struct SignalWait {
+    state: Rc<RefCell<SignalState>>,
+    place: Option<usize>,
+}
+
+impl Future for SignalWait {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        let wait = &mut *self;
+        let mut state = wait.state.borrow_mut();
+        if state.given {
+            return Poll::Ready(());
+        }
+        let place = *wait.place.get_or_insert_with(|| state.take_place());
+        match &mut state.wakers[place] {
+            Some(known) => known.clone_from(context.waker()),
+            unset => *unset = Some(context.waker().clone()),
+        }
+        Poll::Pending
+    }
+}
+
+impl SignalState {
+    fn take_place(&mut self) -> usize {
+        self.free.pop().unwrap_or_else(|| {
+            self.wakers.push(None);
+            self.wakers.len() - 1
         })
-        .await;
+    }
+}
+
+impl Drop for SignalWait {
+    fn drop(&mut self) {
+        let mut state = self.state.borrow_mut();
+        if let (Some(place), false) = (self.place, state.given) {
+            state.wakers[place] = None;
+            state.free.push(place);
+        }
     }
 }
