Add a fault-injecting TCP proxy to the stand-ins

Bytes and chunks kept are bounded, and so are connections. A cut is a close of both sockets: monoio offers no safe way to set the linger option, so a reset is only seen where unread bytes wait.

--- a/crates/papayamux-standins/src/command_line.rs
+++ b/crates/papayamux-standins/src/command_line.rs
@@ -13,9 +13,10 @@
 use papayamux_transport::shutdown::ShutdownSignal;
 
 use crate::engine::{serve_engine, EngineOptions};
+use crate::fault_proxy::{serve_control, LinkProxy};
 use crate::service::{serve_service, ServiceOptions};
 
-const KINDS: &str = "engine, service";
+const KINDS: &str = "engine, service, fault-proxy";
 
 fn options() -> Options {
     let mut options = Options::new();
@@ -27,6 +28,8 @@
     options.optopt("", "prefill", "engine: prompt tokens computed in one step", "COUNT");
     options.optopt("", "cache-blocks", "engine: blocks in the prefix cache", "COUNT");
     options.optopt("", "call-ms", "service: time of one call", "MILLISECONDS");
+    options.optopt("", "target", "fault-proxy: where its connections lead", "ADDRESS");
+    options.optopt("", "operations", "fault-proxy: where its faults are set", "ADDRESS");
     options.optflag("h", "help", "print this help");
     options
 }
@@ -55,6 +58,9 @@
     let fallback = SocketAddr::from(([127, 0, 0, 1], 0));
     let address = value_or(&matches, "listen", fallback)?;
     let kind = kind.clone();
+    if kind == "fault-proxy" {
+        return run_fault_proxy(&matches, address);
+    }
     runtime::run(async move {
         let listener = listen(address)?;
         log::info!(listen:% = listener.local_addr()?, kind = kind; "stand-in started");
@@ -68,6 +74,22 @@
     })?
 }
 
+fn run_fault_proxy(matches: &Matches, address: SocketAddr) -> Result<(), Box<dyn Error>> {
+    let target = matches.opt_str("target").ok_or("name the --target")?.parse()?;
+    let operations = value_or(matches, "operations", SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    runtime::run(async move {
+        let (listener, operators) = (listen(address)?, listen(operations)?);
+        log::info!(
+            listen:% = listener.local_addr()?, operations:% = operators.local_addr()?,
+            kind = "fault-proxy";
+            "stand-in started"
+        );
+        let proxy = LinkProxy::new(target);
+        monoio::spawn(serve_control(operators, proxy.clone(), ShutdownSignal::new()));
+        Ok(proxy.serve(listener, ShutdownSignal::new()).await?)
+    })?
+}
+
 fn engine_options(matches: &Matches) -> Result<EngineOptions, Box<dyn Error>> {
     let name = value_or(matches, "name", "engine".parse()?)?;
     let models = matches.opt_str("models").unwrap_or_else(|| "model".to_string());
--- /dev/null
+++ b/crates/papayamux-standins/src/fault_proxy/link_proxy.rs
@@ -0,0 +1,167 @@
+//! A proxied link: one listener, one target, and the connections between them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::{join, select};
+use monoio::io::Splitable;
+use monoio::net::{TcpListener, TcpStream};
+use papayamux_transport::link::connect;
+use papayamux_transport::shutdown::ShutdownSignal;
+use serde::{Deserialize, Serialize};
+
+use super::link_faults::{FaultyWays, LinkFaults, LinkWay};
+use super::proxy_connection::ProxyConnection;
+use super::way_pump::WayPump;
+
+/// Connections open at once; further ones are refused.
+const MOST_CONNECTIONS: usize = 1_024;
+/// How long the listener waits after it could not accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What has passed through a link.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConnectionReport {
+    /// Connections open now.
+    pub open: u64,
+    /// Connections opened since the start.
+    pub total: u64,
+    /// Connections refused, or closed because the target could not be reached.
+    pub refused: u64,
+    /// Bytes delivered to the target.
+    pub bytes_to_target: u64,
+    /// Bytes delivered to the client.
+    pub bytes_to_client: u64,
+    /// Bytes kept, on the way to the target.
+    pub kept_to_target: u64,
+    /// Bytes kept, on the way to the client.
+    pub kept_to_client: u64,
+}
+
+#[derive(Default)]
+struct ProxyState {
+    connections: RefCell<HashMap<u64, Rc<ProxyConnection>>>,
+    faults_of_new: Cell<LinkFaults>,
+    past: Cell<ConnectionReport>,
+}
+
+/// A link with faults that are set while it runs; clones share it.
+#[derive(Clone)]
+pub struct LinkProxy {
+    target: SocketAddr,
+    state: Rc<ProxyState>,
+}
+
+impl LinkProxy {
+    /// A link to `target` without faults.
+    pub fn new(target: SocketAddr) -> Self {
+        Self { target, state: Rc::default() }
+    }
+
+    /// Accepts connections until `shutdown`, then cuts those that are open.
+    pub async fn serve(&self, listener: TcpListener, shutdown: ShutdownSignal) -> io::Result<()> {
+        let accept = std::pin::pin!(self.accept_all(listener));
+        let given = std::pin::pin!(shutdown.given());
+        let _ = select(accept, given).await;
+        self.cut_all();
+        Ok(())
+    }
+
+    /// Replaces the faults of the open connections, and of new ones if they are meant too.
+    pub fn set_faults(&self, faults: LinkFaults) {
+        self.state.faults_of_new.set(faults.of_new_connections());
+        for connection in self.open_connections() {
+            connection.set_faults(faults);
+        }
+    }
+
+    /// Closes all connections now.
+    pub fn cut_all(&self) {
+        self.open_connections().iter().for_each(|connection| connection.cut());
+    }
+
+    /// Ends the given ways of all open connections, after what waits on them.
+    pub fn half_close_all(&self, ways: FaultyWays) {
+        self.open_connections().iter().for_each(|connection| connection.half_close(ways));
+    }
+
+    /// What has passed so far.
+    pub fn report(&self) -> ConnectionReport {
+        let mut report = self.state.past.get();
+        for connection in self.state.connections.borrow().values() {
+            report.open += 1;
+            report.bytes_to_target += connection.passed(LinkWay::ToTarget);
+            report.bytes_to_client += connection.passed(LinkWay::ToClient);
+            report.kept_to_target += connection.queue(LinkWay::ToTarget).kept() as u64;
+            report.kept_to_client += connection.queue(LinkWay::ToClient).kept() as u64;
+        }
+        report
+    }
+
+    fn open_connections(&self) -> Vec<Rc<ProxyConnection>> {
+        self.state.connections.borrow().values().cloned().collect()
+    }
+
+    async fn accept_all(&self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((client, _)) => self.take_connection(client),
+                Err(error) => {
+                    log::warn!(error:% = error; "accepting failed");
+                    monoio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn take_connection(&self, client: TcpStream) {
+        let faults = self.state.faults_of_new.get();
+        let is_full = self.state.connections.borrow().len() >= MOST_CONNECTIONS;
+        if faults.refuse || is_full {
+            return self.note_refused();
+        }
+        let mut past = self.state.past.get();
+        past.total += 1;
+        self.state.past.set(past);
+        let connection = Rc::new(ProxyConnection::new(faults));
+        self.state.connections.borrow_mut().insert(past.total, connection.clone());
+        let proxy = self.clone();
+        monoio::spawn(async move {
+            proxy.run_connection(&connection, client).await;
+            proxy.forget_connection(past.total);
+        });
+    }
+
+    async fn run_connection(&self, connection: &ProxyConnection, client: TcpStream) {
+        let Ok(target) = connect(self.target).await else { return self.note_refused() };
+        let _ = (client.set_nodelay(true), target.set_nodelay(true));
+        let (client_read, client_write) = client.into_split();
+        let (target_read, target_write) = target.into_split();
+        let (to_target, to_client) = (LinkWay::ToTarget, LinkWay::ToClient);
+        let forth = WayPump { connection, way: to_target, opposite: to_client };
+        let back = WayPump { connection, way: to_client, opposite: to_target };
+        let pumps = std::pin::pin!(join(
+            forth.run(client_read, target_write),
+            back.run(target_read, client_write)
+        ));
+        let cut = std::pin::pin!(connection.wait_cut());
+        let _ = select(cut, pumps).await;
+    }
+
+    fn note_refused(&self) {
+        let past = self.state.past.get();
+        self.state.past.set(ConnectionReport { refused: past.refused + 1, ..past });
+    }
+
+    fn forget_connection(&self, number: u64) {
+        let Some(connection) = self.state.connections.borrow_mut().remove(&number) else { return };
+        let mut past = self.state.past.get();
+        past.bytes_to_target += connection.passed(LinkWay::ToTarget);
+        past.bytes_to_client += connection.passed(LinkWay::ToClient);
+        self.state.past.set(past);
+    }
+}
--- a/crates/papayamux-standins/src/lib.rs
+++ b/crates/papayamux-standins/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod command_line;
 pub mod engine;
+pub mod fault_proxy;
 pub mod respond;
 pub mod service;
