--- /dev/null
+++ b/crates/papayamux-protocol/tests/hostile_bytes.rs
@@ -0,0 +1,38 @@
+//! Bytes that come from outside never make a decoder panic.
+
+use bolero::check;
+use bytes::BytesMut;
+use papayamux_protocol::chat::read_chat_call;
+use papayamux_protocol::wire::{AgentFrame, FrameCodec, RouterFrame};
+use papayamux_state::ids::OrganisationId;
+use tokio_util::codec::Decoder;
+
+/// Inputs tried by each test.
+const INPUTS: usize = 20_000;
+
+#[test]
+fn frames_of_routers() {
+    check!().with_iterations(INPUTS).for_each(|bytes: &[u8]| {
+        let mut codec = FrameCodec::<AgentFrame, RouterFrame>::default();
+        let mut buffer = BytesMut::from(bytes);
+        while let Ok(Some(_)) = codec.decode(&mut buffer) {}
+    });
+}
+
+#[test]
+fn frames_of_agents() {
+    check!().with_iterations(INPUTS).for_each(|bytes: &[u8]| {
+        let mut framed = (bytes.len() as u32).to_be_bytes().to_vec();
+        framed.extend_from_slice(bytes);
+        let mut codec = FrameCodec::<RouterFrame, AgentFrame>::default();
+        let _ = codec.decode(&mut BytesMut::from(&framed[..]));
+    });
+}
+
+#[test]
+fn bodies_of_chats() {
+    let organisation: OrganisationId = "desk".parse().unwrap();
+    check!().with_iterations(INPUTS).for_each(|bytes: &[u8]| {
+        let _ = read_chat_call(&organisation, None, bytes);
+    });
+}
--- a/crates/papayamux-transport/src/http/server.rs
+++ b/crates/papayamux-transport/src/http/server.rs
@@ -24,7 +24,7 @@
 pub struct HttpLimits {
     /// Connections open at once; one more waits in the kernel's backlog.
     pub connections: usize,
-    /// Bytes of a request's head.
+    /// Bytes of a request's head, looked at after each read: one of up to twice as many may pass.
     pub head_bytes: usize,
     /// How long a head may take to arrive.
     pub head_within: Duration,
@@ -32,7 +32,7 @@
 
 impl Default for HttpLimits {
     fn default() -> Self {
-        Self { connections: 10_000, head_bytes: 64 * 1024, head_within: Duration::from_secs(15) }
+        Self { connections: 10_000, head_bytes: 32 * 1024, head_within: Duration::from_secs(15) }
     }
 }
 
