--- a/crates/papayamux-protocol/src/engine.rs
+++ b/crates/papayamux-protocol/src/engine.rs
@@ -15,8 +15,12 @@
 pub const CHAT_PATH: &str = "/v1/chat/completions";
 /// The path of an engine's load report.
 pub const LOAD_PATH: &str = "/v1/load";
-/// The path of an engine's cache events; `?after=N` gives those after number N.
+/// The path of an engine's cache events: `?after=N&limit=M` gives a [`CacheEventPage`].
 pub const CACHE_EVENTS_PATH: &str = "/v1/cache/events";
+/// The path of the blocks that an engine's cache holds now, as a [`CacheSnapshot`].
+pub const CACHE_BLOCKS_PATH: &str = "/v1/cache/blocks";
+/// Events of the longest page of cache events; also what a reader gets that names no limit.
+pub const LONGEST_EVENT_PAGE: usize = 4_096;
 
 /// A prompt as the engine sees it: the turns one after the other.
 pub fn render_prompt(messages: &[ChatMessage]) -> String {
@@ -87,3 +91,30 @@
     /// What changed.
     pub change: CacheChange,
 }
+
+/// A part of an engine's cache events.
+///
+/// A number in `after + 1..=through` without an event is a gap: that change is lost, and an index
+/// built from events is wrong until it is rebuilt from a [`CacheSnapshot`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEventPage {
+    /// The life of the engine that numbered the events; a restarted engine has another one.
+    pub incarnation: u64,
+    /// The lowest number that the engine still keeps.
+    pub first_kept: u64,
+    /// The number that this page reaches to, and the `after` of the next page.
+    pub through: u64,
+    /// The events, the lowest number first.
+    pub events: Vec<CacheEvent>,
+}
+
+/// All blocks of an engine's cache at one event number.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheSnapshot {
+    /// The life of the engine that numbered the events.
+    pub incarnation: u64,
+    /// The number of the last event that the blocks include, whether published yet or not.
+    pub event: u64,
+    /// The blocks, in ascending order.
+    pub blocks: Vec<u64>,
+}
--- a/crates/papayamux-standins/src/command_line.rs
+++ b/crates/papayamux-standins/src/command_line.rs
@@ -1,99 +1,70 @@
 //! The command line of the stand-ins: `papayamux-standins KIND [options]`.
 
-use std::error::Error;
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::str::FromStr;
-use std::time::Duration;
 
-use getopts::{Matches, Options};
+use getopts::Options;
 use papayamux_daemon::logging::start_logging;
 use papayamux_transport::listen::listen;
 use papayamux_transport::runtime;
-use papayamux_transport::shutdown::ShutdownSignal;
 
-use crate::engine::{serve_engine, EngineOptions};
-use crate::service::{serve_service, ServiceOptions};
+use crate::kinds::{find_kind, kind_names, StandinError, StandinKind};
 
-const KINDS: &str = "engine, service";
-
-fn options() -> Options {
-    let mut options = Options::new();
-    options.optopt("", "listen", "where to listen (port 0 picks one)", "ADDRESS");
-    options.optopt("", "name", "the stand-in's name", "NAME");
-    options.optopt("", "models", "engine: models it has loaded", "A,B");
-    options.optopt("", "step-us", "engine: time of one step", "MICROSECONDS");
-    options.optopt("", "batch", "engine: places in the batch", "COUNT");
-    options.optopt("", "prefill", "engine: prompt tokens computed in one step", "COUNT");
-    options.optopt("", "cache-blocks", "engine: blocks in the prefix cache", "COUNT");
-    options.optopt("", "call-ms", "service: time of one call", "MILLISECONDS");
-    options.optflag("h", "help", "print this help");
-    options
-}
+const PROGRAM: &str = "papayamux-standins";
+const DEFAULT_ADDRESS: &str = "127.0.0.1:0";
 
 /// Runs the stand-in that the command line names.
 pub fn standin_main() -> ExitCode {
     match run_standin() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("papayamux-standins: {error}");
+            eprintln!("{PROGRAM}: {error}");
             ExitCode::FAILURE
         }
     }
 }
 
-fn run_standin() -> Result<(), Box<dyn Error>> {
-    let options = options();
-    let matches = options.parse(std::env::args().skip(1))?;
+fn run_standin() -> Result<(), StandinError> {
+    let mut arguments = std::env::args().skip(1);
+    let name = arguments.next().unwrap_or_default();
+    if ["", "-h", "--help"].contains(&name.as_str()) {
+        println!("Usage: {PROGRAM} KIND [options], {PROGRAM} KIND --help");
+        println!("Kinds: {}", kind_names());
+        return Ok(());
+    }
+    let kind = find_kind(&name)
+        .ok_or_else(|| format!("unknown kind {name:?}, known: {}", kind_names()))?;
+    run_kind(kind, arguments)
+}
+
+fn run_kind(
+    kind: &'static StandinKind,
+    arguments: impl Iterator<Item = String>,
+) -> Result<(), StandinError> {
+    let options = options_of(kind);
+    let matches = options.parse(arguments)?;
     if matches.opt_present("help") {
-        let brief = format!("Usage: papayamux-standins KIND [options]\nKinds: {KINDS}");
-        print!("{}", options.usage(&brief));
+        print!("{}", options.usage(&format!("Usage: {PROGRAM} {} [options]", kind.name)));
         return Ok(());
     }
-    start_logging("papayamux-standins", log::LevelFilter::Info);
-    let kind = matches.free.first().ok_or_else(|| format!("name a kind: {KINDS}"))?;
-    let fallback = SocketAddr::from(([127, 0, 0, 1], 0));
-    let address = value_or(&matches, "listen", fallback)?;
-    let kind = kind.clone();
+    if let Some(argument) = matches.free.first() {
+        return Err(format!("unexpected argument {argument:?}").into());
+    }
+    start_logging(PROGRAM, log::LevelFilter::Info);
+    let address = matches.opt_str("listen").unwrap_or_else(|| DEFAULT_ADDRESS.to_string());
+    let address: SocketAddr =
+        address.parse().map_err(|error| format!("--listen {address:?}: {error}"))?;
     runtime::run(async move {
         let listener = listen(address)?;
-        log::info!(listen:% = listener.local_addr()?, kind = kind; "stand-in started");
-        let never = ShutdownSignal::new();
-        match kind.as_str() {
-            "engine" => serve_engine(listener, engine_options(&matches)?, never).await?,
-            "service" => serve_service(listener, service_options(&matches)?, never).await?,
-            other => return Err(format!("unknown kind {other:?}, known: {KINDS}").into()),
-        }
-        Ok(())
+        log::info!(listen:% = listener.local_addr()?, kind = kind.name; "stand-in started");
+        (kind.serve)(listener, matches).await
     })?
 }
 
-fn engine_options(matches: &Matches) -> Result<EngineOptions, Box<dyn Error>> {
-    let name = value_or(matches, "name", "engine".parse()?)?;
-    let models = matches.opt_str("models").unwrap_or_else(|| "model".to_string());
-    let models = models.split(',').map(str::parse).collect::<Result<_, _>>()?;
-    let mut engine = EngineOptions::new(name, models);
-    let step = value_or(matches, "step-us", engine.step.as_micros() as u64)?;
-    engine.step = Duration::from_micros(step);
-    engine.batch_limit = value_or(matches, "batch", engine.batch_limit)?;
-    engine.prefill_per_step = value_or(matches, "prefill", engine.prefill_per_step)?;
-    engine.cache_blocks = value_or(matches, "cache-blocks", engine.cache_blocks)?;
-    Ok(engine)
-}
-
-fn service_options(matches: &Matches) -> Result<ServiceOptions, Box<dyn Error>> {
-    let name = matches.opt_str("name").unwrap_or_else(|| "service".to_string());
-    let call_time = Duration::from_millis(value_or(matches, "call-ms", 2)?);
-    Ok(ServiceOptions { name, call_time })
-}
-
-fn value_or<T>(matches: &Matches, option: &str, fallback: T) -> Result<T, Box<dyn Error>>
-where
-    T: FromStr,
-    T::Err: std::fmt::Display,
-{
-    match matches.opt_str(option) {
-        None => Ok(fallback),
-        Some(text) => text.parse().map_err(|error| format!("--{option} {text:?}: {error}").into()),
-    }
+fn options_of(kind: &StandinKind) -> Options {
+    let mut options = Options::new();
+    options.optopt("", "listen", "where to listen (port 0 picks one)", "ADDRESS");
+    options.optflag("h", "help", "print this help");
+    (kind.declare)(&mut options);
+    options
 }
--- a/crates/papayamux-standins/src/engine/batch.rs
+++ b/crates/papayamux-standins/src/engine/batch.rs
@@ -3,17 +3,21 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Instant;
 
 use local_sync::mpsc::unbounded;
 use papayamux_protocol::chat::{PromptDetails, UsageReport};
 use papayamux_protocol::engine::{
-    block_hashes, prompt_tokens, root_hash, EngineLoad, TOKENS_PER_BLOCK,
+    block_hashes, prompt_tokens, root_hash, CacheChange, CacheEventPage, CacheSnapshot, EngineLoad,
+    TOKENS_PER_BLOCK,
 };
 use papayamux_transport::shutdown::ShutdownSignal;
 
 use super::answer_plan::AnswerPlan;
+use super::event_log::EventLog;
 use super::options::EngineOptions;
 use super::prefix_cache::PrefixCache;
+use crate::lagged::LaggedValue;
 
 /// A request as the engine understands it.
 #[derive(Debug, Clone)]
@@ -51,12 +55,13 @@
     events: unbounded::Tx<EngineEvent>,
 }
 
-#[derive(Default)]
 struct BatchState {
     arrivals: u64,
     waiting: Vec<EngineJob>,
     running: Vec<EngineJob>,
     cache: PrefixCache,
+    log: EventLog,
+    load: LaggedValue<EngineLoad>,
     runs: HashMap<String, u64>,
     idle: Option<ShutdownSignal>,
 }
@@ -71,8 +76,7 @@
 impl EngineBatch {
     /// Starts the batch's steps on the current runtime.
     pub fn start(options: EngineOptions) -> Self {
-        let cache = PrefixCache::new(options.cache_blocks);
-        let state = BatchState { cache, ..BatchState::default() };
+        let state = BatchState::new(&options);
         let batch = Self { options: Rc::new(options), state: Rc::new(RefCell::new(state)) };
         monoio::spawn(run_steps(batch.clone()));
         batch
@@ -99,6 +103,7 @@
             request,
         };
         state.waiting.push(job);
+        state.note_load(&self.options);
         if let Some(signal) = state.idle.take() {
             signal.give();
         }
@@ -110,24 +115,36 @@
         self.state.borrow().runs.clone()
     }
 
-    /// The present load.
-    pub fn load(&self) -> EngineLoad {
+    /// The load as the engine reports it, with its lag.
+    pub fn reported_load(&self) -> EngineLoad {
+        self.state.borrow_mut().load.seen(Instant::now()).clone()
+    }
+
+    /// The load as it truly is.
+    pub fn true_load(&self) -> EngineLoad {
+        self.state.borrow().load.present().clone()
+    }
+
+    /// The cache events after number `after`, at most `limit`.
+    pub fn cache_events(&self, after: u64, limit: usize) -> CacheEventPage {
+        self.state.borrow().log.page(Instant::now(), after, limit)
+    }
+
+    /// The cache as it is now.
+    pub fn cache_snapshot(&self) -> CacheSnapshot {
         let state = self.state.borrow();
-        EngineLoad {
-            running: state.running.len() as u64,
-            waiting: state.waiting.len() as u64,
-            prefill_tokens: state.running.iter().map(|job| job.prefill_left).sum(),
-            batch_limit: self.options.batch_limit as u64,
+        CacheSnapshot {
+            incarnation: state.log.incarnation(),
+            event: state.log.last(),
+            blocks: state.cache.blocks(),
         }
     }
 
     fn step(&self) {
         let mut state = self.state.borrow_mut();
-        let state = &mut *state;
         state.admit(self.options.batch_limit);
-        let mut prefill = self.options.prefill_per_step;
-        let cache = &mut state.cache;
-        state.running.retain_mut(|job| job.advance(&mut prefill, cache));
+        state.advance(self.options.prefill_per_step);
+        state.note_load(&self.options);
     }
 
     fn is_empty(&self) -> bool {
@@ -145,14 +162,47 @@
 }
 
 impl BatchState {
+    fn new(options: &EngineOptions) -> Self {
+        let load = EngineLoad { batch_limit: options.batch_limit as u64, ..EngineLoad::default() };
+        Self {
+            arrivals: 0,
+            waiting: Vec::new(),
+            running: Vec::new(),
+            cache: PrefixCache::new(options.cache_blocks),
+            log: EventLog::new(options.events),
+            load: LaggedValue::new(options.load_lag, load),
+            runs: HashMap::new(),
+            idle: None,
+        }
+    }
+
+    fn note_load(&mut self, options: &EngineOptions) {
+        let load = EngineLoad {
+            running: self.running.len() as u64,
+            waiting: self.waiting.len() as u64,
+            prefill_tokens: self.running.iter().map(|job| job.prefill_left).sum(),
+            batch_limit: options.batch_limit as u64,
+        };
+        self.load.set(Instant::now(), load);
+    }
+
+    fn advance(&mut self, mut prefill: u64) {
+        let cache = &mut self.cache;
+        let mut changes = Vec::new();
+        self.running.retain_mut(|job| job.advance(&mut prefill, cache, &mut changes));
+        self.log.append(Instant::now(), changes);
+    }
+
     /// Moves waiting requests into the batch, by priority and then by arrival.
     fn admit(&mut self, limit: usize) {
         self.waiting.retain(|job| !job.events.is_closed());
         self.waiting.sort_by_key(|job| (job.request.priority, job.arrival));
         let places = limit.saturating_sub(self.running.len()).min(self.waiting.len());
         for mut job in self.waiting.drain(..places) {
-            let warm = self.cache.warm_blocks(&job.request.blocks("")) * TOKENS_PER_BLOCK;
-            job.cached = warm as u64;
+            let blocks = job.request.blocks("");
+            let warm = self.cache.warm_blocks(&blocks);
+            self.cache.touch(&blocks[..warm]);
+            job.cached = (warm * TOKENS_PER_BLOCK) as u64;
             job.prefill_left = job.prompt_tokens.saturating_sub(job.cached);
             *self.runs.entry(job.request.id.clone()).or_default() += 1;
             self.running.push(job);
@@ -161,15 +211,23 @@
 }
 
 impl EngineRequest {
+    fn root(&self) -> u64 {
+        root_hash(&self.model, self.adapter.as_deref())
+    }
+
     fn blocks(&self, answer: &str) -> Vec<u64> {
-        let root = root_hash(&self.model, self.adapter.as_deref());
-        block_hashes(root, &format!("{}{answer}", self.prompt))
+        block_hashes(self.root(), &format!("{}{answer}", self.prompt))
     }
 }
 
 impl EngineJob {
     /// Does one step of the request; `false` once it has ended.
-    fn advance(&mut self, prefill: &mut u64, cache: &mut PrefixCache) -> bool {
+    fn advance(
+        &mut self,
+        prefill: &mut u64,
+        cache: &mut PrefixCache,
+        changes: &mut Vec<CacheChange>,
+    ) -> bool {
         if self.events.is_closed() {
             return false;
         }
@@ -178,7 +236,7 @@
             *prefill -= computed;
             self.prefill_left -= computed;
             if self.prefill_left == 0 {
-                cache.store(&self.request.blocks(""));
+                changes.extend(cache.store(self.request.root(), &self.request.blocks("")));
             }
             return true;
         }
@@ -188,7 +246,7 @@
             return self.events.send(EngineEvent::Token(token)).is_ok();
         }
         let turn = format!("assistant: {}\n", self.request.plan.text());
-        cache.store(&self.request.blocks(&turn));
+        changes.extend(cache.store(self.request.root(), &self.request.blocks(&turn)));
         let _ = self.events.send(EngineEvent::Done(UsageReport {
             prompt_tokens: self.prompt_tokens,
             completion_tokens: self.produced,
--- a/crates/papayamux-standins/src/engine/http_interface.rs
+++ b/crates/papayamux-standins/src/engine/http_interface.rs
@@ -15,7 +15,9 @@
     ChatChunk, ChatCompletion, ChatMessage, ChatRequest, ChunkChoice, ChunkDelta, CompletionChoice,
     UsageReport, STREAM_END,
 };
-use papayamux_protocol::engine::{render_prompt, CHAT_PATH, LOAD_PATH};
+use papayamux_protocol::engine::{
+    render_prompt, CACHE_BLOCKS_PATH, CACHE_EVENTS_PATH, CHAT_PATH, LOAD_PATH, LONGEST_EVENT_PAGE,
+};
 use papayamux_protocol::headers::{PRIORITY, REQUEST_ID};
 use papayamux_transport::http::{serve, AnswerBody, HttpLimits};
 use papayamux_transport::shutdown::ShutdownSignal;
@@ -23,12 +25,15 @@
 use super::answer_plan::AnswerPlan;
 use super::batch::{EngineBatch, EngineEvent, EngineRequest};
 use super::options::EngineOptions;
+use crate::query::query_number;
 use crate::respond;
 
 /// Bytes of the longest request body.
 const LONGEST_BODY: usize = 16 * 1024 * 1024;
 /// The path that says how often each request id was run.
 pub const RUNS_PATH: &str = "/standin/runs";
+/// The path of the load as it truly is, without lag.
+pub const TRUE_LOAD_PATH: &str = "/standin/load";
 
 /// Serves an engine until `shutdown`.
 pub async fn serve_engine(
@@ -48,7 +53,14 @@
             Ok((chat, request)) => answer_chat(&batch, &chat, request).await,
             Err(message) => respond::refuse(StatusCode::BAD_REQUEST, &message),
         },
-        (&Method::GET, LOAD_PATH) => respond::json(StatusCode::OK, &batch.load()),
+        (&Method::GET, LOAD_PATH) => respond::json(StatusCode::OK, &batch.reported_load()),
+        (&Method::GET, TRUE_LOAD_PATH) => respond::json(StatusCode::OK, &batch.true_load()),
+        (&Method::GET, CACHE_BLOCKS_PATH) => respond::json(StatusCode::OK, &batch.cache_snapshot()),
+        (&Method::GET, CACHE_EVENTS_PATH) => {
+            let after = query_number(request.uri(), "after").unwrap_or(0);
+            let limit = query_number(request.uri(), "limit").unwrap_or(LONGEST_EVENT_PAGE as u64);
+            respond::json(StatusCode::OK, &batch.cache_events(after, limit as usize))
+        }
         (&Method::GET, RUNS_PATH) => respond::json(StatusCode::OK, &batch.runs()),
         _ => respond::refuse(StatusCode::NOT_FOUND, "no such path"),
     }
--- a/crates/papayamux-standins/src/engine/prefix_cache.rs
+++ b/crates/papayamux-standins/src/engine/prefix_cache.rs
@@ -1,15 +1,25 @@
-//! The engine's prefix cache: blocks in the order of their last use.
+//! The engine's prefix cache: a tree of blocks, evicted from its leaves.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use papayamux_protocol::engine::CacheChange;
 
+#[derive(Debug, Clone, Copy)]
+struct CachedBlock {
+    parent: Option<u64>,
+    root: u64,
+    last_use: u64,
+}
+
 /// Blocks that an engine holds, the least recently used evicted first.
+///
+/// Each use of a block also uses all its ancestors, and later than the block itself. The least
+/// recently used block is therefore always a leaf, so that no block outlives its parent.
 #[derive(Debug, Default)]
 pub struct PrefixCache {
     capacity: usize,
     clock: u64,
-    last_use: HashMap<u64, u64>,
+    blocks: HashMap<u64, CachedBlock>,
     by_use: BTreeMap<u64, u64>,
 }
 
@@ -19,30 +29,73 @@
         Self { capacity, ..Self::default() }
     }
 
-    /// Leading blocks of `blocks` that are held.
-    pub fn warm_blocks(&self, blocks: &[u64]) -> usize {
-        blocks.iter().take_while(|block| self.last_use.contains_key(block)).count()
+    /// Leading blocks of `chain` that are held.
+    pub fn warm_blocks(&self, chain: &[u64]) -> usize {
+        chain.iter().take_while(|block| self.blocks.contains_key(block)).count()
     }
 
-    /// Stores or refreshes `blocks`, and gives the changes that this made.
-    pub fn store(&mut self, blocks: &[u64]) -> Vec<CacheChange> {
-        let mut changes = Vec::new();
-        for block in blocks {
+    /// Blocks held now, in ascending order.
+    pub fn blocks(&self) -> Vec<u64> {
+        let mut blocks: Vec<_> = self.blocks.keys().copied().collect();
+        blocks.sort_unstable();
+        blocks
+    }
+
+    /// The root of a block that is held.
+    pub fn root_of(&self, block: u64) -> Option<u64> {
+        self.blocks.get(&block).map(|held| held.root)
+    }
+
+    /// The parent of a block that is held; `None` for the first block of a chain.
+    pub fn parent_of(&self, block: u64) -> Option<u64> {
+        self.blocks.get(&block).and_then(|held| held.parent)
+    }
+
+    /// Marks the blocks of `chain` that are held as used.
+    pub fn touch(&mut self, chain: &[u64]) {
+        for block in chain.iter().rev() {
+            let Some(held) = self.blocks.get_mut(block) else { continue };
+            self.by_use.remove(&held.last_use);
             self.clock += 1;
-            match self.last_use.insert(*block, self.clock) {
-                Some(previous) => {
-                    self.by_use.remove(&previous);
-                }
-                None => changes.push(CacheChange::Stored(*block)),
-            }
+            held.last_use = self.clock;
             self.by_use.insert(self.clock, *block);
         }
-        while self.last_use.len() > self.capacity {
-            if let Some((_, block)) = self.by_use.pop_first() {
-                self.last_use.remove(&block);
-                changes.push(CacheChange::Evicted(block));
+    }
+
+    /// Stores or refreshes a whole chain, from the block after `root` on, and gives the changes
+    /// that this made. Of a chain that is longer than the cache, the end is not stored.
+    pub fn store(&mut self, root: u64, chain: &[u64]) -> Vec<CacheChange> {
+        let chain = &chain[..chain.len().min(self.capacity)];
+        let mut changes = Vec::new();
+        let mut parent = None;
+        for block in chain {
+            self.blocks.entry(*block).or_insert_with(|| {
+                changes.push(CacheChange::Stored(*block));
+                CachedBlock { parent, root, last_use: 0 }
+            });
+            parent = Some(*block);
+        }
+        self.touch(chain);
+        while self.blocks.len() > self.capacity {
+            match self.by_use.first_key_value() {
+                Some((_, block)) => changes.push(self.evict(*block)),
+                None => break,
             }
         }
         changes
     }
+
+    /// Evicts all blocks below `roots`, and gives the changes that this made.
+    pub fn evict_roots(&mut self, roots: &HashSet<u64>) -> Vec<CacheChange> {
+        let below = |block: &u64| self.root_of(*block).is_some_and(|root| roots.contains(&root));
+        let evicted: Vec<_> = self.by_use.values().copied().filter(below).collect();
+        evicted.into_iter().map(|block| self.evict(block)).collect()
+    }
+
+    fn evict(&mut self, block: u64) -> CacheChange {
+        if let Some(held) = self.blocks.remove(&block) {
+            self.by_use.remove(&held.last_use);
+        }
+        CacheChange::Evicted(block)
+    }
 }
--- /dev/null
+++ b/crates/papayamux-standins/src/kinds/engine.rs
@@ -0,0 +1,63 @@
+//! `papayamux-standins engine`.
+
+use getopts::{Matches, Options};
+use papayamux_transport::shutdown::ShutdownSignal;
+
+use super::standin_kind::{list_of, micros_or, millis_or, value_or};
+use super::{StandinError, StandinKind};
+use crate::engine::{serve_engine, EngineOptions, EventLogOptions};
+
+/// The name of an engine and of its model where the command line names none.
+const DEFAULT_NAME: &str = "engine";
+const DEFAULT_MODEL: &str = "model";
+
+pub(super) const KIND: StandinKind = StandinKind {
+    name: "engine",
+    declare,
+    serve: |listener, matches| {
+        Box::pin(async move {
+            let options = engine_options(&matches)?;
+            Ok(serve_engine(listener, options, ShutdownSignal::new()).await?)
+        })
+    },
+};
+
+fn declare(options: &mut Options) {
+    options.optopt("", "name", "the engine's name", "NAME");
+    options.optopt("", "models", "models it has loaded", "A,B");
+    options.optopt("", "step-us", "time of one step", "MICROSECONDS");
+    options.optopt("", "batch", "places in the batch", "COUNT");
+    options.optopt("", "prefill", "prompt tokens computed in one step", "COUNT");
+    options.optopt("", "cache-blocks", "blocks in the prefix cache", "COUNT");
+    options.optopt("", "load-lag-ms", "age of the state that load reports show", "MILLISECONDS");
+    options.optopt("", "event-log", "cache events kept", "COUNT");
+    options.optopt("", "event-late-ms", "time until a cache event is visible", "MILLISECONDS");
+    options.optopt("", "event-gap-share", "share of cache events lost", "0..1");
+    options.optopt("", "event-gap-seed", "which cache events are lost", "NUMBER");
+}
+
+fn engine_options(matches: &Matches) -> Result<EngineOptions, StandinError> {
+    let mut models = list_of(matches, "models")?;
+    if !matches.opt_present("models") {
+        models.push(DEFAULT_MODEL.parse()?);
+    }
+    let server = value_or(matches, "name", DEFAULT_NAME.parse()?)?;
+    let mut engine = EngineOptions::builder().server(server).models(models).build();
+    engine.step = micros_or(matches, "step-us", engine.step)?;
+    engine.batch_limit = value_or(matches, "batch", engine.batch_limit)?;
+    engine.prefill_per_step = value_or(matches, "prefill", engine.prefill_per_step)?;
+    engine.cache_blocks = value_or(matches, "cache-blocks", engine.cache_blocks)?;
+    engine.load_lag = millis_or(matches, "load-lag-ms", engine.load_lag)?;
+    engine.events = event_options(matches)?;
+    Ok(engine)
+}
+
+fn event_options(matches: &Matches) -> Result<EventLogOptions, StandinError> {
+    let fallback = EventLogOptions::default();
+    Ok(EventLogOptions {
+        capacity: value_or(matches, "event-log", fallback.capacity)?,
+        lateness: millis_or(matches, "event-late-ms", fallback.lateness)?,
+        gap_share: value_or(matches, "event-gap-share", fallback.gap_share)?,
+        gap_seed: value_or(matches, "event-gap-seed", fallback.gap_seed)?,
+    })
+}
--- a/crates/papayamux-standins/src/lib.rs
+++ b/crates/papayamux-standins/src/lib.rs
@@ -2,5 +2,8 @@
 
 pub mod command_line;
 pub mod engine;
+pub mod kinds;
+pub mod lagged;
+pub mod query;
 pub mod respond;
 pub mod service;
