--- a/crates/papayamux-standins/src/lib.rs
+++ b/crates/papayamux-standins/src/lib.rs
@@ -3,5 +3,8 @@
 pub mod command_line;
 pub mod engine;
 pub mod fault_proxy;
+pub mod kinds;
+pub mod lagged;
+pub mod query;
 pub mod respond;
 pub mod service;
