Test that what is in force depends on nothing but what was heard

Properties over random revisions that contend for few names: any order, duplicates, stale reads, subsets and merges in any grouping give the same; no file goes back; no reference dangles, names and agents have one owner, shares stay within the whole.

A property found that the INI reader passed over a key behind a bare carriage return. The reader now compares what the library and its own scan found, and reports each difference.

--- a/crates/papayamux-declarations/src/file/parsed_file.rs
+++ b/crates/papayamux-declarations/src/file/parsed_file.rs
@@ -14,6 +14,9 @@
 use super::LARGEST_FILE;
 use crate::values::{FileName, PathPrefix};
 
+/// Lines of the longest file, which bounds the memory that its parsing takes.
+const MOST_LINES: usize = 65_536;
+
 /// All that a file declares.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ParsedFile {
@@ -34,15 +37,8 @@
 impl ParsedFile {
     /// Parses the text of the file called `name`, or reports all that is wrong with it by itself.
     pub fn parse(name: &FileName, text: &str) -> Result<Self, Findings> {
-        if text.len() > LARGEST_FILE {
-            return Err(Findings(vec![Finding {
-                file: name.to_string(),
-                line: 1,
-                place: "file".to_string(),
-                message: format!("the file has {} bytes, the bound is {LARGEST_FILE}", text.len()),
-                help: "split it among teams".to_string(),
-            }]));
-        }
+        check_size(name, "bytes", text.len(), LARGEST_FILE)?;
+        check_size(name, "lines", text.lines().count(), MOST_LINES)?;
         let file = IniFile::parse(name.as_str(), text)?;
         let parsed = read_file(&file, name);
         file.finish(|| parsed)
@@ -57,3 +53,16 @@
             + self.routes.len()
     }
 }
+
+fn check_size(name: &FileName, unit: &str, size: usize, bound: usize) -> Result<(), Findings> {
+    if size <= bound {
+        return Ok(());
+    }
+    Err(Findings(vec![Finding {
+        file: name.to_string(),
+        line: 1,
+        place: "file".to_string(),
+        message: format!("the file has {size} {unit}, the bound is {bound}"),
+        help: "split it among teams".to_string(),
+    }]))
+}
--- /dev/null
+++ b/crates/papayamux-declarations/tests/convergence.rs
@@ -0,0 +1,123 @@
+//! What is in force depends on what was heard, not on when, how often or through whom.
+
+mod support;
+
+use bolero::check;
+use papayamux_declarations::{DeclarationFile, FileSet, InForce};
+use support::{heard, RevisionChoice};
+
+/// Shuffles by sorting along `keys`.
+fn reordered(files: &[DeclarationFile], keys: &[u8]) -> Vec<DeclarationFile> {
+    let mut keyed: Vec<_> = files
+        .iter()
+        .enumerate()
+        .map(|(index, file)| (keys.get(index).copied().unwrap_or(0), index, file.clone()))
+        .collect();
+    keyed.sort_by_key(|(key, index, _)| (*key, std::cmp::Reverse(*index)));
+    keyed.into_iter().map(|(_, _, file)| file).collect()
+}
+
+fn assert_same(left: &FileSet, right: &FileSet) {
+    assert_eq!(left.digest(), right.digest());
+    let (left, right) = (InForce::compute(left), InForce::compute(right));
+    assert_eq!(left, right);
+    assert_eq!(left.digest(), right.digest());
+}
+
+#[test]
+fn any_order_with_duplicates_and_stale_reads_gives_the_same() {
+    check!().with_type::<(Vec<RevisionChoice>, Vec<u8>)>().for_each(|(choices, keys)| {
+        let files: Vec<_> = choices.iter().map(RevisionChoice::file).collect();
+        let shuffled = reordered(&files, keys);
+        let mut repeated = heard(shuffled.iter().chain(&files));
+        assert_same(&heard(&files), &repeated);
+        for file in &files {
+            repeated.offer(file.clone());
+        }
+        assert_same(&heard(&files), &repeated);
+    });
+}
+
+#[test]
+fn a_subset_then_the_rest_gives_the_same() {
+    check!().with_type::<(Vec<RevisionChoice>, u64)>().for_each(|(choices, mask)| {
+        let files: Vec<_> = choices.iter().map(RevisionChoice::file).collect();
+        let chosen = |index: usize| mask >> (index % 64) & 1 == 1;
+        let numbered = || files.iter().enumerate();
+        let first = numbered().filter(|(index, _)| chosen(*index)).map(|(_, file)| file);
+        let rest = numbered().filter(|(index, _)| !chosen(*index)).map(|(_, file)| file);
+        let mut in_turn = heard(first.clone());
+        InForce::compute(&in_turn);
+        for file in rest.clone() {
+            in_turn.offer(file.clone());
+        }
+        assert_same(&heard(&files), &in_turn);
+        let (mut left, right) = (heard(first), heard(rest));
+        left.merge(&right);
+        assert_same(&heard(&files), &left);
+    });
+}
+
+#[test]
+fn merging_partial_sets_commutes_associates_and_repeats() {
+    type Choices = [Vec<RevisionChoice>; 3];
+    check!().with_type::<Choices>().for_each(|choices| {
+        let [a, b, c] = choices
+            .each_ref()
+            .map(|part| heard(part.iter().map(RevisionChoice::file).collect::<Vec<_>>().iter()));
+        let join = |left: &FileSet, right: &FileSet| {
+            let mut joined = left.clone();
+            joined.merge(right);
+            joined
+        };
+        assert_same(&join(&a, &b), &join(&b, &a));
+        assert_same(&join(&join(&a, &b), &c), &join(&a, &join(&b, &c)));
+        let mut all = join(&join(&a, &b), &c);
+        assert!(!all.merge(&a), "a set that is contained changes nothing");
+        assert!(!all.clone().merge(&all));
+        assert_same(&join(&all, &b), &all);
+        all.merge(&c);
+    });
+}
+
+#[test]
+fn no_file_ever_goes_back() {
+    check!().with_type::<Vec<RevisionChoice>>().for_each(|choices| {
+        let mut set = FileSet::default();
+        let mut previous = InForce::compute(&set);
+        for choice in choices {
+            set.offer(choice.file());
+            let current = InForce::compute(&set);
+            for (file, revision) in &previous.files {
+                assert!(current.files.get(file) >= Some(revision), "{file} went back");
+            }
+            assert!(current.generation() >= previous.generation());
+            previous = current;
+        }
+    });
+}
+
+#[test]
+fn a_newcomer_learns_the_last_valid_revision_and_the_refusal_from_a_peer() {
+    let file = |revision: u64, text: &str| {
+        DeclarationFile::new("kiosk".parse().unwrap(), revision.into(), text)
+    };
+    let valid = file(4, "[team]\nname = kiosk\n[organisation visitors]\nshare = 100%\n");
+    let invalid = file(5, "[team]\nname = kiosk\n[organisation visitors]\nshare = much\n");
+    let peer = heard([&valid, &invalid]);
+    let mut newcomer = heard([&invalid]);
+    assert!(InForce::compute(&newcomer).organisations.is_empty());
+    for (name, record) in peer.records() {
+        if let Some(file) = record.valid() {
+            newcomer.offer(file.clone());
+        }
+        if let Some(refused) = record.refused() {
+            newcomer.offer_refused(name, refused.clone());
+        }
+    }
+    assert_same(&peer, &newcomer);
+    let in_force = InForce::compute(&newcomer);
+    assert_eq!(in_force.organisations.len(), 1);
+    assert_eq!(in_force.refused[0].in_force, Some(4.into()));
+    assert_eq!(in_force.refused[0].refused.revision, 5.into());
+}
--- a/crates/papayamux-settings/src/ini_file.rs
+++ b/crates/papayamux-settings/src/ini_file.rs
@@ -1,21 +1,24 @@
 //! One INI file with the line of each section and key.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ini::Ini;
 
 use crate::finding::{Finding, Findings};
 use crate::section::SectionReader;
 
+/// Findings that one file may have; more are left out, the first in the order of the checks stay.
+const MOST_FINDINGS: usize = 1_000;
+
 /// A parsed file. Values come from `rust-ini`; their lines from a scan of the same text, because
 /// the library keeps none.
 #[derive(Debug)]
 pub struct IniFile {
     name: String,
     ini: Ini,
-    section_lines: HashMap<String, Vec<usize>>,
-    key_lines: HashMap<(String, String), Vec<usize>>,
+    section_lines: BTreeMap<String, Vec<usize>>,
+    key_lines: BTreeMap<(String, String), Vec<usize>>,
     findings: RefCell<Vec<Finding>>,
 }
 
@@ -34,13 +37,13 @@
         let mut file = Self {
             name: name.to_string(),
             ini,
-            section_lines: HashMap::new(),
-            key_lines: HashMap::new(),
+            section_lines: BTreeMap::new(),
+            key_lines: BTreeMap::new(),
             findings: RefCell::default(),
         };
         file.locate(text);
         file.report_repeats();
-        file.report_hidden_sections();
+        file.report_differences();
         Ok(file)
     }
 
@@ -79,18 +82,38 @@
         }
     }
 
-    /// A section that the library found where no line starts with it, as behind a bare carriage
-    /// return, would otherwise be passed over in silence.
-    fn report_hidden_sections(&self) {
-        for section in self.ini.sections().flatten() {
-            if !self.section_lines.contains_key(section) {
-                let place = format!("[{section}]");
-                let help = "write [section] at the start of a line of its own";
-                self.report(1, place, "the section does not start a line", help);
+    /// The library and the scan must have found the same sections and keys. Where they differ,
+    /// as after a bare carriage return or in a quoted value of several lines, something would be
+    /// passed over in silence.
+    fn report_differences(&self) {
+        for (section, properties) in &self.ini {
+            let section = section.unwrap_or_default();
+            if !section.is_empty() && !self.section_lines.contains_key(section) {
+                self.report_unseen(1, format!("[{section}]"));
+            }
+            let keys: BTreeSet<_> = properties.iter().map(|(key, _)| key).collect();
+            for key in keys {
+                let place = (section.to_string(), key.to_string());
+                let seen = self.key_lines.get(&place).map_or(0, Vec::len);
+                if seen != properties.get_all(key).count() {
+                    self.report_unseen(self.section_line(section), format!("[{section}] {key}"));
+                }
+            }
+        }
+        for (section, key) in self.key_lines.keys() {
+            let name = Some(section.as_str()).filter(|name| !name.is_empty());
+            if !self.ini.section(name).is_some_and(|properties| properties.contains_key(key)) {
+                self.report_unseen(self.key_line(section, key), format!("[{section}] {key}"));
             }
         }
     }
 
+    fn report_unseen(&self, line: usize, place: String) {
+        let help = "write each section and each key on a line of its own, without line breaks \
+                    in values";
+        self.report(line, place, "it does not stand on a line of its own", help);
+    }
+
     /// The file's name.
     pub fn name(&self) -> &str {
         &self.name
@@ -148,9 +171,13 @@
         key_line.copied().unwrap_or_else(|| self.section_line(section))
     }
 
-    /// Adds a finding.
+    /// Adds a finding, up to a bound.
     pub fn report(&self, line: usize, place: String, message: &str, help: &str) {
-        self.findings.borrow_mut().push(Finding {
+        let mut findings = self.findings.borrow_mut();
+        if findings.len() >= MOST_FINDINGS {
+            return;
+        }
+        findings.push(Finding {
             file: self.name.clone(),
             line,
             place,
--- /dev/null
+++ b/crates/papayamux-settings/tests/places.rs
@@ -0,0 +1,35 @@
+//! Nothing in a file is passed over in silence, and each finding has its line.
+
+use papayamux_settings::IniFile;
+
+fn places(text: &str) -> Vec<(usize, String)> {
+    let read = IniFile::parse("file", text).and_then(|file| file.finish(|| Some(())));
+    let findings = read.err().unwrap_or_default();
+    findings.0.into_iter().map(|finding| (finding.line, finding.place)).collect()
+}
+
+#[test]
+fn lines_that_only_the_library_sees_are_reported() {
+    assert_eq!(places("[a]\nb = 1\r[c]\nd = 2\n")[0], (1, "[c]".to_string()));
+    assert_eq!(places("[a]\nb = 1\rb = 2\n"), [(1, "[a] b".to_string())]);
+    assert_eq!(places("[a] b = 1\n"), [(1, "[a] b".to_string())]);
+}
+
+#[test]
+fn lines_that_only_the_scan_sees_are_reported() {
+    assert_eq!(places("[a]\nb = \"1\nc = 2\"\n"), [(3, "[a] c".to_string())]);
+}
+
+#[test]
+fn findings_are_bounded() {
+    let text: String = (0..5_000).map(|_| "[a]\n").collect();
+    assert_eq!(places(&text).len(), 1_000);
+}
+
+#[test]
+fn windows_line_ends_and_comments_are_no_findings() {
+    let file = IniFile::parse("file", "; note\r\n[a]\r\n# note\r\nb = 1\r\n").unwrap();
+    assert_eq!(file.section("a").required::<u32>("b"), Some(1));
+    assert_eq!(file.section_line("a"), 2);
+    assert!(file.finish(|| Some(())).is_ok());
+}
