--- /dev/null
+++ b/crates/papayamux-declarations/src/file/parsed_file.rs
@@ -0,0 +1,68 @@
+//! A file that is valid by itself.
+
+use std::collections::BTreeMap;
+
+use papayamux_settings::{Finding, Findings, IniFile};
+use papayamux_state::ids::{AdapterId, ModelId, OrganisationId, ServerId};
+
+use super::grants::GrantSection;
+use super::items::{
+    AdapterDeclaration, ModelDeclaration, OrganisationDeclaration, Placed, RouteDeclaration,
+    ServerDeclaration,
+};
+use super::reader::read_file;
+use super::LARGEST_FILE;
+use crate::values::{FileName, PathPrefix};
+
+/// Lines of the longest file, which bounds the memory that its parsing takes.
+const MOST_LINES: usize = 65_536;
+
+/// All that a file declares.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ParsedFile {
+    /// Organisations.
+    pub organisations: BTreeMap<OrganisationId, Placed<OrganisationDeclaration>>,
+    /// Models.
+    pub models: BTreeMap<ModelId, Placed<ModelDeclaration>>,
+    /// Adapters.
+    pub adapters: BTreeMap<AdapterId, Placed<AdapterDeclaration>>,
+    /// Backend servers.
+    pub servers: BTreeMap<ServerId, Placed<ServerDeclaration>>,
+    /// Routes.
+    pub routes: BTreeMap<PathPrefix, Placed<RouteDeclaration>>,
+    /// Grants to teams; only in the owners' file.
+    pub grants: BTreeMap<FileName, Placed<GrantSection>>,
+}
+
+impl ParsedFile {
+    /// Parses the text of the file called `name`, or reports all that is wrong with it by itself.
+    pub fn parse(name: &FileName, text: &str) -> Result<Self, Findings> {
+        check_size(name, "bytes", text.len(), LARGEST_FILE)?;
+        check_size(name, "lines", text.lines().count(), MOST_LINES)?;
+        let file = IniFile::parse(name.as_str(), text)?;
+        let parsed = read_file(&file, name);
+        file.finish(|| parsed)
+    }
+
+    /// How many things the file declares.
+    pub fn item_count(&self) -> usize {
+        self.organisations.len()
+            + self.models.len()
+            + self.adapters.len()
+            + self.servers.len()
+            + self.routes.len()
+    }
+}
+
+fn check_size(name: &FileName, unit: &str, size: usize, bound: usize) -> Result<(), Findings> {
+    if size <= bound {
+        return Ok(());
+    }
+    Err(Findings(vec![Finding {
+        file: name.to_string(),
+        line: 1,
+        place: "file".to_string(),
+        message: format!("the file has {size} {unit}, the bound is {bound}"),
+        help: "split it among teams".to_string(),
+    }]))
+}
