--- a/crates/papayamux-settings/src/ini_file.rs
+++ b/crates/papayamux-settings/src/ini_file.rs
@@ -1,7 +1,7 @@
 //! One INI file with the line of each section and key.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use ini::Ini;
 
@@ -86,23 +86,24 @@
     /// as after a bare carriage return or in a quoted value of several lines, something would be
     /// passed over in silence.
     fn report_differences(&self) {
+        let mut counts: BTreeMap<(&str, &str), usize> = BTreeMap::new();
         for (section, properties) in &self.ini {
             let section = section.unwrap_or_default();
             if !section.is_empty() && !self.section_lines.contains_key(section) {
                 self.report_unseen(1, format!("[{section}]"));
             }
-            let keys: BTreeSet<_> = properties.iter().map(|(key, _)| key).collect();
-            for key in keys {
-                let place = (section.to_string(), key.to_string());
-                let seen = self.key_lines.get(&place).map_or(0, Vec::len);
-                if seen != properties.get_all(key).count() {
-                    self.report_unseen(self.section_line(section), format!("[{section}] {key}"));
-                }
+            for (key, _) in properties.iter() {
+                *counts.entry((section, key)).or_default() += 1;
+            }
+        }
+        for ((section, key), count) in &counts {
+            let place = (section.to_string(), key.to_string());
+            if self.key_lines.get(&place).map_or(0, Vec::len) != *count {
+                self.report_unseen(self.section_line(section), format!("[{section}] {key}"));
             }
         }
         for (section, key) in self.key_lines.keys() {
-            let name = Some(section.as_str()).filter(|name| !name.is_empty());
-            if !self.ini.section(name).is_some_and(|properties| properties.contains_key(key)) {
+            if !counts.contains_key(&(section.as_str(), key.as_str())) {
                 self.report_unseen(self.key_line(section, key), format!("[{section}] {key}"));
             }
         }
