Count runs under tags that a test's callers give

Cause: a caller that is told a failure learns no request id, so its truth could not be looked up. Change: engine and service stand-ins count starts by the header x-standin-tag; the testbed reads them. Link controls can be shared, and errors of broken chats name the server.

--- a/crates/papayamux-standins/src/engine/batch.rs
+++ b/crates/papayamux-standins/src/engine/batch.rs
@@ -20,6 +20,8 @@
 pub struct EngineRequest {
     /// The id that the caller gave.
     pub id: String,
+    /// The tag under which a test counts the request's runs.
+    pub tag: Option<String>,
     /// The model.
     pub model: String,
     /// The adapter.
@@ -58,6 +60,7 @@
     running: Vec<EngineJob>,
     cache: PrefixCache,
     runs: HashMap<String, u64>,
+    tag_runs: HashMap<String, u64>,
     idle: Option<ShutdownSignal>,
 }
 
@@ -110,6 +113,11 @@
         self.state.borrow().runs.clone()
     }
 
+    /// How often a request with each tag was started.
+    pub fn tag_runs(&self) -> HashMap<String, u64> {
+        self.state.borrow().tag_runs.clone()
+    }
+
     /// The present load.
     pub fn load(&self) -> EngineLoad {
         let state = self.state.borrow();
@@ -155,6 +163,9 @@
             job.cached = warm as u64;
             job.prefill_left = job.prompt_tokens.saturating_sub(job.cached);
             *self.runs.entry(job.request.id.clone()).or_default() += 1;
+            if let Some(tag) = &job.request.tag {
+                *self.tag_runs.entry(tag.clone()).or_default() += 1;
+            }
             self.running.push(job);
         }
     }
--- a/crates/papayamux-standins/src/engine/http_interface.rs
+++ b/crates/papayamux-standins/src/engine/http_interface.rs
@@ -24,6 +24,7 @@
 use super::batch::{EngineBatch, EngineEvent, EngineRequest};
 use super::options::EngineOptions;
 use crate::respond;
+use crate::run_tag::{TAG_HEADER, TAG_RUNS_PATH};
 
 /// Bytes of the longest request body.
 const LONGEST_BODY: usize = 16 * 1024 * 1024;
@@ -50,6 +51,7 @@
         },
         (&Method::GET, LOAD_PATH) => respond::json(StatusCode::OK, &batch.load()),
         (&Method::GET, RUNS_PATH) => respond::json(StatusCode::OK, &batch.runs()),
+        (&Method::GET, TAG_RUNS_PATH) => respond::json(StatusCode::OK, &batch.tag_runs()),
         _ => respond::refuse(StatusCode::NOT_FOUND, "no such path"),
     }
 }
@@ -61,6 +63,7 @@
     let (head, body) = request.into_parts();
     let text_of = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let id = text_of(REQUEST_ID).unwrap_or_default().to_string();
+    let tag = text_of(TAG_HEADER).map(str::to_string);
     let priority = text_of(PRIORITY).and_then(|text| text.parse().ok()).unwrap_or_default();
     let body =
         Limited::new(body, LONGEST_BODY).collect().await.map_err(|error| error.to_string())?;
@@ -73,7 +76,7 @@
     let prompt = render_prompt(&chat.messages);
     let plan = AnswerPlan::new(&chat.model, &prompt, chat.max_tokens);
     let (model, adapter) = (chat.model.clone(), chat.adapter.clone());
-    let request = EngineRequest { id, model, adapter, prompt, priority, plan };
+    let request = EngineRequest { id, tag, model, adapter, prompt, priority, plan };
     Ok((chat, request))
 }
 
--- a/crates/papayamux-standins/src/lib.rs
+++ b/crates/papayamux-standins/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod engine;
 pub mod fault_proxy;
 pub mod respond;
+pub mod run_tag;
 pub mod service;
--- a/crates/papayamux-standins/src/service.rs
+++ b/crates/papayamux-standins/src/service.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::respond;
+use crate::run_tag::{TAG_HEADER, TAG_RUNS_PATH};
 
 /// Bytes of the longest request body.
 const LONGEST_BODY: usize = 16 * 1024 * 1024;
@@ -37,6 +38,8 @@
     pub by_request: HashMap<String, u64>,
     /// Runs by idempotency key.
     pub by_key: HashMap<String, u64>,
+    /// Runs by the tag that a test gave.
+    pub by_tag: HashMap<String, u64>,
 }
 
 /// The answer to a call.
@@ -69,8 +72,12 @@
     runs: Rc<RefCell<ServiceRuns>>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    if request.method() == Method::GET && request.uri().path() == RUNS_PATH {
-        return respond::json(StatusCode::OK, &*runs.borrow());
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, RUNS_PATH) => return respond::json(StatusCode::OK, &*runs.borrow()),
+        (&Method::GET, TAG_RUNS_PATH) => {
+            return respond::json(StatusCode::OK, &runs.borrow().by_tag);
+        }
+        _ => {}
     }
     let (head, body) = request.into_parts();
     let body = match Limited::new(body, LONGEST_BODY).collect().await {
@@ -94,6 +101,9 @@
     if let Some(id) = text_of(REQUEST_ID) {
         *runs.by_request.entry(id.to_string()).or_default() += 1;
     }
+    if let Some(tag) = text_of(TAG_HEADER) {
+        *runs.by_tag.entry(tag.to_string()).or_default() += 1;
+    }
     if let Some(key) = text_of(IDEMPOTENCY_KEY) {
         *runs.by_key.entry(key.to_string()).or_default() += 1;
     }
--- a/crates/papayamux-testbed/src/caller.rs
+++ b/crates/papayamux-testbed/src/caller.rs
@@ -32,11 +32,18 @@
     #[error("the answer makes no sense: {0}")]
     Nonsense(String),
     /// The answer ended well, yet without its last event.
-    #[error("the answer ended after {} bytes without its last event", .0.len())]
-    Short(String),
+    #[error("{server}: the answer ended after {} bytes without its last event", .text.len())]
+    Short {
+        /// The server that gave it.
+        server: String,
+        /// The text up to there.
+        text: String,
+    },
     /// The connection broke off in the middle of the answer.
-    #[error("after {} bytes: {error}", .text.len())]
+    #[error("{server}: after {} bytes: {error}", .text.len())]
     Partial {
+        /// The server that gave it.
+        server: String,
         /// The text up to there.
         text: String,
         /// What broke.
@@ -180,7 +187,7 @@
     while let Some(piece) = answer.next_piece().await {
         let piece = match piece {
             Ok(piece) => piece,
-            Err(error) => return Err(CallerError::Partial { text: whole.text, error }),
+            Err(error) => return Err(broken_off(whole, error)),
         };
         pending.extend_from_slice(&piece);
         while let Some(end) = pending.windows(2).position(|pair| pair == b"\n\n") {
@@ -189,12 +196,17 @@
         }
     }
     if !ended || !pending.is_empty() {
-        return Err(CallerError::Short(whole.text));
+        return Err(CallerError::Short { server: whole.server, text: whole.text });
     }
     answer.finish();
     Ok(whole)
 }
 
+fn broken_off(partial: CallerAnswer, error: HttpClientError) -> CallerError {
+    let CallerAnswer { server, text, .. } = partial;
+    CallerError::Partial { server, text, error }
+}
+
 /// Adds one event to the answer; `true` for the event that ends the stream.
 fn take_event(event: &[u8], sent: Instant, whole: &mut CallerAnswer) -> Result<bool, CallerError> {
     let nonsense = |text: &str| CallerError::Nonsense(text.to_string());
--- a/crates/papayamux-testbed/src/link_control.rs
+++ b/crates/papayamux-testbed/src/link_control.rs
@@ -1,6 +1,7 @@
 //! The faults of one link of a fleet.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,17 +19,17 @@
 /// How long a link's report is waited for.
 const REPORT_WITHIN: Duration = Duration::from_secs(30);
 
-/// A link that leads through a fault proxy of its own.
-#[derive(Debug)]
+/// A link that leads through a fault proxy of its own; clones share it.
+#[derive(Debug, Clone)]
 pub struct LinkControl {
-    proxy: ProcessHandle,
+    proxy: Arc<ProcessHandle>,
 }
 
 impl LinkControl {
     /// Starts a proxy before `target`.
     pub fn start(target: SocketAddr) -> Result<Self, TestbedError> {
         let arguments = ["fault-proxy".to_string(), "--target".to_string(), target.to_string()];
-        Ok(Self { proxy: ProcessHandle::start("papayamux-standins", &arguments)? })
+        Ok(Self { proxy: Arc::new(ProcessHandle::start("papayamux-standins", &arguments)?) })
     }
 
     /// Where to connect instead of the target.
--- a/crates/papayamux-testbed/src/process.rs
+++ b/crates/papayamux-testbed/src/process.rs
@@ -221,6 +221,11 @@
         Ok(())
     }
 
+    /// How the process ended, if it has.
+    pub fn try_exit(&mut self) -> Result<Option<ExitStatus>, TestbedError> {
+        Ok(self.child.try_wait()?)
+    }
+
     /// Waits for the process to end.
     pub fn wait_exit(&mut self, within: Duration) -> Result<ExitStatus, TestbedError> {
         let deadline = Instant::now() + within;
--- a/crates/papayamux-testbed/src/running_server.rs
+++ b/crates/papayamux-testbed/src/running_server.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http::Method;
+use papayamux_standins::run_tag::TAG_RUNS_PATH;
 use papayamux_standins::service::{ServiceRuns, RUNS_PATH};
 
 use crate::http_reader::read_json;
@@ -51,6 +52,11 @@
         read_json(self.standin.listen()?, Method::GET, RUNS_PATH, Bytes::new()).await
     }
 
+    /// How often a request with each tag was started, as the server counted itself.
+    pub async fn tag_runs(&self) -> Result<HashMap<String, u64>, TestbedError> {
+        read_json(self.standin.listen()?, Method::GET, TAG_RUNS_PATH, Bytes::new()).await
+    }
+
     /// All runs of a server, of whichever kind.
     pub async fn all_runs(&self) -> Result<u64, TestbedError> {
         let runs = match self.is_engine {
