--- a/crates/papayamux-standins/src/engine/batch.rs
+++ b/crates/papayamux-standins/src/engine/batch.rs
@@ -24,6 +24,8 @@
 pub struct EngineRequest {
     /// The id that the caller gave.
     pub id: String,
+    /// The tag under which a test counts the request's runs.
+    pub tag: Option<String>,
     /// The model.
     pub model: String,
     /// The adapter.
@@ -63,6 +65,7 @@
     log: EventLog,
     load: LaggedValue<EngineLoad>,
     runs: HashMap<String, u64>,
+    tag_runs: HashMap<String, u64>,
     idle: Option<ShutdownSignal>,
 }
 
@@ -115,6 +118,11 @@
         self.state.borrow().runs.clone()
     }
 
+    /// How often a request with each tag was started.
+    pub fn tag_runs(&self) -> HashMap<String, u64> {
+        self.state.borrow().tag_runs.clone()
+    }
+
     /// The load as the engine reports it, with its lag.
     pub fn reported_load(&self) -> EngineLoad {
         self.state.borrow_mut().load.seen(Instant::now()).clone()
@@ -172,6 +180,7 @@
             log: EventLog::new(options.events),
             load: LaggedValue::new(options.load_lag, load),
             runs: HashMap::new(),
+            tag_runs: HashMap::new(),
             idle: None,
         }
     }
@@ -205,6 +214,9 @@
             job.cached = (warm * TOKENS_PER_BLOCK) as u64;
             job.prefill_left = job.prompt_tokens.saturating_sub(job.cached);
             *self.runs.entry(job.request.id.clone()).or_default() += 1;
+            if let Some(tag) = &job.request.tag {
+                *self.tag_runs.entry(tag.clone()).or_default() += 1;
+            }
             self.running.push(job);
         }
     }
--- a/crates/papayamux-standins/src/engine/http_interface.rs
+++ b/crates/papayamux-standins/src/engine/http_interface.rs
@@ -27,6 +27,7 @@
 use super::options::EngineOptions;
 use crate::query::query_number;
 use crate::respond;
+use crate::run_tag::{TAG_HEADER, TAG_RUNS_PATH};
 
 /// Bytes of the longest request body.
 const LONGEST_BODY: usize = 16 * 1024 * 1024;
@@ -62,6 +63,7 @@
             respond::json(StatusCode::OK, &batch.cache_events(after, limit as usize))
         }
         (&Method::GET, RUNS_PATH) => respond::json(StatusCode::OK, &batch.runs()),
+        (&Method::GET, TAG_RUNS_PATH) => respond::json(StatusCode::OK, &batch.tag_runs()),
         _ => respond::refuse(StatusCode::NOT_FOUND, "no such path"),
     }
 }
@@ -73,6 +75,7 @@
     let (head, body) = request.into_parts();
     let text_of = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let id = text_of(REQUEST_ID).unwrap_or_default().to_string();
+    let tag = text_of(TAG_HEADER).map(str::to_string);
     let priority = text_of(PRIORITY).and_then(|text| text.parse().ok()).unwrap_or_default();
     let body =
         Limited::new(body, LONGEST_BODY).collect().await.map_err(|error| error.to_string())?;
@@ -85,7 +88,7 @@
     let prompt = render_prompt(&chat.messages);
     let plan = AnswerPlan::new(&chat.model, &prompt, chat.max_tokens);
     let (model, adapter) = (chat.model.clone(), chat.adapter.clone());
-    let request = EngineRequest { id, model, adapter, prompt, priority, plan };
+    let request = EngineRequest { id, tag, model, adapter, prompt, priority, plan };
     Ok((chat, request))
 }
 
--- a/crates/papayamux-standins/src/lib.rs
+++ b/crates/papayamux-standins/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod lagged;
 pub mod query;
 pub mod respond;
+pub mod run_tag;
 pub mod service;
