Close connections that make no progress or never speak

Cause: a caller that took nothing held its connection for ever, a connection that had never brought a request held a shutdown for the whole head timeout, and a path that died under an idle connection was never found. Change: writes must make progress within a bound, connections without a first request are closed half a second into a shutdown, and all connections are probed by TCP keepalive. Listeners can refuse by address.

--- a/crates/papayamux-state/src/lib.rs
+++ b/crates/papayamux-state/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here touches a socket or a clock: callers hand in the time.
 
+pub mod address_range;
 pub mod chat_key;
 pub mod ids;
 pub mod placement;
--- a/crates/papayamux-state/src/refusal.rs
+++ b/crates/papayamux-state/src/refusal.rs
@@ -51,6 +51,8 @@
     NoAgentReachable = 8, "no_agent_reachable";
     /// The request was cancelled before it ran.
     Cancelled = 9, "cancelled";
+    /// The connection was lost before the request arrived, and it is refused from now on.
+    NeverArrived = 40, "never_arrived";
 }
 
 impl RefusalReason {
--- a/crates/papayamux-transport/src/http/client.rs
+++ b/crates/papayamux-transport/src/http/client.rs
@@ -18,6 +18,7 @@
 use monoio_http::h1::BorrowFramedRead;
 use thiserror::Error;
 
+use crate::keepalive::set_stream_options;
 use crate::link::{connect, LinkError};
 
 /// How long an idle connection is kept for the next request.
@@ -102,7 +103,7 @@
         request: Request<Bytes>,
     ) -> Result<ClientAnswer, HttpClientError> {
         let stream = connect(self.address).await?;
-        let _ = stream.set_nodelay(true);
+        let _ = set_stream_options(&stream);
         self.exchange(ClientCodec::new(stream), request).await
     }
 
--- a/crates/papayamux-transport/src/http/mod.rs
+++ b/crates/papayamux-transport/src/http/mod.rs
@@ -3,7 +3,8 @@
 mod body;
 mod client;
 mod server;
+mod stall_guard;
 
 pub use body::{AnswerBody, BodyError};
 pub use client::{ClientAnswer, HttpClient, HttpClientError};
-pub use server::{serve, HttpLimits};
+pub use server::{serve, AddressCheck, HttpLimits};
--- a/crates/papayamux-transport/src/http/server.rs
+++ b/crates/papayamux-transport/src/http/server.rs
@@ -2,8 +2,10 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::fmt;
 use std::future::Future;
 use std::io;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,11 +18,23 @@
 use monoio::net::{TcpListener, TcpStream};
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 
+use super::stall_guard::StallGuard;
 use super::AnswerBody;
+use crate::keepalive::set_stream_options;
 use crate::shutdown::ShutdownSignal;
 
+/// Decides whether an address may connect.
+#[derive(Clone)]
+pub struct AddressCheck(pub Rc<dyn Fn(IpAddr) -> bool>);
+
+impl fmt::Debug for AddressCheck {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("AddressCheck")
+    }
+}
+
 /// Bounds of a listener.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct HttpLimits {
     /// Connections open at once; one more waits in the kernel's backlog.
     pub connections: usize,
@@ -28,16 +42,28 @@
     pub head_bytes: usize,
     /// How long a head may take to arrive.
     pub head_within: Duration,
+    /// How long a write may wait without the other side taking anything.
+    pub write_within: Duration,
+    /// Who may connect; everybody where it is absent.
+    pub admits: Option<AddressCheck>,
 }
 
 impl Default for HttpLimits {
     fn default() -> Self {
-        Self { connections: 10_000, head_bytes: 32 * 1024, head_within: Duration::from_secs(15) }
+        Self {
+            connections: 10_000,
+            head_bytes: 32 * 1024,
+            head_within: Duration::from_secs(15),
+            write_within: Duration::from_secs(30),
+            admits: None,
+        }
     }
 }
 
 /// How long the listener waits after it could not accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long a connection without any request so far may still send its first at a shutdown.
+const FIRST_REQUEST_WITHIN: Duration = Duration::from_millis(500);
 
 struct OpenConnections {
     count: Cell<usize>,
@@ -78,17 +104,21 @@
         open.wait_below(limits.connections).await;
         let accept = std::pin::pin!(listener.accept());
         let given = std::pin::pin!(shutdown.given());
-        let stream = match select(given, accept).await {
+        let (stream, peer) = match select(given, accept).await {
             Either::Left(_) => break,
-            Either::Right((Ok((stream, _)), _)) => stream,
+            Either::Right((Ok((stream, peer)), _)) => (stream, peer),
             Either::Right((Err(error), _)) => {
                 log::warn!(error:% = error; "accepting failed");
                 monoio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
+        if limits.admits.as_ref().is_some_and(|check| !(check.0)(peer.ip())) {
+            continue;
+        }
         open.count.set(open.count.get() + 1);
         let (open, shutdown, handler) = (open.clone(), shutdown.clone(), handler.clone());
+        let limits = limits.clone();
         monoio::spawn(async move {
             if let Err(error) = serve_connection(stream, limits, shutdown, handler).await {
                 log::debug!(error:% = error; "caller's connection ended");
@@ -111,24 +141,43 @@
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
-    stream.set_nodelay(true)?;
+    set_stream_options(&stream)?;
+    let begun = Rc::new(Cell::new(false));
+    let begins = begun.clone();
     let service = service_fn(move |request| {
+        begins.set(true);
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler(request).await) }
     });
+    let guarded = StallGuard::new(MonoioIo::new(stream.into_poll_io()?), limits.write_within);
     let connection = http1::Builder::new()
         .timer(MonoioTimer)
         .header_read_timeout(limits.head_within)
         .max_buf_size(limits.head_bytes)
-        .serve_connection(MonoioIo::new(stream.into_poll_io()?), service);
+        .serve_connection(guarded, service);
     let mut connection = std::pin::pin!(connection);
     let given = std::pin::pin!(shutdown.given());
     match select(connection.as_mut(), given).await {
         Either::Left((result, _)) => result?,
         Either::Right(_) => {
             connection.as_mut().graceful_shutdown();
-            connection.await?;
+            let first = std::pin::pin!(wait_first_request(&begun));
+            match select(connection, first).await {
+                Either::Left((result, _)) => result?,
+                Either::Right((true, connection)) => connection.await?,
+                Either::Right((false, _)) => {}
+            }
         }
     }
     Ok(())
 }
+
+/// Whether a connection has brought a request, now or within a short while. `hyper` closes a
+/// connection that is idle between two requests, but waits for the first for its whole head
+/// timeout, which would hold a shutdown up.
+async fn wait_first_request(begun: &Cell<bool>) -> bool {
+    if !begun.get() {
+        monoio::time::sleep(FIRST_REQUEST_WITHIN).await;
+    }
+    begun.get()
+}
--- a/crates/papayamux-transport/src/lib.rs
+++ b/crates/papayamux-transport/src/lib.rs
@@ -1,6 +1,7 @@
 //! Connections, listeners and timers on one `monoio` thread.
 
 pub mod http;
+pub mod keepalive;
 pub mod link;
 pub mod listen;
 pub mod runtime;
--- a/crates/papayamux-transport/src/link.rs
+++ b/crates/papayamux-transport/src/link.rs
@@ -18,6 +18,8 @@
 use thiserror::Error;
 use tokio_util::codec::Framed;
 
+use crate::keepalive::set_stream_options;
+
 /// Bytes buffered before the writer flushes on its own.
 const FLUSH_BYTES: usize = 64 * 1024;
 /// How long one flush may take before the connection counts as silent.
@@ -108,7 +110,7 @@
     In: FrameMessage + 'static,
     M: 'static,
 {
-    stream.set_nodelay(true)?;
+    set_stream_options(&stream)?;
     let mut framed = Framed::new(stream.into_poll_io()?, FrameCodec::<Out, In>::default());
     framed.set_backpressure_boundary(FLUSH_BYTES);
     let (sink, stream) = framed.split();
