--- /dev/null
+++ b/crates/papayamux-agent/src/answers/held_bytes.rs
@@ -0,0 +1,125 @@
+//! The part of an answer's body that is held.
+
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use bytes::Bytes;
+
+/// Bytes that a held event's end costs.
+const EVENT_COST: u64 = size_of::<u64>() as u64;
+
+/// A piece with where it starts in the body.
+#[derive(Debug)]
+struct HeldPiece {
+    start: u64,
+    bytes: Bytes,
+}
+
+impl HeldPiece {
+    fn length(&self) -> u64 {
+        self.bytes.len() as u64
+    }
+
+    fn end(&self) -> u64 {
+        self.start + self.length()
+    }
+}
+
+/// A stretch of a body, with the ends of its numbered events.
+#[derive(Debug, Default)]
+pub struct HeldBytes {
+    pieces: VecDeque<HeldPiece>,
+    event_ends: VecDeque<u64>,
+    events_before: u64,
+    start: u64,
+    end: u64,
+    total: Rc<Cell<u64>>,
+}
+
+impl HeldBytes {
+    /// Holds nothing yet; what is held counts into `total`.
+    pub fn new(total: Rc<Cell<u64>>) -> Self {
+        Self {
+            pieces: VecDeque::new(),
+            event_ends: VecDeque::new(),
+            events_before: 0,
+            start: 0,
+            end: 0,
+            total,
+        }
+    }
+
+    /// Where the held part starts.
+    pub fn start(&self) -> u64 {
+        self.start
+    }
+
+    /// Where the body ends so far.
+    pub fn end(&self) -> u64 {
+        self.end
+    }
+
+    /// Adds to the end; `event_ends` are counted from the start of `bytes`.
+    pub fn append(&mut self, bytes: Bytes, event_ends: &[usize]) {
+        let base = self.end;
+        self.event_ends.extend(event_ends.iter().map(|end| base + *end as u64));
+        self.end += bytes.len() as u64;
+        self.count(bytes.len() as u64 + event_ends.len() as u64 * EVENT_COST);
+        self.pieces.push_back(HeldPiece { start: base, bytes });
+    }
+
+    /// Counts `length` bytes that are not held, as if they had been held and let go.
+    pub fn skip(&mut self, length: u64) {
+        self.release_to(self.end);
+        self.start += length;
+        self.end += length;
+    }
+
+    /// Lets go of what ends before `offset`, piece by piece.
+    pub fn release_to(&mut self, offset: u64) {
+        while self.pieces.front().is_some_and(|piece| piece.end() <= offset) {
+            if let Some(piece) = self.pieces.pop_front() {
+                self.start = piece.end();
+                self.uncount(piece.length());
+            }
+        }
+        while self.event_ends.front().is_some_and(|end| *end < self.start) {
+            self.event_ends.pop_front();
+            self.events_before += 1;
+            self.uncount(EVENT_COST);
+        }
+    }
+
+    /// Where the event after number `event` starts, if that is still held.
+    pub fn after_event(&self, event: u64) -> Option<u64> {
+        if event == 0 {
+            return (self.start == 0).then_some(0);
+        }
+        let index = event.checked_sub(self.events_before + 1)?;
+        self.event_ends.get(usize::try_from(index).ok()?).copied()
+    }
+
+    /// The piece, or the rest of a piece, that starts at `offset`; at most `longest` bytes.
+    pub fn piece_at(&self, offset: u64, longest: usize) -> Option<Bytes> {
+        let index = self.pieces.partition_point(|piece| piece.end() <= offset);
+        let piece = self.pieces.get(index)?;
+        let rest = piece.bytes.slice(offset.checked_sub(piece.start)? as usize..);
+        Some(rest.slice(..rest.len().min(longest)))
+    }
+
+    fn count(&self, length: u64) {
+        self.total.set(self.total.get() + length);
+    }
+
+    fn uncount(&self, length: u64) {
+        self.total.set(self.total.get().saturating_sub(length));
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        let held: u64 = self.pieces.iter().map(HeldPiece::length).sum();
+        self.uncount(held + self.event_ends.len() as u64 * EVENT_COST);
+    }
+}
--- /dev/null
+++ b/crates/papayamux-agent/src/answers/mod.rs
@@ -0,0 +1,10 @@
+//! Answers that the agent holds until they have arrived, so that a lost stream can go on.
+
+mod answer_record;
+mod answer_store;
+mod event_tagger;
+mod held_bytes;
+
+pub use answer_record::{AnswerRecord, Attachment, AttachmentKey};
+pub use answer_store::{sweep_answers, AnswerStore, StoreLimits};
+pub use event_tagger::{EventTagger, TaggedPiece};
--- a/crates/papayamux-agent/src/daemon.rs
+++ b/crates/papayamux-agent/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The agent's life: start, serve, drain, end.
 
+use std::cell::Cell;
 use std::error::Error;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,15 +16,21 @@
 use papayamux_transport::listen::listen;
 use papayamux_transport::runtime;
 use papayamux_transport::shutdown::ShutdownSignal;
+use papayamux_transport::timer::TimerService;
 use prometheus_client::registry::Registry;
 use serde_json::json;
+use thiserror::Error;
 
+use crate::answers::{sweep_answers, AnswerStore, StoreLimits};
 use crate::metrics::AgentMetrics;
 use crate::router_link::{accept_routers, AgentCore};
 use crate::settings::AgentSettings;
+use crate::trust::RouterTrust;
 
 /// How often a draining agent looks whether all has finished.
-const DRAIN_LOOK: Duration = Duration::from_millis(50);
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+/// Which part of all kept bytes one answer may have.
+const ANSWER_SHARE: u64 = 16;
 
 struct AgentView {
     core: Rc<AgentCore>,
@@ -43,6 +50,7 @@
             "server": self.core.server.to_string(),
             "leaving": self.core.book.is_leaving(),
             "running": self.core.book.running().get(),
+            "held_answer_bytes": self.core.answers.held_bytes(),
             "router_links": self.core.metrics.router_links.get(),
         })
     }
@@ -53,16 +61,75 @@
     start_logging("papayamux-agent", log::LevelFilter::Info);
     let mut signals = catch_end_signals()?;
     runtime::run(async move {
-        let core = start_agent(&settings)?;
+        let agent = ServingAgent::start(&settings)?;
         signals.next().await;
-        let drain = std::pin::pin!(drain(&core, settings.drain_within));
-        match select(drain, signals.next()).await {
-            Either::Left((outcome, _)) => outcome,
-            Either::Right(_) => Err("a second signal ended the agent before its drain".into()),
-        }
+        let agent = agent.leave();
+        let bound = std::pin::pin!(monoio::time::sleep(settings.drain_within));
+        let cut = std::pin::pin!(select(signals.next(), bound));
+        let finish = std::pin::pin!(agent.finish());
+        let cause = match select(finish, cut).await {
+            Either::Left(_) => return Ok(()),
+            Either::Right((Either::Left(_), _)) => "a second signal",
+            Either::Right((Either::Right(_), _)) => "the drain's bound",
+        };
+        Err(agent.cut(cause))
     })?
 }
 
+/// An agent that takes work.
+struct ServingAgent {
+    core: Rc<AgentCore>,
+}
+
+/// An agent that takes no new work and lets what runs finish.
+struct DrainingAgent {
+    core: Rc<AgentCore>,
+}
+
+/// What a drain's end cut off.
+#[derive(Debug, Error)]
+#[error("{cause} cut off {requests} requests")]
+struct DrainCut {
+    cause: &'static str,
+    requests: u64,
+}
+
+impl ServingAgent {
+    fn start(settings: &AgentSettings) -> Result<Self, Box<dyn Error>> {
+        Ok(Self { core: start_agent(settings)? })
+    }
+
+    /// Takes no new work from now on, and tells the routers so.
+    fn leave(self) -> DrainingAgent {
+        log::info!("agent drains");
+        self.core.book.leave();
+        self.core.leaving.give();
+        DrainingAgent { core: self.core }
+    }
+}
+
+impl DrainingAgent {
+    /// Waits until all that ran has ended and the routers have received it, or can't any more.
+    async fn finish(&self) {
+        while self.unfinished() > 0 {
+            monoio::time::sleep(DRAIN_LOOK).await;
+        }
+        log::info!("agent drained");
+    }
+
+    fn unfinished(&self) -> u64 {
+        self.core.book.running().get().max(self.core.answers.awaited() as u64)
+    }
+
+    /// Ends the drain before its end.
+    fn cut(&self, cause: &'static str) -> Box<dyn Error> {
+        let requests = self.unfinished();
+        self.core.metrics.cut_requests.inc_by(requests);
+        log::warn!(cause = cause, requests = requests; "drain cut off");
+        DrainCut { cause, requests }.into()
+    }
+}
+
 fn start_agent(settings: &AgentSettings) -> Result<Rc<AgentCore>, Box<dyn Error>> {
     let incarnation = Incarnation::draw();
     let metrics = AgentMetrics::default();
@@ -84,27 +151,26 @@
         metrics,
         started: Instant::now(),
         leaving: ShutdownSignal::new(),
+        answers: AnswerStore::new(store_limits(settings)),
+        trust: RouterTrust { secret: settings.secret.clone(), allow: settings.allow.clone() },
+        progress_within: settings.progress_within,
+        next_link: Cell::new(0),
     });
     let view = Rc::new(AgentView { core: core.clone() });
     monoio::spawn(serve_operations(operators, Rc::new(registry), view, ShutdownSignal::new()));
     monoio::spawn(accept_routers(core.clone(), routers));
+    let held_bytes = core.metrics.held_bytes.clone();
+    monoio::spawn(sweep_answers(core.answers.clone(), held_bytes, TimerService::start()));
     Ok(core)
 }
 
-/// Takes no new work, tells the routers so, and lets what runs finish.
-async fn drain(core: &AgentCore, within: Duration) -> Result<(), Box<dyn Error>> {
-    log::info!("agent drains");
-    core.book.leave();
-    core.leaving.give();
-    let started = Instant::now();
-    while core.book.running().get() > 0 {
-        if started.elapsed() > within {
-            let cut = core.book.running();
-            return Err(format!("the drain's bound cut off {cut} requests").into());
-        }
-        monoio::time::sleep(DRAIN_LOOK).await;
-    }
-    monoio::time::sleep(DRAIN_LOOK).await;
-    log::info!("agent drained");
-    Ok(())
+fn store_limits(settings: &AgentSettings) -> StoreLimits {
+    let total = settings.keep_answer_bytes.get();
+    StoreLimits::builder()
+        .resume_within(settings.resume_within)
+        .cancel_grace(settings.cancel_grace)
+        .keep_for(settings.keep_answers_for)
+        .total_bytes(total)
+        .answer_bytes(total / ANSWER_SHARE)
+        .build()
 }
--- a/crates/papayamux-agent/src/metrics.rs
+++ b/crates/papayamux-agent/src/metrics.rs
@@ -20,6 +20,14 @@
     pub router_links: Gauge,
     /// Connections that were refused or broke, by reason.
     pub link_failures: ReasonCounters,
+    /// Streams that routers asked to go on with, by outcome.
+    pub resumes: ReasonCounters,
+    /// Streams of the server that were replaced or given up, by outcome.
+    pub server_streams: ReasonCounters,
+    /// Bytes of answers that are held.
+    pub held_bytes: Gauge,
+    /// Requests that the end of a drain cut off.
+    pub cut_requests: Counter,
 }
 
 impl AgentMetrics {
@@ -33,5 +41,12 @@
         registry.register("router_links", "Connections of routers", self.router_links.clone());
         let failures = self.link_failures.0.clone();
         registry.register("link_failures", "Connections refused or broken", failures);
+        let resumes = self.resumes.0.clone();
+        registry.register("resumes", "Streams asked for again, by outcome", resumes);
+        let streams = self.server_streams.0.clone();
+        registry.register("server_streams", "Server streams replaced or given up", streams);
+        registry.register("held_answer_bytes", "Bytes of answers held", self.held_bytes.clone());
+        let cut = self.cut_requests.clone();
+        registry.register("cut_requests", "Requests cut off by the end of a drain", cut);
     }
 }
--- a/crates/papayamux-agent/src/router_link.rs
+++ b/crates/papayamux-agent/src/router_link.rs
@@ -1,6 +1,6 @@
 //! Connections of routers: one task each, and one for each stream.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -9,23 +9,29 @@
 use monoio::net::{TcpListener, TcpStream};
 use papayamux_coordination::admission::AdmissionBook;
 use papayamux_protocol::link::{
-    Addressed, AgentClock, AgentMessage, AgentWelcome, OpenRequest, PongNotice, RefusalNotice,
-    RouterHello, RouterMessage, PROTOCOL_VERSION,
+    Addressed, AgentClock, AgentMessage, OpenRequest, PongNotice, RefusalNotice, ResumeRequest,
+    RouterMessage,
 };
 use papayamux_protocol::wire::{AgentFrame, RouterFrame};
-use papayamux_state::ids::{FailureDomain, Incarnation, ServerId};
+use papayamux_state::address_range::admits;
+use papayamux_state::ids::{FailureDomain, Incarnation, RequestId, ServerId};
 use papayamux_state::refusal::RefusalReason;
 use papayamux_transport::http::HttpClient;
 use papayamux_transport::link::{start_link, LinkError, LinkReceiver, LinkSender};
 use papayamux_transport::shutdown::ShutdownSignal;
 
+use crate::answers::{AnswerRecord, AnswerStore, Attachment, AttachmentKey};
 use crate::metrics::AgentMetrics;
-use crate::run::{run_request, StreamControl};
+use crate::run::run_request;
+use crate::trust::{GreetingError, RouterTrust, SilentLink, TrustedLink};
 
-type RouterReceiver = LinkReceiver<AgentFrame, RouterFrame>;
+/// The receiving half of a router's connection.
+pub type RouterReceiver = LinkReceiver<AgentFrame, RouterFrame>;
 
-/// How long a router may take to say hello.
-const HELLO_WITHIN: Duration = Duration::from_secs(5);
+/// Silence on a connection with open streams after which the router is pinged.
+const PING_AFTER: Duration = Duration::from_secs(2);
+/// Pings without any frame in between after which the connection counts as silent.
+const MOST_UNANSWERED: u32 = 3;
 /// Streams open at once on one connection.
 const MOST_STREAMS: usize = 4_096;
 /// Connections of routers open at once.
@@ -35,7 +41,7 @@
 /// Time after which a refused router may ask again.
 const RETRY_AFTER_MS: u32 = 500;
 /// The stream number of the connection itself.
-const CONNECTION: u64 = 0;
+pub const CONNECTION: u64 = 0;
 
 /// What all connections of an agent share.
 pub struct AgentCore {
@@ -55,6 +61,14 @@
     pub started: Instant,
     /// Given when the agent leaves.
     pub leaving: ShutdownSignal,
+    /// The answers that may still be asked for.
+    pub answers: Rc<AnswerStore>,
+    /// Which routers may connect.
+    pub trust: RouterTrust,
+    /// How long the server may make no progress before it is asked whether it lives.
+    pub progress_within: Duration,
+    /// The number of the next connection.
+    pub next_link: Cell<u64>,
 }
 
 impl AgentCore {
@@ -68,6 +82,11 @@
 pub async fn accept_routers(core: Rc<AgentCore>, listener: TcpListener) {
     loop {
         let stream = match listener.accept().await {
+            Ok((_, peer)) if !admits(&core.trust.allow, peer.ip()) => {
+                core.metrics.link_failures.count("address");
+                log::warn!(peer:% = peer; "connection refused: its address may not connect");
+                continue;
+            }
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!(error:% = error; "accepting failed");
@@ -89,66 +108,57 @@
 }
 
 async fn serve_router(core: &Rc<AgentCore>, stream: TcpStream) {
-    let outcome = match start_link(stream) {
-        Ok((sender, receiver)) => serve_link(core, sender, receiver).await,
-        Err(error) => Err(error),
-    };
-    if let Err(error) = outcome {
-        core.metrics.link_failures.count("broken");
-        log::warn!(error:% = error; "connection of a router broke");
-    }
-}
-
-async fn serve_link(
-    core: &Rc<AgentCore>,
-    sender: LinkSender<AgentMessage>,
-    mut receiver: RouterReceiver,
-) -> Result<(), LinkError> {
-    let Some(hello) = receive_hello(&mut receiver).await? else {
-        core.metrics.link_failures.count("no_hello");
-        return Ok(());
+    let peer = stream.peer_addr().map(|address| address.to_string()).unwrap_or_default();
+    let link = match open_link(core, stream).await {
+        Ok(link) => link,
+        Err(error) => {
+            core.metrics.link_failures.count(error.label());
+            log::warn!(peer = peer, error:% = error; "connection of a router refused");
+            return;
+        }
     };
-    sender.send(CONNECTION, AgentMessage::Welcome(welcome(core)));
-    if hello.version != PROTOCOL_VERSION {
-        core.metrics.link_failures.count("version");
-        return Ok(());
-    }
-    let link = RouterLink { core: core.clone(), sender, streams: Rc::default() };
-    let outcome = link.serve(&mut receiver).await;
+    let number = core.next_link.get();
+    core.next_link.set(number + 1);
+    let TrustedLink { sender, mut receiver } = link;
+    let link = RouterLink { core: core.clone(), number, sender, streams: RefCell::default() };
+    let end = link.serve(&mut receiver).await;
     link.lose();
-    outcome
-}
-
-fn welcome(core: &AgentCore) -> AgentWelcome {
-    AgentWelcome {
-        version: PROTOCOL_VERSION,
-        incarnation: core.incarnation,
-        server: core.server.clone(),
-        domain: core.domain.clone(),
-        clock: core.clock(),
+    match end {
+        LinkEnd::Closed => {}
+        LinkEnd::Silent => {
+            core.metrics.link_failures.count("silent");
+            log::warn!(peer = peer; "connection of a router went silent");
+        }
+        LinkEnd::Broken(error) => {
+            core.metrics.link_failures.count("broken");
+            log::warn!(peer = peer, error:% = error; "connection of a router broke");
+        }
     }
 }
 
-async fn receive_hello(receiver: &mut RouterReceiver) -> Result<Option<RouterHello>, LinkError> {
-    match monoio::time::timeout(HELLO_WITHIN, receiver.receive()).await {
-        Ok(Some(Ok(Addressed { message: RouterMessage::Hello(hello), .. }))) => Ok(Some(hello)),
-        Ok(Some(Err(error))) => Err(error),
-        Ok(_) | Err(_) => Ok(None),
-    }
+async fn open_link(core: &AgentCore, stream: TcpStream) -> Result<TrustedLink, GreetingError> {
+    let (sender, receiver) = start_link(stream)?;
+    SilentLink::new(sender, receiver).greet(core).await?.verify().await
 }
 
-type StreamTable = Rc<RefCell<HashMap<u64, Rc<StreamControl>>>>;
+/// Why a connection ended.
+enum LinkEnd {
+    Closed,
+    Silent,
+    Broken(LinkError),
+}
 
-/// One connection of a router that has said hello.
+/// One connection of a router that may give work.
 struct RouterLink {
     core: Rc<AgentCore>,
+    number: u64,
     sender: LinkSender<AgentMessage>,
-    streams: StreamTable,
+    streams: RefCell<HashMap<u64, Rc<AnswerRecord>>>,
 }
 
 impl RouterLink {
     /// Reads to the connection's end; says on the way when the agent leaves.
-    async fn serve(&self, receiver: &mut RouterReceiver) -> Result<(), LinkError> {
+    async fn serve(&self, receiver: &mut RouterReceiver) -> LinkEnd {
         let read = std::pin::pin!(self.read_messages(receiver));
         let leaving = std::pin::pin!(self.core.leaving.given());
         match select(leaving, read).await {
@@ -160,62 +170,128 @@
         }
     }
 
-    async fn read_messages(&self, receiver: &mut RouterReceiver) -> Result<(), LinkError> {
-        while let Some(received) = receiver.receive().await {
-            let Addressed { stream, message } = received?;
-            match message {
-                RouterMessage::Open(open) => self.open(stream, *open),
-                RouterMessage::Acknowledge(offset) => {
-                    self.with_stream(stream, |control| control.acknowledge(offset));
+    async fn read_messages(&self, receiver: &mut RouterReceiver) -> LinkEnd {
+        let mut unanswered = 0;
+        loop {
+            match monoio::time::timeout(PING_AFTER, receiver.receive()).await {
+                Err(_) if self.streams.borrow().is_empty() => unanswered = 0,
+                Err(_) if unanswered == MOST_UNANSWERED => return LinkEnd::Silent,
+                Err(_) => {
+                    unanswered += 1;
+                    self.sender.send(CONNECTION, AgentMessage::Ping(u64::from(unanswered)));
                 }
-                RouterMessage::Cancel => self.with_stream(stream, StreamControl::cancel),
-                RouterMessage::Ping(number) => {
-                    let pong = PongNotice { number, clock: self.core.clock() };
-                    self.sender.send(CONNECTION, AgentMessage::Pong(pong));
+                Ok(None) => return LinkEnd::Closed,
+                Ok(Some(Err(error))) => return LinkEnd::Broken(error),
+                Ok(Some(Ok(Addressed { stream, message }))) => {
+                    unanswered = 0;
+                    self.take_message(stream, message);
                 }
-                RouterMessage::Hello(_) => self.core.metrics.link_failures.count("second_hello"),
             }
         }
-        Ok(())
     }
 
-    fn with_stream(&self, stream: u64, act: impl FnOnce(&StreamControl)) {
-        if let Some(control) = self.streams.borrow().get(&stream) {
-            act(control);
+    fn take_message(&self, stream: u64, message: RouterMessage) {
+        let key = AttachmentKey { link: self.number, stream };
+        match message {
+            RouterMessage::Open(open) => self.open(stream, *open),
+            RouterMessage::Resume(resume) => self.resume(stream, &resume),
+            RouterMessage::Acknowledge(offset) => {
+                if let Some(record) = self.streams.borrow().get(&stream) {
+                    record.acknowledge(key, offset);
+                }
+            }
+            RouterMessage::Cancel => self.close(stream, |record| record.cancel(key)),
+            RouterMessage::Received => self.close(stream, |record| record.arrive(key)),
+            RouterMessage::Ping(number) => {
+                let pong = PongNotice { number, clock: self.core.clock() };
+                self.sender.send(CONNECTION, AgentMessage::Pong(pong));
+            }
+            RouterMessage::Pong(_) => {}
+            RouterMessage::Hello(_) => self.core.metrics.link_failures.count("second_hello"),
+            RouterMessage::Prove(_) => self.core.metrics.link_failures.count("second_proof"),
+        }
+    }
+
+    fn close(&self, stream: u64, act: impl FnOnce(&AnswerRecord)) {
+        if let Some(record) = self.streams.borrow_mut().remove(&stream) {
+            act(&record);
         }
     }
 
+    fn attachment(&self, stream: u64) -> Attachment {
+        let key = AttachmentKey { link: self.number, stream };
+        Attachment { key, sender: self.sender.clone() }
+    }
+
     fn open(&self, stream: u64, open: OpenRequest) {
+        let id = open.id;
+        let now = self.core.clock();
         if self.streams.borrow().len() >= MOST_STREAMS {
-            return self.refuse(stream, RefusalReason::AtCapacity);
+            self.core.book.refuse_unseen(id, open.start_before, now);
+            return self.refuse(stream, id, RefusalReason::AtCapacity);
         }
-        let permit = match self.core.book.admit(&open, self.core.clock()) {
+        let permit = match self.core.book.admit(&open, now) {
             Ok(permit) => permit,
-            Err(reason) => return self.refuse(stream, reason),
+            Err(reason) => return self.refuse(stream, id, reason),
         };
         self.core.metrics.admitted.inc();
-        let control = Rc::new(StreamControl::new(&open.repeat));
-        self.streams.borrow_mut().insert(stream, control.clone());
-        let (core, sender) = (self.core.clone(), self.sender.clone());
-        let streams = self.streams.clone();
+        let record = self.core.answers.start_record(&open, self.attachment(stream));
+        self.streams.borrow_mut().insert(stream, record.clone());
+        let core = self.core.clone();
         monoio::spawn(async move {
             core.metrics.running.inc();
-            let end = run_request(&core, open, &control, &sender, stream).await;
-            streams.borrow_mut().remove(&stream);
+            let end = run_request(&core, open, &record).await;
             core.metrics.running.dec();
             core.metrics.answers.count(end.label());
             drop(permit);
         });
     }
 
-    fn refuse(&self, stream: u64, reason: RefusalReason) {
+    /// Lets an answer go on on this connection, or says what has become of its request.
+    fn resume(&self, stream: u64, resume: &ResumeRequest) {
+        let core = &self.core;
+        let known_life = resume.agent.is_none_or(|agent| agent == core.incarnation);
+        let has_room = self.streams.borrow().len() < MOST_STREAMS;
+        let record = core.answers.find(&resume.id).filter(|_| known_life && has_room);
+        if let Some(record) = record.filter(|record| record.belongs_to(&resume.organisation)) {
+            let attached = record.attach(self.attachment(stream), resume.from);
+            core.metrics.resumes.count(if attached { "resumed" } else { "not_held" });
+            match attached {
+                true => drop(self.streams.borrow_mut().insert(stream, record)),
+                false => drop(self.sender.send(stream, AgentMessage::NotHeld)),
+            }
+            return;
+        }
+        if let Some(notice) = core.answers.refusal(&resume.id) {
+            core.metrics.resumes.count("refused");
+            self.sender.send(stream, AgentMessage::Refused(notice));
+            return;
+        }
+        let unseen = known_life
+            && resume.start_before.is_some_and(|start_before| {
+                core.book.refuse_unseen(resume.id, start_before, core.clock())
+            });
+        if unseen {
+            core.metrics.resumes.count("never_arrived");
+            return self.refuse(stream, resume.id, RefusalReason::NeverArrived);
+        }
+        core.metrics.resumes.count("not_held");
+        self.sender.send(stream, AgentMessage::NotHeld);
+    }
+
+    fn refuse(&self, stream: u64, id: RequestId, reason: RefusalReason) {
         self.core.metrics.refusals.count(reason.label());
         let notice = RefusalNotice { reason, retry_after_ms: RETRY_AFTER_MS };
+        if reason != RefusalReason::SeenBefore {
+            self.core.answers.note_refusal(id, notice);
+        }
         self.sender.send(stream, AgentMessage::Refused(notice));
     }
 
-    /// The router can't be reached any more: idempotent work is cancelled, other work runs on.
+    /// The connection is gone; its router may ask for the streams again on another one.
     fn lose(&self) {
-        self.streams.borrow().values().for_each(|control| control.cancel());
+        for (stream, record) in self.streams.borrow_mut().drain() {
+            record.lose(AttachmentKey { link: self.number, stream });
+        }
     }
 }
--- a/crates/papayamux-agent/src/run.rs
+++ b/crates/papayamux-agent/src/run.rs
@@ -1,80 +1,24 @@
-//! Running one request at the backend server and sending its answer to the router.
-
-use std::cell::Cell;
+//! Running one request at the backend server and recording its answer.
 
 use bytes::Bytes;
 use futures_util::future::{select, Either};
-use http::{HeaderName, HeaderValue, Request};
+use http::header::CONTENT_TYPE;
+use http::{HeaderName, HeaderValue, Request, StatusCode};
 use papayamux_protocol::headers::{HOP_BY_HOP, PRIORITY, REQUEST_ID};
 use papayamux_protocol::link::{
-    AgentMessage, AnswerData, AnswerEnd, AnswerHead, HeaderField, OpenRequest, RefusalNotice,
-    RepeatRule, STREAM_WINDOW,
+    AnswerEnd, AnswerHead, HeaderField, OpenRequest, RefusalNotice, RepeatRule,
 };
 use papayamux_state::refusal::RefusalReason;
 use papayamux_transport::http::{ClientAnswer, HttpClientError};
-use papayamux_transport::link::LinkSender;
-use papayamux_transport::shutdown::ShutdownSignal;
 
+use crate::answers::{AnswerRecord, EventTagger};
 use crate::router_link::AgentCore;
+use crate::server_exchange::{
+    resume_stream, wait_for_server, ResumeTarget, ServerError, ServerStep,
+};
 
-/// Bytes of one piece of an answer at most.
-const LONGEST_PIECE: usize = 64 * 1024;
-
-/// What the router has said about a stream since it opened.
-pub struct StreamControl {
-    may_cancel: bool,
-    acknowledged: Cell<u64>,
-    moved: Cell<Option<ShutdownSignal>>,
-    cancelled: ShutdownSignal,
-}
-
-impl StreamControl {
-    /// The control of a request that may be repeated by `repeat`.
-    pub fn new(repeat: &RepeatRule) -> Self {
-        Self {
-            may_cancel: *repeat == RepeatRule::Idempotent,
-            acknowledged: Cell::new(0),
-            moved: Cell::new(None),
-            cancelled: ShutdownSignal::new(),
-        }
-    }
-
-    /// The caller has taken the answer up to `offset`.
-    pub fn acknowledge(&self, offset: u64) {
-        self.acknowledged.set(self.acknowledged.get().max(offset));
-        if let Some(signal) = self.moved.take() {
-            signal.give();
-        }
-    }
-
-    /// The caller has gone. Work that is not idempotent runs on to its end all the same.
-    pub fn cancel(&self) {
-        self.cancelled.give();
-        if let Some(signal) = self.moved.take() {
-            signal.give();
-        }
-    }
-
-    fn stops_work(&self) -> bool {
-        self.may_cancel && self.cancelled.is_given()
-    }
-
-    async fn wait_stopped(&self) {
-        self.cancelled.given().await;
-        if !self.may_cancel {
-            std::future::pending::<()>().await;
-        }
-    }
-
-    /// Waits until a piece that ends at `offset` fits into the window, or nobody reads any more.
-    async fn wait_window(&self, offset: u64) {
-        while offset > self.acknowledged.get() + STREAM_WINDOW && !self.cancelled.is_given() {
-            let signal = ShutdownSignal::new();
-            self.moved.set(Some(signal.clone()));
-            signal.given().await;
-        }
-    }
-}
+/// The media type of streamed answers.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// How a request ended at the agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -85,7 +29,7 @@
     Unreachable,
     /// The server failed on the way.
     Failed,
-    /// The caller had gone.
+    /// Nobody waited for the answer any more.
     Cancelled,
 }
 
@@ -102,55 +46,51 @@
 }
 
 /// Runs a request that was admitted.
-pub async fn run_request(
-    core: &AgentCore,
-    open: OpenRequest,
-    control: &StreamControl,
-    sender: &LinkSender<AgentMessage>,
-    stream: u64,
-) -> RunEnd {
-    let run = std::pin::pin!(run_to_end(core, open, control, sender, stream));
-    let stopped = std::pin::pin!(control.wait_stopped());
-    match select(run, stopped).await {
+pub async fn run_request(core: &AgentCore, open: OpenRequest, record: &AnswerRecord) -> RunEnd {
+    let run = std::pin::pin!(run_to_end(core, open, record));
+    let cancelled = std::pin::pin!(record.wait_cancelled());
+    match select(run, cancelled).await {
         Either::Left((end, _)) => end,
-        Either::Right(_) => RunEnd::Cancelled,
+        Either::Right(_) => {
+            record.finish(AnswerEnd::Failed("nobody waits for the answer".to_string()));
+            RunEnd::Cancelled
+        }
     }
 }
 
-async fn run_to_end(
-    core: &AgentCore,
-    open: OpenRequest,
-    control: &StreamControl,
-    sender: &LinkSender<AgentMessage>,
-    stream: u64,
-) -> RunEnd {
+async fn run_to_end(core: &AgentCore, open: OpenRequest, record: &AnswerRecord) -> RunEnd {
     let idempotent = open.repeat == RepeatRule::Idempotent;
+    let is_chat = open.chat.is_some();
     let Some(request) = server_request(core, open) else {
-        return refuse(sender, stream, RefusalReason::NotServed);
+        return refuse(record, RefusalReason::NotServed);
     };
-    let answer = match idempotent {
-        true => core.client.send_idempotent(request).await,
-        false => core.client.send_once(request).await,
+    let target = is_chat.then(|| ResumeTarget { id: record.id(), events: 0 });
+    let exchange = async {
+        match idempotent {
+            true => core.client.send_idempotent(request).await,
+            false => core.client.send_once(request).await,
+        }
     };
-    match answer {
-        Ok(answer) => relay(answer, control, sender, stream).await,
-        Err(error) if error.nothing_was_sent() => {
+    match wait_for_server(core, target, exchange).await {
+        ServerStep::Came(Ok(answer)) => relay(core, answer, is_chat, record).await,
+        ServerStep::Replaced(answer) => relay(core, *answer, is_chat, record).await,
+        ServerStep::Came(Err(error)) if error.nothing_was_sent() => {
             log::warn!(server:% = core.server, error:% = error; "server unreachable");
-            refuse(sender, stream, RefusalReason::ServerUnreachable)
+            refuse(record, RefusalReason::ServerUnreachable)
         }
-        Err(error) => fail(sender, stream, &error),
+        ServerStep::Came(Err(error)) => fail(core, record, &error.into()),
+        ServerStep::Silent => fail(core, record, &ServerError::Silent),
     }
 }
 
-fn refuse(sender: &LinkSender<AgentMessage>, stream: u64, reason: RefusalReason) -> RunEnd {
-    let notice = RefusalNotice { reason, retry_after_ms: 0 };
-    sender.send(stream, AgentMessage::Refused(notice));
+fn refuse(record: &AnswerRecord, reason: RefusalReason) -> RunEnd {
+    record.refuse(RefusalNotice { reason, retry_after_ms: 0 });
     RunEnd::Unreachable
 }
 
-fn fail(sender: &LinkSender<AgentMessage>, stream: u64, error: &HttpClientError) -> RunEnd {
-    log::warn!(error:% = error; "server failed");
-    sender.send(stream, AgentMessage::End(AnswerEnd::Failed(error.to_string())));
+fn fail(core: &AgentCore, record: &AnswerRecord, error: &ServerError) -> RunEnd {
+    log::warn!(server:% = core.server, request:% = record.id(), error:% = error; "server failed");
+    record.finish(AnswerEnd::Failed(error.to_string()));
     RunEnd::Failed
 }
 
@@ -187,31 +127,83 @@
     AnswerHead { status: answer.head.status.as_u16(), headers }
 }
 
+/// Whether the answer is a chat's stream of events, which get ids and can be resumed.
+fn is_event_stream(answer: &ClientAnswer) -> bool {
+    let media_type = answer.head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+    answer.head.status == StatusCode::OK
+        && media_type.is_some_and(|text| text.starts_with(EVENT_STREAM))
+}
+
 async fn relay(
-    mut answer: ClientAnswer,
-    control: &StreamControl,
-    sender: &LinkSender<AgentMessage>,
-    stream: u64,
+    core: &AgentCore,
+    answer: ClientAnswer,
+    is_chat: bool,
+    record: &AnswerRecord,
 ) -> RunEnd {
-    sender.send(stream, AgentMessage::Head(answer_head(&answer)));
-    let mut offset = 0;
-    while let Some(piece) = answer.next_piece().await {
-        let mut piece = match piece {
-            Ok(piece) => piece,
-            Err(error) => return fail(sender, stream, &error),
-        };
-        while !piece.is_empty() {
-            let bytes = piece.split_to(piece.len().min(LONGEST_PIECE));
-            let end = offset + bytes.len() as u64;
-            control.wait_window(end).await;
-            if control.stops_work() {
-                return RunEnd::Cancelled;
-            }
-            sender.send(stream, AgentMessage::Data(AnswerData { offset, bytes }));
-            offset = end;
+    let is_stream = is_chat && is_event_stream(&answer);
+    record.set_head(answer_head(&answer), is_stream);
+    let outcome = match is_stream {
+        true => relay_events(core, answer, record).await,
+        false => relay_bytes(core, answer, record).await,
+    };
+    match outcome {
+        Ok(()) => {
+            record.finish(AnswerEnd::Whole(record.length()));
+            RunEnd::Whole
+        }
+        Err(error) => fail(core, record, &error),
+    }
+}
+
+async fn relay_bytes(
+    core: &AgentCore,
+    mut answer: ClientAnswer,
+    record: &AnswerRecord,
+) -> Result<(), ServerError> {
+    loop {
+        match wait_for_server(core, None, answer.next_piece()).await {
+            ServerStep::Came(Some(piece)) => record.append(piece?, &[]).await,
+            ServerStep::Came(None) => break,
+            ServerStep::Silent | ServerStep::Replaced(_) => return Err(ServerError::Silent),
         }
     }
     answer.finish();
-    sender.send(stream, AgentMessage::End(AnswerEnd::Whole(offset)));
-    RunEnd::Whole
+    Ok(())
+}
+
+async fn relay_events(
+    core: &AgentCore,
+    mut answer: ClientAnswer,
+    record: &AnswerRecord,
+) -> Result<(), ServerError> {
+    let mut tagger = EventTagger::new(core.server.clone(), record.id());
+    loop {
+        let target = ResumeTarget { id: record.id(), events: tagger.numbered() };
+        let replacement = match wait_for_server(core, Some(target), answer.next_piece()).await {
+            ServerStep::Came(Some(Ok(piece))) => {
+                let tagged = tagger.take(&piece);
+                record.append(tagged.bytes, &tagged.event_ends).await;
+                continue;
+            }
+            ServerStep::Came(None) => break,
+            ServerStep::Came(Some(Err(error))) => go_on(core, target, error).await?,
+            ServerStep::Replaced(answer) => answer,
+            ServerStep::Silent => return Err(ServerError::Silent),
+        };
+        tagger.drop_partial();
+        answer = *replacement;
+    }
+    record.append(tagger.rest(), &[]).await;
+    answer.finish();
+    Ok(())
+}
+
+/// The rest of a stream whose connection broke with `error`.
+async fn go_on(
+    core: &AgentCore,
+    target: ResumeTarget,
+    error: HttpClientError,
+) -> Result<Box<ClientAnswer>, ServerError> {
+    log::warn!(server:% = core.server, request:% = target.id, error:% = error; "stream broke");
+    resume_stream(core, target).await.ok_or_else(|| error.into())
 }
--- /dev/null
+++ b/crates/papayamux-agent/src/server_exchange.rs
@@ -0,0 +1,126 @@
+//! Exchanges with the backend server that notice when nothing comes any more.
+//!
+//! A server that is slow but lives is never given up: after a time without progress it is asked
+//! over another connection. A model engine is asked to go on with the stream there, which also
+//! replaces a connection that went silent for good.
+
+use std::future::Future;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::{select, Either};
+use http::{Request, StatusCode};
+use papayamux_protocol::engine::{resume_path, LOAD_PATH};
+use papayamux_state::ids::RequestId;
+use papayamux_transport::http::{ClientAnswer, HttpClientError};
+use thiserror::Error;
+
+use crate::router_link::AgentCore;
+
+/// How long the server may take to answer whether it lives.
+const CHECK_WITHIN: Duration = Duration::from_secs(2);
+/// Checks in a row without an answer after which the server counts as silent.
+const MOST_FAILED_CHECKS: u32 = 2;
+/// Pauses between the attempts to resume a stream whose connection broke.
+const RESUME_PAUSES: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(100), Duration::from_millis(400)];
+
+/// Why there is no further answer from the server.
+#[derive(Debug, Error)]
+pub enum ServerError {
+    /// The connection failed.
+    #[error(transparent)]
+    Client(#[from] HttpClientError),
+    /// Neither this connection nor another one brought anything.
+    #[error("the server is silent on every connection")]
+    Silent,
+}
+
+/// A stream of an engine and where it is to go on.
+#[derive(Debug, Clone, Copy)]
+pub struct ResumeTarget {
+    /// The request's id.
+    pub id: RequestId,
+    /// Events that have come.
+    pub events: u64,
+}
+
+/// What a wait on the server's connection came to.
+pub enum ServerStep<T> {
+    /// What was waited for.
+    Came(T),
+    /// The stream goes on on another connection.
+    Replaced(Box<ClientAnswer>),
+    /// The server is silent.
+    Silent,
+}
+
+enum ServerCheck {
+    Replaced(Box<ClientAnswer>),
+    Lives,
+    Silent,
+}
+
+/// Waits for `step`; whenever it makes no progress for a while, the server is checked.
+pub async fn wait_for_server<T>(
+    core: &AgentCore,
+    target: Option<ResumeTarget>,
+    step: impl Future<Output = T>,
+) -> ServerStep<T> {
+    let mut step = std::pin::pin!(step);
+    let mut failed_checks = 0;
+    loop {
+        let patience = std::pin::pin!(monoio::time::sleep(core.progress_within));
+        if let Either::Left((came, _)) = select(step.as_mut(), patience).await {
+            return ServerStep::Came(came);
+        }
+        match check_server(core, target).await {
+            ServerCheck::Replaced(answer) => {
+                core.metrics.server_streams.count("replaced");
+                return ServerStep::Replaced(answer);
+            }
+            ServerCheck::Lives => failed_checks = 0,
+            ServerCheck::Silent => failed_checks += 1,
+        }
+        if failed_checks == MOST_FAILED_CHECKS {
+            core.metrics.server_streams.count("silent");
+            return ServerStep::Silent;
+        }
+    }
+}
+
+/// Asks the engine to go on with a stream whose connection broke.
+pub async fn resume_stream(core: &AgentCore, target: ResumeTarget) -> Option<Box<ClientAnswer>> {
+    for pause in RESUME_PAUSES {
+        monoio::time::sleep(pause).await;
+        match check_server(core, Some(target)).await {
+            ServerCheck::Replaced(answer) => {
+                core.metrics.server_streams.count("resumed");
+                return Some(answer);
+            }
+            ServerCheck::Lives => break,
+            ServerCheck::Silent => {}
+        }
+    }
+    core.metrics.server_streams.count("not_resumed");
+    None
+}
+
+async fn check_server(core: &AgentCore, target: Option<ResumeTarget>) -> ServerCheck {
+    let path = match target {
+        Some(target) => resume_path(&target.id.to_string(), target.events),
+        None => LOAD_PATH.to_string(),
+    };
+    let request = Request::get(path)
+        .header(http::header::HOST, core.client.address().to_string())
+        .body(Bytes::new());
+    let Ok(request) = request else { return ServerCheck::Lives };
+    let exchange = core.client.send_once(request);
+    match monoio::time::timeout(CHECK_WITHIN, exchange).await {
+        Ok(Ok(answer)) if target.is_some() && answer.head.status == StatusCode::OK => {
+            ServerCheck::Replaced(Box::new(answer))
+        }
+        Ok(Ok(_)) => ServerCheck::Lives,
+        Ok(Err(_)) | Err(_) => ServerCheck::Silent,
+    }
+}
--- a/crates/papayamux-agent/src/settings.rs
+++ b/crates/papayamux-agent/src/settings.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use bon::Builder;
+use papayamux_protocol::proof::SharedSecret;
 use papayamux_settings::{Findings, IniFile, Millis};
+use papayamux_state::address_range::AddressRange;
 use papayamux_state::ids::{FailureDomain, ServerId};
-use papayamux_state::quantities::RequestCount;
+use papayamux_state::quantities::{ByteCount, RequestCount};
 
 /// All settings of an agent.
 #[derive(Debug, Clone, PartialEq, Eq, Builder)]
@@ -27,6 +29,26 @@
     /// How long requests in flight may take to finish at a shutdown.
     #[builder(default = Duration::from_secs(600))]
     pub drain_within: Duration,
+    /// How long an answer waits for a router whose connection was lost.
+    #[builder(default = Duration::from_secs(10))]
+    pub resume_within: Duration,
+    /// How long a streamed chat runs on for a caller that has gone.
+    #[builder(default = Duration::from_secs(2))]
+    pub cancel_grace: Duration,
+    /// How long the events of a finished chat are kept.
+    #[builder(default = Duration::from_secs(60))]
+    pub keep_answers_for: Duration,
+    /// Bytes of answers that are kept, beside what is on its way.
+    #[builder(default = ByteCount::new(8 * 1024 * 1024))]
+    pub keep_answer_bytes: ByteCount,
+    /// How long the server may make no progress before it is asked whether it lives.
+    #[builder(default = Duration::from_secs(10))]
+    pub progress_within: Duration,
+    /// The fleet's secret, where routers have to know it.
+    pub secret: Option<SharedSecret>,
+    /// Addresses of routers; all where it is empty.
+    #[builder(default)]
+    pub allow: Vec<AddressRange>,
 }
 
 impl AgentSettings {
@@ -45,11 +67,18 @@
     let operations = section.required("operations");
     let domain = section.required("failure_domain");
     let drain_within = section.optional("drain_within");
+    let resume_within = section.optional("resume_within");
+    let cancel_grace = section.optional("cancel_grace");
+    let keep_answers_for = section.optional("keep_answers_for");
+    let keep_answer_bytes = section.optional("keep_answer_bytes");
+    let secret = section.hidden("secret");
+    let allow = section.list("allow");
     section.refuse_other_keys();
     let section = file.section("server");
     let server = section.required("name");
     let server_address = section.required("address");
     let capacity = section.optional("capacity");
+    let progress_within = section.optional("progress_within");
     section.refuse_other_keys();
     let settings = AgentSettings::builder()
         .listen(listen?)
@@ -59,6 +88,13 @@
         .server_address(server_address?)
         .maybe_capacity(capacity)
         .maybe_drain_within(drain_within.map(|within: Millis| within.0))
+        .maybe_resume_within(resume_within.map(|within: Millis| within.0))
+        .maybe_cancel_grace(cancel_grace.map(|grace: Millis| grace.0))
+        .maybe_keep_answers_for(keep_answers_for.map(|time: Millis| time.0))
+        .maybe_keep_answer_bytes(keep_answer_bytes)
+        .maybe_progress_within(progress_within.map(|within: Millis| within.0))
+        .maybe_secret(secret)
+        .allow(allow)
         .build();
     Some(settings)
 }
--- a/crates/papayamux-coordination/src/admission.rs
+++ b/crates/papayamux-coordination/src/admission.rs
@@ -83,6 +83,12 @@
         RequestCount::new(self.running.get())
     }
 
+    /// Refuses a request that never came, from `now` until its own deadline does so; `false`
+    /// where it came, or where that can't be told any more.
+    pub fn refuse_unseen(&self, id: RequestId, start_before: AgentClock, now: AgentClock) -> bool {
+        now < start_before && self.seen.borrow_mut().note(id, start_before, now)
+    }
+
     /// Decides on a request at `now`.
     pub fn admit(
         self: &Rc<Self>,
--- a/crates/papayamux-protocol/src/engine.rs
+++ b/crates/papayamux-protocol/src/engine.rs
@@ -22,6 +22,11 @@
 /// Events of the longest page of cache events; also what a reader gets that names no limit.
 pub const LONGEST_EVENT_PAGE: usize = 4_096;
 
+/// The path that gives the rest of a streamed answer after its first `events` events.
+pub fn resume_path(request: &str, events: u64) -> String {
+    format!("/v1/requests/{request}/stream?from={events}")
+}
+
 /// A prompt as the engine sees it: the turns one after the other.
 pub fn render_prompt(messages: &[ChatMessage]) -> String {
     let mut prompt = String::new();
--- /dev/null
+++ b/crates/papayamux-protocol/src/event_id.rs
@@ -0,0 +1,46 @@
+//! Ids of the events of streamed answers, by which a caller resumes an answer at any router.
+
+use std::fmt;
+use std::str::FromStr;
+
+use papayamux_state::ids::{IdError, RequestId, ServerId};
+
+const FORM: &str = "SERVER/REQUEST/NUMBER";
+
+/// The id of one server-sent event: where the answer is held, which one it is, and the event's
+/// number in it, counted from 1.
+///
+/// ```
+/// use papayamux_protocol::event_id::EventId;
+/// let id: EventId = "engine-0/00000000000000ab-1f/7".parse().unwrap();
+/// assert_eq!((id.server.as_str(), id.number), ("engine-0", 7));
+/// assert_eq!(id.to_string(), "engine-0/00000000000000ab-1f/7");
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EventId {
+    /// The backend server whose agent holds the answer.
+    pub server: ServerId,
+    /// The attempt that the answer belongs to.
+    pub request: RequestId,
+    /// The event's number.
+    pub number: u64,
+}
+
+impl fmt::Display for EventId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/{}/{}", self.server, self.request, self.number)
+    }
+}
+
+impl FromStr for EventId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let malformed = || IdError::Form { text: text.to_string(), form: FORM };
+        let mut parts = text.rsplitn(3, '/');
+        let number = parts.next().and_then(|part| part.parse().ok()).ok_or_else(malformed)?;
+        let request = parts.next().ok_or_else(malformed)?.parse()?;
+        let server = parts.next().ok_or_else(malformed)?.parse()?;
+        Ok(Self { server, request, number })
+    }
+}
--- a/crates/papayamux-protocol/src/failure.rs
+++ b/crates/papayamux-protocol/src/failure.rs
@@ -40,6 +40,8 @@
     DeadlinePassed,
     /// The router is shutting down.
     ShuttingDown,
+    /// The rest of an answer that a caller wants to go on with is no longer held.
+    AnswerGone,
 }
 
 impl FailureCode {
@@ -50,6 +52,7 @@
             FailureCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             FailureCode::UnknownOrganisation => StatusCode::UNAUTHORIZED,
             FailureCode::UnknownModel | FailureCode::UnknownRoute => StatusCode::NOT_FOUND,
+            FailureCode::AnswerGone => StatusCode::GONE,
             FailureCode::Refused | FailureCode::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
             FailureCode::ConnectionLost | FailureCode::ServerFailed => StatusCode::BAD_GATEWAY,
             FailureCode::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/papayamux-protocol/src/lib.rs
+++ b/crates/papayamux-protocol/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod chat;
 pub mod engine;
+pub mod event_id;
 pub mod failure;
 pub mod headers;
 pub mod link;
+pub mod proof;
 pub mod wire;
--- a/crates/papayamux-protocol/src/link.rs
+++ b/crates/papayamux-protocol/src/link.rs
@@ -11,6 +11,8 @@
 };
 use papayamux_state::refusal::RefusalReason;
 
+use crate::proof::{ProofNonce, ProofTag};
+
 /// Version of the protocol between papayamux processes.
 pub const PROTOCOL_VERSION: u32 = 1;
 /// Bytes of an answer that an agent may send ahead of the router's acknowledgement.
@@ -98,6 +100,8 @@
     pub incarnation: Incarnation,
     /// The router's failure domain.
     pub domain: FailureDomain,
+    /// What the agent's proof has to cover, where the router asks for one.
+    pub nonce: Option<ProofNonce>,
 }
 
 /// An agent's answer to [`RouterHello`].
@@ -113,6 +117,44 @@
     pub domain: FailureDomain,
     /// The agent's clock when it answered.
     pub clock: AgentClock,
+    /// What the router's proof has to cover, where the agent asks for one.
+    pub nonce: Option<ProofNonce>,
+    /// The agent's proof that it knows the fleet's secret.
+    pub proof: Option<ProofTag>,
+}
+
+/// Where an answer is to go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResumePoint {
+    /// At this byte of the body.
+    Offset(u64),
+    /// After the event with this number; 0 is before the first.
+    AfterEvent(u64),
+}
+
+/// Asks for the rest of an answer whose stream was lost.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResumeRequest {
+    /// The attempt that the answer belongs to.
+    pub id: RequestId,
+    /// The life of the agent that the attempt was meant for, where it is known.
+    pub agent: Option<Incarnation>,
+    /// The organisation that the answer belongs to.
+    pub organisation: OrganisationId,
+    /// The attempt's own deadline to start, where it is known: an agent that has never seen the
+    /// attempt refuses it until then.
+    pub start_before: Option<AgentClock>,
+    /// Where to go on.
+    pub from: ResumePoint,
+}
+
+/// An answer goes on on this stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResumeNotice {
+    /// Bytes of the body before the next piece.
+    pub offset: u64,
+    /// The answer's head, where it is there already.
+    pub head: Option<AnswerHead>,
 }
 
 /// An agent's answer to a ping.
@@ -173,6 +215,14 @@
     Cancel,
     /// Asks for a [`AgentMessage::Pong`] with the same number.
     Ping(u64),
+    /// Opens a stream with the rest of an answer.
+    Resume(Box<ResumeRequest>),
+    /// Proves that the router knows the fleet's secret.
+    Prove(ProofTag),
+    /// The answer has arrived to its end; the agent need not keep it for this router.
+    Received,
+    /// Answers the agent's ping of this number.
+    Pong(u64),
 }
 
 /// What an agent says about one stream, or about the connection.
@@ -192,6 +242,12 @@
     Pong(PongNotice),
     /// The agent takes no new work on this connection.
     Leaving,
+    /// Answers [`RouterMessage::Resume`] where the answer goes on.
+    Resumed(ResumeNotice),
+    /// Answers [`RouterMessage::Resume`] where the agent does not hold what was asked for.
+    NotHeld,
+    /// Asks for a [`RouterMessage::Pong`] with the same number.
+    Ping(u64),
 }
 
 /// A message of either side with the stream it belongs to; stream 0 is the connection itself.
--- a/crates/papayamux-protocol/src/wire/convert_agent.rs
+++ b/crates/papayamux-protocol/src/wire/convert_agent.rs
@@ -3,11 +3,12 @@
 use papayamux_state::refusal::RefusalReason;
 
 use super::messages::*;
-use super::{identifier, required, FrameMessage, WireError};
+use super::{identifier, nonce_bytes, read_nonce, required, FrameMessage, WireError};
 use crate::link::{
     Addressed, AgentClock, AgentMessage, AgentWelcome, AnswerData, AnswerEnd, AnswerHead,
-    PongNotice, RefusalNotice,
+    PongNotice, RefusalNotice, ResumeNotice,
 };
+use crate::proof::ProofTag;
 
 impl From<Addressed<AgentMessage>> for AgentFrame {
     fn from(addressed: Addressed<AgentMessage>) -> Self {
@@ -23,6 +24,9 @@
                 AgentBody::Pong(WirePong { number: pong.number, clock_ms: pong.clock.0 })
             }
             AgentMessage::Leaving => AgentBody::Leaving(WireNothing {}),
+            AgentMessage::Resumed(notice) => AgentBody::Resumed(notice.into()),
+            AgentMessage::NotHeld => AgentBody::NotHeld(WireNothing {}),
+            AgentMessage::Ping(number) => AgentBody::Ping(number),
         };
         Self { stream: addressed.stream, body: Some(body) }
     }
@@ -45,6 +49,9 @@
                 clock: AgentClock(pong.clock_ms),
             }),
             AgentBody::Leaving(_) => AgentMessage::Leaving,
+            AgentBody::Resumed(resumed) => AgentMessage::Resumed(resumed.try_into()?),
+            AgentBody::NotHeld(_) => AgentMessage::NotHeld,
+            AgentBody::Ping(number) => AgentMessage::Ping(number),
         };
         Ok(Addressed { stream: self.stream, message })
     }
@@ -58,6 +65,8 @@
             server: welcome.server.to_string(),
             domain: welcome.domain.to_string(),
             clock_ms: welcome.clock.0,
+            nonce: welcome.nonce.map(nonce_bytes),
+            proof: welcome.proof.map(|proof| proof.0),
         }
     }
 }
@@ -72,10 +81,27 @@
             server: identifier("server", &welcome.server)?,
             domain: identifier("domain", &welcome.domain)?,
             clock: AgentClock(welcome.clock_ms),
+            nonce: welcome.nonce.map(read_nonce).transpose()?,
+            proof: welcome.proof.map(ProofTag),
         })
     }
 }
 
+impl From<ResumeNotice> for WireResumed {
+    fn from(notice: ResumeNotice) -> Self {
+        Self { offset: notice.offset, head: notice.head.map(Into::into) }
+    }
+}
+
+impl TryFrom<WireResumed> for ResumeNotice {
+    type Error = WireError;
+
+    fn try_from(resumed: WireResumed) -> Result<Self, WireError> {
+        let head = resumed.head.map(TryInto::try_into).transpose()?;
+        Ok(Self { offset: resumed.offset, head })
+    }
+}
+
 impl From<RefusalNotice> for WireRefusal {
     fn from(notice: RefusalNotice) -> Self {
         Self { reason: notice.reason.number(), retry_after_ms: notice.retry_after_ms }
--- a/crates/papayamux-protocol/src/wire/convert_router.rs
+++ b/crates/papayamux-protocol/src/wire/convert_router.rs
@@ -1,13 +1,14 @@
 //! Router messages to and from their wire form.
 
-use papayamux_state::ids::RequestId;
+use papayamux_state::ids::{Incarnation, RequestId};
 
 use super::messages::*;
-use super::{identifier, required, FrameMessage, WireError};
+use super::{identifier, nonce_bytes, read_nonce, required, FrameMessage, WireError};
 use crate::link::{
-    Addressed, AgentClock, ChatTarget, HeaderField, OpenRequest, RepeatRule, RouterHello,
-    RouterMessage,
+    Addressed, AgentClock, ChatTarget, HeaderField, OpenRequest, RepeatRule, ResumePoint,
+    ResumeRequest, RouterHello, RouterMessage,
 };
+use crate::proof::ProofTag;
 
 impl From<Addressed<RouterMessage>> for RouterFrame {
     fn from(addressed: Addressed<RouterMessage>) -> Self {
@@ -17,6 +18,10 @@
             RouterMessage::Acknowledge(offset) => RouterBody::Acknowledge(offset),
             RouterMessage::Cancel => RouterBody::Cancel(WireNothing {}),
             RouterMessage::Ping(number) => RouterBody::Ping(number),
+            RouterMessage::Resume(resume) => RouterBody::Resume(Box::new((*resume).into())),
+            RouterMessage::Prove(proof) => RouterBody::Prove(proof.0),
+            RouterMessage::Received => RouterBody::Received(WireNothing {}),
+            RouterMessage::Pong(number) => RouterBody::Pong(number),
         };
         Self { stream: addressed.stream, body: Some(body) }
     }
@@ -32,6 +37,10 @@
             RouterBody::Acknowledge(offset) => RouterMessage::Acknowledge(offset),
             RouterBody::Cancel(_) => RouterMessage::Cancel,
             RouterBody::Ping(number) => RouterMessage::Ping(number),
+            RouterBody::Resume(resume) => RouterMessage::Resume(Box::new((*resume).try_into()?)),
+            RouterBody::Prove(proof) => RouterMessage::Prove(ProofTag(proof)),
+            RouterBody::Received(_) => RouterMessage::Received,
+            RouterBody::Pong(number) => RouterMessage::Pong(number),
         };
         Ok(Addressed { stream: self.stream, message })
     }
@@ -43,6 +52,7 @@
             version: hello.version,
             incarnation: hello.incarnation.get(),
             domain: hello.domain.to_string(),
+            nonce: hello.nonce.map(nonce_bytes),
         }
     }
 }
@@ -55,6 +65,39 @@
             version: hello.version,
             incarnation: hello.incarnation.into(),
             domain: identifier("domain", &hello.domain)?,
+            nonce: hello.nonce.map(read_nonce).transpose()?,
+        })
+    }
+}
+
+impl From<ResumeRequest> for WireResume {
+    fn from(resume: ResumeRequest) -> Self {
+        let (offset, after_event) = match resume.from {
+            ResumePoint::Offset(offset) => (offset, None),
+            ResumePoint::AfterEvent(number) => (0, Some(number)),
+        };
+        Self {
+            id: Some(resume.id.into()),
+            agent: resume.agent.map(Incarnation::get),
+            organisation: resume.organisation.to_string(),
+            start_before_ms: resume.start_before.map(|clock| clock.0),
+            offset,
+            after_event,
+        }
+    }
+}
+
+impl TryFrom<WireResume> for ResumeRequest {
+    type Error = WireError;
+
+    fn try_from(resume: WireResume) -> Result<Self, WireError> {
+        let offset = ResumePoint::Offset(resume.offset);
+        Ok(Self {
+            id: required("id", resume.id)?.into(),
+            agent: resume.agent.map(Into::into),
+            organisation: identifier("organisation", &resume.organisation)?,
+            start_before: resume.start_before_ms.map(AgentClock),
+            from: resume.after_event.map_or(offset, ResumePoint::AfterEvent),
         })
     }
 }
--- a/crates/papayamux-protocol/src/wire/messages.rs
+++ b/crates/papayamux-protocol/src/wire/messages.rs
@@ -9,7 +9,7 @@
     #[prost(uint64, tag = "1")]
     pub stream: u64,
     /// What is said.
-    #[prost(oneof = "RouterBody", tags = "2, 3, 4, 5, 6")]
+    #[prost(oneof = "RouterBody", tags = "2, 3, 4, 5, 6, 13, 14, 15, 16")]
     pub body: Option<RouterBody>,
 }
 
@@ -31,6 +31,18 @@
     /// A number to be sent back.
     #[prost(uint64, tag = "6")]
     Ping(u64),
+    /// See [`crate::link::ResumeRequest`].
+    #[prost(message, boxed, tag = "13")]
+    Resume(Box<WireResume>),
+    /// See [`crate::proof::ProofTag`].
+    #[prost(bytes = "bytes", tag = "14")]
+    Prove(Bytes),
+    /// The answer has arrived to its end.
+    #[prost(message, tag = "15")]
+    Received(WireNothing),
+    /// The number of the agent's ping.
+    #[prost(uint64, tag = "16")]
+    Pong(u64),
 }
 
 /// A frame from an agent to a router.
@@ -40,7 +52,7 @@
     #[prost(uint64, tag = "1")]
     pub stream: u64,
     /// What is said.
-    #[prost(oneof = "AgentBody", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "AgentBody", tags = "2, 3, 4, 5, 6, 7, 8, 15, 16, 17")]
     pub body: Option<AgentBody>,
 }
 
@@ -68,6 +80,15 @@
     /// The agent takes no new work.
     #[prost(message, tag = "8")]
     Leaving(WireNothing),
+    /// See [`crate::link::ResumeNotice`].
+    #[prost(message, tag = "15")]
+    Resumed(WireResumed),
+    /// What was asked for is not held.
+    #[prost(message, tag = "16")]
+    NotHeld(WireNothing),
+    /// A number to be sent back.
+    #[prost(uint64, tag = "17")]
+    Ping(u64),
 }
 
 /// A message without content.
@@ -86,6 +107,9 @@
     /// The router's failure domain.
     #[prost(string, tag = "3")]
     pub domain: String,
+    /// What the agent's proof has to cover.
+    #[prost(bytes = "bytes", optional, tag = "26")]
+    pub nonce: Option<Bytes>,
 }
 
 /// The wire form of [`crate::link::AgentWelcome`].
@@ -106,6 +130,46 @@
     /// The agent's clock, in milliseconds.
     #[prost(uint64, tag = "5")]
     pub clock_ms: u64,
+    /// What the router's proof has to cover.
+    #[prost(bytes = "bytes", optional, tag = "26")]
+    pub nonce: Option<Bytes>,
+    /// The agent's proof.
+    #[prost(bytes = "bytes", optional, tag = "27")]
+    pub proof: Option<Bytes>,
+}
+
+/// The wire form of [`crate::link::ResumeRequest`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireResume {
+    /// The attempt's id.
+    #[prost(message, optional, tag = "1")]
+    pub id: Option<WireRequestId>,
+    /// The agent's life.
+    #[prost(fixed64, optional, tag = "2")]
+    pub agent: Option<u64>,
+    /// The organisation.
+    #[prost(string, tag = "3")]
+    pub organisation: String,
+    /// The agent's time before which the attempt had to start, in milliseconds.
+    #[prost(uint64, optional, tag = "4")]
+    pub start_before_ms: Option<u64>,
+    /// Bytes of the body before the next piece.
+    #[prost(uint64, tag = "5")]
+    pub offset: u64,
+    /// The event after which to go on, in place of the offset.
+    #[prost(uint64, optional, tag = "6")]
+    pub after_event: Option<u64>,
+}
+
+/// The wire form of [`crate::link::ResumeNotice`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireResumed {
+    /// Bytes of the body before the next piece.
+    #[prost(uint64, tag = "1")]
+    pub offset: u64,
+    /// The answer's head.
+    #[prost(message, optional, tag = "2")]
+    pub head: Option<WireHead>,
 }
 
 /// The wire form of [`crate::link::PongNotice`].
--- a/crates/papayamux-protocol/src/wire/mod.rs
+++ b/crates/papayamux-protocol/src/wire/mod.rs
@@ -8,9 +8,12 @@
 pub use frame_codec::{CodecError, FrameCodec, FrameMessage};
 pub use messages::*;
 
+use bytes::Bytes;
 use papayamux_state::ids::IdError;
 use thiserror::Error;
 
+use crate::proof::ProofNonce;
+
 /// Why a wire message is not a valid message.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum WireError {
@@ -38,6 +41,16 @@
     },
 }
 
+pub(crate) fn nonce_bytes(nonce: ProofNonce) -> Bytes {
+    Bytes::copy_from_slice(&nonce.0)
+}
+
+pub(crate) fn read_nonce(bytes: Bytes) -> Result<ProofNonce, WireError> {
+    let length = bytes.len() as u32;
+    let nonce = bytes.as_ref().try_into();
+    nonce.map(ProofNonce).map_err(|_| WireError::Number { part: "nonce", number: length })
+}
+
 pub(crate) fn required<T>(part: &'static str, value: Option<T>) -> Result<T, WireError> {
     value.ok_or(WireError::Missing { part })
 }
--- a/crates/papayamux-router/src/agents/agent_link.rs
+++ b/crates/papayamux-router/src/agents/agent_link.rs
@@ -7,52 +7,20 @@
 
 use local_sync::mpsc::unbounded;
 use papayamux_protocol::link::{
-    AgentClock, AgentMessage, AgentWelcome, OpenRequest, RouterHello, RouterMessage,
-    PROTOCOL_VERSION,
+    AgentClock, AgentMessage, AgentWelcome, AnswerEnd, OpenRequest, RepeatRule, ResumePoint,
+    RouterMessage,
 };
-use papayamux_protocol::wire::{AgentFrame, RouterFrame};
-use papayamux_state::ids::ServerId;
-use papayamux_transport::link::{connect, start_link, LinkError, LinkReceiver, LinkSender};
-use thiserror::Error;
+use papayamux_transport::link::{LinkError, LinkSender};
 
+use super::handshake::{AgentReceiver, ProvedLink, CONNECTION};
+use super::stream_slot::{SlotOrigin, StreamSlot};
 use super::{StreamEvent, StreamHandle};
 use crate::metrics::RouterMetrics;
 
-type AgentReceiver = LinkReceiver<RouterFrame, AgentFrame>;
-
-/// How long an agent may take to answer the hello.
-const WELCOME_WITHIN: Duration = Duration::from_secs(2);
 /// Silence on a connection with open streams after which a ping is sent.
 const PING_AFTER: Duration = Duration::from_secs(1);
 /// Pings without any frame in between after which the connection counts as silent.
 const MOST_UNANSWERED: u32 = 3;
-/// The stream number of the connection itself.
-const CONNECTION: u64 = 0;
-
-/// Why there is no connection to an agent.
-#[derive(Debug, Error)]
-pub enum AgentLinkError {
-    /// The connection failed.
-    #[error(transparent)]
-    Link(#[from] LinkError),
-    /// The agent did not welcome the router in time, or closed the connection.
-    #[error("the agent gave no welcome")]
-    NoWelcome,
-    /// The agent speaks another version of the protocol.
-    #[error("the agent speaks version {version}, this router {PROTOCOL_VERSION}")]
-    Version {
-        /// The agent's version.
-        version: u32,
-    },
-    /// Another server's agent answered.
-    #[error("the agent stands beside {found}, not beside {expected}")]
-    OtherServer {
-        /// The server that was expected.
-        expected: ServerId,
-        /// The server that answered.
-        found: ServerId,
-    },
-}
 
 /// A reading of the agent's clock.
 #[derive(Debug, Clone, Copy)]
@@ -61,38 +29,23 @@
     read: Instant,
 }
 
-/// A connection on which the agent has welcomed the router.
+/// A connection over which requests may be sent.
 pub struct AgentLink {
     sender: LinkSender<RouterMessage>,
     welcome: AgentWelcome,
     reading: Cell<ClockReading>,
-    streams: RefCell<HashMap<u64, unbounded::Tx<StreamEvent>>>,
+    streams: RefCell<HashMap<u64, Rc<StreamSlot>>>,
     next_stream: Cell<u64>,
     open: Cell<bool>,
     leaving: Cell<bool>,
 }
 
 impl AgentLink {
-    /// Connects to the agent of `server` and starts reading.
-    pub async fn establish(
-        server: &ServerId,
-        address: std::net::SocketAddr,
-        hello: RouterHello,
-        metrics: RouterMetrics,
-    ) -> Result<Rc<Self>, AgentLinkError> {
-        let stream = connect(address).await?;
-        let (sender, mut receiver) = start_link(stream)?;
-        sender.send(CONNECTION, RouterMessage::Hello(hello));
-        let welcome = receive_welcome(&mut receiver).await?;
-        if welcome.version != PROTOCOL_VERSION {
-            return Err(AgentLinkError::Version { version: welcome.version });
-        }
-        if welcome.server != *server {
-            let expected = server.clone();
-            return Err(AgentLinkError::OtherServer { expected, found: welcome.server });
-        }
+    /// Uses a connection whose ends have proved themselves; its messages have still to be read.
+    pub fn new(proved: ProvedLink) -> (Rc<Self>, AgentReceiver) {
+        let ProvedLink { sender, receiver, welcome } = proved;
         let reading = ClockReading { clock: welcome.clock, read: Instant::now() };
-        let link = Rc::new(Self {
+        let link = Self {
             sender,
             welcome,
             reading: Cell::new(reading),
@@ -100,9 +53,8 @@
             next_stream: Cell::new(CONNECTION + 1),
             open: Cell::new(true),
             leaving: Cell::new(false),
-        });
-        monoio::spawn(read_messages(link.clone(), receiver, metrics));
-        Ok(link)
+        };
+        (Rc::new(link), receiver)
     }
 
     /// Whether requests may be sent here.
@@ -128,15 +80,44 @@
 
     /// Opens a stream; `None` where the connection is gone, and nothing was sent.
     pub fn open_stream(self: &Rc<Self>, open: OpenRequest) -> Option<StreamHandle> {
+        let origin = SlotOrigin {
+            id: open.id,
+            agent: Some(open.agent),
+            organisation: open.organisation.clone(),
+            start_before: Some(open.start_before),
+            idempotent: open.repeat == RepeatRule::Idempotent,
+        };
+        let (events, inbox) = unbounded::channel();
+        let slot = StreamSlot::new(origin, ResumePoint::Offset(0), events);
+        let sent = self.seat(&slot, RouterMessage::Open(Box::new(open)));
+        sent.then(|| StreamHandle::new(slot, inbox))
+    }
+
+    /// Opens a stream with the rest of an answer that any router began.
+    pub fn resume_stream(
+        self: &Rc<Self>,
+        origin: SlotOrigin,
+        from: ResumePoint,
+    ) -> Option<StreamHandle> {
+        let (events, inbox) = unbounded::channel();
+        let slot = StreamSlot::new(origin, from, events);
+        self.resume_slot(&slot).then(|| StreamHandle::new(slot, inbox))
+    }
+
+    /// Lets a stream go on here; `false` where this connection is gone too.
+    pub fn resume_slot(self: &Rc<Self>, slot: &Rc<StreamSlot>) -> bool {
+        self.seat(slot, RouterMessage::Resume(Box::new(slot.resume_request())))
+    }
+
+    fn seat(self: &Rc<Self>, slot: &Rc<StreamSlot>, first: RouterMessage) -> bool {
         if !self.is_open() {
-            return None;
+            return false;
         }
         let stream = self.next_stream.get();
         self.next_stream.set(stream + 1);
-        let (events, inbox) = unbounded::channel();
-        self.streams.borrow_mut().insert(stream, events);
-        let handle = StreamHandle::new(self.clone(), stream, inbox);
-        self.send(stream, RouterMessage::Open(Box::new(open))).then_some(handle)
+        slot.sit(self.clone(), stream);
+        self.streams.borrow_mut().insert(stream, slot.clone());
+        self.send(stream, first)
     }
 
     pub(super) fn send(&self, stream: u64, message: RouterMessage) -> bool {
@@ -151,11 +132,10 @@
         !self.streams.borrow().is_empty()
     }
 
-    fn lose(&self) {
+    /// Closes the connection for new streams and gives those that were on it.
+    fn lose(&self) -> Vec<Rc<StreamSlot>> {
         self.open.set(false);
-        for (_, events) in self.streams.borrow_mut().drain() {
-            let _ = events.send(StreamEvent::Lost);
-        }
+        self.streams.borrow_mut().drain().map(|(_, slot)| slot).collect()
     }
 
     fn take_clock(&self, clock: AgentClock) {
@@ -164,26 +144,8 @@
         }
     }
 
-    fn deliver(&self, stream: u64, event: StreamEvent, metrics: &RouterMetrics) {
-        let delivered = match self.streams.borrow().get(&stream) {
-            Some(events) => events.send(event).is_ok(),
-            None => false,
-        };
-        if !delivered {
-            metrics.stray_frames.inc();
-        }
-    }
-}
-
-async fn receive_welcome(receiver: &mut AgentReceiver) -> Result<AgentWelcome, AgentLinkError> {
-    let first = monoio::time::timeout(WELCOME_WITHIN, receiver.receive()).await;
-    match first {
-        Ok(Some(Ok(addressed))) => match addressed.message {
-            AgentMessage::Welcome(welcome) => Ok(welcome),
-            _ => Err(AgentLinkError::NoWelcome),
-        },
-        Ok(Some(Err(error))) => Err(error.into()),
-        Ok(None) | Err(_) => Err(AgentLinkError::NoWelcome),
+    fn slot(&self, stream: u64) -> Option<Rc<StreamSlot>> {
+        self.streams.borrow().get(&stream).cloned()
     }
 }
 
@@ -204,17 +166,27 @@
     }
 }
 
-async fn read_messages(link: Rc<AgentLink>, mut receiver: AgentReceiver, metrics: RouterMetrics) {
-    let end = read_until_end(&link, &mut receiver, &metrics).await;
-    link.lose();
+/// Reads to the connection's end and gives the streams that were on it then.
+pub async fn read_messages(
+    link: Rc<AgentLink>,
+    mut receiver: AgentReceiver,
+    metrics: &RouterMetrics,
+) -> Vec<Rc<StreamSlot>> {
+    let end = read_until_end(&link, &mut receiver, metrics).await;
+    let slots = link.lose();
     metrics.lost_links.count(end.label());
-    let server = &link.welcome.server;
+    let (server, streams, reason) = (&link.welcome.server, slots.len(), end.label());
     match end {
-        LinkEnd::Broken(error) => {
-            log::warn!(server:% = server, error:% = error; "connection to agent broke");
-        }
-        end => log::info!(server:% = server, reason = end.label(); "connection to agent ended"),
+        LinkEnd::Broken(error) => log::warn!(
+            server:% = server, streams = streams, error:% = error;
+            "connection to agent broke"
+        ),
+        LinkEnd::Closed | LinkEnd::Silent => log::info!(
+            server:% = server, streams = streams, reason = reason;
+            "connection to agent ended"
+        ),
     }
+    slots
 }
 
 async fn read_until_end(
@@ -235,24 +207,56 @@
             Ok(Some(Err(error))) => return LinkEnd::Broken(error),
             Ok(Some(Ok(addressed))) => {
                 unanswered = 0;
-                take_message(link, addressed.stream, addressed.message, metrics);
+                if !take_message(link, addressed.stream, addressed.message) {
+                    metrics.stray_frames.inc();
+                }
             }
         }
     }
 }
 
-fn take_message(link: &AgentLink, stream: u64, message: AgentMessage, metrics: &RouterMetrics) {
+/// Acts on a message; `false` where it belongs to nothing.
+fn take_message(link: &AgentLink, stream: u64, message: AgentMessage) -> bool {
     match message {
-        AgentMessage::Refused(notice) => {
-            link.deliver(stream, StreamEvent::Refused(notice), metrics)
-        }
-        AgentMessage::Head(head) => link.deliver(stream, StreamEvent::Head(head), metrics),
-        AgentMessage::Data(data) => link.deliver(stream, StreamEvent::Data(data), metrics),
-        AgentMessage::End(end) => link.deliver(stream, StreamEvent::End(end), metrics),
         AgentMessage::Pong(pong) => link.take_clock(pong.clock),
         AgentMessage::Leaving => link.leaving.set(true),
-        AgentMessage::Welcome(_) => {
-            metrics.stray_frames.inc();
+        AgentMessage::Ping(number) => drop(link.send(CONNECTION, RouterMessage::Pong(number))),
+        AgentMessage::Welcome(_) => return false,
+        message => {
+            let Some(slot) = link.slot(stream) else { return false };
+            return take_answer(&slot, message);
+        }
+    }
+    true
+}
+
+/// Passes a stream's message on; one out of order ends the stream as lost.
+fn take_answer(slot: &StreamSlot, message: AgentMessage) -> bool {
+    let in_order = match message {
+        AgentMessage::Resumed(notice) => slot.take_resumed(notice),
+        AgentMessage::Data(data) => slot.take_data(data),
+        AgentMessage::Head(head) => {
+            slot.take_head(head);
+            true
+        }
+        AgentMessage::Refused(notice) => {
+            slot.take_end(StreamEvent::Refused(notice));
+            true
+        }
+        AgentMessage::End(AnswerEnd::Whole(length)) if !slot.has_all(length) => false,
+        AgentMessage::End(end) => {
+            slot.take_end(StreamEvent::End(end));
+            true
+        }
+        AgentMessage::NotHeld => {
+            slot.take_end(StreamEvent::NotHeld);
+            true
         }
+        _ => false,
+    };
+    if !in_order {
+        slot.close(RouterMessage::Cancel);
+        slot.lose();
     }
+    in_order
 }
--- a/crates/papayamux-router/src/agents/agent_peer.rs
+++ b/crates/papayamux-router/src/agents/agent_peer.rs
@@ -3,21 +3,28 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
-use papayamux_protocol::link::{RouterHello, PROTOCOL_VERSION};
+use papayamux_protocol::proof::SharedSecret;
 use papayamux_state::ids::{FailureDomain, Incarnation, ServerId};
 use papayamux_transport::shutdown::ShutdownSignal;
 
-use super::agent_link::{AgentLink, AgentLinkError};
+use super::agent_link::{read_messages, AgentLink};
+use super::handshake::{open_link, AgentLinkError, AgentReceiver};
+use super::stream_recovery::recover_streams;
 use crate::metrics::RouterMetrics;
 
-/// What a router says of itself to agents.
+/// What a router says of itself to agents, and how it keeps to them.
 #[derive(Debug, Clone)]
 pub struct RouterIdentity {
     /// The router's life.
     pub incarnation: Incarnation,
     /// The router's failure domain.
     pub domain: FailureDomain,
+    /// The fleet's secret, where agents have to know it.
+    pub secret: Option<SharedSecret>,
+    /// How long streams of a lost connection wait for another one.
+    pub resume_within: Duration,
 }
 
 enum PeerState {
@@ -28,6 +35,11 @@
 
 /// An agent with its connection, opened when it is first needed.
 pub struct AgentPeer {
+    core: Rc<PeerCore>,
+}
+
+/// What the peer's tasks share.
+pub struct PeerCore {
     server: ServerId,
     address: SocketAddr,
     identity: RouterIdentity,
@@ -43,24 +55,49 @@
         identity: RouterIdentity,
         metrics: RouterMetrics,
     ) -> Self {
-        Self { server, address, identity, metrics, state: RefCell::new(PeerState::Down) }
+        let state = RefCell::new(PeerState::Down);
+        Self { core: Rc::new(PeerCore { server, address, identity, metrics, state }) }
     }
 
     /// The server that the agent stands beside.
     pub fn server(&self) -> &ServerId {
-        &self.server
+        &self.core.server
+    }
+
+    /// The open connection, or a new one. Callers that come while one is being opened share it.
+    pub async fn link(&self) -> Result<Rc<AgentLink>, AgentLinkError> {
+        self.core.link().await
+    }
+}
+
+impl PeerCore {
+    /// What the router says of itself.
+    pub fn identity(&self) -> &RouterIdentity {
+        &self.identity
     }
 
-    /// The open connection, if there is one.
-    pub fn current_link(&self) -> Option<Rc<AgentLink>> {
+    /// The router's metrics.
+    pub fn metrics(&self) -> &RouterMetrics {
+        &self.metrics
+    }
+
+    /// Lets go of a lost connection, so that its socket is closed.
+    fn forget(&self, lost: &Rc<AgentLink>) {
+        let mut state = self.state.borrow_mut();
+        if matches!(&*state, PeerState::Up(link) if Rc::ptr_eq(link, lost)) {
+            *state = PeerState::Down;
+        }
+    }
+
+    fn current_link(&self) -> Option<Rc<AgentLink>> {
         match &*self.state.borrow() {
             PeerState::Up(link) if link.is_open() => Some(link.clone()),
             _ => None,
         }
     }
 
-    /// The open connection, or a new one. Callers that come while one is being opened share it.
-    pub async fn link(&self) -> Result<Rc<AgentLink>, AgentLinkError> {
+    /// The open connection, or a new one.
+    pub async fn link(self: &Rc<Self>) -> Result<Rc<AgentLink>, AgentLinkError> {
         if let Some(link) = self.current_link() {
             return Ok(link);
         }
@@ -75,31 +112,39 @@
         self.establish().await
     }
 
-    async fn establish(&self) -> Result<Rc<AgentLink>, AgentLinkError> {
+    async fn establish(self: &Rc<Self>) -> Result<Rc<AgentLink>, AgentLinkError> {
         let done = ShutdownSignal::new();
         *self.state.borrow_mut() = PeerState::Connecting(done.clone());
         let attempt = ConnectAttempt { peer: self, done };
-        let hello = RouterHello {
-            version: PROTOCOL_VERSION,
-            incarnation: self.identity.incarnation,
-            domain: self.identity.domain.clone(),
-        };
-        let metrics = self.metrics.clone();
-        let outcome = AgentLink::establish(&self.server, self.address, hello, metrics).await;
-        match &outcome {
-            Ok(link) => *self.state.borrow_mut() = PeerState::Up(link.clone()),
+        let outcome = open_link(&self.server, self.address, &self.identity).await;
+        let outcome = match outcome {
+            Ok(proved) => {
+                let (link, receiver) = AgentLink::new(proved);
+                *self.state.borrow_mut() = PeerState::Up(link.clone());
+                monoio::spawn(self.clone().serve_link(link.clone(), receiver));
+                Ok(link)
+            }
             Err(error) => {
+                self.metrics.failed_links.count(error.label());
                 log::warn!(server:% = self.server, error:% = error; "no connection to agent");
+                Err(error)
             }
-        }
+        };
         drop(attempt);
         outcome
     }
+
+    async fn serve_link(self: Rc<Self>, link: Rc<AgentLink>, receiver: AgentReceiver) {
+        let slots = read_messages(link.clone(), receiver, &self.metrics).await;
+        self.forget(&link);
+        drop(link);
+        recover_streams(self, slots).await;
+    }
 }
 
 /// Ends the connecting state, also where the caller that connects is dropped on the way.
 struct ConnectAttempt<'a> {
-    peer: &'a AgentPeer,
+    peer: &'a PeerCore,
     done: ShutdownSignal,
 }
 
--- /dev/null
+++ b/crates/papayamux-router/src/agents/handshake.rs
@@ -0,0 +1,178 @@
+//! How a connection to an agent opens: connected, greeted, proved. Each step consumes the one
+//! before, so that nothing can be sent to an agent that has not proved itself.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use papayamux_protocol::link::{
+    AgentMessage, AgentWelcome, RouterHello, RouterMessage, PROTOCOL_VERSION,
+};
+use papayamux_protocol::proof::{ProofContext, ProofNonce, ProofRole, SharedSecret};
+use papayamux_protocol::wire::{AgentFrame, RouterFrame};
+use papayamux_state::ids::ServerId;
+use papayamux_transport::link::{connect, start_link, LinkError, LinkReceiver, LinkSender};
+use thiserror::Error;
+
+use super::RouterIdentity;
+
+/// The receiving half of a connection to an agent.
+pub type AgentReceiver = LinkReceiver<RouterFrame, AgentFrame>;
+
+/// How long an agent may take to answer the hello.
+const WELCOME_WITHIN: Duration = Duration::from_secs(2);
+/// The stream number of the connection itself.
+pub const CONNECTION: u64 = 0;
+
+/// Why there is no connection to an agent.
+#[derive(Debug, Error)]
+pub enum AgentLinkError {
+    /// The connection failed.
+    #[error(transparent)]
+    Link(#[from] LinkError),
+    /// The agent did not welcome the router in time, or closed the connection.
+    #[error("the agent gave no welcome")]
+    NoWelcome,
+    /// The agent speaks another version of the protocol.
+    #[error("the agent speaks version {version}, this router {PROTOCOL_VERSION}")]
+    Version {
+        /// The agent's version.
+        version: u32,
+    },
+    /// Another server's agent answered.
+    #[error("the agent stands beside {found}, not beside {expected}")]
+    OtherServer {
+        /// The server that was expected.
+        expected: ServerId,
+        /// The server that answered.
+        found: ServerId,
+    },
+    /// The agent sent no proof of the fleet's secret, or a wrong one.
+    #[error("the agent did not prove that it knows the fleet's secret")]
+    Unproved,
+    /// The agent asks for a proof, and this router has no secret.
+    #[error("the agent asks for a proof of a secret that the settings do not name")]
+    SecretNeeded,
+}
+
+impl AgentLinkError {
+    /// The stable word for metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            AgentLinkError::Link(_) => "unreachable",
+            AgentLinkError::NoWelcome => "no_welcome",
+            AgentLinkError::Version { .. } => "version",
+            AgentLinkError::OtherServer { .. } => "other_server",
+            AgentLinkError::Unproved => "unproved",
+            AgentLinkError::SecretNeeded => "secret_needed",
+        }
+    }
+}
+
+/// A connection on which nothing has been said yet.
+struct ConnectedLink {
+    sender: LinkSender<RouterMessage>,
+    receiver: AgentReceiver,
+}
+
+/// A connection that the agent of the right server has welcomed.
+struct WelcomedLink {
+    sender: LinkSender<RouterMessage>,
+    receiver: AgentReceiver,
+    welcome: AgentWelcome,
+    nonce: Option<ProofNonce>,
+}
+
+/// A connection whose two ends have proved themselves as far as the settings ask for it.
+pub struct ProvedLink {
+    /// The sending half.
+    pub sender: LinkSender<RouterMessage>,
+    /// The receiving half.
+    pub receiver: AgentReceiver,
+    /// What the agent said of itself.
+    pub welcome: AgentWelcome,
+}
+
+/// Opens a connection to the agent of `server`.
+pub async fn open_link(
+    server: &ServerId,
+    address: SocketAddr,
+    identity: &RouterIdentity,
+) -> Result<ProvedLink, AgentLinkError> {
+    let connected = ConnectedLink::connect(address).await?;
+    connected.greet(server, identity).await?.prove(identity)
+}
+
+impl ConnectedLink {
+    async fn connect(address: SocketAddr) -> Result<Self, AgentLinkError> {
+        let (sender, receiver) = start_link(connect(address).await?)?;
+        Ok(Self { sender, receiver })
+    }
+
+    async fn greet(
+        mut self,
+        server: &ServerId,
+        identity: &RouterIdentity,
+    ) -> Result<WelcomedLink, AgentLinkError> {
+        let nonce = identity.secret.as_ref().map(|_| ProofNonce::draw());
+        let (incarnation, domain) = (identity.incarnation, identity.domain.clone());
+        let hello = RouterHello { version: PROTOCOL_VERSION, incarnation, domain, nonce };
+        self.sender.send(CONNECTION, RouterMessage::Hello(hello));
+        let welcome = receive_welcome(&mut self.receiver).await?;
+        if welcome.version != PROTOCOL_VERSION {
+            return Err(AgentLinkError::Version { version: welcome.version });
+        }
+        if welcome.server != *server {
+            let expected = server.clone();
+            return Err(AgentLinkError::OtherServer { expected, found: welcome.server });
+        }
+        Ok(WelcomedLink { sender: self.sender, receiver: self.receiver, welcome, nonce })
+    }
+}
+
+impl WelcomedLink {
+    /// Checks the agent's proof and sends the router's own.
+    fn prove(self, identity: &RouterIdentity) -> Result<ProvedLink, AgentLinkError> {
+        match (&identity.secret, self.welcome.nonce) {
+            (None, None) => {}
+            (None, Some(_)) => return Err(AgentLinkError::SecretNeeded),
+            (Some(_), None) => return Err(AgentLinkError::Unproved),
+            (Some(secret), Some(agent_nonce)) => self.exchange(secret, agent_nonce, identity)?,
+        }
+        let Self { sender, receiver, welcome, .. } = self;
+        Ok(ProvedLink { sender, receiver, welcome })
+    }
+
+    fn exchange(
+        &self,
+        secret: &SharedSecret,
+        agent_nonce: ProofNonce,
+        identity: &RouterIdentity,
+    ) -> Result<(), AgentLinkError> {
+        let context = ProofContext {
+            router_nonce: self.nonce.ok_or(AgentLinkError::Unproved)?,
+            agent_nonce,
+            router: identity.incarnation,
+            agent: self.welcome.incarnation,
+            server: self.welcome.server.clone(),
+        };
+        let proof = self.welcome.proof.as_ref().ok_or(AgentLinkError::Unproved)?;
+        if !secret.accepts(ProofRole::Agent, &context, proof) {
+            return Err(AgentLinkError::Unproved);
+        }
+        let tag = secret.prove(ProofRole::Router, &context);
+        self.sender.send(CONNECTION, RouterMessage::Prove(tag));
+        Ok(())
+    }
+}
+
+async fn receive_welcome(receiver: &mut AgentReceiver) -> Result<AgentWelcome, AgentLinkError> {
+    let first = monoio::time::timeout(WELCOME_WITHIN, receiver.receive()).await;
+    match first {
+        Ok(Some(Ok(addressed))) => match addressed.message {
+            AgentMessage::Welcome(welcome) => Ok(welcome),
+            _ => Err(AgentLinkError::NoWelcome),
+        },
+        Ok(Some(Err(error))) => Err(error.into()),
+        Ok(None) | Err(_) => Err(AgentLinkError::NoWelcome),
+    }
+}
--- a/crates/papayamux-router/src/agents/mod.rs
+++ b/crates/papayamux-router/src/agents/mod.rs
@@ -2,7 +2,11 @@
 
 mod agent_link;
 mod agent_peer;
+mod handshake;
 mod stream_handle;
+mod stream_recovery;
+mod stream_slot;
 
 pub use agent_peer::{AgentPeer, RouterIdentity};
 pub use stream_handle::{StreamEvent, StreamHandle};
+pub use stream_slot::SlotOrigin;
--- a/crates/papayamux-router/src/agents/stream_handle.rs
+++ b/crates/papayamux-router/src/agents/stream_handle.rs
@@ -1,4 +1,4 @@
-//! One request's stream on a connection to an agent.
+//! The caller's end of a request's stream.
 
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -8,7 +8,7 @@
     AnswerData, AnswerEnd, AnswerHead, RefusalNotice, RouterMessage, STREAM_WINDOW,
 };
 
-use super::agent_link::AgentLink;
+use super::stream_slot::StreamSlot;
 
 /// What happens on a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,25 +21,26 @@
     Data(AnswerData),
     /// The answer's end.
     End(AnswerEnd),
-    /// The connection was lost: what becomes of the request is not known.
+    /// The agent does not hold what a caller asked to go on with.
+    NotHeld,
+    /// The agent was lost and the stream could not go on: what becomes of the request is not
+    /// known.
     Lost,
 }
 
 /// Bytes taken after which the agent is told so.
 const ACKNOWLEDGE_EVERY: u64 = STREAM_WINDOW / 4;
 
-/// The router's end of a stream. Dropping it before the end cancels the request.
+/// The taking end of a stream. Dropping it before the end cancels the request.
 pub struct StreamHandle {
-    link: Rc<AgentLink>,
-    stream: u64,
+    slot: Rc<StreamSlot>,
     inbox: unbounded::Rx<StreamEvent>,
     acknowledged: u64,
-    ended: bool,
 }
 
 impl StreamHandle {
-    pub(super) fn new(link: Rc<AgentLink>, stream: u64, inbox: unbounded::Rx<StreamEvent>) -> Self {
-        Self { link, stream, inbox, acknowledged: 0, ended: false }
+    pub(super) fn new(slot: Rc<StreamSlot>, inbox: unbounded::Rx<StreamEvent>) -> Self {
+        Self { slot, inbox, acknowledged: 0 }
     }
 
     /// The next event; after an end, a refusal or a loss there is none.
@@ -49,28 +50,20 @@
 
     /// Polls for the next event.
     pub fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<StreamEvent> {
-        self.inbox.poll_recv(context).map(|event| {
-            let event = event.unwrap_or(StreamEvent::Lost);
-            let goes_on = matches!(event, StreamEvent::Head(_) | StreamEvent::Data(_));
-            self.ended = !goes_on;
-            event
-        })
+        self.inbox.poll_recv(context).map(|event| event.unwrap_or(StreamEvent::Lost))
     }
 
     /// Tells the agent, now and then, that the caller has taken the answer up to `offset`.
     pub fn acknowledge(&mut self, offset: u64) {
-        if offset - self.acknowledged >= ACKNOWLEDGE_EVERY {
+        if offset.saturating_sub(self.acknowledged) >= ACKNOWLEDGE_EVERY {
             self.acknowledged = offset;
-            self.link.send(self.stream, RouterMessage::Acknowledge(offset));
+            self.slot.send(RouterMessage::Acknowledge(offset));
         }
     }
 }
 
 impl Drop for StreamHandle {
     fn drop(&mut self) {
-        self.link.close_stream(self.stream);
-        if !self.ended {
-            self.link.send(self.stream, RouterMessage::Cancel);
-        }
+        self.slot.close(RouterMessage::Cancel);
     }
 }
--- a/crates/papayamux-router/src/callers/answer_stream.rs
+++ b/crates/papayamux-router/src/callers/answer_stream.rs
@@ -6,7 +6,9 @@
 
 use bytes::Bytes;
 use futures_util::Stream;
+use http::header::CONTENT_TYPE;
 use http::{HeaderName, HeaderValue, Response, StatusCode};
+use papayamux_protocol::failure::{FailureBody, FailureCode, FailureOutcome};
 use papayamux_protocol::headers::{HOP_BY_HOP, REQUEST_ID, SERVED_BY};
 use papayamux_protocol::link::AnswerEnd;
 use papayamux_transport::http::{AnswerBody, BodyError};
@@ -15,51 +17,118 @@
 use super::request_handler::InFlightGuard;
 use crate::agents::{StreamEvent, StreamHandle};
 
+/// The media type of streamed answers.
+const EVENT_STREAM: &str = "text/event-stream";
+/// What stands between two events.
+const EVENT_END: &[u8] = b"\n\n";
+
+/// How far an answer has been passed on.
+enum AnswerProgress {
+    /// It goes on.
+    Open,
+    /// Its last words are on their way; the body has to wait once, so that they are written
+    /// before the connection is cut.
+    Closing(BodyError),
+    /// The connection is cut next.
+    Cutting(BodyError),
+    /// It has ended.
+    Ended,
+}
+
 /// The rest of an answer; it ends well only where every byte came in its order.
 struct AnswerStream {
     stream: StreamHandle,
     taken: u64,
-    finished: bool,
-    _in_flight: Rc<InFlightGuard>,
+    is_event_stream: bool,
+    is_between_events: bool,
+    progress: AnswerProgress,
+    in_flight: Rc<InFlightGuard>,
 }
 
+type AnswerItem = Option<Result<Bytes, BodyError>>;
+
 impl AnswerStream {
-    fn take_event(&mut self, event: StreamEvent) -> Option<Result<Bytes, BodyError>> {
+    fn take_event(&mut self, event: StreamEvent) -> AnswerItem {
         match event {
-            StreamEvent::Data(data) if data.offset == self.taken => {
-                self.taken += data.bytes.len() as u64;
+            StreamEvent::Data(data) => {
+                self.taken = data.offset + data.bytes.len() as u64;
+                self.is_between_events = data.bytes.ends_with(EVENT_END);
                 self.stream.acknowledge(self.taken);
                 Some(Ok(data.bytes))
             }
-            StreamEvent::End(AnswerEnd::Whole(length)) if length == self.taken => None,
-            StreamEvent::End(AnswerEnd::Failed(reason)) => Some(Err(BodyError(reason))),
-            StreamEvent::Lost => {
-                Some(Err(BodyError("the connection to the server was lost".to_string())))
+            StreamEvent::End(AnswerEnd::Whole(_)) => {
+                self.progress = AnswerProgress::Ended;
+                None
+            }
+            StreamEvent::End(AnswerEnd::Failed(reason)) => {
+                let (code, outcome) = (FailureCode::ServerFailed, FailureOutcome::Failed);
+                self.cut("server_failed", FailureBody::new(code, outcome, reason))
+            }
+            StreamEvent::Lost | StreamEvent::NotHeld => {
+                let (code, outcome) = (FailureCode::ConnectionLost, FailureOutcome::Unknown);
+                let message = "the connection to the server was lost";
+                self.cut("lost", FailureBody::new(code, outcome, message))
             }
-            _ => Some(Err(BodyError("the answer came out of order".to_string()))),
+            StreamEvent::Head(_) | StreamEvent::Refused(_) => {
+                let (code, outcome) = (FailureCode::ConnectionLost, FailureOutcome::Unknown);
+                let message = "the answer came out of order";
+                self.cut("out_of_order", FailureBody::new(code, outcome, message))
+            }
+        }
+    }
+
+    /// Ends an answer that is not whole: the connection is cut, and a stream of events says why
+    /// in an event of its own.
+    fn cut(&mut self, reason: &'static str, failure: FailureBody) -> AnswerItem {
+        self.in_flight.count_cut(reason);
+        let error = BodyError(failure.message.clone());
+        if !self.is_event_stream || !self.is_between_events {
+            self.progress = AnswerProgress::Ended;
+            return Some(Err(error));
         }
+        self.progress = AnswerProgress::Closing(error);
+        let json = failure.to_json();
+        let mut event = b"event: error\ndata: ".to_vec();
+        event.extend_from_slice(&json);
+        event.extend_from_slice(EVENT_END);
+        Some(Ok(event.into()))
     }
 }
 
 impl Stream for AnswerStream {
     type Item = Result<Bytes, BodyError>;
 
-    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        if self.finished {
-            return Poll::Ready(None);
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<AnswerItem> {
+        match std::mem::replace(&mut self.progress, AnswerProgress::Ended) {
+            AnswerProgress::Open => {
+                self.progress = AnswerProgress::Open;
+                self.stream.poll_event(context).map(|event| self.take_event(event))
+            }
+            AnswerProgress::Closing(error) => {
+                self.progress = AnswerProgress::Cutting(error);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            AnswerProgress::Cutting(error) => Poll::Ready(Some(Err(error))),
+            AnswerProgress::Ended => Poll::Ready(None),
         }
-        self.stream.poll_event(context).map(|event| {
-            let item = self.take_event(event);
-            self.finished = !matches!(item, Some(Ok(_)));
-            item
-        })
     }
 }
 
 /// The response to the caller.
 pub fn answer_response(taken: TakenRequest, in_flight: Rc<InFlightGuard>) -> Response<AnswerBody> {
     let TakenRequest { id, server, head, stream } = taken;
-    let stream = AnswerStream { stream, taken: 0, finished: false, _in_flight: in_flight };
+    let is_event_stream = head.headers.iter().any(|field| {
+        field.name == CONTENT_TYPE.as_str() && field.value.starts_with(EVENT_STREAM.as_bytes())
+    });
+    let stream = AnswerStream {
+        stream,
+        taken: 0,
+        is_event_stream,
+        is_between_events: true,
+        progress: AnswerProgress::Open,
+        in_flight,
+    };
     let mut response = Response::new(AnswerBody::Stream(Box::pin(stream)));
     *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
--- a/crates/papayamux-router/src/callers/mod.rs
+++ b/crates/papayamux-router/src/callers/mod.rs
@@ -5,6 +5,7 @@
 mod chat_handler;
 mod offer;
 mod request_handler;
+mod resume_handler;
 mod service_handler;
 
 pub use request_handler::CallerDesk;
--- a/crates/papayamux-router/src/callers/offer.rs
+++ b/crates/papayamux-router/src/callers/offer.rs
@@ -118,7 +118,9 @@
             let server = peer.server().clone();
             OfferOutcome::Taken(Box::new(TakenRequest { id, server, head, stream }))
         }
-        StreamEvent::Data(_) | StreamEvent::End(_) | StreamEvent::Lost => OfferOutcome::Unknown,
+        StreamEvent::Data(_) | StreamEvent::End(_) | StreamEvent::NotHeld | StreamEvent::Lost => {
+            OfferOutcome::Unknown
+        }
     }
 }
 
--- a/crates/papayamux-router/src/callers/request_handler.rs
+++ b/crates/papayamux-router/src/callers/request_handler.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use papayamux_protocol::engine::CHAT_PATH;
 use papayamux_protocol::failure::{FailureBody, FailureCode};
+use papayamux_protocol::headers::LAST_EVENT_ID;
 use papayamux_state::ids::{Incarnation, RequestIdSource};
 use papayamux_transport::http::AnswerBody;
 
@@ -14,6 +15,7 @@
 use super::caller_request::read_request;
 use super::chat_handler::handle_chat;
 use super::offer::TakenRequest;
+use super::resume_handler::handle_resume;
 use super::service_handler::handle_service;
 use crate::directory::ServerDirectory;
 use crate::metrics::RouterMetrics;
@@ -30,6 +32,11 @@
         metrics.in_flight.inc();
         Rc::new(Self { metrics: metrics.clone() })
     }
+
+    /// Counts an answer that was cut off.
+    pub fn count_cut(&self, reason: &'static str) {
+        self.metrics.cut_answers.count(reason);
+    }
 }
 
 impl Drop for InFlightGuard {
@@ -75,6 +82,9 @@
         }
         let request = read_request(request, self.settings.longest_body).await?;
         match is_chat {
+            true if request.head.headers.contains_key(LAST_EVENT_ID) => {
+                handle_resume(self, &request).await
+            }
             true => handle_chat(self, request).await,
             false => handle_service(self, request).await,
         }
@@ -107,5 +117,6 @@
         FailureCode::ServerFailed => "server_failed",
         FailureCode::DeadlinePassed => "deadline_passed",
         FailureCode::ShuttingDown => "shutting_down",
+        FailureCode::AnswerGone => "answer_gone",
     }
 }
--- a/crates/papayamux-router/src/daemon.rs
+++ b/crates/papayamux-router/src/daemon.rs
@@ -1,21 +1,27 @@
 //! The router's life: start, serve, drain, end.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::error::Error;
+use std::io;
 use std::rc::Rc;
 
 use futures_util::future::{select, Either};
 use futures_util::StreamExt;
+use http::header::CONNECTION;
+use http::{HeaderValue, Response};
+use monoio::task::JoinHandle;
 use papayamux_daemon::logging::start_logging;
 use papayamux_daemon::operations::{serve_operations, OperationsView};
 use papayamux_daemon::signals::catch_end_signals;
+use papayamux_state::address_range::admits;
 use papayamux_state::ids::Incarnation;
-use papayamux_transport::http::{serve, HttpLimits};
+use papayamux_transport::http::{serve, AddressCheck, AnswerBody, HttpLimits};
 use papayamux_transport::listen::listen;
 use papayamux_transport::runtime;
 use papayamux_transport::shutdown::ShutdownSignal;
 use prometheus_client::registry::Registry;
 use serde_json::json;
+use thiserror::Error;
 
 use crate::agents::RouterIdentity;
 use crate::callers::CallerDesk;
@@ -56,24 +62,52 @@
     runtime::run(async move {
         let router = start_router(settings)?;
         signals.next().await;
-        let drain = std::pin::pin!(router.drain());
-        match select(drain, signals.next()).await {
-            Either::Left((outcome, _)) => outcome,
-            Either::Right(_) => Err("a second signal ended the router before its drain".into()),
-        }
+        let router = router.drain();
+        let finish = std::pin::pin!(router.finish());
+        let cause = match select(finish, signals.next()).await {
+            Either::Left((DrainEnd::Whole, _)) => return Ok(()),
+            Either::Left((DrainEnd::Bound, _)) => "the drain's bound",
+            Either::Right(_) => "a second signal",
+        };
+        Err(router.cut(cause))
     })?
 }
 
 /// A router that serves.
-struct RunningRouter {
+struct ServingRouter {
     view: Rc<RouterView>,
     shutdown: ShutdownSignal,
-    served: monoio::task::JoinHandle<std::io::Result<()>>,
+    served: JoinHandle<io::Result<()>>,
+}
+
+/// A router that is not ready any more and lets requests in flight finish.
+struct DrainingRouter {
+    view: Rc<RouterView>,
+    shutdown: ShutdownSignal,
+    served: RefCell<Option<JoinHandle<io::Result<()>>>>,
+}
+
+/// How a drain ended by itself.
+enum DrainEnd {
+    Whole,
+    Bound,
 }
 
-fn start_router(settings: RouterSettings) -> Result<RunningRouter, Box<dyn Error>> {
-    let identity =
-        RouterIdentity { incarnation: Incarnation::draw(), domain: settings.domain.clone() };
+/// What a drain's end cut off.
+#[derive(Debug, Error)]
+#[error("{cause} cut off {requests} requests")]
+struct DrainCut {
+    cause: &'static str,
+    requests: i64,
+}
+
+fn start_router(settings: RouterSettings) -> Result<ServingRouter, Box<dyn Error>> {
+    let identity = RouterIdentity {
+        incarnation: Incarnation::draw(),
+        domain: settings.domain.clone(),
+        secret: settings.secret.clone(),
+        resume_within: settings.resume_within,
+    };
     let metrics = RouterMetrics::default();
     let mut registry = Registry::default();
     metrics.register(&mut registry);
@@ -95,31 +129,75 @@
     monoio::spawn(serve_operations(operators, registry, view.clone(), ShutdownSignal::new()));
     let incarnation = identity.incarnation;
     let directory = ServerDirectory::new(identity, metrics.clone(), settings.servers.clone());
+    let limits = caller_limits(&settings, &metrics);
     let desk = CallerDesk::new(settings, directory, incarnation, metrics);
+    let life = view.clone();
     let handler = Rc::new(move |request| {
-        let desk = desk.clone();
-        async move { desk.handle(request).await }
+        let (desk, life) = (desk.clone(), life.clone());
+        async move { close_when_draining(&life, desk.handle(request).await) }
     });
-    let served = monoio::spawn(serve(callers, HttpLimits::default(), shutdown.clone(), handler));
-    Ok(RunningRouter { view, shutdown, served })
+    let served = monoio::spawn(serve(callers, limits, shutdown.clone(), handler));
+    Ok(ServingRouter { view, shutdown, served })
 }
 
-impl RunningRouter {
-    /// Turns readiness off, waits for the balancer, then lets requests in flight finish.
-    async fn drain(self) -> Result<(), Box<dyn Error>> {
-        let settings = &self.view.settings;
-        self.view.ready.set(false);
+fn caller_limits(settings: &RouterSettings, metrics: &RouterMetrics) -> HttpLimits {
+    let (allow, refused) = (settings.allow.clone(), metrics.refused_callers.clone());
+    let check = move |address| {
+        let admitted = admits(&allow, address);
+        if !admitted {
+            refused.count("address");
+        }
+        admitted
+    };
+    HttpLimits {
+        write_within: settings.caller_stall,
+        admits: Some(AddressCheck(Rc::new(check))),
+        ..HttpLimits::default()
+    }
+}
+
+fn close_when_draining(
+    view: &RouterView,
+    mut response: Response<AnswerBody>,
+) -> Response<AnswerBody> {
+    if !view.ready.get() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+impl ServingRouter {
+    /// Turns readiness off. Each answer from now on closes its connection, so that the balancer
+    /// sends the next request to another router.
+    fn drain(self) -> DrainingRouter {
         log::info!("router drains");
+        self.view.ready.set(false);
+        let served = RefCell::new(Some(self.served));
+        DrainingRouter { view: self.view, shutdown: self.shutdown, served }
+    }
+}
+
+impl DrainingRouter {
+    /// Waits for the balancer, then lets requests in flight finish.
+    async fn finish(&self) -> DrainEnd {
+        let settings = &self.view.settings;
         monoio::time::sleep(settings.balancer_delay).await;
         self.shutdown.give();
-        match monoio::time::timeout(settings.drain_within, self.served).await {
-            Ok(outcome) => outcome?,
-            Err(_) => {
-                let cut = self.view.metrics.in_flight.get();
-                return Err(format!("the drain's bound cut off {cut} requests").into());
+        let Some(served) = self.served.take() else { return DrainEnd::Whole };
+        match monoio::time::timeout(settings.drain_within, served).await {
+            Ok(_) => {
+                log::info!("router drained");
+                DrainEnd::Whole
             }
+            Err(_) => DrainEnd::Bound,
         }
-        log::info!("router drained");
-        Ok(())
+    }
+
+    /// Ends the drain before its end.
+    fn cut(&self, cause: &'static str) -> Box<dyn Error> {
+        let requests = self.view.metrics.in_flight.get();
+        self.view.metrics.cut_requests.inc_by(requests.unsigned_abs());
+        log::warn!(cause = cause, requests = requests; "drain cut off");
+        DrainCut { cause, requests }.into()
     }
 }
--- a/crates/papayamux-router/src/directory.rs
+++ b/crates/papayamux-router/src/directory.rs
@@ -64,6 +64,11 @@
         Rc::new(AgentPeer::new(entry.server.clone(), entry.agent, identity, metrics))
     }
 
+    /// The server of that name.
+    pub fn record(&self, server: &ServerId) -> Option<Rc<ServerRecord>> {
+        self.records.borrow().get(server).cloned()
+    }
+
     /// The servers of a model, in no particular order.
     pub fn serving(&self, model: &ModelId) -> Vec<Rc<ServerRecord>> {
         self.select(|entry| entry.models.contains(model))
--- a/crates/papayamux-router/src/metrics.rs
+++ b/crates/papayamux-router/src/metrics.rs
@@ -22,6 +22,18 @@
     pub stray_frames: Counter,
     /// Connections to agents that were lost, by reason.
     pub lost_links: ReasonCounters,
+    /// Connections to agents that could not be opened, by reason.
+    pub failed_links: ReasonCounters,
+    /// Streams of lost connections, by what became of them.
+    pub recoveries: ReasonCounters,
+    /// Answers that callers asked to go on with, by outcome.
+    pub caller_resumes: ReasonCounters,
+    /// Answers that were cut off, by reason.
+    pub cut_answers: ReasonCounters,
+    /// Connections of callers that were refused, by reason.
+    pub refused_callers: ReasonCounters,
+    /// Requests that the end of a drain cut off.
+    pub cut_requests: Counter,
 }
 
 impl RouterMetrics {
@@ -37,5 +49,16 @@
         registry.register("stray_frames", "Frames that matched no stream", stray);
         let lost = self.lost_links.0.clone();
         registry.register("lost_links", "Connections to agents that were lost", lost);
+        let failed = self.failed_links.0.clone();
+        registry.register("failed_links", "Connections to agents that did not open", failed);
+        let recoveries = self.recoveries.0.clone();
+        registry.register("recoveries", "Streams of lost connections", recoveries);
+        let resumes = self.caller_resumes.0.clone();
+        registry.register("caller_resumes", "Answers callers went on with", resumes);
+        registry.register("cut_answers", "Answers that were cut off", self.cut_answers.0.clone());
+        let refused = self.refused_callers.0.clone();
+        registry.register("refused_callers", "Connections of callers refused", refused);
+        let cut = self.cut_requests.clone();
+        registry.register("cut_requests", "Requests cut off by the end of a drain", cut);
     }
 }
--- a/crates/papayamux-router/src/settings.rs
+++ b/crates/papayamux-router/src/settings.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bon::Builder;
+use papayamux_protocol::proof::SharedSecret;
 use papayamux_settings::{Findings, IniFile, Millis};
+use papayamux_state::address_range::AddressRange;
 use papayamux_state::ids::{FailureDomain, ModelId, ServerId};
 use papayamux_state::quantities::ByteCount;
 
@@ -47,6 +49,17 @@
     /// How long requests in flight may take to finish at a shutdown.
     #[builder(default = Duration::from_secs(600))]
     pub drain_within: Duration,
+    /// How long streams of a lost connection to an agent wait for another one.
+    #[builder(default = Duration::from_secs(8))]
+    pub resume_within: Duration,
+    /// How long a caller may take nothing of what is written to it.
+    #[builder(default = Duration::from_secs(30))]
+    pub caller_stall: Duration,
+    /// The fleet's secret, where agents have to know it.
+    pub secret: Option<SharedSecret>,
+    /// Addresses that callers may connect from; all where it is empty.
+    #[builder(default)]
+    pub allow: Vec<AddressRange>,
     /// The backend servers.
     pub servers: Vec<ServerEntry>,
 }
@@ -71,6 +84,10 @@
     let most_offers = section.optional("most_offers");
     let balancer_delay = section.optional("balancer_delay");
     let drain_within = section.optional("drain_within");
+    let resume_within = section.optional("resume_within");
+    let caller_stall = section.optional("caller_stall");
+    let secret = section.hidden("secret");
+    let allow = section.list("allow");
     section.refuse_other_keys();
     let servers: Vec<_> =
         file.names_of("server").iter().map(|name| read_server(file, name)).collect();
@@ -84,6 +101,10 @@
         .maybe_most_offers(most_offers)
         .maybe_balancer_delay(balancer_delay.map(|delay: Millis| delay.0))
         .maybe_drain_within(drain_within.map(|within: Millis| within.0))
+        .maybe_resume_within(resume_within.map(|within: Millis| within.0))
+        .maybe_caller_stall(caller_stall.map(|stall: Millis| stall.0))
+        .maybe_secret(secret)
+        .allow(allow)
         .servers(servers?)
         .build();
     Some(settings)
--- a/crates/papayamux-settings/src/section.rs
+++ b/crates/papayamux-settings/src/section.rs
@@ -78,6 +78,21 @@
         }
     }
 
+    /// The value of a key that must not be shown, also where it does not fit.
+    pub fn hidden<T>(&self, key: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        match self.text(key)?.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.report(key, &format!("the value does not fit: {error}"), "");
+                None
+            }
+        }
+    }
+
     /// The value of a key, or `fallback` where the key is missing.
     pub fn or<T>(&self, key: &str, fallback: T) -> T
     where
