Let the testbed put a fault proxy on every link and act on every process

Cause: the promises have to be tried with links that fail and processes that pause, die and return. Change: FleetPlan::faulty_links, Fleet::link and RunningServer::link with typed faults, routers that know different servers, agents and routers replaced at their address, signals, run counts, metrics and status as typed values, and calls that are sent exactly once with their outcome kept apart. A caller's error now tells an answer cut off from one that ended well without its end.

--- a/crates/papayamux-testbed/src/caller.rs
+++ b/crates/papayamux-testbed/src/caller.rs
@@ -12,7 +12,7 @@
 use thiserror::Error;
 
 /// Bytes of the longest answer that a caller reads.
-const LONGEST_ANSWER: u64 = 64 * 1024 * 1024;
+pub(crate) const LONGEST_ANSWER: u64 = 64 * 1024 * 1024;
 
 /// Why a caller got no whole answer.
 #[derive(Debug, Error)]
@@ -31,6 +31,17 @@
     /// The answer is not what an engine sends.
     #[error("the answer makes no sense: {0}")]
     Nonsense(String),
+    /// The answer ended well, yet without its last event.
+    #[error("the answer ended after {} bytes without its last event", .0.len())]
+    Short(String),
+    /// The connection broke off in the middle of the answer.
+    #[error("after {} bytes: {error}", .text.len())]
+    Partial {
+        /// The text up to there.
+        text: String,
+        /// What broke.
+        error: HttpClientError,
+    },
     /// The request could not be built.
     #[error(transparent)]
     Request(#[from] http::Error),
@@ -72,6 +83,29 @@
         headers: &[(&str, &str)],
         body: Bytes,
     ) -> Result<ClientAnswer, CallerError> {
+        let request = self.request(method, path, headers, body)?;
+        Ok(self.client.send_idempotent(request).await?)
+    }
+
+    /// Like [`Self::send`], over a connection of its own, and never sent again.
+    pub async fn send_once(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<ClientAnswer, CallerError> {
+        let request = self.request(method, path, headers, body)?;
+        Ok(self.client.send_once(request).await?)
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<Request<Bytes>, CallerError> {
         let mut request = Request::builder()
             .method(method)
             .uri(path)
@@ -80,7 +114,7 @@
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        Ok(self.client.send_idempotent(request.body(body)?).await?)
+        Ok(request.body(body)?)
     }
 
     /// Sends any request and reads its whole answer.
@@ -99,17 +133,37 @@
     /// Sends a chat and reads its streamed answer to the end.
     pub async fn chat(&self, request: &ChatRequest) -> Result<CallerAnswer, CallerError> {
         let sent = Instant::now();
-        let body = serde_json::to_vec(request)
-            .map_err(|error| CallerError::Nonsense(error.to_string()))?;
-        let answer = self.send(Method::POST, CHAT_PATH, &[], body.into()).await?;
-        if answer.head.status != StatusCode::OK {
-            let status = answer.head.status;
-            let body = answer.whole_body(LONGEST_ANSWER).await?;
-            let body = String::from_utf8_lossy(&body).into_owned();
-            return Err(CallerError::Failure { status, body });
-        }
-        read_events(answer, sent).await
+        let answer = self.send(Method::POST, CHAT_PATH, &[], chat_body(request)?).await?;
+        read_answer(answer, sent).await
+    }
+
+    /// Like [`Self::chat`], over a connection of its own, with further headers, and never sent
+    /// again.
+    pub(crate) async fn stream_once(
+        &self,
+        request: &ChatRequest,
+        headers: &[(&str, &str)],
+    ) -> Result<CallerAnswer, CallerError> {
+        let sent = Instant::now();
+        let body = chat_body(request)?;
+        let answer = self.send_once(Method::POST, CHAT_PATH, headers, body).await?;
+        read_answer(answer, sent).await
+    }
+}
+
+fn chat_body(request: &ChatRequest) -> Result<Bytes, CallerError> {
+    let body = serde_json::to_vec(request);
+    Ok(body.map_err(|error| CallerError::Nonsense(error.to_string()))?.into())
+}
+
+async fn read_answer(answer: ClientAnswer, sent: Instant) -> Result<CallerAnswer, CallerError> {
+    if answer.head.status != StatusCode::OK {
+        let status = answer.head.status;
+        let body = answer.whole_body(LONGEST_ANSWER).await?;
+        let body = String::from_utf8_lossy(&body).into_owned();
+        return Err(CallerError::Failure { status, body });
     }
+    read_events(answer, sent).await
 }
 
 async fn read_events(mut answer: ClientAnswer, sent: Instant) -> Result<CallerAnswer, CallerError> {
@@ -124,14 +178,18 @@
     let mut pending = Vec::new();
     let mut ended = false;
     while let Some(piece) = answer.next_piece().await {
-        pending.extend_from_slice(&piece?);
+        let piece = match piece {
+            Ok(piece) => piece,
+            Err(error) => return Err(CallerError::Partial { text: whole.text, error }),
+        };
+        pending.extend_from_slice(&piece);
         while let Some(end) = pending.windows(2).position(|pair| pair == b"\n\n") {
             let event: Vec<u8> = pending.drain(..end + 2).collect();
             ended |= take_event(&event, sent, &mut whole)?;
         }
     }
     if !ended || !pending.is_empty() {
-        return Err(CallerError::Nonsense("the stream ended before its end".to_string()));
+        return Err(CallerError::Short(whole.text));
     }
     answer.finish();
     Ok(whole)
--- a/crates/papayamux-testbed/src/fleet.rs
+++ b/crates/papayamux-testbed/src/fleet.rs
@@ -1,5 +1,6 @@
 //! A fleet on loopback: stand-ins, an agent beside each, and routers before them.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -7,7 +8,9 @@
 use bon::Builder;
 use tempfile::TempDir;
 
+use crate::link_control::LinkControl;
 use crate::process::{ProcessHandle, TestbedError};
+use crate::running_server::RunningServer;
 
 /// What a fleet consists of.
 #[derive(Debug, Clone, Builder)]
@@ -21,6 +24,14 @@
     /// Plain services.
     #[builder(default = 1)]
     pub services: usize,
+    /// Whether a fault proxy stands between each router and each agent, and between each agent
+    /// and its server.
+    #[builder(default)]
+    pub faulty_links: bool,
+    /// For each router, the places in [`Fleet::servers`] of those it knows; a router without an
+    /// entry knows all.
+    #[builder(default)]
+    pub known_servers: Vec<Vec<usize>>,
     /// Further arguments for each engine stand-in.
     #[builder(default)]
     pub engine_arguments: Vec<String>,
@@ -40,18 +51,6 @@
 /// The path that leads to a fleet's plain services.
 pub const FLEET_PATH: &str = "/tickets";
 
-/// A backend server with its agent.
-#[derive(Debug)]
-pub struct RunningServer {
-    /// The server's name.
-    pub name: String,
-    /// The stand-in.
-    pub standin: ProcessHandle,
-    /// The agent.
-    pub agent: ProcessHandle,
-    is_engine: bool,
-}
-
 /// A running fleet; dropping it stops all of it.
 #[derive(Debug)]
 pub struct Fleet {
@@ -59,15 +58,19 @@
     pub routers: Vec<ProcessHandle>,
     /// The backend servers.
     pub servers: Vec<RunningServer>,
+    links: BTreeMap<(usize, usize), LinkControl>,
     folder: TempDir,
     plan: FleetPlan,
 }
 
+const ANY_PORT: &str = "127.0.0.1:0";
+
 impl Fleet {
     /// Starts a fleet and waits until all of it has started.
     pub fn start(plan: FleetPlan) -> Result<Self, TestbedError> {
         let folder = TempDir::new()?;
-        let mut fleet = Self { routers: Vec::new(), servers: Vec::new(), folder, plan };
+        let (routers, servers, links) = (Vec::new(), Vec::new(), BTreeMap::new());
+        let mut fleet = Self { routers, servers, links, folder, plan };
         for index in 0..fleet.plan.engines {
             fleet.start_server(&format!("engine-{index}"), true)?;
         }
@@ -80,21 +83,43 @@
         Ok(fleet)
     }
 
+    /// The link between a router and a server's agent, by their places in the fleet.
+    pub fn link(&self, router: usize, server: usize) -> Result<&LinkControl, TestbedError> {
+        let name = || format!("faulty link between router {router} and server {server}");
+        self.links.get(&(router, server)).ok_or_else(|| TestbedError::NoPart(name()))
+    }
+
     fn start_server(&mut self, name: &str, is_engine: bool) -> Result<(), TestbedError> {
         let standin = start_standin(&self.plan, name, is_engine)?;
-        let agent = self.start_agent(name, standin.listen()?)?;
-        self.servers.push(RunningServer { name: name.to_string(), standin, agent, is_engine });
+        let link = self.start_link(standin.listen()?)?;
+        let address = link.as_ref().map_or_else(|| standin.listen(), LinkControl::listen)?;
+        let agent = self.start_agent(name, address)?;
+        let name = name.to_string();
+        self.servers.push(RunningServer { name, standin, agent, link, is_engine });
         Ok(())
     }
 
+    fn start_link(&self, target: SocketAddr) -> Result<Option<LinkControl>, TestbedError> {
+        self.plan.faulty_links.then(|| LinkControl::start(target)).transpose()
+    }
+
     /// Starts an agent for the server called `name` at `address`.
     pub fn start_agent(
         &self,
         name: &str,
         address: SocketAddr,
+    ) -> Result<ProcessHandle, TestbedError> {
+        self.start_agent_at(ANY_PORT, name, address)
+    }
+
+    fn start_agent_at(
+        &self,
+        listen: &str,
+        name: &str,
+        address: SocketAddr,
     ) -> Result<ProcessHandle, TestbedError> {
         let settings = format!(
-            "[agent]\nlisten = 127.0.0.1:0\noperations = 127.0.0.1:0\nfailure_domain = a\n\
+            "[agent]\nlisten = {listen}\noperations = {ANY_PORT}\nfailure_domain = a\n\
              [server]\nname = {name}\naddress = {address}\n{}\n",
             self.plan.agent_server_lines
         );
@@ -102,25 +127,73 @@
         ProcessHandle::start("papayamux-agent", &["--settings".to_string(), file])
     }
 
-    /// Starts one more router before the servers as they are now.
+    /// Kills a server's agent and starts its successor, with empty memory, at the same address.
+    pub fn restart_agent(&mut self, server: usize) -> Result<(), TestbedError> {
+        let no_server = || TestbedError::NoPart(format!("server {server}"));
+        let running = self.servers.get_mut(server).ok_or_else(no_server)?;
+        running.agent.kill()?;
+        self.replace_agent(server)
+    }
+
+    /// Starts the successor of an agent that has ended, at the same address.
+    pub fn replace_agent(&mut self, server: usize) -> Result<(), TestbedError> {
+        let no_server = || TestbedError::NoPart(format!("server {server}"));
+        let running = self.servers.get(server).ok_or_else(no_server)?;
+        let listen = running.agent.listen()?.to_string();
+        let agent = self.start_agent_at(&listen, &running.name, running.server_address()?)?;
+        self.servers[server].agent = agent;
+        Ok(())
+    }
+
+    /// Starts one more router, before the servers that the plan lets it know.
     pub fn start_router(&mut self) -> Result<&ProcessHandle, TestbedError> {
-        let mut agents = Vec::new();
-        for server in &self.servers {
-            agents.push((server, server.agent.listen()?));
+        let index = self.routers.len();
+        let all = || (0..self.servers.len()).collect();
+        let known: Vec<usize> = self.plan.known_servers.get(index).cloned().unwrap_or_else(all);
+        for server in known {
+            let no_server = || TestbedError::NoPart(format!("server {server}"));
+            let agent = self.servers.get(server).ok_or_else(no_server)?.agent.listen()?;
+            if let Some(link) = self.start_link(agent)? {
+                self.links.insert((index, server), link);
+            }
         }
-        let settings = router_settings(&self.plan, &agents);
-        let name = format!("router-{}", self.routers.len());
-        let file = write_settings(self.folder.path(), &name, &settings)?;
-        let router = ProcessHandle::start("papayamux-router", &["--settings".to_string(), file])?;
+        let router = self.start_router_at(index, ANY_PORT)?;
         self.routers.push(router);
-        Ok(&self.routers[self.routers.len() - 1])
+        Ok(&self.routers[index])
+    }
+
+    /// Starts the successor of a router that has ended, at the same address.
+    pub fn replace_router(&mut self, index: usize) -> Result<(), TestbedError> {
+        let no_router = || TestbedError::NoPart(format!("router {index}"));
+        let listen = self.routers.get(index).ok_or_else(no_router)?.listen()?;
+        self.routers[index] = self.start_router_at(index, &listen.to_string())?;
+        Ok(())
+    }
+
+    fn start_router_at(&self, index: usize, listen: &str) -> Result<ProcessHandle, TestbedError> {
+        let known = self.plan.known_servers.get(index);
+        let mut agents = Vec::new();
+        for (place, server) in self.servers.iter().enumerate() {
+            if known.is_none_or(|known| known.contains(&place)) {
+                let link = self.links.get(&(index, place));
+                let address = link.map_or_else(|| server.agent.listen(), LinkControl::listen)?;
+                agents.push((server, address));
+            }
+        }
+        let settings = router_settings(&self.plan, listen, &agents);
+        let file = write_settings(self.folder.path(), &format!("router-{index}"), &settings)?;
+        ProcessHandle::start("papayamux-router", &["--settings".to_string(), file])
     }
 }
 
 /// The settings of a router before `agents`, each at the address that the router is to use.
-fn router_settings(plan: &FleetPlan, agents: &[(&RunningServer, SocketAddr)]) -> String {
+fn router_settings(
+    plan: &FleetPlan,
+    listen: &str,
+    agents: &[(&RunningServer, SocketAddr)],
+) -> String {
     let mut text = format!(
-        "[router]\nlisten = 127.0.0.1:0\noperations = 127.0.0.1:0\nfailure_domain = a\n\
+        "[router]\nlisten = {listen}\noperations = {ANY_PORT}\nfailure_domain = a\n\
          balancer_delay = 100ms\n{}\n",
         plan.router_lines
     );
--- /dev/null
+++ b/crates/papayamux-testbed/src/http_reader.rs
@@ -0,0 +1,44 @@
+//! Reading typed answers of the fleet's processes.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{Method, Request, StatusCode};
+use papayamux_transport::http::HttpClient;
+use serde::de::DeserializeOwned;
+
+use crate::process::TestbedError;
+
+/// Bytes of the longest answer that is read.
+const LONGEST_ANSWER: u64 = 16 * 1024 * 1024;
+
+/// Sends a request and reads the bytes of its answer, which must be a success.
+pub async fn read_bytes(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<Bytes, TestbedError> {
+    let request =
+        Request::builder().method(method).uri(path).header(HOST, address.to_string()).body(body)?;
+    let answer = HttpClient::new(address).send_once(request).await?;
+    let status = answer.head.status;
+    let body = answer.whole_body(LONGEST_ANSWER).await?;
+    if status != StatusCode::OK {
+        let body = String::from_utf8_lossy(&body).into_owned();
+        return Err(TestbedError::Status { path: path.to_string(), status, body });
+    }
+    Ok(body)
+}
+
+/// Sends a request and reads its answer, which must be a success with JSON.
+pub async fn read_json<T: DeserializeOwned>(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<T, TestbedError> {
+    let body = read_bytes(address, method, path, body).await?;
+    Ok(serde_json::from_slice(&body)?)
+}
--- a/crates/papayamux-testbed/src/lib.rs
+++ b/crates/papayamux-testbed/src/lib.rs
@@ -2,10 +2,21 @@
 
 mod caller;
 mod fleet;
+mod http_reader;
+mod link_control;
+mod outcome;
 mod process;
+mod process_view;
+mod running_server;
 mod usage;
+mod waiting;
 
 pub use caller::{chat_request, Caller, CallerAnswer, CallerError};
-pub use fleet::{Fleet, FleetPlan, RunningServer, FLEET_MODEL, FLEET_PATH};
+pub use fleet::{Fleet, FleetPlan, FLEET_MODEL, FLEET_PATH};
+pub use link_control::LinkControl;
+pub use outcome::CallerOutcome;
 pub use process::{ProcessHandle, TestbedError};
+pub use process_view::{AgentStatus, MetricsReading, RouterStatus};
+pub use running_server::RunningServer;
 pub use usage::ProcessUsage;
+pub use waiting::wait_until;
--- /dev/null
+++ b/crates/papayamux-testbed/src/link_control.rs
@@ -0,0 +1,113 @@
+//! The faults of one link of a fleet.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use papayamux_standins::fault_proxy::{
+    ConnectionReport, FaultyWays, HalfCloseOrder, LinkFaults, CONNECTIONS_PATH, CUT_PATH,
+    FAULTS_PATH, HALF_CLOSE_PATH,
+};
+use serde::Serialize;
+
+use crate::http_reader::read_json;
+use crate::process::{ProcessHandle, TestbedError};
+use crate::waiting::wait_until;
+
+/// How long a link's report is waited for.
+const REPORT_WITHIN: Duration = Duration::from_secs(30);
+
+/// A link that leads through a fault proxy of its own.
+#[derive(Debug)]
+pub struct LinkControl {
+    proxy: ProcessHandle,
+}
+
+impl LinkControl {
+    /// Starts a proxy before `target`.
+    pub fn start(target: SocketAddr) -> Result<Self, TestbedError> {
+        let arguments = ["fault-proxy".to_string(), "--target".to_string(), target.to_string()];
+        Ok(Self { proxy: ProcessHandle::start("papayamux-standins", &arguments)? })
+    }
+
+    /// Where to connect instead of the target.
+    pub fn listen(&self) -> Result<SocketAddr, TestbedError> {
+        self.proxy.listen()
+    }
+
+    /// Replaces the link's faults.
+    pub async fn set(&self, faults: LinkFaults) -> Result<ConnectionReport, TestbedError> {
+        self.order(FAULTS_PATH, Some(&faults)).await
+    }
+
+    /// Lifts all faults; what was held is delivered, dropped connections stay silent.
+    pub async fn heal(&self) -> Result<ConnectionReport, TestbedError> {
+        self.set(LinkFaults::default()).await
+    }
+
+    /// Keeps all bytes of both ways, of new connections too, until the link is healed.
+    pub async fn hold(&self) -> Result<ConnectionReport, TestbedError> {
+        self.hold_ways(FaultyWays::Both).await
+    }
+
+    /// Keeps all bytes of some ways, of new connections too, until the link is healed.
+    pub async fn hold_ways(&self, ways: FaultyWays) -> Result<ConnectionReport, TestbedError> {
+        self.set(LinkFaults { hold: ways, ..LinkFaults::default() }).await
+    }
+
+    /// Makes the open connections silent for good; new ones work.
+    pub async fn silence(&self) -> Result<ConnectionReport, TestbedError> {
+        let drop = FaultyWays::Both;
+        self.set(LinkFaults { drop, only_existing: true, ..LinkFaults::default() }).await
+    }
+
+    /// Makes every byte late.
+    pub async fn delay(&self, late: Duration) -> Result<ConnectionReport, TestbedError> {
+        let delay_ms = late.as_millis() as u64;
+        self.set(LinkFaults { delay_ms, ..LinkFaults::default() }).await
+    }
+
+    /// Closes new connections at once.
+    pub async fn refuse(&self) -> Result<ConnectionReport, TestbedError> {
+        self.set(LinkFaults { refuse: true, ..LinkFaults::default() }).await
+    }
+
+    /// Closes each open connection after `bytes` more to the side that connected.
+    pub async fn cut_after(&self, bytes: u64) -> Result<ConnectionReport, TestbedError> {
+        let cut_after_bytes = Some(bytes);
+        self.set(LinkFaults { cut_after_bytes, only_existing: true, ..LinkFaults::default() }).await
+    }
+
+    /// Closes the open connections now.
+    pub async fn cut(&self) -> Result<ConnectionReport, TestbedError> {
+        self.order(CUT_PATH, None::<&()>).await
+    }
+
+    /// Ends some ways of the open connections, after what waits on them.
+    pub async fn half_close(&self, ways: FaultyWays) -> Result<ConnectionReport, TestbedError> {
+        self.order(HALF_CLOSE_PATH, Some(&HalfCloseOrder { ways })).await
+    }
+
+    /// What has passed.
+    pub async fn report(&self) -> Result<ConnectionReport, TestbedError> {
+        read_json(self.proxy.operations()?, Method::GET, CONNECTIONS_PATH, Bytes::new()).await
+    }
+
+    /// Waits until the report is as wanted.
+    pub async fn wait_report(
+        &self,
+        is_wanted: impl Fn(&ConnectionReport) -> bool,
+    ) -> Result<ConnectionReport, TestbedError> {
+        wait_until(REPORT_WITHIN, async || self.report().await, is_wanted).await
+    }
+
+    async fn order(
+        &self,
+        path: &str,
+        body: Option<&impl Serialize>,
+    ) -> Result<ConnectionReport, TestbedError> {
+        let body = body.map_or_else(|| Ok(Vec::new()), serde_json::to_vec)?;
+        read_json(self.proxy.operations()?, Method::POST, path, body.into()).await
+    }
+}
--- /dev/null
+++ b/crates/papayamux-testbed/src/outcome.rs
@@ -0,0 +1,81 @@
+//! What a caller learns of a request, whatever happens on the way.
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use papayamux_protocol::chat::ChatRequest;
+use papayamux_protocol::failure::{FailureBody, FailureEnvelope, FailureOutcome};
+
+use crate::caller::{Caller, CallerAnswer, CallerError};
+
+/// What a caller knows of a request in the end.
+#[derive(Debug)]
+pub enum CallerOutcome<A> {
+    /// The whole answer came.
+    Answered(A),
+    /// The router was not reached: the request never left the caller.
+    Unsent,
+    /// The router told a failure, with what became of the request.
+    Told(FailureBody),
+    /// The connection broke off, or the answer makes no sense.
+    Broken(CallerError),
+}
+
+impl<A> CallerOutcome<A> {
+    /// What the router told, where it told a failure.
+    pub fn told(&self) -> Option<FailureOutcome> {
+        match self {
+            CallerOutcome::Told(failure) => Some(failure.outcome),
+            _ => None,
+        }
+    }
+
+    fn of(result: Result<A, CallerError>) -> Self {
+        match result {
+            Ok(answer) => CallerOutcome::Answered(answer),
+            Err(CallerError::Client(error)) if error.nothing_was_sent() => CallerOutcome::Unsent,
+            Err(CallerError::Failure { status, body }) => match serde_json::from_str(&body) {
+                Ok(FailureEnvelope { error }) => CallerOutcome::Told(error),
+                Err(_) => CallerOutcome::Broken(CallerError::Failure { status, body }),
+            },
+            Err(error) => CallerOutcome::Broken(error),
+        }
+    }
+}
+
+impl Caller {
+    /// Sends a call exactly once and gives what came of it.
+    pub async fn call_once(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> CallerOutcome<Bytes> {
+        CallerOutcome::of(self.exchange_once(method, path, headers, body).await)
+    }
+
+    /// Sends a chat exactly once and gives what came of it.
+    pub async fn chat_once(
+        &self,
+        request: &ChatRequest,
+        headers: &[(&str, &str)],
+    ) -> CallerOutcome<CallerAnswer> {
+        CallerOutcome::of(self.stream_once(request, headers).await)
+    }
+
+    async fn exchange_once(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<Bytes, CallerError> {
+        let answer = self.send_once(method, path, headers, body).await?;
+        let status = answer.head.status;
+        let body = answer.whole_body(crate::caller::LONGEST_ANSWER).await?;
+        if status == StatusCode::OK {
+            return Ok(body);
+        }
+        Err(CallerError::Failure { status, body: String::from_utf8_lossy(&body).into_owned() })
+    }
+}
--- a/crates/papayamux-testbed/src/process.rs
+++ b/crates/papayamux-testbed/src/process.rs
@@ -54,6 +54,36 @@
     /// A signal could not be sent.
     #[error("signal: {0}")]
     Signal(#[from] nix::Error),
+    /// A process could not be asked.
+    #[error(transparent)]
+    Client(#[from] papayamux_transport::http::HttpClientError),
+    /// A request to a process could not be built.
+    #[error(transparent)]
+    Request(#[from] http::Error),
+    /// A process answered with other JSON than expected.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    /// A process refused to answer.
+    #[error("{path}: status {status}: {body}")]
+    Status {
+        /// The path asked for.
+        path: String,
+        /// The status.
+        status: http::StatusCode,
+        /// The body.
+        body: String,
+    },
+    /// A state that was waited for did not come.
+    #[error("still {found} after {within:?}")]
+    NotReached {
+        /// The state last seen.
+        found: String,
+        /// How long it was waited for.
+        within: Duration,
+    },
+    /// The fleet has no such link, router or server.
+    #[error("the fleet has no {0}")]
+    NoPart(String),
     /// The process did not end.
     #[error("{program}: did not end within {within:?}")]
     NoExit {
@@ -169,6 +199,28 @@
         Ok(kill(Pid::from_raw(self.child.id() as i32), signal)?)
     }
 
+    /// Stops the process where it stands (SIGSTOP), until [`Self::wake`].
+    pub fn pause(&self) -> Result<(), TestbedError> {
+        self.signal(Signal::SIGSTOP)
+    }
+
+    /// Lets a paused process go on (SIGCONT).
+    pub fn wake(&self) -> Result<(), TestbedError> {
+        self.signal(Signal::SIGCONT)
+    }
+
+    /// Asks the process to end gracefully (SIGTERM).
+    pub fn terminate(&self) -> Result<(), TestbedError> {
+        self.signal(Signal::SIGTERM)
+    }
+
+    /// Ends the process at once (SIGKILL) and waits until it has gone.
+    pub fn kill(&mut self) -> Result<(), TestbedError> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
     /// Waits for the process to end.
     pub fn wait_exit(&mut self, within: Duration) -> Result<ExitStatus, TestbedError> {
         let deadline = Instant::now() + within;
