Tell 'unknown' where an earlier offer may have run, whatever was refused later

Cause: a chat offered to a server whose link broke, and then refused by the next server, was told not_run, although the first server had run it. Change: a refusal no longer replaces an unknown outcome.

--- a/crates/papayamux-router/src/callers/offer.rs
+++ b/crates/papayamux-router/src/callers/offer.rs
@@ -57,26 +57,27 @@
 /// Offers a request to `peers` in their order.
 ///
 /// After a refusal the next server is asked. After an unknown outcome it is asked only where the
-/// request is idempotent.
+/// request is idempotent, and no later refusal makes the outcome known again.
 pub async fn offer_request(
     desk: &CallerDesk,
     offer: &RequestOffer,
     peers: &[Rc<AgentPeer>],
 ) -> Result<TakenRequest, FailureBody> {
-    let mut failure = None;
+    let mut refusal = UNREACHABLE;
+    let mut may_have_run = false;
     for peer in peers.iter().take(desk.settings.most_offers) {
         match offer_to(desk, offer, peer).await {
             OfferOutcome::Taken(taken) => return Ok(*taken),
             OfferOutcome::NotRun(notice) => {
                 desk.metrics.refusals.count(notice.reason.label());
-                failure = Some(refused(notice));
+                refusal = notice;
                 if !notice.reason.may_ask_elsewhere() {
                     break;
                 }
                 desk.metrics.retries.count(notice.reason.label());
             }
             OfferOutcome::Unknown => {
-                failure = Some(lost(&offer.repeat));
+                may_have_run = true;
                 if offer.repeat != RepeatRule::Idempotent {
                     break;
                 }
@@ -84,7 +85,10 @@
             }
         }
     }
-    Err(failure.unwrap_or_else(|| refused(UNREACHABLE)))
+    Err(match may_have_run {
+        true => lost(&offer.repeat),
+        false => refused(refusal),
+    })
 }
 
 async fn offer_to(desk: &CallerDesk, offer: &RequestOffer, peer: &AgentPeer) -> OfferOutcome {
