--- /dev/null
+++ b/crates/papayamux-measure/src/routing/experiment.rs
@@ -0,0 +1,211 @@
+//! Running the policies one after the other, each on a fleet of its own.
+
+use std::cell::{Cell, RefCell};
+use std::error::Error;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::AtomicU64;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use papayamux_testbed::{Caller, Fleet, FleetPlan, ProcessHandle, TestbedError};
+use papayamux_transport::runtime;
+
+use super::best_possible::PrefixOracle;
+use super::control_traffic::{mean_rate, read_counts};
+use super::disturbance::DisturbancePlan;
+use super::load_sampler::sample_loads;
+use super::options::{RoutingOptions, UNSET_POLICY};
+use super::report::{RoutingReport, RunLabel, RunYield};
+use super::scenario::Scenario;
+use super::session::SessionDesk;
+use super::site::SiteProfile;
+use super::tally::RunTally;
+use super::workload::{organisation_name, Workload, ORGANISATIONS};
+
+/// The part of a run that does not count.
+const WARM_UP_SHARE: f64 = 0.25;
+/// How long requests may take after the run's end.
+const FINISH_WITHIN: Duration = Duration::from_secs(10);
+const FINISH_LOOK: Duration = Duration::from_millis(20);
+
+/// Runs the measurement and prints one JSON line for each policy and scenario.
+pub fn measure_routing(options: &RoutingOptions) -> Result<(), Box<dyn Error>> {
+    let site = SiteProfile::of(options.site);
+    for scenario in &options.scenarios {
+        let workload = Workload::generate(options.seed, &site, *scenario, options.seconds);
+        let workload = Rc::new(workload);
+        for policy in &options.policies {
+            let plan = fleet_plan(options, &site, *scenario, policy);
+            let run = run_policy(plan, &site, *scenario, workload.clone(), options.seconds)?;
+            let label = RunLabel {
+                policy: policy.clone(),
+                scenario: scenario.to_string(),
+                site: options.site.to_string(),
+                seed: options.seed,
+                seconds: options.seconds,
+                warm_up_seconds: options.seconds * WARM_UP_SHARE,
+            };
+            let report = RoutingReport::new(label, &site, &run);
+            println!("{}", serde_json::to_string(&report)?);
+            std::io::stdout().flush()?;
+        }
+    }
+    Ok(())
+}
+
+fn fleet_plan(
+    options: &RoutingOptions,
+    site: &SiteProfile,
+    scenario: Scenario,
+    policy: &str,
+) -> FleetPlan {
+    let policy_line = match policy {
+        UNSET_POLICY => String::new(),
+        named => format!("policy = {named}\n"),
+    };
+    FleetPlan::builder()
+        .routers(site.routers)
+        .engines(site.engines)
+        .services(site.services)
+        .engine_arguments(engine_arguments(site, scenario))
+        .router_lines(format!("{policy_line}{}", options.router_lines))
+        .agent_server_lines(options.agent_lines.clone())
+        .hidden_servers(hidden_servers(site, scenario))
+        .build()
+}
+
+fn engine_arguments(site: &SiteProfile, scenario: Scenario) -> Vec<String> {
+    let reports = scenario.engine_reports();
+    let named = [
+        ("--step-us", site.step.as_micros().to_string()),
+        ("--batch", site.batch.to_string()),
+        ("--prefill", site.prefill.to_string()),
+        ("--cache-blocks", site.cache_blocks.to_string()),
+        ("--load-lag-ms", reports.load_lag.as_millis().to_string()),
+        ("--event-late-ms", reports.event_lateness.as_millis().to_string()),
+        ("--event-gap-share", reports.event_gap_share.to_string()),
+    ];
+    named.into_iter().flat_map(|(name, value)| [name.to_string(), value]).collect()
+}
+
+/// The servers that each router's list lacks.
+fn hidden_servers(site: &SiteProfile, scenario: Scenario) -> Vec<Vec<usize>> {
+    if scenario != Scenario::ListsDiffer {
+        return Vec::new();
+    }
+    (0..site.routers).map(|router| vec![2 * router, 2 * router + 1]).collect()
+}
+
+fn run_policy(
+    plan: FleetPlan,
+    site: &SiteProfile,
+    scenario: Scenario,
+    workload: Rc<Workload>,
+    seconds: f64,
+) -> Result<RunYield, Box<dyn Error>> {
+    let mut fleet = Fleet::start(plan)?;
+    let addresses = FleetAddresses::of(&fleet, site.engines)?;
+    let replaced = Arc::new(AtomicU64::new(0));
+    let (begun, length) = (Instant::now(), Duration::from_secs_f64(seconds));
+    let engines = site.engines;
+    std::thread::scope(|scope| {
+        let mask = replaced.clone();
+        let fleet = &mut fleet;
+        let disturber = scope.spawn(move || {
+            let replaced = &*mask;
+            DisturbancePlan { scenario, engines, begun, length, replaced }.carry_out(fleet)
+        });
+        let desk = Rc::new(SessionDesk {
+            begun,
+            end: length,
+            callers: callers(&addresses.routers),
+            workload,
+            engines,
+            replaced,
+            oracle: RefCell::new(PrefixOracle::default()),
+            tally: RefCell::new(RunTally::default()),
+            in_flight: Cell::new(0),
+        });
+        let mut run = runtime::run(drive(desk, addresses))?;
+        let disturbed = disturber.join().map_err(|_| "the disturbing thread panicked")?;
+        run.disturbance_error = disturbed.err().map(|error| error.to_string());
+        Ok(run)
+    })
+}
+
+async fn drive(desk: Rc<SessionDesk>, addresses: FleetAddresses) -> RunYield {
+    let samples = Rc::new(RefCell::new(Vec::new()));
+    monoio::spawn(sample_loads(addresses.engines, desk.begun, samples.clone()));
+    for chat in 0..desk.workload.chats.len() {
+        monoio::spawn(desk.clone().hold_chat(chat));
+    }
+    for call in desk.workload.calls.clone() {
+        monoio::spawn(desk.clone().make_call(call));
+    }
+    sleep_until(desk.begun, desk.end.mul_f64(WARM_UP_SHARE)).await;
+    let counted_from = desk.begun.elapsed();
+    let routers_before = read_counts(&addresses.router_operations).await;
+    let agents_before = read_counts(&addresses.agent_operations).await;
+    sleep_until(desk.begun, desk.end).await;
+    let seconds = (desk.begun.elapsed() - counted_from).as_secs_f64();
+    let routers_after = read_counts(&addresses.router_operations).await;
+    let agents_after = read_counts(&addresses.agent_operations).await;
+    let finish_by = desk.begun.elapsed() + FINISH_WITHIN;
+    while desk.in_flight.get() > 0 && desk.begun.elapsed() < finish_by {
+        monoio::time::sleep(FINISH_LOOK).await;
+    }
+    let (tally, samples) = (desk.tally.borrow().clone(), samples.borrow().clone());
+    RunYield {
+        tally,
+        samples,
+        control_router: mean_rate(&routers_before, &routers_after, seconds),
+        control_agent: mean_rate(&agents_before, &agents_after, seconds),
+        distinct_blocks: desk.oracle.borrow().blocks(),
+        unfinished: desk.in_flight.get(),
+        disturbance_error: None,
+    }
+}
+
+async fn sleep_until(begun: Instant, at: Duration) {
+    monoio::time::sleep(at.saturating_sub(begun.elapsed())).await;
+}
+
+fn callers(routers: &[SocketAddr]) -> Vec<Vec<Caller>> {
+    let of_router = |router: &SocketAddr| {
+        (0..ORGANISATIONS).map(|index| Caller::new(*router, &organisation_name(index))).collect()
+    };
+    routers.iter().map(of_router).collect()
+}
+
+/// Where the processes of a fleet listen.
+struct FleetAddresses {
+    routers: Vec<SocketAddr>,
+    engines: Vec<SocketAddr>,
+    router_operations: Vec<SocketAddr>,
+    agent_operations: Vec<SocketAddr>,
+}
+
+impl FleetAddresses {
+    fn of(fleet: &Fleet, engines: usize) -> Result<Self, TestbedError> {
+        let servers = &fleet.servers;
+        Ok(Self {
+            routers: fleet.routers.iter().map(ProcessHandle::listen).collect::<Result<_, _>>()?,
+            engines: servers
+                .iter()
+                .take(engines)
+                .map(|server| server.standin.listen())
+                .collect::<Result<_, _>>()?,
+            router_operations: fleet
+                .routers
+                .iter()
+                .map(ProcessHandle::operations)
+                .collect::<Result<_, _>>()?,
+            agent_operations: servers
+                .iter()
+                .map(|server| server.agent.operations())
+                .collect::<Result<_, _>>()?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/routing/report.rs
@@ -0,0 +1,210 @@
+//! The measurement's result: one JSON line for each policy and scenario.
+
+use std::time::Duration;
+
+use papayamux_protocol::engine::TOKENS_PER_BLOCK;
+use serde::Serialize;
+
+use super::load_sampler::{LoadSample, SkewSummary};
+use super::site::SiteProfile;
+use super::tally::{RunTally, TurnOutcome, TurnRecord};
+use super::workload::SURGING_ORGANISATION;
+
+/// All that a run yielded.
+#[derive(Debug, Clone, Default)]
+pub struct RunYield {
+    /// What callers saw.
+    pub tally: RunTally,
+    /// The engines' loads.
+    pub samples: Vec<LoadSample>,
+    /// Control bytes a second of a router.
+    pub control_router: Option<f64>,
+    /// Control bytes a second of an agent.
+    pub control_agent: Option<f64>,
+    /// Distinct prompt blocks of the whole run.
+    pub distinct_blocks: usize,
+    /// Requests that had no answer long after the run's end.
+    pub unfinished: usize,
+    /// Replacements of engines that failed, as text.
+    pub disturbance_error: Option<String>,
+}
+
+/// Which run it was.
+#[derive(Debug, Clone, Serialize)]
+pub struct RunLabel {
+    /// The policy.
+    pub policy: String,
+    /// The scenario.
+    pub scenario: String,
+    /// The site.
+    pub site: String,
+    /// The seed.
+    pub seed: u64,
+    /// Seconds of the run, warm-up included.
+    pub seconds: f64,
+    /// Seconds at its start that do not count.
+    pub warm_up_seconds: f64,
+}
+
+/// The figures of one run; times in milliseconds, shares between 0 and 1.
+#[derive(Debug, Clone, Serialize)]
+pub struct RoutingReport {
+    /// Which run it was.
+    #[serde(flatten)]
+    pub label: RunLabel,
+    /// Turns that were sent.
+    pub requests: u64,
+    /// Answered turns that come back to a chat.
+    pub returning: u64,
+    /// Of these, the share that found all that the chat's previous turn had left.
+    pub warm: f64,
+    /// Share of the answered turns' prompt tokens that came from a cache.
+    pub warm_prompt_token_share: f64,
+    /// The share that the best placement could have had.
+    pub best_possible_share: f64,
+    /// The first of the two shares over the second.
+    pub share_of_best: f64,
+    /// Median over time of highest load over mean load.
+    pub skew_p50: f64,
+    /// The same at the 95th percentile.
+    pub skew_p95: f64,
+    /// The same at its highest.
+    pub skew_max: f64,
+    /// The most requests that any engine had above the mean.
+    pub most_above_mean: f64,
+    /// Load samples that count.
+    pub load_samples: usize,
+    /// Load samples left out because the mean was below two requests.
+    pub load_samples_left_out: usize,
+    /// Mean requests at an engine, running and waiting.
+    pub mean_load: f64,
+    /// Median time to the first token.
+    pub ttft_p50_ms: f64,
+    /// 95th percentile of the time to the first token.
+    pub ttft_p95_ms: f64,
+    /// The same over the organisations that do not surge.
+    pub ttft_p95_others_ms: f64,
+    /// 99th percentile of the plain calls' latency.
+    pub turnstile_p99_ms: f64,
+    /// Plain calls sent.
+    pub turnstile_calls: u64,
+    /// Plain calls that were not answered.
+    pub turnstile_failed: u64,
+    /// Turns refused, with the word that they were not run.
+    pub refused: u64,
+    /// Of these, those of organisations that do not surge.
+    pub refused_others: u64,
+    /// Turns that failed in any other way.
+    pub failed: u64,
+    /// Answers that ended too early.
+    pub short: u64,
+    /// Answers with bytes of another answer.
+    pub mixed: u64,
+    /// Requests without an answer long after the end.
+    pub unfinished: usize,
+    /// Median time between two tokens of an answer: an engine's step as it truly was.
+    pub token_gap_p50_ms: f64,
+    /// Steps that the turns occupy a place for under the best placement, over those that all
+    /// places had, at the step as it truly was.
+    pub offered_load: f64,
+    /// Prompt tokens that had to be computed, over those that could be computed.
+    pub computed_prefill: f64,
+    /// Distinct blocks of all prompts, over the blocks that all caches hold.
+    pub blocks_over_cache: f64,
+    /// Control bytes a second of a router, if it counts them.
+    pub control_bytes_per_s_router: Option<f64>,
+    /// Control bytes a second of an agent, if it counts them.
+    pub control_bytes_per_s_agent: Option<f64>,
+    /// Why the scenario could not be carried out, if so.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub disturbance_error: Option<String>,
+}
+
+fn rounded(value: f64, digits: i32) -> f64 {
+    let scale = 10f64.powi(digits);
+    (value * scale).round() / scale
+}
+
+impl RoutingReport {
+    /// Sums up a run.
+    pub fn new(label: RunLabel, site: &SiteProfile, run: &RunYield) -> Self {
+        let warm_up = Duration::from_secs_f64(label.warm_up_seconds);
+        let end = Duration::from_secs_f64(label.seconds);
+        let tally = run.tally.after(warm_up);
+        let skew = SkewSummary::of(&run.samples, warm_up, end);
+        let offered = OfferedLoad::of(&tally, site, (end - warm_up).as_secs_f64());
+        let best = |turn: &TurnRecord, _| (turn.best_blocks * TOKENS_PER_BLOCK) as u64;
+        let warm_share = tally.token_share(|_, answer| answer.cached_tokens);
+        let best_share = tally.token_share(best);
+        let others = |turn: &TurnRecord| turn.organisation != SURGING_ORGANISATION;
+        let refused_others = tally.turns.iter().filter(|turn| others(turn));
+        let returning =
+            || tally.turns.iter().filter(|turn| turn.is_returning() && turn.answered().is_some());
+        let warm = returning().filter(|turn| turn.is_warm()).count();
+        let cache = (site.engines * site.cache_blocks) as f64;
+        Self {
+            requests: tally.turns.len() as u64,
+            returning: returning().count() as u64,
+            warm: rounded(warm as f64 / returning().count().max(1) as f64, 4),
+            warm_prompt_token_share: rounded(warm_share, 4),
+            best_possible_share: rounded(best_share, 4),
+            share_of_best: rounded(warm_share / best_share.max(f64::MIN_POSITIVE), 4),
+            skew_p50: rounded(skew.p50, 2),
+            skew_p95: rounded(skew.p95, 2),
+            skew_max: rounded(skew.max, 2),
+            most_above_mean: rounded(skew.most_above_mean, 1),
+            load_samples: skew.samples,
+            load_samples_left_out: skew.left_out,
+            mean_load: rounded(skew.mean_load, 2),
+            ttft_p50_ms: rounded(tally.first_token_ms(0.5, |_| true), 1),
+            ttft_p95_ms: rounded(tally.first_token_ms(0.95, |_| true), 1),
+            ttft_p95_others_ms: rounded(tally.first_token_ms(0.95, others), 1),
+            turnstile_p99_ms: rounded(tally.call_ms(0.99), 1),
+            turnstile_calls: tally.calls.len() as u64,
+            turnstile_failed: tally.calls.iter().filter(|(_, latency)| latency.is_none()).count()
+                as u64,
+            refused: tally.count(TurnOutcome::Refused),
+            refused_others: refused_others
+                .filter(|turn| turn.outcome == TurnOutcome::Refused)
+                .count() as u64,
+            failed: tally.count(TurnOutcome::Failed),
+            short: tally.count(TurnOutcome::Short),
+            mixed: tally.count(TurnOutcome::Mixed),
+            unfinished: run.unfinished,
+            token_gap_p50_ms: rounded(tally.token_gap_ms(), 2),
+            offered_load: rounded(offered.places, 3),
+            computed_prefill: rounded(offered.prefill * (1.0 - warm_share), 3),
+            blocks_over_cache: rounded(run.distinct_blocks as f64 / cache, 2),
+            control_bytes_per_s_router: run.control_router.map(|rate| rounded(rate, 0)),
+            control_bytes_per_s_agent: run.control_agent.map(|rate| rounded(rate, 0)),
+            disturbance_error: run.disturbance_error.clone(),
+            label,
+        }
+    }
+}
+
+/// Work that the turns bring, as shares of what the engines can do.
+struct OfferedLoad {
+    /// Places in the batches.
+    places: f64,
+    /// All prompt tokens, as if nothing were cached.
+    prefill: f64,
+}
+
+impl OfferedLoad {
+    fn of(tally: &RunTally, site: &SiteProfile, seconds: f64) -> Self {
+        let step_seconds = tally.token_gap_ms() / 1_000.0;
+        let steps = site.engines as f64 * seconds / step_seconds.max(f64::MIN_POSITIVE);
+        let place_steps = |turn: &TurnRecord| {
+            let warm = (turn.best_blocks * TOKENS_PER_BLOCK) as u64;
+            let cold = turn.prompt_tokens.saturating_sub(warm);
+            turn.answer_tokens + 1 + cold.div_ceil(site.prefill)
+        };
+        let occupied: u64 = tally.turns.iter().map(place_steps).sum();
+        let tokens: u64 = tally.turns.iter().map(|turn| turn.prompt_tokens).sum();
+        Self {
+            places: occupied as f64 / (steps * site.batch as f64),
+            prefill: tokens as f64 / (steps * site.prefill as f64),
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/routing/session.rs
@@ -0,0 +1,160 @@
+//! One chat as its caller holds it.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use papayamux_protocol::chat::ChatMessage;
+use papayamux_protocol::engine::{block_hashes, prompt_tokens, render_prompt, root_hash};
+use papayamux_protocol::failure::{FailureEnvelope, FailureOutcome};
+use papayamux_standins::engine::expected_answer;
+use papayamux_testbed::{chat_request, Caller, CallerError, FLEET_MODEL, FLEET_PATH};
+
+use super::best_possible::PrefixOracle;
+use super::tally::{AnsweredTurn, RunTally, TurnOutcome, TurnRecord};
+use super::workload::{CallScript, ChatScript, TurnScript, Workload};
+
+/// What all sessions of a run share.
+pub struct SessionDesk {
+    /// When the run began.
+    pub begun: Instant,
+    /// No turn is sent after this time.
+    pub end: Duration,
+    /// Callers, by router and organisation.
+    pub callers: Vec<Vec<Caller>>,
+    /// The documents that open chats.
+    pub workload: Rc<Workload>,
+    /// Engines, for the homes of the best placement.
+    pub engines: usize,
+    /// Engines replaced since somebody last looked, as a bit mask.
+    pub replaced: Arc<AtomicU64>,
+    /// The best placement so far.
+    pub oracle: RefCell<PrefixOracle>,
+    /// What happened so far.
+    pub tally: RefCell<RunTally>,
+    /// Requests in flight.
+    pub in_flight: Cell<usize>,
+}
+
+/// The blocks of a prompt.
+fn prompt_blocks(prompt: &str) -> Vec<u64> {
+    block_hashes(root_hash(FLEET_MODEL, None), prompt)
+}
+
+fn message(role: &str, content: String) -> ChatMessage {
+    ChatMessage { role: role.to_string(), content }
+}
+
+impl SessionDesk {
+    async fn wait_until(&self, at: Duration) {
+        monoio::time::sleep(at.saturating_sub(self.begun.elapsed())).await;
+    }
+
+    /// Holds chat number `index` of the workload.
+    pub async fn hold_chat(self: Rc<Self>, index: usize) {
+        let workload = self.workload.clone();
+        let chat = &workload.chats[index];
+        self.wait_until(chat.arrival).await;
+        let document = workload.documents[chat.organisation][chat.document].clone();
+        let mut messages = vec![message("system", document)];
+        let mut history_blocks = 0;
+        for turn in &chat.turns {
+            if self.begun.elapsed() >= self.end {
+                return;
+            }
+            messages.push(message("user", turn.text.clone()));
+            let prompt = render_prompt(&messages);
+            let answer = expected_answer(FLEET_MODEL, &prompt, Some(turn.answer_tokens));
+            let record = self.best_case(index, turn, &prompt, history_blocks);
+            let outcome = self.take_turn(chat, turn, &messages, &answer).await;
+            self.tally.borrow_mut().turns.push(TurnRecord { outcome, ..record });
+            let blocks = prompt_blocks(&format!("{prompt}assistant: {answer}\n"));
+            history_blocks = blocks.len();
+            self.oracle.borrow_mut().store(index % self.engines, &blocks);
+            messages.push(message("assistant", answer));
+            monoio::time::sleep(turn.pause).await;
+        }
+    }
+
+    /// The record of a turn that is about to be sent.
+    fn best_case(
+        &self,
+        chat: usize,
+        turn: &TurnScript,
+        prompt: &str,
+        history_blocks: usize,
+    ) -> TurnRecord {
+        let mut oracle = self.oracle.borrow_mut();
+        oracle.forget(self.replaced.swap(0, Ordering::AcqRel));
+        let blocks = prompt_blocks(prompt);
+        let best_blocks = oracle.best_blocks(&blocks);
+        oracle.store(chat % self.engines, &blocks);
+        TurnRecord {
+            sent: self.begun.elapsed(),
+            organisation: self.workload.chats[chat].organisation,
+            prompt_tokens: prompt_tokens(prompt.len()),
+            answer_tokens: u64::from(turn.answer_tokens),
+            history_blocks,
+            best_blocks,
+            outcome: TurnOutcome::Failed,
+        }
+    }
+
+    async fn take_turn(
+        &self,
+        chat: &ChatScript,
+        turn: &TurnScript,
+        messages: &[ChatMessage],
+        expected: &str,
+    ) -> TurnOutcome {
+        let mut request = chat_request(FLEET_MODEL, messages.to_vec(), turn.answer_tokens);
+        request.conversation.clone_from(&chat.conversation);
+        let caller = &self.callers[turn.router][chat.organisation];
+        self.in_flight.set(self.in_flight.get() + 1);
+        let sent = Instant::now();
+        let answer = caller.chat(&request).await;
+        let whole = sent.elapsed();
+        self.in_flight.set(self.in_flight.get() - 1);
+        match answer {
+            Ok(answer) if answer.text == expected => TurnOutcome::Answered(AnsweredTurn {
+                cached_tokens: answer.usage.prompt_tokens_details.cached_tokens,
+                first_token: answer.first_token,
+                token_gap: (whole - answer.first_token) / turn.answer_tokens,
+            }),
+            Ok(answer) if expected.starts_with(&answer.text) => TurnOutcome::Short,
+            Ok(_) => TurnOutcome::Mixed,
+            Err(error) => failed_outcome(&error),
+        }
+    }
+
+    /// Makes a call to a plain service.
+    pub async fn make_call(self: Rc<Self>, call: CallScript) {
+        self.wait_until(call.arrival).await;
+        let caller = &self.callers[call.router][call.organisation];
+        let (sent, path) = (self.begun.elapsed(), format!("{FLEET_PATH}/gate/7"));
+        let body = Bytes::from_static(b"{\"ticket\":7}");
+        self.in_flight.set(self.in_flight.get() + 1);
+        let answer = caller.call(Method::POST, &path, &[], body).await;
+        self.in_flight.set(self.in_flight.get() - 1);
+        let answered = matches!(answer, Ok((StatusCode::OK, _)));
+        let latency = answered.then(|| self.begun.elapsed() - sent);
+        self.tally.borrow_mut().calls.push((sent, latency));
+    }
+}
+
+fn failed_outcome(error: &CallerError) -> TurnOutcome {
+    match error {
+        CallerError::Failure { body, .. } => match serde_json::from_str::<FailureEnvelope>(body) {
+            Ok(envelope) if envelope.error.outcome == FailureOutcome::NotRun => {
+                TurnOutcome::Refused
+            }
+            _ => TurnOutcome::Failed,
+        },
+        CallerError::Nonsense(_) => TurnOutcome::Short,
+        CallerError::Client(_) | CallerError::Request(_) => TurnOutcome::Failed,
+    }
+}
--- a/crates/papayamux-standins/src/engine/mod.rs
+++ b/crates/papayamux-standins/src/engine/mod.rs
@@ -9,6 +9,6 @@
 
 pub use answer_plan::{expected_answer, AnswerPlan};
 pub use event_log::{EventLog, EventLogOptions};
-pub use http_interface::serve_engine;
+pub use http_interface::{serve_engine, TRUE_LOAD_PATH};
 pub use options::EngineOptions;
 pub use prefix_cache::PrefixCache;
--- a/crates/papayamux-testbed/src/fleet.rs
+++ b/crates/papayamux-testbed/src/fleet.rs
@@ -33,6 +33,9 @@
     /// Further lines for the `[router]` section of each router.
     #[builder(default)]
     pub router_lines: String,
+    /// For each router in order, the numbers of the servers that its list lacks.
+    #[builder(default)]
+    pub hidden_servers: Vec<Vec<usize>>,
 }
 
 /// The model that a fleet's engines have loaded.
@@ -81,20 +84,42 @@
     }
 
     fn start_server(&mut self, name: &str, is_engine: bool) -> Result<(), TestbedError> {
-        let standin = start_standin(&self.plan, name, is_engine)?;
+        let standin = start_standin(&self.plan, name, is_engine, any_port())?;
         let agent = self.start_agent(name, standin.listen()?)?;
         self.servers.push(RunningServer { name: name.to_string(), standin, agent, is_engine });
         Ok(())
     }
 
+    /// Kills server number `index` and its agent, and starts an empty one in its place.
+    pub fn replace_server(&mut self, index: usize) -> Result<(), TestbedError> {
+        let server = &mut self.servers[index];
+        let (standin, agent) = (server.standin.listen()?, server.agent.listen()?);
+        server.agent.kill();
+        server.standin.kill();
+        let (name, is_engine) = (server.name.clone(), server.is_engine);
+        let standin = start_standin(&self.plan, &name, is_engine, standin)?;
+        let agent = self.start_agent_at(&name, standin.listen()?, agent)?;
+        self.servers[index] = RunningServer { name, standin, agent, is_engine };
+        Ok(())
+    }
+
     /// Starts an agent for the server called `name` at `address`.
     pub fn start_agent(
         &self,
         name: &str,
         address: SocketAddr,
+    ) -> Result<ProcessHandle, TestbedError> {
+        self.start_agent_at(name, address, any_port())
+    }
+
+    fn start_agent_at(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        listen: SocketAddr,
     ) -> Result<ProcessHandle, TestbedError> {
         let settings = format!(
-            "[agent]\nlisten = 127.0.0.1:0\noperations = 127.0.0.1:0\nfailure_domain = a\n\
+            "[agent]\nlisten = {listen}\noperations = 127.0.0.1:0\nfailure_domain = a\n\
              [server]\nname = {name}\naddress = {address}\n{}\n",
             self.plan.agent_server_lines
         );
@@ -105,8 +130,11 @@
     /// Starts one more router before the servers as they are now.
     pub fn start_router(&mut self) -> Result<&ProcessHandle, TestbedError> {
         let mut agents = Vec::new();
-        for server in &self.servers {
-            agents.push((server, server.agent.listen()?));
+        let hidden = self.plan.hidden_servers.get(self.routers.len());
+        for (index, server) in self.servers.iter().enumerate() {
+            if !hidden.is_some_and(|hidden| hidden.contains(&index)) {
+                agents.push((server, server.agent.listen()?));
+            }
         }
         let settings = router_settings(&self.plan, &agents);
         let name = format!("router-{}", self.routers.len());
@@ -117,6 +145,10 @@
     }
 }
 
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
 /// The settings of a router before `agents`, each at the address that the router is to use.
 fn router_settings(plan: &FleetPlan, agents: &[(&RunningServer, SocketAddr)]) -> String {
     let mut text = format!(
@@ -138,12 +170,15 @@
     plan: &FleetPlan,
     name: &str,
     is_engine: bool,
+    listen: SocketAddr,
 ) -> Result<ProcessHandle, TestbedError> {
     let (kind, further) = match is_engine {
         true => ("engine", &plan.engine_arguments),
         false => ("service", &plan.service_arguments),
     };
-    let mut arguments: Vec<String> = [kind, "--name", name].map(str::to_string).into();
+    let listen = listen.to_string();
+    let mut arguments: Vec<String> =
+        [kind, "--name", name, "--listen", &listen].map(str::to_string).into();
     if is_engine {
         arguments.extend(["--models", FLEET_MODEL].map(str::to_string));
     }
--- a/crates/papayamux-testbed/src/process.rs
+++ b/crates/papayamux-testbed/src/process.rs
@@ -184,13 +184,20 @@
     }
 }
 
-impl Drop for ProcessHandle {
-    fn drop(&mut self) {
+impl ProcessHandle {
+    /// Kills the process and waits until it is gone.
+    pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 }
 
+impl Drop for ProcessHandle {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
