--- a/crates/papayamux-testbed/src/fleet.rs
+++ b/crates/papayamux-testbed/src/fleet.rs
@@ -90,7 +90,7 @@
     }
 
     fn start_server(&mut self, name: &str, is_engine: bool) -> Result<(), TestbedError> {
-        let standin = start_standin(&self.plan, name, is_engine)?;
+        let standin = start_standin(&self.plan, name, is_engine, ANY_PORT)?;
         let link = self.start_link(standin.listen()?)?;
         let address = link.as_ref().map_or_else(|| standin.listen(), LinkControl::listen)?;
         let agent = self.start_agent(name, address)?;
@@ -145,6 +145,18 @@
         Ok(())
     }
 
+    /// Kills a server and its agent, and starts empty ones at the same addresses.
+    pub fn replace_server(&mut self, server: usize) -> Result<(), TestbedError> {
+        let no_server = || TestbedError::NoPart(format!("server {server}"));
+        let running = self.servers.get_mut(server).ok_or_else(no_server)?;
+        running.agent.kill()?;
+        running.standin.kill()?;
+        let listen = running.standin.listen()?.to_string();
+        let (name, is_engine) = (running.name.clone(), running.is_engine);
+        running.standin = start_standin(&self.plan, &name, is_engine, &listen)?;
+        self.replace_agent(server)
+    }
+
     /// Starts one more router, before the servers that the plan lets it know.
     pub fn start_router(&mut self) -> Result<&ProcessHandle, TestbedError> {
         let index = self.routers.len();
@@ -211,12 +223,14 @@
     plan: &FleetPlan,
     name: &str,
     is_engine: bool,
+    listen: &str,
 ) -> Result<ProcessHandle, TestbedError> {
     let (kind, further) = match is_engine {
         true => ("engine", &plan.engine_arguments),
         false => ("service", &plan.service_arguments),
     };
-    let mut arguments: Vec<String> = [kind, "--name", name].map(str::to_string).into();
+    let mut arguments: Vec<String> =
+        [kind, "--name", name, "--listen", listen].map(str::to_string).into();
     if is_engine {
         arguments.extend(["--models", FLEET_MODEL].map(str::to_string));
     }
--- a/crates/papayamux-testbed/src/process.rs
+++ b/crates/papayamux-testbed/src/process.rs
@@ -243,8 +243,7 @@
 
 impl Drop for ProcessHandle {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let _ = self.kill();
     }
 }
 
