Resume, cancel, move and order at the engine stand-in

Cause: routing, resuming and orders need an engine that does what the platform's engines do, with a truth that tests can read.

Change: an answer is a record of how far its plan has come, so any number of readers may follow it from any token and nothing is buffered. A request whose readers have gone ends after a grace; one may cancel it by id. KV cache moves as blobs that only an engine with the same weights takes. Orders load and unload models and adapters, through the weight store where one is set; older fencing numbers are refused unless the engine ignores them. Failures have stable codes. Types for the platform's services are published.

--- a/crates/papayamux-protocol/src/engine.rs
+++ b/crates/papayamux-protocol/src/engine.rs
@@ -1,5 +1,9 @@
-//! The published interface of model engines: prompt blocks, loads and cache events.
+//! The published interface of model engines: prompt blocks, loads, cache events, requests that can
+//! be resumed and cancelled, KV blobs, and orders.
 
+use std::collections::BTreeMap;
+
+use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -19,6 +23,24 @@
 pub const CACHE_EVENTS_PATH: &str = "/v1/cache/events";
 /// The path of the blocks that an engine's cache holds now, as a [`CacheSnapshot`].
 pub const CACHE_BLOCKS_PATH: &str = "/v1/cache/blocks";
+/// The path below which an engine's requests are found by their id.
+pub const REQUESTS_PATH: &str = "/v1/requests";
+/// The path that turns a [`KvExportRequest`] into a blob.
+pub const KV_EXPORT_PATH: &str = "/v1/kv/export";
+/// The path that takes a blob and answers with [`KvImported`].
+pub const KV_IMPORT_PATH: &str = "/v1/kv/import";
+/// The path that takes an [`EngineOrder`] and answers 202 with [`EngineState`].
+pub const ORDERS_PATH: &str = "/v1/orders";
+/// The path of an engine's [`EngineState`].
+pub const STATE_PATH: &str = "/v1/state";
+/// Blocks in the largest KV blob.
+pub const MOST_KV_BLOCKS: usize = 4_096;
+/// Bytes of the longest KV blob.
+pub const LONGEST_KV_BLOB: usize = 8 * 1024 * 1024;
+/// Models and adapters in the largest order.
+pub const MOST_ORDERED: usize = 64;
+/// The version of models and adapters for which no version is named.
+pub const DEFAULT_VERSION: &str = "1";
 /// Events of the longest page of cache events; also what a reader gets that names no limit.
 pub const LONGEST_EVENT_PAGE: usize = 4_096;
 
@@ -123,3 +145,156 @@
     /// The blocks, in ascending order.
     pub blocks: Vec<u64>,
 }
+
+/// The path that cancels a request.
+pub fn cancel_path(id: &str) -> String {
+    format!("{REQUESTS_PATH}/{id}/cancel")
+}
+
+/// The path of the event stream of a request that runs or ended recently, from token number
+/// `from` on, where the first token has number 0.
+pub fn stream_path(id: &str, from: u64) -> String {
+    format!("{REQUESTS_PATH}/{id}/stream?from={from}")
+}
+
+/// What became of a request to cancel.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CancelOutcome {
+    /// Whether the request is cancelled; `false` if its answer was whole before.
+    pub cancelled: bool,
+}
+
+/// Asks for the KV cache of a chain of blocks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvExportRequest {
+    /// The chain, from its first block on. The blob holds those leading blocks that are cached,
+    /// at most [`MOST_KV_BLOCKS`].
+    pub blocks: Vec<u64>,
+}
+
+/// What an import stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvImported {
+    /// Blocks in the blob.
+    pub blocks: u64,
+}
+
+/// What an engine is to have loaded, as a whole: what the order does not name is unloaded.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineOrder {
+    /// The fencing number. An engine that checks it refuses a lower one than it has seen.
+    pub fence: u64,
+    /// Models to have loaded.
+    #[serde(default)]
+    pub models: Vec<String>,
+    /// Adapters to have loaded.
+    #[serde(default)]
+    pub adapters: Vec<String>,
+    /// Versions by the name of model or adapter; [`DEFAULT_VERSION`] for those not named.
+    #[serde(default)]
+    pub versions: BTreeMap<String, String>,
+    /// The role to take; the engine only keeps and reports it.
+    #[serde(default)]
+    pub role: String,
+}
+
+/// A model or adapter with its version.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EngineWeights {
+    /// The name of the model or adapter.
+    pub name: String,
+    /// Its version.
+    pub version: String,
+}
+
+/// A load that failed; the same order once more tries it again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FailedLoad {
+    /// The name of the model or adapter.
+    pub name: String,
+    /// The version that was to be loaded.
+    pub version: String,
+    /// Why it failed.
+    pub reason: String,
+}
+
+/// What an engine has loaded, and the last order that it obeyed.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineState {
+    /// The engine's name.
+    pub name: String,
+    /// The fencing number of the last order obeyed.
+    pub fence: Option<u64>,
+    /// The present role.
+    pub role: String,
+    /// Models that answer requests. A new version takes its place here once it is loaded.
+    pub models: Vec<EngineWeights>,
+    /// Adapters that answer requests.
+    pub adapters: Vec<EngineWeights>,
+    /// Models and adapters being loaded.
+    pub loading: Vec<EngineWeights>,
+    /// Loads of the last order that failed.
+    pub failed: Vec<FailedLoad>,
+}
+
+/// Stable codes of an engine's failures.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineErrorCode {
+    /// The request is malformed.
+    InvalidRequest,
+    /// Nothing is served at the path.
+    UnknownPath,
+    /// The model is not loaded.
+    ModelNotLoaded,
+    /// The adapter is not loaded.
+    AdapterNotLoaded,
+    /// Too many requests wait for a place in the batch.
+    QueueFull,
+    /// No request with this id runs or ended recently.
+    UnknownRequest,
+    /// The request was cancelled.
+    Cancelled,
+    /// An order with a higher fencing number was seen.
+    StaleFence,
+    /// None of the blocks is cached.
+    BlocksNotHeld,
+    /// The blob belongs to a model, adapter or version that is not loaded.
+    ForeignBlob,
+}
+
+impl EngineErrorCode {
+    /// The HTTP status that goes with the code.
+    pub fn status(self) -> StatusCode {
+        match self {
+            EngineErrorCode::InvalidRequest => StatusCode::BAD_REQUEST,
+            EngineErrorCode::UnknownPath
+            | EngineErrorCode::ModelNotLoaded
+            | EngineErrorCode::AdapterNotLoaded
+            | EngineErrorCode::UnknownRequest
+            | EngineErrorCode::BlocksNotHeld => StatusCode::NOT_FOUND,
+            EngineErrorCode::QueueFull => StatusCode::SERVICE_UNAVAILABLE,
+            EngineErrorCode::Cancelled => StatusCode::GONE,
+            EngineErrorCode::StaleFence | EngineErrorCode::ForeignBlob => StatusCode::CONFLICT,
+        }
+    }
+}
+
+/// Why an engine refuses a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineError {
+    /// The stable code.
+    pub code: EngineErrorCode,
+    /// A sentence for people.
+    pub message: String,
+    /// With [`EngineErrorCode::StaleFence`], the highest fencing number seen.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub highest_fence: Option<u64>,
+}
+
+/// The body of an engine's failure.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineFailure {
+    /// The failure.
+    pub error: EngineError,
+}
--- a/crates/papayamux-protocol/src/lib.rs
+++ b/crates/papayamux-protocol/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod failure;
 pub mod headers;
 pub mod link;
+pub mod platform;
 pub mod proof;
 pub mod wire;
--- /dev/null
+++ b/crates/papayamux-standins/src/engine/answer_record.rs
@@ -0,0 +1,141 @@
+//! How far a request's answer has come, for those who read it now or resume it later.
+
+use std::cell::{Cell, RefCell};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+use futures_util::Stream;
+use papayamux_protocol::chat::UsageReport;
+
+use super::answer_plan::AnswerPlan;
+
+/// How an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// All tokens were produced.
+    Whole(UsageReport),
+    /// The request was cancelled, or nobody read it any more.
+    Cancelled,
+}
+
+/// What a reader of an answer receives.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AnswerEvent {
+    /// The next token.
+    Token(String),
+    /// The answer has ended.
+    End(AnswerEnd),
+}
+
+/// The state of one answer. The tokens follow from the plan, so that none is buffered.
+#[derive(Debug)]
+pub struct AnswerRecord {
+    /// What is answered.
+    pub plan: AnswerPlan,
+    produced: Cell<u64>,
+    end: Cell<Option<AnswerEnd>>,
+    readers: Cell<usize>,
+    last_left: Cell<Option<Instant>>,
+    wakers: RefCell<Vec<Waker>>,
+}
+
+impl AnswerRecord {
+    /// An answer of which nothing was produced yet.
+    pub fn new(plan: AnswerPlan) -> Rc<Self> {
+        Rc::new(Self {
+            plan,
+            produced: Cell::new(0),
+            end: Cell::new(None),
+            readers: Cell::new(0),
+            last_left: Cell::new(None),
+            wakers: RefCell::default(),
+        })
+    }
+
+    /// Tokens produced so far.
+    pub fn produced(&self) -> u64 {
+        self.produced.get()
+    }
+
+    /// How the answer ended, if it has.
+    pub fn end(&self) -> Option<AnswerEnd> {
+        self.end.get()
+    }
+
+    /// One more token is there.
+    pub fn produce(&self) {
+        self.produced.set(self.produced.get() + 1);
+        self.wake();
+    }
+
+    /// Ends the answer; only the first end counts.
+    pub fn finish(&self, end: AnswerEnd) {
+        if self.end.get().is_none() {
+            self.end.set(Some(end));
+            self.wake();
+        }
+    }
+
+    /// Whether all readers have been gone for the time of `grace`.
+    pub fn is_abandoned(&self, now: Instant, grace: Duration) -> bool {
+        self.readers.get() == 0 && self.last_left.get().is_some_and(|left| left + grace <= now)
+    }
+
+    fn wake(&self) {
+        let wakers = std::mem::take(&mut *self.wakers.borrow_mut());
+        wakers.into_iter().for_each(Waker::wake);
+    }
+
+    fn wait(&self, waker: &Waker) {
+        let mut wakers = self.wakers.borrow_mut();
+        if !wakers.iter().any(|known| known.will_wake(waker)) {
+            wakers.push(waker.clone());
+        }
+    }
+}
+
+/// Reads an answer from some token on; the answer is abandoned once its last reader is dropped.
+#[derive(Debug)]
+pub struct AnswerReader {
+    record: Rc<AnswerRecord>,
+    next: u64,
+    ended: bool,
+}
+
+impl AnswerReader {
+    /// A reader whose first token has number `from`.
+    pub fn new(record: Rc<AnswerRecord>, from: u64) -> Self {
+        record.readers.set(record.readers.get() + 1);
+        Self { record, next: from, ended: false }
+    }
+}
+
+impl Stream for AnswerReader {
+    type Item = AnswerEvent;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<AnswerEvent>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        if self.next < self.record.produced() {
+            let token = self.record.plan.token(self.next);
+            self.next += 1;
+            return Poll::Ready(Some(AnswerEvent::Token(token)));
+        }
+        if let Some(end) = self.record.end() {
+            self.ended = true;
+            return Poll::Ready(Some(AnswerEvent::End(end)));
+        }
+        self.record.wait(context.waker());
+        Poll::Pending
+    }
+}
+
+impl Drop for AnswerReader {
+    fn drop(&mut self) {
+        self.record.readers.set(self.record.readers.get() - 1);
+        self.record.last_left.set(Some(Instant::now()));
+    }
+}
--- a/crates/papayamux-standins/src/engine/batch.rs
+++ b/crates/papayamux-standins/src/engine/batch.rs
@@ -1,72 +1,25 @@
-//! Continuous batching: each step computes some prompt tokens and one token of each answer.
+//! The engine's continuous batch: each step computes prompt tokens and one token of each answer.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Instant;
 
-use local_sync::mpsc::unbounded;
-use papayamux_protocol::chat::{PromptDetails, UsageReport};
-use papayamux_protocol::engine::{
-    block_hashes, prompt_tokens, root_hash, CacheChange, CacheEventPage, CacheSnapshot, EngineLoad,
-    TOKENS_PER_BLOCK,
-};
+use papayamux_protocol::engine::{CacheEventPage, CacheSnapshot, EngineLoad};
 use papayamux_transport::shutdown::ShutdownSignal;
 
-use super::answer_plan::AnswerPlan;
-use super::event_log::EventLog;
+use super::answer_record::{AnswerEnd, AnswerReader, AnswerRecord};
+use super::batch_state::BatchState;
+use super::job::{EngineJob, EngineRequest};
 use super::options::EngineOptions;
-use super::prefix_cache::PrefixCache;
-use crate::lagged::LaggedValue;
 
-/// A request as the engine understands it.
-#[derive(Debug, Clone)]
-pub struct EngineRequest {
-    /// The id that the caller gave.
-    pub id: String,
-    /// The tag under which a test counts the request's runs.
-    pub tag: Option<String>,
-    /// The model.
-    pub model: String,
-    /// The adapter.
-    pub adapter: Option<String>,
-    /// The rendered prompt.
-    pub prompt: String,
-    /// The priority class; a lower number goes first.
-    pub priority: u32,
-    /// What will be answered.
-    pub plan: AnswerPlan,
-}
-
-/// What a running request produces.
+/// A chain of blocks that the cache holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum EngineEvent {
-    /// The next token.
-    Token(String),
-    /// The answer is whole.
-    Done(UsageReport),
-}
-
-struct EngineJob {
-    request: EngineRequest,
-    arrival: u64,
-    cached: u64,
-    prompt_tokens: u64,
-    prefill_left: u64,
-    produced: u64,
-    events: unbounded::Tx<EngineEvent>,
-}
-
-struct BatchState {
-    arrivals: u64,
-    waiting: Vec<EngineJob>,
-    running: Vec<EngineJob>,
-    cache: PrefixCache,
-    log: EventLog,
-    load: LaggedValue<EngineLoad>,
-    runs: HashMap<String, u64>,
-    tag_runs: HashMap<String, u64>,
-    idle: Option<ShutdownSignal>,
+pub struct HeldChain {
+    /// The root below which the chain hangs.
+    pub root: u64,
+    /// The blocks, the first one first.
+    pub blocks: Vec<u64>,
 }
 
 /// The engine's batch and cache; clones share them.
@@ -74,53 +27,62 @@
 pub struct EngineBatch {
     options: Rc<EngineOptions>,
     state: Rc<RefCell<BatchState>>,
+    idle: Rc<Cell<Option<ShutdownSignal>>>,
 }
 
 impl EngineBatch {
     /// Starts the batch's steps on the current runtime.
-    pub fn start(options: EngineOptions) -> Self {
-        let state = BatchState::new(&options);
-        let batch = Self { options: Rc::new(options), state: Rc::new(RefCell::new(state)) };
+    pub fn start(options: Rc<EngineOptions>) -> Self {
+        let state = Rc::new(RefCell::new(BatchState::new(&options)));
+        let batch = Self { options, state, idle: Rc::default() };
         monoio::spawn(run_steps(batch.clone()));
         batch
     }
 
-    /// The engine's options.
-    pub fn options(&self) -> &EngineOptions {
-        &self.options
-    }
-
-    /// Adds a request; dropping the receiver cancels it.
-    pub fn submit(&self, request: EngineRequest) -> unbounded::Rx<EngineEvent> {
-        let (events, receiver) = unbounded::channel();
+    /// Adds a request; `None` if too many wait already.
+    pub fn submit(&self, request: EngineRequest) -> Option<AnswerReader> {
         let mut state = self.state.borrow_mut();
-        let tokens = prompt_tokens(request.prompt.len());
+        if state.waiting.len() >= self.options.waiting_limit {
+            return None;
+        }
+        let record = AnswerRecord::new(request.plan);
+        state.requests.add(&request.id, record.clone());
         state.arrivals += 1;
-        let job = EngineJob {
-            arrival: state.arrivals,
-            cached: 0,
-            prompt_tokens: tokens,
-            prefill_left: tokens,
-            produced: 0,
-            events,
-            request,
-        };
+        let job = EngineJob::new(request, record.clone(), state.arrivals);
         state.waiting.push(job);
-        state.note_load(&self.options);
-        if let Some(signal) = state.idle.take() {
+        state.note_load(Instant::now());
+        if let Some(signal) = self.idle.take() {
             signal.give();
         }
-        receiver
+        Some(AnswerReader::new(record, 0))
+    }
+
+    /// Reads the answer of a request that runs or ended recently, from token number `from` on.
+    pub fn resume(&self, id: &str, from: u64) -> Option<AnswerReader> {
+        let state = self.state.borrow();
+        state.requests.find(id).map(|record| AnswerReader::new(record.clone(), from))
+    }
+
+    /// How the answer of a request ended; `None` while it goes on or if the id is not known.
+    pub fn end_of(&self, id: &str) -> Option<AnswerEnd> {
+        self.state.borrow().requests.find(id).and_then(|record| record.end())
+    }
+
+    /// Cancels a request, and says how it ended; `None` if the id is not known.
+    pub fn cancel(&self, id: &str) -> Option<AnswerEnd> {
+        let record = self.state.borrow().requests.find(id).cloned()?;
+        record.finish(AnswerEnd::Cancelled);
+        record.end()
     }
 
     /// How often each request id was started.
     pub fn runs(&self) -> HashMap<String, u64> {
-        self.state.borrow().runs.clone()
+        self.state.borrow().requests.runs().clone()
     }
 
     /// How often a request with each tag was started.
     pub fn tag_runs(&self) -> HashMap<String, u64> {
-        self.state.borrow().tag_runs.clone()
+        self.state.borrow().requests.tag_runs().clone()
     }
 
     /// The load as the engine reports it, with its lag.
@@ -148,123 +110,45 @@
         }
     }
 
-    fn step(&self) {
-        let mut state = self.state.borrow_mut();
-        state.admit(self.options.batch_limit);
-        state.advance(self.options.prefill_per_step);
-        state.note_load(&self.options);
-    }
-
-    fn is_empty(&self) -> bool {
+    /// The leading blocks of `chain` that the cache holds; `None` if it holds none.
+    pub fn held_chain(&self, chain: &[u64]) -> Option<HeldChain> {
         let state = self.state.borrow();
-        state.waiting.is_empty() && state.running.is_empty()
-    }
-
-    async fn wait_for_work(&self) {
-        if self.is_empty() {
-            let signal = ShutdownSignal::new();
-            self.state.borrow_mut().idle = Some(signal.clone());
-            signal.given().await;
-        }
-    }
-}
-
-impl BatchState {
-    fn new(options: &EngineOptions) -> Self {
-        let load = EngineLoad { batch_limit: options.batch_limit as u64, ..EngineLoad::default() };
-        Self {
-            arrivals: 0,
-            waiting: Vec::new(),
-            running: Vec::new(),
-            cache: PrefixCache::new(options.cache_blocks),
-            log: EventLog::new(options.events),
-            load: LaggedValue::new(options.load_lag, load),
-            runs: HashMap::new(),
-            tag_runs: HashMap::new(),
-            idle: None,
-        }
-    }
-
-    fn note_load(&mut self, options: &EngineOptions) {
-        let load = EngineLoad {
-            running: self.running.len() as u64,
-            waiting: self.waiting.len() as u64,
-            prefill_tokens: self.running.iter().map(|job| job.prefill_left).sum(),
-            batch_limit: options.batch_limit as u64,
+        let mut parent = None;
+        let follows = |block: &&u64| {
+            let follows = state.cache.parent_of(**block) == parent;
+            parent = Some(**block);
+            follows && state.cache.root_of(**block).is_some()
         };
-        self.load.set(Instant::now(), load);
+        let blocks: Vec<_> = chain.iter().take_while(follows).copied().collect();
+        let root = state.cache.root_of(*blocks.first()?)?;
+        Some(HeldChain { root, blocks })
     }
 
-    fn advance(&mut self, mut prefill: u64) {
-        let cache = &mut self.cache;
-        let mut changes = Vec::new();
-        self.running.retain_mut(|job| job.advance(&mut prefill, cache, &mut changes));
-        self.log.append(Instant::now(), changes);
+    /// Stores a chain that was computed elsewhere.
+    pub fn import(&self, chain: &HeldChain) {
+        self.state.borrow_mut().import(Instant::now(), chain.root, &chain.blocks);
     }
 
-    /// Moves waiting requests into the batch, by priority and then by arrival.
-    fn admit(&mut self, limit: usize) {
-        self.waiting.retain(|job| !job.events.is_closed());
-        self.waiting.sort_by_key(|job| (job.request.priority, job.arrival));
-        let places = limit.saturating_sub(self.running.len()).min(self.waiting.len());
-        for mut job in self.waiting.drain(..places) {
-            let blocks = job.request.blocks("");
-            let warm = self.cache.warm_blocks(&blocks);
-            self.cache.touch(&blocks[..warm]);
-            job.cached = (warm * TOKENS_PER_BLOCK) as u64;
-            job.prefill_left = job.prompt_tokens.saturating_sub(job.cached);
-            *self.runs.entry(job.request.id.clone()).or_default() += 1;
-            if let Some(tag) = &job.request.tag {
-                *self.tag_runs.entry(tag.clone()).or_default() += 1;
-            }
-            self.running.push(job);
-        }
+    /// Empties the cache of everything below `roots`.
+    pub fn evict_roots(&self, roots: &HashSet<u64>) {
+        self.state.borrow_mut().evict_roots(Instant::now(), roots);
     }
-}
 
-impl EngineRequest {
-    fn root(&self) -> u64 {
-        root_hash(&self.model, self.adapter.as_deref())
+    fn step(&self) {
+        self.state.borrow_mut().step(Instant::now(), &self.options);
     }
 
-    fn blocks(&self, answer: &str) -> Vec<u64> {
-        block_hashes(self.root(), &format!("{}{answer}", self.prompt))
+    fn is_empty(&self) -> bool {
+        let state = self.state.borrow();
+        state.waiting.is_empty() && state.running.is_empty()
     }
-}
 
-impl EngineJob {
-    /// Does one step of the request; `false` once it has ended.
-    fn advance(
-        &mut self,
-        prefill: &mut u64,
-        cache: &mut PrefixCache,
-        changes: &mut Vec<CacheChange>,
-    ) -> bool {
-        if self.events.is_closed() {
-            return false;
-        }
-        if self.prefill_left > 0 {
-            let computed = self.prefill_left.min(*prefill);
-            *prefill -= computed;
-            self.prefill_left -= computed;
-            if self.prefill_left == 0 {
-                changes.extend(cache.store(self.request.root(), &self.request.blocks("")));
-            }
-            return true;
-        }
-        if self.produced < self.request.plan.tokens {
-            let token = self.request.plan.token(self.produced);
-            self.produced += 1;
-            return self.events.send(EngineEvent::Token(token)).is_ok();
+    async fn wait_for_work(&self) {
+        if self.is_empty() {
+            let signal = ShutdownSignal::new();
+            self.idle.set(Some(signal.clone()));
+            signal.given().await;
         }
-        let turn = format!("assistant: {}\n", self.request.plan.text());
-        changes.extend(cache.store(self.request.root(), &self.request.blocks(&turn)));
-        let _ = self.events.send(EngineEvent::Done(UsageReport {
-            prompt_tokens: self.prompt_tokens,
-            completion_tokens: self.produced,
-            prompt_tokens_details: PromptDetails { cached_tokens: self.cached },
-        }));
-        false
     }
 }
 
--- /dev/null
+++ b/crates/papayamux-standins/src/engine/kv_blob.rs
@@ -0,0 +1,79 @@
+//! Blobs of KV cache: a chain of blocks with as many bytes as an export would have.
+
+use bytes::Bytes;
+use papayamux_protocol::engine::{LONGEST_KV_BLOB, MOST_KV_BLOCKS};
+use prost::Message;
+use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::batch::HeldChain;
+
+/// Bytes of a blob that are not contents, at most.
+const OVERHEAD: usize = 64 + 10 * MOST_KV_BLOCKS;
+
+/// Why a blob can't be taken.
+#[derive(Debug, Error)]
+pub enum KvBlobError {
+    /// It is no blob.
+    #[error("this is no KV blob: {0}")]
+    Shape(#[from] prost::DecodeError),
+    /// It is not as it was exported.
+    #[error("the KV blob is damaged")]
+    Damaged,
+    /// It has too many blocks.
+    #[error("the KV blob has {0} blocks, the bound is {MOST_KV_BLOCKS}")]
+    TooMany(usize),
+}
+
+/// A chain with what its KV cache would need to be used elsewhere.
+#[derive(Clone, PartialEq, Message)]
+pub struct KvBlob {
+    #[prost(fixed64, tag = "1")]
+    root: u64,
+    #[prost(fixed64, tag = "2")]
+    weights: u64,
+    #[prost(fixed64, repeated, tag = "3")]
+    blocks: Vec<u64>,
+    #[prost(fixed64, tag = "4")]
+    checksum: u64,
+    #[prost(bytes = "bytes", tag = "5")]
+    contents: Bytes,
+}
+
+impl KvBlob {
+    /// The blob of a chain that was computed with `weights`.
+    pub fn new(chain: HeldChain, weights: u64, block_bytes: usize) -> Self {
+        let length = block_bytes.saturating_mul(chain.blocks.len());
+        let length = length.min(LONGEST_KV_BLOB - OVERHEAD);
+        let contents = Bytes::from(vec![0; length]);
+        let mut blob =
+            Self { root: chain.root, weights, blocks: chain.blocks, checksum: 0, contents };
+        blob.checksum = blob.compute_checksum();
+        blob
+    }
+
+    /// Reads a blob.
+    pub fn read(bytes: Bytes) -> Result<Self, KvBlobError> {
+        let blob = Self::decode(bytes)?;
+        match blob.blocks.len() {
+            count if count > MOST_KV_BLOCKS => Err(KvBlobError::TooMany(count)),
+            _ if blob.checksum != blob.compute_checksum() => Err(KvBlobError::Damaged),
+            _ => Ok(blob),
+        }
+    }
+
+    /// The number that tells which weights the chain was computed with.
+    pub fn weights(&self) -> u64 {
+        self.weights
+    }
+
+    /// The chain.
+    pub fn into_chain(self) -> HeldChain {
+        HeldChain { root: self.root, blocks: self.blocks }
+    }
+
+    fn compute_checksum(&self) -> u64 {
+        let seed = xxh3_64_with_seed(&self.contents, self.root ^ self.weights);
+        self.blocks.iter().fold(seed, |hash, block| xxh3_64_with_seed(&block.to_le_bytes(), hash))
+    }
+}
--- /dev/null
+++ b/crates/papayamux-standins/src/engine/model_loader.rs
@@ -0,0 +1,130 @@
+//! Orders: which models and adapters the engine has loaded, and is to load.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use papayamux_protocol::engine::{
+    EngineError, EngineErrorCode, EngineOrder, EngineState, MOST_ORDERED,
+};
+use papayamux_protocol::platform::weights_path;
+use papayamux_transport::http::{HttpClient, HttpClientError};
+
+use super::batch::EngineBatch;
+use super::failure::{engine_error, invalid_request};
+use super::loaded_weights::{LoadedWeights, WeightsKey};
+use super::options::EngineOptions;
+
+/// Bytes of the longest weights that the store gives.
+const LONGEST_WEIGHTS: u64 = 16 * 1024 * 1024;
+
+/// Brings the engine to what orders say; clones share its state.
+#[derive(Clone)]
+pub struct ModelLoader {
+    options: Rc<EngineOptions>,
+    weights: Rc<RefCell<LoadedWeights>>,
+    batch: EngineBatch,
+    store: Option<HttpClient>,
+}
+
+impl ModelLoader {
+    /// A loader that has the models and adapters of the options loaded.
+    pub fn new(options: Rc<EngineOptions>, batch: EngineBatch) -> Self {
+        let weights = Rc::new(RefCell::new(LoadedWeights::new(&options)));
+        let store = options.weight_store.map(HttpClient::new);
+        Self { options, weights, batch, store }
+    }
+
+    /// What is loaded now.
+    pub fn state(&self) -> EngineState {
+        self.weights.borrow().state(&self.options.server)
+    }
+
+    /// Refuses a request for a model or adapter that is not loaded.
+    pub fn check_loaded(&self, model: &str, adapter: Option<&str>) -> Result<(), EngineError> {
+        let weights = self.weights.borrow();
+        if !weights.is_loaded(&WeightsKey::model(model)) {
+            let message = format!("model {model} is not loaded");
+            return Err(engine_error(EngineErrorCode::ModelNotLoaded, message));
+        }
+        match adapter {
+            Some(adapter) if !weights.is_loaded(&WeightsKey::adapter(adapter)) => {
+                let message = format!("adapter {adapter} is not loaded");
+                Err(engine_error(EngineErrorCode::AdapterNotLoaded, message))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// What tells the weights below a root from those of other versions; `None` if they are not
+    /// loaded.
+    pub fn weights_below(&self, root: u64) -> Option<u64> {
+        self.weights.borrow().roots().get(&root).copied()
+    }
+
+    /// Takes an order; loads go on after this returns.
+    pub fn obey(&self, order: EngineOrder) -> Result<EngineState, EngineError> {
+        if order.models.len() + order.adapters.len() > MOST_ORDERED {
+            let message = format!("an order names at most {MOST_ORDERED} models and adapters");
+            return Err(invalid_request(message));
+        }
+        self.check_fence(order.fence)?;
+        let starts = self.change(|weights| weights.retarget(order));
+        for (key, version) in starts {
+            monoio::spawn(self.clone().load(key, version));
+        }
+        Ok(self.state())
+    }
+
+    fn check_fence(&self, fence: u64) -> Result<(), EngineError> {
+        let highest = self.weights.borrow().highest_fence();
+        if self.options.ignore_fencing || fence >= highest {
+            return Ok(());
+        }
+        let message = format!("order {fence} is older than order {highest}");
+        let error = engine_error(EngineErrorCode::StaleFence, message);
+        Err(EngineError { highest_fence: Some(highest), ..error })
+    }
+
+    /// Changes the weights, and empties the cache of what was computed with weights now gone.
+    fn change<T>(&self, change: impl FnOnce(&mut LoadedWeights) -> T) -> T {
+        let mut weights = self.weights.borrow_mut();
+        let before = weights.roots();
+        let result = change(&mut weights);
+        let after = weights.roots();
+        let gone: HashSet<u64> = before
+            .iter()
+            .filter(|(root, identity)| after.get(root) != Some(identity))
+            .map(|(root, _)| *root)
+            .collect();
+        self.batch.evict_roots(&gone);
+        result
+    }
+
+    async fn load(self, key: WeightsKey, version: String) {
+        let fetched = self.fetch(&key, &version).await;
+        monoio::time::sleep(self.options.load_time).await;
+        if let Err(reason) = &fetched {
+            log::warn!(name = key.name, version = version, reason = reason; "load failed");
+        }
+        self.change(|weights| weights.loaded(key, version, fetched));
+    }
+
+    async fn fetch(&self, key: &WeightsKey, version: &str) -> Result<(), String> {
+        let Some(store) = &self.store else { return Ok(()) };
+        let request = Request::get(weights_path(&key.name, version))
+            .header(http::header::HOST, store.address().to_string())
+            .body(Bytes::new())
+            .map_err(|error| error.to_string())?;
+        let describe = |error: HttpClientError| format!("weight store: {error}");
+        let answer = store.send_idempotent(request).await.map_err(describe)?;
+        let status = answer.head.status;
+        answer.whole_body(LONGEST_WEIGHTS).await.map_err(describe)?;
+        match status {
+            StatusCode::OK => Ok(()),
+            other => Err(format!("weight store: status {other}")),
+        }
+    }
+}
--- a/crates/papayamux-standins/src/engine/options.rs
+++ b/crates/papayamux-standins/src/engine/options.rs
@@ -1,9 +1,10 @@
 //! How an engine stand-in behaves.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bon::Builder;
-use papayamux_state::ids::{ModelId, ServerId};
+use papayamux_state::ids::{AdapterId, ModelId, ServerId};
 
 use super::event_log::EventLogOptions;
 
@@ -14,6 +15,9 @@
     pub server: ServerId,
     /// Models it has loaded.
     pub models: Vec<ModelId>,
+    /// Adapters it has loaded.
+    #[builder(default)]
+    pub adapters: Vec<AdapterId>,
     /// Time of one step, in which each running request gets one token.
     #[builder(default = Duration::from_millis(4))]
     pub step: Duration,
@@ -32,4 +36,27 @@
     /// How old the state is that load reports show.
     #[builder(default)]
     pub load_lag: Duration,
+    /// Requests that may wait for a place in the batch.
+    #[builder(default = 10_000)]
+    pub waiting_limit: usize,
+    /// How long a request runs on after its last reader has gone.
+    #[builder(default)]
+    pub cancel_grace: Duration,
+    /// Whether orders are obeyed whatever their fencing number.
+    #[builder(default)]
+    pub ignore_fencing: bool,
+    /// Time to load a model or adapter, after its weights were fetched.
+    #[builder(default = Duration::from_millis(200))]
+    pub load_time: Duration,
+    /// Where weights are fetched from before a load.
+    pub weight_store: Option<SocketAddr>,
+    /// Time to export one block of KV cache.
+    #[builder(default = Duration::from_micros(20))]
+    pub kv_export_time: Duration,
+    /// Time to import one block of KV cache.
+    #[builder(default = Duration::from_micros(50))]
+    pub kv_import_time: Duration,
+    /// Bytes of one block in a KV blob.
+    #[builder(default = 256)]
+    pub kv_block_bytes: usize,
 }
--- a/crates/papayamux-standins/src/kinds/engine.rs
+++ b/crates/papayamux-standins/src/kinds/engine.rs
@@ -25,15 +25,24 @@
 fn declare(options: &mut Options) {
     options.optopt("", "name", "the engine's name", "NAME");
     options.optopt("", "models", "models it has loaded", "A,B");
+    options.optopt("", "adapters", "adapters it has loaded", "A,B");
     options.optopt("", "step-us", "time of one step", "MICROSECONDS");
     options.optopt("", "batch", "places in the batch", "COUNT");
     options.optopt("", "prefill", "prompt tokens computed in one step", "COUNT");
+    options.optopt("", "waiting", "requests that may wait for a place", "COUNT");
+    options.optopt("", "cancel-grace-ms", "time until an unread request ends", "MILLISECONDS");
     options.optopt("", "cache-blocks", "blocks in the prefix cache", "COUNT");
     options.optopt("", "load-lag-ms", "age of the state that load reports show", "MILLISECONDS");
     options.optopt("", "event-log", "cache events kept", "COUNT");
     options.optopt("", "event-late-ms", "time until a cache event is visible", "MILLISECONDS");
     options.optopt("", "event-gap-share", "share of cache events lost", "0..1");
     options.optopt("", "event-gap-seed", "which cache events are lost", "NUMBER");
+    options.optflag("", "ignore-fencing", "obey orders whatever their fencing number");
+    options.optopt("", "load-ms", "time to load a model or adapter", "MILLISECONDS");
+    options.optopt("", "weight-store", "where weights are fetched from", "ADDRESS");
+    options.optopt("", "kv-export-us", "time to export one block", "MICROSECONDS");
+    options.optopt("", "kv-import-us", "time to import one block", "MICROSECONDS");
+    options.optopt("", "kv-block-bytes", "bytes of one block in a KV blob", "COUNT");
 }
 
 fn engine_options(matches: &Matches) -> Result<EngineOptions, StandinError> {
@@ -47,6 +56,11 @@
     engine.batch_limit = value_or(matches, "batch", engine.batch_limit)?;
     engine.prefill_per_step = value_or(matches, "prefill", engine.prefill_per_step)?;
     engine.cache_blocks = value_or(matches, "cache-blocks", engine.cache_blocks)?;
+    engine.adapters = list_of(matches, "adapters")?;
+    engine.waiting_limit = value_or(matches, "waiting", engine.waiting_limit)?;
+    engine.cancel_grace = millis_or(matches, "cancel-grace-ms", engine.cancel_grace)?;
+    set_order_options(&mut engine, matches)?;
+    set_kv_options(&mut engine, matches)?;
     engine.load_lag = millis_or(matches, "load-lag-ms", engine.load_lag)?;
     engine.events = event_options(matches)?;
     Ok(engine)
@@ -61,3 +75,19 @@
         gap_seed: value_or(matches, "event-gap-seed", fallback.gap_seed)?,
     })
 }
+
+fn set_order_options(engine: &mut EngineOptions, matches: &Matches) -> Result<(), StandinError> {
+    engine.ignore_fencing = matches.opt_present("ignore-fencing");
+    engine.load_time = millis_or(matches, "load-ms", engine.load_time)?;
+    if matches.opt_present("weight-store") {
+        engine.weight_store = list_of(matches, "weight-store")?.pop();
+    }
+    Ok(())
+}
+
+fn set_kv_options(engine: &mut EngineOptions, matches: &Matches) -> Result<(), StandinError> {
+    engine.kv_export_time = micros_or(matches, "kv-export-us", engine.kv_export_time)?;
+    engine.kv_import_time = micros_or(matches, "kv-import-us", engine.kv_import_time)?;
+    engine.kv_block_bytes = value_or(matches, "kv-block-bytes", engine.kv_block_bytes)?;
+    Ok(())
+}
--- a/crates/papayamux-standins/src/lib.rs
+++ b/crates/papayamux-standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod kinds;
 pub mod lagged;
 pub mod query;
+pub mod request_body;
 pub mod respond;
 pub mod run_tag;
 pub mod service;
--- a/crates/papayamux-standins/src/service.rs
+++ b/crates/papayamux-standins/src/service.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use monoio::net::TcpListener;
 use papayamux_protocol::headers::{IDEMPOTENCY_KEY, REQUEST_ID};
@@ -14,11 +13,10 @@
 use papayamux_transport::shutdown::ShutdownSignal;
 use serde::{Deserialize, Serialize};
 
+use crate::request_body::read_body;
 use crate::respond;
 use crate::run_tag::{TAG_HEADER, TAG_RUNS_PATH};
 
-/// Bytes of the longest request body.
-const LONGEST_BODY: usize = 16 * 1024 * 1024;
 /// The path that says how often each request id and each key was run.
 pub const RUNS_PATH: &str = "/standin/runs";
 
@@ -80,8 +78,8 @@
         _ => {}
     }
     let (head, body) = request.into_parts();
-    let body = match Limited::new(body, LONGEST_BODY).collect().await {
-        Ok(body) => body.to_bytes(),
+    let body = match read_body(body).await {
+        Ok(body) => body,
         Err(error) => return respond::refuse(StatusCode::BAD_REQUEST, &error.to_string()),
     };
     count_run(&runs, &head);
