Stand in for configuration service, instance list and weight store

Cause: declarations, membership and orders need the platform's services, with their limits and faults, at hand in tests.

Change: three more kinds of stand-in. The configuration service keeps all revisions, so that a test can freeze or roll back what readers see; it counts every call, a waiting watch as one, and refuses those above its rate. The instance list is late by a given time. The weight store answers at a limited rate and counts loads.

--- a/crates/papayamux-protocol/src/platform.rs
+++ b/crates/papayamux-protocol/src/platform.rs
@@ -14,6 +14,8 @@
 pub const WEIGHTS_PATH: &str = "/v1/weights";
 /// Bytes of the longest file that the configuration service holds.
 pub const LONGEST_FILE: usize = 1024 * 1024;
+/// Bytes of the largest weights of a model or adapter.
+pub const LONGEST_WEIGHTS: usize = 16 * 1024 * 1024;
 /// Milliseconds of the longest watch; a longer one ends after this time.
 pub const LONGEST_WATCH_MS: u64 = 60_000;
 
--- /dev/null
+++ b/crates/papayamux-standins/src/config_service/file_history.rs
@@ -0,0 +1,96 @@
+//! All revisions of all files, so that an older state can be served.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use papayamux_protocol::platform::{ConfigFile, FileListing, FileRevision, LONGEST_FILE};
+use thiserror::Error;
+
+/// Changes that the service remembers.
+const MOST_REVISIONS: u64 = 100_000;
+/// Bytes of all texts that the service remembers.
+const MOST_BYTES: usize = 512 * 1024 * 1024;
+/// Bytes of the longest file name.
+const LONGEST_NAME: usize = 128;
+
+/// Why a file can't be put.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum HistoryError {
+    /// The name is not of the form that names have.
+    #[error("a file name has 1 to {LONGEST_NAME} letters, digits, dots, hyphens and underscores")]
+    Name,
+    /// The text is too long.
+    #[error("the file has {0} bytes, the bound is {LONGEST_FILE}")]
+    TooLong(usize),
+    /// The history is at its bound.
+    #[error("the stand-in remembers no more revisions")]
+    Full,
+}
+
+/// `None` stands for a removed file.
+#[derive(Debug)]
+struct FileVersion {
+    revision: u64,
+    text: Option<Rc<str>>,
+}
+
+/// Files with all their revisions.
+#[derive(Debug, Default)]
+pub struct FileHistory {
+    revision: u64,
+    bytes: usize,
+    files: BTreeMap<String, Vec<FileVersion>>,
+}
+
+impl FileHistory {
+    /// The revision of the newest change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Puts a file as a whole, or removes it where `text` is `None`; gives the new revision.
+    pub fn put(&mut self, name: &str, text: Option<&str>) -> Result<u64, HistoryError> {
+        let length = text.map_or(0, str::len);
+        if !is_name(name) {
+            return Err(HistoryError::Name);
+        }
+        if length > LONGEST_FILE {
+            return Err(HistoryError::TooLong(length));
+        }
+        if self.revision >= MOST_REVISIONS || self.bytes + length > MOST_BYTES {
+            return Err(HistoryError::Full);
+        }
+        self.revision += 1;
+        self.bytes += length;
+        let version = FileVersion { revision: self.revision, text: text.map(Rc::from) };
+        self.files.entry(name.to_string()).or_default().push(version);
+        Ok(self.revision)
+    }
+
+    /// The files changed after revision `after`, as they were at revision `at`.
+    pub fn listing(&self, at: u64, after: u64) -> FileListing {
+        let revisions = self.files.iter().filter_map(|(name, versions)| {
+            let version = version_at(versions, at)?;
+            let (revision, removed) = (version.revision, version.text.is_none());
+            Some(FileRevision { name: name.clone(), revision, removed })
+        });
+        let files = revisions.filter(|file| file.revision > after).collect();
+        FileListing { revision: at.min(self.revision), files }
+    }
+
+    /// A file as it was at revision `at`.
+    pub fn file(&self, at: u64, name: &str) -> Option<ConfigFile> {
+        let version = version_at(self.files.get(name)?, at)?;
+        let text = version.text.as_deref()?.to_string();
+        Some(ConfigFile { name: name.to_string(), revision: version.revision, text })
+    }
+}
+
+fn version_at(versions: &[FileVersion], at: u64) -> Option<&FileVersion> {
+    versions.iter().rfind(|version| version.revision <= at)
+}
+
+fn is_name(name: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b".-_".contains(&byte);
+    (1..=LONGEST_NAME).contains(&name.len()) && name.bytes().all(allowed)
+}
--- /dev/null
+++ b/crates/papayamux-standins/src/config_service/service_state.rs
@@ -0,0 +1,102 @@
+//! Files, faults and counters of a configuration service, shared by its connections.
+
+use std::cell::RefCell;
+use std::time::{Duration, Instant};
+
+use futures_util::future::{select, Either};
+use papayamux_protocol::platform::{ConfigFile, FileListing};
+use papayamux_transport::shutdown::ShutdownSignal;
+
+use super::file_history::{FileHistory, HistoryError};
+use super::options::{ConfigFaults, ConfigServiceOptions, ServedView};
+use crate::call_meter::{CallCounters, CallMeter};
+
+/// The state of a configuration service.
+pub struct ServiceState {
+    history: RefCell<FileHistory>,
+    faults: RefCell<ConfigFaults>,
+    meter: RefCell<CallMeter>,
+    changed: RefCell<ShutdownSignal>,
+}
+
+impl ServiceState {
+    /// A service without files.
+    pub fn new(options: ConfigServiceOptions) -> Self {
+        Self {
+            history: RefCell::default(),
+            faults: RefCell::default(),
+            meter: RefCell::new(CallMeter::new(options.reads_per_second)),
+            changed: RefCell::default(),
+        }
+    }
+
+    /// Counts a read, and says whether it is within the rate.
+    pub fn accept_read(&self) -> bool {
+        self.meter.borrow_mut().accept(Instant::now())
+    }
+
+    /// The counters so far.
+    pub fn counters(&self) -> CallCounters {
+        self.meter.borrow().counters()
+    }
+
+    /// The present faults.
+    pub fn faults(&self) -> ConfigFaults {
+        *self.faults.borrow()
+    }
+
+    /// Replaces the faults; waiting watches look again.
+    pub fn set_faults(&self, mut faults: ConfigFaults) -> ConfigFaults {
+        if faults.view == ServedView::Frozen {
+            faults.view = ServedView::At(self.served_revision());
+        }
+        self.faults.replace(faults);
+        self.wake_watches();
+        faults
+    }
+
+    /// Puts or removes a file; waiting watches look again.
+    pub fn put(&self, name: &str, text: Option<&str>) -> Result<u64, HistoryError> {
+        let revision = self.history.borrow_mut().put(name, text)?;
+        self.wake_watches();
+        Ok(revision)
+    }
+
+    /// The files as readers see them, those changed after `after`.
+    pub fn listing(&self, after: u64) -> FileListing {
+        self.history.borrow().listing(self.served_revision(), after)
+    }
+
+    /// A file as readers see it.
+    pub fn file(&self, name: &str) -> Option<ConfigFile> {
+        self.history.borrow().file(self.served_revision(), name)
+    }
+
+    /// Waits until readers see a change after `after`, the time is over, or the service fails.
+    pub async fn watch(&self, after: u64, timeout: Duration) -> FileListing {
+        let mut over = Box::pin(monoio::time::sleep(timeout));
+        loop {
+            let changed = self.changed.borrow().clone();
+            let listing = self.listing(after);
+            if !listing.files.is_empty() || self.faults().unavailable {
+                return listing;
+            }
+            let changed = std::pin::pin!(changed.given());
+            if let Either::Right(_) = select(changed, over.as_mut()).await {
+                return self.listing(after);
+            }
+        }
+    }
+
+    fn served_revision(&self) -> u64 {
+        let newest = self.history.borrow().revision();
+        match self.faults().view {
+            ServedView::Live | ServedView::Frozen => newest,
+            ServedView::At(revision) => revision.min(newest),
+        }
+    }
+
+    fn wake_watches(&self) {
+        self.changed.replace(ShutdownSignal::new()).give();
+    }
+}
--- a/crates/papayamux-standins/src/engine/model_loader.rs
+++ b/crates/papayamux-standins/src/engine/model_loader.rs
@@ -9,7 +9,7 @@
 use papayamux_protocol::engine::{
     EngineError, EngineErrorCode, EngineOrder, EngineState, MOST_ORDERED,
 };
-use papayamux_protocol::platform::weights_path;
+use papayamux_protocol::platform::{weights_path, LONGEST_WEIGHTS};
 use papayamux_transport::http::{HttpClient, HttpClientError};
 
 use super::batch::EngineBatch;
@@ -17,9 +17,6 @@
 use super::loaded_weights::{LoadedWeights, WeightsKey};
 use super::options::EngineOptions;
 
-/// Bytes of the longest weights that the store gives.
-const LONGEST_WEIGHTS: u64 = 16 * 1024 * 1024;
-
 /// Brings the engine to what orders say; clones share its state.
 #[derive(Clone)]
 pub struct ModelLoader {
@@ -121,7 +118,7 @@
         let describe = |error: HttpClientError| format!("weight store: {error}");
         let answer = store.send_idempotent(request).await.map_err(describe)?;
         let status = answer.head.status;
-        answer.whole_body(LONGEST_WEIGHTS).await.map_err(describe)?;
+        answer.whole_body(LONGEST_WEIGHTS as u64).await.map_err(describe)?;
         match status {
             StatusCode::OK => Ok(()),
             other => Err(format!("weight store: status {other}")),
--- a/crates/papayamux-standins/src/kinds/standin_kind.rs
+++ b/crates/papayamux-standins/src/kinds/standin_kind.rs
@@ -9,7 +9,7 @@
 use getopts::{Matches, Options};
 use monoio::net::TcpListener;
 
-use super::{engine, fault_proxy, service};
+use super::{config_service, engine, fault_proxy, instance_list, service, weight_store};
 
 /// Why a stand-in does not start or run on.
 pub type StandinError = Box<dyn Error>;
@@ -25,7 +25,14 @@
 }
 
 /// All kinds.
-pub const KINDS: &[StandinKind] = &[engine::KIND, fault_proxy::KIND, service::KIND];
+pub const KINDS: &[StandinKind] = &[
+    engine::KIND,
+    service::KIND,
+    config_service::KIND,
+    instance_list::KIND,
+    weight_store::KIND,
+    fault_proxy::KIND,
+];
 
 /// The kind of that name.
 pub fn find_kind(name: &str) -> Option<&'static StandinKind> {
--- a/crates/papayamux-standins/src/respond.rs
+++ b/crates/papayamux-standins/src/respond.rs
@@ -1,6 +1,6 @@
 //! Responses that all stand-ins give.
 
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 use papayamux_transport::http::AnswerBody;
 use serde::Serialize;
@@ -27,3 +27,10 @@
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
     response
 }
+
+/// A response to a call above a rate limit, which may be repeated after a second.
+pub fn too_many(message: &str) -> Response<AnswerBody> {
+    let mut response = refuse(StatusCode::TOO_MANY_REQUESTS, message);
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    response
+}
