Keep what an older version computes out of the engine's cache

Cause: a request that was running when its model got another version stored its blocks at its end, below the root of the new version.

Change: running requests whose weights are gone end as they began and store nothing.

Result: a test starts a request, orders another version and finds the cache empty; without the change it fails.

--- a/crates/papayamux-standins/src/engine/batch_state.rs
+++ b/crates/papayamux-standins/src/engine/batch_state.rs
@@ -76,6 +76,7 @@
 
     /// Empties the cache of everything below `roots`.
     pub fn evict_roots(&mut self, now: Instant, roots: &HashSet<u64>) {
+        self.running.iter_mut().for_each(|job| job.lose_weights(roots));
         let changes = self.cache.evict_roots(roots);
         self.log.append(now, changes);
     }
--- a/crates/papayamux-standins/src/engine/job.rs
+++ b/crates/papayamux-standins/src/engine/job.rs
@@ -1,5 +1,6 @@
 //! One request in the engine.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use papayamux_protocol::chat::{PromptDetails, UsageReport};
@@ -50,6 +51,7 @@
     pub arrival: u64,
     /// Prompt tokens that are still to be computed.
     pub prefill_left: u64,
+    weights_gone: bool,
     cached: u64,
     prompt_tokens: u64,
 }
@@ -58,7 +60,21 @@
     /// A request that has just arrived.
     pub fn new(request: EngineRequest, record: Rc<AnswerRecord>, arrival: u64) -> Self {
         let tokens = prompt_tokens(request.prompt.len());
-        Self { request, record, arrival, prefill_left: tokens, cached: 0, prompt_tokens: tokens }
+        Self {
+            request,
+            record,
+            arrival,
+            prefill_left: tokens,
+            weights_gone: false,
+            cached: 0,
+            prompt_tokens: tokens,
+        }
+    }
+
+    /// The weights below `roots` are gone: a request that runs with them ends as it began, but
+    /// nothing it computes may be cached for those that come after them.
+    pub fn lose_weights(&mut self, roots: &HashSet<u64>) {
+        self.weights_gone |= roots.contains(&self.request.root());
     }
 
     /// Takes what the cache holds of the prompt.
@@ -82,7 +98,7 @@
         }
         self.record.finish(AnswerEnd::Whole(self.usage()));
         let turn = format!("assistant: {}\n", self.request.plan.text());
-        cache.store(self.request.root(), &self.request.blocks(&turn))
+        self.store(&turn, cache)
     }
 
     fn compute_prompt(&mut self, prefill: &mut u64, cache: &mut PrefixCache) -> Vec<CacheChange> {
@@ -90,11 +106,18 @@
         *prefill -= computed;
         self.prefill_left -= computed;
         match self.prefill_left {
-            0 => cache.store(self.request.root(), &self.request.blocks("")),
+            0 => self.store("", cache),
             _ => Vec::new(),
         }
     }
 
+    fn store(&self, answer: &str, cache: &mut PrefixCache) -> Vec<CacheChange> {
+        match self.weights_gone {
+            true => Vec::new(),
+            false => cache.store(self.request.root(), &self.request.blocks(answer)),
+        }
+    }
+
     fn usage(&self) -> UsageReport {
         UsageReport {
             prompt_tokens: self.prompt_tokens,
--- a/crates/papayamux-standins/tests/engine_orders.rs
+++ b/crates/papayamux-standins/tests/engine_orders.rs
@@ -77,3 +77,17 @@
         assert_eq!(refused.status(), StatusCode::NOT_FOUND);
     });
 }
+
+#[test]
+fn a_request_of_an_older_version_leaves_nothing_in_the_cache() {
+    run(async {
+        let engine = start_engine(engine_options());
+        let mut stream = engine.chat("r-1", &"where? ".repeat(40), 60).await;
+        stream.tokens(1).await;
+        give(&engine, &order(1, &[MODEL], "2")).await;
+        settled(&engine).await;
+        assert!(stream.rest().await.is_some(), "it runs to its end");
+        let snapshot: CacheSnapshot = engine.get(CACHE_BLOCKS_PATH).await;
+        assert!(snapshot.blocks.is_empty());
+    });
+}
