Add the operators' command: check, explain, status

Teams need the fleet's verdict before they submit. check computes what is in force from the files given, with the same code as the fleet, and reports each file's findings and what other files block; explain names file, revision and line; status reads processes' operators' ports.

--- /dev/null
+++ b/crates/papayamux-command/src/command_line.rs
@@ -0,0 +1,154 @@
+//! The command line: `papayamux TASK [options] …`.
+
+use std::net::SocketAddr;
+
+use getopts::{Matches, Options};
+use http::Method;
+use papayamux_declarations::{ItemKind, Question};
+use thiserror::Error;
+
+use crate::check::check_files;
+use crate::explain::explain_files;
+use crate::given_file::{read_files, GivenFileError};
+use crate::output::{CommandOutput, ExitMeaning};
+use crate::status::show_status;
+
+const HELP: &str = "\
+papayamux: checks declarations before they are submitted, says which file decides what, and shows
+what processes say about themselves. It writes nothing.
+
+Usage:
+  papayamux check FILES...                     the fleet's verdict on the files
+  papayamux explain FILES... QUESTIONS...      which file and revision decide a thing, and why
+  papayamux status ADDRESSES...                the state behind processes' operators' ports
+
+A file is named after its team: caverns.ini is the file of the team caverns. FILE@REVISION gives
+its revision; without, files of one name count up from 1 in their order.
+
+Examples:
+  papayamux check declarations/*.ini
+  papayamux explain declarations/*.ini --item 'model itinerary' --path /tickets/7 --method POST
+  papayamux explain old/kiosk.ini@41 kiosk.ini@42 --organisation visitors
+  papayamux status 10.1.0.7:9100 10.1.0.8:9100 --json
+
+Exit codes: 0 clean; 1 findings, something asked about is not in force, or a process did not
+answer; 2 the command line or a file can't be read.
+";
+
+#[derive(Debug, Error)]
+enum CommandLineError {
+    #[error("{0}; try --help")]
+    Option(#[from] getopts::Fail),
+    #[error("name a task: check, explain or status; try --help")]
+    NoTask,
+    #[error("unknown task {0:?}: use check, explain or status; try --help")]
+    UnknownTask(String),
+    #[error("ask something: --item, --path or a kind of thing; try --help")]
+    NoQuestion,
+    #[error("the option --{0} is for explain only")]
+    NotHere(&'static str),
+    #[error("--method goes with --path")]
+    LoneMethod,
+    #[error("{0}")]
+    Question(#[from] papayamux_declarations::QuestionError),
+    #[error("{0:?} is not a method")]
+    Method(String),
+    #[error("name the processes' addresses; try --help")]
+    NoAddress,
+    #[error("{0:?} is not an address such as 10.1.0.7:9100")]
+    Address(String),
+    #[error(transparent)]
+    File(#[from] GivenFileError),
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optmulti("i", "item", "explain: a kind and a name, as in a section", "'KIND NAME'");
+    for kind in ItemKind::ALL {
+        let help = format!("explain: the {kind} called NAME");
+        options.optmulti("", kind.label(), &help, "NAME");
+    }
+    options.optmulti("p", "path", "explain: the route of a call to PATH", "PATH");
+    options.optopt("m", "method", "explain: the call's method (GET where not given)", "METHOD");
+    options.optflag("j", "json", "print JSON for programs");
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+/// Runs the command with the arguments after the program's name.
+pub fn run_command(arguments: impl Iterator<Item = String>) -> CommandOutput {
+    run_task(arguments).unwrap_or_else(|error| CommandOutput::usage(&error))
+}
+
+fn run_task(arguments: impl Iterator<Item = String>) -> Result<CommandOutput, CommandLineError> {
+    let options = options();
+    let matches = options.parse(arguments)?;
+    if matches.opt_present("help") {
+        return Ok(CommandOutput::new(ExitMeaning::Clean, options.usage(HELP)));
+    }
+    if matches.opt_present("version") {
+        let text = format!("papayamux {}\n", env!("CARGO_PKG_VERSION"));
+        return Ok(CommandOutput::new(ExitMeaning::Clean, text));
+    }
+    let (task, named) = matches.free.split_first().ok_or(CommandLineError::NoTask)?;
+    let json = matches.opt_present("json");
+    match task.as_str() {
+        "check" => {
+            refuse_questions(&matches)?;
+            Ok(check_files(&read_files(named)?, json))
+        }
+        "explain" => {
+            let questions = read_questions(&matches)?;
+            Ok(explain_files(&read_files(named)?, questions, json))
+        }
+        "status" => {
+            refuse_questions(&matches)?;
+            Ok(show_status(&read_addresses(named)?, json))
+        }
+        other => Err(CommandLineError::UnknownTask(other.to_string())),
+    }
+}
+
+fn refuse_questions(matches: &Matches) -> Result<(), CommandLineError> {
+    let names = ["item", "path", "method"].into_iter();
+    let mut given =
+        names.chain(ItemKind::ALL.map(ItemKind::label)).filter(|name| matches.opt_present(name));
+    match given.next() {
+        Some(name) => Err(CommandLineError::NotHere(name)),
+        None => Ok(()),
+    }
+}
+
+fn read_questions(matches: &Matches) -> Result<Vec<Question>, CommandLineError> {
+    let mut questions = Vec::new();
+    for item in matches.opt_strs("item") {
+        questions.push(item.parse()?);
+    }
+    for kind in ItemKind::ALL {
+        let names = matches.opt_strs(kind.label()).into_iter();
+        questions.extend(names.map(|name| Question::Item { kind, name }));
+    }
+    let paths = matches.opt_strs("path");
+    if matches.opt_present("method") && paths.is_empty() {
+        return Err(CommandLineError::LoneMethod);
+    }
+    let method = read_method(&matches.opt_str("method").unwrap_or_else(|| "GET".to_string()))?;
+    questions.extend(paths.into_iter().map(|path| Question::Call { path, method: method.clone() }));
+    match questions.is_empty() {
+        true => Err(CommandLineError::NoQuestion),
+        false => Ok(questions),
+    }
+}
+
+fn read_method(text: &str) -> Result<Method, CommandLineError> {
+    Method::from_bytes(text.as_bytes()).map_err(|_| CommandLineError::Method(text.to_string()))
+}
+
+fn read_addresses(texts: &[String]) -> Result<Vec<SocketAddr>, CommandLineError> {
+    if texts.is_empty() {
+        return Err(CommandLineError::NoAddress);
+    }
+    let parse = |text: &String| text.parse().map_err(|_| CommandLineError::Address(text.clone()));
+    texts.iter().map(parse).collect()
+}
--- /dev/null
+++ b/crates/papayamux-command/src/explain.rs
@@ -0,0 +1,25 @@
+//! `papayamux explain`: which file and revision decide a thing, and what was refused and why.
+
+use papayamux_declarations::{DeclarationFile, Explanation, InForce, Question};
+
+use crate::given_file::file_set;
+use crate::output::{CommandOutput, ExitMeaning};
+use crate::wire::{to_json, ExplanationWire};
+
+/// Answers `questions` as a process would that has heard `files`.
+pub fn explain_files(
+    files: &[DeclarationFile],
+    questions: Vec<Question>,
+    json: bool,
+) -> CommandOutput {
+    let in_force = InForce::compute(&file_set(files));
+    let explanations: Vec<_> =
+        questions.into_iter().map(|question| Explanation::new(&in_force, question)).collect();
+    let all_in_force = explanations.iter().all(|explanation| explanation.origin.is_some());
+    let exit = if all_in_force { ExitMeaning::Clean } else { ExitMeaning::Findings };
+    let text = match json {
+        true => to_json(&explanations.iter().map(ExplanationWire::from).collect::<Vec<_>>()),
+        false => explanations.iter().map(Explanation::to_string).collect(),
+    };
+    CommandOutput::new(exit, text)
+}
--- /dev/null
+++ b/crates/papayamux-command/src/given_file.rs
@@ -0,0 +1,91 @@
+//! The files that the command line names, as revisions.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use papayamux_declarations::{DeclarationFile, FileName, FileRevision, FileSet};
+use thiserror::Error;
+
+/// The ending that a file may have on disk; its name in the service has none.
+const ENDING: &str = ".ini";
+
+/// Why a file can't be taken.
+#[derive(Debug, Error)]
+pub enum GivenFileError {
+    /// No file was named.
+    #[error("name the files; try --help")]
+    NoFiles,
+    /// It can't be read.
+    #[error("{path}: {source}")]
+    Read {
+        /// The file.
+        path: String,
+        /// What failed.
+        source: std::io::Error,
+    },
+    /// Its name can't be one of a declaration file.
+    #[error("{path}: {source}")]
+    Name {
+        /// The file.
+        path: String,
+        /// What is wrong with it.
+        source: papayamux_declarations::ValueError,
+    },
+    /// Two files are the same revision of the same file.
+    #[error("{path}: {name}@{revision} is given already; write FILE@REVISION")]
+    Repeated {
+        /// The file.
+        path: String,
+        /// Its name.
+        name: FileName,
+        /// Its revision.
+        revision: FileRevision,
+    },
+}
+
+/// Reads the named files. One given as `FILE@REVISION` has that revision; of the others, each
+/// counts one up from the one of the same name before it, from 1.
+pub fn read_files(paths: &[String]) -> Result<Vec<DeclarationFile>, GivenFileError> {
+    let mut files: Vec<DeclarationFile> = Vec::new();
+    let mut newest: BTreeMap<FileName, u64> = BTreeMap::new();
+    for path in paths {
+        let (file_path, revision) = split_revision(path);
+        let name = file_name(file_path)?;
+        let last = newest.get(&name).copied().unwrap_or(0);
+        let revision = revision.unwrap_or_else(|| last.saturating_add(1).into());
+        if files.iter().any(|file| file.name == name && file.revision == revision) {
+            return Err(GivenFileError::Repeated { path: path.clone(), name, revision });
+        }
+        newest.insert(name.clone(), last.max(revision.get()));
+        let bytes = std::fs::read(file_path)
+            .map_err(|source| GivenFileError::Read { path: path.clone(), source })?;
+        files.push(DeclarationFile::from_bytes(name, revision, &bytes));
+    }
+    match files.is_empty() {
+        true => Err(GivenFileError::NoFiles),
+        false => Ok(files),
+    }
+}
+
+/// The set that a process holds after hearing `files`.
+pub fn file_set(files: &[DeclarationFile]) -> FileSet {
+    let mut set = FileSet::default();
+    for file in files {
+        set.offer(file.clone());
+    }
+    set
+}
+
+fn split_revision(path: &str) -> (&str, Option<FileRevision>) {
+    let parts = path.rsplit_once('@');
+    match parts.and_then(|(path, revision)| Some((path, revision.parse().ok()?))) {
+        Some((path, revision)) => (path, Some(revision)),
+        None => (path, None),
+    }
+}
+
+fn file_name(path: &str) -> Result<FileName, GivenFileError> {
+    let last = Path::new(path).file_name().and_then(|name| name.to_str()).unwrap_or(path);
+    let name = last.strip_suffix(ENDING).unwrap_or(last);
+    name.parse().map_err(|source| GivenFileError::Name { path: path.to_string(), source })
+}
--- /dev/null
+++ b/crates/papayamux-command/src/lib.rs
@@ -0,0 +1,14 @@
+//! The operators' command: check declaration files, explain what decides, show processes' status.
+//!
+//! The command reads files and the operators' ports of processes; it writes nothing.
+
+mod check;
+mod command_line;
+mod explain;
+mod given_file;
+mod output;
+mod status;
+mod wire;
+
+pub use command_line::run_command;
+pub use output::{CommandOutput, ExitMeaning};
--- /dev/null
+++ b/crates/papayamux-command/src/status.rs
@@ -0,0 +1,146 @@
+//! `papayamux status`: what processes say about themselves, as a table.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{Request, StatusCode};
+use papayamux_transport::http::{HttpClient, HttpClientError};
+use papayamux_transport::runtime;
+use serde::Serialize;
+use serde_json::Value;
+use thiserror::Error;
+
+use crate::output::{CommandOutput, ExitMeaning};
+use crate::wire::to_json;
+
+/// Bytes of the longest status that is read.
+const LONGEST_STATUS: u64 = 1024 * 1024;
+/// How long one process may take to answer.
+const ANSWER_WITHIN: Duration = Duration::from_secs(5);
+/// Processes asked at the same time.
+const MOST_AT_ONCE: usize = 32;
+
+/// The columns after the address: title, and path in the status.
+const COLUMNS: [(&str, &str); 7] = [
+    ("PROGRAM", "/program"),
+    ("DOMAIN", "/failure_domain"),
+    ("SERVER", "/server"),
+    ("READY", "/ready"),
+    ("LEAVING", "/leaving"),
+    ("INCARNATION", "/incarnation"),
+    ("CONFIGURATION", "/configuration/digest"),
+];
+
+/// Why a process's status could not be read.
+#[derive(Debug, Error)]
+enum StatusError {
+    #[error(transparent)]
+    Client(#[from] HttpClientError),
+    #[error("no answer within {} seconds", ANSWER_WITHIN.as_secs())]
+    Silent,
+    #[error("the answer's status is {0}")]
+    Refused(StatusCode),
+    #[error("the answer is no JSON: {0}")]
+    Form(#[from] serde_json::Error),
+    #[error(transparent)]
+    Request(#[from] http::Error),
+}
+
+/// One process's answer for `--json`.
+#[derive(Debug, Serialize)]
+struct StatusWire {
+    address: SocketAddr,
+    status: Option<Value>,
+    error: Option<String>,
+}
+
+/// Asks the operators' ports at `addresses`.
+pub fn show_status(addresses: &[SocketAddr], json: bool) -> CommandOutput {
+    let answers = match runtime::run(ask_all(addresses)) {
+        Ok(answers) => answers,
+        Err(error) => return CommandOutput::usage(&error),
+    };
+    let all = answers.iter().all(|answer| answer.status.is_some());
+    let exit = if all { ExitMeaning::Clean } else { ExitMeaning::Findings };
+    let text = if json { to_json(&answers) } else { table(&answers) };
+    CommandOutput::new(exit, text)
+}
+
+async fn ask_all(addresses: &[SocketAddr]) -> Vec<StatusWire> {
+    let mut answers = Vec::new();
+    for group in addresses.chunks(MOST_AT_ONCE) {
+        let asked: Vec<_> =
+            group.iter().map(|address| monoio::spawn(ask_in_time(*address))).collect();
+        for answer in asked {
+            answers.push(answer.await);
+        }
+    }
+    answers
+}
+
+async fn ask_in_time(address: SocketAddr) -> StatusWire {
+    let outcome = match monoio::time::timeout(ANSWER_WITHIN, ask(address)).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(StatusError::Silent),
+    };
+    match outcome {
+        Ok(status) => StatusWire { address, status: Some(status), error: None },
+        Err(error) => StatusWire { address, status: None, error: Some(error.to_string()) },
+    }
+}
+
+async fn ask(address: SocketAddr) -> Result<Value, StatusError> {
+    let request = Request::get("/status").header(HOST, address.to_string()).body(Bytes::new())?;
+    let answer = HttpClient::new(address).send_once(request).await?;
+    let status = answer.head.status;
+    if status != StatusCode::OK {
+        return Err(StatusError::Refused(status));
+    }
+    let body = answer.whole_body(LONGEST_STATUS).await?;
+    Ok(serde_json::from_slice(&body)?)
+}
+
+fn table(answers: &[StatusWire]) -> String {
+    let titles = std::iter::once("ADDRESS").chain(COLUMNS.map(|(title, _)| title));
+    let mut rows = vec![titles.map(str::to_string).collect::<Vec<_>>()];
+    rows.extend(answers.iter().map(row));
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |column: usize| {
+        rows.iter().filter_map(|row| row.get(column)).map(|cell| cell.len()).max().unwrap_or(0)
+    };
+    let widths: Vec<_> = (0..columns).map(width).collect();
+    let mut text: String = rows.iter().map(|row| line(row, &widths)).collect();
+    for answer in answers {
+        if let Some(error) = &answer.error {
+            text.push_str(&format!("{}: {error}\n", answer.address));
+        }
+    }
+    text
+}
+
+fn row(answer: &StatusWire) -> Vec<String> {
+    let mut cells = vec![answer.address.to_string()];
+    cells.extend(COLUMNS.map(|(_, path)| match &answer.status {
+        Some(status) => cell(status.pointer(path)),
+        None => "?".to_string(),
+    }));
+    cells
+}
+
+fn cell(value: Option<&Value>) -> String {
+    match value {
+        None | Some(Value::Null) => "-".to_string(),
+        Some(Value::Bool(true)) => "yes".to_string(),
+        Some(Value::Bool(false)) => "no".to_string(),
+        Some(Value::String(text)) => text.chars().filter(|each| !each.is_control()).collect(),
+        Some(other) => other.to_string(),
+    }
+}
+
+fn line(row: &[String], widths: &[usize]) -> String {
+    let cells: Vec<_> =
+        row.iter().zip(widths).map(|(cell, width)| format!("{cell:<width$}")).collect();
+    format!("{}\n", cells.join("  ").trim_end())
+}
--- /dev/null
+++ b/crates/papayamux-command/tests/command.rs
@@ -0,0 +1,144 @@
+//! What the command prints, and its exit codes.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+
+use insta::assert_snapshot;
+use papayamux_command::{run_command, CommandOutput, ExitMeaning};
+
+const GOOD: &str = "tests/declarations/owners.ini tests/declarations/caverns.ini";
+const ALL: &str =
+    "tests/declarations/owners.ini tests/declarations/caverns.ini tests/declarations/kiosk.ini";
+
+/// Runs the command with arguments parted by spaces; `_` stands for a space within one.
+fn run(arguments: &str) -> CommandOutput {
+    run_command(arguments.split_whitespace().map(|argument| argument.replace('_', " ")))
+}
+
+#[test]
+fn help_has_examples() {
+    let output = run("--help");
+    assert_eq!(output.exit, ExitMeaning::Clean);
+    assert_snapshot!(output.text);
+}
+
+#[test]
+fn clean_files_leave_with_0() {
+    let output = run(&format!("check {GOOD}"));
+    assert_eq!(output.exit.code(), 0);
+    assert_snapshot!(output.text);
+}
+
+#[test]
+fn all_findings_of_a_file_come_together() {
+    let output = run("check tests/declarations/broken.ini");
+    assert_eq!(output.exit.code(), 1);
+    assert_snapshot!(output.text);
+}
+
+#[test]
+fn conflicts_between_files_are_findings() {
+    let output = run(&format!("check {ALL}"));
+    assert_eq!(output.exit.code(), 1);
+    assert_snapshot!(output.text);
+    assert_snapshot!(run(&format!("check --json {ALL}")).text);
+}
+
+#[test]
+fn an_explanation_names_file_revision_and_line() {
+    let questions = "--item model_itinerary --organisation kiosk/visitors --adapter kiosk/refunds \
+                     --server engine-1 --path /tickets/7 --path /gate --method POST --model nowhere";
+    let output = run(&format!("explain {ALL} {questions}"));
+    assert_eq!(output.exit.code(), 1, "something asked about is not in force");
+    assert_snapshot!(output.text);
+    assert_snapshot!(run(&format!("explain --json {ALL} --model itinerary")).text);
+}
+
+#[test]
+fn a_refused_revision_leaves_the_older_one_in_force() {
+    let folder = std::env::temp_dir().join(format!("papayamux-command-{}", std::process::id()));
+    let write = |name: &str, text: &str| {
+        let path = folder.join(name);
+        std::fs::create_dir_all(&folder)?;
+        std::fs::write(&path, text)?;
+        std::io::Result::Ok(path.display().to_string())
+    };
+    let text = "[team]\nname = tours\n[organisation tours/guides]\nshare = 10%\n";
+    let good = write("tours.ini", text).unwrap();
+    let bad = write("tours", "[team]\nname = tours\n[organisation tours/guides]\nshare = ten\n");
+    let bad = bad.unwrap();
+    let arguments =
+        ["explain", &format!("{bad}@42"), &format!("{good}@41"), "--organisation", "tours/guides"];
+    let output = run_command(arguments.iter().map(ToString::to_string));
+    assert_eq!(output.exit.code(), 0);
+    assert_snapshot!(output.text);
+    let again = run_command(["check", &good, &format!("{bad}@1")].iter().map(ToString::to_string));
+    assert!(again.errors.contains("tours@1 is given already"), "{}", again.errors);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn a_wrong_command_line_leaves_with_2() {
+    let lines = [
+        "",
+        "chek x",
+        "check",
+        "check nowhere.ini",
+        "check Bad.ini",
+        "check x --item model_m",
+        "explain x",
+        "explain x --item model",
+        "explain x --method POST --model m",
+        "status",
+        "status localhost",
+        "check --fast",
+    ];
+    let mut errors = String::new();
+    for line in lines {
+        let output = run(line);
+        assert_eq!((output.exit.code(), output.text.as_str()), (2, ""), "{line}");
+        errors.push_str(&output.errors);
+    }
+    assert_snapshot!(errors);
+}
+
+/// An operators' port that gives one answer.
+fn operators_port(head: &'static str, body: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| unreachable!("{error}"));
+    let address = listener.local_addr().unwrap_or_else(|error| unreachable!("{error}"));
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept()?;
+        let mut request = Vec::new();
+        let mut piece = [0; 1024];
+        while !request.ends_with(b"\r\n\r\n") {
+            let length = stream.read(&mut piece)?;
+            request.extend_from_slice(&piece[..length]);
+        }
+        let length = body.len();
+        write!(stream, "HTTP/1.1 {head}\r\ncontent-length: {length}\r\n\r\n{body}")
+    });
+    address
+}
+
+#[test]
+fn a_status_is_a_table_with_what_did_not_answer_below() {
+    let body = r#"{"program":"papayamux-router","ready":true,"failure_domain":"south-1",
+        "incarnation":"0123456789abcdef","configuration":{"digest":"00000000000000aa"}}"#;
+    let router = operators_port("200 OK", body);
+    let stranger = operators_port("404 Not Found", "{}");
+    let arguments = ["status".to_string(), router.to_string(), stranger.to_string()];
+    let output = run_command(arguments.into_iter());
+    assert_eq!(output.exit.code(), 1);
+    let text = output.text.replace(&router.to_string(), "127.0.0.1:10001");
+    assert_snapshot!(text.replace(&stranger.to_string(), "127.0.0.1:10002"));
+}
+
+#[test]
+fn a_status_for_programs_is_json() {
+    let router = operators_port("200 OK", r#"{"program":"papayamux-router"}"#);
+    let arguments = ["status".to_string(), router.to_string(), "--json".to_string()];
+    let output = run_command(arguments.into_iter());
+    assert_eq!(output.exit.code(), 0);
+    assert_snapshot!(output.text.replace(&router.to_string(), "127.0.0.1:10001"));
+}
--- a/crates/papayamux-declarations/src/explain.rs
+++ b/crates/papayamux-declarations/src/explain.rs
@@ -118,6 +118,9 @@
             }
             _ => writeln!(formatter, "{}: not in force", self.question)?,
         }
+        if self.origin.is_none() && self.blocked.is_empty() {
+            writeln!(formatter, "  no revision in force declares it")?;
+        }
         for blocked in &self.blocked {
             writeln!(formatter, "  without effect: {blocked}")?;
         }
--- a/crates/papayamux-declarations/src/file/declaration_file.rs
+++ b/crates/papayamux-declarations/src/file/declaration_file.rs
@@ -35,6 +35,12 @@
         Self { name, revision, content: FileContent::Text(text.into()) }
     }
 
+    /// A revision as read from the service. Bytes that are no UTF-8 become replacement
+    /// characters, for which parsing refuses the revision.
+    pub fn from_bytes(name: FileName, revision: FileRevision, bytes: &[u8]) -> Self {
+        Self::new(name, revision, String::from_utf8_lossy(bytes))
+    }
+
     /// The revision that deletes the file.
     pub fn deleted(name: FileName, revision: FileRevision) -> Self {
         Self { name, revision, content: FileContent::Deleted }
--- a/crates/papayamux-declarations/src/file/parsed_file.rs
+++ b/crates/papayamux-declarations/src/file/parsed_file.rs
@@ -40,6 +40,7 @@
         check_size(name, "bytes", text.len(), LARGEST_FILE)?;
         check_size(name, "lines", text.lines().count(), MOST_LINES)?;
         let file = IniFile::parse(name.as_str(), text)?;
+        report_replaced_bytes(&file, text);
         let parsed = read_file(&file, name);
         file.finish(|| parsed)
     }
@@ -54,6 +55,13 @@
     }
 }
 
+fn report_replaced_bytes(file: &IniFile, text: &str) {
+    let replaced = |line: &&str| line.contains(char::REPLACEMENT_CHARACTER);
+    if let Some(index) = text.lines().position(|line| replaced(&line)) {
+        file.report(index + 1, "text".to_string(), "the line is not UTF-8", "");
+    }
+}
+
 fn check_size(name: &FileName, unit: &str, size: usize, bound: usize) -> Result<(), Findings> {
     if size <= bound {
         return Ok(());
