Measure the promises under faults, alone and in pairs

Callers on a thread of their own send chats and bookings drawn from the seed; injectors bring about delays, cuts, silence, holds, kills, pauses and graceful shutdowns; afterwards the outcomes are held against the stand-ins' own counts by tag and by key. It fails where a promise was broken.

--- a/crates/papayamux-measure/src/lib.rs
+++ b/crates/papayamux-measure/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod command_line;
 mod demo;
 mod path;
+mod promises;
--- /dev/null
+++ b/crates/papayamux-measure/src/promises/answer_check.rs
@@ -0,0 +1,54 @@
+//! Comparing an answer with the one that must have come, byte for byte.
+
+use papayamux_standins::service::ServiceAnswer;
+use papayamux_testbed::{CallerAnswer, CallerError, CallerOutcome};
+
+use super::request_record::AnswerFlaws;
+
+/// The flaws of a chat's answer whose whole text is `expected`.
+pub fn check_chat(outcome: &CallerOutcome<CallerAnswer>, expected: &str) -> AnswerFlaws {
+    match outcome {
+        CallerOutcome::Answered(answer) => check_whole(&answer.text, expected),
+        CallerOutcome::Broken(CallerError::Short { text, .. }) => {
+            AnswerFlaws { short: true, ..check_part(text, expected) }
+        }
+        CallerOutcome::Broken(CallerError::Partial { text, .. }) => check_part(text, expected),
+        CallerOutcome::Broken(CallerError::Nonsense(_)) => mixed(),
+        _ => AnswerFlaws::default(),
+    }
+}
+
+/// The flaws of a service's answer to a call of `path` with `body`.
+pub fn check_booking(answer: Option<&ServiceAnswer>, path: &str, body: &str) -> AnswerFlaws {
+    match answer {
+        Some(answer) if answer.path == path && answer.body == body => AnswerFlaws::default(),
+        _ => mixed(),
+    }
+}
+
+fn mixed() -> AnswerFlaws {
+    AnswerFlaws { mixed: true, ..AnswerFlaws::default() }
+}
+
+fn check_whole(text: &str, expected: &str) -> AnswerFlaws {
+    if text == expected {
+        return AnswerFlaws::default();
+    }
+    if expected.starts_with(text) {
+        return AnswerFlaws { short: true, ..AnswerFlaws::default() };
+    }
+    let before = text.bytes().zip(expected.bytes()).take_while(|(a, b)| a == b).count();
+    let after = text.bytes().rev().zip(expected.bytes().rev()).take_while(|(a, b)| a == b).count();
+    if text.len() > expected.len() && before + after >= expected.len() {
+        let doubled_bytes = (text.len() - expected.len()) as u64;
+        return AnswerFlaws { doubled_bytes, ..AnswerFlaws::default() };
+    }
+    mixed()
+}
+
+fn check_part(text: &str, expected: &str) -> AnswerFlaws {
+    match expected.starts_with(text) {
+        true => AnswerFlaws::default(),
+        false => mixed(),
+    }
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/promises/injector.rs
@@ -0,0 +1,158 @@
+//! Bringing about one kind of fault again and again, at times and places drawn from the seed.
+
+use std::time::{Duration, Instant};
+
+use papayamux_standins::fault_proxy::FaultyWays;
+use papayamux_testbed::{LinkControl, TestbedError};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::RngExt;
+
+use super::fault_kind::FaultKind;
+use super::fault_stage::{FaultRecord, FaultStage, StagePart};
+use super::link_board::LinkPlace;
+
+/// Milliseconds between two faults of a kind.
+const GAP_MS: std::ops::Range<u64> = 50..400;
+/// Milliseconds by which a late link's bytes are late.
+const LATE_MS: std::ops::Range<u64> = 20..300;
+/// Milliseconds for which a link is late.
+const DELAYED_FOR_MS: std::ops::Range<u64> = 300..1_500;
+/// Bytes of answers after which a link is cut.
+const CUT_AFTER_BYTES: std::ops::Range<u64> = 0..12_000;
+/// Milliseconds that a link waits for its cut.
+const CUT_FOR_MS: std::ops::Range<u64> = 200..800;
+/// Milliseconds for which a link is held or an agent paused; the longest outlast the heartbeats.
+const HELD_FOR_MS: std::ops::Range<u64> = 200..6_000;
+/// Milliseconds for which an agent that was killed is away.
+const AWAY_FOR_MS: std::ops::Range<u64> = 0..400;
+
+/// One injector of one kind.
+pub struct FaultInjector<'a> {
+    /// Where.
+    pub stage: &'a FaultStage,
+    /// Of which kind.
+    pub kind: FaultKind,
+    /// Draws times and places.
+    pub random: StdRng,
+}
+
+impl FaultInjector<'_> {
+    /// Brings about faults until the callers have finished.
+    pub async fn run(mut self) -> Result<(), TestbedError> {
+        while self.kind != FaultKind::ListsDiffer {
+            self.sleep(GAP_MS).await;
+            if self.stage.is_finished() {
+                break;
+            }
+            self.inject().await?;
+        }
+        Ok(())
+    }
+
+    async fn inject(&mut self) -> Result<(), TestbedError> {
+        let (from, met_requests) = (Instant::now(), self.stage.has_requests());
+        let (router, server) = match self.kind {
+            FaultKind::RouterTerminated => (self.end_router().await?, None),
+            FaultKind::AgentKilled | FaultKind::AgentPaused | FaultKind::AgentTerminated => {
+                (None, self.act_on_agent().await?)
+            }
+            _ => {
+                let place = self.act_on_link().await?;
+                (Some(place.0), Some(place.1))
+            }
+        };
+        if router.is_none() && server.is_none() {
+            return Ok(());
+        }
+        let server = server.map(|server| self.stage.server_name(server));
+        let (kind, to) = (self.kind, Instant::now());
+        let record = FaultRecord { kind, router, server, from, to, met_requests };
+        self.stage.records.borrow_mut().push(record);
+        Ok(())
+    }
+
+    async fn act_on_link(&mut self) -> Result<LinkPlace, TestbedError> {
+        let stage = self.stage;
+        let places = stage.link_places();
+        let no_link = || TestbedError::NoPart("faulty links".to_string());
+        let place = *places.choose(&mut self.random).ok_or_else(no_link)?;
+        let link = stage.link(place)?;
+        match self.kind {
+            FaultKind::LinkDelayed => self.delay(place, &link).await?,
+            FaultKind::LinkCut => self.cut(place, &link).await?,
+            FaultKind::LinkSilent => stage.board.silence(place, &link).await?,
+            _ => self.hold(place, &link).await?,
+        }
+        Ok(place)
+    }
+
+    async fn delay(&mut self, place: LinkPlace, link: &LinkControl) -> Result<(), TestbedError> {
+        let late = self.random.random_range(LATE_MS);
+        self.stage.board.change(place, link, |faults| faults.delay_ms = late).await?;
+        self.sleep(DELAYED_FOR_MS).await;
+        self.stage.board.change(place, link, |faults| faults.delay_ms = 0).await
+    }
+
+    async fn cut(&mut self, place: LinkPlace, link: &LinkControl) -> Result<(), TestbedError> {
+        let after = Some(self.random.random_range(CUT_AFTER_BYTES));
+        self.stage.board.change(place, link, |faults| faults.cut_after_bytes = after).await?;
+        self.sleep(CUT_FOR_MS).await;
+        self.stage.board.change(place, link, |faults| faults.cut_after_bytes = None).await
+    }
+
+    async fn hold(&mut self, place: LinkPlace, link: &LinkControl) -> Result<(), TestbedError> {
+        let ways = [FaultyWays::ToTarget, FaultyWays::ToClient, FaultyWays::Both];
+        let ways = ways[self.random.random_range(0..ways.len())];
+        self.stage.board.change(place, link, |faults| faults.hold = ways).await?;
+        self.sleep(HELD_FOR_MS).await;
+        let none = FaultyWays::None;
+        self.stage.board.change(place, link, |faults| faults.hold = none).await
+    }
+
+    async fn end_router(&mut self) -> Result<Option<usize>, TestbedError> {
+        let stage = self.stage;
+        let routers = stage.fleet.borrow().routers.len();
+        let router = self.random.random_range(0..routers);
+        let Some(_guard) = stage.take_part(StagePart::Router(router)) else { return Ok(None) };
+        stage.terminate_router(router).await?;
+        Ok(Some(router))
+    }
+
+    async fn act_on_agent(&mut self) -> Result<Option<usize>, TestbedError> {
+        let stage = self.stage;
+        let servers = stage.fleet.borrow().servers.len();
+        let server = self.random.random_range(0..servers);
+        if self.kind == FaultKind::AgentPaused {
+            return self.pause_agent(server).await.map(Some);
+        }
+        let Some(_guard) = stage.take_part(StagePart::Agent(server)) else { return Ok(None) };
+        match self.kind {
+            FaultKind::AgentTerminated => stage.terminate_agent(server).await?,
+            _ => {
+                stage.fleet.borrow_mut().servers[server].agent.kill()?;
+                self.sleep(AWAY_FOR_MS).await;
+                stage.fleet.borrow_mut().replace_agent(server)?;
+            }
+        }
+        Ok(Some(server))
+    }
+
+    /// Pauses also an agent that another injector ends: it may be asked to end while it stands.
+    async fn pause_agent(&mut self, server: usize) -> Result<usize, TestbedError> {
+        let paused = self.stage.fleet.borrow().servers[server].agent.id();
+        self.stage.fleet.borrow().servers[server].agent.pause()?;
+        self.sleep(HELD_FOR_MS).await;
+        let fleet = self.stage.fleet.borrow();
+        let agent = &fleet.servers[server].agent;
+        if agent.id() == paused {
+            agent.wake()?;
+        }
+        Ok(server)
+    }
+
+    async fn sleep(&mut self, range: std::ops::Range<u64>) {
+        let milliseconds = self.random.random_range(range);
+        monoio::time::sleep(Duration::from_millis(milliseconds)).await;
+    }
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/promises/request_record.rs
@@ -0,0 +1,92 @@
+//! What one caller learned of one request.
+
+use std::time::Instant;
+
+use papayamux_protocol::failure::FailureOutcome;
+use papayamux_testbed::{CallerError, CallerOutcome};
+
+/// What a request asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestWork {
+    /// A streamed chat, which is idempotent.
+    Chat,
+    /// A call to a plain service that may run at most once.
+    Booking,
+}
+
+/// What a caller learned in the end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LearnedOutcome {
+    /// An answer came to its end.
+    Answered,
+    /// The router said that the request was not run.
+    NotRun,
+    /// The router was not reached.
+    Unsent,
+    /// The router said that it does not know, or its answer broke off.
+    Unknown,
+    /// The router said that the request ran and failed.
+    Failed,
+}
+
+/// What is wrong with an answer's bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AnswerFlaws {
+    /// Bytes of another answer are in it.
+    pub mixed: bool,
+    /// It ended well, yet lacks bytes.
+    pub short: bool,
+    /// Bytes that came twice.
+    pub doubled_bytes: u64,
+}
+
+/// One request of a caller.
+#[derive(Debug, Clone)]
+pub struct RequestRecord {
+    /// The tag by which the stand-ins count its runs.
+    pub tag: String,
+    /// The key under which it may be repeated.
+    pub key: Option<String>,
+    /// What it asked for.
+    pub work: RequestWork,
+    /// The router's place in the fleet.
+    pub router: usize,
+    /// The server that answered, where the caller knows it.
+    pub server: Option<String>,
+    /// When it was sent.
+    pub sent: Instant,
+    /// When the caller knew the outcome.
+    pub ended: Instant,
+    /// The outcome.
+    pub learned: LearnedOutcome,
+    /// What is wrong with the answer.
+    pub flaws: AnswerFlaws,
+    /// Whether the caller's connection broke off.
+    pub broke: bool,
+    /// Whether the caller gave up waiting.
+    pub timed_out: bool,
+}
+
+/// What a caller learned by an outcome.
+pub fn learned_of<A>(outcome: &CallerOutcome<A>) -> LearnedOutcome {
+    match outcome {
+        CallerOutcome::Answered(_) => LearnedOutcome::Answered,
+        CallerOutcome::Unsent => LearnedOutcome::Unsent,
+        CallerOutcome::Told(failure) => match failure.outcome {
+            FailureOutcome::NotRun => LearnedOutcome::NotRun,
+            FailureOutcome::Unknown => LearnedOutcome::Unknown,
+            FailureOutcome::Failed => LearnedOutcome::Failed,
+        },
+        CallerOutcome::Broken(_) => LearnedOutcome::Unknown,
+    }
+}
+
+/// The server that an outcome names.
+pub fn server_of(error: &CallerError) -> Option<String> {
+    match error {
+        CallerError::Partial { server, .. } | CallerError::Short { server, .. } => {
+            Some(server.clone())
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/promises/run.rs
@@ -0,0 +1,121 @@
+//! Running the scenarios one after the other.
+
+use std::error::Error;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+use std::time::Instant;
+
+use bon::Builder;
+use papayamux_testbed::{Fleet, FleetPlan};
+use papayamux_transport::runtime;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+
+use super::fault_stage::{FaultStage, SharedState};
+use super::injector::FaultInjector;
+use super::scenario::FaultScenario;
+use super::tally::PromiseTally;
+use super::truth::RunTruth;
+use super::workload::{run_workload, WorkloadPlan};
+
+/// The servers that each router knows where the lists differ, of three engines and two services.
+const DIFFERENT_LISTS: [&[usize]; 2] = [&[0, 1, 2, 3, 4], &[1, 2, 4]];
+
+/// What is measured.
+#[derive(Debug, Clone, PartialEq, Eq, Builder)]
+pub struct PromiseOptions {
+    /// Draws workload and faults.
+    #[builder(default = 1)]
+    pub seed: u64,
+    /// The one scenario to run; all where it is none.
+    pub scenario: Option<String>,
+    /// Requests of each scenario.
+    #[builder(default = 450)]
+    pub requests: usize,
+}
+
+/// Runs the scenarios and prints a line for each, and one with the sums.
+///
+/// Fails where a promise was broken.
+pub fn run_promises(options: &PromiseOptions) -> Result<(), Box<dyn Error>> {
+    let mut scenarios = FaultScenario::all();
+    if let Some(name) = &options.scenario {
+        scenarios.retain(|scenario| scenario.to_string() == *name);
+        if scenarios.is_empty() {
+            let known: Vec<_> = FaultScenario::all().iter().map(ToString::to_string).collect();
+            return Err(format!("no scenario {name:?}; known: {}", known.join(", ")).into());
+        }
+    }
+    let mut total =
+        PromiseTally { scenario: "total".to_string(), seed: options.seed, ..Default::default() };
+    for scenario in &scenarios {
+        let tally = run_scenario(scenario, options)?;
+        println!("{}", serde_json::to_string(&tally)?);
+        total.add(&tally);
+    }
+    println!("{}", serde_json::to_string(&total)?);
+    match total.broken_promises() {
+        0 => Ok(()),
+        broken => Err(format!("{broken} requests broke a promise").into()),
+    }
+}
+
+fn fleet_plan(scenario: &FaultScenario) -> FleetPlan {
+    let known = match scenario.lists_differ() {
+        true => DIFFERENT_LISTS.map(<[usize]>::to_vec).into(),
+        false => Vec::new(),
+    };
+    FleetPlan::builder()
+        .services(2)
+        .faulty_links(true)
+        .known_servers(known)
+        .service_arguments(["--call-ms", "20"].map(str::to_string).into())
+        .build()
+}
+
+fn run_scenario(
+    scenario: &FaultScenario,
+    options: &PromiseOptions,
+) -> Result<PromiseTally, Box<dyn Error>> {
+    let started = Instant::now();
+    let fleet = Fleet::start(fleet_plan(scenario))?;
+    let routers = fleet.routers.iter().map(|router| router.listen()).collect::<Result<_, _>>()?;
+    let ready = fleet.routers.iter().map(|_| AtomicBool::new(true)).collect();
+    let shared = Arc::new(SharedState { ready, ..SharedState::default() });
+    let plan = WorkloadPlan {
+        seed: options.seed,
+        requests: options.requests,
+        routers,
+        shared: shared.clone(),
+    };
+    let callers = std::thread::spawn(move || run_workload(plan));
+    let stage = FaultStage::new(fleet, shared);
+    runtime::run(inject_all(&stage, scenario, options.seed))??;
+    let records = callers.join().map_err(|_| "the callers' thread panicked")??;
+    let faults = stage.records.take();
+    let last_new_work = stage.last_new_work.get();
+    let unclean_exits = stage.unclean_exits.get();
+    let fleet = stage.fleet.into_inner();
+    let truth = runtime::run(RunTruth::settle(&fleet))??;
+    Ok(PromiseTally {
+        scenario: scenario.to_string(),
+        seed: options.seed,
+        unclean_exits,
+        last_new_work_ms: last_new_work.map(|after| after.as_millis() as u64),
+        seconds: (started.elapsed().as_secs_f64() * 10.0).round() / 10.0,
+        ..PromiseTally::count(&records, &faults, &truth)
+    })
+}
+
+async fn inject_all(
+    stage: &FaultStage,
+    scenario: &FaultScenario,
+    seed: u64,
+) -> Result<(), papayamux_testbed::TestbedError> {
+    let injectors = scenario.faults.iter().enumerate().map(|(place, kind)| {
+        let random = StdRng::seed_from_u64(seed.rotate_left(17) ^ (place as u64 + 1));
+        FaultInjector { stage, kind: *kind, random }.run()
+    });
+    futures_util::future::try_join_all(injectors).await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/promises/tally.rs
@@ -0,0 +1,159 @@
+//! The counts of one scenario.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::fault_stage::FaultRecord;
+use super::request_record::{LearnedOutcome, RequestRecord, RequestWork};
+use super::truth::RunTruth;
+
+/// A request that broke this long after a shutdown's end may still have been cut off by it.
+const AFTER_SHUTDOWN: Duration = Duration::from_millis(500);
+
+/// One line of the measurement.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct PromiseTally {
+    /// The scenario.
+    pub scenario: String,
+    /// The seed.
+    pub seed: u64,
+    /// Requests sent, repeats too.
+    pub requests: u64,
+    /// Answered to the end.
+    pub answered: u64,
+    /// Told not run.
+    pub not_run: u64,
+    /// Never left the caller, because no router took the connection.
+    pub unsent: u64,
+    /// Not known: told so, or the answer broke off.
+    pub unknown: u64,
+    /// Of the unknown, chats.
+    pub unknown_chats: u64,
+    /// Of the unknown, those whose connection to the router broke off.
+    pub broken: u64,
+    /// Of the unknown, those that got no answer while the caller was willing to wait.
+    pub timed_out: u64,
+    /// Told that the request ran and failed.
+    pub failed: u64,
+    /// Answers with bytes of another. Breaks a promise.
+    pub mixed: u64,
+    /// Answers that ended well yet lack bytes. Breaks a promise.
+    pub short: u64,
+    /// Bytes that came twice.
+    pub doubled_bytes: u64,
+    /// Bookings that the service ran twice. Breaks a promise.
+    pub ran_twice: u64,
+    /// Requests told not run that a server ran. Breaks a promise.
+    pub told_not_run_but_ran: u64,
+    /// Requests that a graceful shutdown cut off. Breaks a promise.
+    pub cut_by_shutdown: u64,
+    /// Graceful shutdowns that did not end with success.
+    pub unclean_exits: u64,
+    /// The longest time from an agent's notice to new work at its server.
+    pub last_new_work_ms: Option<u64>,
+    /// Faults that began while requests were in flight, and keys sent through two routers.
+    pub interleavings: u64,
+    /// Seconds that it took.
+    pub seconds: f64,
+}
+
+impl PromiseTally {
+    /// Counts all records against the truth.
+    pub fn count(records: &[RequestRecord], faults: &[FaultRecord], truth: &RunTruth) -> Self {
+        let mut tally = Self { requests: records.len() as u64, ..Self::default() };
+        for record in records {
+            tally.add_outcome(record);
+            tally.add_flaws(record);
+            let runs = truth.by_tag.get(&record.tag).copied().unwrap_or_default();
+            let claims_not_run =
+                matches!(record.learned, LearnedOutcome::NotRun | LearnedOutcome::Unsent);
+            tally.told_not_run_but_ran += u64::from(claims_not_run && runs > 0);
+            let is_twice = record.work == RequestWork::Booking && runs > 1;
+            tally.ran_twice += u64::from(is_twice && record.key.is_none());
+            tally.cut_by_shutdown += u64::from(was_cut_off(record, faults));
+        }
+        tally.ran_twice += truth.by_key.values().filter(|runs| **runs > 1).count() as u64;
+        let met = faults.iter().filter(|fault| fault.met_requests).count();
+        tally.interleavings = (met + keys_of_two_routers(records)) as u64;
+        tally
+    }
+
+    /// Requests that broke a promise.
+    pub fn broken_promises(&self) -> u64 {
+        self.mixed + self.short + self.ran_twice + self.told_not_run_but_ran + self.cut_by_shutdown
+    }
+
+    /// Adds another scenario's counts.
+    pub fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.answered += other.answered;
+        self.not_run += other.not_run;
+        self.unsent += other.unsent;
+        self.unknown += other.unknown;
+        self.unknown_chats += other.unknown_chats;
+        self.broken += other.broken;
+        self.timed_out += other.timed_out;
+        self.failed += other.failed;
+        self.mixed += other.mixed;
+        self.short += other.short;
+        self.doubled_bytes += other.doubled_bytes;
+        self.ran_twice += other.ran_twice;
+        self.told_not_run_but_ran += other.told_not_run_but_ran;
+        self.cut_by_shutdown += other.cut_by_shutdown;
+        self.unclean_exits += other.unclean_exits;
+        self.last_new_work_ms = self.last_new_work_ms.max(other.last_new_work_ms);
+        self.interleavings += other.interleavings;
+        self.seconds += other.seconds;
+    }
+
+    fn add_outcome(&mut self, record: &RequestRecord) {
+        match record.learned {
+            LearnedOutcome::Answered => self.answered += 1,
+            LearnedOutcome::NotRun => self.not_run += 1,
+            LearnedOutcome::Unsent => self.unsent += 1,
+            LearnedOutcome::Failed => self.failed += 1,
+            LearnedOutcome::Unknown => {
+                self.unknown += 1;
+                self.unknown_chats += u64::from(record.work == RequestWork::Chat);
+                self.broken += u64::from(record.broke);
+                self.timed_out += u64::from(record.timed_out);
+            }
+        }
+    }
+
+    fn add_flaws(&mut self, record: &RequestRecord) {
+        self.mixed += u64::from(record.flaws.mixed);
+        self.short += u64::from(record.flaws.short);
+        self.doubled_bytes += record.flaws.doubled_bytes;
+    }
+}
+
+fn keys_of_two_routers(records: &[RequestRecord]) -> usize {
+    let mut seen = BTreeSet::new();
+    let pairs = records.iter().filter_map(|record| Some((record.key.as_deref()?, record.router)));
+    seen.extend(pairs);
+    let keys: BTreeSet<_> = seen.iter().map(|(key, _)| key).collect();
+    seen.len() - keys.len()
+}
+
+/// Whether a graceful shutdown cut a request off: it was in flight at the process that ended, it
+/// broke before its end, and no other fault met the same process in that time.
+fn was_cut_off(record: &RequestRecord, faults: &[FaultRecord]) -> bool {
+    let is_open = record.learned == LearnedOutcome::Unknown;
+    let mut met = faults.iter().filter(|fault| concerns(fault, record)).peekable();
+    is_open && met.peek().is_some() && met.all(|fault| fault.kind.is_graceful())
+}
+
+/// Whether a fault met the request's router or server while the request was in flight.
+fn concerns(fault: &FaultRecord, record: &RequestRecord) -> bool {
+    let in_time = record.sent <= fault.to && record.ended + AFTER_SHUTDOWN >= fault.from;
+    let in_time = in_time && record.ended <= fault.to + AFTER_SHUTDOWN;
+    let at_router = fault.router.is_none_or(|router| router == record.router);
+    let at_server = match (&fault.server, &record.server) {
+        (Some(fault), Some(record)) => fault == record,
+        _ => true,
+    };
+    in_time && at_router && at_server
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/promises/truth.rs
@@ -0,0 +1,68 @@
+//! What really ran, as the stand-ins counted it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use papayamux_testbed::{wait_until, AgentStatus, Fleet, TestbedError};
+
+/// How long the fleet may take to finish what is in flight after the faults.
+const SETTLE_WITHIN: Duration = Duration::from_secs(60);
+/// Nothing may happen for this long before the counts are read.
+const QUIET_FOR: Duration = Duration::from_millis(300);
+
+/// Run counts over all servers.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct RunTruth {
+    /// By tag, one for each request.
+    pub by_tag: HashMap<String, u64>,
+    /// By idempotency key.
+    pub by_key: HashMap<String, u64>,
+}
+
+impl RunTruth {
+    /// Lifts all faults, waits until nothing happens any more, and reads the counts.
+    pub async fn settle(fleet: &Fleet) -> Result<Self, TestbedError> {
+        for router in 0..fleet.routers.len() {
+            for server in 0..fleet.servers.len() {
+                if let Ok(link) = fleet.link(router, server) {
+                    link.heal().await?;
+                    link.wait_report(|report| report.kept_to_target == 0).await?;
+                }
+            }
+        }
+        let running = async || {
+            let mut running = 0;
+            for server in &fleet.servers {
+                running += server.agent.status::<AgentStatus>().await?.running;
+            }
+            Ok(running)
+        };
+        wait_until(SETTLE_WITHIN, running, |running| *running == 0).await?;
+        let mut truth = Self::read(fleet).await?;
+        loop {
+            monoio::time::sleep(QUIET_FOR).await;
+            let later = Self::read(fleet).await?;
+            if later == truth {
+                return Ok(truth);
+            }
+            truth = later;
+        }
+    }
+
+    async fn read(fleet: &Fleet) -> Result<Self, TestbedError> {
+        let mut truth = Self::default();
+        for server in &fleet.servers {
+            add_all(&mut truth.by_tag, server.tag_runs().await?);
+            if server.name.starts_with("service") {
+                add_all(&mut truth.by_key, server.service_runs().await?.by_key);
+            }
+        }
+        Ok(truth)
+    }
+}
+
+fn add_all(sums: &mut HashMap<String, u64>, counts: HashMap<String, u64>) {
+    for (name, count) in counts {
+        *sums.entry(name).or_default() += count;
+    }
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/promises/workload.rs
@@ -0,0 +1,238 @@
+//! The callers: chats and bookings, drawn from the seed, on a thread of their own.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::Method;
+use papayamux_protocol::chat::ChatMessage;
+use papayamux_protocol::engine::render_prompt;
+use papayamux_protocol::headers::IDEMPOTENCY_KEY;
+use papayamux_standins::engine::expected_answer;
+use papayamux_standins::run_tag::TAG_HEADER;
+use papayamux_standins::service::ServiceAnswer;
+use papayamux_testbed::{
+    chat_request, Caller, CallerAnswer, CallerOutcome, FLEET_MODEL, FLEET_PATH,
+};
+use papayamux_transport::runtime;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::answer_check::{check_booking, check_chat};
+use super::fault_stage::SharedState;
+use super::request_record::{
+    learned_of, server_of, AnswerFlaws, LearnedOutcome, RequestRecord, RequestWork,
+};
+
+/// Callers at work at the same time.
+const CALLERS: usize = 24;
+/// How long a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Milliseconds between two requests of a caller.
+const THINK_MS: std::ops::Range<u64> = 0..60;
+/// Tokens of an answer.
+const ANSWER_TOKENS: std::ops::Range<u32> = 5..80;
+/// Of 100 requests, how many are chats.
+const CHATS_IN_100: u32 = 55;
+/// Of 100 bookings, how many have a key.
+const KEYED_IN_100: u32 = 75;
+/// Of 100 bookings with a key, how many are sent twice at the same time.
+const TWINS_IN_100: u32 = 25;
+/// Of 100 bookings with a key that were answered, how many are repeated all the same.
+const REPEATED_IN_100: u32 = 50;
+
+/// What the callers do.
+#[derive(Debug, Clone)]
+pub struct WorkloadPlan {
+    /// Draws everything.
+    pub seed: u64,
+    /// Requests after which the callers stop; repeats count.
+    pub requests: usize,
+    /// Where the routers listen.
+    pub routers: Vec<SocketAddr>,
+    /// What is shared with the injectors.
+    pub shared: Arc<SharedState>,
+}
+
+/// All callers of one run.
+struct CallerCrowd {
+    plan: WorkloadPlan,
+    drawn: Cell<u64>,
+    records: RefCell<Vec<RequestRecord>>,
+}
+
+/// One booking, which may be sent several times.
+struct BookingOrder {
+    tag: String,
+    key: Option<String>,
+    path: String,
+    body: String,
+}
+
+/// Runs the callers to their end.
+pub fn run_workload(plan: WorkloadPlan) -> std::io::Result<Vec<RequestRecord>> {
+    let shared = plan.shared.clone();
+    let records = runtime::run(async {
+        let crowd =
+            Rc::new(CallerCrowd { plan, drawn: Cell::default(), records: RefCell::default() });
+        let callers = (0..CALLERS).map(|_| monoio::spawn(crowd.clone().send_until_enough()));
+        futures_util::future::join_all(callers.collect::<Vec<_>>()).await;
+        crowd.records.take()
+    });
+    shared.finished.store(true, Ordering::Relaxed);
+    records
+}
+
+impl CallerCrowd {
+    async fn send_until_enough(self: Rc<Self>) {
+        while self.records.borrow().len() < self.plan.requests {
+            let number = self.drawn.replace(self.drawn.get() + 1);
+            let seed = self.plan.seed ^ (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let mut random = StdRng::seed_from_u64(seed);
+            match random.random_range(0..100) < CHATS_IN_100 {
+                true => self.send_chat(number, &mut random).await,
+                false => self.send_bookings(number, &mut random).await,
+            }
+            let think = random.random_range(THINK_MS);
+            monoio::time::sleep(Duration::from_millis(think)).await;
+        }
+    }
+
+    async fn send_chat(&self, number: u64, random: &mut StdRng) {
+        let content = format!("Question {number} of seed {}, please.", self.plan.seed);
+        let messages = vec![ChatMessage { role: "user".to_string(), content }];
+        let tokens = random.random_range(ANSWER_TOKENS);
+        let expected = expected_answer(FLEET_MODEL, &render_prompt(&messages), Some(tokens));
+        let request = chat_request(FLEET_MODEL, messages, tokens);
+        let tag = format!("chat-{number}");
+        let router = self.pick_router(random);
+        let caller = Caller::new(self.plan.routers[router], "yanchang-desk");
+        let headers = [(TAG_HEADER, tag.as_str())];
+        let sent = Instant::now();
+        let outcome = self.patiently(caller.chat_once(&request, &headers)).await;
+        let flaws =
+            outcome.as_ref().map_or_else(AnswerFlaws::default, |o| check_chat(o, &expected));
+        let server = outcome.as_ref().and_then(chat_server);
+        let record = record_of(&outcome, RequestWork::Chat, router, sent);
+        self.note(RequestRecord { tag: tag.clone(), server, flaws, ..record });
+    }
+
+    async fn send_bookings(&self, number: u64, random: &mut StdRng) {
+        let keyed = random.random_range(0..100) < KEYED_IN_100;
+        let key = keyed.then(|| format!("key-{}-{number}", self.plan.seed));
+        let path = format!("{FLEET_PATH}/gate/{number}");
+        let body = format!("{{\"booking\":{number},\"seed\":{}}}", self.plan.seed);
+        let order = BookingOrder { tag: format!("booking-{number}"), key, path, body };
+        let router = self.pick_router(random);
+        let other = self.other_router(router);
+        if keyed && random.random_range(0..100) < TWINS_IN_100 {
+            let first = self.send_booking(&order, router, 0);
+            futures_util::future::join(first, self.send_booking(&order, other, 1)).await;
+        } else {
+            let learned = self.send_booking(&order, router, 0).await;
+            let repeat = random.random_range(0..100) < REPEATED_IN_100;
+            if keyed && (repeat || learned != LearnedOutcome::Answered) {
+                self.send_booking(&order, other, 1).await;
+            }
+        }
+    }
+
+    async fn send_booking(
+        &self,
+        order: &BookingOrder,
+        router: usize,
+        attempt: u32,
+    ) -> LearnedOutcome {
+        let tag = format!("{}-{attempt}", order.tag);
+        let caller = Caller::new(self.plan.routers[router], "yanchang-desk");
+        let mut headers = vec![(TAG_HEADER, tag.as_str())];
+        headers.extend(order.key.as_deref().map(|key| (IDEMPOTENCY_KEY, key)));
+        let body = Bytes::from(order.body.clone());
+        let sent = Instant::now();
+        let call = caller.call_once(Method::POST, &order.path, &headers, body);
+        let outcome = self.patiently(call).await;
+        let answer = match &outcome {
+            Some(CallerOutcome::Answered(body)) => Some(serde_json::from_slice(body).ok()),
+            _ => None,
+        };
+        let flaws = answer.as_ref().map_or_else(AnswerFlaws::default, |answer| {
+            check_booking(answer.as_ref(), &order.path, &order.body)
+        });
+        let server = answer.flatten().map(|answer: ServiceAnswer| answer.service);
+        let record = record_of(&outcome, RequestWork::Booking, router, sent);
+        let learned = record.learned;
+        self.note(RequestRecord {
+            tag: tag.clone(),
+            key: order.key.clone(),
+            server,
+            flaws,
+            ..record
+        });
+        learned
+    }
+
+    /// Waits for an outcome as long as a caller does.
+    async fn patiently<A>(
+        &self,
+        call: impl std::future::Future<Output = CallerOutcome<A>>,
+    ) -> Option<CallerOutcome<A>> {
+        self.plan.shared.in_flight.fetch_add(1, Ordering::Relaxed);
+        let outcome = monoio::time::timeout(PATIENCE, call).await.ok();
+        self.plan.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
+        outcome
+    }
+
+    /// Any router that the balancer sends callers to.
+    fn pick_router(&self, random: &mut StdRng) -> usize {
+        let drawn = random.random_range(0..self.plan.routers.len());
+        self.ready_from(drawn)
+    }
+
+    fn other_router(&self, router: usize) -> usize {
+        self.ready_from((router + 1) % self.plan.routers.len())
+    }
+
+    fn ready_from(&self, first: usize) -> usize {
+        let count = self.plan.routers.len();
+        let is_ready = |router: &usize| self.plan.shared.ready[*router].load(Ordering::Relaxed);
+        (0..count).map(|step| (first + step) % count).find(is_ready).unwrap_or(first)
+    }
+
+    fn note(&self, record: RequestRecord) {
+        self.records.borrow_mut().push(record);
+    }
+}
+
+/// What every record says of an outcome; `None` is a caller that gave up.
+fn record_of<A>(
+    outcome: &Option<CallerOutcome<A>>,
+    work: RequestWork,
+    router: usize,
+    sent: Instant,
+) -> RequestRecord {
+    RequestRecord {
+        tag: String::new(),
+        key: None,
+        work,
+        router,
+        server: None,
+        sent,
+        ended: Instant::now(),
+        learned: outcome.as_ref().map_or(LearnedOutcome::Unknown, learned_of),
+        flaws: AnswerFlaws::default(),
+        broke: matches!(outcome, Some(CallerOutcome::Broken(_))),
+        timed_out: outcome.is_none(),
+    }
+}
+
+fn chat_server(outcome: &CallerOutcome<CallerAnswer>) -> Option<String> {
+    match outcome {
+        CallerOutcome::Answered(answer) => Some(answer.server.clone()),
+        CallerOutcome::Broken(error) => server_of(error),
+        _ => None,
+    }
+}
--- a/crates/papayamux-testbed/src/lib.rs
+++ b/crates/papayamux-testbed/src/lib.rs
@@ -17,6 +17,6 @@
 pub use outcome::CallerOutcome;
 pub use process::{ProcessHandle, TestbedError};
 pub use process_view::{AgentStatus, MetricsReading, RouterStatus};
-pub use running_server::RunningServer;
+pub use running_server::{RunningServer, RunsReader};
 pub use usage::ProcessUsage;
 pub use waiting::wait_until;
--- a/crates/papayamux-testbed/src/running_server.rs
+++ b/crates/papayamux-testbed/src/running_server.rs
@@ -8,6 +8,7 @@
 use http::Method;
 use papayamux_standins::run_tag::TAG_RUNS_PATH;
 use papayamux_standins::service::{ServiceRuns, RUNS_PATH};
+use serde::de::DeserializeOwned;
 
 use crate::http_reader::read_json;
 use crate::link_control::LinkControl;
@@ -59,11 +60,12 @@
 
     /// All runs of a server, of whichever kind.
     pub async fn all_runs(&self) -> Result<u64, TestbedError> {
-        let runs = match self.is_engine {
-            true => self.engine_runs().await?,
-            false => self.service_runs().await?.by_request,
-        };
-        Ok(runs.values().sum())
+        self.runs_reader()?.all_runs().await
+    }
+
+    /// Reads the runs without borrowing the server.
+    pub fn runs_reader(&self) -> Result<RunsReader, TestbedError> {
+        Ok(RunsReader { address: self.standin.listen()?, is_engine: self.is_engine })
     }
 
     /// Waits until the server has run at least `least` requests.
@@ -71,3 +73,26 @@
         wait_until(RUNS_WITHIN, async || self.all_runs().await, |runs| *runs >= least).await
     }
 }
+
+/// Reads how much a server has run.
+#[derive(Debug, Clone, Copy)]
+pub struct RunsReader {
+    address: SocketAddr,
+    is_engine: bool,
+}
+
+impl RunsReader {
+    /// All runs of the server.
+    pub async fn all_runs(&self) -> Result<u64, TestbedError> {
+        if self.is_engine {
+            let runs: HashMap<String, u64> = self.read().await?;
+            return Ok(runs.values().sum());
+        }
+        let runs: ServiceRuns = self.read().await?;
+        Ok(runs.by_request.values().sum())
+    }
+
+    async fn read<T: DeserializeOwned>(&self) -> Result<T, TestbedError> {
+        read_json(self.address, Method::GET, RUNS_PATH, Bytes::new()).await
+    }
+}
