--- a/crates/papayamux-measure/src/lib.rs
+++ b/crates/papayamux-measure/src/lib.rs
@@ -3,4 +3,4 @@
 pub mod command_line;
 mod demo;
 mod path;
-mod promises;
+pub mod promises;
--- a/crates/papayamux-measure/src/promises/answer_check.rs
+++ b/crates/papayamux-measure/src/promises/answer_check.rs
@@ -37,11 +37,11 @@
     if expected.starts_with(text) {
         return AnswerFlaws { short: true, ..AnswerFlaws::default() };
     }
-    let before = text.bytes().zip(expected.bytes()).take_while(|(a, b)| a == b).count();
-    let after = text.bytes().rev().zip(expected.bytes().rev()).take_while(|(a, b)| a == b).count();
-    if text.len() > expected.len() && before + after >= expected.len() {
-        let doubled_bytes = (text.len() - expected.len()) as u64;
-        return AnswerFlaws { doubled_bytes, ..AnswerFlaws::default() };
+    let (text, expected) = (text.as_bytes(), expected.as_bytes());
+    let same = text.iter().zip(expected).take_while(|(one, other)| one == other).count();
+    let doubled = text.len().saturating_sub(expected.len());
+    if same >= doubled && text[same..] == expected[same - doubled..] {
+        return AnswerFlaws { doubled_bytes: doubled as u64, ..AnswerFlaws::default() };
     }
     mixed()
 }
--- a/crates/papayamux-measure/src/promises/injector.rs
+++ b/crates/papayamux-measure/src/promises/injector.rs
@@ -14,6 +14,8 @@
 
 /// Milliseconds between two faults of a kind.
 const GAP_MS: std::ops::Range<u64> = 50..400;
+/// Milliseconds between two links going silent, each of which lasts until it is found.
+const SILENT_GAP_MS: std::ops::Range<u64> = 500..2_000;
 /// Milliseconds by which a late link's bytes are late.
 const LATE_MS: std::ops::Range<u64> = 20..300;
 /// Milliseconds for which a link is late.
@@ -41,7 +43,8 @@
     /// Brings about faults until the callers have finished.
     pub async fn run(mut self) -> Result<(), TestbedError> {
         while self.kind != FaultKind::ListsDiffer {
-            self.sleep(GAP_MS).await;
+            self.sleep(if self.kind == FaultKind::LinkSilent { SILENT_GAP_MS } else { GAP_MS })
+                .await;
             if self.stage.is_finished() {
                 break;
             }
--- a/crates/papayamux-measure/src/promises/mod.rs
+++ b/crates/papayamux-measure/src/promises/mod.rs
@@ -13,4 +13,10 @@
 mod truth;
 mod workload;
 
+pub use answer_check::{check_booking, check_chat};
+pub use fault_kind::FaultKind;
+pub use fault_stage::FaultRecord;
+pub use request_record::{AnswerFlaws, LearnedOutcome, RequestRecord, RequestWork};
 pub use run::{run_promises, PromiseOptions};
+pub use tally::PromiseTally;
+pub use truth::RunTruth;
--- a/crates/papayamux-measure/src/promises/tally.rs
+++ b/crates/papayamux-measure/src/promises/tally.rs
@@ -11,6 +11,8 @@
 
 /// A request that broke this long after a shutdown's end may still have been cut off by it.
 const AFTER_SHUTDOWN: Duration = Duration::from_millis(500);
+/// A request that broke this long after another fault may have been broken by it.
+const AFTER_FAULT: Duration = Duration::from_secs(10);
 
 /// One line of the measurement.
 #[derive(Debug, Clone, Default, Serialize)]
@@ -138,18 +140,18 @@
     seen.len() - keys.len()
 }
 
-/// Whether a graceful shutdown cut a request off: it was in flight at the process that ended, it
-/// broke before its end, and no other fault met the same process in that time.
+/// Whether a graceful shutdown cut a request off: the process that ended had it in flight, it
+/// broke before the shutdown was over, and no other fault that may explain it met it.
 fn was_cut_off(record: &RequestRecord, faults: &[FaultRecord]) -> bool {
     let is_open = record.learned == LearnedOutcome::Unknown;
     let mut met = faults.iter().filter(|fault| concerns(fault, record)).peekable();
     is_open && met.peek().is_some() && met.all(|fault| fault.kind.is_graceful())
 }
 
-/// Whether a fault met the request's router or server while the request was in flight.
+/// Whether a fault met the request's router or server, and the request ended under its effect.
 fn concerns(fault: &FaultRecord, record: &RequestRecord) -> bool {
-    let in_time = record.sent <= fault.to && record.ended + AFTER_SHUTDOWN >= fault.from;
-    let in_time = in_time && record.ended <= fault.to + AFTER_SHUTDOWN;
+    let effect = if fault.kind.is_graceful() { AFTER_SHUTDOWN } else { AFTER_FAULT };
+    let in_time = record.ended >= fault.from && record.ended <= fault.to + effect;
     let at_router = fault.router.is_none_or(|router| router == record.router);
     let at_server = match (&fault.server, &record.server) {
         (Some(fault), Some(record)) => fault == record,
