--- a/crates/papayamux-measure/src/lib.rs
+++ b/crates/papayamux-measure/src/lib.rs
@@ -3,4 +3,6 @@
 pub mod command_line;
 mod demo;
 mod path;
+pub mod promises;
 pub mod routing;
+mod tasks;
--- /dev/null
+++ b/crates/papayamux-measure/src/tasks/mod.rs
@@ -0,0 +1,10 @@
+//! The tasks of the command line, one file a task: its options, and how it is run.
+
+mod demo;
+mod measure_task;
+mod path;
+mod promises;
+mod routing;
+mod table;
+
+pub use measure_task::{find_task, MeasureTask, TaskError, TASKS};
