--- a/crates/papayamux-agent/src/answers/answer_record.rs
+++ b/crates/papayamux-agent/src/answers/answer_record.rs
@@ -258,6 +258,11 @@
         self.note_move();
     }
 
+    /// Whether something of the answer has still to be sent.
+    pub fn is_flowing(&self) -> bool {
+        !self.state.borrow().end_sent
+    }
+
     /// Lets the answer go on at `from` on `attachment`; `false` where that part is not held.
     pub fn attach(&self, attachment: Attachment, from: ResumePoint) -> bool {
         let mut state = self.state.borrow_mut();
--- a/crates/papayamux-agent/src/router_link.rs
+++ b/crates/papayamux-agent/src/router_link.rs
@@ -174,7 +174,7 @@
         let mut unanswered = 0;
         loop {
             match monoio::time::timeout(PING_AFTER, receiver.receive()).await {
-                Err(_) if self.streams.borrow().is_empty() => unanswered = 0,
+                Err(_) if !self.has_flowing_streams() => unanswered = 0,
                 Err(_) if unanswered == MOST_UNANSWERED => return LinkEnd::Silent,
                 Err(_) => {
                     unanswered += 1;
@@ -190,6 +190,15 @@
         }
     }
 
+    /// Whether the router's silence would matter. A stream whose end is sent needs no ping: a
+    /// router that has not received it asks again.
+    fn has_flowing_streams(&self) -> bool {
+        let mut streams = self.streams.borrow_mut();
+        let now = Instant::now();
+        streams.retain(|_, record| !record.is_expired(now));
+        streams.values().any(|record| record.is_flowing())
+    }
+
     fn take_message(&self, stream: u64, message: RouterMessage) {
         let key = AttachmentKey { link: self.number, stream };
         match message {
--- a/crates/papayamux-router/src/agents/agent_link.rs
+++ b/crates/papayamux-router/src/agents/agent_link.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::{select, Either};
 use local_sync::mpsc::unbounded;
 use papayamux_protocol::link::{
     AgentClock, AgentMessage, AgentWelcome, AnswerEnd, OpenRequest, RepeatRule, ResumePoint,
@@ -17,9 +18,9 @@
 use super::{StreamEvent, StreamHandle};
 use crate::metrics::RouterMetrics;
 
-/// Silence on a connection with open streams after which a ping is sent.
-const PING_AFTER: Duration = Duration::from_secs(1);
-/// Pings without any frame in between after which the connection counts as silent.
+/// How often a connection with open streams is checked for silence.
+const CHECK_EVERY: Duration = Duration::from_secs(1);
+/// Pings without an answer after which the connection counts as silent.
 const MOST_UNANSWERED: u32 = 3;
 
 /// A reading of the agent's clock.
@@ -132,6 +133,10 @@
         !self.streams.borrow().is_empty()
     }
 
+    fn awaits_heads(&self) -> bool {
+        self.streams.borrow().values().any(|slot| slot.awaits_head())
+    }
+
     /// Closes the connection for new streams and gives those that were on it.
     fn lose(&self) -> Vec<Rc<StreamSlot>> {
         self.open.set(false);
@@ -194,19 +199,21 @@
     receiver: &mut AgentReceiver,
     metrics: &RouterMetrics,
 ) -> LinkEnd {
-    let mut unanswered = 0;
+    let mut silence = SilenceCount::default();
+    let mut check = Box::pin(monoio::time::sleep(CHECK_EVERY));
     loop {
-        match monoio::time::timeout(PING_AFTER, receiver.receive()).await {
-            Err(_) if !link.has_streams() => unanswered = 0,
-            Err(_) if unanswered == MOST_UNANSWERED => return LinkEnd::Silent,
-            Err(_) => {
-                unanswered += 1;
-                link.send(CONNECTION, RouterMessage::Ping(u64::from(unanswered)));
+        let received = std::pin::pin!(receiver.receive());
+        match select(received, check.as_mut()).await {
+            Either::Right(_) => {
+                check = Box::pin(monoio::time::sleep(CHECK_EVERY));
+                if silence.check(link) {
+                    return LinkEnd::Silent;
+                }
             }
-            Ok(None) => return LinkEnd::Closed,
-            Ok(Some(Err(error))) => return LinkEnd::Broken(error),
-            Ok(Some(Ok(addressed))) => {
-                unanswered = 0;
+            Either::Left((None, _)) => return LinkEnd::Closed,
+            Either::Left((Some(Err(error)), _)) => return LinkEnd::Broken(error),
+            Either::Left((Some(Ok(addressed)), _)) => {
+                silence.note(link, &addressed.message);
                 if !take_message(link, addressed.stream, addressed.message) {
                     metrics.stray_frames.inc();
                 }
@@ -215,6 +222,40 @@
     }
 }
 
+/// How long the agent has been silent, counted in pings.
+///
+/// Any frame shows that the way from the agent works. The way to the agent may be dead all the
+/// same while answers still flow; where a stream waits for its first word, only a pong counts.
+#[derive(Default)]
+struct SilenceCount {
+    heard: bool,
+    unanswered: u32,
+}
+
+impl SilenceCount {
+    fn note(&mut self, link: &AgentLink, message: &AgentMessage) {
+        self.heard = true;
+        if matches!(message, AgentMessage::Pong(_)) || !link.awaits_heads() {
+            self.unanswered = 0;
+        }
+    }
+
+    /// Pings where it is due; `true` where the agent counts as silent.
+    fn check(&mut self, link: &AgentLink) -> bool {
+        let heard = std::mem::take(&mut self.heard);
+        if !link.has_streams() || (heard && !link.awaits_heads()) {
+            self.unanswered = 0;
+            return false;
+        }
+        if self.unanswered == MOST_UNANSWERED {
+            return true;
+        }
+        self.unanswered += 1;
+        link.send(CONNECTION, RouterMessage::Ping(u64::from(self.unanswered)));
+        false
+    }
+}
+
 /// Acts on a message; `false` where it belongs to nothing.
 fn take_message(link: &AgentLink, stream: u64, message: AgentMessage) -> bool {
     match message {
--- a/crates/papayamux-router/src/agents/stream_slot.rs
+++ b/crates/papayamux-router/src/agents/stream_slot.rs
@@ -93,6 +93,11 @@
         self.origin.idempotent && !self.head_came.get()
     }
 
+    /// Whether the agent has still to say a first word about the stream.
+    pub fn awaits_head(&self) -> bool {
+        !self.head_came.get()
+    }
+
     /// What to ask the agent for on a new connection.
     pub fn resume_request(&self) -> ResumeRequest {
         ResumeRequest {
--- a/crates/papayamux-router/src/callers/offer.rs
+++ b/crates/papayamux-router/src/callers/offer.rs
@@ -91,7 +91,18 @@
     })
 }
 
+/// Offers a request to one server, once more where the connection was lost before it arrived.
 async fn offer_to(desk: &CallerDesk, offer: &RequestOffer, peer: &AgentPeer) -> OfferOutcome {
+    match attempt_at(desk, offer, peer).await {
+        OfferOutcome::NotRun(notice) if notice.reason == RefusalReason::NeverArrived => {
+            desk.metrics.retries.count(notice.reason.label());
+            attempt_at(desk, offer, peer).await
+        }
+        outcome => outcome,
+    }
+}
+
+async fn attempt_at(desk: &CallerDesk, offer: &RequestOffer, peer: &AgentPeer) -> OfferOutcome {
     let Ok(link) = peer.link().await else {
         return OfferOutcome::NotRun(UNREACHABLE);
     };
--- /dev/null
+++ b/crates/papayamux-testbed/src/chat_stream.rs
@@ -0,0 +1,120 @@
+//! A streamed chat read event by event, with the ids that let its caller go on elsewhere.
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use papayamux_protocol::chat::{ChatChunk, ChatRequest, STREAM_END};
+use papayamux_protocol::engine::CHAT_PATH;
+use papayamux_protocol::headers::{LAST_EVENT_ID, SERVED_BY};
+use papayamux_transport::http::ClientAnswer;
+
+use crate::caller::{Caller, CallerError, LONGEST_ANSWER};
+
+/// One server-sent event.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StreamEvent {
+    /// Its id, or nothing.
+    pub id: String,
+    /// Its kind, or nothing.
+    pub kind: String,
+    /// Its data.
+    pub data: String,
+}
+
+/// A streamed chat that is being read.
+pub struct ChatStream {
+    answer: ClientAnswer,
+    pending: Vec<u8>,
+    /// The server that gives it.
+    pub server: String,
+    /// The text so far.
+    pub text: String,
+    /// The id of the last event.
+    pub last_id: String,
+    /// Whether the event that ends the stream has come.
+    pub is_whole: bool,
+}
+
+impl ChatStream {
+    /// Sends a chat, or asks for the rest of one after the event `last_id`.
+    pub async fn start(
+        caller: &Caller,
+        request: &ChatRequest,
+        last_id: Option<&str>,
+    ) -> Result<Self, CallerError> {
+        let body = serde_json::to_vec(request).map_err(nonsense)?;
+        let headers: Vec<_> = last_id.map(|id| (LAST_EVENT_ID, id)).into_iter().collect();
+        let answer = caller.send_once(Method::POST, CHAT_PATH, &headers, body.into()).await?;
+        if answer.head.status != StatusCode::OK {
+            let status = answer.head.status;
+            let body: Bytes = answer.whole_body(LONGEST_ANSWER).await?;
+            let body = String::from_utf8_lossy(&body).into_owned();
+            return Err(CallerError::Failure { status, body });
+        }
+        let served_by = answer.head.headers.get(SERVED_BY).and_then(|value| value.to_str().ok());
+        Ok(Self {
+            server: served_by.unwrap_or_default().to_string(),
+            answer,
+            pending: Vec::new(),
+            text: String::new(),
+            last_id: String::new(),
+            is_whole: false,
+        })
+    }
+
+    /// The next event; `None` at the end of the body.
+    pub async fn next_event(&mut self) -> Result<Option<StreamEvent>, CallerError> {
+        loop {
+            if let Some(end) = self.pending.windows(2).position(|pair| pair == b"\n\n") {
+                let event: Vec<u8> = self.pending.drain(..end + 2).collect();
+                return self.take_event(&String::from_utf8_lossy(&event)).map(Some);
+            }
+            match self.answer.next_piece().await {
+                None => return Ok(None),
+                Some(Ok(piece)) => self.pending.extend_from_slice(&piece),
+                Some(Err(error)) => {
+                    let (server, text) = (self.server.clone(), self.text.clone());
+                    return Err(CallerError::Partial { server, text, error });
+                }
+            }
+        }
+    }
+
+    /// Reads events until `count` more have come, or the end.
+    pub async fn read_events(&mut self, count: usize) -> Result<(), CallerError> {
+        for _ in 0..count {
+            if self.next_event().await?.is_none() {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads to the end of the body.
+    pub async fn read_rest(&mut self) -> Result<(), CallerError> {
+        while self.next_event().await?.is_some() {}
+        Ok(())
+    }
+
+    fn take_event(&mut self, text: &str) -> Result<StreamEvent, CallerError> {
+        let field = |name: &str| {
+            let mut lines = text.lines();
+            lines.find_map(|line| line.strip_prefix(name)).unwrap_or_default().to_string()
+        };
+        let event =
+            StreamEvent { id: field("id: "), kind: field("event: "), data: field("data: ") };
+        if !event.id.is_empty() {
+            self.last_id = event.id.clone();
+        }
+        if event.kind.is_empty() && event.data == STREAM_END {
+            self.is_whole = true;
+        } else if event.kind.is_empty() {
+            let chunk: ChatChunk = serde_json::from_str(&event.data).map_err(nonsense)?;
+            chunk.choices.iter().for_each(|choice| self.text.push_str(&choice.delta.content));
+        }
+        Ok(event)
+    }
+}
+
+fn nonsense(error: serde_json::Error) -> CallerError {
+    CallerError::Nonsense(error.to_string())
+}
--- a/crates/papayamux-testbed/src/fleet.rs
+++ b/crates/papayamux-testbed/src/fleet.rs
@@ -38,6 +38,9 @@
     /// Further arguments for each service stand-in.
     #[builder(default)]
     pub service_arguments: Vec<String>,
+    /// Further lines for the `[agent]` section of each agent.
+    #[builder(default)]
+    pub agent_lines: String,
     /// Further lines for the `[server]` section of each agent.
     #[builder(default)]
     pub agent_server_lines: String,
@@ -120,8 +123,8 @@
     ) -> Result<ProcessHandle, TestbedError> {
         let settings = format!(
             "[agent]\nlisten = {listen}\noperations = {ANY_PORT}\nfailure_domain = a\n\
-             [server]\nname = {name}\naddress = {address}\n{}\n",
-            self.plan.agent_server_lines
+             {}\n[server]\nname = {name}\naddress = {address}\n{}\n",
+            self.plan.agent_lines, self.plan.agent_server_lines
         );
         let file = write_settings(self.folder.path(), name, &settings)?;
         ProcessHandle::start("papayamux-agent", &["--settings".to_string(), file])
--- a/crates/papayamux-testbed/src/lib.rs
+++ b/crates/papayamux-testbed/src/lib.rs
@@ -1,6 +1,7 @@
 //! Real processes for the demo, the tests and the measurements: started here, stopped on drop.
 
 mod caller;
+mod chat_stream;
 mod fleet;
 mod http_reader;
 mod link_control;
@@ -12,6 +13,7 @@
 mod waiting;
 
 pub use caller::{chat_request, Caller, CallerAnswer, CallerError};
+pub use chat_stream::{ChatStream, StreamEvent};
 pub use fleet::{Fleet, FleetPlan, FLEET_MODEL, FLEET_PATH};
 pub use link_control::LinkControl;
 pub use outcome::CallerOutcome;
