Resume an engine's stream, and give up only servers that are silent everywhere

Cause: a connection to an engine that broke or went silent in the middle of an answer lost it. A request for a whole answer is never replaced by a stream. The engine stand-in gives only the last event to a reader that had the one before.

--- a/crates/papayamux-agent/src/answers/event_tagger.rs
+++ b/crates/papayamux-agent/src/answers/event_tagger.rs
@@ -6,6 +6,8 @@
 
 /// Bytes of the longest event that gets an id; a longer one passes without.
 const LONGEST_EVENT: usize = 1024 * 1024;
+/// What the event that ends a chat ends with.
+const LAST_FIELD: &[u8] = b"[DONE]\n";
 /// Bytes that an id line adds at most, beside the server's name.
 const ID_LINE: usize = 64;
 
@@ -25,6 +27,7 @@
     server: ServerId,
     request: RequestId,
     number: u64,
+    is_complete: bool,
     pending: BytesMut,
     line_start: usize,
     scanned: usize,
@@ -34,7 +37,8 @@
     /// A tagger for the answer to `request` by `server`.
     pub fn new(server: ServerId, request: RequestId) -> Self {
         let pending = BytesMut::new();
-        Self { server, request, number: 0, pending, line_start: 0, scanned: 0 }
+        let (number, is_complete) = (0, false);
+        Self { server, request, number, is_complete, pending, line_start: 0, scanned: 0 }
     }
 
     /// Events numbered so far.
@@ -42,6 +46,11 @@
         self.number
     }
 
+    /// Whether the event that ends a chat has come.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
     /// Forgets what has come of an event that is not whole; the server sends it again.
     pub fn drop_partial(&mut self) {
         self.pending.clear();
@@ -92,6 +101,7 @@
         let has_data = fields.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"));
         if has_data {
             self.number += 1;
+            self.is_complete |= fields.ends_with(LAST_FIELD);
             let (server, request) = (self.server.clone(), self.request);
             let id = EventId { server, request, number: self.number };
             output.put_slice(format!("id: {id}\n").as_bytes());
--- a/crates/papayamux-agent/src/run.rs
+++ b/crates/papayamux-agent/src/run.rs
@@ -4,6 +4,7 @@
 use futures_util::future::{select, Either};
 use http::header::CONTENT_TYPE;
 use http::{HeaderName, HeaderValue, Request, StatusCode};
+use papayamux_protocol::chat::ChatRequest;
 use papayamux_protocol::headers::{HOP_BY_HOP, PRIORITY, REQUEST_ID};
 use papayamux_protocol::link::{
     AnswerEnd, AnswerHead, HeaderField, OpenRequest, RefusalNotice, RepeatRule,
@@ -64,7 +65,11 @@
     let Some(request) = server_request(core, open) else {
         return refuse(record, RefusalReason::NotServed);
     };
-    let target = is_chat.then(|| ResumeTarget { id: record.id(), events: 0 });
+    let body = request.body().clone();
+    let target = || {
+        let resumable = is_chat && asks_for_stream(&body);
+        resumable.then(|| ResumeTarget { id: record.id(), events: 0 })
+    };
     let exchange = async {
         match idempotent {
             true => core.client.send_idempotent(request).await,
@@ -83,6 +88,11 @@
     }
 }
 
+/// Whether the caller of a chat wants its answer as events. Only read where the server stalls.
+fn asks_for_stream(body: &[u8]) -> bool {
+    serde_json::from_slice::<ChatRequest>(body).is_ok_and(|request| request.stream)
+}
+
 fn refuse(record: &AnswerRecord, reason: RefusalReason) -> RunEnd {
     record.refuse(RefusalNotice { reason, retry_after_ms: 0 });
     RunEnd::Unreachable
@@ -161,7 +171,7 @@
     record: &AnswerRecord,
 ) -> Result<(), ServerError> {
     loop {
-        match wait_for_server(core, None, answer.next_piece()).await {
+        match wait_for_server(core, || None, answer.next_piece()).await {
             ServerStep::Came(Some(piece)) => record.append(piece?, &[]).await,
             ServerStep::Came(None) => break,
             ServerStep::Silent | ServerStep::Replaced(_) => return Err(ServerError::Silent),
@@ -179,13 +189,14 @@
     let mut tagger = EventTagger::new(core.server.clone(), record.id());
     loop {
         let target = ResumeTarget { id: record.id(), events: tagger.numbered() };
-        let replacement = match wait_for_server(core, Some(target), answer.next_piece()).await {
+        let replacement = match wait_for_server(core, || Some(target), answer.next_piece()).await {
             ServerStep::Came(Some(Ok(piece))) => {
                 let tagged = tagger.take(&piece);
                 record.append(tagged.bytes, &tagged.event_ends).await;
                 continue;
             }
             ServerStep::Came(None) => break,
+            ServerStep::Came(Some(Err(_))) if tagger.is_complete() => break,
             ServerStep::Came(Some(Err(error))) => go_on(core, target, error).await?,
             ServerStep::Replaced(answer) => answer,
             ServerStep::Silent => return Err(ServerError::Silent),
--- a/crates/papayamux-agent/src/server_exchange.rs
+++ b/crates/papayamux-agent/src/server_exchange.rs
@@ -61,10 +61,11 @@
     Silent,
 }
 
-/// Waits for `step`; whenever it makes no progress for a while, the server is checked.
+/// Waits for `step`; whenever it makes no progress for a while, the server is checked, and asked
+/// to go on with `target` where there is one.
 pub async fn wait_for_server<T>(
     core: &AgentCore,
-    target: Option<ResumeTarget>,
+    target: impl Fn() -> Option<ResumeTarget>,
     step: impl Future<Output = T>,
 ) -> ServerStep<T> {
     let mut step = std::pin::pin!(step);
@@ -74,7 +75,7 @@
         if let Either::Left((came, _)) = select(step.as_mut(), patience).await {
             return ServerStep::Came(came);
         }
-        match check_server(core, target).await {
+        match check_server(core, target()).await {
             ServerCheck::Replaced(answer) => {
                 core.metrics.server_streams.count("replaced");
                 return ServerStep::Replaced(answer);
--- a/crates/papayamux-standins/src/engine/answer_record.rs
+++ b/crates/papayamux-standins/src/engine/answer_record.rs
@@ -110,6 +110,11 @@
         record.readers.set(record.readers.get() + 1);
         Self { record, next: from, ended: false }
     }
+
+    /// Whether the reader has had the event behind the last token, which brings the usage.
+    pub fn starts_past_usage(&self) -> bool {
+        self.next > self.record.plan.tokens
+    }
 }
 
 impl Stream for AnswerReader {
--- a/crates/papayamux-standins/src/engine/chat_interface.rs
+++ b/crates/papayamux-standins/src/engine/chat_interface.rs
@@ -102,6 +102,9 @@
         }
         reader.poll_next_unpin(context).map(|event| match event? {
             AnswerEvent::Token(token) => Some(Ok(chunk_piece(&id, token, None))),
+            AnswerEvent::End(AnswerEnd::Whole(_)) if reader.starts_past_usage() => {
+                Some(Ok(Bytes::from(format!("data: {STREAM_END}\n\n"))))
+            }
             AnswerEvent::End(AnswerEnd::Whole(usage)) => {
                 pending.push_back(Bytes::from(format!("data: {STREAM_END}\n\n")));
                 Some(Ok(chunk_piece(&id, String::new(), Some(usage))))
--- a/crates/papayamux-testbed/tests/streams_go_on.rs
+++ b/crates/papayamux-testbed/tests/streams_go_on.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use papayamux_protocol::chat::{ChatMessage, ChatRequest};
-use papayamux_protocol::engine::render_prompt;
+use papayamux_protocol::chat::{ChatCompletion, ChatMessage, ChatRequest};
+use papayamux_protocol::engine::{render_prompt, CHAT_PATH};
 use papayamux_protocol::failure::{FailureCode, FailureEnvelope, FailureOutcome};
 use papayamux_standins::engine::expected_answer;
 use papayamux_standins::fault_proxy::{FaultyWays, LinkFaults};
@@ -153,21 +153,89 @@
 #[test]
 fn an_answer_whose_agent_is_replaced_ends_with_an_error() -> TestResult {
     with_fleet(plan(), async |fleet| {
-        let mut stream = begin_chat(fleet).await?;
+        let stream = begin_chat(fleet).await?;
         fleet.restart_agent(0)?;
-        let mut last = None;
-        let end = loop {
-            match stream.next_event().await {
-                Ok(Some(event)) => last = Some(event),
-                end => break end,
-            }
-        };
-        assert!(matches!(end, Err(CallerError::Partial { .. })));
-        let last = last.ok_or("no event")?;
-        assert_eq!(last.kind, "error");
-        let failure: FailureEnvelope = serde_json::from_str(&last.data)?;
+        assert_error_event(stream, FailureOutcome::Unknown).await
+    })
+}
+
+/// The stream has to end with an event that tells `outcome`, and then to be cut.
+async fn assert_error_event(mut stream: ChatStream, outcome: FailureOutcome) -> TestResult {
+    let mut last = None;
+    let end = loop {
+        match stream.next_event().await {
+            Ok(Some(event)) => last = Some(event),
+            end => break end,
+        }
+    };
+    assert!(matches!(end, Err(CallerError::Partial { .. })));
+    let last = last.ok_or("no event")?;
+    assert_eq!(last.kind, "error");
+    let failure: FailureEnvelope = serde_json::from_str(&last.data)?;
+    assert_eq!(failure.error.outcome, outcome);
+    assert!(!stream.is_whole && expected().starts_with(&stream.text));
+    Ok(())
+}
+
+/// A fleet whose agents ask a silent server soon, with these arguments for engine and service.
+fn watchful_plan(engine: &[&str], service: &[&str]) -> FleetPlan {
+    let owned = |arguments: &[&str]| arguments.iter().map(|text| text.to_string()).collect();
+    let plan = FleetPlan::builder().engines(1).services(1).routers(1).faulty_links(true);
+    let plan = plan.agent_server_lines("progress_within = 300ms".to_string());
+    plan.engine_arguments(owned(engine)).service_arguments(owned(service)).build()
+}
+
+#[test]
+fn an_engine_connection_cut_or_silent_mid_stream_is_resumed() -> TestResult {
+    with_fleet(watchful_plan(&["--cancel-grace-ms", "5000"], &[]), async |fleet| {
+        let mut stream = begin_chat(fleet).await?;
+        fleet.servers[0].link()?.cut().await?;
+        stream.read_events(BEFORE_FAULT).await?;
+        fleet.servers[0].link()?.silence().await?;
+        assert_whole_after_one_run(fleet, stream).await
+    })
+}
+
+#[test]
+fn an_engine_that_can_not_resume_ends_the_answer_with_an_error() -> TestResult {
+    with_fleet(watchful_plan(&["--cancel-grace-ms", "0"], &[]), async |fleet| {
+        let stream = begin_chat(fleet).await?;
+        fleet.servers[0].standin.kill()?;
+        assert_error_event(stream, FailureOutcome::Failed).await
+    })
+}
+
+#[test]
+fn a_slow_but_living_server_is_not_given_up() -> TestResult {
+    with_fleet(watchful_plan(&["--step-us", "700000"], &["--call-ms", "1500"]), async |fleet| {
+        let caller = caller_at(fleet, 0)?;
+        let mut request = chat();
+        request.max_tokens = Some(3);
+        let expected = expected_answer(FLEET_MODEL, &render_prompt(&request.messages), Some(3));
+        assert_eq!(caller.chat(&request).await?.text, expected);
+        request.stream = false;
+        let body = serde_json::to_vec(&request)?;
+        let (_, body) = caller.call(Method::POST, CHAT_PATH, &[], body.into()).await?;
+        let completion: ChatCompletion = serde_json::from_slice(&body)?;
+        assert_eq!(completion.choices[0].message.content, expected);
+        let call = caller.call(Method::POST, "/tickets/slow", &[], Bytes::new());
+        assert_eq!(call.await?.0, StatusCode::OK);
+        assert_eq!(fleet.servers[0].all_runs().await?, 2);
+        assert_eq!(fleet.servers[1].all_runs().await?, 1);
+        Ok(())
+    })
+}
+
+#[test]
+fn a_server_silent_on_every_connection_is_given_up_as_unknown() -> TestResult {
+    with_fleet(watchful_plan(&[], &[]), async |fleet| {
+        let caller = caller_at(fleet, 0)?;
+        fleet.servers[1].link()?.hold().await?;
+        let call = caller.call(Method::POST, "/tickets/lost", &[], Bytes::new());
+        let (status, body) = call.await?;
+        let failure: FailureEnvelope = serde_json::from_slice(&body)?;
+        assert_eq!(status, failure.error.code.status());
         assert_eq!(failure.error.outcome, FailureOutcome::Unknown);
-        assert!(!stream.is_whole && expected().starts_with(&stream.text));
         Ok(())
     })
 }
