Test records of answers, event ids, proofs and connections at a shutdown

Cause: these parts were only covered by tests with whole processes. Change: tests of their own, with a property over arbitrary bytes for the event ids.

--- /dev/null
+++ b/crates/papayamux-agent/tests/event_ids.rs
@@ -0,0 +1,59 @@
+//! Events keep their bytes and get their ids, however the stream is cut into pieces.
+
+use papayamux_agent::answers::EventTagger;
+
+const STREAM: &str =
+    "data: one\n\n: a comment\n\ndata: two\ndata: lines\r\n\r\n\n\ndata: [DONE]\n\nrest";
+const TAGGED: &str = "data: one\nid: engine-0/0000000000000007-9/1\n\n: a comment\n\n\
+                      data: two\ndata: lines\r\nid: engine-0/0000000000000007-9/2\n\r\n\n\n\
+                      data: [DONE]\nid: engine-0/0000000000000007-9/3\n\nrest";
+
+fn tagger() -> EventTagger {
+    EventTagger::new("engine-0".parse().unwrap(), "0000000000000007-9".parse().unwrap())
+}
+
+fn tag<'a>(pieces: impl Iterator<Item = &'a [u8]>) -> (Vec<u8>, u64) {
+    let mut tagger = tagger();
+    let mut output = Vec::new();
+    for piece in pieces {
+        let tagged = tagger.take(piece);
+        for end in &tagged.event_ends {
+            let event = &tagged.bytes[..*end];
+            assert!(event.ends_with(b"\n\n") || event.ends_with(b"\n\r\n"));
+        }
+        output.extend_from_slice(&tagged.bytes);
+    }
+    output.extend_from_slice(&tagger.rest());
+    (output, tagger.numbered())
+}
+
+#[test]
+fn events_with_data_get_ids_at_every_size_of_pieces() {
+    for size in 1..=STREAM.len() {
+        let (output, numbered) = tag(STREAM.as_bytes().chunks(size));
+        assert_eq!(String::from_utf8(output).unwrap(), TAGGED, "pieces of {size} bytes");
+        assert_eq!(numbered, 3);
+    }
+}
+
+#[test]
+fn any_bytes_come_out_again_without_the_id_lines() {
+    bolero::check!().with_type::<(Vec<u8>, u8)>().for_each(|(bytes, size)| {
+        let (output, numbered) = tag(bytes.chunks(usize::from(*size).max(1)));
+        let lines = output.split_inclusive(|byte| *byte == b'\n');
+        let is_id = |line: &&[u8]| line.starts_with(b"id: engine-0/");
+        let kept: Vec<u8> = lines.clone().filter(|line| !is_id(line)).flatten().copied().collect();
+        assert_eq!(&kept, bytes);
+        assert_eq!(lines.filter(is_id).count() as u64, numbered);
+    });
+}
+
+#[test]
+fn a_partial_event_that_is_sent_again_counts_once() {
+    let mut tagger = tagger();
+    tagger.take(b"data: one\n\ndata: tw");
+    tagger.drop_partial();
+    let tagged = tagger.take(b"data: two\n\n");
+    assert_eq!(&tagged.bytes[..], b"data: two\nid: engine-0/0000000000000007-9/2\n\n");
+    assert!(!tagger.is_complete());
+}
--- a/crates/papayamux-protocol/tests/round_trip.rs
+++ b/crates/papayamux-protocol/tests/round_trip.rs
@@ -2,8 +2,10 @@
 
 use bytes::{Bytes, BytesMut};
 use papayamux_protocol::link::{
-    Addressed, AgentClock, ChatTarget, HeaderField, OpenRequest, RepeatRule, RouterMessage,
+    Addressed, AgentClock, AgentMessage, AgentWelcome, AnswerHead, ChatTarget, HeaderField,
+    OpenRequest, RepeatRule, ResumeNotice, ResumePoint, ResumeRequest, RouterHello, RouterMessage,
 };
+use papayamux_protocol::proof::{ProofNonce, ProofTag};
 use papayamux_protocol::wire::{AgentFrame, FrameCodec, RouterFrame};
 use papayamux_state::ids::{Incarnation, RequestId};
 use tokio_util::codec::{Decoder, Encoder};
@@ -30,10 +32,62 @@
         }],
         body: Bytes::from_static(b"{}"),
     };
-    let sent = Addressed { stream: 11, message: RouterMessage::Open(Box::new(open)) };
+    assert_kept_from_router(RouterMessage::Open(Box::new(open)));
+}
+
+fn assert_kept_from_router(message: RouterMessage) {
+    let sent = Addressed { stream: 11, message };
     let mut buffer = BytesMut::new();
     FrameCodec::<RouterFrame, AgentFrame>::default().encode(sent.clone(), &mut buffer).unwrap();
     let received = FrameCodec::<AgentFrame, RouterFrame>::default().decode(&mut buffer).unwrap();
     assert_eq!(received, Some(sent));
     assert!(buffer.is_empty());
 }
+
+fn assert_kept_from_agent(message: AgentMessage) {
+    let sent = Addressed { stream: 12, message };
+    let mut buffer = BytesMut::new();
+    FrameCodec::<AgentFrame, RouterFrame>::default().encode(sent.clone(), &mut buffer).unwrap();
+    let received = FrameCodec::<RouterFrame, AgentFrame>::default().decode(&mut buffer).unwrap();
+    assert_eq!(received, Some(sent));
+}
+
+#[test]
+fn resumes_and_proofs_keep_all_their_parts() {
+    let nonce = Some(ProofNonce([5; 16]));
+    let proof = ProofTag(Bytes::from_static(&[6; 32]));
+    let (incarnation, domain) = (Incarnation::from(7), || "a".parse().unwrap());
+    let hello = RouterHello { version: 1, incarnation, domain: domain(), nonce };
+    let resume = ResumeRequest {
+        id: RequestId { incarnation, number: 9 },
+        agent: Some(incarnation),
+        organisation: "desk".parse().unwrap(),
+        start_before: Some(AgentClock(1_234)),
+        from: ResumePoint::Offset(77),
+    };
+    let after_event = ResumeRequest {
+        agent: None,
+        start_before: None,
+        from: ResumePoint::AfterEvent(0),
+        ..resume.clone()
+    };
+    assert_kept_from_router(RouterMessage::Hello(hello));
+    assert_kept_from_router(RouterMessage::Prove(proof.clone()));
+    assert_kept_from_router(RouterMessage::Resume(Box::new(resume)));
+    assert_kept_from_router(RouterMessage::Resume(Box::new(after_event)));
+    assert_kept_from_router(RouterMessage::Received);
+    assert_kept_from_router(RouterMessage::Pong(3));
+    assert_kept_from_agent(AgentMessage::Welcome(AgentWelcome {
+        version: 1,
+        incarnation,
+        server: "engine-0".parse().unwrap(),
+        domain: domain(),
+        clock: AgentClock(5),
+        nonce,
+        proof: Some(proof),
+    }));
+    let head = Some(AnswerHead { status: 200, headers: Vec::new() });
+    assert_kept_from_agent(AgentMessage::Resumed(ResumeNotice { offset: 8, head }));
+    assert_kept_from_agent(AgentMessage::NotHeld);
+    assert_kept_from_agent(AgentMessage::Ping(4));
+}
--- /dev/null
+++ b/crates/papayamux-transport/tests/http_shutdown.rs
@@ -0,0 +1,87 @@
+//! Connections of callers at a shutdown, and callers that take nothing.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use hyper::{body::Incoming, Request, Response};
+use papayamux_transport::http::{serve, AddressCheck, AnswerBody, HttpLimits};
+use papayamux_transport::listen::listen;
+use papayamux_transport::runtime;
+use papayamux_transport::shutdown::ShutdownSignal;
+
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+
+async fn answer_endless(_: Request<Incoming>) -> Response<AnswerBody> {
+    let pieces = stream::repeat_with(|| Ok(Bytes::from_static(&[b'x'; 65_536])));
+    Response::new(AnswerBody::Stream(Box::pin(pieces)))
+}
+
+/// Serves until `callers`, who get the address on a thread of their own, have given their result
+/// and all connections have closed.
+fn serve_callers<T: Send + 'static>(
+    limits: HttpLimits,
+    callers: impl FnOnce(SocketAddr) -> T + Send + 'static,
+    after: impl FnOnce(T),
+) {
+    runtime::run(async {
+        let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let shutdown = ShutdownSignal::new();
+        let served =
+            monoio::spawn(serve(listener, limits, shutdown.clone(), Rc::new(answer_endless)));
+        let callers: JoinHandle<T> = std::thread::spawn(move || callers(address));
+        while !callers.is_finished() {
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+        shutdown.give();
+        served.await.unwrap();
+        after(callers.join().unwrap());
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_connection_without_a_request_does_not_hold_a_shutdown() {
+    let limits = HttpLimits { head_within: Duration::from_secs(3_600), ..HttpLimits::default() };
+    serve_callers(
+        limits,
+        |address| {
+            let idle = TcpStream::connect(address).unwrap();
+            let mut second = TcpStream::connect(address).unwrap();
+            second.write_all(REQUEST).unwrap();
+            second.read_exact(&mut [0; 1]).unwrap();
+            idle
+        },
+        |mut idle| assert_eq!(idle.read(&mut [0; 1]).unwrap(), 0),
+    );
+}
+
+#[test]
+fn a_caller_that_takes_nothing_is_let_go() {
+    let limits = HttpLimits { write_within: Duration::from_millis(100), ..HttpLimits::default() };
+    serve_callers(
+        limits,
+        |address| {
+            let mut stalled = TcpStream::connect(address).unwrap();
+            stalled.write_all(REQUEST).unwrap();
+            stalled
+        },
+        drop,
+    );
+}
+
+#[test]
+fn an_address_that_is_not_admitted_is_closed_at_once() {
+    let nobody = AddressCheck(Rc::new(|_| false));
+    let limits = HttpLimits { admits: Some(nobody), ..HttpLimits::default() };
+    serve_callers(
+        limits,
+        |address| TcpStream::connect(address).unwrap().read(&mut [0; 1]).unwrap_or(0),
+        |read| assert_eq!(read, 0),
+    );
+}
