--- a/crates/papayamux-agent/tests/answer_records.rs
+++ b/crates/papayamux-agent/tests/answer_records.rs
@@ -1,4 +1,5 @@
 //! What the agent holds of an answer, and to whom it gives it.
+#![allow(clippy::unwrap_used, reason = "a test, which may panic")]
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
--- a/crates/papayamux-agent/tests/event_ids.rs
+++ b/crates/papayamux-agent/tests/event_ids.rs
@@ -1,4 +1,5 @@
 //! Events keep their bytes and get their ids, however the stream is cut into pieces.
+#![allow(clippy::unwrap_used, reason = "a test, which may panic")]
 
 use papayamux_agent::answers::EventTagger;
 
--- a/crates/papayamux-protocol/tests/proofs.rs
+++ b/crates/papayamux-protocol/tests/proofs.rs
@@ -1,4 +1,5 @@
 //! A proof holds for one secret, one role and one connection.
+#![allow(clippy::unwrap_used, reason = "a test, which may panic")]
 
 use papayamux_protocol::proof::{ProofContext, ProofNonce, ProofRole, ProofTag, SharedSecret};
 use papayamux_state::ids::Incarnation;
--- a/crates/papayamux-protocol/tests/round_trip.rs
+++ b/crates/papayamux-protocol/tests/round_trip.rs
@@ -1,4 +1,5 @@
 //! What one side writes, the other reads as it was meant.
+#![allow(clippy::unwrap_used, reason = "a test, which may panic")]
 
 use bytes::{Bytes, BytesMut};
 use papayamux_protocol::link::{
--- a/crates/papayamux-transport/tests/http_shutdown.rs
+++ b/crates/papayamux-transport/tests/http_shutdown.rs
@@ -1,4 +1,5 @@
 //! Connections of callers at a shutdown, and callers that take nothing.
+#![allow(clippy::unwrap_used, reason = "a test, which may panic")]
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
