Tell answers that were cut off from those that end as if they were whole

Cause: an answer whose connection broke was counted as short, which stands for an answer that its caller takes for whole. Change: cut answers have a count of their own, a wrong text is always mixed; the flapping agent is paused by the testbed's own control.

--- a/crates/papayamux-measure/src/routing/disturbance.rs
+++ b/crates/papayamux-measure/src/routing/disturbance.rs
@@ -3,7 +3,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use nix::sys::signal::Signal;
 use papayamux_testbed::{Fleet, TestbedError};
 
 use super::scenario::Scenario;
@@ -60,9 +59,9 @@
         self.wait_until(CHURN_SHARES.0);
         while self.begun.elapsed() < self.length.mul_f64(CHURN_SHARES.1) {
             let agent = &fleet.servers[FLAPPING_ENGINE].agent;
-            agent.signal(Signal::SIGSTOP)?;
+            agent.pause()?;
             std::thread::sleep(FLAP_PAUSE);
-            agent.signal(Signal::SIGCONT)?;
+            agent.wake()?;
             std::thread::sleep(FLAP_PERIOD - FLAP_PAUSE);
         }
         Ok(())
--- a/crates/papayamux-measure/src/routing/report.rs
+++ b/crates/papayamux-measure/src/routing/report.rs
@@ -96,7 +96,9 @@
     pub refused_others: u64,
     /// Turns that failed in any other way.
     pub failed: u64,
-    /// Answers that ended too early.
+    /// Answers whose connection broke off in the middle, which callers could see.
+    pub cut: u64,
+    /// Answers that ended too early, as if they were whole.
     pub short: u64,
     /// Answers with bytes of another answer.
     pub mixed: u64,
@@ -168,6 +170,7 @@
                 .filter(|turn| turn.outcome == TurnOutcome::Refused)
                 .count() as u64,
             failed: tally.count(TurnOutcome::Failed),
+            cut: tally.count(TurnOutcome::Cut),
             short: tally.count(TurnOutcome::Short),
             mixed: tally.count(TurnOutcome::Mixed),
             unfinished: run.unfinished,
--- a/crates/papayamux-measure/src/routing/session.rs
+++ b/crates/papayamux-measure/src/routing/session.rs
@@ -127,7 +127,7 @@
             }),
             Ok(answer) if expected.starts_with(&answer.text) => TurnOutcome::Short,
             Ok(_) => TurnOutcome::Mixed,
-            Err(error) => failed_outcome(&error),
+            Err(error) => failed_outcome(&error, expected),
         }
     }
 
@@ -146,7 +146,7 @@
     }
 }
 
-fn failed_outcome(error: &CallerError) -> TurnOutcome {
+fn failed_outcome(error: &CallerError, expected: &str) -> TurnOutcome {
     match error {
         CallerError::Failure { body, .. } => match serde_json::from_str::<FailureEnvelope>(body) {
             Ok(envelope) if envelope.error.outcome == FailureOutcome::NotRun => {
@@ -154,9 +154,11 @@
             }
             _ => TurnOutcome::Failed,
         },
-        CallerError::Nonsense(_) | CallerError::Short { .. } => TurnOutcome::Short,
-        CallerError::Client(_) | CallerError::Request(_) | CallerError::Partial { .. } => {
-            TurnOutcome::Failed
+        CallerError::Short { text, .. } if expected.starts_with(text) => TurnOutcome::Short,
+        CallerError::Partial { text, .. } if expected.starts_with(text) => TurnOutcome::Cut,
+        CallerError::Nonsense(_) | CallerError::Short { .. } | CallerError::Partial { .. } => {
+            TurnOutcome::Mixed
         }
+        CallerError::Client(_) | CallerError::Request(_) => TurnOutcome::Failed,
     }
 }
--- a/crates/papayamux-measure/src/routing/table.rs
+++ b/crates/papayamux-measure/src/routing/table.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 /// A column: its heading, the report's field, and the digits after the point.
-const COLUMNS: [(&str, &str, usize); 13] = [
+const COLUMNS: [(&str, &str, usize); 14] = [
     ("warm", "warm", 3),
     ("token share", "warm_prompt_token_share", 3),
     ("of best", "share_of_best", 3),
@@ -19,6 +19,7 @@
     ("plain p99 ms", "turnstile_p99_ms", 0),
     ("refused", "refused", 0),
     ("failed", "failed", 0),
+    ("cut", "cut", 0),
     ("control B/s router", "control_bytes_per_s_router", 0),
     ("control B/s agent", "control_bytes_per_s_agent", 0),
 ];
--- a/crates/papayamux-measure/src/routing/tally.rs
+++ b/crates/papayamux-measure/src/routing/tally.rs
@@ -27,8 +27,10 @@
     Answered(AnsweredTurn),
     /// Answered with bytes that belong to no answer to this prompt.
     Mixed,
-    /// The answer ended too early.
+    /// The answer ended too early, as if it were whole.
     Short,
+    /// The connection broke off in the middle of the answer, which the caller could see.
+    Cut,
     /// Refused, with the word that it was not run.
     Refused,
     /// Failed in any other way.
