Know the error event in the middle of an answer

Change: the testbed's caller tells it as a failure of its own; the measurement counts it among the cut answers.

--- a/crates/papayamux-measure/src/routing/report.rs
+++ b/crates/papayamux-measure/src/routing/report.rs
@@ -96,7 +96,7 @@
     pub refused_others: u64,
     /// Turns that failed in any other way.
     pub failed: u64,
-    /// Answers whose connection broke off in the middle, which callers could see.
+    /// Answers that ended too early, of which callers were told or could see it.
     pub cut: u64,
     /// Answers that ended too early, as if they were whole.
     pub short: u64,
--- a/crates/papayamux-measure/src/routing/session.rs
+++ b/crates/papayamux-measure/src/routing/session.rs
@@ -155,10 +155,12 @@
             _ => TurnOutcome::Failed,
         },
         CallerError::Short { text, .. } if expected.starts_with(text) => TurnOutcome::Short,
-        CallerError::Partial { text, .. } if expected.starts_with(text) => TurnOutcome::Cut,
-        CallerError::Nonsense(_) | CallerError::Short { .. } | CallerError::Partial { .. } => {
-            TurnOutcome::Mixed
+        CallerError::Partial { text, .. } | CallerError::Told { text, .. }
+            if expected.starts_with(text) =>
+        {
+            TurnOutcome::Cut
         }
         CallerError::Client(_) | CallerError::Request(_) => TurnOutcome::Failed,
+        _ => TurnOutcome::Mixed,
     }
 }
--- a/crates/papayamux-measure/src/routing/tally.rs
+++ b/crates/papayamux-measure/src/routing/tally.rs
@@ -29,7 +29,7 @@
     Mixed,
     /// The answer ended too early, as if it were whole.
     Short,
-    /// The connection broke off in the middle of the answer, which the caller could see.
+    /// The answer ended too early, and the caller was told or saw the connection break.
     Cut,
     /// Refused, with the word that it was not run.
     Refused,
--- a/crates/papayamux-testbed/src/caller.rs
+++ b/crates/papayamux-testbed/src/caller.rs
@@ -14,6 +14,9 @@
 /// Bytes of the longest answer that a caller reads.
 pub(crate) const LONGEST_ANSWER: u64 = 64 * 1024 * 1024;
 
+/// The line that marks an event as a failure.
+const ERROR_EVENT: &str = "event: error";
+
 /// Why a caller got no whole answer.
 #[derive(Debug, Error)]
 pub enum CallerError {
@@ -49,6 +52,16 @@
         /// What broke.
         error: HttpClientError,
     },
+    /// The router told a failure in the middle of the answer.
+    #[error("{server}: after {} bytes the router told: {body}", .text.len())]
+    Told {
+        /// The server that gave it.
+        server: String,
+        /// The text up to there.
+        text: String,
+        /// The failure's body.
+        body: String,
+    },
     /// The request could not be built.
     #[error(transparent)]
     Request(#[from] http::Error),
@@ -218,6 +231,10 @@
     if data == STREAM_END {
         return Ok(true);
     }
+    if text.lines().any(|line| line == ERROR_EVENT) {
+        let (server, text) = (whole.server.clone(), whole.text.clone());
+        return Err(CallerError::Told { server, text, body: data.to_string() });
+    }
     let chunk: ChatChunk =
         serde_json::from_str(data).map_err(|error| nonsense(&error.to_string()))?;
     for choice in &chunk.choices {
