Report how often an engine is above the load bound

Cause: with a few requests at each engine, highest over mean moves in steps of a whole request, so that the bound has to be checked in whole requests. Change: over_bound, the share of load samples in which an engine has more than c times the mean, rounded up.

--- a/crates/papayamux-measure/src/routing/load_sampler.rs
+++ b/crates/papayamux-measure/src/routing/load_sampler.rs
@@ -18,6 +18,8 @@
 /// Samples with a smaller mean load are left out of the skew: a single request more or less would
 /// decide it.
 pub const SMALLEST_MEAN: f64 = 2.0;
+/// The load bound `c` that agents keep where their settings name none.
+const LOAD_FACTOR: f64 = 1.5;
 const LONGEST_ANSWER: u64 = 64 * 1024;
 
 /// The loads of all engines at one moment.
@@ -35,6 +37,11 @@
         self.loads.iter().sum::<u64>() as f64 / self.loads.len().max(1) as f64
     }
 
+    /// Whether an engine has more than `c` times the mean, rounded up to whole requests.
+    fn is_over_bound(&self) -> bool {
+        self.highest() as f64 > (LOAD_FACTOR * self.mean()).ceil()
+    }
+
     fn highest(&self) -> u64 {
         self.loads.iter().copied().max().unwrap_or(0)
     }
@@ -49,6 +56,8 @@
     pub p95: f64,
     /// The highest.
     pub max: f64,
+    /// Share of the samples in which an engine had more than `c` (1.5) times the mean, rounded up.
+    pub over_bound: f64,
     /// The most requests above the mean at any engine.
     pub most_above_mean: f64,
     /// The mean load of an engine.
@@ -74,11 +83,13 @@
             skews.get(index).copied().unwrap_or(0.0)
         };
         let above = counted.iter().map(|sample| sample.highest() as f64 - sample.mean());
+        let over_bound = counted.iter().filter(|sample| sample.is_over_bound()).count();
         let total: f64 = timely.iter().map(|sample| sample.mean()).sum();
         Self {
             p50: at(0.5),
             p95: at(0.95),
             max: at(1.0),
+            over_bound: over_bound as f64 / counted.len().max(1) as f64,
             most_above_mean: above.fold(0.0, f64::max),
             mean_load: total / timely.len().max(1) as f64,
             samples: counted.len(),
--- a/crates/papayamux-measure/src/routing/report.rs
+++ b/crates/papayamux-measure/src/routing/report.rs
@@ -70,6 +70,9 @@
     pub skew_p95: f64,
     /// The same at its highest.
     pub skew_max: f64,
+    /// Share of the load samples in which an engine had more than `c` (1.5) times the mean,
+    /// rounded up to whole requests.
+    pub over_bound: f64,
     /// The most requests that any engine had above the mean.
     pub most_above_mean: f64,
     /// Load samples that count.
@@ -154,6 +157,7 @@
             skew_p50: rounded(skew.p50, 2),
             skew_p95: rounded(skew.p95, 2),
             skew_max: rounded(skew.max, 2),
+            over_bound: rounded(skew.over_bound, 3),
             most_above_mean: rounded(skew.most_above_mean, 1),
             load_samples: skew.samples,
             load_samples_left_out: skew.left_out,
--- a/crates/papayamux-measure/tests/routing_parts.rs
+++ b/crates/papayamux-measure/tests/routing_parts.rs
@@ -63,6 +63,10 @@
     let skew = SkewSummary::of(&samples, Duration::from_millis(60), Duration::from_secs(1));
     assert_eq!((skew.max, skew.most_above_mean), (1.5, 2.0));
     assert_eq!((skew.samples, skew.left_out), (1, 1));
+    assert_eq!(skew.over_bound, 0.0);
+    let samples = [sample(100, &[7, 1]), sample(200, &[6, 2])];
+    let skew = SkewSummary::of(&samples, Duration::ZERO, Duration::from_secs(1));
+    assert_eq!(skew.over_bound, 0.5);
 }
 
 #[test]
