Time the first token without the stand-in's timer

Cause: the engine stand-in's timer has a resolution of 1 ms, so the phase of a request against it showed as 0.3 ms of added latency; steps also drifted by up to 1 ms each. Change: steps follow a schedule, and a step of 0 only yields.

--- a/crates/papayamux-standins/src/engine/batch.rs
+++ b/crates/papayamux-standins/src/engine/batch.rs
@@ -2,7 +2,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::future::poll_fn;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Instant;
 
 use papayamux_protocol::engine::{CacheEventPage, CacheSnapshot, EngineLoad};
@@ -153,9 +155,28 @@
 }
 
 async fn run_steps(batch: EngineBatch) {
+    let step = batch.options.step;
+    let mut next = Instant::now();
     loop {
         batch.wait_for_work().await;
-        monoio::time::sleep(batch.options.step).await;
+        next = (next + step).max(Instant::now());
+        match step.is_zero() {
+            true => yield_once().await,
+            false => monoio::time::sleep_until(next.into()).await,
+        }
         batch.step();
     }
 }
+
+/// Lets the other tasks run once.
+async fn yield_once() {
+    let mut yielded = false;
+    poll_fn(|context| {
+        if std::mem::replace(&mut yielded, true) {
+            return Poll::Ready(());
+        }
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
