Read error events and resume chats elsewhere in the measurement of the promises

Change: callers read that event, keep what came before it, and go on by Last-Event-ID at another router, three times at most; resumed answers are counted. Several scenarios may be named.

--- a/crates/papayamux-measure/src/promises/answer_check.rs
+++ b/crates/papayamux-measure/src/promises/answer_check.rs
@@ -9,11 +9,13 @@
 pub fn check_chat(outcome: &CallerOutcome<CallerAnswer>, expected: &str) -> AnswerFlaws {
     match outcome {
         CallerOutcome::Answered(answer) => check_whole(&answer.text, expected),
-        CallerOutcome::Broken(CallerError::Short { text, .. }) => {
-            AnswerFlaws { short: true, ..check_part(text, expected) }
+        CallerOutcome::Broken(CallerError::Short(answer)) => {
+            AnswerFlaws { short: true, ..check_part(&answer.text, expected) }
         }
-        CallerOutcome::Broken(CallerError::Partial { text, .. }) => check_part(text, expected),
         CallerOutcome::Broken(CallerError::Nonsense(_)) => mixed(),
+        CallerOutcome::Broken(error) => error
+            .partial_answer()
+            .map_or_else(AnswerFlaws::default, |answer| check_part(&answer.text, expected)),
         _ => AnswerFlaws::default(),
     }
 }
--- a/crates/papayamux-measure/src/promises/request_record.rs
+++ b/crates/papayamux-measure/src/promises/request_record.rs
@@ -61,6 +61,8 @@
     pub learned: LearnedOutcome,
     /// What is wrong with the answer.
     pub flaws: AnswerFlaws,
+    /// How often the caller went on with the answer at another router.
+    pub resumes: u32,
     /// Whether the caller's connection broke off.
     pub broke: bool,
     /// Whether the caller gave up waiting.
@@ -77,16 +79,11 @@
             FailureOutcome::Unknown => LearnedOutcome::Unknown,
             FailureOutcome::Failed => LearnedOutcome::Failed,
         },
-        CallerOutcome::Broken(_) => LearnedOutcome::Unknown,
-    }
-}
-
-/// The server that an outcome names.
-pub fn server_of(error: &CallerError) -> Option<String> {
-    match error {
-        CallerError::Partial { server, .. } | CallerError::Short { server, .. } => {
-            Some(server.clone())
+        CallerOutcome::Broken(CallerError::Told { failure, .. })
+            if failure.outcome == FailureOutcome::Failed =>
+        {
+            LearnedOutcome::Failed
         }
-        _ => None,
+        CallerOutcome::Broken(_) => LearnedOutcome::Unknown,
     }
 }
--- a/crates/papayamux-measure/src/promises/run.rs
+++ b/crates/papayamux-measure/src/promises/run.rs
@@ -27,8 +27,9 @@
     /// Draws workload and faults.
     #[builder(default = 1)]
     pub seed: u64,
-    /// The one scenario to run; all where it is none.
-    pub scenario: Option<String>,
+    /// The scenarios to run, by name; all where there is none.
+    #[builder(default)]
+    pub scenarios: Vec<String>,
     /// Requests of each scenario.
     #[builder(default = 450)]
     pub requests: usize,
@@ -38,14 +39,7 @@
 ///
 /// Fails where a promise was broken.
 pub fn run_promises(options: &PromiseOptions) -> Result<(), Box<dyn Error>> {
-    let mut scenarios = FaultScenario::all();
-    if let Some(name) = &options.scenario {
-        scenarios.retain(|scenario| scenario.to_string() == *name);
-        if scenarios.is_empty() {
-            let known: Vec<_> = FaultScenario::all().iter().map(ToString::to_string).collect();
-            return Err(format!("no scenario {name:?}; known: {}", known.join(", ")).into());
-        }
-    }
+    let scenarios = FaultScenario::named(&options.scenarios)?;
     let mut total =
         PromiseTally { scenario: "total".to_string(), seed: options.seed, ..Default::default() };
     for scenario in &scenarios {
--- a/crates/papayamux-measure/src/promises/scenario.rs
+++ b/crates/papayamux-measure/src/promises/scenario.rs
@@ -2,8 +2,24 @@
 
 use std::fmt;
 
+use thiserror::Error;
+
 use super::fault_kind::FaultKind;
 
+/// No scenario has this name.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("no scenario {name:?}; known: {known}")]
+pub struct UnknownScenario {
+    /// The name.
+    pub name: String,
+    /// All names.
+    pub known: String,
+}
+
+fn list(scenarios: &[FaultScenario]) -> String {
+    scenarios.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
+}
+
 /// Faults that happen in the same run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FaultScenario {
@@ -23,6 +39,19 @@
         scenarios
     }
 
+    /// The scenarios with the given names, or all where no name is given.
+    pub fn named(names: &[String]) -> Result<Vec<Self>, UnknownScenario> {
+        let all = Self::all();
+        if names.is_empty() {
+            return Ok(all);
+        }
+        let find = |name: &String| {
+            let found = all.iter().find(|scenario| scenario.to_string() == *name);
+            found.cloned().ok_or_else(|| UnknownScenario { name: name.clone(), known: list(&all) })
+        };
+        names.iter().map(find).collect()
+    }
+
     /// Whether the routers know different servers.
     pub fn lists_differ(&self) -> bool {
         self.faults.contains(&FaultKind::ListsDiffer)
--- a/crates/papayamux-measure/src/promises/tally.rs
+++ b/crates/papayamux-measure/src/promises/tally.rs
@@ -29,6 +29,8 @@
     pub not_run: u64,
     /// Never left the caller, because no router took the connection.
     pub unsent: u64,
+    /// Of the answered, those that their callers resumed at another router.
+    pub resumed: u64,
     /// Not known: told so, or the answer broke off.
     pub unknown: u64,
     /// Of the unknown, chats.
@@ -93,6 +95,7 @@
         self.answered += other.answered;
         self.not_run += other.not_run;
         self.unsent += other.unsent;
+        self.resumed += other.resumed;
         self.unknown += other.unknown;
         self.unknown_chats += other.unknown_chats;
         self.broken += other.broken;
@@ -112,7 +115,10 @@
 
     fn add_outcome(&mut self, record: &RequestRecord) {
         match record.learned {
-            LearnedOutcome::Answered => self.answered += 1,
+            LearnedOutcome::Answered => {
+                self.answered += 1;
+                self.resumed += u64::from(record.resumes > 0);
+            }
             LearnedOutcome::NotRun => self.not_run += 1,
             LearnedOutcome::Unsent => self.unsent += 1,
             LearnedOutcome::Failed => self.failed += 1,
--- a/crates/papayamux-measure/src/promises/workload.rs
+++ b/crates/papayamux-measure/src/promises/workload.rs
@@ -16,7 +16,7 @@
 use papayamux_standins::run_tag::TAG_HEADER;
 use papayamux_standins::service::ServiceAnswer;
 use papayamux_testbed::{
-    chat_request, Caller, CallerAnswer, CallerOutcome, FLEET_MODEL, FLEET_PATH,
+    chat_request, Caller, CallerAnswer, CallerError, CallerOutcome, FLEET_MODEL, FLEET_PATH,
 };
 use papayamux_transport::runtime;
 use rand::rngs::StdRng;
@@ -24,9 +24,7 @@
 
 use super::answer_check::{check_booking, check_chat};
 use super::fault_stage::SharedState;
-use super::request_record::{
-    learned_of, server_of, AnswerFlaws, LearnedOutcome, RequestRecord, RequestWork,
-};
+use super::request_record::{learned_of, AnswerFlaws, LearnedOutcome, RequestRecord, RequestWork};
 
 /// Callers at work at the same time.
 const CALLERS: usize = 24;
@@ -34,6 +32,8 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 /// Milliseconds between two requests of a caller.
 const THINK_MS: std::ops::Range<u64> = 0..60;
+/// How often a caller goes on with one answer elsewhere.
+const MOST_RESUMES: u32 = 3;
 /// Tokens of an answer.
 const ANSWER_TOKENS: std::ops::Range<u32> = 5..80;
 /// Of 100 requests, how many are chats.
@@ -113,12 +113,23 @@
         let caller = Caller::new(self.plan.routers[router], "yanchang-desk");
         let headers = [(TAG_HEADER, tag.as_str())];
         let sent = Instant::now();
-        let outcome = self.patiently(caller.chat_once(&request, &headers)).await;
+        let mut outcome = self.patiently(caller.chat_once(&request, &headers)).await;
+        let mut resumes = 0;
+        while let (Some(partial), true) = (resumable(&outcome), resumes < MOST_RESUMES) {
+            resumes += 1;
+            let next = self.ready_from(router + resumes as usize);
+            let caller = Caller::new(self.plan.routers[next], "yanchang-desk");
+            let resumed = self.patiently(caller.resume_once(&request, partial)).await;
+            if !matches!(resumed, Some(CallerOutcome::Answered(_) | CallerOutcome::Broken(_))) {
+                break;
+            }
+            outcome = resumed;
+        }
         let flaws =
             outcome.as_ref().map_or_else(AnswerFlaws::default, |o| check_chat(o, &expected));
         let server = outcome.as_ref().and_then(chat_server);
         let record = record_of(&outcome, RequestWork::Chat, router, sent);
-        self.note(RequestRecord { tag: tag.clone(), server, flaws, ..record });
+        self.note(RequestRecord { tag: tag.clone(), server, flaws, resumes, ..record });
     }
 
     async fn send_bookings(&self, number: u64, random: &mut StdRng) {
@@ -193,11 +204,13 @@
     }
 
     fn other_router(&self, router: usize) -> usize {
-        self.ready_from((router + 1) % self.plan.routers.len())
+        self.ready_from(router + 1)
     }
 
+    /// The first router, from a place on, that the balancer sends callers to.
     fn ready_from(&self, first: usize) -> usize {
         let count = self.plan.routers.len();
+        let first = first % count;
         let is_ready = |router: &usize| self.plan.shared.ready[*router].load(Ordering::Relaxed);
         (0..count).map(|step| (first + step) % count).find(is_ready).unwrap_or(first)
     }
@@ -224,15 +237,24 @@
         ended: Instant::now(),
         learned: outcome.as_ref().map_or(LearnedOutcome::Unknown, learned_of),
         flaws: AnswerFlaws::default(),
+        resumes: 0,
         broke: matches!(outcome, Some(CallerOutcome::Broken(_))),
         timed_out: outcome.is_none(),
     }
 }
 
+/// What came of an answer that may go on elsewhere.
+fn resumable(outcome: &Option<CallerOutcome<CallerAnswer>>) -> Option<CallerAnswer> {
+    let Some(CallerOutcome::Broken(error)) = outcome else { return None };
+    let is_cut = matches!(error, CallerError::Partial { .. } | CallerError::Told { .. });
+    let partial = error.partial_answer().filter(|partial| !partial.last_event.is_empty());
+    partial.filter(|_| is_cut).cloned()
+}
+
 fn chat_server(outcome: &CallerOutcome<CallerAnswer>) -> Option<String> {
     match outcome {
         CallerOutcome::Answered(answer) => Some(answer.server.clone()),
-        CallerOutcome::Broken(error) => server_of(error),
+        CallerOutcome::Broken(error) => error.partial_answer().map(|answer| answer.server.clone()),
         _ => None,
     }
 }
--- a/crates/papayamux-measure/src/routing/session.rs
+++ b/crates/papayamux-measure/src/routing/session.rs
@@ -154,9 +154,9 @@
             }
             _ => TurnOutcome::Failed,
         },
-        CallerError::Short { text, .. } if expected.starts_with(text) => TurnOutcome::Short,
-        CallerError::Partial { text, .. } | CallerError::Told { text, .. }
-            if expected.starts_with(text) =>
+        CallerError::Short(answer) if expected.starts_with(&answer.text) => TurnOutcome::Short,
+        CallerError::Partial { answer, .. } | CallerError::Told { answer, .. }
+            if expected.starts_with(&answer.text) =>
         {
             TurnOutcome::Cut
         }
--- a/crates/papayamux-measure/src/tasks/promises.rs
+++ b/crates/papayamux-measure/src/tasks/promises.rs
@@ -14,14 +14,14 @@
 
 fn declare(options: &mut Options) {
     options.optopt("", "seed", "draws workload and faults", "NUMBER");
-    options.optopt("", "scenario", "run only this one", "NAME");
+    options.optmulti("", "scenario", "a scenario (all)", "NAME");
     options.optopt("", "requests", "requests of each scenario", "COUNT");
 }
 
 fn promise_options(matches: &Matches) -> Result<PromiseOptions, TaskError> {
     Ok(PromiseOptions::builder()
         .maybe_seed(matches.opt_get("seed")?)
-        .maybe_scenario(matches.opt_str("scenario"))
+        .scenarios(matches.opt_strs("scenario"))
         .maybe_requests(matches.opt_get("requests")?)
         .build())
 }
--- a/crates/papayamux-measure/tests/promise_counts.rs
+++ b/crates/papayamux-measure/tests/promise_counts.rs
@@ -6,7 +6,6 @@
     check_booking, check_chat, AnswerFlaws, FaultKind, FaultRecord, LearnedOutcome, PromiseTally,
     RequestRecord, RequestWork, RunTruth,
 };
-use papayamux_protocol::chat::UsageReport;
 use papayamux_standins::service::ServiceAnswer;
 use papayamux_testbed::{CallerAnswer, CallerError, CallerOutcome};
 
@@ -16,9 +15,7 @@
     CallerOutcome::Answered(CallerAnswer {
         text: text.to_string(),
         server: "engine-0".to_string(),
-        usage: UsageReport::default(),
-        first_token: Duration::ZERO,
-        events: 1,
+        ..CallerAnswer::default()
     })
 }
 
@@ -33,6 +30,7 @@
         ended: Instant::now(),
         learned,
         flaws: AnswerFlaws::default(),
+        resumes: 0,
         broke: false,
         timed_out: false,
     }
@@ -58,8 +56,8 @@
     for (text, flaws) in cases {
         assert_eq!(check_chat(&answered(text), EXPECTED), flaws, "{text}");
     }
-    let server = "engine-0".to_string();
-    let ended = CallerError::Short { server, text: "the mine".to_string() };
+    let part = CallerAnswer { text: "the mine".to_string(), ..CallerAnswer::default() };
+    let ended = CallerError::Short(Box::new(part));
     assert_eq!(check_chat(&CallerOutcome::Broken(ended), EXPECTED), short);
 }
 
--- a/crates/papayamux-testbed/src/caller.rs
+++ b/crates/papayamux-testbed/src/caller.rs
@@ -7,15 +7,16 @@
 use http::{Method, Request, StatusCode};
 use papayamux_protocol::chat::{ChatChunk, ChatMessage, ChatRequest, UsageReport, STREAM_END};
 use papayamux_protocol::engine::CHAT_PATH;
-use papayamux_protocol::headers::{ORGANISATION, SERVED_BY};
+use papayamux_protocol::failure::{FailureBody, FailureEnvelope};
+use papayamux_protocol::headers::{LAST_EVENT_ID, ORGANISATION, SERVED_BY};
 use papayamux_transport::http::{ClientAnswer, HttpClient, HttpClientError};
 use thiserror::Error;
 
 /// Bytes of the longest answer that a caller reads.
 pub(crate) const LONGEST_ANSWER: u64 = 64 * 1024 * 1024;
 
-/// The line that marks an event as a failure.
-const ERROR_EVENT: &str = "event: error";
+/// The kind of the event by which a router ends a stream that it can't go on with.
+const FAILURE_EVENT: &str = "error";
 
 /// Why a caller got no whole answer.
 #[derive(Debug, Error)]
@@ -35,40 +36,43 @@
     #[error("the answer makes no sense: {0}")]
     Nonsense(String),
     /// The answer ended well, yet without its last event.
-    #[error("{server}: the answer ended after {} bytes without its last event", .text.len())]
-    Short {
-        /// The server that gave it.
-        server: String,
-        /// The text up to there.
-        text: String,
-    },
+    #[error("{}: ended after {} bytes without its last event", .0.server, .0.text.len())]
+    Short(Box<CallerAnswer>),
     /// The connection broke off in the middle of the answer.
-    #[error("{server}: after {} bytes: {error}", .text.len())]
+    #[error("{}: after {} bytes: {error}", .answer.server, .answer.text.len())]
     Partial {
-        /// The server that gave it.
-        server: String,
-        /// The text up to there.
-        text: String,
+        /// The answer up to there.
+        answer: Box<CallerAnswer>,
         /// What broke.
         error: HttpClientError,
     },
-    /// The router told a failure in the middle of the answer.
-    #[error("{server}: after {} bytes the router told: {body}", .text.len())]
+    /// The router said in the middle of the answer that it can't go on.
+    #[error("{}: after {} bytes: {}", .answer.server, .answer.text.len(), .failure.message)]
     Told {
-        /// The server that gave it.
-        server: String,
-        /// The text up to there.
-        text: String,
-        /// The failure's body.
-        body: String,
+        /// The answer up to there.
+        answer: Box<CallerAnswer>,
+        /// What the router said.
+        failure: FailureBody,
     },
     /// The request could not be built.
     #[error(transparent)]
     Request(#[from] http::Error),
 }
 
-/// A whole streamed answer.
-#[derive(Debug, Clone)]
+impl CallerError {
+    /// The part of a streamed answer that came before it failed.
+    pub fn partial_answer(&self) -> Option<&CallerAnswer> {
+        match self {
+            CallerError::Short(answer)
+            | CallerError::Partial { answer, .. }
+            | CallerError::Told { answer, .. } => Some(answer),
+            _ => None,
+        }
+    }
+}
+
+/// A streamed answer, whole or as far as it came.
+#[derive(Debug, Clone, Default)]
 pub struct CallerAnswer {
     /// The text.
     pub text: String,
@@ -80,6 +84,8 @@
     pub first_token: Duration,
     /// Events with text.
     pub events: u64,
+    /// The id of the last event, by which the answer can be resumed; empty without one.
+    pub last_event: String,
 }
 
 /// A caller of one organisation at one router.
@@ -154,20 +160,26 @@
     pub async fn chat(&self, request: &ChatRequest) -> Result<CallerAnswer, CallerError> {
         let sent = Instant::now();
         let answer = self.send(Method::POST, CHAT_PATH, &[], chat_body(request)?).await?;
-        read_answer(answer, sent).await
+        read_answer(answer, sent, CallerAnswer::default()).await
     }
 
     /// Like [`Self::chat`], over a connection of its own, with further headers, and never sent
-    /// again.
+    /// again; adds to what came of the answer `before`, after its last event.
     pub(crate) async fn stream_once(
         &self,
         request: &ChatRequest,
         headers: &[(&str, &str)],
+        before: CallerAnswer,
     ) -> Result<CallerAnswer, CallerError> {
         let sent = Instant::now();
         let body = chat_body(request)?;
-        let answer = self.send_once(Method::POST, CHAT_PATH, headers, body).await?;
-        read_answer(answer, sent).await
+        let mut headers = headers.to_vec();
+        let last_event = before.last_event.clone();
+        if !last_event.is_empty() {
+            headers.push((LAST_EVENT_ID, &last_event));
+        }
+        let answer = self.send_once(Method::POST, CHAT_PATH, &headers, body).await?;
+        read_answer(answer, sent, before).await
     }
 }
 
@@ -176,64 +188,81 @@
     Ok(body.map_err(|error| CallerError::Nonsense(error.to_string()))?.into())
 }
 
-async fn read_answer(answer: ClientAnswer, sent: Instant) -> Result<CallerAnswer, CallerError> {
+async fn read_answer(
+    answer: ClientAnswer,
+    sent: Instant,
+    before: CallerAnswer,
+) -> Result<CallerAnswer, CallerError> {
     if answer.head.status != StatusCode::OK {
         let status = answer.head.status;
         let body = answer.whole_body(LONGEST_ANSWER).await?;
         let body = String::from_utf8_lossy(&body).into_owned();
         return Err(CallerError::Failure { status, body });
     }
-    read_events(answer, sent).await
+    read_events(answer, sent, before).await
 }
 
-async fn read_events(mut answer: ClientAnswer, sent: Instant) -> Result<CallerAnswer, CallerError> {
+async fn read_events(
+    mut answer: ClientAnswer,
+    sent: Instant,
+    before: CallerAnswer,
+) -> Result<CallerAnswer, CallerError> {
     let served_by = answer.head.headers.get(SERVED_BY).and_then(|value| value.to_str().ok());
-    let mut whole = CallerAnswer {
-        text: String::new(),
-        server: served_by.unwrap_or_default().to_string(),
-        usage: UsageReport::default(),
-        first_token: Duration::ZERO,
-        events: 0,
-    };
+    let server = served_by.unwrap_or_default().to_string();
+    let mut whole = CallerAnswer { server, ..before };
     let mut pending = Vec::new();
     let mut ended = false;
     while let Some(piece) = answer.next_piece().await {
         let piece = match piece {
             Ok(piece) => piece,
-            Err(error) => return Err(broken_off(whole, error)),
+            Err(error) => return Err(CallerError::Partial { answer: Box::new(whole), error }),
         };
         pending.extend_from_slice(&piece);
         while let Some(end) = pending.windows(2).position(|pair| pair == b"\n\n") {
             let event: Vec<u8> = pending.drain(..end + 2).collect();
-            ended |= take_event(&event, sent, &mut whole)?;
+            match take_event(&event, sent, &mut whole)? {
+                EventKind::Chunk => {}
+                EventKind::End => ended = true,
+                EventKind::Failure(failure) => {
+                    return Err(CallerError::Told { answer: Box::new(whole), failure });
+                }
+            }
         }
     }
     if !ended || !pending.is_empty() {
-        return Err(CallerError::Short { server: whole.server, text: whole.text });
+        return Err(CallerError::Short(Box::new(whole)));
     }
     answer.finish();
     Ok(whole)
 }
 
-fn broken_off(partial: CallerAnswer, error: HttpClientError) -> CallerError {
-    let CallerAnswer { server, text, .. } = partial;
-    CallerError::Partial { server, text, error }
+/// What an event says.
+enum EventKind {
+    Chunk,
+    End,
+    Failure(FailureBody),
 }
 
-/// Adds one event to the answer; `true` for the event that ends the stream.
-fn take_event(event: &[u8], sent: Instant, whole: &mut CallerAnswer) -> Result<bool, CallerError> {
+/// Adds one event to the answer.
+fn take_event(
+    event: &[u8],
+    sent: Instant,
+    whole: &mut CallerAnswer,
+) -> Result<EventKind, CallerError> {
     let nonsense = |text: &str| CallerError::Nonsense(text.to_string());
     let text = std::str::from_utf8(event).map_err(|_| nonsense("an event is not UTF-8"))?;
-    let mut lines = text.lines();
-    let data = lines
-        .find_map(|line| line.strip_prefix("data: "))
-        .ok_or_else(|| nonsense("an event without data"))?;
-    if data == STREAM_END {
-        return Ok(true);
+    let field = |name: &str| text.lines().find_map(|line| line.strip_prefix(name));
+    let data = field("data: ").ok_or_else(|| nonsense("an event without data"))?;
+    if field("event: ") == Some(FAILURE_EVENT) {
+        let envelope = serde_json::from_str::<FailureEnvelope>(data);
+        return match envelope {
+            Ok(envelope) => Ok(EventKind::Failure(envelope.error)),
+            Err(error) => Err(nonsense(&error.to_string())),
+        };
     }
-    if text.lines().any(|line| line == ERROR_EVENT) {
-        let (server, text) = (whole.server.clone(), whole.text.clone());
-        return Err(CallerError::Told { server, text, body: data.to_string() });
+    whole.last_event = field("id: ").unwrap_or_default().to_string();
+    if data == STREAM_END {
+        return Ok(EventKind::End);
     }
     let chunk: ChatChunk =
         serde_json::from_str(data).map_err(|error| nonsense(&error.to_string()))?;
@@ -247,7 +276,7 @@
         }
     }
     whole.usage = chunk.usage.unwrap_or(whole.usage);
-    Ok(false)
+    Ok(EventKind::Chunk)
 }
 
 /// A streamed chat request with the given turns.
--- a/crates/papayamux-testbed/src/chat_stream.rs
+++ b/crates/papayamux-testbed/src/chat_stream.rs
@@ -7,7 +7,7 @@
 use papayamux_protocol::headers::{LAST_EVENT_ID, SERVED_BY};
 use papayamux_transport::http::ClientAnswer;
 
-use crate::caller::{Caller, CallerError, LONGEST_ANSWER};
+use crate::caller::{Caller, CallerAnswer, CallerError, LONGEST_ANSWER};
 
 /// One server-sent event.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -72,8 +72,13 @@
                 None => return Ok(None),
                 Some(Ok(piece)) => self.pending.extend_from_slice(&piece),
                 Some(Err(error)) => {
-                    let (server, text) = (self.server.clone(), self.text.clone());
-                    return Err(CallerError::Partial { server, text, error });
+                    let answer = CallerAnswer {
+                        text: self.text.clone(),
+                        server: self.server.clone(),
+                        last_event: self.last_id.clone(),
+                        ..CallerAnswer::default()
+                    };
+                    return Err(CallerError::Partial { answer: Box::new(answer), error });
                 }
             }
         }
--- a/crates/papayamux-testbed/src/outcome.rs
+++ b/crates/papayamux-testbed/src/outcome.rs
@@ -60,7 +60,16 @@
         request: &ChatRequest,
         headers: &[(&str, &str)],
     ) -> CallerOutcome<CallerAnswer> {
-        CallerOutcome::of(self.stream_once(request, headers).await)
+        CallerOutcome::of(self.stream_once(request, headers, CallerAnswer::default()).await)
+    }
+
+    /// Goes on, at this caller's router, with an answer that came as far as `before`.
+    pub async fn resume_once(
+        &self,
+        request: &ChatRequest,
+        before: CallerAnswer,
+    ) -> CallerOutcome<CallerAnswer> {
+        CallerOutcome::of(self.stream_once(request, &[], before).await)
     }
 
     async fn exchange_once(
