--- a/crates/papayamux-measure/src/promises/fault_kind.rs
+++ b/crates/papayamux-measure/src/promises/fault_kind.rs
@@ -13,6 +13,10 @@
     LinkSilent,
     /// A link keeps all bytes for a while, and lets them go.
     LinkHeld,
+    /// The connections of an agent to its server are cut after some bytes of answers.
+    ServerLinkCut,
+    /// The open connections of an agent to its server go silent for good.
+    ServerLinkSilent,
     /// An agent is killed and restarted with empty memory.
     AgentKilled,
     /// An agent is paused and woken.
@@ -27,11 +31,13 @@
 
 impl FaultKind {
     /// Every kind.
-    pub const ALL: [FaultKind; 9] = [
+    pub const ALL: [FaultKind; 11] = [
         FaultKind::LinkDelayed,
         FaultKind::LinkCut,
         FaultKind::LinkSilent,
         FaultKind::LinkHeld,
+        FaultKind::ServerLinkCut,
+        FaultKind::ServerLinkSilent,
         FaultKind::AgentKilled,
         FaultKind::AgentPaused,
         FaultKind::RouterTerminated,
@@ -39,6 +45,11 @@
         FaultKind::ListsDiffer,
     ];
 
+    /// Whether the fault concerns connections that go silent until they are found.
+    pub fn is_silent(self) -> bool {
+        matches!(self, FaultKind::LinkSilent | FaultKind::ServerLinkSilent)
+    }
+
     /// Whether the fault is a graceful shutdown.
     pub fn is_graceful(self) -> bool {
         matches!(self, FaultKind::RouterTerminated | FaultKind::AgentTerminated)
@@ -52,6 +63,8 @@
             FaultKind::LinkCut => "link_cut",
             FaultKind::LinkSilent => "link_silent",
             FaultKind::LinkHeld => "link_held",
+            FaultKind::ServerLinkCut => "server_link_cut",
+            FaultKind::ServerLinkSilent => "server_link_silent",
             FaultKind::AgentKilled => "agent_killed",
             FaultKind::AgentPaused => "agent_paused",
             FaultKind::RouterTerminated => "router_terminated",
--- a/crates/papayamux-measure/src/promises/fault_stage.rs
+++ b/crates/papayamux-measure/src/promises/fault_stage.rs
@@ -106,18 +106,27 @@
         self.shared.in_flight.load(Ordering::Relaxed) > 0
     }
 
-    /// The places of all links.
-    pub fn link_places(&self) -> Vec<LinkPlace> {
+    /// The places of all links between routers and agents.
+    pub fn agent_links(&self) -> Vec<LinkPlace> {
         let fleet = self.fleet.borrow();
-        let routers = 0..fleet.routers.len();
-        let places =
-            routers.flat_map(|router| (0..fleet.servers.len()).map(move |server| (router, server)));
-        places.filter(|(router, server)| fleet.link(*router, *server).is_ok()).collect()
+        let (routers, servers) = (fleet.routers.len(), fleet.servers.len());
+        let places = (0..routers * servers).map(|number| (number / servers, number % servers));
+        let known = places.filter(|(router, server)| fleet.link(*router, *server).is_ok());
+        known.map(|(router, server)| LinkPlace::Agent { router, server }).collect()
+    }
+
+    /// The places of all links between agents and servers.
+    pub fn server_links(&self) -> Vec<LinkPlace> {
+        (0..self.fleet.borrow().servers.len()).map(LinkPlace::Server).collect()
     }
 
     /// A link's control.
     pub fn link(&self, place: LinkPlace) -> Result<LinkControl, TestbedError> {
-        self.fleet.borrow().link(place.0, place.1).cloned()
+        let fleet = self.fleet.borrow();
+        match place {
+            LinkPlace::Agent { router, server } => fleet.link(router, server).cloned(),
+            LinkPlace::Server(server) => fleet.servers[server].link().cloned(),
+        }
     }
 
     /// A server's name.
--- a/crates/papayamux-measure/src/promises/injector.rs
+++ b/crates/papayamux-measure/src/promises/injector.rs
@@ -43,8 +43,7 @@
     /// Brings about faults until the callers have finished.
     pub async fn run(mut self) -> Result<(), TestbedError> {
         while self.kind != FaultKind::ListsDiffer {
-            self.sleep(if self.kind == FaultKind::LinkSilent { SILENT_GAP_MS } else { GAP_MS })
-                .await;
+            self.sleep(if self.kind.is_silent() { SILENT_GAP_MS } else { GAP_MS }).await;
             if self.stage.is_finished() {
                 break;
             }
@@ -62,7 +61,7 @@
             }
             _ => {
                 let place = self.act_on_link().await?;
-                (Some(place.0), Some(place.1))
+                (place.router(), Some(place.server()))
             }
         };
         if router.is_none() && server.is_none() {
@@ -77,15 +76,18 @@
 
     async fn act_on_link(&mut self) -> Result<LinkPlace, TestbedError> {
         let stage = self.stage;
-        let places = stage.link_places();
+        let places = match self.kind {
+            FaultKind::ServerLinkCut | FaultKind::ServerLinkSilent => stage.server_links(),
+            _ => stage.agent_links(),
+        };
         let no_link = || TestbedError::NoPart("faulty links".to_string());
         let place = *places.choose(&mut self.random).ok_or_else(no_link)?;
         let link = stage.link(place)?;
         match self.kind {
             FaultKind::LinkDelayed => self.delay(place, &link).await?,
-            FaultKind::LinkCut => self.cut(place, &link).await?,
-            FaultKind::LinkSilent => stage.board.silence(place, &link).await?,
-            _ => self.hold(place, &link).await?,
+            FaultKind::LinkCut | FaultKind::ServerLinkCut => self.cut(place, &link).await?,
+            FaultKind::LinkHeld => self.hold(place, &link).await?,
+            _ => stage.board.silence(place, &link).await?,
         }
         Ok(place)
     }
--- a/crates/papayamux-measure/src/promises/link_board.rs
+++ b/crates/papayamux-measure/src/promises/link_board.rs
@@ -6,8 +6,36 @@
 use papayamux_standins::fault_proxy::{FaultyWays, LinkFaults};
 use papayamux_testbed::{LinkControl, TestbedError};
 
-/// A link by the places of its router and its server in the fleet.
-pub type LinkPlace = (usize, usize);
+/// A link, by the places of its ends in the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LinkPlace {
+    /// Between a router and the agent of a server.
+    Agent {
+        /// The router.
+        router: usize,
+        /// The server.
+        server: usize,
+    },
+    /// Between an agent and its server.
+    Server(usize),
+}
+
+impl LinkPlace {
+    /// The router at one end, where there is one.
+    pub fn router(self) -> Option<usize> {
+        match self {
+            LinkPlace::Agent { router, .. } => Some(router),
+            LinkPlace::Server(_) => None,
+        }
+    }
+
+    /// The server that the link leads to.
+    pub fn server(self) -> usize {
+        match self {
+            LinkPlace::Agent { server, .. } | LinkPlace::Server(server) => server,
+        }
+    }
+}
 
 /// The lasting faults of every link.
 #[derive(Default)]
--- a/crates/papayamux-measure/src/promises/truth.rs
+++ b/crates/papayamux-measure/src/promises/truth.rs
@@ -30,6 +30,9 @@
                 }
             }
         }
+        for server in &fleet.servers {
+            server.link()?.heal().await?;
+        }
         let running = async || {
             let mut running = 0;
             for server in &fleet.servers {
