Report the reasons of refusals and the control bytes of a request

Cause: refusals at a moderate load can't be explained from their number alone. Change: the report lists what routers told by code and reason, over the whole run, and divides a router's control bytes by its requests.

--- a/crates/papayamux-measure/src/routing/report.rs
+++ b/crates/papayamux-measure/src/routing/report.rs
@@ -1,5 +1,6 @@
 //! The measurement's result: one JSON line for each policy and scenario.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use papayamux_protocol::engine::TOKENS_PER_BLOCK;
@@ -120,6 +121,10 @@
     pub control_bytes_per_s_router: Option<f64>,
     /// Control bytes a second of an agent, if it counts them.
     pub control_bytes_per_s_agent: Option<f64>,
+    /// Control bytes of a router for each turn or call.
+    pub control_bytes_per_request: Option<f64>,
+    /// Failures that routers told over the whole run, by code and reason.
+    pub told: BTreeMap<String, u64>,
     /// Why the scenario could not be carried out, if so.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub disturbance_error: Option<String>,
@@ -137,7 +142,8 @@
         let end = Duration::from_secs_f64(label.seconds);
         let tally = run.tally.after(warm_up);
         let skew = SkewSummary::of(&run.samples, warm_up, end);
-        let offered = OfferedLoad::of(&tally, site, (end - warm_up).as_secs_f64());
+        let seconds = (end - warm_up).as_secs_f64();
+        let offered = OfferedLoad::of(&tally, site, seconds);
         let best = |turn: &TurnRecord, _| (turn.best_blocks * TOKENS_PER_BLOCK) as u64;
         let warm_share = tally.token_share(|_, answer| answer.cached_tokens);
         let best_share = tally.token_share(best);
@@ -146,6 +152,8 @@
         let returning =
             || tally.turns.iter().filter(|turn| turn.is_returning() && turn.answered().is_some());
         let warm = returning().filter(|turn| turn.is_warm()).count();
+        let requests = (tally.turns.len() + tally.calls.len()) as f64;
+        let request_rate = requests / seconds / site.routers as f64;
         let cache = (site.engines * site.cache_blocks) as f64;
         Self {
             requests: tally.turns.len() as u64,
@@ -184,6 +192,10 @@
             blocks_over_cache: rounded(run.distinct_blocks as f64 / cache, 2),
             control_bytes_per_s_router: run.control_router.map(|rate| rounded(rate, 0)),
             control_bytes_per_s_agent: run.control_agent.map(|rate| rounded(rate, 0)),
+            control_bytes_per_request: run
+                .control_router
+                .map(|rate| rounded(rate / request_rate, 0)),
+            told: tally.told.clone(),
             disturbance_error: run.disturbance_error.clone(),
             label,
         }
--- a/crates/papayamux-measure/src/routing/session.rs
+++ b/crates/papayamux-measure/src/routing/session.rs
@@ -127,7 +127,12 @@
             }),
             Ok(answer) if expected.starts_with(&answer.text) => TurnOutcome::Short,
             Ok(_) => TurnOutcome::Mixed,
-            Err(error) => failed_outcome(&error, expected),
+            Err(error) => {
+                if let CallerError::Failure { body, .. } | CallerError::Told { body, .. } = &error {
+                    self.tally.borrow_mut().count_told(body.as_bytes());
+                }
+                failed_outcome(&error, expected)
+            }
         }
     }
 
@@ -140,8 +145,14 @@
         self.in_flight.set(self.in_flight.get() + 1);
         let answer = caller.call(Method::POST, &path, &[], body).await;
         self.in_flight.set(self.in_flight.get() - 1);
-        let answered = matches!(answer, Ok((StatusCode::OK, _)));
-        let latency = answered.then(|| self.begun.elapsed() - sent);
+        let latency = match answer {
+            Ok((StatusCode::OK, _)) => Some(self.begun.elapsed() - sent),
+            Ok((_, body)) => {
+                self.tally.borrow_mut().count_told(&body);
+                None
+            }
+            Err(_) => None,
+        };
         self.tally.borrow_mut().calls.push((sent, latency));
     }
 }
--- a/crates/papayamux-measure/src/routing/tally.rs
+++ b/crates/papayamux-measure/src/routing/tally.rs
@@ -1,9 +1,11 @@
 //! What became of the turns and calls of a run.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
 use papayamux_protocol::engine::TOKENS_PER_BLOCK;
+use papayamux_protocol::failure::FailureEnvelope;
 
 /// The longest time that a histogram tells apart, in microseconds.
 const LONGEST_MICROS: u64 = 120_000_000;
@@ -84,14 +86,33 @@
     pub turns: Vec<TurnRecord>,
     /// Each call's time of sending, and its latency where it was answered.
     pub calls: Vec<(Duration, Option<Duration>)>,
+    /// Failures that routers told over the whole run, by code and reason.
+    pub told: BTreeMap<String, u64>,
 }
 
 impl RunTally {
+    /// Counts a failure by the body that a router sent.
+    pub fn count_told(&mut self, body: &[u8]) {
+        let label = match serde_json::from_slice::<FailureEnvelope>(body) {
+            Ok(FailureEnvelope { error }) => {
+                let code = serde_json::to_value(error.code).unwrap_or_default();
+                let code = code.as_str().unwrap_or_default().to_string();
+                error.reason.map_or(code.clone(), |reason| format!("{code}: {reason}"))
+            }
+            Err(_) => "not a failure's body".to_string(),
+        };
+        *self.told.entry(label).or_default() += 1;
+    }
+
     /// Only what was sent after `warm_up`.
     pub fn after(&self, warm_up: Duration) -> Self {
         let turns = self.turns.iter().filter(|turn| turn.sent >= warm_up);
         let calls = self.calls.iter().filter(|(sent, _)| *sent >= warm_up);
-        Self { turns: turns.copied().collect(), calls: calls.copied().collect() }
+        Self {
+            turns: turns.copied().collect(),
+            calls: calls.copied().collect(),
+            told: self.told.clone(),
+        }
     }
 
     /// Turns with an outcome.
--- a/crates/papayamux-measure/tests/routing_parts.rs
+++ b/crates/papayamux-measure/tests/routing_parts.rs
@@ -87,7 +87,7 @@
     let turns = [turn(0, 0), turn(4, 64), turn(4, 48)];
     let warm: Vec<_> = turns.iter().map(|turn| (turn.is_returning(), turn.is_warm())).collect();
     assert_eq!(warm, [(false, true), (true, true), (true, false)]);
-    let tally = RunTally { turns: turns.to_vec(), calls: Vec::new() };
+    let tally = RunTally { turns: turns.to_vec(), ..RunTally::default() };
     assert_eq!(tally.token_share(|_, answer| answer.cached_tokens), 112.0 / 300.0);
 }
 
