--- a/crates/papayamux-declarations/src/file/grants.rs
+++ b/crates/papayamux-declarations/src/file/grants.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use crate::values::{ItemKind, PriorityLevel, ShareFraction, ValueError};
+use crate::values::{ItemKind, PriorityClass, ShareFraction, ValueError};
 
 /// The name of the one file that may hold grants.
 pub const OWNERS_FILE: &str = "owners";
@@ -56,8 +56,8 @@
 pub struct GrantSection {
     /// The team's part of the fleet.
     pub share: Option<ShareFraction>,
-    /// The most urgent level that its organisations and routes may have.
-    pub highest_priority: Option<PriorityLevel>,
+    /// The first priority class that its organisations and routes may have.
+    pub first_priority: Option<PriorityClass>,
     /// Names of organisations that only this team may declare.
     pub organisations: Vec<NamePattern>,
     /// Names of models that only this team may declare.
--- a/crates/papayamux-declarations/src/file/items.rs
+++ b/crates/papayamux-declarations/src/file/items.rs
@@ -10,7 +10,7 @@
 use papayamux_state::quantities::RequestCount;
 
 use crate::values::{
-    LoadBound, MethodName, PriorityLevel, RequestRate, ShareFraction, ValueError, VersionName,
+    LoadBound, MethodName, PriorityClass, RequestRate, ShareFraction, ValueError, VersionName,
     WeightsName,
 };
 
@@ -27,7 +27,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Builder)]
 pub struct OrganisationDeclaration {
     /// How urgent its requests are.
-    pub priority: PriorityLevel,
+    pub priority: PriorityClass,
     /// Its share of what the fleet grants its team.
     pub share: ShareFraction,
     /// Requests a second that it may send to the whole fleet.
@@ -143,5 +143,5 @@
     /// Methods whose calls may be repeated.
     pub idempotent_methods: BTreeSet<MethodName>,
     /// How urgent the calls are.
-    pub priority: PriorityLevel,
+    pub priority: PriorityClass,
 }
--- a/crates/papayamux-declarations/src/file/reader.rs
+++ b/crates/papayamux-declarations/src/file/reader.rs
@@ -13,7 +13,7 @@
     Placed, RouteDeclaration, ServerDeclaration, ServerKind,
 };
 use super::parsed_file::ParsedFile;
-use crate::values::{FileName, ItemKind, LoadBound, MethodName, PriorityLevel, ShareFraction};
+use crate::values::{FileName, ItemKind, LoadBound, MethodName, PriorityClass, ShareFraction};
 
 /// Reads all sections; what is wrong is reported to `file`.
 pub(super) fn read_file(file: &IniFile, name: &FileName) -> Option<ParsedFile> {
@@ -102,7 +102,7 @@
 
 fn read_organisation(section: &SectionReader<'_>) -> Option<OrganisationDeclaration> {
     let organisation = OrganisationDeclaration::builder()
-        .priority(section.or("priority", PriorityLevel::DEFAULT))
+        .priority(section.or("priority", PriorityClass::DEFAULT))
         .share(section.or("share", ShareFraction::NONE))
         .maybe_request_rate(section.optional("request_rate"))
         .maybe_in_flight(section.optional("in_flight"))
@@ -164,14 +164,14 @@
     if section.text("servers").is_none() {
         section.report("servers", "the key is missing", "list servers of kind service");
     }
-    let priority = section.or("priority", PriorityLevel::DEFAULT);
+    let priority = section.or("priority", PriorityClass::DEFAULT);
     Some(RouteDeclaration { servers, idempotent_methods, priority })
 }
 
 fn read_grant(section: &SectionReader<'_>) -> Option<GrantSection> {
     Some(GrantSection {
         share: section.optional("share"),
-        highest_priority: section.optional("highest_priority"),
+        first_priority: section.optional("first_priority"),
         organisations: section.list("organisations"),
         models: section.list("models"),
         adapters: section.list("adapters"),
--- a/crates/papayamux-declarations/src/in_force/block.rs
+++ b/crates/papayamux-declarations/src/in_force/block.rs
@@ -106,7 +106,7 @@
             BlockReason::ModelNotOnServer { .. } => "add the model to the server's models",
             BlockReason::NotAService { .. } => "routes lead to servers of kind service",
             BlockReason::Retired => "delete the section when it suits you",
-            BlockReason::PriorityCapped => "the highest level that the team may use is in force",
+            BlockReason::PriorityCapped => "the first class that the team may use is in force",
         }
     }
 }
--- a/crates/papayamux-declarations/src/in_force/digest.rs
+++ b/crates/papayamux-declarations/src/in_force/digest.rs
@@ -5,7 +5,6 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use super::block::BlockedItem;
 use super::summary::InForce;
 use crate::explain::item_lines;
 use crate::values::ValueError;
@@ -44,7 +43,8 @@
     }
 }
 
-/// Hashes the revisions in force, refused ones and the text of each item.
+/// Hashes the revisions in force and the text of each item. Refused revisions are left out: two
+/// processes act alike though only one has heard of them.
 pub(super) fn digest(in_force: &InForce) -> ConfigurationDigest {
     let mut hasher = Xxh3::new();
     let mut update = |line: String| {
@@ -54,13 +54,6 @@
     for (file, revision) in &in_force.files {
         update(format!("file {file} {revision}"));
     }
-    for refusal in &in_force.refused {
-        update(format!("refused {} {}", refusal.file, refusal.refused.revision));
-    }
     item_lines(in_force).for_each(&mut update);
-    for blocked in &in_force.blocked {
-        let BlockedItem { kind, name, key, reason, .. } = blocked;
-        update(format!("blocked {kind} {name} {} {}", key.unwrap_or(""), reason.label()));
-    }
     ConfigurationDigest(hasher.digest())
 }
--- a/crates/papayamux-declarations/src/in_force/items.rs
+++ b/crates/papayamux-declarations/src/in_force/items.rs
@@ -9,7 +9,7 @@
 use super::block::Origin;
 use crate::file::EngineRole;
 use crate::values::{
-    MethodName, PriorityLevel, RequestRate, ShareFraction, VersionName, WeightsName,
+    MethodName, PriorityClass, RequestRate, ShareFraction, VersionName, WeightsName,
 };
 
 /// Something in force with the place that declares it.
@@ -25,7 +25,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Organisation {
     /// How urgent its requests are.
-    pub priority: PriorityLevel,
+    pub priority: PriorityClass,
     /// Its share of the whole fleet; the shares of all organisations never exceed the whole.
     pub share: ShareFraction,
     /// Requests a second that it may send to the whole fleet.
@@ -71,7 +71,7 @@
     /// Methods whose calls may be repeated.
     pub idempotent_methods: BTreeSet<MethodName>,
     /// How urgent the calls are.
-    pub priority: PriorityLevel,
+    pub priority: PriorityClass,
 }
 
 /// What an engine is to be brought to.
--- a/crates/papayamux-declarations/src/in_force/shares.rs
+++ b/crates/papayamux-declarations/src/in_force/shares.rs
@@ -8,7 +8,7 @@
 use super::claims::{Owned, OwnedItems, Ownership};
 use super::items::{Declared, Organisation};
 use crate::file::OrganisationDeclaration;
-use crate::values::{FileName, ItemKind, PriorityLevel, ShareFraction};
+use crate::values::{FileName, ItemKind, PriorityClass, ShareFraction};
 
 /// The organisations in force, with their shares of the whole fleet.
 ///
@@ -43,20 +43,20 @@
     settled
 }
 
-/// The declared priority, or the highest that the owners' file leaves the team: the lower of two
-/// limits holds.
+/// The declared priority class, or the first that the owners' file leaves the team: of two limits
+/// the stricter holds.
 pub(super) fn cap_priority<V>(
     ownership: &Ownership<'_>,
     item: &Owned<'_, V>,
-    (kind, name, declared): (ItemKind, &str, PriorityLevel),
+    (kind, name, declared): (ItemKind, &str, PriorityClass),
     blocked: &mut Vec<BlockedItem>,
-) -> PriorityLevel {
+) -> PriorityClass {
     let grant = ownership.grants.get(item.file.name);
-    match grant.and_then(|grant| grant.highest_priority) {
-        Some(highest) if highest < declared => {
+    match grant.and_then(|grant| grant.first_priority) {
+        Some(first) if first > declared => {
             let reason = BlockReason::PriorityCapped;
             blocked.push(item.blocked(kind, &name, Some("priority"), reason));
-            highest
+            first
         }
         _ => declared,
     }
--- a/crates/papayamux-declarations/src/lib.rs
+++ b/crates/papayamux-declarations/src/lib.rs
@@ -33,6 +33,6 @@
     InForce, Organisation, Origin, Route, Server, ServerTask,
 };
 pub use values::{
-    FileName, FileRevision, ItemKind, LoadBound, MethodName, PathPrefix, PriorityLevel,
+    FileName, FileRevision, ItemKind, LoadBound, MethodName, PathPrefix, PriorityClass,
     RequestRate, ShareFraction, ValueError, VersionName, WeightsName,
 };
--- a/crates/papayamux-declarations/src/values/mod.rs
+++ b/crates/papayamux-declarations/src/values/mod.rs
@@ -6,7 +6,7 @@
 
 pub use item_kind::ItemKind;
 pub use names::{FileName, MethodName, PathPrefix, VersionName, WeightsName};
-pub use quantities::{FileRevision, LoadBound, PriorityLevel, RequestRate, ShareFraction};
+pub use quantities::{FileRevision, LoadBound, PriorityClass, RequestRate, ShareFraction};
 
 use thiserror::Error;
 
--- a/crates/papayamux-declarations/src/values/quantities.rs
+++ b/crates/papayamux-declarations/src/values/quantities.rs
@@ -169,15 +169,15 @@
     }
 }
 
-/// How urgent work is: 0 may wait longest, 9 goes first.
+/// How urgent work is: class 0 goes first, 9 may wait longest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct PriorityLevel(u8);
+pub struct PriorityClass(u8);
 
-impl PriorityLevel {
-    /// The level of what declares none.
+impl PriorityClass {
+    /// The class of what declares none.
     pub const DEFAULT: Self = Self(5);
-    /// The most urgent level.
-    pub const HIGHEST: Self = Self(9);
+    /// The class that may wait longest.
+    pub const LAST: Self = Self(9);
 
     /// The bare number, 0 to 9.
     pub const fn get(self) -> u8 {
@@ -185,20 +185,20 @@
     }
 }
 
-impl fmt::Display for PriorityLevel {
+impl fmt::Display for PriorityClass {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}", self.0)
     }
 }
 
-impl FromStr for PriorityLevel {
+impl FromStr for PriorityClass {
     type Err = ValueError;
 
     fn from_str(text: &str) -> Result<Self, ValueError> {
         text.parse()
             .ok()
             .map(Self)
-            .filter(|level| *level <= Self::HIGHEST)
-            .ok_or_else(|| ValueError::new(text, "a priority from 0 (may wait) to 9 (first)"))
+            .filter(|class| *class <= Self::LAST)
+            .ok_or_else(|| ValueError::new(text, "a priority class from 0 (first) to 9 (may wait)"))
     }
 }
--- a/crates/papayamux-declarations/tests/conflicts.rs
+++ b/crates/papayamux-declarations/tests/conflicts.rs
@@ -115,10 +115,10 @@
 }
 
 #[test]
-fn shares_are_parts_of_the_teams_share_and_the_lower_priority_holds() {
+fn shares_are_parts_of_the_teams_share_and_the_stricter_priority_holds() {
     let organisation =
-        |name: &str, share: u32| format!("[organisation {name}]\nshare = {share}%\npriority = 9\n");
-    let owners = "[grant booking]\nshare = 60%\nhighest_priority = 7\n".to_string();
+        |name: &str, share: u32| format!("[organisation {name}]\nshare = {share}%\npriority = 0\n");
+    let owners = "[grant booking]\nshare = 60%\nfirst_priority = 3\n".to_string();
     let files = [
         ("owners", owners),
         ("booking", organisation("b", 50)),
@@ -128,7 +128,7 @@
     let in_force = in_force(&files);
     let share = |name: &str| in_force.organisations[&name.parse().unwrap()].value.share.to_string();
     assert_eq!([share("b"), share("k"), share("t")], ["30%", "20%", "20%"]);
-    assert_eq!(in_force.organisations[&"b".parse().unwrap()].value.priority.get(), 7);
+    assert_eq!(in_force.organisations[&"b".parse().unwrap()].value.priority.get(), 3);
     assert_eq!(blocks(&in_force), ["booking organisation b: priority_capped"]);
 }
 
--- a/crates/papayamux-declarations/tests/convergence.rs
+++ b/crates/papayamux-declarations/tests/convergence.rs
@@ -121,3 +121,14 @@
     assert_eq!(in_force.refused[0].in_force, Some(4.into()));
     assert_eq!(in_force.refused[0].refused.revision, 5.into());
 }
+
+#[test]
+fn processes_that_act_alike_have_one_digest_though_only_one_heard_of_a_refusal() {
+    let file = |revision: u64, text: &str| {
+        DeclarationFile::new("kiosk".parse().unwrap(), revision.into(), text)
+    };
+    let (valid, invalid) = (file(4, "[team]\nname = kiosk\n"), file(5, "[team]\n"));
+    let (without, with) = (heard([&valid]), heard([&valid, &invalid]));
+    assert_eq!(InForce::compute(&without).digest(), InForce::compute(&with).digest());
+    assert_ne!(without.digest(), with.digest(), "peers still see that one knows more");
+}
--- a/crates/papayamux-declarations/tests/support/mod.rs
+++ b/crates/papayamux-declarations/tests/support/mod.rs
@@ -84,7 +84,7 @@
         let keys = match self.kind % 4 {
             0 => format!("models = m{}\n", self.name % 4),
             1 => format!("share = {}%\n", self.other % 25),
-            2 => format!("highest_priority = {}\n", self.other % 9),
+            2 => format!("first_priority = {}\n", self.other % 9),
             _ => format!("routes = /r{}*\n", self.name % 4),
         };
         (format!("grant {team}"), keys)
--- /dev/null
+++ b/crates/papayamux-measure/src/conflicts/experiment.rs
@@ -0,0 +1,147 @@
+//! Runs each rule over the same histories and prints one JSON line a rule and share of names.
+
+use std::collections::BTreeSet;
+use std::error::Error;
+
+use papayamux_declarations::{DeclarationFile, FileName, FileRevision, FileSet, InForce};
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+use serde_json::json;
+
+use super::history::{draw_history, hear, HistoryPlan};
+use super::rules::{ConflictRule, RuleProcess};
+
+const HISTORIES: u64 = 100;
+const PROCESSES: usize = 4;
+/// Submissions missed, in percent, and places that the others come late at most.
+const HEARING: (u32, usize) = (20, 6);
+/// How often a new thing takes a name that any team may take, in percent.
+const SHARED_NAMES: [u32; 3] = [0, 20, 60];
+
+#[derive(Debug, Default)]
+struct RuleTally {
+    declared: u64,
+    effective: u64,
+    heard: u64,
+    stepped_down: u64,
+    displaced: u64,
+    diverged: u64,
+}
+
+/// Compares all rules; the same seed gives the same figures.
+pub fn measure_conflicts(seed: u64) -> Result<(), Box<dyn Error>> {
+    for shared_names in SHARED_NAMES {
+        for rule in ConflictRule::ALL {
+            let mut tally = RuleTally::default();
+            for number in 0..HISTORIES {
+                run_history(rule, shared_names, seed.wrapping_add(number), &mut tally);
+            }
+            let share = tally.effective as f64 / tally.declared.max(1) as f64;
+            println!(
+                "{}",
+                json!({
+                    "measure": "conflicts",
+                    "seed": seed,
+                    "rule": rule.label(),
+                    "shared_names_percent": shared_names,
+                    "histories": HISTORIES,
+                    "processes": PROCESSES,
+                    "revisions_heard": tally.heard,
+                    "items_effective": (share * 10_000.0).round() / 10_000.0,
+                    "stepped_down": tally.stepped_down,
+                    "displaced_by_others": tally.displaced,
+                    "diverged_histories": tally.diverged,
+                })
+            );
+        }
+    }
+    Ok(())
+}
+
+fn run_history(rule: ConflictRule, shared_names: u32, seed: u64, tally: &mut RuleTally) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let plan = HistoryPlan { teams: 8, submissions: 40, shared_names, invalid: 10 };
+    let history = draw_history(plan, &mut random);
+    let mut processes: Vec<_> = (0..PROCESSES).map(|_| RuleProcess::new(rule)).collect();
+    for process in &mut processes {
+        run_process(process, &hear(&history, HEARING, &mut random), tally);
+    }
+    let ends = processes.iter_mut().map(|process| settle(process, &history));
+    let ends: BTreeSet<_> = ends.collect();
+    tally.diverged += u64::from(ends.len() > 1);
+}
+
+/// Lets a process hear the newest valid revision of each file, as it does from its peers, and
+/// tells what it has in force.
+fn settle(process: &mut RuleProcess, history: &[DeclarationFile]) -> u64 {
+    let mut all = FileSet::default();
+    for file in history {
+        all.offer(file.clone());
+    }
+    let mut digest = 0;
+    for (_, record) in all.records() {
+        if let Some(file) = record.valid() {
+            digest = process.hear(file).digest().get();
+        }
+    }
+    digest
+}
+
+fn run_process(process: &mut RuleProcess, heard: &[DeclarationFile], tally: &mut RuleTally) {
+    let mut previous = InForce::default();
+    for file in heard {
+        let current = process.hear(file);
+        tally.heard += 1;
+        tally.stepped_down += count_steps_down(&previous, &current);
+        tally.displaced += count_displaced(&previous, &current, &file.name);
+        let (declared, effective) = count_items(process.heard(), &current);
+        tally.declared += declared;
+        tally.effective += effective;
+        previous = current;
+    }
+}
+
+fn count_steps_down(previous: &InForce, current: &InForce) -> u64 {
+    let files = previous.files.iter();
+    files.filter(|(name, revision)| current.files.get(*name) < Some(revision)).count() as u64
+}
+
+type Place<'a> = (&'a FileName, FileRevision, usize);
+
+/// The places of all that is in force with full effect.
+fn effective_places(in_force: &InForce) -> BTreeSet<Place<'_>> {
+    let blocked = in_force.blocked.iter().filter(|blocked| blocked.reason.is_conflict());
+    let blocked: BTreeSet<_> = blocked.map(|blocked| &blocked.origin).collect();
+    let organisations = in_force.organisations.values().map(|declared| &declared.origin);
+    let origins = organisations
+        .chain(in_force.models.values().map(|declared| &declared.origin))
+        .chain(in_force.adapters.values().map(|declared| &declared.origin))
+        .chain(in_force.servers.values().map(|declared| &declared.origin))
+        .chain(in_force.routes.values().map(|declared| &declared.origin));
+    origins
+        .filter(|origin| !blocked.contains(origin))
+        .map(|origin| (&origin.file, origin.revision, origin.line))
+        .collect()
+}
+
+/// Things that lost their effect though their own file was not submitted.
+fn count_displaced(previous: &InForce, current: &InForce, submitted: &FileName) -> u64 {
+    let kept = effective_places(current);
+    let lost = effective_places(previous)
+        .into_iter()
+        .filter(|place| place.0 != submitted && !kept.contains(place));
+    lost.count() as u64
+}
+
+/// Things in the newest valid revisions, and how many of them have full effect.
+fn count_items(heard: &FileSet, in_force: &InForce) -> (u64, u64) {
+    let places = effective_places(in_force);
+    let (mut declared, mut effective) = (0, 0);
+    for (name, record) in heard.records() {
+        let Some((file, parsed)) = record.valid().zip(record.parsed()) else { continue };
+        declared += parsed.item_count() as u64;
+        let newest = places.iter().filter(|place| (place.0, place.1) == (name, file.revision));
+        effective += newest.count() as u64;
+    }
+    (declared, effective)
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/conflicts/mod.rs
@@ -0,0 +1,7 @@
+//! Compares rules for clashes between declaration files over random histories.
+
+mod experiment;
+mod history;
+mod rules;
+
+pub use experiment::measure_conflicts;
