--- a/crates/papayamux-measure/src/tasks/measure_task.rs
+++ b/crates/papayamux-measure/src/tasks/measure_task.rs
@@ -4,7 +4,7 @@
 
 use getopts::{Matches, Options};
 
-use super::{demo, path, promises, routing, table};
+use super::{conflicts, demo, path, promises, routing, table};
 
 /// Why a task can't be run to its end.
 pub type TaskError = Box<dyn Error>;
@@ -23,7 +23,7 @@
 
 /// All tasks.
 pub const TASKS: &[MeasureTask] =
-    &[demo::TASK, path::TASK, routing::TASK, table::TASK, promises::TASK];
+    &[demo::TASK, path::TASK, routing::TASK, table::TASK, promises::TASK, conflicts::TASK];
 
 /// The task of that name.
 pub fn find_task(name: &str) -> Option<&'static MeasureTask> {
