--- a/crates/papayamux-measure/src/routing/session.rs
+++ b/crates/papayamux-measure/src/routing/session.rs
@@ -128,8 +128,14 @@
             Ok(answer) if expected.starts_with(&answer.text) => TurnOutcome::Short,
             Ok(_) => TurnOutcome::Mixed,
             Err(error) => {
-                if let CallerError::Failure { body, .. } | CallerError::Told { body, .. } = &error {
-                    self.tally.borrow_mut().count_told(body.as_bytes());
+                match &error {
+                    CallerError::Failure { body, .. } => {
+                        self.tally.borrow_mut().count_told(body.as_bytes());
+                    }
+                    CallerError::Told { failure, .. } => {
+                        self.tally.borrow_mut().count_told(&failure.to_json());
+                    }
+                    _ => {}
                 }
                 failed_outcome(&error, expected)
             }
