--- /dev/null
+++ b/crates/papayamux-agent/src/claims/witness.rs
@@ -0,0 +1,86 @@
+//! The agent as a witness of claims.
+
+use std::cell::RefCell;
+use std::time::{Duration, SystemTime};
+
+use papayamux_protocol::link::{
+    AgentClock, ClaimChange, ClaimNotice, ClaimReply, ClaimRequest, RefusalNotice,
+};
+use papayamux_state::claims::{ClaimObjection, ClaimTable, HeldClaim};
+use papayamux_state::ids::Incarnation;
+use papayamux_state::refusal::RefusalReason;
+
+use super::ClaimSettings;
+
+/// Milliseconds after which it is worth asking again for a key that is held.
+const HELD_RETRY_MS: u32 = 1_000;
+/// Milliseconds after which it is worth asking again where the witness itself was in the way.
+const WITNESS_RETRY_MS: u32 = 5_000;
+
+/// Grants each key to one attempt.
+pub struct ClaimWitness {
+    incarnation: Incarnation,
+    table: RefCell<ClaimTable>,
+}
+
+impl ClaimWitness {
+    /// A witness whose life starts now.
+    pub fn new(incarnation: Incarnation, settings: &ClaimSettings) -> Self {
+        let ready = settings.ready_in(SystemTime::now());
+        let mut table = ClaimTable::new(settings.retention, settings.most_claims).ready_from(ready);
+        if let Some(view) = settings.view() {
+            table.declare_view(view.digest(), Duration::ZERO);
+        }
+        Self { incarnation, table: RefCell::new(table) }
+    }
+
+    /// Time until the witness grants claims.
+    pub fn ready_in(&self, now: Duration) -> Duration {
+        self.table.borrow().ready_in(now)
+    }
+
+    /// Keys held.
+    pub fn held_keys(&self) -> usize {
+        self.table.borrow().len()
+    }
+
+    /// Answers a claim at `now` after the agent's start.
+    pub fn answer(&self, request: &ClaimRequest, now: Duration) -> ClaimReply {
+        if request.agent != self.incarnation {
+            return refuse(RefusalReason::WrongIncarnation, HELD_RETRY_MS, None);
+        }
+        if AgentClock::default().after(now) >= request.grant_before {
+            return refuse(RefusalReason::DeadlinePassed, HELD_RETRY_MS, None);
+        }
+        match self.table.borrow_mut().claim(&request.ask, now) {
+            Ok(()) => ClaimReply::Granted,
+            Err(objection) => object(objection),
+        }
+    }
+
+    /// Notes what became of an attempt.
+    pub fn note(&self, notice: ClaimNotice) {
+        let mut table = self.table.borrow_mut();
+        match notice.change {
+            ClaimChange::Placed(place) => table.place(notice.key, notice.claim, place),
+            ClaimChange::Released => table.release(notice.key, notice.claim),
+        }
+    }
+}
+
+fn object(objection: ClaimObjection) -> ClaimReply {
+    match objection {
+        ClaimObjection::Young { ready_in } => {
+            let millis = u32::try_from(ready_in.as_millis()).unwrap_or(u32::MAX);
+            refuse(RefusalReason::WitnessYoung, millis, None)
+        }
+        ClaimObjection::OtherFleet => refuse(RefusalReason::OtherFleet, WITNESS_RETRY_MS, None),
+        ClaimObjection::Held(held) => refuse(RefusalReason::KeyHeld, HELD_RETRY_MS, Some(held)),
+        ClaimObjection::OtherCall => refuse(RefusalReason::KeyReused, 0, None),
+        ClaimObjection::Full => refuse(RefusalReason::ClaimsFull, WITNESS_RETRY_MS, None),
+    }
+}
+
+fn refuse(reason: RefusalReason, retry_after_ms: u32, held: Option<HeldClaim>) -> ClaimReply {
+    ClaimReply::Refused { notice: RefusalNotice { reason, retry_after_ms }, held }
+}
--- a/crates/papayamux-agent/src/daemon.rs
+++ b/crates/papayamux-agent/src/daemon.rs
@@ -22,6 +22,7 @@
 use thiserror::Error;
 
 use crate::answers::{sweep_answers, AnswerStore, StoreLimits};
+use crate::claims::{ClaimWitness, KeptAnswers};
 use crate::metrics::AgentMetrics;
 use crate::router_link::{accept_routers, AgentCore};
 use crate::settings::AgentSettings;
@@ -51,6 +52,10 @@
             "leaving": self.core.book.is_leaving(),
             "running": self.core.book.running().get(),
             "held_answer_bytes": self.core.answers.held_bytes(),
+            "witness_ready_in_ms":
+                self.core.witness.ready_in(self.core.started.elapsed()).as_millis() as u64,
+            "held_keys": self.core.witness.held_keys(),
+            "kept_answer_bytes": self.core.kept.kept_bytes().get(),
             "router_links": self.core.metrics.router_links.get(),
         })
     }
@@ -118,7 +123,8 @@
     }
 
     fn unfinished(&self) -> u64 {
-        self.core.book.running().get().max(self.core.answers.awaited() as u64)
+        let waited_for = self.core.answers.awaited() as u64 + self.core.recalls.get();
+        self.core.book.running().get().max(waited_for)
     }
 
     /// Ends the drain before its end.
@@ -148,6 +154,9 @@
         domain: settings.domain.clone(),
         book: AdmissionBook::new(incarnation, settings.capacity),
         client: HttpClient::new(settings.server_address),
+        witness: ClaimWitness::new(incarnation, &settings.claims),
+        kept: KeptAnswers::new(&settings.claims),
+        recalls: Cell::new(0),
         metrics,
         started: Instant::now(),
         leaving: ShutdownSignal::new(),
@@ -159,11 +168,20 @@
     let view = Rc::new(AgentView { core: core.clone() });
     monoio::spawn(serve_operations(operators, Rc::new(registry), view, ShutdownSignal::new()));
     monoio::spawn(accept_routers(core.clone(), routers));
+    monoio::spawn(announce_witness(core.clone()));
     let held_bytes = core.metrics.held_bytes.clone();
     monoio::spawn(sweep_answers(core.answers.clone(), held_bytes, TimerService::start()));
     Ok(core)
 }
 
+/// Logs from when on the agent grants claims.
+async fn announce_witness(core: Rc<AgentCore>) {
+    let ready_in = core.witness.ready_in(core.started.elapsed());
+    log::info!(ready_in_ms = ready_in.as_millis() as u64; "witness remembers too little yet");
+    monoio::time::sleep(ready_in).await;
+    log::info!("witness grants claims");
+}
+
 fn store_limits(settings: &AgentSettings) -> StoreLimits {
     let total = settings.keep_answer_bytes.get();
     StoreLimits::builder()
--- a/crates/papayamux-agent/src/metrics.rs
+++ b/crates/papayamux-agent/src/metrics.rs
@@ -14,6 +14,12 @@
     pub running: Gauge,
     /// Requests refused, by reason.
     pub refusals: ReasonCounters,
+    /// Keys granted to an attempt.
+    pub claims_granted: Counter,
+    /// Claims refused, by reason.
+    pub claim_refusals: ReasonCounters,
+    /// Repeats that got the first run's answer.
+    pub answers_recalled: Counter,
     /// Answers by how they ended.
     pub answers: ReasonCounters,
     /// Connections of routers.
@@ -37,6 +43,12 @@
         registry.register("admitted_requests", "Requests admitted", self.admitted.clone());
         registry.register("running_requests", "Requests not finished", self.running.clone());
         registry.register("refusals", "Requests refused", self.refusals.0.clone());
+        let granted = self.claims_granted.clone();
+        registry.register("claims_granted", "Keys granted to an attempt", granted);
+        let claim_refusals = self.claim_refusals.0.clone();
+        registry.register("claim_refusals", "Claims refused", claim_refusals);
+        let recalled = self.answers_recalled.clone();
+        registry.register("answers_recalled", "Repeats given the first answer", recalled);
         registry.register("answers", "Answers by how they ended", self.answers.0.clone());
         registry.register("router_links", "Connections of routers", self.router_links.clone());
         let failures = self.link_failures.0.clone();
--- a/crates/papayamux-agent/src/router_link.rs
+++ b/crates/papayamux-agent/src/router_link.rs
@@ -9,8 +9,8 @@
 use monoio::net::{TcpListener, TcpStream};
 use papayamux_coordination::admission::AdmissionBook;
 use papayamux_protocol::link::{
-    Addressed, AgentClock, AgentMessage, OpenRequest, PongNotice, RefusalNotice, ResumeRequest,
-    RouterMessage,
+    Addressed, AgentClock, AgentMessage, ClaimReply, ClaimRequest, OpenRequest, PongNotice,
+    RecallRequest, RefusalNotice, ResumeRequest, RouterMessage,
 };
 use papayamux_protocol::wire::{AgentFrame, RouterFrame};
 use papayamux_state::address_range::admits;
@@ -21,6 +21,7 @@
 use papayamux_transport::shutdown::ShutdownSignal;
 
 use crate::answers::{AnswerRecord, AnswerStore, Attachment, AttachmentKey};
+use crate::claims::{serve_recall, ClaimWitness, KeptAnswers, RecallStream};
 use crate::metrics::AgentMetrics;
 use crate::run::run_request;
 use crate::trust::{GreetingError, RouterTrust, SilentLink, TrustedLink};
@@ -53,6 +54,12 @@
     pub domain: FailureDomain,
     /// What was admitted.
     pub book: Rc<AdmissionBook>,
+    /// The witness of claims.
+    pub witness: ClaimWitness,
+    /// Answers kept for repeats.
+    pub kept: Rc<KeptAnswers>,
+    /// Repeats whose answer has not arrived.
+    pub recalls: Cell<u64>,
     /// Requests to the backend server.
     pub client: HttpClient,
     /// The agent's metrics.
@@ -120,7 +127,13 @@
     let number = core.next_link.get();
     core.next_link.set(number + 1);
     let TrustedLink { sender, mut receiver } = link;
-    let link = RouterLink { core: core.clone(), number, sender, streams: RefCell::default() };
+    let link = RouterLink {
+        core: core.clone(),
+        number,
+        sender,
+        streams: RefCell::default(),
+        recalls: RefCell::default(),
+    };
     let end = link.serve(&mut receiver).await;
     link.lose();
     match end {
@@ -154,6 +167,7 @@
     number: u64,
     sender: LinkSender<AgentMessage>,
     streams: RefCell<HashMap<u64, Rc<AnswerRecord>>>,
+    recalls: RefCell<HashMap<u64, ShutdownSignal>>,
 }
 
 impl RouterLink {
@@ -211,6 +225,9 @@
             }
             RouterMessage::Cancel => self.close(stream, |record| record.cancel(key)),
             RouterMessage::Received => self.close(stream, |record| record.arrive(key)),
+            RouterMessage::Claim(claim) => self.answer_claim(stream, &claim),
+            RouterMessage::ClaimNotice(notice) => self.core.witness.note(notice),
+            RouterMessage::Recall(recall) => self.recall(stream, recall),
             RouterMessage::Ping(number) => {
                 let pong = PongNotice { number, clock: self.core.clock() };
                 self.sender.send(CONNECTION, AgentMessage::Pong(pong));
@@ -222,6 +239,9 @@
     }
 
     fn close(&self, stream: u64, act: impl FnOnce(&AnswerRecord)) {
+        if let Some(closed) = self.recalls.borrow_mut().remove(&stream) {
+            closed.give();
+        }
         if let Some(record) = self.streams.borrow_mut().remove(&stream) {
             act(&record);
         }
@@ -243,13 +263,17 @@
             Ok(permit) => permit,
             Err(reason) => return self.refuse(stream, id, reason),
         };
+        let recorder = match self.core.kept.begin(&open, self.core.started.elapsed()) {
+            Ok(recorder) => recorder,
+            Err(reason) => return self.refuse(stream, id, reason),
+        };
         self.core.metrics.admitted.inc();
         let record = self.core.answers.start_record(&open, self.attachment(stream));
         self.streams.borrow_mut().insert(stream, record.clone());
         let core = self.core.clone();
         monoio::spawn(async move {
             core.metrics.running.inc();
-            let end = run_request(&core, open, &record).await;
+            let end = run_request(&core, open, &record, recorder).await;
             core.metrics.running.dec();
             core.metrics.answers.count(end.label());
             drop(permit);
@@ -288,6 +312,38 @@
         self.sender.send(stream, AgentMessage::NotHeld);
     }
 
+    fn answer_claim(&self, stream: u64, claim: &ClaimRequest) {
+        let reply = self.core.witness.answer(claim, self.core.started.elapsed());
+        match &reply {
+            ClaimReply::Granted => {
+                self.core.metrics.claims_granted.inc();
+            }
+            ClaimReply::Refused { notice, .. } => {
+                self.core.metrics.claim_refusals.count(notice.reason.label());
+            }
+        }
+        self.sender.send(stream, AgentMessage::Claim(reply));
+    }
+
+    /// Answers a repeat with the first run's answer, once that has ended.
+    fn recall(&self, stream: u64, recall: RecallRequest) {
+        if self.recalls.borrow().len() >= MOST_STREAMS {
+            let notice =
+                RefusalNotice { reason: RefusalReason::AtCapacity, retry_after_ms: RETRY_AFTER_MS };
+            self.core.metrics.refusals.count(notice.reason.label());
+            self.sender.send(stream, AgentMessage::Refused(notice));
+            return;
+        }
+        let closed = ShutdownSignal::new();
+        self.recalls.borrow_mut().insert(stream, closed.clone());
+        let (core, sender) = (self.core.clone(), self.sender.clone());
+        monoio::spawn(async move {
+            core.recalls.set(core.recalls.get() + 1);
+            serve_recall(&core, &recall, RecallStream { sender, stream, closed }).await;
+            core.recalls.set(core.recalls.get() - 1);
+        });
+    }
+
     fn refuse(&self, stream: u64, id: RequestId, reason: RefusalReason) {
         self.core.metrics.refusals.count(reason.label());
         let notice = RefusalNotice { reason, retry_after_ms: RETRY_AFTER_MS };
@@ -302,5 +358,6 @@
         for (stream, record) in self.streams.borrow_mut().drain() {
             record.lose(AttachmentKey { link: self.number, stream });
         }
+        self.recalls.borrow_mut().drain().for_each(|(_, closed)| closed.give());
     }
 }
--- a/crates/papayamux-agent/src/run.rs
+++ b/crates/papayamux-agent/src/run.rs
@@ -13,6 +13,7 @@
 use papayamux_transport::http::{ClientAnswer, HttpClientError};
 
 use crate::answers::{AnswerRecord, EventTagger};
+use crate::claims::RunRecorder;
 use crate::router_link::AgentCore;
 use crate::server_exchange::{
     resume_stream, wait_for_server, ResumeTarget, ServerError, ServerStep,
@@ -47,8 +48,13 @@
 }
 
 /// Runs a request that was admitted.
-pub async fn run_request(core: &AgentCore, open: OpenRequest, record: &AnswerRecord) -> RunEnd {
-    let run = std::pin::pin!(run_to_end(core, open, record));
+pub async fn run_request(
+    core: &AgentCore,
+    open: OpenRequest,
+    record: &AnswerRecord,
+    recorder: Option<RunRecorder>,
+) -> RunEnd {
+    let run = std::pin::pin!(run_to_end(core, open, record, recorder.as_ref()));
     let cancelled = std::pin::pin!(record.wait_cancelled());
     match select(run, cancelled).await {
         Either::Left((end, _)) => end,
@@ -59,11 +65,24 @@
     }
 }
 
-async fn run_to_end(core: &AgentCore, open: OpenRequest, record: &AnswerRecord) -> RunEnd {
+async fn run_to_end(
+    core: &AgentCore,
+    open: OpenRequest,
+    record: &AnswerRecord,
+    recorder: Option<&RunRecorder>,
+) -> RunEnd {
     let idempotent = open.repeat == RepeatRule::Idempotent;
+    let start_before = open.start_before;
+    let not_run = |reason: RefusalReason| {
+        if let Some(recorder) = recorder {
+            recorder.not_run();
+        }
+        core.metrics.refusals.count(reason.label());
+        refuse(record, reason)
+    };
     let is_chat = open.chat.is_some();
     let Some(request) = server_request(core, open) else {
-        return refuse(record, RefusalReason::NotServed);
+        return not_run(RefusalReason::NotServed);
     };
     let body = request.body().clone();
     let target = || {
@@ -73,15 +92,18 @@
     let exchange = async {
         match idempotent {
             true => core.client.send_idempotent(request).await,
-            false => core.client.send_once(request).await,
+            false => core.client.send_once_if(request, || core.clock() < start_before).await,
         }
     };
     match wait_for_server(core, target, exchange).await {
-        ServerStep::Came(Ok(answer)) => relay(core, answer, is_chat, record).await,
-        ServerStep::Replaced(answer) => relay(core, *answer, is_chat, record).await,
+        ServerStep::Came(Ok(answer)) => relay(core, answer, is_chat, record, recorder).await,
+        ServerStep::Replaced(answer) => relay(core, *answer, is_chat, record, recorder).await,
+        ServerStep::Came(Err(HttpClientError::NotAllowed)) => {
+            not_run(RefusalReason::DeadlinePassed)
+        }
         ServerStep::Came(Err(error)) if error.nothing_was_sent() => {
             log::warn!(server:% = core.server, error:% = error; "server unreachable");
-            refuse(record, RefusalReason::ServerUnreachable)
+            not_run(RefusalReason::ServerUnreachable)
         }
         ServerStep::Came(Err(error)) => fail(core, record, &error.into()),
         ServerStep::Silent => fail(core, record, &ServerError::Silent),
@@ -149,15 +171,23 @@
     answer: ClientAnswer,
     is_chat: bool,
     record: &AnswerRecord,
+    recorder: Option<&RunRecorder>,
 ) -> RunEnd {
     let is_stream = is_chat && is_event_stream(&answer);
-    record.set_head(answer_head(&answer), is_stream);
+    let head = answer_head(&answer);
+    if let Some(recorder) = recorder {
+        recorder.head(&head);
+    }
+    record.set_head(head, is_stream);
     let outcome = match is_stream {
         true => relay_events(core, answer, record).await,
-        false => relay_bytes(core, answer, record).await,
+        false => relay_bytes(core, answer, record, recorder).await,
     };
     match outcome {
         Ok(()) => {
+            if let Some(recorder) = recorder {
+                recorder.whole();
+            }
             record.finish(AnswerEnd::Whole(record.length()));
             RunEnd::Whole
         }
@@ -169,10 +199,17 @@
     core: &AgentCore,
     mut answer: ClientAnswer,
     record: &AnswerRecord,
+    recorder: Option<&RunRecorder>,
 ) -> Result<(), ServerError> {
     loop {
         match wait_for_server(core, || None, answer.next_piece()).await {
-            ServerStep::Came(Some(piece)) => record.append(piece?, &[]).await,
+            ServerStep::Came(Some(piece)) => {
+                let piece = piece?;
+                if let Some(recorder) = recorder {
+                    recorder.data(&piece);
+                }
+                record.append(piece, &[]).await;
+            }
             ServerStep::Came(None) => break,
             ServerStep::Silent | ServerStep::Replaced(_) => return Err(ServerError::Silent),
         }
--- a/crates/papayamux-agent/src/settings.rs
+++ b/crates/papayamux-agent/src/settings.rs
@@ -10,6 +10,8 @@
 use papayamux_state::ids::{FailureDomain, ServerId};
 use papayamux_state::quantities::{ByteCount, RequestCount};
 
+use crate::claims::ClaimSettings;
+
 /// All settings of an agent.
 #[derive(Debug, Clone, PartialEq, Eq, Builder)]
 pub struct AgentSettings {
@@ -49,6 +51,9 @@
     /// Addresses of routers; all where it is empty.
     #[builder(default)]
     pub allow: Vec<AddressRange>,
+    /// Claims of idempotency keys.
+    #[builder(default = ClaimSettings::builder().build())]
+    pub claims: ClaimSettings,
 }
 
 impl AgentSettings {
@@ -61,7 +66,7 @@
 }
 
 fn read_agent(file: &IniFile) -> Option<AgentSettings> {
-    file.refuse_other_sections(&["agent", "server"], &[]);
+    file.refuse_other_sections(&["agent", "server", "claims"], &[]);
     let section = file.section("agent");
     let listen = section.required("listen");
     let operations = section.required("operations");
@@ -95,6 +100,7 @@
         .maybe_progress_within(progress_within.map(|within: Millis| within.0))
         .maybe_secret(secret)
         .allow(allow)
+        .claims(ClaimSettings::read(file))
         .build();
     Some(settings)
 }
--- a/crates/papayamux-agent/tests/answer_records.rs
+++ b/crates/papayamux-agent/tests/answer_records.rs
@@ -31,6 +31,7 @@
         priority: 0,
         start_before: AgentClock(1_000),
         repeat,
+        claim: None,
         chat: None,
         method: "POST".to_string(),
         path: "/".to_string(),
--- /dev/null
+++ b/crates/papayamux-coordination/src/claims/mod.rs
@@ -0,0 +1,7 @@
+//! The router's rule for claims: whom to ask, and when an attempt may run.
+
+mod claim_round;
+mod fleet_window;
+
+pub use claim_round::{ClaimRound, ClaimVerdict};
+pub use fleet_window::FleetWindow;
--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -3,3 +3,4 @@
 //! Everything here is called from one thread and is given the time by its caller.
 
 pub mod admission;
+pub mod claims;
--- /dev/null
+++ b/crates/papayamux-coordination/tests/claim_model/mod.rs
@@ -0,0 +1,295 @@
+//! A model of routers, witnesses and executing agents around the real table and the real rule:
+//! messages wait until a schedule delivers or loses them, in any order and at any time.
+
+use std::collections::HashSet;
+use std::time::{Duration, Instant};
+
+use papayamux_coordination::claims::{ClaimRound, ClaimVerdict, FleetWindow};
+use papayamux_protocol::link::{ClaimReply, RefusalNotice};
+use papayamux_state::claims::{
+    CallFingerprint, ClaimAsk, ClaimId, ClaimKey, ClaimObjection, ClaimTable, DeclaredServer,
+    FleetView,
+};
+use papayamux_state::ids::{Incarnation, RequestId, ServerId};
+use papayamux_state::refusal::RefusalReason;
+
+/// Retention, start deadline and the longest time between two processes that put the same
+/// declared fleet in force.
+pub const RETENTION: Duration = Duration::from_millis(1_000);
+pub const START_WITHIN: Duration = Duration::from_millis(100);
+pub const MOST_LAG: Duration = Duration::from_millis(200);
+
+const MOST_CLAIMS: usize = 1_000;
+
+/// A message on its way, or an agent that has taken a call and has yet to act.
+#[derive(Debug, Clone)]
+pub enum Pending {
+    Claim { attempt: usize, witness: usize, ask: ClaimAsk },
+    Reply { attempt: usize, witness: usize, reply: ClaimReply },
+    Release { attempt: usize, witness: usize },
+    Open { attempt: usize, deadline: Duration },
+    Act { deadline: Duration },
+    Refusal { attempt: usize },
+}
+
+#[derive(Debug, Clone)]
+struct Witness {
+    table: ClaimTable,
+    born: Duration,
+    view: usize,
+}
+
+#[derive(Debug, Clone)]
+struct Attempt {
+    claim: ClaimId,
+    round: ClaimRound,
+    asked: Vec<usize>,
+    started: Duration,
+    decided: bool,
+}
+
+/// Routers, witnesses and messages at one time.
+#[derive(Debug, Clone)]
+pub struct World {
+    origin: Instant,
+    pub now: Duration,
+    fleets: Vec<FleetView>,
+    routers: Vec<FleetWindow>,
+    router_views: Vec<usize>,
+    witnesses: Vec<Witness>,
+    attempts: Vec<Attempt>,
+    pub pending: Vec<Pending>,
+    pub runs: Vec<Duration>,
+    changed: Option<Duration>,
+}
+
+pub fn key() -> ClaimKey {
+    ClaimKey::from(7)
+}
+
+fn name(witness: usize) -> ServerId {
+    format!("server-{witness}").parse().unwrap()
+}
+
+fn index(server: &ServerId) -> usize {
+    server.as_str().rsplit('-').next().unwrap().parse().unwrap()
+}
+
+fn fleet(servers: &[usize]) -> FleetView {
+    let declared =
+        servers.iter().map(|server| DeclaredServer { server: name(*server), domain: None });
+    FleetView::new(declared.collect(), 3, RETENTION).unwrap()
+}
+
+impl World {
+    /// `routers` routers before witnesses that have lived for a retention; `fleets[0]` is in
+    /// force, `fleets[1]`, where given, may follow it.
+    pub fn new(routers: usize, fleets: &[&[usize]]) -> Self {
+        let fleets: Vec<_> = fleets.iter().map(|servers| fleet(servers)).collect();
+        let now = RETENTION;
+        let mut table = ClaimTable::new(RETENTION, MOST_CLAIMS);
+        table.declare_view(fleets[0].digest(), Duration::ZERO);
+        let witness = Witness { table, born: Duration::ZERO, view: 0 };
+        Self {
+            origin: Instant::now(),
+            now,
+            routers: vec![FleetWindow::new(fleets[0].clone(), RETENTION); routers],
+            router_views: vec![0; routers],
+            witnesses: vec![witness; 5],
+            attempts: Vec::new(),
+            pending: Vec::new(),
+            runs: Vec::new(),
+            changed: None,
+            fleets,
+        }
+    }
+
+    /// A router begins an attempt at the key.
+    pub fn begin(&mut self, router: usize) {
+        let at = self.origin + self.now;
+        let number = self.attempts.len() as u64;
+        let claim = ClaimId(RequestId { incarnation: Incarnation::from(1), number });
+        let round = ClaimRound::new(self.routers[router].witnesses(key(), at));
+        let views = self.routers[router].digests(at).unwrap();
+        let fingerprint = CallFingerprint::new("POST", "/book", b"");
+        let asked: Vec<_> = round.asked().iter().map(index).collect();
+        let attempt = self.attempts.len();
+        for witness in asked.iter().copied() {
+            let ask = ClaimAsk { key: key(), fingerprint, claim, views: views.clone() };
+            self.pending.push(Pending::Claim { attempt, witness, ask });
+        }
+        self.attempts.push(Attempt { claim, round, asked, started: self.now, decided: false });
+    }
+
+    /// A witness is replaced by one without memory, which knows the fleet in force.
+    pub fn restart(&mut self, witness: usize) {
+        let view = match self.changed {
+            Some(_) => 1,
+            None => 0,
+        };
+        let mut table = ClaimTable::new(RETENTION, MOST_CLAIMS);
+        table.declare_view(self.fleets[view].digest(), Duration::ZERO);
+        self.witnesses[witness] = Witness { table, born: self.now, view };
+    }
+
+    /// A router is replaced by one that knows the fleet in force and no earlier one.
+    pub fn restart_router(&mut self, router: usize) {
+        self.router_views[router] = usize::from(self.changed.is_some());
+        let view = self.fleets[self.router_views[router]].clone();
+        self.routers[router] = FleetWindow::new(view, RETENTION);
+    }
+
+    /// The second fleet is declared.
+    pub fn change_fleet(&mut self) {
+        if self.fleets.len() > 1 && self.changed.is_none() {
+            self.changed = Some(self.now);
+        }
+    }
+
+    /// A router puts the second fleet in force, where it is declared.
+    pub fn learn_router(&mut self, router: usize) {
+        if self.changed.is_some() && self.router_views[router] == 0 {
+            self.router_views[router] = 1;
+            let at = self.origin + self.now;
+            self.routers[router].replace(self.fleets[1].clone(), at);
+        }
+    }
+
+    /// A witness puts the second fleet in force, where it is declared.
+    pub fn learn_witness(&mut self, witness: usize) {
+        let witness = &mut self.witnesses[witness];
+        if self.changed.is_some() && witness.view == 0 {
+            witness.view = 1;
+            witness.table.declare_view(self.fleets[1].digest(), self.now - witness.born);
+        }
+    }
+
+    /// Time goes on. Nobody lags behind a declaration by more than [`MOST_LAG`].
+    pub fn advance(&mut self, by: Duration) {
+        let target = self.now + by;
+        let due = self.changed.map(|changed| changed + MOST_LAG);
+        if let Some(due) = due.filter(|due| *due > self.now && *due <= target) {
+            self.now = due;
+            (0..self.routers.len()).for_each(|router| self.learn_router(router));
+            (0..self.witnesses.len()).for_each(|witness| self.learn_witness(witness));
+        }
+        self.now = target;
+    }
+
+    /// Loses a message.
+    pub fn lose(&mut self, message: usize) {
+        self.pending.remove(message);
+    }
+
+    /// Delivers a message. `refuses`: an agent that is asked to run refuses instead.
+    pub fn deliver(&mut self, message: usize, refuses: bool) {
+        match self.pending.remove(message) {
+            Pending::Claim { attempt, witness, ask } => {
+                let (now, born) = (self.now, self.witnesses[witness].born);
+                let claimed = self.witnesses[witness].table.claim(&ask, now - born);
+                let reply = reply_to(claimed);
+                self.pending.push(Pending::Reply { attempt, witness, reply });
+            }
+            Pending::Reply { attempt, witness, reply } => {
+                self.attempts[attempt].round.take(&name(witness), Some(reply));
+                self.decide(attempt);
+            }
+            Pending::Release { attempt, witness } => {
+                let claim = self.attempts[attempt].claim;
+                self.witnesses[witness].table.release(key(), claim);
+            }
+            Pending::Open { attempt, .. } if refuses => {
+                self.pending.push(Pending::Refusal { attempt });
+            }
+            Pending::Open { deadline, .. } if self.now < deadline => {
+                self.pending.push(Pending::Act { deadline });
+            }
+            Pending::Act { deadline } if self.now < deadline => self.runs.push(self.now),
+            Pending::Open { .. } | Pending::Act { .. } => {}
+            Pending::Refusal { attempt } => self.release(attempt),
+        }
+    }
+
+    /// Delivers a message; a claim together with its answer, and all releases of an attempt
+    /// together, so that a search of all orders stays within reach.
+    pub fn deliver_at_once(&mut self, message: usize) {
+        match self.pending[message] {
+            Pending::Claim { .. } => {
+                self.deliver(message, false);
+                self.deliver(self.pending.len() - 1, false);
+            }
+            Pending::Release { attempt: released, .. } => {
+                let of_attempt = |pending: &Pending| matches!(pending, Pending::Release { attempt, .. } if *attempt == released);
+                while let Some(release) = self.pending.iter().position(of_attempt) {
+                    self.deliver(release, false);
+                }
+            }
+            _ => self.deliver(message, false),
+        }
+    }
+
+    /// Whether delivering this message is another step than delivering the one before it.
+    pub fn stands_alone(&self, message: usize) -> bool {
+        let released = |pending: &Pending| match pending {
+            Pending::Release { attempt, .. } => Some(*attempt),
+            _ => None,
+        };
+        let attempt = released(&self.pending[message]);
+        attempt.is_none() || message == 0 || released(&self.pending[message - 1]) != attempt
+    }
+
+    fn decide(&mut self, attempt: usize) {
+        let entry = &mut self.attempts[attempt];
+        if entry.decided || entry.round.verdict() == ClaimVerdict::Pending {
+            return;
+        }
+        entry.decided = true;
+        match entry.round.verdict() {
+            ClaimVerdict::Won => {
+                let deadline = entry.started + START_WITHIN;
+                self.pending.push(Pending::Open { attempt, deadline });
+            }
+            _ => self.release(attempt),
+        }
+    }
+
+    fn release(&mut self, attempt: usize) {
+        for witness in self.attempts[attempt].asked.clone() {
+            self.pending.push(Pending::Release { attempt, witness });
+        }
+    }
+
+    /// The shortest time between two runs.
+    pub fn closest_runs(&self) -> Option<Duration> {
+        let mut runs = self.runs.clone();
+        runs.sort_unstable();
+        runs.windows(2).map(|pair| pair[1] - pair[0]).min()
+    }
+
+    /// Attempts that have a message on its way.
+    pub fn busy_attempts(&self) -> usize {
+        let attempt_of = |pending: &Pending| match pending {
+            Pending::Claim { attempt, .. }
+            | Pending::Reply { attempt, .. }
+            | Pending::Release { attempt, .. }
+            | Pending::Open { attempt, .. }
+            | Pending::Refusal { attempt } => Some(*attempt),
+            Pending::Act { .. } => None,
+        };
+        self.pending.iter().filter_map(attempt_of).collect::<HashSet<_>>().len()
+    }
+}
+
+fn reply_to(claimed: Result<(), ClaimObjection>) -> ClaimReply {
+    match claimed {
+        Ok(()) => ClaimReply::Granted,
+        Err(objection) => {
+            let held = match objection {
+                ClaimObjection::Held(held) => Some(held),
+                _ => None,
+            };
+            let reason = RefusalReason::KeyHeld;
+            ClaimReply::Refused { notice: RefusalNotice { reason, retry_after_ms: 0 }, held }
+        }
+    }
+}
--- a/crates/papayamux-protocol/src/failure.rs
+++ b/crates/papayamux-protocol/src/failure.rs
@@ -42,6 +42,16 @@
     ShuttingDown,
     /// The rest of an answer that a caller wants to go on with is no longer held.
     AnswerGone,
+    /// Too few witnesses of the idempotency key agreed to the run.
+    ClaimsUnavailable,
+    /// Another call with the idempotency key is under way.
+    KeyInUse,
+    /// The idempotency key was used for another call.
+    KeyReused,
+    /// An earlier call with the idempotency key was taken, and its answer is not held.
+    AnswerNotKept,
+    /// The first run with the idempotency key did not end with a whole answer.
+    FirstRunFailed,
 }
 
 impl FailureCode {
@@ -52,9 +62,15 @@
             FailureCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             FailureCode::UnknownOrganisation => StatusCode::UNAUTHORIZED,
             FailureCode::UnknownModel | FailureCode::UnknownRoute => StatusCode::NOT_FOUND,
-            FailureCode::AnswerGone => StatusCode::GONE,
-            FailureCode::Refused | FailureCode::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
-            FailureCode::ConnectionLost | FailureCode::ServerFailed => StatusCode::BAD_GATEWAY,
+            FailureCode::AnswerGone | FailureCode::AnswerNotKept => StatusCode::GONE,
+            FailureCode::Refused | FailureCode::ShuttingDown | FailureCode::ClaimsUnavailable => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            FailureCode::ConnectionLost
+            | FailureCode::ServerFailed
+            | FailureCode::FirstRunFailed => StatusCode::BAD_GATEWAY,
+            FailureCode::KeyInUse => StatusCode::CONFLICT,
+            FailureCode::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             FailureCode::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -72,6 +88,10 @@
     /// Why the last server asked refused, where one did.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub reason: Option<String>,
+    /// What became of earlier calls with the same idempotency key, where that can't be told and
+    /// `outcome` speaks of this call alone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub earlier_attempts: Option<FailureOutcome>,
     /// Seconds after which the caller may try again.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub retry_after_seconds: Option<u32>,
@@ -85,7 +105,14 @@
 
     /// A failure with the given outcome.
     pub fn new(code: FailureCode, outcome: FailureOutcome, message: impl Into<String>) -> Self {
-        Self { code, outcome, message: message.into(), reason: None, retry_after_seconds: None }
+        Self {
+            code,
+            outcome,
+            message: message.into(),
+            reason: None,
+            earlier_attempts: None,
+            retry_after_seconds: None,
+        }
     }
 
     /// Adds the reason of the last refusal.
@@ -94,6 +121,12 @@
         self
     }
 
+    /// Adds what became of earlier calls with the same idempotency key.
+    pub fn earlier_attempts(mut self, outcome: FailureOutcome) -> Self {
+        self.earlier_attempts = Some(outcome);
+        self
+    }
+
     /// Adds when the caller may try again.
     pub fn retry_after(mut self, seconds: u32) -> Self {
         self.retry_after_seconds = Some(seconds);
--- a/crates/papayamux-protocol/src/headers.rs
+++ b/crates/papayamux-protocol/src/headers.rs
@@ -8,6 +8,8 @@
 pub const REQUEST_ID: &str = "x-request-id";
 /// The key under which a non-idempotent call may be repeated.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Set on the answer to a repeat, where it is the first run's answer.
+pub const IDEMPOTENCY_REPLAYED: &str = "idempotency-replayed";
 /// The id of the last event that a caller has received of a streamed answer.
 pub const LAST_EVENT_ID: &str = "last-event-id";
 /// The backend server that gave an answer.
--- a/crates/papayamux-protocol/src/link.rs
+++ b/crates/papayamux-protocol/src/link.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use papayamux_state::claims::{CallFingerprint, ClaimAsk, ClaimId, ClaimKey, HeldClaim, RunPlace};
 use papayamux_state::ids::{
     AdapterId, ChatKey, FailureDomain, IdempotencyKey, Incarnation, ModelId, OrganisationId,
     RequestId, ServerId,
@@ -79,6 +80,8 @@
     pub start_before: AgentClock,
     /// How the call may be repeated.
     pub repeat: RepeatRule,
+    /// The claim under which a call with a key may run.
+    pub claim: Option<ClaimId>,
     /// Set for chats, absent for plain services.
     pub chat: Option<ChatTarget>,
     /// The HTTP method.
@@ -91,6 +94,62 @@
     pub body: Bytes,
 }
 
+/// An attempt's claim of a key, for one witness.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimRequest {
+    /// The life of the witness that the claim is meant for.
+    pub agent: Incarnation,
+    /// The claim may be granted only before this time on the witness's own clock.
+    pub grant_before: AgentClock,
+    /// What is claimed.
+    pub ask: ClaimAsk,
+}
+
+/// A witness's answer to a claim.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimReply {
+    /// The key is the attempt's.
+    Granted,
+    /// It is not.
+    Refused {
+        /// Why, and when to ask again.
+        notice: RefusalNotice,
+        /// The attempt that holds the key, where one does.
+        held: Option<HeldClaim>,
+    },
+}
+
+/// News of an attempt that holds a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimNotice {
+    /// The key.
+    pub key: ClaimKey,
+    /// The attempt.
+    pub claim: ClaimId,
+    /// What became of it.
+    pub change: ClaimChange,
+}
+
+/// What became of an attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimChange {
+    /// It is being brought to a server.
+    Placed(RunPlace),
+    /// It was not run, which is proved, and never will be.
+    Released,
+}
+
+/// Asks an agent for the answer that it gave to the first run of a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecallRequest {
+    /// The organisation that calls.
+    pub organisation: OrganisationId,
+    /// The key.
+    pub key: IdempotencyKey,
+    /// The call.
+    pub fingerprint: CallFingerprint,
+}
+
 /// The opening of a connection by a router.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RouterHello {
@@ -223,6 +282,12 @@
     Received,
     /// Answers the agent's ping of this number.
     Pong(u64),
+    /// Claims a key.
+    Claim(ClaimRequest),
+    /// Says what became of an attempt that claimed a key.
+    ClaimNotice(ClaimNotice),
+    /// Asks for the answer of an earlier run.
+    Recall(RecallRequest),
 }
 
 /// What an agent says about one stream, or about the connection.
@@ -248,6 +313,8 @@
     NotHeld,
     /// Asks for a [`RouterMessage::Pong`] with the same number.
     Ping(u64),
+    /// Answers a claim.
+    Claim(ClaimReply),
 }
 
 /// A message of either side with the stream it belongs to; stream 0 is the connection itself.
--- a/crates/papayamux-protocol/src/wire/convert_agent.rs
+++ b/crates/papayamux-protocol/src/wire/convert_agent.rs
@@ -27,6 +27,7 @@
             AgentMessage::Resumed(notice) => AgentBody::Resumed(notice.into()),
             AgentMessage::NotHeld => AgentBody::NotHeld(WireNothing {}),
             AgentMessage::Ping(number) => AgentBody::Ping(number),
+            AgentMessage::Claim(reply) => AgentBody::Claim(reply.into()),
         };
         Self { stream: addressed.stream, body: Some(body) }
     }
@@ -52,6 +53,7 @@
             AgentBody::Resumed(resumed) => AgentMessage::Resumed(resumed.try_into()?),
             AgentBody::NotHeld(_) => AgentMessage::NotHeld,
             AgentBody::Ping(number) => AgentMessage::Ping(number),
+            AgentBody::Claim(reply) => AgentMessage::Claim(reply.try_into()?),
         };
         Ok(Addressed { stream: self.stream, message })
     }
--- a/crates/papayamux-protocol/src/wire/convert_router.rs
+++ b/crates/papayamux-protocol/src/wire/convert_router.rs
@@ -1,5 +1,6 @@
 //! Router messages to and from their wire form.
 
+use papayamux_state::claims::ClaimId;
 use papayamux_state::ids::{Incarnation, RequestId};
 
 use super::messages::*;
@@ -22,6 +23,9 @@
             RouterMessage::Prove(proof) => RouterBody::Prove(proof.0),
             RouterMessage::Received => RouterBody::Received(WireNothing {}),
             RouterMessage::Pong(number) => RouterBody::Pong(number),
+            RouterMessage::Claim(claim) => RouterBody::Claim(claim.into()),
+            RouterMessage::ClaimNotice(notice) => RouterBody::ClaimNotice(notice.into()),
+            RouterMessage::Recall(recall) => RouterBody::Recall(recall.into()),
         };
         Self { stream: addressed.stream, body: Some(body) }
     }
@@ -41,6 +45,9 @@
             RouterBody::Prove(proof) => RouterMessage::Prove(ProofTag(proof)),
             RouterBody::Received(_) => RouterMessage::Received,
             RouterBody::Pong(number) => RouterMessage::Pong(number),
+            RouterBody::Claim(claim) => RouterMessage::Claim(claim.try_into()?),
+            RouterBody::ClaimNotice(notice) => RouterMessage::ClaimNotice(notice.try_into()?),
+            RouterBody::Recall(recall) => RouterMessage::Recall(recall.try_into()?),
         };
         Ok(Addressed { stream: self.stream, message })
     }
@@ -166,6 +173,7 @@
             start_before_ms: open.start_before.0,
             at_most_once,
             idempotency_key,
+            claim: open.claim.map(|claim| claim.0.into()),
             chat: open.chat.map(Into::into),
             method: open.method,
             path: open.path,
@@ -191,6 +199,7 @@
             priority: open.priority,
             start_before: AgentClock(open.start_before_ms),
             repeat,
+            claim: open.claim.map(|claim| ClaimId(claim.into())),
             chat: open.chat.map(TryInto::try_into).transpose()?,
             method: open.method,
             path: open.path,
--- a/crates/papayamux-protocol/src/wire/messages.rs
+++ b/crates/papayamux-protocol/src/wire/messages.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 
+use super::claim_messages::{WireClaim, WireClaimNotice, WireClaimReply, WireRecall};
+
 /// A frame from a router to an agent.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct RouterFrame {
@@ -9,7 +11,7 @@
     #[prost(uint64, tag = "1")]
     pub stream: u64,
     /// What is said.
-    #[prost(oneof = "RouterBody", tags = "2, 3, 4, 5, 6, 13, 14, 15, 16")]
+    #[prost(oneof = "RouterBody", tags = "2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16")]
     pub body: Option<RouterBody>,
 }
 
@@ -43,6 +45,15 @@
     /// The number of the agent's ping.
     #[prost(uint64, tag = "16")]
     Pong(u64),
+    /// See [`crate::link::ClaimRequest`].
+    #[prost(message, tag = "10")]
+    Claim(WireClaim),
+    /// See [`crate::link::ClaimNotice`].
+    #[prost(message, tag = "11")]
+    ClaimNotice(WireClaimNotice),
+    /// See [`crate::link::RecallRequest`].
+    #[prost(message, tag = "12")]
+    Recall(WireRecall),
 }
 
 /// A frame from an agent to a router.
@@ -52,7 +63,7 @@
     #[prost(uint64, tag = "1")]
     pub stream: u64,
     /// What is said.
-    #[prost(oneof = "AgentBody", tags = "2, 3, 4, 5, 6, 7, 8, 15, 16, 17")]
+    #[prost(oneof = "AgentBody", tags = "2, 3, 4, 5, 6, 7, 8, 12, 15, 16, 17")]
     pub body: Option<AgentBody>,
 }
 
@@ -89,6 +100,9 @@
     /// A number to be sent back.
     #[prost(uint64, tag = "17")]
     Ping(u64),
+    /// See [`crate::link::ClaimReply`].
+    #[prost(message, tag = "12")]
+    Claim(WireClaimReply),
 }
 
 /// A message without content.
@@ -258,6 +272,9 @@
     /// The body.
     #[prost(bytes = "bytes", tag = "12")]
     pub body: Bytes,
+    /// The claim of a call with a key.
+    #[prost(message, optional, tag = "20")]
+    pub claim: Option<WireRequestId>,
 }
 
 /// The wire form of [`crate::link::RefusalNotice`].
--- a/crates/papayamux-protocol/src/wire/mod.rs
+++ b/crates/papayamux-protocol/src/wire/mod.rs
@@ -1,10 +1,13 @@
 //! The wire form of messages: prost types, their conversion, and frames.
 
+mod claim_messages;
 mod convert_agent;
+mod convert_claim;
 mod convert_router;
 mod frame_codec;
 mod messages;
 
+pub use claim_messages::*;
 pub use frame_codec::{CodecError, FrameCodec, FrameMessage};
 pub use messages::*;
 
@@ -31,6 +34,22 @@
         /// What is wrong with it.
         source: IdError,
     },
+    /// A part does not have the length that it must have.
+    #[error("message part {part:?}: {length} bytes make no sense")]
+    Length {
+        /// The part's name.
+        part: &'static str,
+        /// Bytes it has.
+        length: usize,
+    },
+    /// An address is malformed.
+    #[error("message part {part:?}: {source}")]
+    Address {
+        /// The part's name.
+        part: &'static str,
+        /// What is wrong with it.
+        source: std::net::AddrParseError,
+    },
     /// A number has no meaning.
     #[error("message part {part:?}: {number} has no meaning")]
     Number {
--- a/crates/papayamux-protocol/tests/round_trip.rs
+++ b/crates/papayamux-protocol/tests/round_trip.rs
@@ -3,12 +3,15 @@
 
 use bytes::{Bytes, BytesMut};
 use papayamux_protocol::link::{
-    Addressed, AgentClock, AgentMessage, AgentWelcome, AnswerHead, ChatTarget, HeaderField,
-    OpenRequest, RepeatRule, ResumeNotice, ResumePoint, ResumeRequest, RouterHello, RouterMessage,
+    Addressed, AgentClock, AgentMessage, AgentWelcome, AnswerHead, ChatTarget, ClaimChange,
+    ClaimNotice, ClaimReply, ClaimRequest, HeaderField, OpenRequest, RecallRequest, RefusalNotice,
+    RepeatRule, ResumeNotice, ResumePoint, ResumeRequest, RouterHello, RouterMessage,
 };
 use papayamux_protocol::proof::{ProofNonce, ProofTag};
 use papayamux_protocol::wire::{AgentFrame, FrameCodec, RouterFrame};
+use papayamux_state::claims::{CallFingerprint, ClaimAsk, ClaimId, ClaimKey, HeldClaim, RunPlace};
 use papayamux_state::ids::{Incarnation, RequestId};
+use papayamux_state::refusal::RefusalReason;
 use tokio_util::codec::{Decoder, Encoder};
 
 #[test]
@@ -20,6 +23,7 @@
         priority: 3,
         start_before: AgentClock(1_234),
         repeat: RepeatRule::AtMostOnce(Some("booking-4".parse().unwrap())),
+        claim: Some(claim()),
         chat: Some(ChatTarget {
             model: "itinerary".parse().unwrap(),
             adapter: Some("taiwanese".parse().unwrap()),
@@ -36,6 +40,42 @@
     assert_kept_from_router(RouterMessage::Open(Box::new(open)));
 }
 
+fn claim() -> ClaimId {
+    ClaimId(RequestId { incarnation: Incarnation::from(7), number: 10 })
+}
+
+fn place() -> RunPlace {
+    RunPlace { server: "service-1".parse().unwrap(), agent: "127.0.0.1:9".parse().unwrap() }
+}
+
+#[test]
+fn claims_keep_all_their_parts() {
+    let fingerprint = CallFingerprint::new("POST", "/book", b"{}");
+    let ask = ClaimAsk {
+        key: ClaimKey::from(u128::MAX - 3),
+        fingerprint,
+        claim: claim(),
+        views: vec![4.into(), 5.into()],
+    };
+    let agent = Incarnation::from(8);
+    let request = ClaimRequest { agent, grant_before: AgentClock(99), ask };
+    assert_kept_from_router(RouterMessage::Claim(request));
+    for change in [ClaimChange::Placed(place()), ClaimChange::Released] {
+        let notice = ClaimNotice { key: ClaimKey::from(1), claim: claim(), change };
+        assert_kept_from_router(RouterMessage::ClaimNotice(notice));
+    }
+    assert_kept_from_router(RouterMessage::Recall(RecallRequest {
+        organisation: "desk".parse().unwrap(),
+        key: "booking-4".parse().unwrap(),
+        fingerprint,
+    }));
+    let notice = RefusalNotice { reason: RefusalReason::KeyHeld, retry_after_ms: 5 };
+    let held = Some(HeldClaim { claim: claim(), place: Some(place()) });
+    for reply in [ClaimReply::Granted, ClaimReply::Refused { notice, held }] {
+        assert_kept_from_agent(AgentMessage::Claim(reply));
+    }
+}
+
 fn assert_kept_from_router(message: RouterMessage) {
     let sent = Addressed { stream: 11, message };
     let mut buffer = BytesMut::new();
--- a/crates/papayamux-router/src/agents/agent_link.rs
+++ b/crates/papayamux-router/src/agents/agent_link.rs
@@ -8,9 +8,10 @@
 use futures_util::future::{select, Either};
 use local_sync::mpsc::unbounded;
 use papayamux_protocol::link::{
-    AgentClock, AgentMessage, AgentWelcome, AnswerEnd, OpenRequest, RepeatRule, ResumePoint,
-    RouterMessage,
+    AgentClock, AgentMessage, AgentWelcome, AnswerEnd, ClaimNotice, ClaimReply, ClaimRequest,
+    OpenRequest, RecallRequest, RepeatRule, ResumePoint, RouterMessage,
 };
+use papayamux_state::ids::RequestId;
 use papayamux_transport::link::{LinkError, LinkSender};
 
 use super::handshake::{AgentReceiver, ProvedLink, CONNECTION};
@@ -36,6 +37,7 @@
     welcome: AgentWelcome,
     reading: Cell<ClockReading>,
     streams: RefCell<HashMap<u64, Rc<StreamSlot>>>,
+    claims: RefCell<HashMap<u64, unbounded::Tx<ClaimReply>>>,
     next_stream: Cell<u64>,
     open: Cell<bool>,
     leaving: Cell<bool>,
@@ -51,6 +53,7 @@
             welcome,
             reading: Cell::new(reading),
             streams: RefCell::default(),
+            claims: RefCell::default(),
             next_stream: Cell::new(CONNECTION + 1),
             open: Cell::new(true),
             leaving: Cell::new(false),
@@ -105,6 +108,47 @@
         self.resume_slot(&slot).then(|| StreamHandle::new(slot, inbox))
     }
 
+    /// Opens a stream with the answer of an earlier run of a key.
+    pub fn recall_stream(
+        self: &Rc<Self>,
+        id: RequestId,
+        recall: RecallRequest,
+    ) -> Option<StreamHandle> {
+        let origin = SlotOrigin {
+            id,
+            agent: Some(self.welcome.incarnation),
+            organisation: recall.organisation.clone(),
+            start_before: None,
+            idempotent: false,
+        };
+        let (events, inbox) = unbounded::channel();
+        let slot = StreamSlot::new(origin, ResumePoint::Offset(0), events);
+        let sent = self.seat(&slot, RouterMessage::Recall(recall));
+        sent.then(|| StreamHandle::new(slot, inbox))
+    }
+
+    /// Asks the agent to grant a key; nothing where the connection is gone, or goes before the
+    /// agent has answered.
+    pub async fn claim(&self, request: ClaimRequest) -> Option<ClaimReply> {
+        if !self.is_open() {
+            return None;
+        }
+        let stream = self.next_stream.get();
+        self.next_stream.set(stream + 1);
+        let (sender, mut reply) = unbounded::channel();
+        self.claims.borrow_mut().insert(stream, sender);
+        let _pending = PendingClaim { link: self, stream };
+        if !self.send(stream, RouterMessage::Claim(request)) {
+            return None;
+        }
+        reply.recv().await
+    }
+
+    /// Says what became of a claim.
+    pub fn tell_claim(&self, notice: ClaimNotice) {
+        self.send(CONNECTION, RouterMessage::ClaimNotice(notice));
+    }
+
     /// Lets a stream go on here; `false` where this connection is gone too.
     pub fn resume_slot(self: &Rc<Self>, slot: &Rc<StreamSlot>) -> bool {
         self.seat(slot, RouterMessage::Resume(Box::new(slot.resume_request())))
@@ -130,7 +174,7 @@
     }
 
     fn has_streams(&self) -> bool {
-        !self.streams.borrow().is_empty()
+        !self.streams.borrow().is_empty() || !self.claims.borrow().is_empty()
     }
 
     fn awaits_heads(&self) -> bool {
@@ -140,6 +184,7 @@
     /// Closes the connection for new streams and gives those that were on it.
     fn lose(&self) -> Vec<Rc<StreamSlot>> {
         self.open.set(false);
+        self.claims.borrow_mut().clear();
         self.streams.borrow_mut().drain().map(|(_, slot)| slot).collect()
     }
 
@@ -154,6 +199,18 @@
     }
 }
 
+/// A claim that waits for its answer; dropping it ends the wait.
+struct PendingClaim<'a> {
+    link: &'a AgentLink,
+    stream: u64,
+}
+
+impl Drop for PendingClaim<'_> {
+    fn drop(&mut self) {
+        self.link.claims.borrow_mut().remove(&self.stream);
+    }
+}
+
 /// Why a connection ended.
 enum LinkEnd {
     Closed,
@@ -263,6 +320,11 @@
         AgentMessage::Leaving => link.leaving.set(true),
         AgentMessage::Ping(number) => drop(link.send(CONNECTION, RouterMessage::Pong(number))),
         AgentMessage::Welcome(_) => return false,
+        AgentMessage::Claim(reply) => {
+            if let Some(waiting) = link.claims.borrow().get(&stream) {
+                let _ = waiting.send(reply);
+            }
+        }
         message => {
             let Some(slot) = link.slot(stream) else { return false };
             return take_answer(&slot, message);
--- a/crates/papayamux-router/src/agents/agent_peer.rs
+++ b/crates/papayamux-router/src/agents/agent_peer.rs
@@ -64,6 +64,11 @@
         &self.core.server
     }
 
+    /// Where the agent listens.
+    pub fn address(&self) -> SocketAddr {
+        self.core.address
+    }
+
     /// The open connection, or a new one. Callers that come while one is being opened share it.
     pub async fn link(&self) -> Result<Rc<AgentLink>, AgentLinkError> {
         self.core.link().await
--- a/crates/papayamux-router/src/agents/mod.rs
+++ b/crates/papayamux-router/src/agents/mod.rs
@@ -7,6 +7,7 @@
 mod stream_recovery;
 mod stream_slot;
 
+pub use agent_link::AgentLink;
 pub use agent_peer::{AgentPeer, RouterIdentity};
 pub use stream_handle::{StreamEvent, StreamHandle};
 pub use stream_slot::SlotOrigin;
--- a/crates/papayamux-router/src/callers/chat_handler.rs
+++ b/crates/papayamux-router/src/callers/chat_handler.rs
@@ -33,6 +33,7 @@
     let offer = RequestOffer {
         organisation: request.organisation,
         repeat: RepeatRule::Idempotent,
+        claim: None,
         chat: Some(ChatTarget { model: call.model, adapter: call.adapter, chat: call.chat }),
         method: request.head.method.to_string(),
         path: CHAT_PATH.to_string(),
--- a/crates/papayamux-router/src/callers/offer.rs
+++ b/crates/papayamux-router/src/callers/offer.rs
@@ -1,17 +1,20 @@
 //! Offering a request to one server after the other until one takes it.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use papayamux_protocol::failure::{FailureBody, FailureCode, FailureOutcome};
 use papayamux_protocol::link::{
-    AnswerHead, ChatTarget, HeaderField, OpenRequest, RefusalNotice, RepeatRule,
+    AgentClock, AnswerHead, ChatTarget, HeaderField, OpenRequest, RefusalNotice, RepeatRule,
 };
+use papayamux_state::claims::RunPlace;
 use papayamux_state::ids::{OrganisationId, RequestId, ServerId};
 use papayamux_state::refusal::RefusalReason;
 
 use super::CallerDesk;
-use crate::agents::{AgentPeer, StreamEvent, StreamHandle};
+use crate::agents::{AgentLink, AgentPeer, StreamEvent, StreamHandle};
+use crate::claims::ClaimHold;
 
 /// What is offered.
 #[derive(Debug, Clone)]
@@ -20,6 +23,8 @@
     pub organisation: OrganisationId,
     /// How the call may be repeated.
     pub repeat: RepeatRule,
+    /// The claim under which a call with a key may run.
+    pub claim: Option<Rc<ClaimHold>>,
     /// Set for chats.
     pub chat: Option<ChatTarget>,
     /// The HTTP method.
@@ -32,6 +37,16 @@
     pub body: Bytes,
 }
 
+impl RequestOffer {
+    /// The time on the agent's clock before which the request must start; none where it is past.
+    fn start_before(&self, link: &AgentLink, within: Duration) -> Option<AgentClock> {
+        match &self.claim {
+            Some(hold) => hold.deadline(link, within),
+            None => Some(link.agent_clock().after(within)),
+        }
+    }
+}
+
 /// A request that a server has taken, with the head of its answer.
 pub struct TakenRequest {
     /// The attempt's id.
@@ -110,20 +125,28 @@
         let reason = RefusalReason::Leaving;
         return OfferOutcome::NotRun(RefusalNotice { reason, retry_after_ms: 0 });
     }
+    let Some(start_before) = offer.start_before(&link, desk.settings.start_within) else {
+        let reason = RefusalReason::DeadlinePassed;
+        return OfferOutcome::NotRun(RefusalNotice { reason, retry_after_ms: 0 });
+    };
     let id = desk.request_ids.draw();
     let open = OpenRequest {
         id,
         agent: link.welcome().incarnation,
         organisation: offer.organisation.clone(),
         priority: 0,
-        start_before: link.agent_clock().after(desk.settings.start_within),
+        start_before,
         repeat: offer.repeat.clone(),
+        claim: offer.claim.as_ref().map(|hold| hold.claim()),
         chat: offer.chat.clone(),
         method: offer.method.clone(),
         path: offer.path.clone(),
         headers: offer.headers.clone(),
         body: offer.body.clone(),
     };
+    if let Some(hold) = &offer.claim {
+        hold.place(RunPlace { server: peer.server().clone(), agent: peer.address() });
+    }
     let Some(mut stream) = link.open_stream(open) else {
         return OfferOutcome::NotRun(UNREACHABLE);
     };
--- a/crates/papayamux-router/src/callers/request_handler.rs
+++ b/crates/papayamux-router/src/callers/request_handler.rs
@@ -17,6 +17,7 @@
 use super::offer::TakenRequest;
 use super::resume_handler::handle_resume;
 use super::service_handler::handle_service;
+use crate::claims::FleetKeeper;
 use crate::directory::ServerDirectory;
 use crate::metrics::RouterMetrics;
 use crate::settings::RouterSettings;
@@ -47,10 +48,11 @@
 
 /// Takes callers' requests and knows the agents they may go to.
 pub struct CallerDesk {
-    pub(super) settings: RouterSettings,
-    pub(super) metrics: RouterMetrics,
-    pub(super) request_ids: RequestIdSource,
-    pub(super) directory: Rc<ServerDirectory>,
+    pub(crate) settings: RouterSettings,
+    pub(crate) metrics: RouterMetrics,
+    pub(crate) request_ids: RequestIdSource,
+    pub(crate) directory: Rc<ServerDirectory>,
+    pub(crate) fleets: Rc<FleetKeeper>,
 }
 
 impl CallerDesk {
@@ -62,11 +64,16 @@
         metrics: RouterMetrics,
     ) -> Rc<Self> {
         let request_ids = RequestIdSource::new(incarnation);
-        Rc::new(Self { settings, metrics, request_ids, directory })
+        let fleets = FleetKeeper::new(settings.claims.clone());
+        match settings.claims.fleet.as_slice() {
+            [] => directory.keep_fleets(fleets.clone()),
+            entries => fleets.put_in_force(directory.witness_peers(entries)),
+        }
+        Rc::new(Self { settings, metrics, request_ids, directory, fleets })
     }
 
     /// Answers one request.
-    pub async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+    pub async fn handle(self: &Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         let in_flight = InFlightGuard::new(&self.metrics);
         match self.take(request).await {
             Ok(taken) => answer_response(taken, in_flight),
@@ -74,7 +81,10 @@
         }
     }
 
-    async fn take(&self, request: Request<Incoming>) -> Result<TakenRequest, FailureBody> {
+    async fn take(
+        self: &Rc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<TakenRequest, FailureBody> {
         let is_chat = request.uri().path() == CHAT_PATH;
         if is_chat && request.method() != Method::POST {
             let message = format!("{CHAT_PATH} takes POST only");
@@ -118,5 +128,10 @@
         FailureCode::DeadlinePassed => "deadline_passed",
         FailureCode::ShuttingDown => "shutting_down",
         FailureCode::AnswerGone => "answer_gone",
+        FailureCode::ClaimsUnavailable => "claims_unavailable",
+        FailureCode::KeyInUse => "key_in_use",
+        FailureCode::KeyReused => "key_reused",
+        FailureCode::AnswerNotKept => "answer_not_kept",
+        FailureCode::FirstRunFailed => "first_run_failed",
     }
 }
--- a/crates/papayamux-router/src/callers/service_handler.rs
+++ b/crates/papayamux-router/src/callers/service_handler.rs
@@ -11,11 +11,12 @@
 use super::offer::{offer_request, RequestOffer, TakenRequest};
 use super::CallerDesk;
 use crate::agents::AgentPeer;
+use crate::claims::{run_keyed, KeyedCall};
 use crate::directory::PathRoute;
 
 /// Brings a call to a server declared for its path.
 pub async fn handle_service(
-    desk: &CallerDesk,
+    desk: &Rc<CallerDesk>,
     request: CallerRequest,
 ) -> Result<TakenRequest, FailureBody> {
     let path = request.head.uri.path();
@@ -32,13 +33,32 @@
     let offer = RequestOffer {
         organisation: request.organisation,
         repeat,
+        claim: None,
         chat: None,
         method: request.head.method.to_string(),
         path: path_and_query.map_or("/", |path| path.as_str()).to_string(),
         headers: end_to_end_headers(&request.head.headers),
         body: request.body,
     };
-    offer_request(desk, &offer, &rotated_peers(&route)).await
+    let peers = rotated_peers(&route);
+    match &offer.repeat {
+        RepeatRule::AtMostOnce(Some(key)) => {
+            let call = KeyedCall::new(&offer, key);
+            run_detached(desk.clone(), call, offer, peers).await
+        }
+        _ => offer_request(desk, &offer, &peers).await,
+    }
+}
+
+/// Runs a call with a key to the head of its answer, also where the caller goes away meanwhile:
+/// else its claims would stay without anybody to use or release them.
+async fn run_detached(
+    desk: Rc<CallerDesk>,
+    call: KeyedCall,
+    offer: RequestOffer,
+    peers: Vec<Rc<AgentPeer>>,
+) -> Result<TakenRequest, FailureBody> {
+    monoio::spawn(async move { run_keyed(&desk, &call, offer, &peers).await }).await
 }
 
 /// The agents of a route's servers, beginning anywhere.
--- /dev/null
+++ b/crates/papayamux-router/src/claims/claim_settings.rs
@@ -0,0 +1,81 @@
+//! Settings of claims: section `[claims]` of the router's settings.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bon::Builder;
+use papayamux_settings::{IniFile, Millis};
+use papayamux_state::claims::DeclaredServer;
+
+/// Retention must be at least this many times as long as a call may wait for its start.
+const LEAST_RETENTIONS: u32 = 2;
+
+/// A declared server whose agent is a witness, where the servers that the router knows are not
+/// all that are declared.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WitnessEntry {
+    /// The server with its failure domain.
+    pub declared: DeclaredServer,
+    /// Where its agent listens.
+    pub agent: SocketAddr,
+}
+
+/// Settings of claims. `retention` and `witnesses` must be the same in the whole fleet: the
+/// digest of the fleet that a claim names covers them.
+#[derive(Debug, Clone, PartialEq, Eq, Builder)]
+pub struct ClaimSettings {
+    /// How long a key is remembered.
+    #[builder(default = Duration::from_secs(900))]
+    pub retention: Duration,
+    /// Witnesses of a key.
+    #[builder(default = 3)]
+    pub witnesses: usize,
+    /// How long a witness may take to answer.
+    #[builder(default = Duration::from_secs(1))]
+    pub claim_within: Duration,
+    /// All declared servers; where there are none here, the servers that the router knows.
+    #[builder(default)]
+    pub fleet: Vec<WitnessEntry>,
+}
+
+impl ClaimSettings {
+    /// Reads section `[claims]` of a router whose calls must start within `start_within`.
+    pub fn read(file: &IniFile, start_within: Duration) -> Self {
+        let section = file.optional_section("claims");
+        let settings = Self::builder()
+            .maybe_retention(section.optional("retention").map(|time: Millis| time.0))
+            .maybe_witnesses(section.optional("witnesses"))
+            .maybe_claim_within(section.optional("claim_within").map(|time: Millis| time.0))
+            .fleet(read_fleet(file))
+            .build();
+        if settings.witnesses.is_multiple_of(2) {
+            section.report("witnesses", "the number of witnesses must be odd", "take 3 or 5");
+        }
+        if settings.retention < start_within * LEAST_RETENTIONS {
+            let help = format!("a call may wait for {start_within:?} before it starts");
+            section.report("retention", "the retention is too short", &help);
+        }
+        section.refuse_other_keys();
+        settings
+    }
+}
+
+fn read_fleet(file: &IniFile) -> Vec<WitnessEntry> {
+    let names = file.names_of("witness");
+    names.iter().filter_map(|name| read_witness(file, name)).collect()
+}
+
+fn read_witness(file: &IniFile, name: &str) -> Option<WitnessEntry> {
+    let section = file.section(&format!("witness {name}"));
+    let server = match name.parse() {
+        Ok(server) => Some(server),
+        Err(error) => {
+            section.report("", &format!("{name:?} does not fit: {error}"), "");
+            None
+        }
+    };
+    let agent = section.required("agent");
+    let domain = section.optional("failure_domain");
+    section.refuse_other_keys();
+    Some(WitnessEntry { declared: DeclaredServer { server: server?, domain }, agent: agent? })
+}
--- a/crates/papayamux-router/src/directory.rs
+++ b/crates/papayamux-router/src/directory.rs
@@ -2,11 +2,14 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
+use papayamux_state::claims::DeclaredServer;
 use papayamux_state::ids::{ModelId, ServerId};
 
 use crate::agents::{AgentPeer, RouterIdentity};
+use crate::claims::{FleetKeeper, WitnessEntry};
 use crate::metrics::RouterMetrics;
 use crate::settings::ServerEntry;
 
@@ -31,6 +34,7 @@
     identity: RouterIdentity,
     metrics: RouterMetrics,
     records: RefCell<HashMap<ServerId, Rc<ServerRecord>>>,
+    fleets: RefCell<Option<Rc<FleetKeeper>>>,
 }
 
 impl ServerDirectory {
@@ -40,7 +44,8 @@
         metrics: RouterMetrics,
         entries: Vec<ServerEntry>,
     ) -> Rc<Self> {
-        let directory = Self { identity, metrics, records: RefCell::default() };
+        let directory =
+            Self { identity, metrics, records: RefCell::default(), fleets: RefCell::default() };
         directory.replace(entries);
         Rc::new(directory)
     }
@@ -57,11 +62,48 @@
             };
             records.insert(entry.server.clone(), Rc::new(ServerRecord { entry, peer }));
         }
+        drop(records);
+        self.tell_fleet();
+    }
+
+    /// Has `keeper` told of the servers in force, now and whenever they are replaced.
+    pub fn keep_fleets(&self, keeper: Rc<FleetKeeper>) {
+        *self.fleets.borrow_mut() = Some(keeper);
+        self.tell_fleet();
+    }
+
+    fn tell_fleet(&self) {
+        let Some(keeper) = self.fleets.borrow().clone() else { return };
+        let declare = |record: &Rc<ServerRecord>| {
+            let (server, domain) = (record.entry.server.clone(), record.entry.domain.clone());
+            (DeclaredServer { server, domain }, record.peer.clone())
+        };
+        keeper.put_in_force(self.records.borrow().values().map(declare).collect());
+    }
+
+    /// The declared servers of `entries`, each with its agent.
+    pub fn witness_peers(&self, entries: &[WitnessEntry]) -> Vec<(DeclaredServer, Rc<AgentPeer>)> {
+        let peer_of = |entry: &WitnessEntry| self.peer_at(&entry.declared.server, entry.agent);
+        entries.iter().map(|entry| (entry.declared.clone(), peer_of(entry))).collect()
+    }
+
+    /// The agent of `server` at `address`, also where this router does not know it.
+    pub fn peer_at(&self, server: &ServerId, address: SocketAddr) -> Rc<AgentPeer> {
+        let records = self.records.borrow();
+        let known = records.get(server).filter(|record| record.entry.agent == address);
+        match known {
+            Some(record) => record.peer.clone(),
+            None => self.connect_to(server, address),
+        }
     }
 
     fn new_peer(&self, entry: &ServerEntry) -> Rc<AgentPeer> {
+        self.connect_to(&entry.server, entry.agent)
+    }
+
+    fn connect_to(&self, server: &ServerId, address: SocketAddr) -> Rc<AgentPeer> {
         let (identity, metrics) = (self.identity.clone(), self.metrics.clone());
-        Rc::new(AgentPeer::new(entry.server.clone(), entry.agent, identity, metrics))
+        Rc::new(AgentPeer::new(server.clone(), address, identity, metrics))
     }
 
     /// The server of that name.
--- a/crates/papayamux-router/src/lib.rs
+++ b/crates/papayamux-router/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod callers;
+pub mod claims;
 pub mod daemon;
 mod directory;
 pub mod metrics;
--- a/crates/papayamux-router/src/settings.rs
+++ b/crates/papayamux-router/src/settings.rs
@@ -10,6 +10,11 @@
 use papayamux_state::ids::{FailureDomain, ModelId, ServerId};
 use papayamux_state::quantities::ByteCount;
 
+use crate::claims::ClaimSettings;
+
+/// How long a request may wait before it has to start, where nothing else is set.
+const START_WITHIN: Duration = Duration::from_secs(30);
+
 /// One backend server as the router knows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerEntry {
@@ -17,6 +22,8 @@
     pub server: ServerId,
     /// Where its agent listens.
     pub agent: SocketAddr,
+    /// Its failure domain, where it is declared.
+    pub domain: Option<FailureDomain>,
     /// Models it serves; none for a plain service.
     pub models: Vec<ModelId>,
     /// Path prefixes that lead to it; none for a model engine.
@@ -38,7 +45,7 @@
     #[builder(default = ByteCount::new(4 * 1024 * 1024))]
     pub longest_body: ByteCount,
     /// How long a request may wait before it has to start.
-    #[builder(default = Duration::from_secs(30))]
+    #[builder(default = START_WITHIN)]
     pub start_within: Duration,
     /// Servers that one request may be offered to.
     #[builder(default = 4)]
@@ -60,6 +67,9 @@
     /// Addresses that callers may connect from; all where it is empty.
     #[builder(default)]
     pub allow: Vec<AddressRange>,
+    /// Claims of idempotency keys.
+    #[builder(default = ClaimSettings::builder().build())]
+    pub claims: ClaimSettings,
     /// The backend servers.
     pub servers: Vec<ServerEntry>,
 }
@@ -74,7 +84,7 @@
 }
 
 fn read_router(file: &IniFile) -> Option<RouterSettings> {
-    file.refuse_other_sections(&["router"], &["server"]);
+    file.refuse_other_sections(&["router", "claims"], &["server", "witness"]);
     let section = file.section("router");
     let listen = section.required("listen");
     let operations = section.required("operations");
@@ -89,6 +99,8 @@
     let secret = section.hidden("secret");
     let allow = section.list("allow");
     section.refuse_other_keys();
+    let start_longest = start_within.map_or(START_WITHIN, |within: Millis| within.0);
+    let claims = ClaimSettings::read(file, start_longest);
     let servers: Vec<_> =
         file.names_of("server").iter().map(|name| read_server(file, name)).collect();
     let servers = servers.into_iter().collect::<Option<Vec<_>>>();
@@ -98,6 +110,7 @@
         .domain(domain?)
         .maybe_longest_body(longest_body)
         .maybe_start_within(start_within.map(|within: Millis| within.0))
+        .claims(claims)
         .maybe_most_offers(most_offers)
         .maybe_balancer_delay(balancer_delay.map(|delay: Millis| delay.0))
         .maybe_drain_within(drain_within.map(|within: Millis| within.0))
@@ -120,6 +133,7 @@
         }
     };
     let agent = section.required("agent");
+    let domain = section.optional("failure_domain");
     let models = section.list("models");
     let paths: Vec<String> = section.list("paths");
     let idempotent = section.or("idempotent", false);
@@ -130,5 +144,5 @@
         section.report("paths", &format!("{path:?} does not start with a slash"), "");
     }
     section.refuse_other_keys();
-    Some(ServerEntry { server: server?, agent: agent?, models, paths, idempotent })
+    Some(ServerEntry { server: server?, agent: agent?, domain, models, paths, idempotent })
 }
--- /dev/null
+++ b/crates/papayamux-state/src/claims/mod.rs
@@ -0,0 +1,13 @@
+//! Claims: how a key is given to one attempt at most.
+//!
+//! See `docs/design/at-most-once.md`.
+
+mod claim_key;
+mod claim_table;
+mod fleet_view;
+mod view_history;
+
+pub use claim_key::{CallFingerprint, ClaimId, ClaimKey};
+pub use claim_table::{ClaimAsk, ClaimObjection, ClaimTable, HeldClaim, RunPlace};
+pub use fleet_view::{DeclaredServer, FleetDigest, FleetView, FleetViewError};
+pub use view_history::ViewHistory;
--- a/crates/papayamux-state/src/lib.rs
+++ b/crates/papayamux-state/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod address_range;
 pub mod chat_key;
+pub mod claims;
 pub mod ids;
 pub mod placement;
 pub mod quantities;
--- a/crates/papayamux-state/src/refusal.rs
+++ b/crates/papayamux-state/src/refusal.rs
@@ -51,6 +51,26 @@
     NoAgentReachable = 8, "no_agent_reachable";
     /// The request was cancelled before it ran.
     Cancelled = 9, "cancelled";
+    /// The call has an idempotency key, but names no claim of it.
+    ClaimMissing = 30, "claim_missing";
+    /// The agent has run a call with the same key.
+    KeyRunBefore = 31, "key_run_before";
+    /// The first run's answer is not held.
+    AnswerNotKept = 32, "answer_not_kept";
+    /// The witness has lived for less than a retention window.
+    WitnessYoung = 33, "witness_young";
+    /// The witness knows of another declared fleet.
+    OtherFleet = 34, "other_fleet";
+    /// The witness can remember no further claim.
+    ClaimsFull = 35, "claims_full";
+    /// Another attempt holds the key.
+    KeyHeld = 36, "key_held";
+    /// The key was used for another call.
+    KeyReused = 37, "key_reused";
+    /// The first run did not end with a whole answer.
+    FirstRunFailed = 38, "first_run_failed";
+    /// Too few witnesses granted the key.
+    NoMajority = 39, "no_majority";
     /// The connection was lost before the request arrived, and it is refused from now on.
     NeverArrived = 40, "never_arrived";
 }
@@ -58,7 +78,13 @@
 impl RefusalReason {
     /// Whether the same request may be asked of another server.
     pub const fn may_ask_elsewhere(self) -> bool {
-        !matches!(self, RefusalReason::DeadlinePassed | RefusalReason::Cancelled)
+        !matches!(
+            self,
+            RefusalReason::DeadlinePassed
+                | RefusalReason::Cancelled
+                | RefusalReason::ClaimMissing
+                | RefusalReason::KeyRunBefore
+        )
     }
 }
 
--- a/crates/papayamux-testbed/src/fleet.rs
+++ b/crates/papayamux-testbed/src/fleet.rs
@@ -4,13 +4,16 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bon::Builder;
 use tempfile::TempDir;
 
 use crate::link_control::LinkControl;
 use crate::process::{ProcessHandle, TestbedError};
+use crate::process_view::AgentStatus;
 use crate::running_server::RunningServer;
+use crate::waiting::wait_until;
 
 /// What a fleet consists of.
 #[derive(Debug, Clone, Builder)]
@@ -44,11 +47,33 @@
     /// Further lines for the `[server]` section of each agent.
     #[builder(default)]
     pub agent_server_lines: String,
+    /// How long witnesses remember a key.
+    #[builder(default = "15m".to_string())]
+    pub claim_retention: String,
+    /// How long after the fleet's start it takes its first calls with keys. Agents that take
+    /// longer to start grant nothing before they have lived for the retention.
+    #[builder(default = Duration::from_secs(3))]
+    pub claims_open_in: Duration,
     /// Further lines for the `[router]` section of each router.
     #[builder(default)]
     pub router_lines: String,
 }
 
+impl FleetPlan {
+    /// The names of all servers: the engines, then the plain services.
+    fn server_names(&self) -> Vec<String> {
+        let engines = (0..self.engines).map(|index| format!("engine-{index}"));
+        let services = (0..self.services).map(|index| format!("service-{index}"));
+        engines.chain(services).collect()
+    }
+}
+
+/// The first whole second since 1970 that is at least `later` from now.
+fn seconds_since_epoch(later: Duration) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    (now + later).as_secs() + 1
+}
+
 /// The model that a fleet's engines have loaded.
 pub const FLEET_MODEL: &str = "itinerary";
 /// The path that leads to a fleet's plain services.
@@ -64,8 +89,12 @@
     links: BTreeMap<(usize, usize), LinkControl>,
     folder: TempDir,
     plan: FleetPlan,
+    claims_open_at: u64,
 }
 
+/// How long after its time the witnesses' readiness is waited for.
+const CLAIMS_OPEN_WITHIN: Duration = Duration::from_secs(2);
+
 const ANY_PORT: &str = "127.0.0.1:0";
 
 impl Fleet {
@@ -73,12 +102,10 @@
     pub fn start(plan: FleetPlan) -> Result<Self, TestbedError> {
         let folder = TempDir::new()?;
         let (routers, servers, links) = (Vec::new(), Vec::new(), BTreeMap::new());
-        let mut fleet = Self { routers, servers, links, folder, plan };
-        for index in 0..fleet.plan.engines {
-            fleet.start_server(&format!("engine-{index}"), true)?;
-        }
-        for index in 0..fleet.plan.services {
-            fleet.start_server(&format!("service-{index}"), false)?;
+        let claims_open_at = seconds_since_epoch(plan.claims_open_in);
+        let mut fleet = Self { routers, servers, links, folder, plan, claims_open_at };
+        for (index, name) in fleet.plan.server_names().iter().enumerate() {
+            fleet.start_server(name, index < fleet.plan.engines)?;
         }
         for _ in 0..fleet.plan.routers {
             fleet.start_router()?;
@@ -106,6 +133,16 @@
         self.plan.faulty_links.then(|| LinkControl::start(target)).transpose()
     }
 
+    /// Waits until the agents grant keys to calls.
+    pub async fn wait_claims_open(&self) -> Result<(), TestbedError> {
+        let within = self.plan.claims_open_in + CLAIMS_OPEN_WITHIN;
+        for server in &self.servers {
+            let read = async || server.agent.status::<AgentStatus>().await;
+            wait_until(within, read, |status| status.witness_ready_in_ms == 0).await?;
+        }
+        Ok(())
+    }
+
     /// Starts an agent for the server called `name` at `address`.
     pub fn start_agent(
         &self,
@@ -123,8 +160,13 @@
     ) -> Result<ProcessHandle, TestbedError> {
         let settings = format!(
             "[agent]\nlisten = {listen}\noperations = {ANY_PORT}\nfailure_domain = a\n\
-             {}\n[server]\nname = {name}\naddress = {address}\n{}\n",
-            self.plan.agent_lines, self.plan.agent_server_lines
+             {}\n[server]\nname = {name}\naddress = {address}\n{}\n\
+             [claims]\nretention = {}\nopens_at = {}\nfleet = {}\n",
+            self.plan.agent_lines,
+            self.plan.agent_server_lines,
+            self.plan.claim_retention,
+            self.claims_open_at,
+            self.plan.server_names().join(", ")
         );
         let file = write_settings(self.folder.path(), name, &settings)?;
         ProcessHandle::start("papayamux-agent", &["--settings".to_string(), file])
@@ -163,11 +205,8 @@
     /// Starts one more router, before the servers that the plan lets it know.
     pub fn start_router(&mut self) -> Result<&ProcessHandle, TestbedError> {
         let index = self.routers.len();
-        let all = || (0..self.servers.len()).collect();
-        let known: Vec<usize> = self.plan.known_servers.get(index).cloned().unwrap_or_else(all);
-        for server in known {
-            let no_server = || TestbedError::NoPart(format!("server {server}"));
-            let agent = self.servers.get(server).ok_or_else(no_server)?.agent.listen()?;
+        for server in 0..self.servers.len() {
+            let agent = self.servers[server].agent.listen()?;
             if let Some(link) = self.start_link(agent)? {
                 self.links.insert((index, server), link);
             }
@@ -189,11 +228,10 @@
         let known = self.plan.known_servers.get(index);
         let mut agents = Vec::new();
         for (place, server) in self.servers.iter().enumerate() {
-            if known.is_none_or(|known| known.contains(&place)) {
-                let link = self.links.get(&(index, place));
-                let address = link.map_or_else(|| server.agent.listen(), LinkControl::listen)?;
-                agents.push((server, address));
-            }
+            let link = self.links.get(&(index, place));
+            let address = link.map_or_else(|| server.agent.listen(), LinkControl::listen)?;
+            let is_known = known.is_none_or(|known| known.contains(&place));
+            agents.push(RouterServer { server, address, is_known });
         }
         let settings = router_settings(&self.plan, listen, &agents);
         let file = write_settings(self.folder.path(), &format!("router-{index}"), &settings)?;
@@ -201,18 +239,25 @@
     }
 }
 
+/// A server as one router is to see it: each is declared, and may be known to the router or not.
+struct RouterServer<'a> {
+    server: &'a RunningServer,
+    address: SocketAddr,
+    is_known: bool,
+}
+
 /// The settings of a router before `agents`, each at the address that the router is to use.
-fn router_settings(
-    plan: &FleetPlan,
-    listen: &str,
-    agents: &[(&RunningServer, SocketAddr)],
-) -> String {
+fn router_settings(plan: &FleetPlan, listen: &str, agents: &[RouterServer<'_>]) -> String {
     let mut text = format!(
         "[router]\nlisten = {listen}\noperations = {ANY_PORT}\nfailure_domain = a\n\
-         balancer_delay = 100ms\n{}\n",
-        plan.router_lines
+         balancer_delay = 100ms\n{}\n[claims]\nretention = {}\n",
+        plan.router_lines, plan.claim_retention
     );
-    for (server, address) in agents {
+    for RouterServer { server, address, is_known } in agents {
+        let _ = write!(text, "[witness {}]\nagent = {address}\n", server.name);
+        if !is_known {
+            continue;
+        }
         let target = match server.is_engine {
             true => format!("models = {FLEET_MODEL}"),
             false => format!("paths = {FLEET_PATH}"),
--- a/crates/papayamux-testbed/src/process_view.rs
+++ b/crates/papayamux-testbed/src/process_view.rs
@@ -39,6 +39,10 @@
     pub running: u64,
     /// Connections of routers.
     pub router_links: u64,
+    /// Milliseconds until the agent grants keys to calls.
+    pub witness_ready_in_ms: u64,
+    /// Keys that the agent has granted and remembers.
+    pub held_keys: u64,
 }
 
 /// One reading of `/metrics`.
--- a/crates/papayamux-testbed/tests/link_faults.rs
+++ b/crates/papayamux-testbed/tests/link_faults.rs
@@ -246,6 +246,7 @@
         priority: 0,
         start_before,
         repeat: RepeatRule::AtMostOnce(None),
+        claim: None,
         chat: None,
         method: "POST".to_string(),
         path: "/tickets".to_string(),
--- a/crates/papayamux-transport/src/http/client.rs
+++ b/crates/papayamux-transport/src/http/client.rs
@@ -34,6 +34,9 @@
     /// No connection could be opened: nothing was sent.
     #[error(transparent)]
     Connect(#[from] LinkError),
+    /// The request might no longer be sent when the connection was open: nothing was sent.
+    #[error("the request was given up before it was sent")]
+    NotAllowed,
     /// The connection failed after sending had begun.
     #[error("the connection failed: {0}")]
     Broken(#[from] HttpError),
@@ -51,7 +54,7 @@
 impl HttpClientError {
     /// Whether nothing of the request can have reached the server.
     pub fn nothing_was_sent(&self) -> bool {
-        matches!(self, HttpClientError::Connect(_))
+        matches!(self, HttpClientError::Connect(_) | HttpClientError::NotAllowed)
     }
 }
 
@@ -101,8 +104,21 @@
     pub async fn send_once(
         &self,
         request: Request<Bytes>,
+    ) -> Result<ClientAnswer, HttpClientError> {
+        self.send_once_if(request, || true).await
+    }
+
+    /// Sends a request exactly once, where `may_send` still allows it right before the first
+    /// byte goes out.
+    pub async fn send_once_if(
+        &self,
+        request: Request<Bytes>,
+        may_send: impl FnOnce() -> bool,
     ) -> Result<ClientAnswer, HttpClientError> {
         let stream = connect(self.address).await?;
+        if !may_send() {
+            return Err(HttpClientError::NotAllowed);
+        }
         let _ = set_stream_options(&stream);
         self.exchange(ClientCodec::new(stream), request).await
     }
