--- a/crates/papayamux-router/src/claims/recall.rs
+++ b/crates/papayamux-router/src/claims/recall.rs
@@ -26,7 +26,8 @@
 
 /// Asks the agent at `place`.
 pub async fn recall_answer(desk: &CallerDesk, call: &KeyedCall, place: &RunPlace) -> RecallOutcome {
-    let peer = desk.directory.peer_at(&place.server, place.agent);
+    let known = desk.fleets.peer(&place.server);
+    let peer = known.unwrap_or_else(|| desk.directory.peer_at(&place.server, place.agent));
     let unreachable = || RecallOutcome::Failed(key_in_use("the first run's agent is out of reach"));
     let Ok(link) = peer.link().await else { return unreachable() };
     let request = RecallRequest {
