--- a/crates/papayamux-measure/src/promises/run.rs
+++ b/crates/papayamux-measure/src/promises/run.rs
@@ -54,6 +54,10 @@
     }
 }
 
+/// How long witnesses remember a key: longer than a caller waits before it repeats, and short
+/// enough that one that was restarted in the run may come back in it.
+const CLAIM_RETENTION: &str = "2m";
+
 fn fleet_plan(scenario: &FaultScenario) -> FleetPlan {
     let known = match scenario.lists_differ() {
         true => DIFFERENT_LISTS.map(<[usize]>::to_vec).into(),
@@ -63,6 +67,7 @@
         .services(2)
         .faulty_links(true)
         .known_servers(known)
+        .claim_retention(CLAIM_RETENTION.to_string())
         .service_arguments(["--call-ms", "20"].map(str::to_string).into())
         .build()
 }
@@ -73,6 +78,7 @@
 ) -> Result<PromiseTally, Box<dyn Error>> {
     let started = Instant::now();
     let fleet = Fleet::start(fleet_plan(scenario))?;
+    runtime::run(fleet.wait_claims_open())??;
     let routers = fleet.routers.iter().map(|router| router.listen()).collect::<Result<_, _>>()?;
     let ready = fleet.routers.iter().map(|_| AtomicBool::new(true)).collect();
     let shared = Arc::new(SharedState { ready, ..SharedState::default() });
