--- a/crates/papayamux-agent/src/answers/event_tagger.rs
+++ b/crates/papayamux-agent/src/answers/event_tagger.rs
@@ -1,5 +1,7 @@
 //! Ids on the events of a streamed answer.
 
+use std::fmt::Write;
+
 use bytes::{BufMut, Bytes, BytesMut};
 use papayamux_protocol::event_id::EventId;
 use papayamux_state::ids::{RequestId, ServerId};
@@ -8,8 +10,8 @@
 const LONGEST_EVENT: usize = 1024 * 1024;
 /// What the event that ends a chat ends with.
 const LAST_FIELD: &[u8] = b"[DONE]\n";
-/// Bytes that an id line adds at most, beside the server's name.
-const ID_LINE: usize = 64;
+/// Bytes that the number in an id line needs at most, with the line's end.
+const NUMBER_ROOM: usize = 24;
 
 /// Whole events with their ids.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -24,21 +26,26 @@
 /// held back.
 #[derive(Debug)]
 pub struct EventTagger {
-    server: ServerId,
-    request: RequestId,
+    id_prefix: String,
     number: u64,
     is_complete: bool,
-    pending: BytesMut,
-    line_start: usize,
-    scanned: usize,
+    pending: Vec<u8>,
+}
+
+/// A whole event at the start of some bytes.
+struct EventSpan {
+    /// Where its blank line starts.
+    blank: usize,
+    /// Where it ends.
+    end: usize,
 }
 
 impl EventTagger {
     /// A tagger for the answer to `request` by `server`.
     pub fn new(server: ServerId, request: RequestId) -> Self {
-        let pending = BytesMut::new();
-        let (number, is_complete) = (0, false);
-        Self { server, request, number, is_complete, pending, line_start: 0, scanned: 0 }
+        let id = EventId { server, request, number: 0 }.to_string();
+        let id_prefix = format!("id: {}", id.trim_end_matches('0'));
+        Self { id_prefix, number: 0, is_complete: false, pending: Vec::new() }
     }
 
     /// Events numbered so far.
@@ -54,44 +61,38 @@
     /// Forgets what has come of an event that is not whole; the server sends it again.
     pub fn drop_partial(&mut self) {
         self.pending.clear();
-        (self.line_start, self.scanned) = (0, 0);
     }
 
     /// Takes more of the answer and gives the events that are whole now.
     pub fn take(&mut self, bytes: &[u8]) -> TaggedPiece {
-        self.pending.extend_from_slice(bytes);
-        let mut output = BytesMut::with_capacity(self.pending.len() + ID_LINE);
+        if self.pending.is_empty() {
+            return self.take_all(bytes);
+        }
+        let mut joined = std::mem::take(&mut self.pending);
+        joined.extend_from_slice(bytes);
+        self.take_all(&joined)
+    }
+
+    fn take_all(&mut self, mut bytes: &[u8]) -> TaggedPiece {
+        let mut output = BytesMut::with_capacity(bytes.len() + self.id_prefix.len() + NUMBER_ROOM);
         let mut event_ends = Vec::new();
-        while let Some(newline) = self.next_newline() {
-            let line = &self.pending[self.line_start..newline];
-            let is_blank = line.is_empty() || line == b"\r";
-            self.scanned = newline + 1;
-            if !is_blank {
-                self.line_start = self.scanned;
-                continue;
-            }
-            let event = self.pending.split_to(self.scanned);
-            if self.write_event(&event, self.line_start, &mut output) {
+        while let Some(span) = first_event(bytes) {
+            let (event, rest) = bytes.split_at(span.end);
+            if self.write_event(event, span.blank, &mut output) {
                 event_ends.push(output.len());
             }
-            (self.line_start, self.scanned) = (0, 0);
+            bytes = rest;
         }
-        self.scanned = self.pending.len();
-        if self.pending.len() > LONGEST_EVENT {
-            output.extend_from_slice(&self.rest());
+        match bytes.len() > LONGEST_EVENT {
+            true => output.extend_from_slice(bytes),
+            false => self.pending.extend_from_slice(bytes),
         }
         TaggedPiece { bytes: output.freeze(), event_ends }
     }
 
     /// What is left at the answer's end without having become a whole event.
     pub fn rest(&mut self) -> Bytes {
-        (self.line_start, self.scanned) = (0, 0);
-        self.pending.split().freeze()
-    }
-
-    fn next_newline(&self) -> Option<usize> {
-        let rest = &self.pending[self.scanned..];
-        rest.iter().position(|byte| *byte == b'\n').map(|position| self.scanned + position)
+        std::mem::take(&mut self.pending).into()
     }
 
     /// Writes an event whose blank line starts at `blank`; `true` where it got a number.
@@ -102,11 +103,24 @@
         if has_data {
             self.number += 1;
             self.is_complete |= fields.ends_with(LAST_FIELD);
-            let (server, request) = (self.server.clone(), self.request);
-            let id = EventId { server, request, number: self.number };
-            output.put_slice(format!("id: {id}\n").as_bytes());
+            output.put_slice(self.id_prefix.as_bytes());
+            // Writing into a growing buffer can't fail.
+            let _ = writeln!(output, "{}", self.number);
         }
         output.put_slice(blank_line);
         has_data
     }
 }
+
+/// The first event of `bytes`, where it is whole.
+fn first_event(bytes: &[u8]) -> Option<EventSpan> {
+    let mut line_start = 0;
+    loop {
+        let length = bytes[line_start..].iter().position(|byte| *byte == b'\n')?;
+        let end = line_start + length + 1;
+        if matches!(&bytes[line_start..end], b"\n" | b"\r\n") {
+            return Some(EventSpan { blank: line_start, end });
+        }
+        line_start = end;
+    }
+}
--- a/crates/papayamux-agent/src/answers/held_bytes.rs
+++ b/crates/papayamux-agent/src/answers/held_bytes.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 
+/// Bytes that a held piece costs beside its content: its place here and its allocation's.
+const PIECE_COST: u64 = 2 * size_of::<HeldPiece>() as u64;
 /// Bytes that a held event's end costs.
 const EVENT_COST: u64 = size_of::<u64>() as u64;
 
@@ -65,7 +67,7 @@
         let base = self.end;
         self.event_ends.extend(event_ends.iter().map(|end| base + *end as u64));
         self.end += bytes.len() as u64;
-        self.count(bytes.len() as u64 + event_ends.len() as u64 * EVENT_COST);
+        self.count(bytes.len() as u64 + PIECE_COST + event_ends.len() as u64 * EVENT_COST);
         self.pieces.push_back(HeldPiece { start: base, bytes });
     }
 
@@ -81,7 +83,7 @@
         while self.pieces.front().is_some_and(|piece| piece.end() <= offset) {
             if let Some(piece) = self.pieces.pop_front() {
                 self.start = piece.end();
-                self.uncount(piece.length());
+                self.uncount(piece.length() + PIECE_COST);
             }
         }
         while self.event_ends.front().is_some_and(|end| *end < self.start) {
@@ -119,7 +121,7 @@
 
 impl Drop for HeldBytes {
     fn drop(&mut self) {
-        let held: u64 = self.pieces.iter().map(HeldPiece::length).sum();
+        let held: u64 = self.pieces.iter().map(|piece| piece.length() + PIECE_COST).sum();
         self.uncount(held + self.event_ends.len() as u64 * EVENT_COST);
     }
 }
--- a/crates/papayamux-agent/src/run.rs
+++ b/crates/papayamux-agent/src/run.rs
@@ -14,9 +14,7 @@
 
 use crate::answers::{AnswerRecord, EventTagger};
 use crate::router_link::AgentCore;
-use crate::server_exchange::{
-    resume_stream, wait_for_server, ResumeTarget, ServerError, ServerStep,
-};
+use crate::server_exchange::{resume_stream, ResumeTarget, ServerError, ServerStep, ServerWatch};
 
 /// The media type of streamed answers.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
@@ -76,7 +74,7 @@
             false => core.client.send_once(request).await,
         }
     };
-    match wait_for_server(core, target, exchange).await {
+    match ServerWatch::new(core).wait_for(target, exchange).await {
         ServerStep::Came(Ok(answer)) => relay(core, answer, is_chat, record).await,
         ServerStep::Replaced(answer) => relay(core, *answer, is_chat, record).await,
         ServerStep::Came(Err(error)) if error.nothing_was_sent() => {
@@ -170,8 +168,9 @@
     mut answer: ClientAnswer,
     record: &AnswerRecord,
 ) -> Result<(), ServerError> {
+    let mut watch = ServerWatch::new(core);
     loop {
-        match wait_for_server(core, || None, answer.next_piece()).await {
+        match watch.wait_for(|| None, answer.next_piece()).await {
             ServerStep::Came(Some(piece)) => record.append(piece?, &[]).await,
             ServerStep::Came(None) => break,
             ServerStep::Silent | ServerStep::Replaced(_) => return Err(ServerError::Silent),
@@ -187,9 +186,10 @@
     record: &AnswerRecord,
 ) -> Result<(), ServerError> {
     let mut tagger = EventTagger::new(core.server.clone(), record.id());
+    let mut watch = ServerWatch::new(core);
     loop {
         let target = ResumeTarget { id: record.id(), events: tagger.numbered() };
-        let replacement = match wait_for_server(core, || Some(target), answer.next_piece()).await {
+        let replacement = match watch.wait_for(|| Some(target), answer.next_piece()).await {
             ServerStep::Came(Some(Ok(piece))) => {
                 let tagged = tagger.take(&piece);
                 record.append(tagged.bytes, &tagged.event_ends).await;
--- a/crates/papayamux-agent/src/server_exchange.rs
+++ b/crates/papayamux-agent/src/server_exchange.rs
@@ -5,11 +5,13 @@
 //! replaces a connection that went silent for good.
 
 use std::future::Future;
-use std::time::Duration;
+use std::pin::Pin;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::future::{select, Either};
 use http::{Request, StatusCode};
+use monoio::time::Sleep;
 use papayamux_protocol::engine::{resume_path, LOAD_PATH};
 use papayamux_state::ids::RequestId;
 use papayamux_transport::http::{ClientAnswer, HttpClientError};
@@ -61,33 +63,60 @@
     Silent,
 }
 
-/// Waits for `step`; whenever it makes no progress for a while, the server is checked, and asked
-/// to go on with `target` where there is one.
-pub async fn wait_for_server<T>(
-    core: &AgentCore,
-    target: impl Fn() -> Option<ResumeTarget>,
-    step: impl Future<Output = T>,
-) -> ServerStep<T> {
-    let mut step = std::pin::pin!(step);
-    let mut failed_checks = 0;
-    loop {
-        let patience = std::pin::pin!(monoio::time::sleep(core.progress_within));
-        if let Either::Left((came, _)) = select(step.as_mut(), patience).await {
-            return ServerStep::Came(came);
-        }
-        match check_server(core, target()).await {
-            ServerCheck::Replaced(answer) => {
-                core.metrics.server_streams.count("replaced");
-                return ServerStep::Replaced(answer);
+/// Watches one exchange for progress, with one timer however many steps it has.
+pub struct ServerWatch<'a> {
+    core: &'a AgentCore,
+    timer: Pin<Box<Sleep>>,
+    progress: Instant,
+}
+
+impl<'a> ServerWatch<'a> {
+    /// Watches from now on.
+    pub fn new(core: &'a AgentCore) -> Self {
+        let timer = Box::pin(monoio::time::sleep(core.progress_within));
+        Self { core, timer, progress: Instant::now() }
+    }
+
+    /// Waits for `step`; whenever the exchange makes no progress for a while, the server is
+    /// checked, and asked to go on with `target` where there is one.
+    pub async fn wait_for<T>(
+        &mut self,
+        target: impl Fn() -> Option<ResumeTarget>,
+        step: impl Future<Output = T>,
+    ) -> ServerStep<T> {
+        let mut step = std::pin::pin!(step);
+        let mut failed_checks = 0;
+        self.progress = Instant::now();
+        loop {
+            if let Either::Left((came, _)) = select(step.as_mut(), self.timer.as_mut()).await {
+                return ServerStep::Came(came);
             }
-            ServerCheck::Lives => failed_checks = 0,
-            ServerCheck::Silent => failed_checks += 1,
-        }
-        if failed_checks == MOST_FAILED_CHECKS {
-            core.metrics.server_streams.count("silent");
-            return ServerStep::Silent;
+            let is_quiet = self.progress.elapsed() >= self.core.progress_within;
+            if is_quiet {
+                match check_server(self.core, target()).await {
+                    ServerCheck::Replaced(answer) => {
+                        self.core.metrics.server_streams.count("replaced");
+                        return ServerStep::Replaced(answer);
+                    }
+                    ServerCheck::Lives => failed_checks = 0,
+                    ServerCheck::Silent => failed_checks += 1,
+                }
+            }
+            if failed_checks == MOST_FAILED_CHECKS {
+                self.core.metrics.server_streams.count("silent");
+                return ServerStep::Silent;
+            }
+            self.rearm(is_quiet);
         }
     }
+
+    /// Lets the timer end once the exchange could have been quiet for long enough.
+    fn rearm(&mut self, was_quiet: bool) {
+        let from = if was_quiet { Instant::now() } else { self.progress };
+        let next = from + self.core.progress_within;
+        self.timer.as_mut().reset(next.into());
+        self.progress = from;
+    }
 }
 
 /// Asks the engine to go on with a stream whose connection broke.
