--- a/crates/papayamux-agent/src/run.rs
+++ b/crates/papayamux-agent/src/run.rs
@@ -15,9 +15,7 @@
 use crate::answers::{AnswerRecord, EventTagger};
 use crate::claims::RunRecorder;
 use crate::router_link::AgentCore;
-use crate::server_exchange::{
-    resume_stream, wait_for_server, ResumeTarget, ServerError, ServerStep,
-};
+use crate::server_exchange::{resume_stream, ResumeTarget, ServerError, ServerStep, ServerWatch};
 
 /// The media type of streamed answers.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
@@ -95,7 +93,7 @@
             false => core.client.send_once_if(request, || core.clock() < start_before).await,
         }
     };
-    match wait_for_server(core, target, exchange).await {
+    match ServerWatch::new(core).wait_for(target, exchange).await {
         ServerStep::Came(Ok(answer)) => relay(core, answer, is_chat, record, recorder).await,
         ServerStep::Replaced(answer) => relay(core, *answer, is_chat, record, recorder).await,
         ServerStep::Came(Err(HttpClientError::NotAllowed)) => {
@@ -201,8 +199,9 @@
     record: &AnswerRecord,
     recorder: Option<&RunRecorder>,
 ) -> Result<(), ServerError> {
+    let mut watch = ServerWatch::new(core);
     loop {
-        match wait_for_server(core, || None, answer.next_piece()).await {
+        match watch.wait_for(|| None, answer.next_piece()).await {
             ServerStep::Came(Some(piece)) => {
                 let piece = piece?;
                 if let Some(recorder) = recorder {
@@ -224,9 +223,10 @@
     record: &AnswerRecord,
 ) -> Result<(), ServerError> {
     let mut tagger = EventTagger::new(core.server.clone(), record.id());
+    let mut watch = ServerWatch::new(core);
     loop {
         let target = ResumeTarget { id: record.id(), events: tagger.numbered() };
-        let replacement = match wait_for_server(core, || Some(target), answer.next_piece()).await {
+        let replacement = match watch.wait_for(|| Some(target), answer.next_piece()).await {
             ServerStep::Came(Some(Ok(piece))) => {
                 let tagged = tagger.take(&piece);
                 record.append(tagged.bytes, &tagged.event_ends).await;
