Start the measured chats in mid-life, and count what waits at the agents

Cause: with chats that last eight seconds the load still rose at the end of a short run; a policy that lets requests wait at the agents looked even. Change: the chats that would be there already begin in the first two seconds with the turns they have left; a second skew counts the agents' queues.

--- a/crates/papayamux-measure/src/routing/experiment.rs
+++ b/crates/papayamux-measure/src/routing/experiment.rs
@@ -15,7 +15,7 @@
 use super::best_possible::PrefixOracle;
 use super::control_traffic::{mean_rate, read_counts};
 use super::disturbance::DisturbancePlan;
-use super::load_sampler::sample_loads;
+use super::load_sampler::{sample_loads, SampledServer};
 use super::options::{RoutingOptions, UNSET_POLICY};
 use super::report::{RoutingReport, RunLabel, RunYield};
 use super::scenario::Scenario;
@@ -142,7 +142,7 @@
 
 async fn drive(desk: Rc<SessionDesk>, addresses: FleetAddresses) -> RunYield {
     let samples = Rc::new(RefCell::new(Vec::new()));
-    monoio::spawn(sample_loads(addresses.engines, desk.begun, samples.clone()));
+    monoio::spawn(sample_loads(addresses.sampled(), desk.begun, samples.clone()));
     for chat in 0..desk.workload.chats.len() {
         monoio::spawn(desk.clone().hold_chat(chat));
     }
@@ -193,6 +193,12 @@
 }
 
 impl FleetAddresses {
+    /// The engines with their agents, which come first among the agents.
+    fn sampled(&self) -> Vec<SampledServer> {
+        let pairs = self.engines.iter().zip(&self.agent_operations);
+        pairs.map(|(engine, agent)| SampledServer::new(*engine, *agent)).collect()
+    }
+
     fn of(fleet: &Fleet, engines: usize) -> Result<Self, TestbedError> {
         let servers = &fleet.servers;
         Ok(Self {
--- a/crates/papayamux-measure/src/routing/load_sampler.rs
+++ b/crates/papayamux-measure/src/routing/load_sampler.rs
@@ -5,11 +5,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_util::future::join_all;
+use futures_util::future::{join, join_all};
 use http::{Method, Request, StatusCode};
 use papayamux_protocol::engine::EngineLoad;
 use papayamux_standins::engine::TRUE_LOAD_PATH;
 use papayamux_transport::http::HttpClient;
+use serde_json::Value;
 
 /// Time between two samples.
 const SAMPLE_EVERY: Duration = Duration::from_millis(75);
@@ -20,6 +21,7 @@
 pub const SMALLEST_MEAN: f64 = 2.0;
 /// The load bound `c` that agents keep where their settings name none.
 const LOAD_FACTOR: f64 = 1.5;
+const STATUS_PATH: &str = "/status";
 const LONGEST_ANSWER: u64 = 64 * 1024;
 
 /// The loads of all engines at one moment.
@@ -29,9 +31,16 @@
     pub at: Duration,
     /// Requests running and waiting at each engine that answered.
     pub loads: Vec<u64>,
+    /// The same engines' loads and what waits for them at their agents.
+    pub demands: Vec<u64>,
 }
 
 impl LoadSample {
+    /// The sample with the demands in the place of the loads.
+    pub fn of_demands(&self) -> Self {
+        Self { loads: self.demands.clone(), ..self.clone() }
+    }
+
     /// The mean load.
     pub fn mean(&self) -> f64 {
         self.loads.iter().sum::<u64>() as f64 / self.loads.len().max(1) as f64
@@ -98,28 +107,47 @@
     }
 }
 
-/// Samples the engines at `addresses` for as long as it is polled.
+/// An engine and the operators' port of its agent.
+pub struct SampledServer {
+    engine: HttpClient,
+    agent: HttpClient,
+}
+
+impl SampledServer {
+    /// The engine and the agent at these addresses.
+    pub fn new(engine: SocketAddr, agent_operations: SocketAddr) -> Self {
+        Self { engine: HttpClient::new(engine), agent: HttpClient::new(agent_operations) }
+    }
+
+    /// Requests at the engine, and those together with what waits at the agent.
+    async fn sample(&self) -> Option<(u64, u64)> {
+        let (engine, agent) =
+            join(fetch(&self.engine, TRUE_LOAD_PATH), fetch(&self.agent, STATUS_PATH)).await;
+        let load: EngineLoad = serde_json::from_slice(&engine?).ok()?;
+        let load = load.running + load.waiting;
+        let status: Value =
+            agent.and_then(|body| serde_json::from_slice(&body).ok()).unwrap_or_default();
+        Some((load, load + status["waiting"].as_u64().unwrap_or(0)))
+    }
+}
+
+/// Samples `servers` for as long as it is polled.
 pub async fn sample_loads(
-    addresses: Vec<SocketAddr>,
+    servers: Vec<SampledServer>,
     begun: Instant,
     samples: Rc<RefCell<Vec<LoadSample>>>,
 ) {
-    let clients: Vec<_> = addresses.into_iter().map(HttpClient::new).collect();
     loop {
         monoio::time::sleep(SAMPLE_EVERY).await;
         let at = begun.elapsed();
-        let asked = clients.iter().map(|client| monoio::time::timeout(ANSWER_WITHIN, ask(client)));
-        let loads = join_all(asked).await.into_iter().filter_map(|answer| answer.ok()?).collect();
-        samples.borrow_mut().push(LoadSample { at, loads });
+        let asked =
+            servers.iter().map(|server| monoio::time::timeout(ANSWER_WITHIN, server.sample()));
+        let answers = join_all(asked).await.into_iter().filter_map(|answer| answer.ok()?);
+        let (loads, demands) = answers.unzip();
+        samples.borrow_mut().push(LoadSample { at, loads, demands });
     }
 }
 
-async fn ask(client: &HttpClient) -> Option<u64> {
-    let body = fetch(client, TRUE_LOAD_PATH).await?;
-    let load: EngineLoad = serde_json::from_slice(&body).ok()?;
-    Some(load.running + load.waiting)
-}
-
 /// The body at a path, where it can be had.
 pub async fn fetch(client: &HttpClient, path: &str) -> Option<bytes::Bytes> {
     let request = Request::builder()
--- a/crates/papayamux-measure/src/routing/report.rs
+++ b/crates/papayamux-measure/src/routing/report.rs
@@ -76,6 +76,10 @@
     pub over_bound: f64,
     /// The most requests that any engine had above the mean.
     pub most_above_mean: f64,
+    /// Median of highest over mean where what waits at the agents counts as load too.
+    pub demand_skew_p50: f64,
+    /// The same at its highest.
+    pub demand_skew_max: f64,
     /// Load samples that count.
     pub load_samples: usize,
     /// Load samples left out because the mean was below two requests.
@@ -142,6 +146,8 @@
         let end = Duration::from_secs_f64(label.seconds);
         let tally = run.tally.after(warm_up);
         let skew = SkewSummary::of(&run.samples, warm_up, end);
+        let demands: Vec<_> = run.samples.iter().map(LoadSample::of_demands).collect();
+        let demand = SkewSummary::of(&demands, warm_up, end);
         let seconds = (end - warm_up).as_secs_f64();
         let offered = OfferedLoad::of(&tally, site, seconds);
         let best = |turn: &TurnRecord, _| (turn.best_blocks * TOKENS_PER_BLOCK) as u64;
@@ -167,6 +173,8 @@
             skew_max: rounded(skew.max, 2),
             over_bound: rounded(skew.over_bound, 3),
             most_above_mean: rounded(skew.most_above_mean, 1),
+            demand_skew_p50: rounded(demand.p50, 2),
+            demand_skew_max: rounded(demand.max, 2),
             load_samples: skew.samples,
             load_samples_left_out: skew.left_out,
             mean_load: rounded(skew.mean_load, 2),
--- a/crates/papayamux-measure/src/routing/table.rs
+++ b/crates/papayamux-measure/src/routing/table.rs
@@ -7,13 +7,15 @@
 use serde_json::Value;
 
 /// A column: its heading, the report's field, and the digits after the point.
-const COLUMNS: [(&str, &str, usize); 15] = [
+const COLUMNS: [(&str, &str, usize); 17] = [
     ("warm", "warm", 3),
     ("token share", "warm_prompt_token_share", 3),
     ("of best", "share_of_best", 3),
     ("skew p50", "skew_p50", 2),
     ("skew max", "skew_max", 2),
     ("over c", "over_bound", 3),
+    ("demand skew p50", "demand_skew_p50", 2),
+    ("demand skew max", "demand_skew_max", 2),
     ("TTFT p50 ms", "ttft_p50_ms", 1),
     ("TTFT p95 ms", "ttft_p95_ms", 0),
     ("others p95 ms", "ttft_p95_others_ms", 0),
--- a/crates/papayamux-measure/src/routing/workload.rs
+++ b/crates/papayamux-measure/src/routing/workload.rs
@@ -1,5 +1,6 @@
 //! The callers' script: a function of seed, site and scenario alone, the same for every policy.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::rngs::StdRng;
@@ -16,7 +17,11 @@
 /// When the surge begins and ends, as shares of the run.
 const SURGE_SHARES: (f64, f64) = (0.4, 0.73);
 /// Turns of a chat that belongs to a surge.
-const SURGE_TURNS: std::ops::Range<usize> = 1..3;
+const SURGE_TURNS: Range<usize> = 1..3;
+/// Seconds at a run's start in which the chats begin that would have been there already.
+const FILL_SECONDS: f64 = 2.0;
+/// About the time from the sending of a turn to the end of its answer.
+const ANSWER_SECONDS: f64 = 0.25;
 /// Share of the chats that open alike in the scenario `hot`.
 const HOT_SHARE: f64 = 0.25;
 /// Share of the chats whose callers name the conversation.
@@ -106,6 +111,10 @@
     }
 }
 
+fn mean(range: &Range<usize>) -> f64 {
+    (range.start + range.end - 1) as f64 / 2.0
+}
+
 struct ScriptWriter<'a> {
     random: StdRng,
     site: &'a SiteProfile,
@@ -115,10 +124,19 @@
     fn usual_chats(&mut self, scenario: Scenario, seconds: f64) -> Vec<ChatScript> {
         let hot_opening = self.text(self.site.user_tokens.end);
         let mut chats = Vec::new();
-        for arrival in self.arrivals(self.site.chats_per_second, 0.0, seconds) {
+        let fill_rate = self.site.chats_per_second * self.mean_life() / FILL_SECONDS;
+        let fill = self.arrivals(fill_rate, 0.0, FILL_SECONDS.min(seconds));
+        let new = self.arrivals(self.site.chats_per_second, 0.0, seconds);
+        let fill = fill.into_iter().map(|arrival| (arrival, true));
+        let arrivals = fill.chain(new.into_iter().map(|arrival| (arrival, false)));
+        for (arrival, is_fill) in arrivals {
             let organisation = self.organisation();
             let turns = self.site.turns.clone();
             let mut chat = self.chat(arrival, organisation, turns);
+            if is_fill {
+                let left = self.random.random_range(1..=chat.turns.len());
+                chat.turns.truncate(left);
+            }
             let hot = scenario == Scenario::Hot && self.random.random_bool(HOT_SHARE);
             if hot {
                 (chat.organisation, chat.document, chat.conversation) = (0, 0, None);
@@ -126,11 +144,16 @@
             }
             chats.push(chat);
         }
+        chats.sort_by_key(|chat| chat.arrival);
         chats
     }
 
+    /// The mean time in seconds from a chat's first turn to its last.
+    fn mean_life(&self) -> f64 {
+        mean(&self.site.turns) * (self.site.pause.as_secs_f64() + ANSWER_SECONDS)
+    }
+
     fn surge_chats(&mut self, seconds: f64) -> Vec<ChatScript> {
-        let mean = |range: &std::ops::Range<usize>| (range.start + range.end - 1) as f64 / 2.0;
         let usual_turns = self.site.chats_per_second
             * organisation_share(SURGING_ORGANISATION)
             * mean(&self.site.turns);
@@ -161,12 +184,7 @@
         arrivals
     }
 
-    fn chat(
-        &mut self,
-        arrival: Duration,
-        organisation: usize,
-        turns: std::ops::Range<usize>,
-    ) -> ChatScript {
+    fn chat(&mut self, arrival: Duration, organisation: usize, turns: Range<usize>) -> ChatScript {
         let named = self.random.random_bool(NAMED_SHARE);
         let id: u64 = self.random.random();
         let document = self.random.random_range(0..self.site.documents);
--- a/crates/papayamux-measure/tests/routing_parts.rs
+++ b/crates/papayamux-measure/tests/routing_parts.rs
@@ -58,6 +58,7 @@
     let sample = |millis, loads: &[u64]| LoadSample {
         at: Duration::from_millis(millis),
         loads: loads.to_vec(),
+        demands: loads.iter().map(|load| load + 1).collect(),
     };
     let samples = [sample(50, &[9, 1]), sample(100, &[1, 0]), sample(200, &[6, 2])];
     let skew = SkewSummary::of(&samples, Duration::from_millis(60), Duration::from_secs(1));
@@ -67,6 +68,7 @@
     let samples = [sample(100, &[7, 1]), sample(200, &[6, 2])];
     let skew = SkewSummary::of(&samples, Duration::ZERO, Duration::from_secs(1));
     assert_eq!(skew.over_bound, 0.5);
+    assert_eq!(samples[0].of_demands().loads, [8, 2]);
 }
 
 #[test]
