Tell a claim to witnesses that answer after the round is won

Cause: a test of restarted witnesses failed in about one of four runs: where a router's link to a witness was not open yet, the round was won by the other two and the third was never asked, so that losing the two lost the key. Change: a won round is read to its end in the background; a witness that answers late is told where the call is brought to, or that it was released. The test now waits until all three have granted.

--- a/crates/papayamux-router/src/claims/claim_hold.rs
+++ b/crates/papayamux-router/src/claims/claim_hold.rs
@@ -16,12 +16,14 @@
     claim: ClaimId,
     started: Instant,
     links: RefCell<Vec<Rc<AgentLink>>>,
+    last_change: RefCell<Option<ClaimChange>>,
 }
 
 impl ClaimHold {
     /// An attempt that began at `started`, before any witness was asked.
     pub fn new(key: ClaimKey, claim: ClaimId, started: Instant) -> Rc<Self> {
-        Rc::new(Self { key, claim, started, links: RefCell::default() })
+        let (links, last_change) = (RefCell::default(), RefCell::default());
+        Rc::new(Self { key, claim, started, links, last_change })
     }
 
     /// The attempt.
@@ -42,6 +44,13 @@
         self.links.borrow_mut().push(link);
     }
 
+    /// Tells a witness that answered late what has become of the attempt meanwhile.
+    pub fn catch_up(&self, link: &AgentLink) {
+        if let Some(change) = self.last_change.borrow().clone() {
+            link.tell_claim(ClaimNotice { key: self.key, claim: self.claim, change });
+        }
+    }
+
     /// Tells the witnesses where the attempt is brought to.
     pub fn place(&self, place: RunPlace) {
         self.tell(ClaimChange::Placed(place));
@@ -53,6 +62,7 @@
     }
 
     fn tell(&self, change: ClaimChange) {
+        *self.last_change.borrow_mut() = Some(change.clone());
         let notice = ClaimNotice { key: self.key, claim: self.claim, change };
         for link in &*self.links.borrow() {
             link.tell_claim(notice.clone());
--- a/crates/papayamux-router/src/claims/witness_round.rs
+++ b/crates/papayamux-router/src/claims/witness_round.rs
@@ -32,9 +32,10 @@
     },
 }
 
-/// Asks all witnesses at once.
+/// Asks all witnesses at once. A won round goes on without those that have not answered; they are
+/// still told, so that the key outlives the loss of those that have.
 pub async fn claim_key(
-    keeper: &FleetKeeper,
+    keeper: &Rc<FleetKeeper>,
     call: &KeyedCall,
     hold: Rc<ClaimHold>,
     start_within: Duration,
@@ -55,10 +56,13 @@
     let mut replies: FuturesUnordered<_> = round
         .asked()
         .into_iter()
-        .map(|witness| async {
-            let asked = ask_witness(keeper, &witness, &ask, &hold, start_within);
-            let reply = monoio::time::timeout(claim_within, asked).await;
-            (witness, reply.ok().flatten())
+        .map(|witness| {
+            let (keeper, hold, ask) = (keeper.clone(), hold.clone(), ask.clone());
+            async move {
+                let asked = ask_witness(&keeper, &witness, ask, &hold, start_within);
+                let reply = monoio::time::timeout(claim_within, asked).await;
+                (witness, reply.ok().flatten())
+            }
         })
         .collect();
     while round.verdict() == ClaimVerdict::Pending {
@@ -66,7 +70,7 @@
         round.take(&witness, reply);
     }
     if round.verdict() == ClaimVerdict::Won {
-        drop(replies);
+        monoio::spawn(async move { while replies.next().await.is_some() {} });
         return RoundOutcome::Won(hold);
     }
     let rest = async {
@@ -82,14 +86,16 @@
 async fn ask_witness(
     keeper: &FleetKeeper,
     witness: &ServerId,
-    ask: &ClaimAsk,
+    ask: ClaimAsk,
     hold: &ClaimHold,
     start_within: Duration,
 ) -> Option<ClaimReply> {
     let link = keeper.peer(witness)?.link().await.ok()?;
     let grant_before = hold.deadline(&link, start_within)?;
     let agent = link.welcome().incarnation;
-    let request = ClaimRequest { agent, grant_before, ask: ask.clone() };
+    let request = ClaimRequest { agent, grant_before, ask };
     hold.note_asked(link.clone());
-    link.claim(request).await
+    let reply = link.claim(request).await;
+    hold.catch_up(&link);
+    reply
 }
--- a/crates/papayamux-testbed/tests/at_most_once.rs
+++ b/crates/papayamux-testbed/tests/at_most_once.rs
@@ -210,6 +210,10 @@
 fn witnesses_without_memory_let_no_key_run_again() -> TestResult {
     with_fleet(async |fleet| {
         let first = book_at(fleet, 0, "kept").await?.answer()?;
+        let granted = "papayamux_agent_claims_granted_total";
+        for server in &fleet.servers {
+            server.agent.wait_metric(granted, "", 1.0, WITHIN).await?;
+        }
         fleet.restart_agent(ENGINE)?;
         book_at(fleet, 1, "two-of-three").await?.answer()?;
         assert_eq!(book_at(fleet, 1, "kept").await?.answer()?, first);
