--- a/crates/papayamux-agent/src/daemon.rs
+++ b/crates/papayamux-agent/src/daemon.rs
@@ -11,6 +11,8 @@
 use papayamux_daemon::logging::start_logging;
 use papayamux_daemon::operations::{serve_operations, OperationsView};
 use papayamux_daemon::signals::catch_end_signals;
+use papayamux_spread::configuration::ConfigurationView;
+use papayamux_spread::SpreadIdentity;
 use papayamux_state::ids::Incarnation;
 use papayamux_transport::http::HttpClient;
 use papayamux_transport::listen::listen;
@@ -34,6 +36,7 @@
 
 struct AgentView {
     core: Rc<AgentCore>,
+    configuration: Option<ConfigurationView>,
 }
 
 impl OperationsView for AgentView {
@@ -49,6 +52,7 @@
             "failure_domain": self.core.domain.to_string(),
             "server": self.core.server.to_string(),
             "leaving": self.core.book.is_leaving(),
+            "configuration": self.configuration.as_ref().map(ConfigurationView::status),
             "running": self.core.book.running().get(),
             "held_answer_bytes": self.core.answers.held_bytes(),
             "router_links": self.core.metrics.router_links.get(),
@@ -137,9 +141,15 @@
     metrics.register(&mut registry);
     let routers = listen(settings.listen)?;
     let operators = listen(settings.operations)?;
+    let spread_identity = SpreadIdentity { incarnation, domain: settings.domain.clone() };
+    let configuration = match settings.spread.clone() {
+        Some(spread) => Some(ConfigurationView::start(spread, spread_identity, &mut registry)?),
+        None => None,
+    };
     log::info!(
         listen:% = routers.local_addr()?, operations:% = operators.local_addr()?,
-        server:% = settings.server, incarnation:% = incarnation;
+        server:% = settings.server, incarnation:% = incarnation,
+        peers:% = configuration.as_ref().map_or(String::new(), |view| view.address().to_string());
         "agent started"
     );
     let core = Rc::new(AgentCore {
@@ -156,7 +166,7 @@
         progress_within: settings.progress_within,
         next_link: Cell::new(0),
     });
-    let view = Rc::new(AgentView { core: core.clone() });
+    let view = Rc::new(AgentView { core: core.clone(), configuration });
     monoio::spawn(serve_operations(operators, Rc::new(registry), view, ShutdownSignal::new()));
     monoio::spawn(accept_routers(core.clone(), routers));
     let held_bytes = core.metrics.held_bytes.clone();
--- a/crates/papayamux-agent/src/settings.rs
+++ b/crates/papayamux-agent/src/settings.rs
@@ -6,6 +6,7 @@
 use bon::Builder;
 use papayamux_protocol::proof::SharedSecret;
 use papayamux_settings::{Findings, IniFile, Millis};
+use papayamux_spread::settings::{read_spread, SpreadSettings, SPREAD_SECTION};
 use papayamux_state::address_range::AddressRange;
 use papayamux_state::ids::{FailureDomain, ServerId};
 use papayamux_state::quantities::{ByteCount, RequestCount};
@@ -49,6 +50,8 @@
     /// Addresses of routers; all where it is empty.
     #[builder(default)]
     pub allow: Vec<AddressRange>,
+    /// How the configuration is spread, where it is.
+    pub spread: Option<SpreadSettings>,
 }
 
 impl AgentSettings {
@@ -61,7 +64,7 @@
 }
 
 fn read_agent(file: &IniFile) -> Option<AgentSettings> {
-    file.refuse_other_sections(&["agent", "server"], &[]);
+    file.refuse_other_sections(&["agent", "server", SPREAD_SECTION], &[]);
     let section = file.section("agent");
     let listen = section.required("listen");
     let operations = section.required("operations");
@@ -80,6 +83,7 @@
     let capacity = section.optional("capacity");
     let progress_within = section.optional("progress_within");
     section.refuse_other_keys();
+    let spread = read_spread(file);
     let settings = AgentSettings::builder()
         .listen(listen?)
         .operations(operations?)
@@ -95,6 +99,7 @@
         .maybe_progress_within(progress_within.map(|within: Millis| within.0))
         .maybe_secret(secret)
         .allow(allow)
+        .maybe_spread(spread)
         .build();
     Some(settings)
 }
--- a/crates/papayamux-protocol/src/lib.rs
+++ b/crates/papayamux-protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod failure;
 pub mod headers;
 pub mod link;
+pub mod peer;
 pub mod platform;
 pub mod proof;
 pub mod wire;
--- a/crates/papayamux-protocol/src/wire/mod.rs
+++ b/crates/papayamux-protocol/src/wire/mod.rs
@@ -1,12 +1,15 @@
 //! The wire form of messages: prost types, their conversion, and frames.
 
 mod convert_agent;
+mod convert_peer;
 mod convert_router;
 mod frame_codec;
 mod messages;
+mod peer;
 
 pub use frame_codec::{CodecError, FrameCodec, FrameMessage};
 pub use messages::*;
+pub use peer::*;
 
 use bytes::Bytes;
 use papayamux_state::ids::IdError;
@@ -39,6 +42,22 @@
         /// The number.
         number: u32,
     },
+    /// An address is malformed.
+    #[error("message part {part:?} is not an IP address with a port")]
+    Address {
+        /// The part's name.
+        part: &'static str,
+    },
+    /// A list or text is longer than its bound.
+    #[error("message part {part:?} has {count} elements, the bound is {limit}")]
+    TooMany {
+        /// The part's name.
+        part: &'static str,
+        /// Elements it has.
+        count: usize,
+        /// Elements it may have.
+        limit: usize,
+    },
 }
 
 pub(crate) fn nonce_bytes(nonce: ProofNonce) -> Bytes {
--- /dev/null
+++ b/crates/papayamux-protocol/src/wire/peer.rs
@@ -0,0 +1,192 @@
+//! Prost types between peers. Field numbers are never used again once retired.
+
+use bytes::Bytes;
+
+/// A frame from a peer to another.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PeerFrame {
+    /// What is said.
+    #[prost(oneof = "PeerBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    pub body: Option<PeerBody>,
+}
+
+/// What a peer says.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum PeerBody {
+    /// See [`crate::peer::PeerHello`].
+    #[prost(message, tag = "1")]
+    Hello(WirePeerHello),
+    /// See [`crate::peer::PeerSummary`].
+    #[prost(message, tag = "2")]
+    Summary(WireSummary),
+    /// Digests of the sender's buckets.
+    #[prost(message, tag = "3")]
+    Buckets(WireBuckets),
+    /// Versions in the buckets named.
+    #[prost(message, tag = "4")]
+    Inventory(WireInventory),
+    /// New versions.
+    #[prost(message, tag = "5")]
+    Announce(WireVersions),
+    /// See [`crate::peer::FetchRequest`].
+    #[prost(message, tag = "6")]
+    Fetch(WireFetch),
+    /// See [`crate::peer::BodyPart`].
+    #[prost(message, tag = "7")]
+    Part(WirePart),
+    /// The version can't be given.
+    #[prost(message, tag = "8")]
+    Absent(WireVersion),
+    /// Processes that the sender knows.
+    #[prost(message, tag = "9")]
+    Peers(WirePeers),
+}
+
+/// The wire form of [`crate::peer::PeerHello`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WirePeerHello {
+    /// Protocol version.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// The process's life.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Its failure domain.
+    #[prost(string, tag = "3")]
+    pub domain: String,
+    /// Where it listens for peers.
+    #[prost(string, tag = "4")]
+    pub listen: String,
+}
+
+/// The wire form of [`crate::peer::PeerSummary`].
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireSummary {
+    /// Digest of all versions held.
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+    /// The highest service revision known.
+    #[prost(uint64, tag = "2")]
+    pub known_revision: u64,
+    /// Revision of the latest reading.
+    #[prost(uint64, optional, tag = "3")]
+    pub reading_revision: Option<u64>,
+    /// Age of the latest reading in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub reading_age_ms: u64,
+    /// Whether a summary is asked for in return.
+    #[prost(bool, tag = "5")]
+    pub asks: bool,
+    /// Whether the sender has itself asked peers.
+    #[prost(bool, tag = "6")]
+    pub settled: bool,
+}
+
+/// Digests of the sender's buckets.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireBuckets {
+    /// One digest for each bucket.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub digests: Vec<u64>,
+}
+
+/// The wire form of [`crate::peer::VersionKey`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireVersion {
+    /// The file's name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The revision.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Checksum of the text.
+    #[prost(fixed64, tag = "3")]
+    pub checksum: u64,
+    /// Whether the file was removed.
+    #[prost(bool, tag = "4")]
+    pub removed: bool,
+}
+
+/// Several versions.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireVersions {
+    /// The versions.
+    #[prost(message, repeated, tag = "1")]
+    pub versions: Vec<WireVersion>,
+}
+
+/// Versions in the buckets named.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireInventory {
+    /// The buckets.
+    #[prost(uint32, repeated, tag = "1")]
+    pub buckets: Vec<u32>,
+    /// The versions.
+    #[prost(message, repeated, tag = "2")]
+    pub versions: Vec<WireVersion>,
+}
+
+/// The wire form of [`crate::peer::FetchRequest`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireFetch {
+    /// The version wanted.
+    #[prost(message, optional, tag = "1")]
+    pub key: Option<WireVersion>,
+    /// Revision of the version held.
+    #[prost(uint64, optional, tag = "2")]
+    pub base_revision: Option<u64>,
+    /// Checksum of the version held.
+    #[prost(fixed64, tag = "3")]
+    pub base_checksum: u64,
+    /// Where the part starts.
+    #[prost(uint64, tag = "4")]
+    pub offset: u64,
+}
+
+/// The wire form of [`crate::peer::BodyPart`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WirePart {
+    /// The version that was asked for.
+    #[prost(message, optional, tag = "1")]
+    pub asked: Option<WireVersion>,
+    /// The version that the body leads to.
+    #[prost(message, optional, tag = "2")]
+    pub key: Option<WireVersion>,
+    /// Checksum of the encoded body.
+    #[prost(fixed64, tag = "3")]
+    pub body_checksum: u64,
+    /// Bytes of the encoded body.
+    #[prost(uint64, tag = "4")]
+    pub total: u64,
+    /// Where the part starts.
+    #[prost(uint64, tag = "5")]
+    pub offset: u64,
+    /// The part.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub data: Bytes,
+}
+
+/// The wire form of [`crate::peer::PeerRecord`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WirePeerRecord {
+    /// Where the process listens for peers.
+    #[prost(string, tag = "1")]
+    pub address: String,
+    /// Its failure domain.
+    #[prost(string, tag = "2")]
+    pub domain: String,
+    /// Its life.
+    #[prost(fixed64, tag = "3")]
+    pub incarnation: u64,
+    /// How long ago it was heard, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub heard_ms: u64,
+}
+
+/// Several processes.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WirePeers {
+    /// The processes.
+    #[prost(message, repeated, tag = "1")]
+    pub records: Vec<WirePeerRecord>,
+}
--- a/crates/papayamux-router/src/daemon.rs
+++ b/crates/papayamux-router/src/daemon.rs
@@ -13,6 +13,8 @@
 use papayamux_daemon::logging::start_logging;
 use papayamux_daemon::operations::{serve_operations, OperationsView};
 use papayamux_daemon::signals::catch_end_signals;
+use papayamux_spread::configuration::ConfigurationView;
+use papayamux_spread::SpreadIdentity;
 use papayamux_state::address_range::admits;
 use papayamux_state::ids::Incarnation;
 use papayamux_transport::http::{serve, AddressCheck, AnswerBody, HttpLimits};
@@ -25,6 +27,7 @@
 
 use crate::agents::RouterIdentity;
 use crate::callers::CallerDesk;
+use crate::configuration::{follow_configuration, start_configuration};
 use crate::directory::ServerDirectory;
 use crate::metrics::RouterMetrics;
 use crate::settings::RouterSettings;
@@ -34,11 +37,12 @@
     settings: RouterSettings,
     metrics: RouterMetrics,
     ready: Cell<bool>,
+    configuration: Option<ConfigurationView>,
 }
 
 impl OperationsView for RouterView {
     fn is_ready(&self) -> bool {
-        self.ready.get()
+        self.ready.get() && self.configuration.as_ref().is_none_or(ConfigurationView::is_settled)
     }
 
     fn status(&self) -> serde_json::Value {
@@ -47,7 +51,8 @@
             "version": env!("CARGO_PKG_VERSION"),
             "incarnation": self.incarnation.to_string(),
             "failure_domain": self.settings.domain.to_string(),
-            "ready": self.ready.get(),
+            "ready": self.is_ready(),
+            "configuration": self.configuration.as_ref().map(ConfigurationView::status),
             "servers": self.settings.servers.len(),
             "requests": self.metrics.requests.get(),
             "in_flight": self.metrics.in_flight.get(),
@@ -113,9 +118,14 @@
     metrics.register(&mut registry);
     let callers = listen(settings.listen)?;
     let operators = listen(settings.operations)?;
+    let spread_identity =
+        SpreadIdentity { incarnation: identity.incarnation, domain: identity.domain.clone() };
+    let configuration =
+        start_configuration(settings.spread.clone(), spread_identity, &mut registry)?;
     log::info!(
         listen:% = callers.local_addr()?, operations:% = operators.local_addr()?,
-        incarnation:% = identity.incarnation;
+        incarnation:% = identity.incarnation,
+        peers:% = configuration.as_ref().map_or(String::new(), |view| view.address().to_string());
         "router started"
     );
     let view = Rc::new(RouterView {
@@ -123,6 +133,7 @@
         settings: settings.clone(),
         metrics: metrics.clone(),
         ready: Cell::new(true),
+        configuration: configuration.clone(),
     });
     let shutdown = ShutdownSignal::new();
     let registry = Rc::new(registry);
@@ -130,6 +141,9 @@
     let incarnation = identity.incarnation;
     let directory = ServerDirectory::new(identity, metrics.clone(), settings.servers.clone());
     let limits = caller_limits(&settings, &metrics);
+    if let Some(view) = configuration {
+        monoio::spawn(follow_configuration(view, directory.clone()));
+    }
     let desk = CallerDesk::new(settings, directory, incarnation, metrics);
     let life = view.clone();
     let handler = Rc::new(move |request| {
--- a/crates/papayamux-router/src/lib.rs
+++ b/crates/papayamux-router/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod callers;
+mod configuration;
 pub mod daemon;
 mod directory;
 pub mod metrics;
--- a/crates/papayamux-router/src/settings.rs
+++ b/crates/papayamux-router/src/settings.rs
@@ -6,6 +6,7 @@
 use bon::Builder;
 use papayamux_protocol::proof::SharedSecret;
 use papayamux_settings::{Findings, IniFile, Millis};
+use papayamux_spread::settings::{read_spread, SpreadSettings, SPREAD_SECTION};
 use papayamux_state::address_range::AddressRange;
 use papayamux_state::ids::{FailureDomain, ModelId, ServerId};
 use papayamux_state::quantities::ByteCount;
@@ -60,8 +61,10 @@
     /// Addresses that callers may connect from; all where it is empty.
     #[builder(default)]
     pub allow: Vec<AddressRange>,
-    /// The backend servers.
+    /// The backend servers, where no configuration is spread.
     pub servers: Vec<ServerEntry>,
+    /// How the configuration is spread, where it is.
+    pub spread: Option<SpreadSettings>,
 }
 
 impl RouterSettings {
@@ -74,7 +77,7 @@
 }
 
 fn read_router(file: &IniFile) -> Option<RouterSettings> {
-    file.refuse_other_sections(&["router"], &["server"]);
+    file.refuse_other_sections(&["router", SPREAD_SECTION], &["server"]);
     let section = file.section("router");
     let listen = section.required("listen");
     let operations = section.required("operations");
@@ -89,6 +92,7 @@
     let secret = section.hidden("secret");
     let allow = section.list("allow");
     section.refuse_other_keys();
+    let spread = read_spread(file);
     let servers: Vec<_> =
         file.names_of("server").iter().map(|name| read_server(file, name)).collect();
     let servers = servers.into_iter().collect::<Option<Vec<_>>>();
@@ -106,6 +110,7 @@
         .maybe_secret(secret)
         .allow(allow)
         .servers(servers?)
+        .maybe_spread(spread)
         .build();
     Some(settings)
 }
--- a/crates/papayamux-settings/src/ini_file.rs
+++ b/crates/papayamux-settings/src/ini_file.rs
@@ -133,6 +133,11 @@
         SectionReader::new(self, name, self.ini.section(Some(name)))
     }
 
+    /// Whether the file has a section called `name`.
+    pub fn has_section(&self, name: &str) -> bool {
+        self.ini.section(Some(name)).is_some()
+    }
+
     /// The names after `kind` of all sections `[kind name]`, in the order of the file.
     pub fn names_of(&self, kind: &str) -> Vec<String> {
         let mut names: Vec<_> = self
--- /dev/null
+++ b/crates/papayamux-spread/src/configuration.rs
@@ -0,0 +1,145 @@
+//! What is in force in this process.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use futures_channel::mpsc;
+use papayamux_declarations::{DeclarationFile, FileName, FileSet, InForce, ParsedFile};
+use papayamux_transport::timer::TimerService;
+use prometheus_client::registry::Registry;
+
+use crate::files::{FileStore, FileVersion};
+use crate::metrics::SpreadMetrics;
+use crate::node::{SpreadIdentity, SpreadNode};
+use crate::settings::SpreadSettings;
+
+/// Whether a file may come into force by itself: its name and its text are well-formed.
+pub fn is_valid_file(name: &str, text: &str) -> bool {
+    let name: Result<FileName, _> = name.parse();
+    name.is_ok_and(|name| ParsedFile::parse(&name, text).is_ok())
+}
+
+struct ConfigurationState {
+    set: FileSet,
+    in_force: Rc<InForce>,
+    subscribers: Vec<mpsc::Sender<()>>,
+}
+
+/// What is in force, derived anew after each change; clones share it.
+#[derive(Clone)]
+pub struct ConfigurationView {
+    node: SpreadNode,
+    state: Rc<RefCell<ConfigurationState>>,
+}
+
+impl ConfigurationView {
+    /// Starts the spread in a daemon and follows what it holds.
+    pub fn start(
+        settings: SpreadSettings,
+        identity: SpreadIdentity,
+        registry: &mut Registry,
+    ) -> io::Result<Self> {
+        let metrics = SpreadMetrics::default();
+        metrics.register(registry);
+        let timer = TimerService::start();
+        let node = SpreadNode::start(settings, identity, is_valid_file, metrics, &timer)?;
+        Ok(Self::follow(node))
+    }
+
+    /// Where this process listens for peers.
+    pub fn address(&self) -> SocketAddr {
+        self.node.address()
+    }
+
+    /// Follows what `node` holds.
+    pub fn follow(node: SpreadNode) -> Self {
+        let state = ConfigurationState {
+            set: FileSet::default(),
+            in_force: Rc::default(),
+            subscribers: Vec::new(),
+        };
+        let view = Self { node, state: Rc::new(RefCell::new(state)) };
+        monoio::spawn(view.clone().follow_changes());
+        view
+    }
+
+    /// What is in force now.
+    pub fn in_force(&self) -> Rc<InForce> {
+        self.state.borrow().in_force.clone()
+    }
+
+    /// Whether the process has asked its peers since it started or was paused.
+    pub fn is_settled(&self) -> bool {
+        self.node.is_settled()
+    }
+
+    /// Subscribes to changes of what is in force and of whether the process is settled.
+    pub fn subscribe(&self) -> mpsc::Receiver<()> {
+        let (sender, receiver) = mpsc::channel(0);
+        self.state.borrow_mut().subscribers.push(sender);
+        receiver
+    }
+
+    /// The state, for people and programs.
+    pub fn status(&self) -> serde_json::Value {
+        let mut status = self.node.status();
+        let in_force = self.in_force();
+        status["in_force"] = serde_json::json!({
+            "digest": in_force.digest().to_string(),
+            "organisations": in_force.organisations.len(),
+            "models": in_force.models.len(),
+            "servers": in_force.servers.len(),
+            "refused_files": in_force.refused.len(),
+            "blocked_items": in_force.blocked.len(),
+        });
+        status
+    }
+
+    async fn follow_changes(self) {
+        let mut changes = self.node.subscribe();
+        while changes.changed().await {
+            self.derive();
+        }
+    }
+
+    fn derive(&self) {
+        let mut state = self.state.borrow_mut();
+        self.node.with_files(|files| offer_all(files, &mut state.set));
+        state.in_force = Rc::new(InForce::compute(&state.set));
+        let refused = state.in_force.refused.len();
+        self.node.metrics().refused_files.set(refused as i64);
+        state.subscribers.retain_mut(|subscriber| {
+            let _ = subscriber.try_send(());
+            !subscriber.is_closed()
+        });
+    }
+}
+
+/// Offers what the set may not have; what it has costs no parsing.
+fn offer_all(files: &FileStore, set: &mut FileSet) {
+    for latest in files.latest() {
+        for version in latest.accepted.into_iter().chain([latest.newest]) {
+            if let Some(file) = declaration(version, set) {
+                set.offer(file);
+            }
+        }
+    }
+}
+
+/// The version as a declaration file, unless the set is known to have taken it.
+fn declaration(version: &FileVersion, set: &FileSet) -> Option<DeclarationFile> {
+    let name: FileName = version.key.name.parse().ok()?;
+    let revision = version.key.revision.into();
+    if let Some(record) = set.record(&name) {
+        let head = record.head();
+        if head.refused == Some(revision) {
+            return None;
+        }
+    }
+    Some(match version.key.removed {
+        true => DeclarationFile::deleted(name, revision),
+        false => DeclarationFile::new(name, revision, version.text.as_str()),
+    })
+}
--- /dev/null
+++ b/crates/papayamux-spread/src/core.rs
@@ -0,0 +1,318 @@
+//! What the parts of one process's spread share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_channel::mpsc;
+use papayamux_protocol::link::PROTOCOL_VERSION;
+use papayamux_protocol::peer::{PeerHello, PeerSummary, ServiceReading, VersionKey};
+use papayamux_state::ids::{FailureDomain, Incarnation};
+use rand::seq::IndexedRandom;
+
+use crate::exchange::{ByteBudget, FetchBook, PeerLink};
+use crate::files::{EncodedBody, FileStore, FileVersion, JoinOutcome};
+use crate::metrics::SpreadMetrics;
+use crate::peers::PeerTable;
+use crate::settings::SpreadSettings;
+use crate::settling::{SettlingFacts, SettlingState};
+
+/// Encoded bodies kept for further parts and further peers.
+const MOST_BODIES: usize = 8;
+
+/// Where a version came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum VersionSource {
+    /// The configuration service.
+    Service,
+    /// A peer.
+    Peer,
+}
+
+impl VersionSource {
+    fn label(self) -> &'static str {
+        match self {
+            VersionSource::Service => "service",
+            VersionSource::Peer => "peer",
+        }
+    }
+}
+
+/// Bodies encoded lately.
+#[derive(Debug, Default)]
+pub(crate) struct BodyCache(Vec<(bool, EncodedBody)>);
+
+impl BodyCache {
+    /// The body of a version, encoded now unless it was lately.
+    pub(crate) fn get_or(
+        &mut self,
+        key: &VersionKey,
+        is_delta: bool,
+        encode: impl FnOnce() -> EncodedBody,
+    ) -> EncodedBody {
+        let known = self.0.iter().find(|(delta, body)| *delta == is_delta && body.key == *key);
+        if let Some((_, body)) = known {
+            return body.clone();
+        }
+        let body = encode();
+        if self.0.len() >= MOST_BODIES {
+            self.0.remove(0);
+        }
+        self.0.push((is_delta, body.clone()));
+        body
+    }
+}
+
+/// What is known of the service.
+#[derive(Debug, Clone, Copy, Default)]
+struct ServiceKnowledge {
+    /// The highest revision that anyone has seen.
+    known_revision: u64,
+    /// The latest reading that the versions held reflect.
+    reading: Option<(u64, Instant)>,
+}
+
+/// The state that all tasks of the spread share.
+pub(crate) struct SpreadCore {
+    pub(crate) settings: SpreadSettings,
+    pub(crate) domain: FailureDomain,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) own: SocketAddr,
+    pub(crate) metrics: SpreadMetrics,
+    pub(crate) store: RefCell<FileStore>,
+    pub(crate) bodies: RefCell<BodyCache>,
+    pub(crate) table: RefCell<PeerTable>,
+    pub(crate) links: RefCell<HashMap<u64, Rc<PeerLink>>>,
+    pub(crate) budget: ByteBudget,
+    pub(crate) fetches: RefCell<FetchBook>,
+    knowledge: Cell<ServiceKnowledge>,
+    settling: Cell<SettlingState>,
+    last_link: Cell<u64>,
+    subscribers: RefCell<Vec<mpsc::Sender<()>>>,
+}
+
+impl SpreadCore {
+    pub(crate) fn new(
+        settings: SpreadSettings,
+        domain: FailureDomain,
+        incarnation: Incarnation,
+        own: SocketAddr,
+        store: FileStore,
+        metrics: SpreadMetrics,
+    ) -> Self {
+        Self {
+            domain,
+            incarnation,
+            own,
+            metrics,
+            store: RefCell::new(store),
+            bodies: RefCell::default(),
+            table: RefCell::new(PeerTable::new(own, settings.watchers)),
+            links: RefCell::default(),
+            budget: ByteBudget::new(settings.bytes_per_second),
+            fetches: RefCell::default(),
+            knowledge: Cell::default(),
+            settling: Cell::new(SettlingState::Asking(Instant::now())),
+            last_link: Cell::new(0),
+            subscribers: RefCell::default(),
+            settings,
+        }
+    }
+
+    /// What this process says of itself.
+    pub(crate) fn hello(&self) -> PeerHello {
+        PeerHello {
+            version: PROTOCOL_VERSION,
+            incarnation: self.incarnation,
+            domain: self.domain.clone(),
+            listen: self.own,
+        }
+    }
+
+    /// A short account of what is held.
+    pub(crate) fn summary(&self, asks: bool) -> PeerSummary {
+        PeerSummary {
+            digest: self.store.borrow().digest(),
+            known_revision: self.known_revision(),
+            reading: self.knowledge.get().reading.map(|(revision, read)| ServiceReading {
+                revision,
+                age_ms: read.elapsed().as_millis() as u64,
+            }),
+            settled: self.is_settled(),
+            asks,
+        }
+    }
+
+    /// Takes a version, announces it to the peers that are not known to have it, and tells the
+    /// subscribers.
+    pub(crate) fn take_version(
+        &self,
+        version: FileVersion,
+        source: VersionSource,
+        from: Option<u64>,
+    ) -> JoinOutcome {
+        let key = version.key.clone();
+        let outcome = self.store.borrow_mut().join(version);
+        match outcome {
+            JoinOutcome::Taken => self.spread_version(&key, source, from),
+            JoinOutcome::Known => {}
+            JoinOutcome::Older => self.metrics.dropped.count("older_version"),
+            JoinOutcome::TooLarge => {
+                self.metrics.dropped.count("too_large");
+                log::error!(file = key.name, revision = key.revision; "a file exceeds the bounds");
+            }
+        }
+        outcome
+    }
+
+    fn spread_version(&self, key: &VersionKey, source: VersionSource, from: Option<u64>) {
+        self.metrics.taken.count(source.label());
+        log::info!(
+            file = key.name, revision = key.revision, source = source.label();
+            "version taken"
+        );
+        self.note_known_revision(key.revision);
+        let holders = self.fetches.borrow().sources_of(key).to_vec();
+        for link in self.links.borrow().values() {
+            if Some(link.id) != from && !holders.contains(&link.id) {
+                link.plan_announcement(key.clone());
+            }
+        }
+        self.tell_subscribers();
+    }
+
+    fn tell_subscribers(&self) {
+        self.subscribers.borrow_mut().retain_mut(|subscriber| {
+            let _ = subscriber.try_send(());
+            !subscriber.is_closed()
+        });
+    }
+
+    /// A receiver that is woken after each change of what is held.
+    pub(crate) fn subscribe(&self) -> mpsc::Receiver<()> {
+        let (sender, receiver) = mpsc::channel(0);
+        self.subscribers.borrow_mut().push(sender);
+        receiver
+    }
+
+    /// The highest service revision that anyone has seen, as far as is known.
+    pub(crate) fn known_revision(&self) -> u64 {
+        self.knowledge.get().known_revision
+    }
+
+    /// The service revision that the versions held reflect.
+    pub(crate) fn reflected_revision(&self) -> Option<u64> {
+        self.knowledge.get().reading.map(|(revision, _)| revision)
+    }
+
+    /// Notes that someone has seen the service at `revision`.
+    pub(crate) fn note_known_revision(&self, revision: u64) {
+        let mut knowledge = self.knowledge.get();
+        knowledge.known_revision = knowledge.known_revision.max(revision);
+        self.knowledge.set(knowledge);
+    }
+
+    /// Notes a reading that the versions held reflect; one of a revision below the highest known
+    /// is no news.
+    pub(crate) fn note_reading(&self, revision: u64, read: Instant) {
+        let mut knowledge = self.knowledge.get();
+        let later = knowledge.reading.is_none_or(|(_, known)| read > known);
+        if revision >= knowledge.known_revision && later {
+            knowledge.known_revision = revision;
+            knowledge.reading = Some((revision, read));
+            self.knowledge.set(knowledge);
+        }
+    }
+
+    /// Takes over the reading of a peer that holds the same.
+    pub(crate) fn adopt_reading(&self, reading: Option<ServiceReading>) {
+        let Some(reading) = reading else { return };
+        let age = Duration::from_millis(reading.age_ms);
+        if let Some(read) = Instant::now().checked_sub(age) {
+            self.note_reading(reading.revision, read);
+        }
+    }
+
+    /// How long ago the service was read at what is held.
+    pub(crate) fn age(&self) -> Option<Duration> {
+        self.knowledge.get().reading.map(|(_, read)| read.elapsed())
+    }
+
+    /// Whether the process may serve with what it holds.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.settling.get() == SettlingState::Settled
+    }
+
+    /// Has the process ask its peers before it counts as settled again.
+    pub(crate) fn ask_again(&self) {
+        self.settling.set(SettlingState::Asking(Instant::now()));
+        for link in self.links.borrow().values() {
+            link.agreed.set(false);
+            link.peer_settled.set(None);
+            link.plan_summary(true);
+        }
+    }
+
+    /// Settles the process where the facts allow it.
+    pub(crate) fn look_whether_settled(&self) {
+        let SettlingState::Asking(since) = self.settling.get() else { return };
+        if self.settling_facts(since).is_settled(self.settings.ask_within) {
+            self.settling.set(SettlingState::Settled);
+            log::info!(
+                revision = self.store.borrow().revision(), asked_ms = since.elapsed().as_millis() as u64;
+                "configuration settled"
+            );
+            self.links.borrow().values().for_each(|link| link.plan_summary(false));
+            self.tell_subscribers();
+        }
+    }
+
+    fn settling_facts(&self, since: Instant) -> SettlingFacts {
+        let links = self.links.borrow();
+        let heard = links.values().filter(|link| link.peer_settled.get().is_some());
+        let agreed = links.values().filter(|link| link.agreed.get()).count();
+        let settled = links.values().filter(|link| link.peer_settled.get() == Some(true));
+        SettlingFacts {
+            asked_for: since.elapsed(),
+            has_peers: !self.settings.peers.is_empty() || !links.is_empty(),
+            heard: heard.count(),
+            agreed,
+            disagreed: settled.filter(|link| !link.agreed.get()).count(),
+            has_reading: self.knowledge.get().reading.is_some_and(|(_, read)| read >= since),
+            holds_files: self.store.borrow().files() > 0,
+            fetches: !self.is_fetch_idle(),
+        }
+    }
+
+    /// Whether no version is being fetched.
+    pub(crate) fn is_fetch_idle(&self) -> bool {
+        self.fetches.borrow().is_idle()
+    }
+
+    /// A number for a new link.
+    pub(crate) fn next_link(&self) -> u64 {
+        self.last_link.set(self.last_link.get() + 1);
+        self.last_link.get()
+    }
+
+    /// Links open that this process opened, or that its peers opened.
+    pub(crate) fn count_links(&self, outgoing: bool) -> usize {
+        self.links.borrow().values().filter(|link| link.outgoing == outgoing).count()
+    }
+
+    /// Whether there is a link to the peer at `address`.
+    pub(crate) fn is_linked(&self, address: SocketAddr) -> bool {
+        self.links.borrow().values().any(|link| link.address == address)
+    }
+
+    /// Closes one of the links that this process opened.
+    pub(crate) fn close_one_link(&self) {
+        let links = self.links.borrow();
+        let opened: Vec<_> = links.values().filter(|link| link.outgoing).collect();
+        if let Some(link) = opened.choose(&mut rand::rng()) {
+            link.close();
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayamux-spread/src/exchange/dialer.rs
@@ -0,0 +1,236 @@
+//! Connections to peers: opening, accepting, renewing.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use monoio::net::{TcpListener, TcpStream};
+use papayamux_transport::link::connect;
+use papayamux_transport::timer::TimerSubscription;
+use rand::seq::IndexedRandom;
+use rand::RngExt;
+
+use super::link_reader::{run_link, PeerError};
+use crate::core::SpreadCore;
+use crate::pace::RetryBackoff;
+use crate::peers::ALIVE_WITHIN;
+
+/// Connections of peers open at once.
+const MOST_ACCEPTED: usize = 32;
+/// How long the listener waits after it could not accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The first and the longest pause before a peer that could not be reached is tried again.
+const REDIAL_FIRST: Duration = Duration::from_millis(500);
+const REDIAL_LONGEST: Duration = Duration::from_secs(10);
+/// Addresses whose failures are remembered.
+const MOST_FAILURES: usize = 512;
+/// About how often one connection is replaced by one to another peer, so that halves that were
+/// parted find each other and the connections stay mixed.
+const RENEW_EVERY: Duration = Duration::from_secs(30);
+/// About how often a peer that is not heard any more is tried beside the connections open.
+const PROBE_EVERY: Duration = Duration::from_secs(8);
+
+/// Accepts peers for ever.
+pub(crate) async fn accept_peers(core: Rc<SpreadCore>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:% = error; "accepting a peer failed");
+                monoio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if core.count_links(false) >= MOST_ACCEPTED {
+            core.metrics.lost_links.count(PeerError::TooMany.label());
+            continue;
+        }
+        let core = core.clone();
+        monoio::spawn(async move {
+            let outcome = run_link(&core, stream, false).await;
+            note_end(&core, outcome);
+        });
+    }
+}
+
+fn note_end(core: &SpreadCore, outcome: Result<(), PeerError>) {
+    let Err(error) = outcome else { return };
+    core.metrics.lost_links.count(error.label());
+    log::debug!(error:% = error; "connection of a peer ended");
+}
+
+struct DialFailure {
+    backoff: RetryBackoff,
+    until: Instant,
+}
+
+/// Keeps connections to peers open.
+struct PeerDialer {
+    core: Rc<SpreadCore>,
+    dialing: Vec<SocketAddr>,
+    failures: HashMap<SocketAddr, DialFailure>,
+    ended: futures_channel::mpsc::UnboundedReceiver<DialEnd>,
+    report: futures_channel::mpsc::UnboundedSender<DialEnd>,
+    renew_at: Instant,
+    probe_at: Instant,
+}
+
+/// How an outgoing connection ended.
+enum DialEnd {
+    /// It could not be opened.
+    Failed(SocketAddr),
+    /// It was open for a while.
+    Ended(SocketAddr),
+    /// It leads back to this process.
+    Itself,
+}
+
+fn about(period: Duration) -> Duration {
+    period.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
+/// Opens connections to peers for ever.
+pub(crate) async fn dial_peers(core: Rc<SpreadCore>, mut ticks: TimerSubscription) {
+    let (report, ended) = futures_channel::mpsc::unbounded();
+    let now = Instant::now();
+    let mut dialer = PeerDialer {
+        core,
+        dialing: Vec::new(),
+        failures: HashMap::new(),
+        ended,
+        report,
+        renew_at: now + about(RENEW_EVERY),
+        probe_at: now + about(PROBE_EVERY),
+    };
+    dialer.look(now);
+    while ticks.tick().await.is_some() {
+        dialer.take_ends();
+        dialer.look(Instant::now());
+    }
+}
+
+impl PeerDialer {
+    fn take_ends(&mut self) {
+        while let Ok(end) = self.ended.try_recv() {
+            match end {
+                DialEnd::Failed(address) => self.note_failure(address),
+                DialEnd::Ended(address) => {
+                    self.failures.remove(&address);
+                    self.dialing.retain(|dialed| *dialed != address);
+                }
+                // Stays in `dialing`, so that it is never tried again.
+                DialEnd::Itself => {}
+            }
+        }
+    }
+
+    fn note_failure(&mut self, address: SocketAddr) {
+        self.dialing.retain(|dialed| *dialed != address);
+        if self.failures.len() >= MOST_FAILURES {
+            self.failures.clear();
+        }
+        let failure = self.failures.entry(address).or_insert_with(|| DialFailure {
+            backoff: RetryBackoff::new(REDIAL_FIRST, REDIAL_LONGEST),
+            until: Instant::now(),
+        });
+        failure.until = Instant::now() + failure.backoff.pause();
+    }
+
+    fn look(&mut self, now: Instant) {
+        let open = self.core.count_links(true);
+        let fanout = self.core.settings.fanout;
+        for _ in open..fanout {
+            let Some(address) =
+                self.pick(now, Wanted::Alive).or_else(|| self.pick(now, Wanted::Any))
+            else {
+                break;
+            };
+            self.dial(address);
+        }
+        if now >= self.renew_at {
+            self.renew_at = now + about(RENEW_EVERY);
+            if open > fanout || (open == fanout && self.pick(now, Wanted::Alive).is_some()) {
+                self.core.close_one_link();
+            }
+        }
+        if now >= self.probe_at {
+            self.probe_at = now + about(PROBE_EVERY);
+            if let Some(address) = self.pick(now, Wanted::Silent) {
+                self.dial(address);
+            }
+        }
+    }
+
+    /// A peer that is not connected, at random; those of other failure domains as likely as those
+    /// of the own one.
+    fn pick(&self, now: Instant, wanted: Wanted) -> Option<SocketAddr> {
+        let table = self.core.table.borrow();
+        let mut near = Vec::new();
+        let mut far = Vec::new();
+        for peer in table.all().filter(|peer| self.may_dial(peer.address, now)) {
+            let alive = now.saturating_duration_since(peer.heard) < ALIVE_WITHIN;
+            if wanted.takes(alive) {
+                let is_near = peer.domain == self.core.domain;
+                if is_near { &mut near } else { &mut far }.push(peer.address);
+            }
+        }
+        if wanted != Wanted::Alive {
+            let seeds = self.core.settings.peers.iter().copied();
+            let unknown = |seed: &SocketAddr| table.all().all(|peer| peer.address != *seed);
+            far.extend(seeds.filter(unknown).filter(|seed| self.may_dial(*seed, now)));
+        }
+        let mut random = rand::rng();
+        let (first, second) = if random.random_bool(0.5) { (near, far) } else { (far, near) };
+        first.choose(&mut random).or_else(|| second.choose(&mut random)).copied()
+    }
+
+    fn may_dial(&self, address: SocketAddr, now: Instant) -> bool {
+        let backs_off = self.failures.get(&address).is_some_and(|failure| failure.until > now);
+        !backs_off && !self.dialing.contains(&address) && !self.core.is_linked(address)
+    }
+
+    fn dial(&mut self, address: SocketAddr) {
+        self.dialing.push(address);
+        let (core, report) = (self.core.clone(), self.report.clone());
+        monoio::spawn(async move {
+            let end = match connect(address).await {
+                Ok(stream) => run_dialed(&core, stream, address).await,
+                Err(_) => DialEnd::Failed(address),
+            };
+            let _ = report.unbounded_send(end);
+        });
+    }
+}
+
+async fn run_dialed(core: &Rc<SpreadCore>, stream: TcpStream, address: SocketAddr) -> DialEnd {
+    let outcome = run_link(core, stream, true).await;
+    let end = match &outcome {
+        Ok(()) | Err(PeerError::Silent) => DialEnd::Ended(address),
+        Err(PeerError::Itself) => DialEnd::Itself,
+        Err(_) => DialEnd::Failed(address),
+    };
+    note_end(core, outcome);
+    end
+}
+
+/// Which peers are wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Wanted {
+    /// Those heard lately.
+    Alive,
+    /// Those not heard lately, and seeds.
+    Silent,
+    /// All.
+    Any,
+}
+
+impl Wanted {
+    fn takes(self, alive: bool) -> bool {
+        match self {
+            Wanted::Alive => alive,
+            Wanted::Silent => !alive,
+            Wanted::Any => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayamux-spread/src/exchange/fetch.rs
@@ -0,0 +1,215 @@
+//! Fetching versions from the peers that have them.
+
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use papayamux_protocol::peer::{BodyPart, FetchRequest, VersionKey};
+use rand::seq::IndexedRandom;
+use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::link_writer::PART_BYTES;
+use super::peer_link::{FetchAnswer, PeerLink};
+use crate::core::{SpreadCore, VersionSource};
+use crate::files::{BodyError, EncodedBody, FileVersion, LONGEST_BODY};
+
+/// Fetches that run at once.
+const MOST_FETCHES: usize = 4;
+/// Versions that may be wanted at once.
+const MOST_WANTED: usize = 8_192;
+/// Peers noted as having a version.
+const MOST_SOURCES: usize = 16;
+/// How long a part may take to come.
+const PART_WITHIN: Duration = Duration::from_secs(10);
+/// Bytes taken from the budget for a first part, before its length is known.
+const FIRST_PART_BYTES: u64 = 512;
+/// Bytes of a part beside its data, about.
+const PART_OVERHEAD: u64 = 128;
+
+/// Why a peer did not give a version.
+#[derive(Debug, Error)]
+enum FetchError {
+    #[error("the connection ended")]
+    LinkLost,
+    #[error("no part came in time")]
+    Timeout,
+    #[error("the peer can't give the version")]
+    Absent,
+    #[error("the parts do not fit together")]
+    Parts,
+    #[error(transparent)]
+    Body(#[from] BodyError),
+}
+
+impl FetchError {
+    fn label(&self) -> &'static str {
+        match self {
+            FetchError::LinkLost => "link_lost",
+            FetchError::Timeout => "timeout",
+            FetchError::Absent => "absent",
+            FetchError::Parts => "parts",
+            FetchError::Body(_) => "body",
+        }
+    }
+}
+
+/// The versions wanted, each with the links of peers that have it.
+#[derive(Debug, Default)]
+pub(crate) struct FetchBook {
+    sources: HashMap<VersionKey, Vec<u64>>,
+    queue: VecDeque<VersionKey>,
+    running: usize,
+}
+
+impl FetchBook {
+    /// Whether nothing is being fetched.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.sources.is_empty()
+    }
+
+    /// Notes that a peer has a version; `true` where a fetch must be started for it.
+    fn note(&mut self, key: &VersionKey, link: u64) -> bool {
+        if let Some(sources) = self.sources.get_mut(key) {
+            if sources.len() < MOST_SOURCES && !sources.contains(&link) {
+                sources.push(link);
+            }
+            return false;
+        }
+        if self.sources.len() >= MOST_WANTED {
+            return false;
+        }
+        self.sources.insert(key.clone(), vec![link]);
+        self.queue.push_back(key.clone());
+        let starts = self.running < MOST_FETCHES;
+        self.running += usize::from(starts);
+        starts
+    }
+
+    fn next(&mut self) -> Option<VersionKey> {
+        let next = self.queue.pop_front();
+        self.running -= usize::from(next.is_none());
+        next
+    }
+
+    /// The links of peers known to have a version that is being fetched.
+    pub(crate) fn sources_of(&self, key: &VersionKey) -> &[u64] {
+        self.sources.get(key).map_or(&[], Vec::as_slice)
+    }
+}
+
+/// Notes that the peer on `link` has these versions, and fetches those that are of use.
+pub(crate) fn want_versions(core: &Rc<SpreadCore>, link: &PeerLink, keys: Vec<VersionKey>) {
+    for key in keys {
+        if !core.store.borrow().wants(&key) {
+            continue;
+        }
+        if key.removed {
+            let version = FileVersion::removed(&key.name, key.revision);
+            core.take_version(version, VersionSource::Peer, Some(link.id));
+            continue;
+        }
+        if core.fetches.borrow_mut().note(&key, link.id) {
+            monoio::spawn(run_fetches(core.clone()));
+        }
+    }
+}
+
+async fn run_fetches(core: Rc<SpreadCore>) {
+    loop {
+        let next = core.fetches.borrow_mut().next();
+        let Some(key) = next else { return };
+        fetch_version(&core, &key).await;
+        core.fetches.borrow_mut().sources.remove(&key);
+    }
+}
+
+/// Asks one peer after the other until the version, or a later one, is here.
+async fn fetch_version(core: &Rc<SpreadCore>, key: &VersionKey) {
+    let mut tried = Vec::new();
+    while core.store.borrow().wants(key) {
+        let Some(link) = pick_source(core, key, &tried) else {
+            core.metrics.fetch_retries.count("no_source");
+            return;
+        };
+        match fetch_from(core, &link, key).await {
+            Ok(version) => {
+                let fetched = version.key.clone();
+                core.take_version(version, VersionSource::Peer, Some(link.id));
+                if fetched.revision >= key.revision {
+                    return;
+                }
+            }
+            Err(error) => {
+                core.metrics.fetch_retries.count(error.label());
+                log::debug!(peer:% = link.address, file = key.name, error:% = error; "fetch failed");
+                tried.push(link.id);
+            }
+        }
+    }
+}
+
+fn pick_source(core: &SpreadCore, key: &VersionKey, tried: &[u64]) -> Option<Rc<PeerLink>> {
+    let fetches = core.fetches.borrow();
+    let links = core.links.borrow();
+    let open: Vec<_> = fetches
+        .sources_of(key)
+        .iter()
+        .filter(|id| !tried.contains(id))
+        .filter_map(|id| links.get(id))
+        .collect();
+    open.choose(&mut rand::rng()).map(|link| (*link).clone())
+}
+
+async fn fetch_from(
+    core: &SpreadCore,
+    link: &PeerLink,
+    key: &VersionKey,
+) -> Result<FileVersion, FetchError> {
+    let base = core.store.borrow().newest(&key.name).cloned();
+    let base_key = base.as_ref().filter(|base| !base.key.removed).map(|base| &base.key);
+    let base_place = base_key.map(|base| (base.revision, base.checksum));
+    let mut body = BytesMut::new();
+    let mut expected = FIRST_PART_BYTES;
+    loop {
+        core.budget.take_bulk(expected).await;
+        let offset = body.len() as u64;
+        let request = FetchRequest { key: key.clone(), base: base_place, offset };
+        let part = receive_part(link, request).await?;
+        core.budget.charge(part.data.len() as u64 + PART_OVERHEAD, expected);
+        check_part(&part, offset)?;
+        body.extend_from_slice(&part.data);
+        if body.len() as u64 == part.total {
+            if xxh3_64(&body) != part.body_checksum {
+                return Err(FetchError::Parts);
+            }
+            let base = base.as_ref().map_or("", |base| base.text.as_str());
+            return Ok(EncodedBody::decode(&part.key, &body, base)?);
+        }
+        let left = part.total - body.len() as u64;
+        expected = left.min(PART_BYTES as u64) + PART_OVERHEAD;
+    }
+}
+
+async fn receive_part(link: &PeerLink, request: FetchRequest) -> Result<BodyPart, FetchError> {
+    match monoio::time::timeout(PART_WITHIN, link.ask(request)).await {
+        Ok(Ok(FetchAnswer::Part(part))) => Ok(part),
+        Ok(Ok(FetchAnswer::Absent)) => Err(FetchError::Absent),
+        Ok(Err(_)) => Err(FetchError::LinkLost),
+        Err(_) => Err(FetchError::Timeout),
+    }
+}
+
+fn check_part(part: &BodyPart, offset: u64) -> Result<(), FetchError> {
+    let end = offset + part.data.len() as u64;
+    let fits = part.offset == offset
+        && part.key.name == part.asked.name
+        && !part.data.is_empty()
+        && part.total <= LONGEST_BODY as u64
+        && end <= part.total;
+    match fits {
+        true => Ok(()),
+        false => Err(FetchError::Parts),
+    }
+}
--- /dev/null
+++ b/crates/papayamux-spread/src/exchange/link_reader.rs
@@ -0,0 +1,228 @@
+//! One connection to a peer from hello to end.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::{select, Either};
+use monoio::net::TcpStream;
+use papayamux_protocol::link::{Addressed, PROTOCOL_VERSION};
+use papayamux_protocol::peer::{PeerHello, PeerMessage, PeerSummary, VersionKey};
+use papayamux_protocol::wire::PeerFrame;
+use papayamux_transport::link::{start_link, LinkError, LinkReceiver};
+use thiserror::Error;
+
+use super::fetch::want_versions;
+use super::link_writer::{write_bodies, write_messages};
+use super::peer_link::{FetchAnswer, PeerLink};
+use crate::core::SpreadCore;
+use crate::peers::KnownPeer;
+
+/// How long the peer's hello may take.
+const HELLO_WITHIN: Duration = Duration::from_secs(2);
+/// How long a peer may be silent; it sends a summary every two seconds.
+const SILENCE_WITHIN: Duration = Duration::from_secs(8);
+/// Summaries in a row that differ before versions are compared: a change on its way makes one
+/// or two differ.
+const DIFFERING_BEFORE_COMPARE: u32 = 2;
+
+type PeerReceiver = LinkReceiver<PeerFrame, PeerFrame>;
+
+/// Why a link ended.
+#[derive(Debug, Error)]
+pub(crate) enum PeerError {
+    /// The connection failed.
+    #[error(transparent)]
+    Link(#[from] LinkError),
+    /// The peer said no hello.
+    #[error("the peer said no hello in time")]
+    NoHello,
+    /// The peer speaks another version.
+    #[error("the peer speaks version {0}")]
+    Version(u32),
+    /// The connection leads back to this process.
+    #[error("the connection leads back to this process")]
+    Itself,
+    /// The peer fell silent.
+    #[error("the peer was silent for {SILENCE_WITHIN:?}")]
+    Silent,
+    /// The peer said hello twice.
+    #[error("the peer said hello twice")]
+    SecondHello,
+    /// More peers are connected than allowed.
+    #[error("too many peers are connected")]
+    TooMany,
+}
+
+impl PeerError {
+    /// The reason's label.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            PeerError::Link(_) => "broken",
+            PeerError::NoHello => "no_hello",
+            PeerError::Version(_) => "version",
+            PeerError::Itself => "itself",
+            PeerError::Silent => "silent",
+            PeerError::SecondHello => "second_hello",
+            PeerError::TooMany => "too_many",
+        }
+    }
+}
+
+/// Exchanges versions over `stream` until the link ends.
+pub(crate) async fn run_link(
+    core: &Rc<SpreadCore>,
+    stream: TcpStream,
+    outgoing: bool,
+) -> Result<(), PeerError> {
+    let (sender, mut receiver) = start_link::<PeerFrame, PeerFrame, PeerMessage>(stream)?;
+    let own = PeerMessage::Hello(core.hello());
+    core.metrics.sent_bytes.inc_by(own.wire_bytes());
+    sender.send(0, own);
+    let hello = receive_hello(core, &mut receiver).await?;
+    let (link, wakes) = PeerLink::new(core.next_link(), hello, outgoing, sender);
+    let link = Rc::new(link);
+    core.links.borrow_mut().insert(link.id, link.clone());
+    core.metrics.peer_links.inc();
+    monoio::spawn(write_messages(core.clone(), link.clone(), wakes.messages));
+    monoio::spawn(write_bodies(core.clone(), link.clone(), wakes.requests));
+    link.plan_summary(true);
+    link.plan_peers();
+    let read = std::pin::pin!(read_messages(core, &link, &mut receiver));
+    let outcome = match select(std::pin::pin!(link.closing()), read).await {
+        Either::Left(_) => Ok(()),
+        Either::Right((outcome, _)) => outcome,
+    };
+    core.links.borrow_mut().remove(&link.id);
+    core.metrics.peer_links.dec();
+    link.close();
+    outcome
+}
+
+async fn receive_hello(
+    core: &SpreadCore,
+    receiver: &mut PeerReceiver,
+) -> Result<PeerHello, PeerError> {
+    let hello = match monoio::time::timeout(HELLO_WITHIN, receiver.receive()).await {
+        Ok(Some(Ok(Addressed { message: PeerMessage::Hello(hello), .. }))) => hello,
+        Ok(Some(Err(error))) => return Err(error.into()),
+        Ok(_) | Err(_) => return Err(PeerError::NoHello),
+    };
+    if hello.version != PROTOCOL_VERSION {
+        return Err(PeerError::Version(hello.version));
+    }
+    if hello.incarnation == core.incarnation {
+        return Err(PeerError::Itself);
+    }
+    Ok(hello)
+}
+
+async fn read_messages(
+    core: &Rc<SpreadCore>,
+    link: &Rc<PeerLink>,
+    receiver: &mut PeerReceiver,
+) -> Result<(), PeerError> {
+    loop {
+        let received = match monoio::time::timeout(SILENCE_WITHIN, receiver.receive()).await {
+            Ok(Some(received)) => received?,
+            Ok(None) => return Ok(()),
+            Err(_) => return Err(PeerError::Silent),
+        };
+        note_heard(core, link);
+        count_received(core, &received.message);
+        take_message(core, link, received.message)?;
+    }
+}
+
+fn note_heard(core: &SpreadCore, link: &PeerLink) {
+    let now = Instant::now();
+    link.heard.set(now);
+    let PeerHello { incarnation, domain, listen, .. } = link.hello.clone();
+    let peer = KnownPeer { address: listen, domain, incarnation, heard: now };
+    core.table.borrow_mut().note(peer, now);
+}
+
+fn count_received(core: &SpreadCore, message: &PeerMessage) {
+    let bytes = message.wire_bytes();
+    core.metrics.received_bytes.inc_by(bytes);
+    if !matches!(message, PeerMessage::Part(_)) {
+        core.budget.charge(bytes, 0);
+    }
+}
+
+fn take_message(
+    core: &Rc<SpreadCore>,
+    link: &Rc<PeerLink>,
+    message: PeerMessage,
+) -> Result<(), PeerError> {
+    match message {
+        PeerMessage::Hello(_) => return Err(PeerError::SecondHello),
+        PeerMessage::Summary(summary) => take_summary(core, link, summary),
+        PeerMessage::Buckets(digests) => take_buckets(core, link, &digests),
+        PeerMessage::Inventory { buckets, versions } => {
+            take_inventory(core, link, &buckets, versions);
+        }
+        PeerMessage::Announce(keys) => want_versions(core, link, keys),
+        PeerMessage::Fetch(request) => link.take_request(request),
+        PeerMessage::Part(part) => {
+            let asked = part.asked.clone();
+            if !link.answer_fetch(&asked, FetchAnswer::Part(part)) {
+                core.metrics.dropped.count("stray_part");
+            }
+        }
+        PeerMessage::Absent(key) => {
+            link.answer_fetch(&key, FetchAnswer::Absent);
+        }
+        PeerMessage::Peers(records) => {
+            let now = Instant::now();
+            let mut table = core.table.borrow_mut();
+            records.into_iter().for_each(|record| table.note_record(record, now));
+        }
+    }
+    Ok(())
+}
+
+fn take_summary(core: &Rc<SpreadCore>, link: &PeerLink, summary: PeerSummary) {
+    let is_first = link.peer_settled.get().is_none();
+    link.peer_settled.set(Some(summary.settled));
+    core.note_known_revision(summary.known_revision);
+    if summary.asks {
+        link.plan_summary(false);
+    }
+    if summary.digest == core.store.borrow().digest() {
+        link.differing.set(0);
+        link.agreed.set(summary.settled);
+        core.adopt_reading(summary.reading);
+        core.look_whether_settled();
+        return;
+    }
+    let differing = link.differing.get() + 1;
+    link.differing.set(differing);
+    let compares = is_first || (differing >= DIFFERING_BEFORE_COMPARE && core.is_fetch_idle());
+    if link.outgoing && compares {
+        link.plan_buckets();
+    }
+}
+
+fn take_buckets(core: &SpreadCore, link: &PeerLink, digests: &[u64]) {
+    let store = core.store.borrow();
+    let differing = store
+        .buckets()
+        .iter()
+        .enumerate()
+        .filter(|(bucket, own)| digests.get(*bucket).is_none_or(|digest| digest != *own));
+    link.plan_inventory(differing.map(|(bucket, _)| bucket));
+}
+
+/// Fetches what the peer has and this process lacks, and announces the reverse.
+fn take_inventory(
+    core: &Rc<SpreadCore>,
+    link: &Rc<PeerLink>,
+    buckets: &[u32],
+    versions: Vec<VersionKey>,
+) {
+    let own = core.store.borrow().inventory(|bucket| buckets.contains(&(bucket as u32)));
+    own.into_iter().filter(|key| !versions.contains(key)).for_each(|key| {
+        link.plan_announcement(key);
+    });
+    want_versions(core, link, versions);
+}
--- /dev/null
+++ b/crates/papayamux-spread/src/exchange/mod.rs
@@ -0,0 +1,13 @@
+//! The exchange of versions between peers.
+
+mod byte_budget;
+mod dialer;
+mod fetch;
+mod link_reader;
+mod link_writer;
+mod peer_link;
+
+pub(crate) use byte_budget::ByteBudget;
+pub(crate) use dialer::{accept_peers, dial_peers};
+pub(crate) use fetch::FetchBook;
+pub(crate) use peer_link::PeerLink;
--- /dev/null
+++ b/crates/papayamux-spread/src/files/mod.rs
@@ -0,0 +1,12 @@
+//! The files that a process holds, and how one version leads to the next.
+
+mod delta;
+mod encoded_body;
+mod file_store;
+mod file_version;
+
+pub use delta::{DeltaError, DeltaStep};
+pub(crate) use encoded_body::LONGEST_BODY;
+pub use encoded_body::{BodyError, EncodedBody};
+pub use file_store::{FileCheck, FileStore, JoinOutcome, LatestVersion};
+pub use file_version::FileVersion;
--- /dev/null
+++ b/crates/papayamux-spread/src/node.rs
@@ -0,0 +1,164 @@
+//! The spread as a process uses it.
+
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use papayamux_state::ids::{FailureDomain, Incarnation};
+use papayamux_transport::listen::listen;
+use papayamux_transport::timer::{TimerService, TimerSubscription};
+use serde_json::json;
+
+use crate::core::SpreadCore;
+use crate::exchange::{accept_peers, dial_peers};
+use crate::files::{FileCheck, FileStore};
+use crate::metrics::SpreadMetrics;
+use crate::service::read_service;
+use crate::settings::SpreadSettings;
+
+/// How often summaries go to peers.
+const SUMMARY_EVERY: Duration = Duration::from_secs(2);
+/// Summaries between two lists of peers.
+const SUMMARIES_PER_PEERS: u32 = 3;
+/// How often the dialer and the reader look whether there is something to do.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// Who a process is.
+#[derive(Debug, Clone)]
+pub struct SpreadIdentity {
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+}
+
+/// The spread of files in this process; clones share it.
+#[derive(Clone)]
+pub struct SpreadNode {
+    core: Rc<SpreadCore>,
+}
+
+/// Wakes after changes; several changes may wake once.
+pub struct ChangeSubscription {
+    receiver: mpsc::Receiver<()>,
+}
+
+impl ChangeSubscription {
+    /// Waits for the next change; `false` once the spread has ended.
+    pub async fn changed(&mut self) -> bool {
+        self.receiver.next().await.is_some()
+    }
+}
+
+impl SpreadNode {
+    /// Starts the spread on the current runtime. Versions that fail `check` are spread, but the
+    /// last version of the same file that passes is kept beside them.
+    pub fn start(
+        settings: SpreadSettings,
+        identity: SpreadIdentity,
+        check: FileCheck,
+        metrics: SpreadMetrics,
+        timer: &TimerService,
+    ) -> io::Result<Self> {
+        let listener = listen(settings.listen)?;
+        let own = listener.local_addr()?;
+        log::info!(peers:% = own; "exchange with peers begins");
+        let SpreadIdentity { incarnation, domain } = identity;
+        let store = FileStore::new(check);
+        let core = SpreadCore::new(settings, domain, incarnation, own, store, metrics);
+        let core = Rc::new(core);
+        monoio::spawn(accept_peers(core.clone(), listener));
+        monoio::spawn(dial_peers(core.clone(), timer.every(LOOK_EVERY)));
+        monoio::spawn(give_summaries(core.clone(), timer.every(SUMMARY_EVERY)));
+        monoio::spawn(watch_clock(core.clone(), timer.every(LOOK_EVERY)));
+        monoio::spawn(read_service(core.clone(), timer.every(LOOK_EVERY)));
+        Ok(Self { core })
+    }
+
+    /// Where this process listens for peers.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.core.own
+    }
+
+    /// Whether the process has asked its peers since it started or was paused.
+    pub fn is_settled(&self) -> bool {
+        self.core.is_settled()
+    }
+
+    /// Looks at the versions held.
+    pub fn with_files<T>(&self, look: impl FnOnce(&FileStore) -> T) -> T {
+        look(&self.core.store.borrow())
+    }
+
+    pub(crate) fn metrics(&self) -> &SpreadMetrics {
+        &self.core.metrics
+    }
+
+    /// Subscribes to changes of the versions held and of whether the process is settled.
+    pub fn subscribe(&self) -> ChangeSubscription {
+        ChangeSubscription { receiver: self.core.subscribe() }
+    }
+
+    /// The state, for people and programs.
+    pub fn status(&self) -> serde_json::Value {
+        let core = &self.core;
+        let store = core.store.borrow();
+        let now = Instant::now();
+        json!({
+            "peers_listen": core.own.to_string(),
+            "settled": core.is_settled(),
+            "revision": store.revision(),
+            "known_revision": core.known_revision(),
+            "digest": format!("{:016x}", store.digest()),
+            "age_ms": core.age().map(|age| age.as_millis() as u64),
+            "files": store.files(),
+            "bytes": store.bytes(),
+            "watching": core.metrics.watching.get() == 1,
+            "links": core.links.borrow().len(),
+            "known_peers": core.table.borrow().alive_count(now),
+            "sent_bytes": core.metrics.sent_bytes.get(),
+            "received_bytes": core.metrics.received_bytes.get(),
+            "service_bytes": core.metrics.service_bytes.get(),
+        })
+    }
+}
+
+async fn give_summaries(core: Rc<SpreadCore>, mut ticks: TimerSubscription) {
+    let mut count = 0_u32;
+    while ticks.tick().await.is_some() {
+        count = count.wrapping_add(1);
+        for link in core.links.borrow().values() {
+            link.plan_summary(false);
+            if count.is_multiple_of(SUMMARIES_PER_PEERS) {
+                link.plan_peers();
+            }
+        }
+    }
+}
+
+/// Notices pauses of the process, after which peers are asked before anything else; brings the
+/// gauges up to date.
+async fn watch_clock(core: Rc<SpreadCore>, mut ticks: TimerSubscription) {
+    while let Some(tick) = ticks.tick().await {
+        if let Some(paused) = tick.paused {
+            core.metrics.pauses.inc();
+            log::warn!(paused_ms = paused.as_millis() as u64; "the process was paused");
+            core.ask_again();
+        }
+        core.look_whether_settled();
+        set_gauges(&core);
+    }
+}
+
+fn set_gauges(core: &SpreadCore) {
+    let store = core.store.borrow();
+    let metrics = &core.metrics;
+    metrics.revision.set(store.revision() as i64);
+    metrics.age_seconds.set(core.age().map_or(-1, |age| age.as_secs() as i64));
+    metrics.digest.set((store.digest() & u64::from(u32::MAX)) as i64);
+    metrics.files.set(store.files() as i64);
+    metrics.file_bytes.set(store.bytes() as i64);
+    metrics.known_peers.set(core.table.borrow().alive_count(Instant::now()) as i64);
+}
--- /dev/null
+++ b/crates/papayamux-spread/src/service/service_reader.rs
@@ -0,0 +1,233 @@
+//! Who reads the service, and when.
+//!
+//! The watchers of a failure domain keep a watch open. Every other process reads for itself once
+//! it has heard of no reading for a while. All calls are paced: even when every process of the
+//! largest fleet reads for itself, the sum stays below what the service can take.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use papayamux_transport::timer::TimerSubscription;
+use rand::seq::SliceRandom;
+use rand::RngExt;
+
+use super::service_client::{ServiceClient, ServiceError, ServiceListing};
+use crate::core::{SpreadCore, VersionSource};
+use crate::files::{FileVersion, JoinOutcome};
+use crate::pace::{RetryBackoff, TokenBucket};
+
+/// Calls a second of a process that does not watch; 1,020 such processes stay below 2,000.
+const SLOW_RATE: f64 = 1.0;
+/// Calls a second of a watcher.
+const WATCHER_RATE: f64 = 8.0;
+/// Calls that may be saved up.
+const READ_BURST: f64 = 20.0;
+/// Calls that a process may make at once when it has just started.
+const START_READS: f64 = 2.0;
+/// The time over which processes that start together spread their first call.
+const START_SPREAD: Duration = Duration::from_secs(3);
+/// How long a process must have run before it counts as a watcher for its pace: before, it knows
+/// too few others.
+const WATCHER_AFTER: Duration = Duration::from_secs(10);
+/// Pauses between failed calls of a watcher.
+const WATCHER_PAUSES: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(5));
+/// Pauses between failed calls of another process.
+const OTHER_PAUSES: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(60));
+/// How much longer than asked a watch may take before its answer counts as of its start.
+const WATCH_SLACK: Duration = Duration::from_secs(1);
+
+struct ServiceReader {
+    core: Rc<SpreadCore>,
+    client: ServiceClient,
+    pace: TokenBucket,
+    started: Instant,
+    next_call: Instant,
+    watcher_backoff: RetryBackoff,
+    other_backoff: RetryBackoff,
+    /// The age from which this process reads for itself.
+    stale_after: Duration,
+}
+
+/// Reads the service for ever, as far as it is this process's turn.
+pub(crate) async fn read_service(core: Rc<SpreadCore>, mut ticks: TimerSubscription) {
+    let mut reader = ServiceReader::new(core);
+    loop {
+        let watches = reader.choose_role();
+        if Instant::now() >= reader.next_call {
+            if watches {
+                if reader.watch().await {
+                    continue;
+                }
+            } else if reader.is_stale() {
+                reader.read_for_itself().await;
+            }
+        }
+        if ticks.tick().await.is_none() {
+            return;
+        }
+    }
+}
+
+impl ServiceReader {
+    fn new(core: Rc<SpreadCore>) -> Self {
+        let now = Instant::now();
+        let is_alone = core.settings.peers.is_empty();
+        let tokens = if is_alone { READ_BURST } else { START_READS };
+        let first = START_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+        let client = ServiceClient::new(core.settings.service, core.metrics.clone());
+        let stale_after = core.settings.fresh_within.mul_f64(rand::rng().random_range(1.0..1.5));
+        Self {
+            client,
+            pace: TokenBucket::new(SLOW_RATE, READ_BURST, tokens, now),
+            started: now,
+            next_call: if is_alone { now } else { now + first },
+            watcher_backoff: RetryBackoff::new(WATCHER_PAUSES.0, WATCHER_PAUSES.1),
+            other_backoff: RetryBackoff::new(OTHER_PAUSES.0, OTHER_PAUSES.1),
+            stale_after,
+            core,
+        }
+    }
+
+    /// Whether this process watches; sets its pace accordingly.
+    fn choose_role(&self) -> bool {
+        let now = Instant::now();
+        let table = self.core.table.borrow();
+        let watches = table.is_watcher(&self.core.domain, now);
+        let knows_others = table.alive_count(now) > 0 || self.core.settings.peers.is_empty();
+        let is_sure = now.duration_since(self.started) >= WATCHER_AFTER && knows_others;
+        let rate = if watches && is_sure { WATCHER_RATE } else { SLOW_RATE };
+        self.pace.set_rate(rate, READ_BURST, now);
+        self.core.metrics.watching.set(i64::from(watches));
+        watches
+    }
+
+    fn is_stale(&self) -> bool {
+        self.core.age().is_none_or(|age| age > self.stale_after)
+    }
+
+    async fn take_turn(&self) {
+        self.pace.take(1.0, 0.0).await;
+    }
+
+    /// Waits at the service for a change, and reads what has changed; `true` when it went well.
+    async fn watch(&mut self) -> bool {
+        let outcome = match self.core.reflected_revision() {
+            Some(after) => self.watch_after(after).await,
+            None => self.read_all().await,
+        };
+        self.plan_next(outcome, true)
+    }
+
+    async fn read_for_itself(&mut self) {
+        let outcome = self.read_all().await;
+        self.plan_next(outcome, false);
+    }
+
+    fn plan_next(&mut self, outcome: Result<(), ServiceError>, watches: bool) -> bool {
+        let backoff = if watches { &mut self.watcher_backoff } else { &mut self.other_backoff };
+        match outcome {
+            Ok(()) => {
+                backoff.reset();
+                true
+            }
+            Err(error) => {
+                self.core.metrics.service_errors.count(error.label());
+                log::warn!(error:% = error; "reading the configuration service failed");
+                self.next_call = Instant::now() + backoff.pause();
+                false
+            }
+        }
+    }
+
+    async fn watch_after(&self, after: u64) -> Result<(), ServiceError> {
+        self.take_turn().await;
+        let started = Instant::now();
+        let wait = self.core.settings.watch_for;
+        let revision = self.client.watch(after, wait).await?;
+        let is_prompt = started.elapsed() < wait + WATCH_SLACK;
+        let read = if is_prompt { Instant::now() } else { started };
+        self.refuse_stale(revision)?;
+        match self.core.reflected_revision().is_some_and(|reflected| revision <= reflected) {
+            true => {
+                self.core.note_reading(revision, read);
+                Ok(())
+            }
+            false => self.read_all().await,
+        }
+    }
+
+    /// An answer of a revision below the highest known is dropped.
+    fn refuse_stale(&self, revision: u64) -> Result<(), ServiceError> {
+        let known = self.core.known_revision();
+        if revision >= known {
+            return Ok(());
+        }
+        self.core.metrics.dropped.count("stale_reading");
+        Err(ServiceError::Stale { revision, known })
+    }
+
+    /// Reads the list of files and those that are not held yet.
+    async fn read_all(&self) -> Result<(), ServiceError> {
+        self.take_turn().await;
+        let started = Instant::now();
+        let listing = self.client.list().await?;
+        self.refuse_stale(listing.revision)?;
+        self.core.note_known_revision(listing.revision);
+        self.read_listed(&listing).await?;
+        self.note_removed(&listing);
+        self.core.note_reading(listing.revision, started);
+        self.core.look_whether_settled();
+        Ok(())
+    }
+
+    /// Reads the files of a listing in random order, so that processes that read together read
+    /// different ones and pass them on.
+    async fn read_listed(&self, listing: &ServiceListing) -> Result<(), ServiceError> {
+        let mut files: Vec<_> = listing.files.iter().collect();
+        files.shuffle(&mut rand::rng());
+        for file in files {
+            if self.holds(&file.name, file.revision) {
+                continue;
+            }
+            self.take_turn().await;
+            if self.holds(&file.name, file.revision) {
+                continue;
+            }
+            let version = self.client.read(&file.name).await?;
+            let revision = version.key.revision;
+            if revision < file.revision {
+                self.core.metrics.dropped.count("stale_file");
+                return Err(ServiceError::Stale { revision, known: file.revision });
+            }
+            let outcome = self.core.take_version(version, VersionSource::Service, None);
+            if outcome == JoinOutcome::TooLarge {
+                return Err(ServiceError::TooLarge { name: file.name.clone() });
+            }
+        }
+        Ok(())
+    }
+
+    fn holds(&self, name: &str, revision: u64) -> bool {
+        let store = self.core.store.borrow();
+        store.newest(name).is_some_and(|newest| newest.key.revision >= revision)
+    }
+
+    /// A file that is held and not listed any more was removed, by the listing's revision at the
+    /// latest.
+    fn note_removed(&self, listing: &ServiceListing) {
+        let removed: Vec<_> = {
+            let store = self.core.store.borrow();
+            let newest = store.latest().map(|latest| &latest.newest.key);
+            let gone = newest.filter(|key| {
+                !key.removed
+                    && key.revision <= listing.revision
+                    && listing.files.iter().all(|file| file.name != key.name)
+            });
+            gone.map(|key| key.name.clone()).collect()
+        };
+        for name in removed {
+            let version = FileVersion::removed(&name, listing.revision);
+            self.core.take_version(version, VersionSource::Service, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayamux-spread/tests/file_store.rs
@@ -0,0 +1,128 @@
+//! The store holds the same after the same versions, whatever their order, and never steps down.
+
+use bolero::{check, TypeGenerator};
+use papayamux_spread::files::{EncodedBody, FileStore, FileVersion, JoinOutcome};
+
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+struct Published {
+    name: u8,
+    revision: u8,
+    content: u8,
+    removed: bool,
+}
+
+/// Contents of even number pass; the same revision may come with two contents.
+fn passes(_: &str, text: &str) -> bool {
+    text.len().is_multiple_of(2)
+}
+
+impl Published {
+    fn version(self) -> FileVersion {
+        let name = format!("team-{}", self.name % 3);
+        let revision = u64::from(self.revision % 16);
+        match self.removed && self.content.is_multiple_of(4) {
+            true => FileVersion::removed(&name, revision),
+            false => FileVersion::new(&name, revision, "x".repeat(usize::from(self.content % 4))),
+        }
+    }
+}
+
+fn store_of(versions: impl Iterator<Item = Published>) -> FileStore {
+    let mut store = FileStore::new(passes);
+    versions.for_each(|published| {
+        store.join(published.version());
+    });
+    store
+}
+
+#[test]
+fn any_order_with_repeats_and_stale_versions_gives_the_same() {
+    check!().with_type::<(Vec<Published>, Vec<u8>)>().for_each(|(versions, order)| {
+        let first = store_of(versions.iter().copied());
+        let mut shuffled = versions.clone();
+        for (index, place) in order.iter().enumerate().take(versions.len()) {
+            shuffled.swap(index, usize::from(*place) % versions.len());
+        }
+        let second = store_of(shuffled.iter().rev().chain(versions).copied());
+        assert_eq!(first.digest(), second.digest());
+        assert_eq!(first.inventory(|_| true), second.inventory(|_| true));
+    });
+}
+
+#[test]
+fn two_stores_that_pass_on_what_they_hold_become_equal() {
+    check!().with_type::<(Vec<Published>, Vec<Published>)>().for_each(|(left, right)| {
+        let mut whole = store_of(left.iter().chain(right).copied());
+        let (mut left, mut right) =
+            (store_of(left.iter().copied()), store_of(right.iter().copied()));
+        for _ in 0..2 {
+            pass_on(&left, &mut right);
+            pass_on(&right, &mut left);
+        }
+        assert_eq!(left.digest(), right.digest());
+        pass_on(&whole, &mut left);
+        pass_on(&right, &mut whole);
+        assert_eq!(left.digest(), right.digest());
+        assert_eq!(whole.digest(), right.digest());
+    });
+}
+
+/// What a link does: names keys, and brings the versions that are wanted.
+fn pass_on(from: &FileStore, to: &mut FileStore) {
+    let wanted = from.inventory(|_| true).into_iter().filter(|key| to.wants(key));
+    let versions: Vec<_> = wanted.filter_map(|key| from.version(&key).cloned()).collect();
+    versions.into_iter().for_each(|version| {
+        to.join(version);
+    });
+}
+
+#[test]
+fn no_step_ever_leads_down() {
+    check!().with_type::<Vec<Published>>().for_each(|versions| {
+        let mut store = FileStore::new(passes);
+        for published in versions {
+            let version = published.version();
+            let name = version.key.name.clone();
+            let before = (store.revision(), store.newest(&name).map(|newest| newest.key.revision));
+            let accepted_before = accepted_revision(&store, &name);
+            let digest = store.digest();
+            let outcome = store.join(version);
+            let after = (store.revision(), store.newest(&name).map(|newest| newest.key.revision));
+            assert!(after >= before);
+            assert!(accepted_revision(&store, &name) >= accepted_before);
+            assert_eq!(outcome == JoinOutcome::Taken, digest != store.digest());
+        }
+    });
+}
+
+fn accepted_revision(store: &FileStore, name: &str) -> Option<u64> {
+    let mut accepted = store.latest().filter_map(|latest| latest.accepted);
+    accepted.find(|version| version.key.name == name).map(|version| version.key.revision)
+}
+
+#[test]
+fn a_body_leads_back_to_its_version() {
+    let text: String = (0..400).map(|line| format!("[organisation {line}]\nshare = 1\n")).collect();
+    let version = FileVersion::new("team", 3, text.clone());
+    let body = EncodedBody::whole(&version);
+    assert_eq!(EncodedBody::decode(&version.key, &body.bytes, "").expect("decodes"), version);
+    let mut store = FileStore::new(passes);
+    store.join(version.clone());
+    let edited = text.replace("[organisation 7]", "[organisation seven]");
+    let later = FileVersion::new("team", 4, edited);
+    store.join(later.clone());
+    let step = papayamux_spread::files::DeltaStep::between(&version, &later).expect("worthwhile");
+    let delta = EncodedBody::delta(&step);
+    assert!(delta.bytes.len() * 10 < body.bytes.len(), "{} bytes", delta.bytes.len());
+    assert_eq!(EncodedBody::decode(&later.key, &delta.bytes, &text).expect("decodes"), later);
+    assert!(EncodedBody::decode(&later.key, &delta.bytes, "another base").is_err());
+}
+
+#[test]
+fn no_body_makes_the_decoder_panic() {
+    check!().with_type::<(Vec<u8>, bool)>().for_each(|(bytes, is_delta)| {
+        let version = FileVersion::new("team", 1, "text".to_string());
+        let body = [vec![u8::from(*is_delta)], bytes.clone()].concat();
+        assert!(EncodedBody::decode(&version.key, &body, "base\n").is_err());
+    });
+}
