Read files as the platform publishes them; test their spread on real routers

The reader follows the platform's listing with its tombstones and takes what a watch names without a second call. Four tests run real routers against the stand-in: a change, a newcomer while the service is down, a service rolled back, and two halves that meet.

--- a/crates/papayamux-spread/src/configuration.rs
+++ b/crates/papayamux-spread/src/configuration.rs
@@ -109,6 +109,11 @@
         self.node.with_files(|files| offer_all(files, &mut state.set));
         state.in_force = Rc::new(InForce::compute(&state.set));
         let refused = state.in_force.refused.len();
+        log::info!(
+            revision = self.node.with_files(FileStore::revision),
+            generation:% = state.in_force.generation(), settled = self.node.is_settled();
+            "configuration in force"
+        );
         self.node.metrics().refused_files.set(refused as i64);
         state.subscribers.retain_mut(|subscriber| {
             let _ = subscriber.try_send(());
--- a/crates/papayamux-spread/src/service/service_client.rs
+++ b/crates/papayamux-spread/src/service/service_client.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use http::header::HOST;
 use http::{Request, StatusCode};
+use papayamux_protocol::platform::{file_path, watch_path, ConfigFile, FileListing, FILES_PATH};
 use papayamux_transport::http::{HttpClient, HttpClientError};
-use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::files::FileVersion;
@@ -71,31 +71,6 @@
     }
 }
 
-/// One file in a listing.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ListedFile {
-    pub(crate) name: String,
-    pub(crate) revision: u64,
-}
-
-/// All files of the service at one revision.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ServiceListing {
-    pub(crate) revision: u64,
-    pub(crate) files: Vec<ListedFile>,
-}
-
-#[derive(Debug, Deserialize)]
-struct FileAnswer {
-    revision: u64,
-    text: String,
-}
-
-#[derive(Debug, Deserialize)]
-struct WatchAnswer {
-    revision: u64,
-}
-
 /// A client that counts its calls.
 pub(crate) struct ServiceClient {
     client: HttpClient,
@@ -108,25 +83,27 @@
     }
 
     /// The names and revisions of all files.
-    pub(crate) async fn list(&self) -> Result<ServiceListing, ServiceError> {
-        let body = self.call("list", "/v1/files", Duration::ZERO).await?;
+    pub(crate) async fn list(&self) -> Result<FileListing, ServiceError> {
+        let body = self.call("list", FILES_PATH, Duration::ZERO).await?;
         Ok(serde_json::from_slice(&body)?)
     }
 
     /// One file at its newest revision.
     pub(crate) async fn read(&self, name: &str) -> Result<FileVersion, ServiceError> {
-        let body = self.call("file", &format!("/v1/files/{name}"), Duration::ZERO).await?;
-        let answer: FileAnswer = serde_json::from_slice(&body)?;
-        Ok(FileVersion::new(name, answer.revision, answer.text))
+        let body = self.call("file", &file_path(name), Duration::ZERO).await?;
+        let file: ConfigFile = serde_json::from_slice(&body)?;
+        Ok(FileVersion::new(name, file.revision, file.text))
     }
 
-    /// Waits until the service is beyond revision `after`, for up to `wait`, and gives its
-    /// revision.
-    pub(crate) async fn watch(&self, after: u64, wait: Duration) -> Result<u64, ServiceError> {
-        let path = format!("/v1/watch?after={after}&timeout_ms={}", wait.as_millis());
+    /// Waits for up to `wait` until files change after revision `after`, and gives these.
+    pub(crate) async fn watch(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> Result<FileListing, ServiceError> {
+        let path = watch_path(after, wait.as_millis() as u64);
         let body = self.call("watch", &path, wait).await?;
-        let answer: WatchAnswer = serde_json::from_slice(&body)?;
-        Ok(answer.revision)
+        Ok(serde_json::from_slice(&body)?)
     }
 
     async fn call(
--- a/crates/papayamux-spread/src/service/service_reader.rs
+++ b/crates/papayamux-spread/src/service/service_reader.rs
@@ -7,11 +7,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use papayamux_protocol::platform::FileListing;
 use papayamux_transport::timer::TimerSubscription;
 use rand::seq::SliceRandom;
 use rand::RngExt;
 
-use super::service_client::{ServiceClient, ServiceError, ServiceListing};
+use super::service_client::{ServiceClient, ServiceError};
 use crate::core::{SpreadCore, VersionSource};
 use crate::files::{FileVersion, JoinOutcome};
 use crate::pace::{RetryBackoff, TokenBucket};
@@ -143,17 +144,10 @@
         self.take_turn().await;
         let started = Instant::now();
         let wait = self.core.settings.watch_for;
-        let revision = self.client.watch(after, wait).await?;
+        let listing = self.client.watch(after, wait).await?;
         let is_prompt = started.elapsed() < wait + WATCH_SLACK;
         let read = if is_prompt { Instant::now() } else { started };
-        self.refuse_stale(revision)?;
-        match self.core.reflected_revision().is_some_and(|reflected| revision <= reflected) {
-            true => {
-                self.core.note_reading(revision, read);
-                Ok(())
-            }
-            false => self.read_all().await,
-        }
+        self.take_listing(&listing, read).await
     }
 
     /// An answer of a revision below the highest known is dropped.
@@ -171,24 +165,33 @@
         self.take_turn().await;
         let started = Instant::now();
         let listing = self.client.list().await?;
+        self.take_listing(&listing, started).await
+    }
+
+    /// Brings what is held to a listing made at `read`.
+    async fn take_listing(&self, listing: &FileListing, read: Instant) -> Result<(), ServiceError> {
         self.refuse_stale(listing.revision)?;
         self.core.note_known_revision(listing.revision);
-        self.read_listed(&listing).await?;
-        self.note_removed(&listing);
-        self.core.note_reading(listing.revision, started);
+        self.read_listed(listing).await?;
+        self.core.note_reading(listing.revision, read);
         self.core.look_whether_settled();
         Ok(())
     }
 
     /// Reads the files of a listing in random order, so that processes that read together read
     /// different ones and pass them on.
-    async fn read_listed(&self, listing: &ServiceListing) -> Result<(), ServiceError> {
+    async fn read_listed(&self, listing: &FileListing) -> Result<(), ServiceError> {
         let mut files: Vec<_> = listing.files.iter().collect();
         files.shuffle(&mut rand::rng());
         for file in files {
             if self.holds(&file.name, file.revision) {
                 continue;
             }
+            if file.removed {
+                let version = FileVersion::removed(&file.name, file.revision);
+                self.core.take_version(version, VersionSource::Service, None);
+                continue;
+            }
             self.take_turn().await;
             if self.holds(&file.name, file.revision) {
                 continue;
@@ -211,23 +214,4 @@
         let store = self.core.store.borrow();
         store.newest(name).is_some_and(|newest| newest.key.revision >= revision)
     }
-
-    /// A file that is held and not listed any more was removed, by the listing's revision at the
-    /// latest.
-    fn note_removed(&self, listing: &ServiceListing) {
-        let removed: Vec<_> = {
-            let store = self.core.store.borrow();
-            let newest = store.latest().map(|latest| &latest.newest.key);
-            let gone = newest.filter(|key| {
-                !key.removed
-                    && key.revision <= listing.revision
-                    && listing.files.iter().all(|file| file.name != key.name)
-            });
-            gone.map(|key| key.name.clone()).collect()
-        };
-        for name in removed {
-            let version = FileVersion::removed(&name, listing.revision);
-            self.core.take_version(version, VersionSource::Service, None);
-        }
-    }
 }
--- a/crates/papayamux-testbed/src/lib.rs
+++ b/crates/papayamux-testbed/src/lib.rs
@@ -9,6 +9,7 @@
 mod process;
 mod process_view;
 mod running_server;
+mod spread_fleet;
 mod usage;
 mod waiting;
 
@@ -20,5 +21,6 @@
 pub use process::{ProcessHandle, TestbedError};
 pub use process_view::{AgentStatus, MetricsReading, RouterStatus};
 pub use running_server::{RunningServer, RunsReader};
+pub use spread_fleet::{SpreadFleet, SpreadPlan, SpreadProcess, SpreadStatus};
 pub use usage::ProcessUsage;
 pub use waiting::wait_until;
--- a/crates/papayamux-testbed/src/process.rs
+++ b/crates/papayamux-testbed/src/process.rs
@@ -172,6 +172,11 @@
         lines.iter().filter(has_part).cloned().collect()
     }
 
+    /// Where the process listens for peers.
+    pub fn peers(&self) -> Result<SocketAddr, TestbedError> {
+        self.address("peers")
+    }
+
     /// Where the process listens.
     pub fn listen(&self) -> Result<SocketAddr, TestbedError> {
         self.address("listen")
--- /dev/null
+++ b/crates/papayamux-testbed/tests/configuration_spread.rs
@@ -0,0 +1,90 @@
+//! Files of the configuration service in real routers: in force everywhere, never older.
+
+use std::error::Error;
+use std::time::Duration;
+
+use papayamux_standins::config_service::{ConfigFaults, ServedView};
+use papayamux_testbed::{SpreadFleet, SpreadPlan};
+use papayamux_transport::runtime;
+
+type TestResult = Result<(), Box<dyn Error>>;
+
+/// A bound for what awaits an event; far above what it takes.
+const WITHIN: Duration = Duration::from_secs(60);
+
+fn team_file(team: &str, version: u64) -> String {
+    format!("[team]\nname = {team}\n\n[model {team}-model]\nversion = {version}\nweights = w\n")
+}
+
+fn with_fleet(
+    processes: usize,
+    test: impl AsyncFnOnce(&mut SpreadFleet) -> TestResult,
+) -> TestResult {
+    let mut fleet = SpreadFleet::start(SpreadPlan::builder().processes(processes).build())?;
+    runtime::run(test(&mut fleet))?
+}
+
+#[test]
+fn a_change_comes_into_force_at_all_routers() -> TestResult {
+    with_fleet(6, async |fleet| {
+        fleet.put_file("caverns", &team_file("caverns", 1)).await?;
+        let revision = fleet.put_file("pensions", &team_file("pensions", 1)).await?;
+        assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
+        let revision = fleet.put_file("caverns", &team_file("caverns", 2)).await?;
+        assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
+        Ok(())
+    })
+}
+
+#[test]
+fn a_router_that_starts_while_the_service_is_down_learns_from_its_peers() -> TestResult {
+    with_fleet(4, async |fleet| {
+        let revision = fleet.put_file("caverns", &team_file("caverns", 1)).await?;
+        assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
+        let down = ConfigFaults { unavailable: true, ..ConfigFaults::default() };
+        fleet.set_faults(down).await?;
+        fleet.add()?;
+        assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
+        Ok(())
+    })
+}
+
+#[test]
+fn a_rolled_back_service_takes_nothing_back() -> TestResult {
+    with_fleet(4, async |fleet| {
+        let old = fleet.put_file("caverns", &team_file("caverns", 1)).await?;
+        let revision = fleet.put_file("caverns", &team_file("caverns", 2)).await?;
+        assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
+        let rolled_back = ConfigFaults { view: ServedView::At(old), ..ConfigFaults::default() };
+        fleet.set_faults(rolled_back).await?;
+        let newcomer = fleet.add()?;
+        assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
+        let newcomer = &fleet.processes[newcomer].handle;
+        let settled = newcomer.wait_for_line("configuration settled", WITHIN)?;
+        assert_eq!(settled["revision"], revision, "it served with less than its peers held");
+        fleet.set_faults(ConfigFaults::default()).await?;
+        let revision = fleet.put_file("caverns", &team_file("caverns", 3)).await?;
+        assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
+        Ok(())
+    })
+}
+
+#[test]
+fn halves_that_were_parted_become_equal_without_loss() -> TestResult {
+    with_fleet(3, async |left| {
+        let mut right = SpreadFleet::start(SpreadPlan::builder().processes(3).build())?;
+        left.put_file("caverns", &team_file("caverns", 1)).await?;
+        let left_revision = left.put_file("caverns", &team_file("caverns", 2)).await?;
+        right.put_file("caverns", &team_file("caverns", 1)).await?;
+        right.put_file("pensions", &team_file("pensions", 1)).await?;
+        let revision = right.put_file("pensions", &team_file("pensions", 2)).await?;
+        assert!(left.wait_equal(left_revision, WITHIN).await?.is_some());
+        assert!(right.wait_equal(revision, WITHIN).await?.is_some());
+        let seeds = [left.processes[0].peers, right.processes[0].peers];
+        right.add_with(right.service.listen()?, &seeds)?;
+        let left_statuses = left.wait_equal(revision, WITHIN).await?.ok_or("left differs")?;
+        let right_statuses = right.wait_equal(revision, WITHIN).await?.ok_or("right differs")?;
+        assert_eq!(left_statuses[0].digest, right_statuses[0].digest);
+        Ok(())
+    })
+}
