Measure how fast a change is in force everywhere and what its spread costs

papayamux-measure config starts real routers with a configuration service stand-in, plays ten scenarios of changes, outages, restarts and halves that meet, and prints a line of JSON for each.

--- /dev/null
+++ b/crates/papayamux-measure/src/config/scenarios.rs
@@ -0,0 +1,239 @@
+//! What happens in each scenario.
+
+use std::error::Error;
+use std::fmt::Write;
+use std::time::Duration;
+
+use papayamux_standins::config_service::{ConfigFaults, ServedView};
+use papayamux_testbed::{SpreadFleet, SpreadPlan};
+use papayamux_transport::runtime;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::options::ConfigOptions;
+use super::report::ConfigReport;
+use super::sampler::{in_force_at, now_ms, ConfigSampler};
+use super::scenario::ConfigScenario;
+
+type ScenarioResult = Result<ConfigReport, Box<dyn Error>>;
+
+/// Teams, each with a file.
+const TEAMS: usize = 12;
+/// Models that a team declares.
+const MODELS: usize = 20;
+/// Changes of the scenarios that measure changes.
+const CHANGES: usize = 10;
+/// How long the service is not as it should be.
+const OUTAGE: Duration = Duration::from_secs(40);
+/// How long a change is waited for at most.
+const WITHIN: Duration = Duration::from_secs(150);
+/// The time for connections and watchers to settle before anything is measured.
+const WARM_UP: Duration = Duration::from_secs(15);
+/// Bytes of the large file.
+const LARGE_FILE: usize = 1_000_000;
+
+/// A fleet with a seeded choice of changes.
+struct Trial {
+    fleet: SpreadFleet,
+    random: StdRng,
+    sampler: ConfigSampler,
+    version: u64,
+}
+
+fn team_text(team: usize, version: u64) -> String {
+    let mut text = format!("[team]\nname = team-{team}\n");
+    for model in 0..MODELS {
+        let _ = write!(
+            text,
+            "\n[model team-{team}-{model}]\nversion = {version}\nweights = team-{team}/{model}\n"
+        );
+    }
+    text
+}
+
+/// Text that compresses as declarations of many organisations do: names that differ, keys that
+/// repeat.
+fn large_text(random: &mut StdRng, version: u64) -> String {
+    let mut text =
+        format!("[team]\nname = large\n\n[model large]\nversion = {version}\nweights = w\n");
+    let mut index = 0;
+    while text.len() < LARGE_FILE {
+        let (name, version): (u32, u16) = (random.random(), random.random());
+        let _ = write!(
+            text,
+            "\n[model large-{name:08x}-{index}]\nversion = {version}\nweights = large/{name:08x}\n"
+        );
+        index += 1;
+    }
+    text
+}
+
+impl Trial {
+    async fn start(options: &ConfigOptions, processes: usize) -> Result<Self, Box<dyn Error>> {
+        let fleet = SpreadFleet::start(SpreadPlan::builder().processes(processes).build())?;
+        let random = StdRng::seed_from_u64(options.seed);
+        let mut trial = Self { fleet, random, sampler: ConfigSampler::default(), version: 0 };
+        let mut revision = 0;
+        for team in 0..TEAMS {
+            revision = trial.put(team).await?;
+        }
+        let settled = trial.fleet.wait_equal(revision, WITHIN).await?;
+        settled.ok_or("the fleet did not settle")?;
+        trial.sampler.pass(&trial.fleet, WARM_UP).await?;
+        Ok(trial)
+    }
+
+    async fn put(&mut self, team: usize) -> Result<u64, Box<dyn Error>> {
+        self.version += 1;
+        let name = format!("team-{team}");
+        Ok(self.fleet.put_file(&name, &team_text(team, self.version)).await?)
+    }
+
+    async fn put_any(&mut self) -> Result<u64, Box<dyn Error>> {
+        let team = self.random.random_range(0..TEAMS);
+        self.put(team).await
+    }
+
+    async fn note(&mut self, revision: u64, since_ms: u64) -> Result<(), Box<dyn Error>> {
+        self.sampler.note_in_force(&self.fleet, revision, since_ms, WITHIN).await
+    }
+
+    async fn pass(&mut self, time: Duration) -> Result<(), Box<dyn Error>> {
+        self.sampler.pass(&self.fleet, time).await
+    }
+
+    /// Puts and measures one change.
+    async fn change(&mut self) -> Result<(), Box<dyn Error>> {
+        let since = now_ms();
+        let revision = self.put_any().await?;
+        self.note(revision, since).await
+    }
+}
+
+/// Runs one scenario on a fleet of its own.
+pub(super) fn run_scenario(scenario: ConfigScenario, options: &ConfigOptions) -> ScenarioResult {
+    runtime::run(async {
+        let (seed, processes) = (options.seed, options.processes);
+        if scenario == ConfigScenario::PartitionHeal {
+            return run_partition_heal(options).await;
+        }
+        let mut trial = Trial::start(options, processes).await?;
+        match scenario {
+            ConfigScenario::Healthy => run_changes(&mut trial, Duration::from_secs(3)).await?,
+            ConfigScenario::Busy => run_changes(&mut trial, Duration::from_secs(1)).await?,
+            ConfigScenario::ServiceDown => {
+                let faults = ConfigFaults { unavailable: true, ..ConfigFaults::default() };
+                run_outage(&mut trial, faults).await?;
+            }
+            ConfigScenario::Stale => {
+                let faults = ConfigFaults { view: ServedView::Frozen, ..ConfigFaults::default() };
+                run_outage(&mut trial, faults).await?;
+            }
+            ConfigScenario::RolledBack => {
+                let faults =
+                    ConfigFaults { view: ServedView::At(TEAMS as u64), ..ConfigFaults::default() };
+                trial.change().await?;
+                run_outage(&mut trial, faults).await?;
+            }
+            ConfigScenario::RestartAll => run_restart(&mut trial, None).await?,
+            ConfigScenario::RestartAllServiceBack => run_restart(&mut trial, Some(OUTAGE)).await?,
+            ConfigScenario::Newcomer => run_newcomers(&mut trial).await?,
+            ConfigScenario::LargeFile => run_large_file(&mut trial).await?,
+            ConfigScenario::PartitionHeal => {}
+        }
+        trial.pass(Duration::from_secs(3)).await?;
+        trial.sampler.finish(scenario, seed, &[&trial.fleet]).await
+    })?
+}
+
+async fn run_changes(trial: &mut Trial, pause: Duration) -> Result<(), Box<dyn Error>> {
+    for _ in 0..CHANGES {
+        trial.change().await?;
+        let jitter = trial.random.random_range(0.5..1.5);
+        trial.pass(pause.mul_f64(jitter)).await?;
+    }
+    Ok(())
+}
+
+/// The service is not as it should be for a while, during which files change.
+async fn run_outage(trial: &mut Trial, faults: ConfigFaults) -> Result<(), Box<dyn Error>> {
+    trial.fleet.set_faults(faults).await?;
+    trial.pass(OUTAGE).await?;
+    let mut revision = 0;
+    for _ in 0..3 {
+        revision = trial.put_any().await?;
+    }
+    trial.pass(OUTAGE / 4).await?;
+    let since = now_ms();
+    trial.fleet.set_faults(ConfigFaults::default()).await?;
+    trial.note(revision, since).await
+}
+
+async fn run_restart(trial: &mut Trial, outage: Option<Duration>) -> Result<(), Box<dyn Error>> {
+    trial.sampler.note_steps(&trial.fleet);
+    let revision = trial.put_any().await?;
+    if outage.is_some() {
+        let faults = ConfigFaults { unavailable: true, ..ConfigFaults::default() };
+        trial.fleet.set_faults(faults).await?;
+    }
+    let mut since = now_ms();
+    trial.fleet.restart_all()?;
+    if let Some(outage) = outage {
+        trial.pass(outage).await?;
+        since = now_ms();
+        trial.fleet.set_faults(ConfigFaults::default()).await?;
+    }
+    trial.note(revision, since).await
+}
+
+async fn run_newcomers(trial: &mut Trial) -> Result<(), Box<dyn Error>> {
+    let revision = trial.put_any().await?;
+    trial.fleet.wait_equal(revision, WITHIN).await?;
+    let faults = ConfigFaults { unavailable: true, ..ConfigFaults::default() };
+    trial.fleet.set_faults(faults).await?;
+    for _ in 0..5 {
+        let since = now_ms();
+        let index = trial.fleet.add()?;
+        trial.fleet.wait_equal(revision, WITHIN).await?;
+        let at = in_force_at(&trial.fleet.processes[index].handle, revision);
+        trial.sampler.note_time(at.map(|at| at.saturating_sub(since) as f64));
+    }
+    Ok(())
+}
+
+async fn run_large_file(trial: &mut Trial) -> Result<(), Box<dyn Error>> {
+    let text = large_text(&mut trial.random, 1);
+    let since = now_ms();
+    let revision = trial.fleet.put_file("large", &text).await?;
+    trial.note(revision, since).await?;
+    let edited = text.replacen("weights = w\n", "weights = v\n", 1);
+    let since = now_ms();
+    let revision = trial.fleet.put_file("large", &edited).await?;
+    trial.note(revision, since).await
+}
+
+/// Two halves, each with a service that shows another state, meet through one process.
+async fn run_partition_heal(options: &ConfigOptions) -> ScenarioResult {
+    let half = options.processes / 2;
+    let mut left = Trial::start(options, half).await?;
+    let mut right = Trial::start(options, options.processes - half - 1).await?;
+    let mut highest = 0;
+    for _ in 0..5 {
+        highest = left.put_any().await?;
+    }
+    left.fleet.wait_equal(highest, WITHIN).await?.ok_or("left did not settle")?;
+    for _ in 0..9 {
+        highest = right.put_any().await?;
+    }
+    right.fleet.wait_equal(highest, WITHIN).await?.ok_or("right did not settle")?;
+    let since = now_ms();
+    let seeds = [left.fleet.processes[0].peers, right.fleet.processes[0].peers];
+    let service = right.fleet.service.listen()?;
+    right.fleet.add_with(service, &seeds)?;
+    left.note(highest, since).await?;
+    right.fleet.wait_equal(highest, WITHIN).await?.ok_or("right did not settle again")?;
+    let Trial { fleet: right, sampler, .. } = right;
+    drop(sampler);
+    left.pass(Duration::from_secs(5)).await?;
+    left.sampler.finish(ConfigScenario::PartitionHeal, options.seed, &[&left.fleet, &right]).await
+}
--- a/crates/papayamux-measure/src/lib.rs
+++ b/crates/papayamux-measure/src/lib.rs
@@ -1,6 +1,7 @@
 //! Measurements and the demo, on real processes.
 
 pub mod command_line;
+pub mod config;
 mod conflicts;
 mod demo;
 mod path;
--- a/crates/papayamux-measure/src/tasks/measure_task.rs
+++ b/crates/papayamux-measure/src/tasks/measure_task.rs
@@ -4,7 +4,7 @@
 
 use getopts::{Matches, Options};
 
-use super::{conflicts, demo, path, promises, routing, table};
+use super::{config, conflicts, demo, path, promises, routing, table};
 
 /// Why a task can't be run to its end.
 pub type TaskError = Box<dyn Error>;
@@ -22,8 +22,15 @@
 }
 
 /// All tasks.
-pub const TASKS: &[MeasureTask] =
-    &[demo::TASK, path::TASK, routing::TASK, table::TASK, promises::TASK, conflicts::TASK];
+pub const TASKS: &[MeasureTask] = &[
+    config::TASK,
+    demo::TASK,
+    path::TASK,
+    routing::TASK,
+    table::TASK,
+    promises::TASK,
+    conflicts::TASK,
+];
 
 /// The task of that name.
 pub fn find_task(name: &str) -> Option<&'static MeasureTask> {
--- a/crates/papayamux-measure/src/tasks/mod.rs
+++ b/crates/papayamux-measure/src/tasks/mod.rs
@@ -1,5 +1,6 @@
 //! The tasks of the command line, one file a task: its options, and how it is run.
 
+mod config;
 mod conflicts;
 mod demo;
 mod measure_task;
--- a/crates/papayamux-testbed/src/process.rs
+++ b/crates/papayamux-testbed/src/process.rs
@@ -107,6 +107,7 @@
     child: Child,
     log: Arc<LogBook>,
     start_line: Value,
+    started: Instant,
 }
 
 /// The folder that holds the workspace's programs: that of the running program, or its parent
@@ -137,7 +138,8 @@
             std::thread::spawn(move || collect_log(BufReader::new(stderr), &log));
         }
         let program = program.to_string();
-        let mut process = Self { program, child, log, start_line: Value::Null };
+        let started = Instant::now();
+        let mut process = Self { program, child, log, start_line: Value::Null, started };
         process.start_line = process.wait_for_line("started", START_WITHIN)?;
         Ok(process)
     }
@@ -194,6 +196,11 @@
             .ok_or_else(|| TestbedError::NoAddress { program: self.program.clone(), field })
     }
 
+    /// How long ago the process was started.
+    pub fn age(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// The process's id.
     pub fn id(&self) -> u32 {
         self.child.id()
