Prove the fleet's secret to peers, spread the instance list, settle without waiting for a summary

Peers took part without a proof. Now they exchange keyed hashes after their hellos where a secret is set, and may be limited to address ranges. The watchers also read the list of instances, and routers give no new work to servers that leave.

--- a/crates/papayamux-agent/src/daemon.rs
+++ b/crates/papayamux-agent/src/daemon.rs
@@ -141,7 +141,11 @@
     metrics.register(&mut registry);
     let routers = listen(settings.listen)?;
     let operators = listen(settings.operations)?;
-    let spread_identity = SpreadIdentity { incarnation, domain: settings.domain.clone() };
+    let spread_identity = SpreadIdentity {
+        incarnation,
+        domain: settings.domain.clone(),
+        secret: settings.secret.clone(),
+    };
     let configuration = match settings.spread.clone() {
         Some(spread) => Some(ConfigurationView::start(spread, spread_identity, &mut registry)?),
         None => None,
--- a/crates/papayamux-measure/src/config/sampler.rs
+++ b/crates/papayamux-measure/src/config/sampler.rs
@@ -190,9 +190,9 @@
 }
 
 fn diverged(statuses: &[SpreadStatus]) -> usize {
-    let mut counts: HashMap<&str, usize> = HashMap::new();
+    let mut counts: HashMap<(&str, &str), usize> = HashMap::new();
     for status in statuses {
-        *counts.entry(&status.digest).or_default() += 1;
+        *counts.entry((&status.digest, &status.in_force.digest)).or_default() += 1;
     }
     statuses.len() - counts.values().max().copied().unwrap_or(0)
 }
--- a/crates/papayamux-protocol/src/peer.rs
+++ b/crates/papayamux-protocol/src/peer.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 
+use crate::proof::{ProofNonce, ProofTag};
 use bytes::Bytes;
 use papayamux_state::ids::{FailureDomain, Incarnation};
 
@@ -45,6 +46,8 @@
     pub domain: FailureDomain,
     /// Where it listens for peers.
     pub listen: SocketAddr,
+    /// A nonce, where the peer has to prove the fleet's secret.
+    pub nonce: Option<ProofNonce>,
 }
 
 /// When a reader last found the service at a revision.
@@ -117,6 +120,8 @@
 pub enum PeerMessage {
     /// The first message of each side.
     Hello(PeerHello),
+    /// The proof of the fleet's secret, after the hellos.
+    Proof(ProofTag),
     /// What the sender holds, in short.
     Summary(PeerSummary),
     /// Digests of the sender's buckets, after summaries that differ.
--- a/crates/papayamux-protocol/src/proof.rs
+++ b/crates/papayamux-protocol/src/proof.rs
@@ -96,6 +96,45 @@
     pub server: ServerId,
 }
 
+/// A peer's side of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerSide {
+    /// It opened the connection.
+    Opener,
+    /// It accepted the connection.
+    Acceptor,
+}
+
+impl PeerSide {
+    fn label(self) -> &'static [u8] {
+        match self {
+            PeerSide::Opener => b"papayamux peer opener",
+            PeerSide::Acceptor => b"papayamux peer acceptor",
+        }
+    }
+
+    /// The side at the other end.
+    pub fn other(self) -> Self {
+        match self {
+            PeerSide::Opener => PeerSide::Acceptor,
+            PeerSide::Acceptor => PeerSide::Opener,
+        }
+    }
+}
+
+/// What a proof between peers covers: one connection between two lives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerProofContext {
+    /// The opener's nonce.
+    pub opener_nonce: ProofNonce,
+    /// The acceptor's nonce.
+    pub acceptor_nonce: ProofNonce,
+    /// The opener's life.
+    pub opener: Incarnation,
+    /// The acceptor's life.
+    pub acceptor: Incarnation,
+}
+
 impl SharedSecret {
     /// Proves the secret in `role`.
     pub fn prove(&self, role: ProofRole, context: &ProofContext) -> ProofTag {
@@ -108,6 +147,27 @@
         self.keyed_hash(role, context).is_some_and(|hash| hash.verify_slice(&tag.0).is_ok())
     }
 
+    /// Proves the secret to a peer, from the given side of the connection.
+    pub fn prove_to_peer(&self, side: PeerSide, context: &PeerProofContext) -> ProofTag {
+        let tag = self.peer_hash(side, context).map(|hash| hash.finalize().into_bytes());
+        ProofTag(tag.map_or_else(Bytes::new, |tag| Bytes::copy_from_slice(&tag)))
+    }
+
+    /// Whether `tag` proves that a peer on the given side knows the secret.
+    pub fn accepts_peer(&self, side: PeerSide, context: &PeerProofContext, tag: &ProofTag) -> bool {
+        self.peer_hash(side, context).is_some_and(|hash| hash.verify_slice(&tag.0).is_ok())
+    }
+
+    fn peer_hash(&self, side: PeerSide, context: &PeerProofContext) -> Option<Hmac<Sha256>> {
+        let mut hash = Hmac::<Sha256>::new_from_slice(self.0.as_bytes()).ok()?;
+        hash.update(side.label());
+        hash.update(&context.opener_nonce.0);
+        hash.update(&context.acceptor_nonce.0);
+        hash.update(&context.opener.get().to_be_bytes());
+        hash.update(&context.acceptor.get().to_be_bytes());
+        Some(hash)
+    }
+
     fn keyed_hash(&self, role: ProofRole, context: &ProofContext) -> Option<Hmac<Sha256>> {
         let mut hash = Hmac::<Sha256>::new_from_slice(self.0.as_bytes()).ok()?;
         hash.update(role.label());
--- a/crates/papayamux-protocol/src/wire/convert_peer.rs
+++ b/crates/papayamux-protocol/src/wire/convert_peer.rs
@@ -5,12 +5,13 @@
 use prost::Message;
 
 use super::peer::*;
-use super::{identifier, required, FrameMessage, WireError};
+use super::{identifier, nonce_bytes, read_nonce, required, FrameMessage, WireError};
 use crate::link::Addressed;
 use crate::peer::{
     BodyPart, FetchRequest, PeerHello, PeerMessage, PeerRecord, PeerSummary, ServiceReading,
     VersionKey, DIGEST_BUCKETS, LONGEST_FILE_NAME, LONGEST_PART, MOST_PEER_RECORDS, MOST_VERSIONS,
 };
+use crate::proof::ProofTag;
 
 /// Bytes of a frame's length field.
 const LENGTH_BYTES: usize = size_of::<u32>();
@@ -27,6 +28,7 @@
     fn from(addressed: Addressed<PeerMessage>) -> Self {
         let body = match addressed.message {
             PeerMessage::Hello(hello) => PeerBody::Hello(hello.into()),
+            PeerMessage::Proof(tag) => PeerBody::Proof(tag.0),
             PeerMessage::Summary(summary) => PeerBody::Summary(summary.into()),
             PeerMessage::Buckets(digests) => PeerBody::Buckets(WireBuckets { digests }),
             PeerMessage::Inventory { buckets, versions } => {
@@ -52,6 +54,7 @@
     fn into_message(self) -> Result<Addressed<PeerMessage>, WireError> {
         let message = match required("body", self.body)? {
             PeerBody::Hello(hello) => PeerMessage::Hello(hello.try_into()?),
+            PeerBody::Proof(tag) => PeerMessage::Proof(ProofTag(tag)),
             PeerBody::Summary(summary) => PeerMessage::Summary(summary.into()),
             PeerBody::Buckets(buckets) => {
                 at_most("buckets", buckets.digests.len(), DIGEST_BUCKETS)?;
@@ -103,6 +106,7 @@
             incarnation: hello.incarnation.get(),
             domain: hello.domain.to_string(),
             listen: hello.listen.to_string(),
+            nonce: hello.nonce.map(nonce_bytes),
         }
     }
 }
@@ -116,6 +120,7 @@
             incarnation: hello.incarnation.into(),
             domain: identifier("domain", &hello.domain)?,
             listen: address("listen", &hello.listen)?,
+            nonce: hello.nonce.map(read_nonce).transpose()?,
         })
     }
 }
--- a/crates/papayamux-protocol/src/wire/peer.rs
+++ b/crates/papayamux-protocol/src/wire/peer.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerFrame {
     /// What is said.
-    #[prost(oneof = "PeerBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "PeerBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: Option<PeerBody>,
 }
 
@@ -40,6 +40,9 @@
     /// Processes that the sender knows.
     #[prost(message, tag = "9")]
     Peers(WirePeers),
+    /// The proof of the fleet's secret.
+    #[prost(bytes = "bytes", tag = "10")]
+    Proof(Bytes),
 }
 
 /// The wire form of [`crate::peer::PeerHello`].
@@ -57,6 +60,9 @@
     /// Where it listens for peers.
     #[prost(string, tag = "4")]
     pub listen: String,
+    /// A nonce.
+    #[prost(bytes = "bytes", optional, tag = "5")]
+    pub nonce: Option<Bytes>,
 }
 
 /// The wire form of [`crate::peer::PeerSummary`].
--- a/crates/papayamux-protocol/tests/hostile_bytes.rs
+++ b/crates/papayamux-protocol/tests/hostile_bytes.rs
@@ -3,7 +3,7 @@
 use bolero::check;
 use bytes::BytesMut;
 use papayamux_protocol::chat::read_chat_call;
-use papayamux_protocol::wire::{AgentFrame, FrameCodec, RouterFrame};
+use papayamux_protocol::wire::{AgentFrame, FrameCodec, PeerFrame, RouterFrame};
 use papayamux_state::ids::OrganisationId;
 use tokio_util::codec::Decoder;
 
@@ -29,6 +29,16 @@
     });
 }
 
+#[test]
+fn frames_of_peers() {
+    check!().with_iterations(INPUTS).for_each(|bytes: &[u8]| {
+        let mut framed = (bytes.len() as u32).to_be_bytes().to_vec();
+        framed.extend_from_slice(bytes);
+        let mut codec = FrameCodec::<PeerFrame, PeerFrame>::default();
+        let _ = codec.decode(&mut BytesMut::from(&framed[..]));
+    });
+}
+
 #[test]
 fn bodies_of_chats() {
     let organisation: OrganisationId = "desk".parse().unwrap();
--- a/crates/papayamux-router/src/configuration.rs
+++ b/crates/papayamux-router/src/configuration.rs
@@ -26,12 +26,16 @@
 }
 
 /// Puts in force in `directory` what is in force in the fleet, after each change. Nothing is put
-/// in force before the process has asked its peers.
+/// in force before the process has asked its peers. Servers that the platform says are leaving get
+/// no new work.
 pub(crate) async fn follow_configuration(view: ConfigurationView, directory: Rc<ServerDirectory>) {
     let mut changes = view.subscribe();
     while changes.next().await.is_some() {
         if view.is_settled() {
-            directory.replace(server_entries(&view.in_force()));
+            let mut entries = server_entries(&view.in_force());
+            let leaving = view.leaving_servers();
+            entries.retain(|entry| !leaving.contains(&entry.server));
+            directory.replace(entries);
         }
     }
 }
--- a/crates/papayamux-router/src/daemon.rs
+++ b/crates/papayamux-router/src/daemon.rs
@@ -118,8 +118,11 @@
     metrics.register(&mut registry);
     let callers = listen(settings.listen)?;
     let operators = listen(settings.operations)?;
-    let spread_identity =
-        SpreadIdentity { incarnation: identity.incarnation, domain: identity.domain.clone() };
+    let spread_identity = SpreadIdentity {
+        incarnation: identity.incarnation,
+        domain: identity.domain.clone(),
+        secret: settings.secret.clone(),
+    };
     let configuration =
         start_configuration(settings.spread.clone(), spread_identity, &mut registry)?;
     log::info!(
--- a/crates/papayamux-spread/src/configuration.rs
+++ b/crates/papayamux-spread/src/configuration.rs
@@ -1,22 +1,29 @@
 //! What is in force in this process.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use futures_channel::mpsc;
 use papayamux_declarations::{DeclarationFile, FileName, FileSet, InForce, ParsedFile};
+use papayamux_protocol::platform::InstanceList;
+use papayamux_state::ids::ServerId;
 use papayamux_transport::timer::TimerService;
 use prometheus_client::registry::Registry;
 
 use crate::files::{FileStore, FileVersion};
+use crate::instances::{is_instances, leaving_servers};
 use crate::metrics::SpreadMetrics;
 use crate::node::{SpreadIdentity, SpreadNode};
 use crate::settings::SpreadSettings;
 
 /// Whether a file may come into force by itself: its name and its text are well-formed.
 pub fn is_valid_file(name: &str, text: &str) -> bool {
+    if is_instances(name) {
+        return serde_json::from_str::<InstanceList>(text).is_ok();
+    }
     let name: Result<FileName, _> = name.parse();
     name.is_ok_and(|name| ParsedFile::parse(&name, text).is_ok())
 }
@@ -24,6 +31,9 @@
 struct ConfigurationState {
     set: FileSet,
     in_force: Rc<InForce>,
+    /// The revision that `in_force` was derived at.
+    revision: u64,
+    leaving: Rc<BTreeSet<ServerId>>,
     subscribers: Vec<mpsc::Sender<()>>,
 }
 
@@ -58,6 +68,8 @@
         let state = ConfigurationState {
             set: FileSet::default(),
             in_force: Rc::default(),
+            revision: 0,
+            leaving: Rc::default(),
             subscribers: Vec::new(),
         };
         let view = Self { node, state: Rc::new(RefCell::new(state)) };
@@ -70,6 +82,11 @@
         self.state.borrow().in_force.clone()
     }
 
+    /// The servers that the platform says are leaving.
+    pub fn leaving_servers(&self) -> Rc<BTreeSet<ServerId>> {
+        self.state.borrow().leaving.clone()
+    }
+
     /// Whether the process has asked its peers since it started or was paused.
     pub fn is_settled(&self) -> bool {
         self.node.is_settled()
@@ -87,10 +104,12 @@
         let mut status = self.node.status();
         let in_force = self.in_force();
         status["in_force"] = serde_json::json!({
+            "revision": self.state.borrow().revision,
             "digest": in_force.digest().to_string(),
             "organisations": in_force.organisations.len(),
             "models": in_force.models.len(),
             "servers": in_force.servers.len(),
+            "leaving_servers": self.leaving_servers().len(),
             "refused_files": in_force.refused.len(),
             "blocked_items": in_force.blocked.len(),
         });
@@ -108,10 +127,11 @@
         let mut state = self.state.borrow_mut();
         self.node.with_files(|files| offer_all(files, &mut state.set));
         state.in_force = Rc::new(InForce::compute(&state.set));
+        state.revision = self.node.with_files(FileStore::revision);
+        state.leaving = Rc::new(self.node.with_files(leaving_servers));
         let refused = state.in_force.refused.len();
         log::info!(
-            revision = self.node.with_files(FileStore::revision),
-            generation:% = state.in_force.generation(), settled = self.node.is_settled();
+            revision = state.revision, generation:% = state.in_force.generation(), settled = self.node.is_settled();
             "configuration in force"
         );
         self.node.metrics().refused_files.set(refused as i64);
--- a/crates/papayamux-spread/src/core.rs
+++ b/crates/papayamux-spread/src/core.rs
@@ -9,12 +9,15 @@
 use futures_channel::mpsc;
 use papayamux_protocol::link::PROTOCOL_VERSION;
 use papayamux_protocol::peer::{PeerHello, PeerSummary, ServiceReading, VersionKey};
+use papayamux_protocol::proof::{ProofNonce, SharedSecret};
 use papayamux_state::ids::{FailureDomain, Incarnation};
 use rand::seq::IndexedRandom;
 
 use crate::exchange::{ByteBudget, FetchBook, PeerLink};
 use crate::files::{EncodedBody, FileStore, FileVersion, JoinOutcome};
+use crate::instances::is_instances;
 use crate::metrics::SpreadMetrics;
+use crate::node::SpreadIdentity;
 use crate::peers::PeerTable;
 use crate::settings::SpreadSettings;
 use crate::settling::{SettlingFacts, SettlingState};
@@ -80,6 +83,7 @@
     pub(crate) domain: FailureDomain,
     pub(crate) incarnation: Incarnation,
     pub(crate) own: SocketAddr,
+    pub(crate) secret: Option<SharedSecret>,
     pub(crate) metrics: SpreadMetrics,
     pub(crate) store: RefCell<FileStore>,
     pub(crate) bodies: RefCell<BodyCache>,
@@ -96,15 +100,15 @@
 impl SpreadCore {
     pub(crate) fn new(
         settings: SpreadSettings,
-        domain: FailureDomain,
-        incarnation: Incarnation,
+        identity: SpreadIdentity,
         own: SocketAddr,
         store: FileStore,
         metrics: SpreadMetrics,
     ) -> Self {
         Self {
-            domain,
-            incarnation,
+            domain: identity.domain,
+            incarnation: identity.incarnation,
+            secret: identity.secret,
             own,
             metrics,
             store: RefCell::new(store),
@@ -122,12 +126,13 @@
     }
 
     /// What this process says of itself.
-    pub(crate) fn hello(&self) -> PeerHello {
+    pub(crate) fn hello(&self, nonce: Option<ProofNonce>) -> PeerHello {
         PeerHello {
             version: PROTOCOL_VERSION,
             incarnation: self.incarnation,
             domain: self.domain.clone(),
             listen: self.own,
+            nonce,
         }
     }
 
@@ -173,7 +178,9 @@
             file = key.name, revision = key.revision, source = source.label();
             "version taken"
         );
-        self.note_known_revision(key.revision);
+        if !is_instances(&key.name) {
+            self.note_known_revision(key.revision);
+        }
         let holders = self.fetches.borrow().sources_of(key).to_vec();
         for link in self.links.borrow().values() {
             if Some(link.id) != from && !holders.contains(&link.id) {
@@ -255,6 +262,13 @@
         }
     }
 
+    /// Asks peers at once whether they hold the same, while the process is not settled.
+    pub(crate) fn ask_while_unsettled(&self) {
+        if !self.is_settled() {
+            self.links.borrow().values().for_each(|link| link.plan_summary(true));
+        }
+    }
+
     /// Settles the process where the facts allow it.
     pub(crate) fn look_whether_settled(&self) {
         let SettlingState::Asking(since) = self.settling.get() else { return };
--- a/crates/papayamux-spread/src/exchange/dialer.rs
+++ b/crates/papayamux-spread/src/exchange/dialer.rs
@@ -6,12 +6,14 @@
 use std::time::{Duration, Instant};
 
 use monoio::net::{TcpListener, TcpStream};
+use papayamux_state::address_range::admits;
 use papayamux_transport::link::connect;
 use papayamux_transport::timer::TimerSubscription;
 use rand::seq::IndexedRandom;
 use rand::RngExt;
 
-use super::link_reader::{run_link, PeerError};
+use super::link_reader::run_link;
+use super::peer_error::PeerError;
 use crate::core::SpreadCore;
 use crate::pace::RetryBackoff;
 use crate::peers::ALIVE_WITHIN;
@@ -35,6 +37,10 @@
 pub(crate) async fn accept_peers(core: Rc<SpreadCore>, listener: TcpListener) {
     loop {
         let stream = match listener.accept().await {
+            Ok((_, from)) if !admits(&core.settings.allow, from.ip()) => {
+                core.metrics.lost_links.count(PeerError::Address.label());
+                continue;
+            }
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!(error:% = error; "accepting a peer failed");
--- a/crates/papayamux-spread/src/exchange/fetch.rs
+++ b/crates/papayamux-spread/src/exchange/fetch.rs
@@ -122,6 +122,9 @@
         let Some(key) = next else { return };
         fetch_version(&core, &key).await;
         core.fetches.borrow_mut().sources.remove(&key);
+        if core.is_fetch_idle() {
+            core.ask_while_unsettled();
+        }
     }
 }
 
--- a/crates/papayamux-spread/src/exchange/link_reader.rs
+++ b/crates/papayamux-spread/src/exchange/link_reader.rs
@@ -1,73 +1,27 @@
 //! One connection to a peer from hello to end.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use futures_util::future::{select, Either};
 use monoio::net::TcpStream;
-use papayamux_protocol::link::{Addressed, PROTOCOL_VERSION};
 use papayamux_protocol::peer::{PeerHello, PeerMessage, PeerSummary, VersionKey};
+use papayamux_protocol::proof::PeerSide;
 use papayamux_protocol::wire::PeerFrame;
-use papayamux_transport::link::{start_link, LinkError, LinkReceiver};
-use thiserror::Error;
+use papayamux_transport::link::start_link;
 
 use super::fetch::want_versions;
+use super::handshake::{shake_hands, PeerReceiver};
 use super::link_writer::{write_bodies, write_messages};
+use super::peer_error::{PeerError, SILENCE_WITHIN};
 use super::peer_link::{FetchAnswer, PeerLink};
 use crate::core::SpreadCore;
 use crate::peers::KnownPeer;
 
-/// How long the peer's hello may take.
-const HELLO_WITHIN: Duration = Duration::from_secs(2);
-/// How long a peer may be silent; it sends a summary every two seconds.
-const SILENCE_WITHIN: Duration = Duration::from_secs(8);
 /// Summaries in a row that differ before versions are compared: a change on its way makes one
 /// or two differ.
 const DIFFERING_BEFORE_COMPARE: u32 = 2;
 
-type PeerReceiver = LinkReceiver<PeerFrame, PeerFrame>;
-
-/// Why a link ended.
-#[derive(Debug, Error)]
-pub(crate) enum PeerError {
-    /// The connection failed.
-    #[error(transparent)]
-    Link(#[from] LinkError),
-    /// The peer said no hello.
-    #[error("the peer said no hello in time")]
-    NoHello,
-    /// The peer speaks another version.
-    #[error("the peer speaks version {0}")]
-    Version(u32),
-    /// The connection leads back to this process.
-    #[error("the connection leads back to this process")]
-    Itself,
-    /// The peer fell silent.
-    #[error("the peer was silent for {SILENCE_WITHIN:?}")]
-    Silent,
-    /// The peer said hello twice.
-    #[error("the peer said hello twice")]
-    SecondHello,
-    /// More peers are connected than allowed.
-    #[error("too many peers are connected")]
-    TooMany,
-}
-
-impl PeerError {
-    /// The reason's label.
-    pub(crate) fn label(&self) -> &'static str {
-        match self {
-            PeerError::Link(_) => "broken",
-            PeerError::NoHello => "no_hello",
-            PeerError::Version(_) => "version",
-            PeerError::Itself => "itself",
-            PeerError::Silent => "silent",
-            PeerError::SecondHello => "second_hello",
-            PeerError::TooMany => "too_many",
-        }
-    }
-}
-
 /// Exchanges versions over `stream` until the link ends.
 pub(crate) async fn run_link(
     core: &Rc<SpreadCore>,
@@ -75,10 +29,8 @@
     outgoing: bool,
 ) -> Result<(), PeerError> {
     let (sender, mut receiver) = start_link::<PeerFrame, PeerFrame, PeerMessage>(stream)?;
-    let own = PeerMessage::Hello(core.hello());
-    core.metrics.sent_bytes.inc_by(own.wire_bytes());
-    sender.send(0, own);
-    let hello = receive_hello(core, &mut receiver).await?;
+    let side = if outgoing { PeerSide::Opener } else { PeerSide::Acceptor };
+    let hello = shake_hands(core, &sender, &mut receiver, side).await?;
     let (link, wakes) = PeerLink::new(core.next_link(), hello, outgoing, sender);
     let link = Rc::new(link);
     core.links.borrow_mut().insert(link.id, link.clone());
@@ -98,24 +50,6 @@
     outcome
 }
 
-async fn receive_hello(
-    core: &SpreadCore,
-    receiver: &mut PeerReceiver,
-) -> Result<PeerHello, PeerError> {
-    let hello = match monoio::time::timeout(HELLO_WITHIN, receiver.receive()).await {
-        Ok(Some(Ok(Addressed { message: PeerMessage::Hello(hello), .. }))) => hello,
-        Ok(Some(Err(error))) => return Err(error.into()),
-        Ok(_) | Err(_) => return Err(PeerError::NoHello),
-    };
-    if hello.version != PROTOCOL_VERSION {
-        return Err(PeerError::Version(hello.version));
-    }
-    if hello.incarnation == core.incarnation {
-        return Err(PeerError::Itself);
-    }
-    Ok(hello)
-}
-
 async fn read_messages(
     core: &Rc<SpreadCore>,
     link: &Rc<PeerLink>,
@@ -155,7 +89,7 @@
     message: PeerMessage,
 ) -> Result<(), PeerError> {
     match message {
-        PeerMessage::Hello(_) => return Err(PeerError::SecondHello),
+        PeerMessage::Hello(_) | PeerMessage::Proof(_) => return Err(PeerError::Turn),
         PeerMessage::Summary(summary) => take_summary(core, link, summary),
         PeerMessage::Buckets(digests) => take_buckets(core, link, &digests),
         PeerMessage::Inventory { buckets, versions } => {
--- a/crates/papayamux-spread/src/exchange/mod.rs
+++ b/crates/papayamux-spread/src/exchange/mod.rs
@@ -3,8 +3,10 @@
 mod byte_budget;
 mod dialer;
 mod fetch;
+mod handshake;
 mod link_reader;
 mod link_writer;
+mod peer_error;
 mod peer_link;
 
 pub(crate) use byte_budget::ByteBudget;
--- a/crates/papayamux-spread/src/files/file_store.rs
+++ b/crates/papayamux-spread/src/files/file_store.rs
@@ -11,6 +11,7 @@
 
 use super::delta::DeltaStep;
 use super::file_version::FileVersion;
+use crate::instances::is_instances;
 
 /// Files that a store may hold, removed ones included.
 const MOST_FILES: usize = 4_096;
@@ -106,7 +107,9 @@
             return JoinOutcome::Older;
         }
         let name = version.key.name.clone();
-        self.revision = self.revision.max(version.key.revision);
+        if !is_instances(&name) {
+            self.revision = self.revision.max(version.key.revision);
+        }
         let mut file = self.files.remove(&name).unwrap_or_default();
         self.forget(&file);
         file.take(version, passes);
@@ -205,7 +208,7 @@
         hasher.digest()
     }
 
-    /// The highest revision held.
+    /// The highest revision of the service held.
     pub fn revision(&self) -> u64 {
         self.revision
     }
--- a/crates/papayamux-spread/src/lib.rs
+++ b/crates/papayamux-spread/src/lib.rs
@@ -5,6 +5,7 @@
 mod core;
 mod exchange;
 pub mod files;
+mod instances;
 pub mod metrics;
 mod node;
 pub mod pace;
--- a/crates/papayamux-spread/src/node.rs
+++ b/crates/papayamux-spread/src/node.rs
@@ -6,6 +6,7 @@
 
 use futures_channel::mpsc;
 use futures_util::StreamExt;
+use papayamux_protocol::proof::SharedSecret;
 use papayamux_state::ids::{FailureDomain, Incarnation};
 use papayamux_transport::listen::listen;
 use papayamux_transport::timer::{TimerService, TimerSubscription};
@@ -15,7 +16,7 @@
 use crate::exchange::{accept_peers, dial_peers};
 use crate::files::{FileCheck, FileStore};
 use crate::metrics::SpreadMetrics;
-use crate::service::read_service;
+use crate::service::{read_instances, read_service};
 use crate::settings::SpreadSettings;
 
 /// How often summaries go to peers.
@@ -32,6 +33,8 @@
     pub incarnation: Incarnation,
     /// Its failure domain.
     pub domain: FailureDomain,
+    /// The fleet's secret, where peers have to know it.
+    pub secret: Option<SharedSecret>,
 }
 
 /// The spread of files in this process; clones share it.
@@ -65,15 +68,15 @@
         let listener = listen(settings.listen)?;
         let own = listener.local_addr()?;
         log::info!(peers:% = own; "exchange with peers begins");
-        let SpreadIdentity { incarnation, domain } = identity;
         let store = FileStore::new(check);
-        let core = SpreadCore::new(settings, domain, incarnation, own, store, metrics);
+        let core = SpreadCore::new(settings, identity, own, store, metrics);
         let core = Rc::new(core);
         monoio::spawn(accept_peers(core.clone(), listener));
         monoio::spawn(dial_peers(core.clone(), timer.every(LOOK_EVERY)));
         monoio::spawn(give_summaries(core.clone(), timer.every(SUMMARY_EVERY)));
         monoio::spawn(watch_clock(core.clone(), timer.every(LOOK_EVERY)));
         monoio::spawn(read_service(core.clone(), timer.every(LOOK_EVERY)));
+        monoio::spawn(read_instances(core.clone(), timer.every(LOOK_EVERY)));
         Ok(Self { core })
     }
 
--- /dev/null
+++ b/crates/papayamux-spread/src/service/instance_reader.rs
@@ -0,0 +1,101 @@
+//! Reading the platform's list of instances, which is spread like a file.
+//!
+//! The list has no revision, and readers may see it at different ages. A reader publishes what it
+//! reads when its own reading has changed, under the time of its clock or the revision after the
+//! one held, whichever is higher; and it publishes again when something else stands there although
+//! its own reading has not changed for a while.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use papayamux_state::quantities::ByteCount;
+use papayamux_transport::timer::TimerSubscription;
+use rand::RngExt;
+
+use super::service_client::{ServiceClient, ServiceError};
+use crate::core::{SpreadCore, VersionSource};
+use crate::files::FileVersion;
+use crate::instances::{wall_clock_ms, INSTANCES_FILE};
+use crate::pace::RetryBackoff;
+
+/// How often a watcher reads the list, about.
+const READ_EVERY: Duration = Duration::from_secs(1);
+/// Pauses after calls that failed.
+const PAUSES: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(10));
+/// For how long a reading must stand before it is published over another.
+const STANDS_AFTER: Duration = Duration::from_secs(10);
+
+struct InstanceReader {
+    core: Rc<SpreadCore>,
+    client: ServiceClient,
+    last: Option<(String, Instant)>,
+    next_call: Instant,
+    backoff: RetryBackoff,
+}
+
+/// Reads the list for ever while this process watches.
+pub(crate) async fn read_instances(core: Rc<SpreadCore>, mut ticks: TimerSubscription) {
+    let Some(address) = core.settings.instances else { return };
+    let mut reader = InstanceReader {
+        client: ServiceClient::new(address, core.metrics.clone()),
+        last: None,
+        next_call: Instant::now() + about(READ_EVERY),
+        backoff: RetryBackoff::new(PAUSES.0, PAUSES.1),
+        core,
+    };
+    while ticks.tick().await.is_some() {
+        let watches = reader.core.metrics.watching.get() == 1;
+        if watches && Instant::now() >= reader.next_call {
+            reader.read().await;
+        }
+    }
+}
+
+fn about(period: Duration) -> Duration {
+    period.mul_f64(rand::rng().random_range(0.75..1.25))
+}
+
+impl InstanceReader {
+    async fn read(&mut self) {
+        match self.client.instances().await {
+            Ok(text) => {
+                self.backoff.reset();
+                self.next_call = Instant::now() + about(READ_EVERY);
+                self.take(text);
+            }
+            Err(error) => self.note_failure(&error),
+        }
+    }
+
+    fn note_failure(&mut self, error: &ServiceError) {
+        self.core.metrics.service_errors.count("instances");
+        log::warn!(error:% = error; "reading the list of instances failed");
+        self.next_call = Instant::now() + self.backoff.pause();
+    }
+
+    fn take(&mut self, text: String) {
+        let now = Instant::now();
+        let since = match &self.last {
+            Some((last, since)) if *last == text => Some(*since),
+            _ => None,
+        };
+        let stands = since.is_some_and(|since| now.duration_since(since) >= STANDS_AFTER);
+        if since.is_none() || stands {
+            self.publish(&text);
+        }
+        self.last = Some((text, since.unwrap_or(now)));
+    }
+
+    fn publish(&self, text: &str) {
+        let held = self.core.store.borrow().newest(INSTANCES_FILE).cloned();
+        if held.as_ref().is_some_and(|held| *held.text == text) {
+            return;
+        }
+        let after_held = held.map_or(0, |held| held.key.revision.saturating_add(1));
+        let revision = wall_clock_ms().max(after_held);
+        let bytes = ByteCount::new(text.len() as u64);
+        log::info!(revision = revision, bytes:% = bytes; "the list of instances has changed");
+        let version = FileVersion::new(INSTANCES_FILE, revision, text.to_string());
+        self.core.take_version(version, VersionSource::Service, None);
+    }
+}
--- a/crates/papayamux-spread/src/service/service_client.rs
+++ b/crates/papayamux-spread/src/service/service_client.rs
@@ -6,11 +6,14 @@
 use bytes::Bytes;
 use http::header::HOST;
 use http::{Request, StatusCode};
-use papayamux_protocol::platform::{file_path, watch_path, ConfigFile, FileListing, FILES_PATH};
+use papayamux_protocol::platform::{
+    file_path, watch_path, ConfigFile, FileListing, FILES_PATH, INSTANCES_PATH,
+};
 use papayamux_transport::http::{HttpClient, HttpClientError};
 use thiserror::Error;
 
 use crate::files::FileVersion;
+use crate::instances::canonical_text;
 use crate::metrics::SpreadMetrics;
 
 /// How long a call may take beyond the time that it waits at the service.
@@ -106,6 +109,12 @@
         Ok(serde_json::from_slice(&body)?)
     }
 
+    /// The list of instances, in the form in which it is spread.
+    pub(crate) async fn instances(&self) -> Result<String, ServiceError> {
+        let body = self.call("instances", INSTANCES_PATH, Duration::ZERO).await?;
+        Ok(canonical_text(serde_json::from_slice(&body)?)?)
+    }
+
     async fn call(
         &self,
         kind: &'static str,
--- a/crates/papayamux-spread/src/settings.rs
+++ b/crates/papayamux-spread/src/settings.rs
@@ -5,6 +5,7 @@
 
 use bon::Builder;
 use papayamux_settings::{IniFile, Millis};
+use papayamux_state::address_range::AddressRange;
 use papayamux_state::quantities::ByteCount;
 
 /// The section's name.
@@ -15,11 +16,16 @@
 pub struct SpreadSettings {
     /// Where the platform's configuration service listens.
     pub service: SocketAddr,
+    /// Where the platform's list of instances is read, if it is.
+    pub instances: Option<SocketAddr>,
     /// Where peers connect.
     pub listen: SocketAddr,
     /// Processes to ask first.
     #[builder(default)]
     pub peers: Vec<SocketAddr>,
+    /// Addresses that peers may connect from; all where it is empty.
+    #[builder(default)]
+    pub allow: Vec<AddressRange>,
     /// Connections that this process opens to peers.
     #[builder(default = 4)]
     pub fanout: usize,
@@ -27,7 +33,7 @@
     #[builder(default = 2)]
     pub watchers: usize,
     /// Bytes exchanged with peers a second, both ways together.
-    #[builder(default = ByteCount::new(14_000))]
+    #[builder(default = ByteCount::new(12_000))]
     pub bytes_per_second: ByteCount,
     /// Age of the latest reading from which a process reads for itself.
     #[builder(default = Duration::from_secs(20))]
@@ -47,8 +53,10 @@
     }
     let section = file.section(SPREAD_SECTION);
     let service = section.required("service");
+    let instances = section.optional("instances");
     let listen = section.required("listen");
     let peers = section.list("peers");
+    let allow = section.list("allow");
     let fanout = section.optional("fanout");
     let watchers = section.optional("watchers");
     let bytes_per_second = section.optional("bytes_per_second");
@@ -66,8 +74,10 @@
     section.refuse_other_keys();
     let settings = SpreadSettings::builder()
         .service(service?)
+        .maybe_instances(instances)
         .listen(listen?)
         .peers(peers)
+        .allow(allow)
         .maybe_fanout(fanout)
         .maybe_watchers(watchers)
         .maybe_bytes_per_second(bytes_per_second)
--- a/crates/papayamux-testbed/src/lib.rs
+++ b/crates/papayamux-testbed/src/lib.rs
@@ -21,6 +21,6 @@
 pub use process::{ProcessHandle, TestbedError};
 pub use process_view::{AgentStatus, MetricsReading, RouterStatus};
 pub use running_server::{RunningServer, RunsReader};
-pub use spread_fleet::{SpreadFleet, SpreadPlan, SpreadProcess, SpreadStatus};
+pub use spread_fleet::{InForceStatus, SpreadFleet, SpreadPlan, SpreadProcess, SpreadStatus};
 pub use usage::ProcessUsage;
 pub use waiting::wait_until;
--- a/crates/papayamux-testbed/src/spread_fleet.rs
+++ b/crates/papayamux-testbed/src/spread_fleet.rs
@@ -6,24 +6,22 @@
 
 use bon::Builder;
 use bytes::Bytes;
-use http::{Method, Request};
+use http::Method;
+use papayamux_protocol::platform::FileRevision;
 use papayamux_standins::call_meter::CallCounters;
 use papayamux_standins::config_service::{
     standin_file_path, ConfigFaults, COUNTERS_PATH, FAULTS_PATH,
 };
-use papayamux_transport::http::HttpClient;
 use serde::Deserialize;
 use tempfile::TempDir;
 
-use crate::caller::CallerError;
+use crate::http_reader::{read_bytes, read_json};
 use crate::process::{ProcessHandle, TestbedError};
 
 /// Processes that a new one is told of.
 const SEEDS: usize = 3;
 /// How often the processes' state is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
-/// Bytes of the longest status.
-const LONGEST_STATUS: u64 = 64 * 1024;
 
 /// What a fleet of routers that spread files consists of.
 #[derive(Debug, Clone, Builder)]
@@ -36,6 +34,9 @@
     /// Further lines for the `[spread]` section of each.
     #[builder(default)]
     pub spread_lines: String,
+    /// Further lines for the `[router]` section of each.
+    #[builder(default)]
+    pub router_lines: String,
 }
 
 /// One router of the fleet.
@@ -69,10 +70,25 @@
     pub received_bytes: u64,
     /// Bytes read from the service.
     pub service_bytes: u64,
+    /// What is in force.
+    pub in_force: InForceStatus,
+}
+
+/// What a router says of what is in force.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct InForceStatus {
+    /// The revision of the service that it was derived at.
+    pub revision: u64,
+    /// Digest of all that is in force.
+    pub digest: String,
+    /// Models in force.
+    pub models: u64,
+    /// Files whose newest revision is refused.
+    pub refused_files: u64,
 }
 
 #[derive(Debug, Deserialize)]
-struct RouterStatus {
+struct ConfigurationStatus {
     configuration: SpreadStatus,
 }
 
@@ -83,8 +99,9 @@
     pub service: ProcessHandle,
     /// The routers.
     pub processes: Vec<SpreadProcess>,
+    /// What the fleet consists of; processes started later follow its present state.
+    pub plan: SpreadPlan,
     folder: TempDir,
-    plan: SpreadPlan,
 }
 
 impl SpreadFleet {
@@ -130,8 +147,9 @@
         let seeds: Vec<_> = seeds.iter().map(SocketAddr::to_string).collect();
         let settings = format!(
             "[router]\nlisten = 127.0.0.1:0\noperations = 127.0.0.1:0\nfailure_domain = domain-{}\n\
-             [spread]\nservice = {service}\nlisten = {listen}\npeers = {}\n{}\n",
+             {}\n[spread]\nservice = {service}\nlisten = {listen}\npeers = {}\n{}\n",
             index % self.plan.domains,
+            self.plan.router_lines,
             seeds.join(", "),
             self.plan.spread_lines,
         );
@@ -164,40 +182,33 @@
     }
 
     /// Puts a file at the service.
-    pub async fn put_file(&self, name: &str, text: &str) -> Result<u64, CallerError> {
-        let path = standin_file_path(name);
-        let body = self.control(Method::PUT, &path, text.to_string().into()).await?;
-        let revision: FileRevision = parse(&body)?;
-        Ok(revision.revision)
+    pub async fn put_file(&self, name: &str, text: &str) -> Result<u64, TestbedError> {
+        let (address, path) = (self.service.listen()?, standin_file_path(name));
+        let body = text.to_string().into();
+        let file: FileRevision = read_json(address, Method::PUT, &path, body).await?;
+        Ok(file.revision)
     }
 
     /// Brings faults about at the service.
-    pub async fn set_faults(&self, faults: ConfigFaults) -> Result<(), CallerError> {
-        let body = serde_json::to_vec(&faults).map_err(nonsense)?;
-        self.control(Method::PUT, FAULTS_PATH, body.into()).await?;
+    pub async fn set_faults(&self, faults: ConfigFaults) -> Result<(), TestbedError> {
+        let body = serde_json::to_vec(&faults)?;
+        read_bytes(self.service.listen()?, Method::PUT, FAULTS_PATH, body.into()).await?;
         Ok(())
     }
 
     /// The service's counters.
-    pub async fn counters(&self) -> Result<CallCounters, CallerError> {
-        parse(&self.control(Method::GET, COUNTERS_PATH, Bytes::new()).await?)
-    }
-
-    async fn control(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, CallerError> {
-        let address = self.service.listen().map_err(nonsense)?;
-        send(address, method, path, body).await
+    pub async fn counters(&self) -> Result<CallCounters, TestbedError> {
+        read_json(self.service.listen()?, Method::GET, COUNTERS_PATH, Bytes::new()).await
     }
 
     /// What one router says of its configuration.
-    pub async fn status(&self, index: usize) -> Result<SpreadStatus, CallerError> {
-        let address = self.processes[index].handle.operations().map_err(nonsense)?;
-        let body = send(address, Method::GET, "/status", Bytes::new()).await?;
-        let status: RouterStatus = parse(&body)?;
+    pub async fn status(&self, index: usize) -> Result<SpreadStatus, TestbedError> {
+        let status: ConfigurationStatus = self.processes[index].handle.status().await?;
         Ok(status.configuration)
     }
 
     /// What all routers say of their configuration.
-    pub async fn statuses(&self) -> Result<Vec<SpreadStatus>, CallerError> {
+    pub async fn statuses(&self) -> Result<Vec<SpreadStatus>, TestbedError> {
         let mut statuses = Vec::new();
         for index in 0..self.processes.len() {
             statuses.push(self.status(index).await?);
@@ -211,12 +222,15 @@
         &self,
         revision: u64,
         within: Duration,
-    ) -> Result<Option<Vec<SpreadStatus>>, CallerError> {
+    ) -> Result<Option<Vec<SpreadStatus>>, TestbedError> {
         let deadline = Instant::now() + within;
         loop {
             let statuses = self.statuses().await?;
             let are_equal = statuses.iter().all(|status| {
-                status.settled && status.revision == revision && status.digest == statuses[0].digest
+                status.settled
+                    && status.revision == revision
+                    && status.in_force.revision == revision
+                    && status.digest == statuses[0].digest
             });
             if are_equal {
                 return Ok(Some(statuses));
@@ -229,11 +243,6 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
-struct FileRevision {
-    revision: u64,
-}
-
 fn join_start(
     thread: std::thread::ScopedJoinHandle<'_, Result<SpreadProcess, TestbedError>>,
 ) -> Result<SpreadProcess, TestbedError> {
@@ -246,27 +255,3 @@
     std::fs::write(&file, text)?;
     Ok(file.to_string_lossy().into_owned())
 }
-
-fn nonsense(error: impl std::fmt::Display) -> CallerError {
-    CallerError::Nonsense(error.to_string())
-}
-
-fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, CallerError> {
-    serde_json::from_slice(body)
-        .map_err(|error| nonsense(format!("{error} in {}", String::from_utf8_lossy(body))))
-}
-
-async fn send(
-    address: SocketAddr,
-    method: Method,
-    path: &str,
-    body: Bytes,
-) -> Result<Bytes, CallerError> {
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(http::header::HOST, address.to_string())
-        .body(body)?;
-    let answer = HttpClient::new(address).send_once(request).await?;
-    Ok(answer.whole_body(LONGEST_STATUS).await?)
-}
--- a/crates/papayamux-testbed/tests/configuration_spread.rs
+++ b/crates/papayamux-testbed/tests/configuration_spread.rs
@@ -31,7 +31,27 @@
         let revision = fleet.put_file("pensions", &team_file("pensions", 1)).await?;
         assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
         let revision = fleet.put_file("caverns", &team_file("caverns", 2)).await?;
+        let statuses = fleet.wait_equal(revision, WITHIN).await?.ok_or("the routers differ")?;
+        let in_force = &statuses[0].in_force;
+        assert_eq!((in_force.models, in_force.refused_files), (2, 0));
+        assert!(statuses.iter().all(|status| status.in_force == *in_force));
+        Ok(())
+    })
+}
+
+#[test]
+fn a_refused_revision_leaves_the_last_accepted_one_in_force_also_for_newcomers() -> TestResult {
+    with_fleet(3, async |fleet| {
+        let accepted = fleet.put_file("caverns", &team_file("caverns", 1)).await?;
+        assert!(fleet.wait_equal(accepted, WITHIN).await?.is_some());
+        let revision = fleet.put_file("caverns", "[team]\nname = caverns\n[model\n").await?;
         assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
+        fleet.add()?;
+        let statuses = fleet.wait_equal(revision, WITHIN).await?.ok_or("the routers differ")?;
+        for status in statuses {
+            let in_force = status.in_force;
+            assert_eq!((in_force.models, in_force.refused_files), (1, 1));
+        }
         Ok(())
     })
 }
@@ -88,3 +108,25 @@
         Ok(())
     })
 }
+
+#[test]
+fn a_process_without_the_secret_is_not_taken_for_a_peer() -> TestResult {
+    let plan = SpreadPlan::builder().processes(2);
+    let plan = plan.router_lines("secret = a-secret-of-this-fleet".to_string()).build();
+    let mut fleet = SpreadFleet::start(plan)?;
+    runtime::run(async {
+        let revision = fleet.put_file("caverns", &team_file("caverns", 1)).await?;
+        assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
+        let service = SpreadFleet::start(SpreadPlan::builder().processes(0).build())?;
+        fleet.plan.router_lines = "secret = another-secret-altogether".to_string();
+        let seeds = [fleet.processes[0].peers];
+        let stranger = fleet.add_with(service.service.listen()?, &seeds)?;
+        let stranger = &fleet.processes[stranger].handle;
+        let lost = "papayamux_spread_lost_links_total";
+        stranger.wait_metric(lost, "reason=\"proof\"", 2.0, WITHIN).await?;
+        let asked = &fleet.processes[0].handle;
+        asked.wait_metric(lost, "reason=\"proof\"", 1.0, WITHIN).await?;
+        assert_eq!(stranger.metrics().await?.sum("papayamux_spread_files", ""), 0.0);
+        Ok(())
+    })?
+}
