Fetch large bodies from several peers at once and pass parts on before the rest is here

Now parts of 2 KiB come from any peer that has them, at random, and are passed on at once. A process that has as many peers as it takes closes the oldest connection instead of refusing a newcomer, peers' lists are spread over time, and the saved-up share of the byte budget goes down, so that one second stays near the rate.

--- a/crates/papayamux-spread/src/core.rs
+++ b/crates/papayamux-spread/src/core.rs
@@ -13,7 +13,7 @@
 use papayamux_state::ids::{FailureDomain, Incarnation};
 use rand::seq::IndexedRandom;
 
-use crate::exchange::{ByteBudget, FetchBook, PeerLink};
+use crate::exchange::{ByteBudget, FetchBook, PartialBody, PeerLink};
 use crate::files::{EncodedBody, FileStore, FileVersion, JoinOutcome};
 use crate::instances::is_instances;
 use crate::metrics::SpreadMetrics;
@@ -91,6 +91,7 @@
     pub(crate) links: RefCell<HashMap<u64, Rc<PeerLink>>>,
     pub(crate) budget: ByteBudget,
     pub(crate) fetches: RefCell<FetchBook>,
+    pub(crate) partials: RefCell<HashMap<VersionKey, PartialBody>>,
     knowledge: Cell<ServiceKnowledge>,
     settling: Cell<SettlingState>,
     last_link: Cell<u64>,
@@ -117,6 +118,7 @@
             links: RefCell::default(),
             budget: ByteBudget::new(settings.bytes_per_second),
             fetches: RefCell::default(),
+            partials: RefCell::default(),
             knowledge: Cell::default(),
             settling: Cell::new(SettlingState::Asking(Instant::now())),
             last_link: Cell::new(0),
@@ -321,12 +323,21 @@
         self.links.borrow().values().any(|link| link.address == address)
     }
 
-    /// Closes one of the links that this process opened.
-    pub(crate) fn close_one_link(&self) {
+    /// Closes one of the links that this process opened, at random.
+    pub(crate) fn close_opened_link(&self) {
         let links = self.links.borrow();
         let opened: Vec<_> = links.values().filter(|link| link.outgoing).collect();
         if let Some(link) = opened.choose(&mut rand::rng()) {
             link.close();
         }
     }
+
+    /// Closes the oldest of the links that peers opened.
+    pub(crate) fn close_accepted_link(&self) {
+        let links = self.links.borrow();
+        let accepted = links.values().filter(|link| !link.outgoing);
+        if let Some(link) = accepted.min_by_key(|link| link.id) {
+            link.close();
+        }
+    }
 }
--- a/crates/papayamux-spread/src/exchange/byte_budget.rs
+++ b/crates/papayamux-spread/src/exchange/byte_budget.rs
@@ -10,9 +10,9 @@
 /// The longest message that need not wait its turn behind parts of bodies, in bytes.
 const LONGEST_URGENT: u64 = 1_024;
 /// Share of a second's bytes that may be saved up.
-const BURST_SHARE: f64 = 0.3;
+const BURST_SHARE: f64 = 0.1;
 /// Share of a second's bytes that urgent messages may overdraw.
-const URGENT_DEBT_SHARE: f64 = 0.3;
+const URGENT_DEBT_SHARE: f64 = 0.15;
 
 /// The budget. Short messages may overdraw it a little; parts of bodies wait until all is paid,
 /// one at a time, so that a large file holds up no announcement.
--- a/crates/papayamux-spread/src/exchange/dialer.rs
+++ b/crates/papayamux-spread/src/exchange/dialer.rs
@@ -18,8 +18,9 @@
 use crate::pace::RetryBackoff;
 use crate::peers::ALIVE_WITHIN;
 
-/// Connections of peers open at once.
-const MOST_ACCEPTED: usize = 32;
+/// Connections of peers open at once. One more closes the oldest, whose peer knows others by
+/// then, so that a process that has just started always finds a seed that takes it.
+const MOST_ACCEPTED: usize = 12;
 /// How long the listener waits after it could not accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// The first and the longest pause before a peer that could not be reached is tried again.
@@ -49,8 +50,8 @@
             }
         };
         if core.count_links(false) >= MOST_ACCEPTED {
-            core.metrics.lost_links.count(PeerError::TooMany.label());
-            continue;
+            core.metrics.lost_links.count("made_room");
+            core.close_accepted_link();
         }
         let core = core.clone();
         monoio::spawn(async move {
@@ -157,7 +158,7 @@
         if now >= self.renew_at {
             self.renew_at = now + about(RENEW_EVERY);
             if open > fanout || (open == fanout && self.pick(now, Wanted::Alive).is_some()) {
-                self.core.close_one_link();
+                self.core.close_opened_link();
             }
         }
         if now >= self.probe_at {
--- a/crates/papayamux-spread/src/exchange/fetch.rs
+++ b/crates/papayamux-spread/src/exchange/fetch.rs
@@ -12,6 +12,7 @@
 
 use super::link_writer::PART_BYTES;
 use super::peer_link::{FetchAnswer, PeerLink};
+use super::shared_fetch::fetch_shared;
 use crate::core::{SpreadCore, VersionSource};
 use crate::files::{BodyError, EncodedBody, FileVersion, LONGEST_BODY};
 
@@ -25,26 +26,34 @@
 const PART_WITHIN: Duration = Duration::from_secs(10);
 /// Bytes taken from the budget for a first part, before its length is known.
 const FIRST_PART_BYTES: u64 = 512;
+/// Bodies above this are fetched from several peers and passed on while they come.
+const SHARED_ABOVE: u64 = 16 * 1024;
 /// Bytes of a part beside its data, about.
-const PART_OVERHEAD: u64 = 128;
+pub(crate) const PART_OVERHEAD: u64 = 128;
 
 /// Why a peer did not give a version.
 #[derive(Debug, Error)]
-enum FetchError {
+pub(crate) enum FetchError {
+    /// The connection ended.
     #[error("the connection ended")]
     LinkLost,
+    /// No part came in time.
     #[error("no part came in time")]
     Timeout,
+    /// The peer can't give the version, or not yet.
     #[error("the peer can't give the version")]
     Absent,
+    /// The parts do not fit together.
     #[error("the parts do not fit together")]
     Parts,
+    /// The body does not lead to its version.
     #[error(transparent)]
     Body(#[from] BodyError),
 }
 
 impl FetchError {
-    fn label(&self) -> &'static str {
+    /// The reason's label.
+    pub(crate) fn label(&self) -> &'static str {
         match self {
             FetchError::LinkLost => "link_lost",
             FetchError::Timeout => "timeout",
@@ -166,7 +175,7 @@
 }
 
 async fn fetch_from(
-    core: &SpreadCore,
+    core: &Rc<SpreadCore>,
     link: &PeerLink,
     key: &VersionKey,
 ) -> Result<FileVersion, FetchError> {
@@ -176,12 +185,18 @@
     let mut body = BytesMut::new();
     let mut expected = FIRST_PART_BYTES;
     loop {
-        core.budget.take_bulk(expected).await;
+        match body.is_empty() {
+            true => core.budget.take(expected).await,
+            false => core.budget.take_bulk(expected).await,
+        }
         let offset = body.len() as u64;
         let request = FetchRequest { key: key.clone(), base: base_place, offset };
         let part = receive_part(link, request).await?;
         core.budget.charge(part.data.len() as u64 + PART_OVERHEAD, expected);
         check_part(&part, offset)?;
+        if offset == 0 && part.total > SHARED_ABOVE && part.key == *key {
+            return fetch_shared(core, part).await;
+        }
         body.extend_from_slice(&part.data);
         if body.len() as u64 == part.total {
             if xxh3_64(&body) != part.body_checksum {
@@ -195,7 +210,10 @@
     }
 }
 
-async fn receive_part(link: &PeerLink, request: FetchRequest) -> Result<BodyPart, FetchError> {
+pub(crate) async fn receive_part(
+    link: &PeerLink,
+    request: FetchRequest,
+) -> Result<BodyPart, FetchError> {
     match monoio::time::timeout(PART_WITHIN, link.ask(request)).await {
         Ok(Ok(FetchAnswer::Part(part))) => Ok(part),
         Ok(Ok(FetchAnswer::Absent)) => Err(FetchError::Absent),
--- a/crates/papayamux-spread/src/exchange/link_writer.rs
+++ b/crates/papayamux-spread/src/exchange/link_writer.rs
@@ -12,7 +12,7 @@
 use crate::files::EncodedBody;
 
 /// Bytes of a body that one message carries.
-pub(crate) const PART_BYTES: usize = 4_096;
+pub(crate) const PART_BYTES: usize = 2_048;
 
 /// Sends short messages until the link ends.
 pub(crate) async fn write_messages(
@@ -52,6 +52,10 @@
 }
 
 fn part_for(core: &SpreadCore, request: &FetchRequest) -> Option<BodyPart> {
+    let partial = core.partials.borrow().get(&request.key).map(|body| body.part(request.offset));
+    if let Some(part) = partial {
+        return part;
+    }
     let body = body_for(core, request)?;
     let total = body.bytes.len();
     let start = usize::try_from(request.offset).ok().filter(|start| *start < total)?;
--- a/crates/papayamux-spread/src/exchange/peer_error.rs
+++ b/crates/papayamux-spread/src/exchange/peer_error.rs
@@ -35,9 +35,6 @@
     /// A message came out of its turn.
     #[error("a message came out of its turn")]
     Turn,
-    /// More peers are connected than allowed.
-    #[error("too many peers are connected")]
-    TooMany,
 }
 
 impl PeerError {
@@ -52,7 +49,6 @@
             PeerError::Proof => "proof",
             PeerError::Address => "address",
             PeerError::Turn => "turn",
-            PeerError::TooMany => "too_many",
         }
     }
 }
--- /dev/null
+++ b/crates/papayamux-spread/src/exchange/shared_fetch.rs
@@ -0,0 +1,132 @@
+//! Fetching a large body from several peers at once, while passing on what is here already.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::stream::FuturesUnordered;
+use futures_util::StreamExt;
+use papayamux_protocol::peer::{BodyPart, FetchRequest, VersionKey};
+use rand::seq::IteratorRandom;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::fetch::{receive_part, FetchError, PART_OVERHEAD};
+use super::link_writer::PART_BYTES;
+use super::partial_body::PartialBody;
+use super::peer_link::PeerLink;
+use crate::core::SpreadCore;
+use crate::files::{EncodedBody, FileVersion};
+
+/// Parts asked for at once, each from another peer.
+const PARTS_AT_ONCE: usize = 2;
+/// The pause after a peer has not got a part yet.
+const ABSENT_PAUSE: Duration = Duration::from_millis(100);
+/// How long no part may come before the fetch is given up.
+const PROGRESS_WITHIN: Duration = Duration::from_secs(30);
+
+/// Fetches the rest of a body of which the first part is here.
+pub(crate) async fn fetch_shared(
+    core: &Rc<SpreadCore>,
+    first: BodyPart,
+) -> Result<FileVersion, FetchError> {
+    let key = first.key.clone();
+    let body = PartialBody::begin(first).ok_or(FetchError::Parts)?;
+    core.partials.borrow_mut().insert(key.clone(), body);
+    core.links.borrow().values().for_each(|link| link.plan_announcement(key.clone()));
+    let outcome = fetch_parts(core, &key).await;
+    let body = core.partials.borrow_mut().remove(&key);
+    outcome?;
+    let (bytes, checksum) = body.ok_or(FetchError::Parts)?.join();
+    match xxh3_64(&bytes) == checksum {
+        true => Ok(EncodedBody::decode(&key, &bytes, "")?),
+        false => Err(FetchError::Parts),
+    }
+}
+
+struct PartOutcome {
+    link: u64,
+    offset: u64,
+    part: Result<BodyPart, FetchError>,
+}
+
+async fn fetch_parts(core: &Rc<SpreadCore>, key: &VersionKey) -> Result<(), FetchError> {
+    let mut asked: Vec<(u64, u64)> = Vec::new();
+    let mut running = FuturesUnordered::new();
+    let mut progress = Instant::now();
+    while !is_whole(core, key) {
+        while running.len() < PARTS_AT_ONCE {
+            let Some((link, offset)) = pick_next(core, key, &asked) else { break };
+            asked.push((link.id, offset));
+            running.push(fetch_part(core, link, key, offset));
+        }
+        match running.next().await {
+            Some(outcome) => {
+                asked.retain(|(link, _)| *link != outcome.link);
+                if take_outcome(core, key, outcome) {
+                    progress = Instant::now();
+                }
+            }
+            None => monoio::time::sleep(ABSENT_PAUSE).await,
+        }
+        if progress.elapsed() > PROGRESS_WITHIN {
+            return Err(FetchError::Timeout);
+        }
+    }
+    Ok(())
+}
+
+fn is_whole(core: &SpreadCore, key: &VersionKey) -> bool {
+    core.partials.borrow().get(key).is_none_or(PartialBody::is_whole)
+}
+
+/// A missing part, and a peer that is not asked for another already.
+fn pick_next(
+    core: &SpreadCore,
+    key: &VersionKey,
+    asked: &[(u64, u64)],
+) -> Option<(Rc<PeerLink>, u64)> {
+    let offsets: Vec<_> = asked.iter().map(|(_, offset)| *offset).collect();
+    let offset = core.partials.borrow().get(key)?.pick_missing(&offsets)?;
+    let (fetches, links) = (core.fetches.borrow(), core.links.borrow());
+    let sources = fetches.sources_of(key).iter().filter_map(|id| links.get(id));
+    let free = sources.filter(|link| asked.iter().all(|(busy, _)| *busy != link.id));
+    Some((free.choose(&mut rand::rng())?.clone(), offset))
+}
+
+async fn fetch_part(
+    core: &SpreadCore,
+    link: Rc<PeerLink>,
+    key: &VersionKey,
+    offset: u64,
+) -> PartOutcome {
+    let prepaid = PART_BYTES as u64 + PART_OVERHEAD;
+    core.budget.take_bulk(prepaid).await;
+    let request = FetchRequest { key: key.clone(), base: None, offset };
+    let part = receive_part(&link, request).await;
+    let received = part.as_ref().map_or(0, |part| part.data.len() as u64 + PART_OVERHEAD);
+    core.budget.charge(received, prepaid);
+    if matches!(part, Err(FetchError::Absent)) {
+        monoio::time::sleep(ABSENT_PAUSE).await;
+    }
+    PartOutcome { link: link.id, offset, part }
+}
+
+/// Takes a part; `true` where it fits.
+fn take_outcome(core: &SpreadCore, key: &VersionKey, outcome: PartOutcome) -> bool {
+    match outcome.part {
+        Ok(part) => {
+            let mut partials = core.partials.borrow_mut();
+            let fits = part.offset == outcome.offset
+                && partials.get_mut(key).is_some_and(|body| body.take(part));
+            if !fits {
+                core.metrics.fetch_retries.count(FetchError::Parts.label());
+            }
+            fits
+        }
+        // A peer that fetches the same body has not got every part yet.
+        Err(FetchError::Absent) => false,
+        Err(error) => {
+            core.metrics.fetch_retries.count(error.label());
+            false
+        }
+    }
+}
--- a/crates/papayamux-spread/src/node.rs
+++ b/crates/papayamux-spread/src/node.rs
@@ -22,7 +22,7 @@
 /// How often summaries go to peers.
 const SUMMARY_EVERY: Duration = Duration::from_secs(2);
 /// Summaries between two lists of peers.
-const SUMMARIES_PER_PEERS: u32 = 3;
+const SUMMARIES_PER_PEERS: u64 = 3;
 /// How often the dialer and the reader look whether there is something to do.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
@@ -134,7 +134,7 @@
         count = count.wrapping_add(1);
         for link in core.links.borrow().values() {
             link.plan_summary(false);
-            if count.is_multiple_of(SUMMARIES_PER_PEERS) {
+            if (link.id + u64::from(count)).is_multiple_of(SUMMARIES_PER_PEERS) {
                 link.plan_peers();
             }
         }
--- a/crates/papayamux-spread/src/settings.rs
+++ b/crates/papayamux-spread/src/settings.rs
@@ -33,7 +33,7 @@
     #[builder(default = 2)]
     pub watchers: usize,
     /// Bytes exchanged with peers a second, both ways together.
-    #[builder(default = ByteCount::new(12_000))]
+    #[builder(default = ByteCount::new(13_000))]
     pub bytes_per_second: ByteCount,
     /// Age of the latest reading from which a process reads for itself.
     #[builder(default = Duration::from_secs(20))]
--- a/crates/papayamux-testbed/tests/configuration_spread.rs
+++ b/crates/papayamux-testbed/tests/configuration_spread.rs
@@ -1,6 +1,7 @@
 //! Files of the configuration service in real routers: in force everywhere, never older.
 
 use std::error::Error;
+use std::fmt::Write;
 use std::time::Duration;
 
 use papayamux_standins::config_service::{ConfigFaults, ServedView};
@@ -130,3 +131,23 @@
         Ok(())
     })?
 }
+
+#[test]
+fn a_large_file_comes_in_parts_from_several_peers() -> TestResult {
+    let lines = "bytes_per_second = 1000000".to_string();
+    let plan = SpreadPlan::builder().processes(8).domains(1).spread_lines(lines).build();
+    let fleet = SpreadFleet::start(plan)?;
+    runtime::run(async {
+        let mut text = team_file("caverns", 1);
+        for number in 0_u64..4_000 {
+            let name = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let _ = write!(text, "\n[model m-{name:016x}]\nversion = {number}\nweights = w\n");
+        }
+        let revision = fleet.put_file("caverns", &text).await?;
+        let statuses = fleet.wait_equal(revision, WITHIN).await?.ok_or("the routers differ")?;
+        assert!(statuses.iter().all(|status| status.in_force.models == 4_001));
+        let revision = fleet.put_file("caverns", &text.replacen("= 17\n", "= 18\n", 1)).await?;
+        assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
+        Ok(())
+    })?
+}
