--- a/crates/papayamux-testbed/src/spread_fleet.rs
+++ b/crates/papayamux-testbed/src/spread_fleet.rs
@@ -131,8 +131,7 @@
         seeds: &[SocketAddr],
     ) -> Result<usize, TestbedError> {
         let index = self.processes.len();
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let process = self.start_process(index, any, service, seeds)?;
+        let process = self.start_process(index, own_address(index), service, seeds)?;
         self.processes.push(process);
         Ok(index)
     }
@@ -243,6 +242,13 @@
     }
 }
 
+/// A loopback address of a process's own, with a port that the kernel picks: no other process can
+/// take that port while this one is started again.
+fn own_address(index: usize) -> SocketAddr {
+    let [.., high, low] = (index as u32 + 1).to_be_bytes();
+    SocketAddr::from(([127, 1, high, low], 0))
+}
+
 fn join_start(
     thread: std::thread::ScopedJoinHandle<'_, Result<SpreadProcess, TestbedError>>,
 ) -> Result<SpreadProcess, TestbedError> {
--- a/crates/papayamux-testbed/tests/configuration_spread.rs
+++ b/crates/papayamux-testbed/tests/configuration_spread.rs
@@ -4,6 +4,7 @@
 use std::fmt::Write;
 use std::time::Duration;
 
+use nix::sys::signal::Signal;
 use papayamux_standins::config_service::{ConfigFaults, ServedView};
 use papayamux_testbed::{SpreadFleet, SpreadPlan};
 use papayamux_transport::runtime;
@@ -13,6 +14,9 @@
 /// A bound for what awaits an event; far above what it takes.
 const WITHIN: Duration = Duration::from_secs(60);
 
+/// A pause that the timer service notices.
+const PAUSE: Duration = Duration::from_secs(1);
+
 fn team_file(team: &str, version: u64) -> String {
     format!("[team]\nname = {team}\n\n[model {team}-model]\nversion = {version}\nweights = w\n")
 }
@@ -151,3 +155,21 @@
         Ok(())
     })?
 }
+
+#[test]
+fn a_router_that_was_paused_asks_its_peers_before_anything_else() -> TestResult {
+    with_fleet(4, async |fleet| {
+        let revision = fleet.put_file("caverns", &team_file("caverns", 1)).await?;
+        assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
+        let paused = fleet.processes.pop().ok_or("no router")?;
+        paused.handle.signal(Signal::SIGSTOP)?;
+        let revision = fleet.put_file("caverns", &team_file("caverns", 2)).await?;
+        assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
+        monoio::time::sleep(PAUSE).await;
+        paused.handle.signal(Signal::SIGCONT)?;
+        paused.handle.wait_metric("papayamux_spread_pauses_total", "", 1.0, WITHIN).await?;
+        fleet.processes.push(paused);
+        assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
+        Ok(())
+    })
+}
--- a/crates/papayamux-testbed/tests/declared_servers.rs
+++ b/crates/papayamux-testbed/tests/declared_servers.rs
@@ -42,9 +42,9 @@
     Ok(text)
 }
 
-async fn wait_configuration(router: &ProcessHandle, key: &str, value: u64) -> TestResult {
+async fn wait_configuration(process: &ProcessHandle, key: &str, value: u64) -> TestResult {
     let read = async || {
-        let status: Value = router.status().await?;
+        let status: Value = process.status().await?;
         Ok(status["configuration"]["in_force"][key].as_u64())
     };
     wait_until(WITHIN, read, |found| *found == Some(value)).await?;
@@ -60,12 +60,14 @@
         service.listen()?,
         instances.listen()?
     );
-    let plan = FleetPlan::builder().routers(1).engines(2).services(0).router_lines(lines).build();
+    let plan = FleetPlan::builder().routers(1).engines(2).services(0);
+    let plan = plan.router_lines(lines.clone()).agent_server_lines(lines).build();
     let fleet = Fleet::start(plan)?;
     runtime::run(async {
         let router = &fleet.routers[0];
         put(&service, &standin_file_path("caverns"), declaration(&fleet)?).await?;
         wait_configuration(router, "servers", 2).await?;
+        wait_configuration(&fleet.servers[0].agent, "servers", 2).await?;
         let leaving = json!({ "instances": [{
             "address": fleet.servers[0].agent.listen()?, "kind": "engine",
             "server": fleet.servers[0].name, "failure_domain": "a", "status": "leaving",
