--- a/crates/papayamux-router/tests/settings.rs
+++ b/crates/papayamux-router/tests/settings.rs
@@ -17,6 +17,12 @@
 agent = 127.0.0.1:7002
 paths = /tickets
 idempotent = true
+
+[spread]
+service = 127.0.0.1:6000
+listen = 127.0.0.1:6001
+peers = 127.0.0.1:6002, 127.0.0.1:6003
+fanout = 3
 ";
 
 #[test]
@@ -31,7 +37,10 @@
         .replace("failure_domain = tainan-a", "failure_domian = tainan-a")
         .replace("5s", "5 parsecs")
         .replace("/tickets", "tickets")
-        .replace("itinerary, tagger", "");
+        .replace("itinerary, tagger", "")
+        .replace("service = 127.0.0.1:6000", "servce = 127.0.0.1:6000")
+        .replace("127.0.0.1:6003", "nowhere")
+        .replace("fanout = 3", "fanout = 0\nbytes_per_second = 10");
     let findings = RouterSettings::read("router.ini", &text).unwrap_err();
     insta::assert_snapshot!(findings.to_string());
 }
