--- a/crates/papayamux-router/src/daemon.rs
+++ b/crates/papayamux-router/src/daemon.rs
@@ -40,6 +40,16 @@
     configuration: Option<ConfigurationView>,
 }
 
+impl RouterView {
+    /// Servers declared, or those of the settings where no configuration is spread.
+    fn server_count(&self) -> usize {
+        match &self.configuration {
+            Some(configuration) => configuration.in_force().servers.len(),
+            None => self.settings.servers.len(),
+        }
+    }
+}
+
 impl OperationsView for RouterView {
     fn is_ready(&self) -> bool {
         self.ready.get() && self.configuration.as_ref().is_none_or(ConfigurationView::is_settled)
@@ -53,7 +63,7 @@
             "failure_domain": self.settings.domain.to_string(),
             "ready": self.is_ready(),
             "configuration": self.configuration.as_ref().map(ConfigurationView::status),
-            "servers": self.settings.servers.len(),
+            "servers": self.server_count(),
             "requests": self.metrics.requests.get(),
             "in_flight": self.metrics.in_flight.get(),
         })
