Count connections being opened as open, and set bytes aside for each accepted

The dialer opened more connections than its fanout while some were still on their way, and the seeds of a hundred routers that start at once overdrew their bytes (trial: 23,156 bytes in one second, the last router served after 10.3 s).

--- a/crates/papayamux-spread/src/exchange/dialer.rs
+++ b/crates/papayamux-spread/src/exchange/dialer.rs
@@ -21,6 +21,9 @@
 /// Connections of peers open at once. One more closes the oldest, whose peer knows others by
 /// then, so that a process that has just started always finds a seed that takes it.
 const MOST_ACCEPTED: usize = 12;
+/// Bytes set aside for a new connection before it is accepted: when many processes start at once
+/// and know the same seeds, they wait in the listener's backlog instead of overdrawing the budget.
+const GREETING_BYTES: u64 = 1_000;
 /// How long the listener waits after it could not accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// The first and the longest pause before a peer that could not be reached is tried again.
@@ -37,6 +40,7 @@
 /// Accepts peers for ever.
 pub(crate) async fn accept_peers(core: Rc<SpreadCore>, listener: TcpListener) {
     loop {
+        core.budget.take_bulk(GREETING_BYTES).await;
         let stream = match listener.accept().await {
             Ok((_, from)) if !admits(&core.settings.allow, from.ip()) => {
                 core.metrics.lost_links.count(PeerError::Address.label());
@@ -75,7 +79,10 @@
 /// Keeps connections to peers open.
 struct PeerDialer {
     core: Rc<SpreadCore>,
+    /// Peers with a connection that is open or being opened.
     dialing: Vec<SocketAddr>,
+    /// Addresses that lead back to this process.
+    own: Vec<SocketAddr>,
     failures: HashMap<SocketAddr, DialFailure>,
     ended: futures_channel::mpsc::UnboundedReceiver<DialEnd>,
     report: futures_channel::mpsc::UnboundedSender<DialEnd>,
@@ -90,7 +97,7 @@
     /// It was open for a while.
     Ended(SocketAddr),
     /// It leads back to this process.
-    Itself,
+    Itself(SocketAddr),
 }
 
 fn about(period: Duration) -> Duration {
@@ -104,6 +111,7 @@
     let mut dialer = PeerDialer {
         core,
         dialing: Vec::new(),
+        own: Vec::new(),
         failures: HashMap::new(),
         ended,
         report,
@@ -126,8 +134,10 @@
                     self.failures.remove(&address);
                     self.dialing.retain(|dialed| *dialed != address);
                 }
-                // Stays in `dialing`, so that it is never tried again.
-                DialEnd::Itself => {}
+                DialEnd::Itself(address) => {
+                    self.dialing.retain(|dialed| *dialed != address);
+                    self.own.push(address);
+                }
             }
         }
     }
@@ -145,7 +155,7 @@
     }
 
     fn look(&mut self, now: Instant) {
-        let open = self.core.count_links(true);
+        let open = self.dialing.len();
         let fanout = self.core.settings.fanout;
         for _ in open..fanout {
             let Some(address) =
@@ -194,7 +204,8 @@
 
     fn may_dial(&self, address: SocketAddr, now: Instant) -> bool {
         let backs_off = self.failures.get(&address).is_some_and(|failure| failure.until > now);
-        !backs_off && !self.dialing.contains(&address) && !self.core.is_linked(address)
+        let is_own = self.own.contains(&address);
+        !backs_off && !is_own && !self.dialing.contains(&address) && !self.core.is_linked(address)
     }
 
     fn dial(&mut self, address: SocketAddr) {
@@ -214,7 +225,7 @@
     let outcome = run_link(core, stream, true).await;
     let end = match &outcome {
         Ok(()) | Err(PeerError::Silent) => DialEnd::Ended(address),
-        Err(PeerError::Itself) => DialEnd::Itself,
+        Err(PeerError::Itself) => DialEnd::Itself(address),
         Err(_) => DialEnd::Failed(address),
     };
     note_end(core, outcome);
--- a/crates/papayamux-spread/src/exchange/handshake.rs
+++ b/crates/papayamux-spread/src/exchange/handshake.rs
@@ -13,7 +13,7 @@
 use crate::core::SpreadCore;
 
 /// How long each of the peer's first messages may take.
-const MESSAGE_WITHIN: Duration = Duration::from_secs(2);
+const MESSAGE_WITHIN: Duration = Duration::from_secs(5);
 
 pub(crate) type PeerReceiver = LinkReceiver<PeerFrame, PeerFrame>;
 
