--- a/crates/papayamux-agent/src/settings.rs
+++ b/crates/papayamux-agent/src/settings.rs
@@ -6,6 +6,7 @@
 use bon::Builder;
 use papayamux_protocol::proof::SharedSecret;
 use papayamux_settings::{Findings, IniFile, Millis};
+use papayamux_spread::settings::{read_spread, SpreadSettings, SPREAD_SECTION};
 use papayamux_state::address_range::AddressRange;
 use papayamux_state::ids::{FailureDomain, ServerId};
 use papayamux_state::quantities::{ByteCount, RequestCount};
@@ -54,6 +55,8 @@
     /// Claims of idempotency keys.
     #[builder(default = ClaimSettings::builder().build())]
     pub claims: ClaimSettings,
+    /// How the configuration is spread, where it is.
+    pub spread: Option<SpreadSettings>,
 }
 
 impl AgentSettings {
@@ -66,7 +69,7 @@
 }
 
 fn read_agent(file: &IniFile) -> Option<AgentSettings> {
-    file.refuse_other_sections(&["agent", "server", "claims"], &[]);
+    file.refuse_other_sections(&["agent", "server", "claims", SPREAD_SECTION], &[]);
     let section = file.section("agent");
     let listen = section.required("listen");
     let operations = section.required("operations");
@@ -85,6 +88,7 @@
     let capacity = section.optional("capacity");
     let progress_within = section.optional("progress_within");
     section.refuse_other_keys();
+    let spread = read_spread(file);
     let settings = AgentSettings::builder()
         .listen(listen?)
         .operations(operations?)
@@ -101,6 +105,7 @@
         .maybe_secret(secret)
         .allow(allow)
         .claims(ClaimSettings::read(file))
+        .maybe_spread(spread)
         .build();
     Some(settings)
 }
--- a/crates/papayamux-protocol/src/wire/mod.rs
+++ b/crates/papayamux-protocol/src/wire/mod.rs
@@ -3,13 +3,16 @@
 mod claim_messages;
 mod convert_agent;
 mod convert_claim;
+mod convert_peer;
 mod convert_router;
 mod frame_codec;
 mod messages;
+mod peer;
 
 pub use claim_messages::*;
 pub use frame_codec::{CodecError, FrameCodec, FrameMessage};
 pub use messages::*;
+pub use peer::*;
 
 use bytes::Bytes;
 use papayamux_state::ids::IdError;
@@ -58,6 +61,16 @@
         /// The number.
         number: u32,
     },
+    /// A list or text is longer than its bound.
+    #[error("message part {part:?} has {count} elements, the bound is {limit}")]
+    TooMany {
+        /// The part's name.
+        part: &'static str,
+        /// Elements it has.
+        count: usize,
+        /// Elements it may have.
+        limit: usize,
+    },
 }
 
 pub(crate) fn nonce_bytes(nonce: ProofNonce) -> Bytes {
--- a/crates/papayamux-router/src/directory.rs
+++ b/crates/papayamux-router/src/directory.rs
@@ -1,7 +1,7 @@
 //! The backend servers that the router knows, each with its agent.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -34,6 +34,7 @@
     identity: RouterIdentity,
     metrics: RouterMetrics,
     records: RefCell<HashMap<ServerId, Rc<ServerRecord>>>,
+    leaving: RefCell<Rc<BTreeSet<ServerId>>>,
     fleets: RefCell<Option<Rc<FleetKeeper>>>,
 }
 
@@ -44,8 +45,13 @@
         metrics: RouterMetrics,
         entries: Vec<ServerEntry>,
     ) -> Rc<Self> {
-        let directory =
-            Self { identity, metrics, records: RefCell::default(), fleets: RefCell::default() };
+        let directory = Self {
+            identity,
+            metrics,
+            records: RefCell::default(),
+            leaving: RefCell::default(),
+            fleets: RefCell::default(),
+        };
         directory.replace(entries);
         Rc::new(directory)
     }
@@ -66,6 +72,12 @@
         self.tell_fleet();
     }
 
+    /// Gives no new work to the servers in `leaving`, in place of those named before. They stay
+    /// declared, and their agents witnesses: lists that differ must not make fleets differ.
+    pub fn set_leaving(&self, leaving: Rc<BTreeSet<ServerId>>) {
+        *self.leaving.borrow_mut() = leaving;
+    }
+
     /// Has `keeper` told of the servers in force, now and whenever they are replaced.
     pub fn keep_fleets(&self, keeper: Rc<FleetKeeper>) {
         *self.fleets.borrow_mut() = Some(keeper);
@@ -130,8 +142,10 @@
     }
 
     fn select(&self, wanted: impl Fn(&ServerEntry) -> bool) -> Vec<Rc<ServerRecord>> {
-        let records = self.records.borrow();
-        records.values().filter(|record| wanted(&record.entry)).cloned().collect()
+        let (records, leaving) = (self.records.borrow(), self.leaving.borrow());
+        let takes_work = |entry: &ServerEntry| !leaving.contains(&entry.server);
+        let fits = |record: &&Rc<ServerRecord>| wanted(&record.entry) && takes_work(&record.entry);
+        records.values().filter(fits).cloned().collect()
     }
 }
 
--- a/crates/papayamux-router/src/lib.rs
+++ b/crates/papayamux-router/src/lib.rs
@@ -3,6 +3,7 @@
 mod agents;
 mod callers;
 pub mod claims;
+mod configuration;
 pub mod daemon;
 mod directory;
 pub mod metrics;
--- a/crates/papayamux-router/src/settings.rs
+++ b/crates/papayamux-router/src/settings.rs
@@ -6,6 +6,7 @@
 use bon::Builder;
 use papayamux_protocol::proof::SharedSecret;
 use papayamux_settings::{Findings, IniFile, Millis};
+use papayamux_spread::settings::{read_spread, SpreadSettings, SPREAD_SECTION};
 use papayamux_state::address_range::AddressRange;
 use papayamux_state::ids::{FailureDomain, ModelId, ServerId};
 use papayamux_state::quantities::ByteCount;
@@ -70,8 +71,10 @@
     /// Claims of idempotency keys.
     #[builder(default = ClaimSettings::builder().build())]
     pub claims: ClaimSettings,
-    /// The backend servers.
+    /// The backend servers, where no configuration is spread.
     pub servers: Vec<ServerEntry>,
+    /// How the configuration is spread, where it is.
+    pub spread: Option<SpreadSettings>,
 }
 
 impl RouterSettings {
@@ -84,7 +87,7 @@
 }
 
 fn read_router(file: &IniFile) -> Option<RouterSettings> {
-    file.refuse_other_sections(&["router", "claims"], &["server", "witness"]);
+    file.refuse_other_sections(&["router", "claims", SPREAD_SECTION], &["server", "witness"]);
     let section = file.section("router");
     let listen = section.required("listen");
     let operations = section.required("operations");
@@ -101,6 +104,7 @@
     section.refuse_other_keys();
     let start_longest = start_within.map_or(START_WITHIN, |within: Millis| within.0);
     let claims = ClaimSettings::read(file, start_longest);
+    let spread = read_spread(file);
     let servers: Vec<_> =
         file.names_of("server").iter().map(|name| read_server(file, name)).collect();
     let servers = servers.into_iter().collect::<Option<Vec<_>>>();
@@ -119,6 +123,7 @@
         .maybe_secret(secret)
         .allow(allow)
         .servers(servers?)
+        .maybe_spread(spread)
         .build();
     Some(settings)
 }
--- /dev/null
+++ b/crates/papayamux-spread/src/service/service_client.rs
@@ -0,0 +1,141 @@
+//! Calls to the configuration service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{Request, StatusCode};
+use papayamux_protocol::platform::{
+    file_path, watch_path, ConfigFile, FileListing, FILES_PATH, INSTANCES_PATH,
+};
+use papayamux_transport::http::{HttpClient, HttpClientError};
+use thiserror::Error;
+
+use crate::files::FileVersion;
+use crate::instances::canonical_text;
+use crate::metrics::SpreadMetrics;
+
+/// How long a call may take beyond the time that it waits at the service.
+const CALL_WITHIN: Duration = Duration::from_secs(5);
+/// Bytes of the longest answer: a value, with what JSON adds to it.
+const LONGEST_ANSWER: u64 = 4 * 1024 * 1024;
+
+/// Why a call gave nothing.
+#[derive(Debug, Error)]
+pub(crate) enum ServiceError {
+    /// No answer came.
+    #[error("the service can't be reached: {0}")]
+    Client(#[from] HttpClientError),
+    /// The answer took too long.
+    #[error("the service did not answer in time")]
+    Timeout,
+    /// The service takes no more calls for now.
+    #[error("the service takes no more calls for now")]
+    Limited,
+    /// The service refused the call.
+    #[error("the service answered {0}")]
+    Status(StatusCode),
+    /// The answer makes no sense.
+    #[error("the answer makes no sense: {0}")]
+    Json(#[from] serde_json::Error),
+    /// The request could not be built.
+    #[error(transparent)]
+    Request(#[from] http::Error),
+    /// The answer is older than what is known.
+    #[error("the service is at revision {revision}, known is {known}")]
+    Stale {
+        /// The answer's revision.
+        revision: u64,
+        /// The revision known.
+        known: u64,
+    },
+    /// A file exceeds the bounds.
+    #[error("file {name} exceeds the bounds")]
+    TooLarge {
+        /// The file's name.
+        name: String,
+    },
+}
+
+impl ServiceError {
+    /// The reason's label.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            ServiceError::Client(_) => "unreachable",
+            ServiceError::Timeout => "timeout",
+            ServiceError::Limited => "limited",
+            ServiceError::Status(_) => "status",
+            ServiceError::Json(_) => "malformed",
+            ServiceError::Request(_) => "request",
+            ServiceError::Stale { .. } => "stale",
+            ServiceError::TooLarge { .. } => "too_large",
+        }
+    }
+}
+
+/// A client that counts its calls.
+pub(crate) struct ServiceClient {
+    client: HttpClient,
+    metrics: SpreadMetrics,
+}
+
+impl ServiceClient {
+    pub(crate) fn new(address: SocketAddr, metrics: SpreadMetrics) -> Self {
+        Self { client: HttpClient::new(address), metrics }
+    }
+
+    /// The names and revisions of all files.
+    pub(crate) async fn list(&self) -> Result<FileListing, ServiceError> {
+        let body = self.call("list", FILES_PATH, Duration::ZERO).await?;
+        Ok(serde_json::from_slice(&body)?)
+    }
+
+    /// One file at its newest revision.
+    pub(crate) async fn read(&self, name: &str) -> Result<FileVersion, ServiceError> {
+        let body = self.call("file", &file_path(name), Duration::ZERO).await?;
+        let file: ConfigFile = serde_json::from_slice(&body)?;
+        Ok(FileVersion::new(name, file.revision, file.text))
+    }
+
+    /// Waits for up to `wait` until files change after revision `after`, and gives these.
+    pub(crate) async fn watch(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> Result<FileListing, ServiceError> {
+        let path = watch_path(after, wait.as_millis() as u64);
+        let body = self.call("watch", &path, wait).await?;
+        Ok(serde_json::from_slice(&body)?)
+    }
+
+    /// The list of instances, in the form in which it is spread.
+    pub(crate) async fn instances(&self) -> Result<String, ServiceError> {
+        let body = self.call("instances", INSTANCES_PATH, Duration::ZERO).await?;
+        Ok(canonical_text(serde_json::from_slice(&body)?)?)
+    }
+
+    async fn call(
+        &self,
+        kind: &'static str,
+        path: &str,
+        wait: Duration,
+    ) -> Result<Bytes, ServiceError> {
+        self.metrics.service_reads.count(kind);
+        let request =
+            Request::get(path).header(HOST, self.client.address().to_string()).body(Bytes::new())?;
+        let exchange = async {
+            let answer = self.client.send_idempotent(request).await?;
+            match answer.head.status {
+                StatusCode::OK => Ok(answer.whole_body(LONGEST_ANSWER).await?),
+                StatusCode::TOO_MANY_REQUESTS => Err(ServiceError::Limited),
+                status => Err(ServiceError::Status(status)),
+            }
+        };
+        let body = monoio::time::timeout(wait + CALL_WITHIN, exchange)
+            .await
+            .map_err(|_| ServiceError::Timeout)??;
+        self.metrics.service_bytes.inc_by(body.len() as u64);
+        Ok(body)
+    }
+}
