--- /dev/null
+++ b/crates/papayamux-agent/src/admitted_run.rs
@@ -0,0 +1,153 @@
+//! From the arrival of a request to the end of its run.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::{select, Either};
+use papayamux_coordination::admission::{Admission, AdmissionPermit};
+use papayamux_coordination::admission_ticket::AdmissionTicket;
+use papayamux_protocol::link::{AgentMessage, OpenRequest, RefusalNotice};
+use papayamux_protocol::wire::agent_control_length;
+use papayamux_state::ids::ServerId;
+use papayamux_state::load::GroupId;
+use papayamux_state::refusal::RefusalReason;
+
+use crate::answers::{AnswerRecord, Attachment};
+use crate::router_link::AgentCore;
+use crate::run::run_request;
+
+/// Time after which a refused router may ask again, where nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// A stream that a router opened, before anything is decided.
+pub struct OpenedStream<'a> {
+    /// The agent.
+    pub core: &'a AgentCore,
+    /// The connection's end of the stream.
+    pub attachment: Attachment,
+}
+
+impl OpenedStream<'_> {
+    /// Decides on a request; `None` where it was refused.
+    pub fn admit(self, open: &OpenRequest) -> Option<(Rc<AnswerRecord>, Admission)> {
+        let core = self.core;
+        let now = core.clock();
+        if let Some(load) = &open.placement.group_load {
+            core.book.hear_mean(load, now);
+        }
+        let elsewhere = match open.placement.may_redirect {
+            true => core.engine.context_elsewhere(open),
+            false => None,
+        };
+        if elsewhere.is_some() && core.book.refuse_unseen(open.id, open.start_before, now) {
+            self.refuse(open, RefusalReason::ContextElsewhere, elsewhere);
+            return None;
+        }
+        match core.book.admit(open, now) {
+            Ok(admission) => {
+                let record = core.answers.start_record(open, self.attachment);
+                Some((record, admission))
+            }
+            Err(reason) => {
+                self.refuse(open, reason, None);
+                None
+            }
+        }
+    }
+
+    /// Refuses a request, and says what the server carries.
+    pub fn refuse(&self, open: &OpenRequest, reason: RefusalReason, better: Option<ServerId>) {
+        let notice = refusal_notice(self.core, open, reason, better);
+        if reason != RefusalReason::SeenBefore {
+            self.core.answers.note_refusal(open.id, notice.clone());
+        }
+        self.attachment.tell(self.core.load_message(group_of(open)));
+        let message = AgentMessage::Refused(notice);
+        self.core.metrics.control_bytes_out.inc_by(agent_control_length(&message));
+        self.attachment.send(message);
+    }
+}
+
+impl AgentCore {
+    /// What the server carries, to be told beside another message.
+    fn load_message(&self, group: Option<GroupId>) -> AgentMessage {
+        let message = AgentMessage::Load(self.load(group));
+        self.metrics.control_bytes_out.inc_by(agent_control_length(&message));
+        message
+    }
+}
+
+fn refusal_notice(
+    core: &AgentCore,
+    open: &OpenRequest,
+    reason: RefusalReason,
+    better: Option<ServerId>,
+) -> RefusalNotice {
+    core.metrics.refusals.count(reason.label());
+    let wait = core.book.retry_after(open.priority).max(RETRY_AFTER);
+    let retry_after_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+    RefusalNotice { reason, retry_after_ms, better }
+}
+
+/// Runs a request as soon as it has its place.
+pub async fn run_admitted(
+    core: Rc<AgentCore>,
+    open: OpenRequest,
+    record: Rc<AnswerRecord>,
+    admission: Admission,
+) {
+    let permit = match admission {
+        Admission::Now(permit) => Ok(permit),
+        Admission::Later(ticket) => wait_for_place(&core, &open, &record, ticket).await,
+    };
+    match permit {
+        Ok(permit) => run_now(&core, open, &record, permit).await,
+        Err(reason) => record.refuse(refusal_notice(&core, &open, reason, None)),
+    }
+}
+
+async fn wait_for_place(
+    core: &AgentCore,
+    open: &OpenRequest,
+    record: &AnswerRecord,
+    ticket: AdmissionTicket,
+) -> Result<AdmissionPermit, RefusalReason> {
+    core.metrics.queued.inc();
+    let left = ticket.deadline().0.saturating_sub(core.clock().0);
+    let granted = monoio::time::timeout(Duration::from_millis(left), ticket.granted());
+    let granted = std::pin::pin!(granted);
+    let cancelled = std::pin::pin!(record.wait_cancelled());
+    match select(granted, cancelled).await {
+        Either::Left((Ok(outcome), _)) if core.clock() < open.start_before => outcome,
+        Either::Left(_) if core.clock() >= open.start_before => Err(RefusalReason::DeadlinePassed),
+        Either::Left(_) => Err(RefusalReason::WaitTooLong),
+        Either::Right(_) => Err(RefusalReason::Cancelled),
+    }
+}
+
+async fn run_now(
+    core: &AgentCore,
+    open: OpenRequest,
+    record: &AnswerRecord,
+    permit: AdmissionPermit,
+) {
+    let recorder = match core.kept.begin(&open, core.started.elapsed()) {
+        Ok(recorder) => recorder,
+        Err(reason) => return record.refuse(refusal_notice(core, &open, reason, None)),
+    };
+    let group = group_of(&open);
+    core.metrics.admitted.inc();
+    core.metrics.running.inc();
+    core.engine.note_start(&open, core.clock());
+    let started = Instant::now();
+    let end = run_request(core, open, record, recorder).await;
+    core.book.note_run(started.elapsed());
+    core.metrics.running.dec();
+    core.metrics.answers.count(end.label());
+    drop(permit);
+    record.tell(core.load_message(group));
+}
+
+fn group_of(open: &OpenRequest) -> Option<GroupId> {
+    open.placement.group_load.map(|load| load.group)
+}
--- a/crates/papayamux-agent/src/answers/answer_record.rs
+++ b/crates/papayamux-agent/src/answers/answer_record.rs
@@ -15,6 +15,7 @@
 
 use super::held_bytes::HeldBytes;
 use super::StoreLimits;
+use crate::router_link::CONNECTION;
 
 /// Bytes of one data frame at most.
 const LONGEST_PIECE: usize = 64 * 1024;
@@ -38,9 +39,15 @@
 }
 
 impl Attachment {
-    fn send(&self, message: AgentMessage) {
+    /// Says something about the stream.
+    pub fn send(&self, message: AgentMessage) {
         self.sender.send(self.key.stream, message);
     }
+
+    /// Says something to the router that does not concern the stream.
+    pub fn tell(&self, message: AgentMessage) {
+        self.sender.send(CONNECTION, message);
+    }
 }
 
 /// Who reads the answer.
@@ -146,6 +153,13 @@
         state.head = Some(head);
     }
 
+    /// Says something to the router that reads the answer, if one does.
+    pub fn tell(&self, message: AgentMessage) {
+        if let Reader::Attached(attachment) = &self.state.borrow().reader {
+            attachment.tell(message);
+        }
+    }
+
     /// Adds to the body, once the window has room for it.
     pub async fn append(&self, bytes: Bytes, event_ends: &[usize]) {
         if bytes.is_empty() {
--- a/crates/papayamux-agent/src/answers/answer_store.rs
+++ b/crates/papayamux-agent/src/answers/answer_store.rs
@@ -88,7 +88,7 @@
 
     /// How a request was refused, where that is remembered.
     pub fn refusal(&self, id: &RequestId) -> Option<RefusalNotice> {
-        self.refusals.borrow().notices.get(id).copied()
+        self.refusals.borrow().notices.get(id).cloned()
     }
 
     /// Bytes of answers that are held.
--- a/crates/papayamux-agent/src/claims/recall.rs
+++ b/crates/papayamux-agent/src/claims/recall.rs
@@ -58,7 +58,7 @@
         }
         Either::Left((Err(reason), _)) => {
             core.metrics.refusals.count(reason.label());
-            let notice = RefusalNotice { reason, retry_after_ms: 0 };
+            let notice = RefusalNotice::new(reason, 0);
             stream.send(AgentMessage::Refused(notice));
         }
         Either::Right(_) => return,
--- a/crates/papayamux-agent/src/claims/witness.rs
+++ b/crates/papayamux-agent/src/claims/witness.rs
@@ -82,5 +82,5 @@
 }
 
 fn refuse(reason: RefusalReason, retry_after_ms: u32, held: Option<HeldClaim>) -> ClaimReply {
-    ClaimReply::Refused { notice: RefusalNotice { reason, retry_after_ms }, held }
+    ClaimReply::Refused { notice: RefusalNotice::new(reason, retry_after_ms), held }
 }
--- a/crates/papayamux-agent/src/daemon.rs
+++ b/crates/papayamux-agent/src/daemon.rs
@@ -23,6 +23,8 @@
 
 use crate::answers::{sweep_answers, AnswerStore, StoreLimits};
 use crate::claims::{ClaimWitness, KeptAnswers};
+use crate::engine_follower::follow_engine;
+use crate::engine_view::EngineView;
 use crate::metrics::AgentMetrics;
 use crate::router_link::{accept_routers, AgentCore};
 use crate::settings::AgentSettings;
@@ -50,6 +52,7 @@
             "failure_domain": self.core.domain.to_string(),
             "server": self.core.server.to_string(),
             "leaving": self.core.book.is_leaving(),
+            "waiting": self.core.book.waiting().get(),
             "running": self.core.book.running().get(),
             "held_answer_bytes": self.core.answers.held_bytes(),
             "witness_ready_in_ms":
@@ -124,7 +127,7 @@
 
     fn unfinished(&self) -> u64 {
         let waited_for = self.core.answers.awaited() as u64 + self.core.recalls.get();
-        self.core.book.running().get().max(waited_for)
+        (self.core.book.running() + self.core.book.waiting()).get().max(waited_for)
     }
 
     /// Ends the drain before its end.
@@ -152,7 +155,8 @@
         incarnation,
         server: settings.server.clone(),
         domain: settings.domain.clone(),
-        book: AdmissionBook::new(incarnation, settings.capacity),
+        book: AdmissionBook::new(incarnation, settings.limits()),
+        engine: EngineView::new(settings.prefill_rate),
         client: HttpClient::new(settings.server_address),
         witness: ClaimWitness::new(incarnation, &settings.claims),
         kept: KeptAnswers::new(&settings.claims),
@@ -168,9 +172,11 @@
     let view = Rc::new(AgentView { core: core.clone() });
     monoio::spawn(serve_operations(operators, Rc::new(registry), view, ShutdownSignal::new()));
     monoio::spawn(accept_routers(core.clone(), routers));
+    let timers = TimerService::start();
+    monoio::spawn(follow_engine(core.clone(), timers.clone()));
     monoio::spawn(announce_witness(core.clone()));
     let held_bytes = core.metrics.held_bytes.clone();
-    monoio::spawn(sweep_answers(core.answers.clone(), held_bytes, TimerService::start()));
+    monoio::spawn(sweep_answers(core.answers.clone(), held_bytes, timers));
     Ok(core)
 }
 
--- /dev/null
+++ b/crates/papayamux-agent/src/engine_follower.rs
@@ -0,0 +1,144 @@
+//! Following an engine: its cache events, snapshots after gaps, and the size of its batch.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use papayamux_protocol::engine::{
+    CacheChange, CacheEventPage, CacheSnapshot, EngineLoad, CACHE_BLOCKS_PATH, CACHE_EVENTS_PATH,
+    LOAD_PATH, LONGEST_EVENT_PAGE,
+};
+use papayamux_state::cache_index::{BlockChange, EventStretch};
+use papayamux_state::quantities::RequestCount;
+use papayamux_transport::timer::TimerService;
+use serde::de::DeserializeOwned;
+
+use crate::router_link::AgentCore;
+
+/// How often the engine is asked for events.
+const EVENTS_EVERY: Duration = Duration::from_millis(100);
+/// Pages of events that are read in one go.
+const MOST_PAGES: usize = 16;
+/// The least time between two snapshots.
+const SNAPSHOT_EVERY: Duration = Duration::from_millis(500);
+/// How often the engine is asked for its load.
+const LOAD_EVERY: Duration = Duration::from_secs(1);
+/// How long an answer may take.
+const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+/// Bytes of the longest answer.
+const LONGEST_ANSWER: u64 = 16 * 1024 * 1024;
+
+/// Follows the engine for as long as the agent lives, from its first chat on.
+pub async fn follow_engine(core: Rc<AgentCore>, timer: TimerService) {
+    core.engine.chats_came().await;
+    let mut ticks = timer.every(EVENTS_EVERY);
+    let mut follower = EngineFollower { core, last_snapshot: None, last_load: None };
+    while ticks.tick().await.is_some() {
+        follower.look().await;
+    }
+}
+
+struct EngineFollower {
+    core: Rc<AgentCore>,
+    last_snapshot: Option<Instant>,
+    last_load: Option<Instant>,
+}
+
+fn is_due(last: Option<Instant>, period: Duration) -> bool {
+    last.is_none_or(|last| last.elapsed() >= period)
+}
+
+impl EngineFollower {
+    async fn look(&mut self) {
+        if is_due(self.last_load, LOAD_EVERY) {
+            self.last_load = Some(Instant::now());
+            self.read_load().await;
+        }
+        if self.needs_rebuild() && is_due(self.last_snapshot, SNAPSHOT_EVERY) {
+            self.last_snapshot = Some(Instant::now());
+            self.read_snapshot().await;
+        }
+        for _ in 0..MOST_PAGES {
+            if !self.read_events().await {
+                break;
+            }
+        }
+    }
+
+    fn needs_rebuild(&self) -> bool {
+        self.core.engine.index().borrow().needs_rebuild()
+    }
+
+    async fn read_load(&self) {
+        let load: Option<EngineLoad> = self.fetch(LOAD_PATH).await;
+        if let Some(load) = load.filter(|load| load.batch_limit > 0) {
+            self.core.book.set_batch(RequestCount::new(load.batch_limit));
+        }
+    }
+
+    async fn read_snapshot(&self) {
+        let snapshot: Option<CacheSnapshot> = self.fetch(CACHE_BLOCKS_PATH).await;
+        if let Some(snapshot) = snapshot {
+            self.core.metrics.cache_reads.count("snapshot");
+            let mut index = self.core.engine.index().borrow_mut();
+            let blocks = snapshot.blocks.into_iter();
+            index.rebuild(snapshot.incarnation, snapshot.event, blocks, Instant::now());
+        }
+    }
+
+    /// Reads one page of events; `true` where there may be more.
+    async fn read_events(&self) -> bool {
+        let after = self.core.engine.index().borrow().position();
+        let path = format!("{CACHE_EVENTS_PATH}?after={after}&limit={LONGEST_EVENT_PAGE}");
+        let Some(page) = self.fetch::<CacheEventPage>(&path).await else {
+            return false;
+        };
+        let more = page.events.len() >= LONGEST_EVENT_PAGE;
+        let mut index = self.core.engine.index().borrow_mut();
+        let was_whole = !index.needs_rebuild();
+        index.apply(&stretch_of(page), Instant::now());
+        if was_whole && index.needs_rebuild() {
+            self.core.metrics.cache_reads.count("gap");
+        }
+        more
+    }
+
+    async fn fetch<T: DeserializeOwned>(&self, path: &str) -> Option<T> {
+        let client = &self.core.client;
+        let request = Request::builder()
+            .method(Method::GET)
+            .uri(path)
+            .header(http::header::HOST, client.address().to_string())
+            .body(Bytes::new())
+            .ok()?;
+        let exchange = async {
+            let answer = client.send_idempotent(request).await.ok()?;
+            let status = answer.head.status;
+            let body = answer.whole_body(LONGEST_ANSWER).await.ok()?;
+            (status == StatusCode::OK).then_some(body)
+        };
+        let body = monoio::time::timeout(ANSWER_WITHIN, exchange).await.ok().flatten();
+        let value = body.and_then(|body| serde_json::from_slice(&body).ok());
+        if value.is_none() {
+            self.core.metrics.cache_reads.count("failed");
+        }
+        value
+    }
+}
+
+fn stretch_of(page: CacheEventPage) -> EventStretch {
+    let changes = page.events.into_iter().map(|event| {
+        let change = match event.change {
+            CacheChange::Stored(hash) => BlockChange::Stored(hash),
+            CacheChange::Evicted(hash) => BlockChange::Evicted(hash),
+            CacheChange::Cleared => BlockChange::Cleared,
+        };
+        (event.number, change)
+    });
+    EventStretch {
+        incarnation: page.incarnation,
+        through: page.through,
+        changes: changes.collect(),
+    }
+}
--- a/crates/papayamux-agent/src/lib.rs
+++ b/crates/papayamux-agent/src/lib.rs
@@ -1,8 +1,11 @@
 //! The agent: stands beside one backend server, decides what it takes, and runs it there.
 
+mod admitted_run;
 pub mod answers;
 pub mod claims;
 pub mod daemon;
+mod engine_follower;
+mod engine_view;
 pub mod metrics;
 mod router_link;
 mod run;
--- a/crates/papayamux-agent/src/metrics.rs
+++ b/crates/papayamux-agent/src/metrics.rs
@@ -22,6 +22,14 @@
     pub answers_recalled: Counter,
     /// Answers by how they ended.
     pub answers: ReasonCounters,
+    /// Requests that had to wait for a place.
+    pub queued: Counter,
+    /// Readings of the engine's cache, by kind: snapshots, gaps, failures.
+    pub cache_reads: ReasonCounters,
+    /// Bytes of control messages received.
+    pub control_bytes_in: Counter,
+    /// Bytes of control messages sent.
+    pub control_bytes_out: Counter,
     /// Connections of routers.
     pub router_links: Gauge,
     /// Connections that were refused or broke, by reason.
@@ -50,6 +58,13 @@
         let recalled = self.answers_recalled.clone();
         registry.register("answers_recalled", "Repeats given the first answer", recalled);
         registry.register("answers", "Answers by how they ended", self.answers.0.clone());
+        registry.register("queued_requests", "Requests that waited", self.queued.clone());
+        let reads = self.cache_reads.0.clone();
+        registry.register("cache_reads", "Readings of the engine's cache", reads);
+        let bytes = self.control_bytes_in.clone();
+        registry.register("control_bytes_in", "Control messages received, in bytes", bytes);
+        let bytes = self.control_bytes_out.clone();
+        registry.register("control_bytes_out", "Control messages sent, in bytes", bytes);
         registry.register("router_links", "Connections of routers", self.router_links.clone());
         let failures = self.link_failures.0.clone();
         registry.register("link_failures", "Connections refused or broken", failures);
--- a/crates/papayamux-agent/src/router_link.rs
+++ b/crates/papayamux-agent/src/router_link.rs
@@ -9,21 +9,25 @@
 use monoio::net::{TcpListener, TcpStream};
 use papayamux_coordination::admission::AdmissionBook;
 use papayamux_protocol::link::{
-    Addressed, AgentClock, AgentMessage, ClaimReply, ClaimRequest, OpenRequest, PongNotice,
-    RecallRequest, RefusalNotice, ResumeRequest, RouterMessage,
+    Addressed, AgentClock, AgentMessage, ClaimReply, ClaimRequest, LoadProbe, OpenRequest,
+    PongNotice, ProbeReply, RecallRequest, RefusalNotice, ResumeRequest, RouterMessage,
+};
+use papayamux_protocol::wire::{
+    agent_control_length, router_control_length, AgentFrame, RouterFrame,
 };
-use papayamux_protocol::wire::{AgentFrame, RouterFrame};
 use papayamux_state::address_range::admits;
 use papayamux_state::ids::{FailureDomain, Incarnation, RequestId, ServerId};
+use papayamux_state::load::{GroupId, LoadReport};
 use papayamux_state::refusal::RefusalReason;
 use papayamux_transport::http::HttpClient;
 use papayamux_transport::link::{start_link, LinkError, LinkReceiver, LinkSender};
 use papayamux_transport::shutdown::ShutdownSignal;
 
+use crate::admitted_run::{run_admitted, OpenedStream};
 use crate::answers::{AnswerRecord, AnswerStore, Attachment, AttachmentKey};
 use crate::claims::{serve_recall, ClaimWitness, KeptAnswers, RecallStream};
+use crate::engine_view::EngineView;
 use crate::metrics::AgentMetrics;
-use crate::run::run_request;
 use crate::trust::{GreetingError, RouterTrust, SilentLink, TrustedLink};
 
 /// The receiving half of a router's connection.
@@ -62,6 +66,8 @@
     pub recalls: Cell<u64>,
     /// Requests to the backend server.
     pub client: HttpClient,
+    /// What is known of the engine.
+    pub engine: EngineView,
     /// The agent's metrics.
     pub metrics: AgentMetrics,
     /// When the agent started.
@@ -83,6 +89,13 @@
     pub fn clock(&self) -> AgentClock {
         AgentClock::default().after(self.started.elapsed())
     }
+
+    /// What the server carries, for a group of servers that it belongs to.
+    pub fn load(&self, group: Option<GroupId>) -> LoadReport {
+        let now = self.clock();
+        let report = self.book.load(group, now);
+        LoadReport { backlog: report.backlog + self.engine.prefill_left(now), ..report }
+    }
 }
 
 /// Accepts connections of routers for as long as the agent lives.
@@ -192,7 +205,7 @@
                 Err(_) if unanswered == MOST_UNANSWERED => return LinkEnd::Silent,
                 Err(_) => {
                     unanswered += 1;
-                    self.sender.send(CONNECTION, AgentMessage::Ping(u64::from(unanswered)));
+                    self.send(CONNECTION, AgentMessage::Ping(u64::from(unanswered)));
                 }
                 Ok(None) => return LinkEnd::Closed,
                 Ok(Some(Err(error))) => return LinkEnd::Broken(error),
@@ -214,6 +227,7 @@
     }
 
     fn take_message(&self, stream: u64, message: RouterMessage) {
+        self.core.metrics.control_bytes_in.inc_by(router_control_length(&message));
         let key = AttachmentKey { link: self.number, stream };
         match message {
             RouterMessage::Open(open) => self.open(stream, *open),
@@ -230,8 +244,10 @@
             RouterMessage::Recall(recall) => self.recall(stream, recall),
             RouterMessage::Ping(number) => {
                 let pong = PongNotice { number, clock: self.core.clock() };
-                self.sender.send(CONNECTION, AgentMessage::Pong(pong));
+                self.send(CONNECTION, AgentMessage::Pong(pong));
             }
+            RouterMessage::Probe(probe) => self.answer_probe(stream, &probe),
+            RouterMessage::Moved(moved) => self.core.engine.note_moved(moved),
             RouterMessage::Pong(_) => {}
             RouterMessage::Hello(_) => self.core.metrics.link_failures.count("second_hello"),
             RouterMessage::Prove(_) => self.core.metrics.link_failures.count("second_proof"),
@@ -253,31 +269,34 @@
     }
 
     fn open(&self, stream: u64, open: OpenRequest) {
-        let id = open.id;
-        let now = self.core.clock();
+        let opened = OpenedStream { core: &self.core, attachment: self.attachment(stream) };
         if self.streams.borrow().len() >= MOST_STREAMS {
-            self.core.book.refuse_unseen(id, open.start_before, now);
-            return self.refuse(stream, id, RefusalReason::AtCapacity);
+            self.core.book.refuse_unseen(open.id, open.start_before, self.core.clock());
+            return opened.refuse(&open, RefusalReason::AtCapacity, None);
         }
-        let permit = match self.core.book.admit(&open, now) {
-            Ok(permit) => permit,
-            Err(reason) => return self.refuse(stream, id, reason),
-        };
-        let recorder = match self.core.kept.begin(&open, self.core.started.elapsed()) {
-            Ok(recorder) => recorder,
-            Err(reason) => return self.refuse(stream, id, reason),
+        if let Some((record, admission)) = opened.admit(&open) {
+            self.streams.borrow_mut().insert(stream, record.clone());
+            monoio::spawn(run_admitted(self.core.clone(), open, record, admission));
+        }
+    }
+
+    fn answer_probe(&self, stream: u64, probe: &LoadProbe) {
+        let core = &self.core;
+        if let Some(load) = &probe.group_load {
+            core.book.hear_mean(load, core.clock());
+        }
+        let reply = ProbeReply {
+            load: core.load(probe.group_load.map(|load| load.group)),
+            warm: core.engine.warm_checkpoints(probe),
+            prefill_rate: core.engine.prefill_rate(),
+            elsewhere: core.engine.elsewhere(probe.chat),
         };
-        self.core.metrics.admitted.inc();
-        let record = self.core.answers.start_record(&open, self.attachment(stream));
-        self.streams.borrow_mut().insert(stream, record.clone());
-        let core = self.core.clone();
-        monoio::spawn(async move {
-            core.metrics.running.inc();
-            let end = run_request(&core, open, &record, recorder).await;
-            core.metrics.running.dec();
-            core.metrics.answers.count(end.label());
-            drop(permit);
-        });
+        self.send(stream, AgentMessage::Probed(reply));
+    }
+
+    fn send(&self, stream: u64, message: AgentMessage) {
+        self.core.metrics.control_bytes_out.inc_by(agent_control_length(&message));
+        self.sender.send(stream, message);
     }
 
     /// Lets an answer go on on this connection, or says what has become of its request.
@@ -322,14 +341,13 @@
                 self.core.metrics.claim_refusals.count(notice.reason.label());
             }
         }
-        self.sender.send(stream, AgentMessage::Claim(reply));
+        self.send(stream, AgentMessage::Claim(reply));
     }
 
     /// Answers a repeat with the first run's answer, once that has ended.
     fn recall(&self, stream: u64, recall: RecallRequest) {
         if self.recalls.borrow().len() >= MOST_STREAMS {
-            let notice =
-                RefusalNotice { reason: RefusalReason::AtCapacity, retry_after_ms: RETRY_AFTER_MS };
+            let notice = RefusalNotice::new(RefusalReason::AtCapacity, RETRY_AFTER_MS);
             self.core.metrics.refusals.count(notice.reason.label());
             self.sender.send(stream, AgentMessage::Refused(notice));
             return;
@@ -346,11 +364,9 @@
 
     fn refuse(&self, stream: u64, id: RequestId, reason: RefusalReason) {
         self.core.metrics.refusals.count(reason.label());
-        let notice = RefusalNotice { reason, retry_after_ms: RETRY_AFTER_MS };
-        if reason != RefusalReason::SeenBefore {
-            self.core.answers.note_refusal(id, notice);
-        }
-        self.sender.send(stream, AgentMessage::Refused(notice));
+        let notice = RefusalNotice::new(reason, RETRY_AFTER_MS);
+        self.core.answers.note_refusal(id, notice.clone());
+        self.send(stream, AgentMessage::Refused(notice));
     }
 
     /// The connection is gone; its router may ask for the streams again on another one.
--- a/crates/papayamux-agent/src/run.rs
+++ b/crates/papayamux-agent/src/run.rs
@@ -114,7 +114,7 @@
 }
 
 fn refuse(record: &AnswerRecord, reason: RefusalReason) -> RunEnd {
-    record.refuse(RefusalNotice { reason, retry_after_ms: 0 });
+    record.refuse(RefusalNotice::new(reason, 0));
     RunEnd::Unreachable
 }
 
--- a/crates/papayamux-agent/src/settings.rs
+++ b/crates/papayamux-agent/src/settings.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use bon::Builder;
+use papayamux_coordination::admission::AdmissionLimits;
 use papayamux_protocol::proof::SharedSecret;
 use papayamux_settings::{Findings, IniFile, Millis};
 use papayamux_state::address_range::AddressRange;
 use papayamux_state::ids::{FailureDomain, ServerId};
-use papayamux_state::quantities::{ByteCount, RequestCount};
+use papayamux_state::load::LoadFactor;
+use papayamux_state::quantities::{ByteCount, RequestCount, TokenCount};
 
 use crate::claims::ClaimSettings;
 
@@ -28,6 +30,18 @@
     /// Requests that may run at once.
     #[builder(default = RequestCount::new(64))]
     pub capacity: RequestCount,
+    /// Requests that may wait for a place; with 0, those without a place are refused at once.
+    #[builder(default = RequestCount::new(256))]
+    pub queue: RequestCount,
+    /// The longest that a request may wait.
+    #[builder(default = Duration::from_secs(10))]
+    pub longest_wait: Duration,
+    /// How far the server's load may lie above the mean of its group.
+    #[builder(default = LoadFactor::DEFAULT)]
+    pub load_factor: LoadFactor,
+    /// Prompt tokens that the engine computes in a second.
+    #[builder(default = TokenCount::new(30_000))]
+    pub prefill_rate: TokenCount,
     /// How long requests in flight may take to finish at a shutdown.
     #[builder(default = Duration::from_secs(600))]
     pub drain_within: Duration,
@@ -57,6 +71,16 @@
 }
 
 impl AgentSettings {
+    /// The limits that the settings give to admissions.
+    pub fn limits(&self) -> AdmissionLimits {
+        AdmissionLimits {
+            capacity: self.capacity,
+            queue: self.queue,
+            longest_wait: self.longest_wait,
+            factor: self.load_factor,
+        }
+    }
+
     /// Reads the settings from the text of an INI file, or reports all that is wrong with it.
     pub fn read(name: &str, text: &str) -> Result<Self, Findings> {
         let file = IniFile::parse(name, text)?;
@@ -84,6 +108,10 @@
     let server_address = section.required("address");
     let capacity = section.optional("capacity");
     let progress_within = section.optional("progress_within");
+    let queue = section.optional("queue");
+    let longest_wait = section.optional("longest_wait");
+    let load_factor = section.optional("load_factor");
+    let prefill_rate = section.optional("prefill_rate");
     section.refuse_other_keys();
     let settings = AgentSettings::builder()
         .listen(listen?)
@@ -92,6 +120,10 @@
         .server(server?)
         .server_address(server_address?)
         .maybe_capacity(capacity)
+        .maybe_queue(queue)
+        .maybe_longest_wait(longest_wait.map(|wait: Millis| wait.0))
+        .maybe_load_factor(load_factor)
+        .maybe_prefill_rate(prefill_rate)
         .maybe_drain_within(drain_within.map(|within: Millis| within.0))
         .maybe_resume_within(resume_within.map(|within: Millis| within.0))
         .maybe_cancel_grace(cancel_grace.map(|grace: Millis| grace.0))
--- a/crates/papayamux-agent/tests/answer_records.rs
+++ b/crates/papayamux-agent/tests/answer_records.rs
@@ -37,6 +37,7 @@
         path: "/".to_string(),
         headers: Vec::new(),
         body: Bytes::new(),
+        placement: papayamux_protocol::link::PlacementRule::default(),
     }
 }
 
--- a/crates/papayamux-agent/tests/kept_answers.rs
+++ b/crates/papayamux-agent/tests/kept_answers.rs
@@ -38,6 +38,7 @@
         path: "/book".to_string(),
         headers: Vec::new(),
         body: Bytes::new(),
+        placement: papayamux_protocol::link::PlacementRule::default(),
     }
 }
 
--- /dev/null
+++ b/crates/papayamux-coordination/src/admission_ticket.rs
@@ -0,0 +1,90 @@
+//! The wait of a request that has no place yet.
+
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+
+use papayamux_protocol::link::AgentClock;
+use papayamux_state::ids::RequestId;
+use papayamux_state::load::GroupId;
+use papayamux_state::refusal::RefusalReason;
+
+use crate::admission::{AdmissionBook, AdmissionPermit};
+
+/// What a waiting request is told.
+type TicketOutcome = Result<AdmissionPermit, RefusalReason>;
+
+#[derive(Debug, Default)]
+struct TicketWait {
+    outcome: Option<TicketOutcome>,
+    waker: Option<Waker>,
+}
+
+/// What the book and the ticket share.
+#[derive(Debug)]
+pub(crate) struct TicketState {
+    pub(crate) group: Option<GroupId>,
+    wait: RefCell<TicketWait>,
+}
+
+impl TicketState {
+    pub(crate) fn new(group: Option<GroupId>) -> Self {
+        Self { group, wait: RefCell::default() }
+    }
+
+    pub(crate) fn settle(&self, outcome: TicketOutcome) {
+        let mut wait = self.wait.borrow_mut();
+        wait.outcome = Some(outcome);
+        if let Some(waker) = wait.waker.take() {
+            waker.wake();
+        }
+    }
+
+    fn poll(&self, context: &mut Context<'_>) -> Poll<TicketOutcome> {
+        let mut wait = self.wait.borrow_mut();
+        match wait.outcome.take() {
+            Some(outcome) => Poll::Ready(outcome),
+            None => {
+                wait.waker = Some(context.waker().clone());
+                Poll::Pending
+            }
+        }
+    }
+}
+
+/// A request's place in the queue; dropping it gives the place up.
+#[derive(Debug)]
+pub struct AdmissionTicket {
+    book: Rc<AdmissionBook>,
+    id: RequestId,
+    state: Rc<TicketState>,
+    deadline: AgentClock,
+}
+
+impl AdmissionTicket {
+    pub(crate) fn new(
+        book: Rc<AdmissionBook>,
+        id: RequestId,
+        state: Rc<TicketState>,
+        deadline: AgentClock,
+    ) -> Self {
+        Self { book, id, state, deadline }
+    }
+
+    /// When the request has to have a place at the latest.
+    pub fn deadline(&self) -> AgentClock {
+        self.deadline
+    }
+
+    /// Waits for a place, or for the refusal where another request took the place in the queue.
+    pub async fn granted(&self) -> Result<AdmissionPermit, RefusalReason> {
+        poll_fn(|context| self.state.poll(context)).await
+    }
+}
+
+impl Drop for AdmissionTicket {
+    fn drop(&mut self) {
+        self.book.withdraw(&self.id);
+    }
+}
--- a/crates/papayamux-coordination/src/claims/claim_round.rs
+++ b/crates/papayamux-coordination/src/claims/claim_round.rs
@@ -78,7 +78,7 @@
     /// longest wait.
     pub fn refusal(&self) -> RefusalNotice {
         let reason = RefusalReason::NoMajority;
-        self.worst.unwrap_or(RefusalNotice { reason, retry_after_ms: 1_000 })
+        self.worst.clone().unwrap_or(RefusalNotice::new(reason, 1_000))
     }
 
     fn fleet_verdict(&self, fleet: &[ServerId]) -> ClaimVerdict {
@@ -106,7 +106,7 @@
         let rank = |notice: &RefusalNotice| {
             (notice.reason == RefusalReason::KeyReused, notice.retry_after_ms)
         };
-        if self.worst.is_none_or(|worst| rank(&notice) > rank(&worst)) {
+        if self.worst.as_ref().is_none_or(|worst| rank(&notice) > rank(worst)) {
             self.worst = Some(notice);
         }
     }
--- /dev/null
+++ b/crates/papayamux-coordination/src/retry_budget.rs
@@ -0,0 +1,39 @@
+//! A budget for running requests again whose outcome is not known.
+
+use std::cell::Cell;
+
+/// Retries that each request adds to the budget.
+const PER_REQUEST: f64 = 0.2;
+/// Retries that the budget holds at most.
+const MOST: f64 = 20.0;
+
+/// A token bucket that requests fill and retries empty, so that retries can't outnumber a fifth of
+/// the requests for long. A refusal proves that nothing ran and needs no budget: the number of
+/// offers bounds it.
+#[derive(Debug)]
+pub struct RetryBudget {
+    tokens: Cell<f64>,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self { tokens: Cell::new(MOST) }
+    }
+}
+
+impl RetryBudget {
+    /// Notes a request's first offer.
+    pub fn note_request(&self) {
+        self.tokens.set((self.tokens.get() + PER_REQUEST).min(MOST));
+    }
+
+    /// Takes one retry; `false` where the budget is used up.
+    pub fn take_retry(&self) -> bool {
+        let left = self.tokens.get() - 1.0;
+        if left < 0.0 {
+            return false;
+        }
+        self.tokens.set(left);
+        true
+    }
+}
--- /dev/null
+++ b/crates/papayamux-coordination/tests/route_cost.rs
@@ -0,0 +1,51 @@
+//! What a server costs a request.
+
+use std::time::Duration;
+
+use papayamux_coordination::route_cost::{idle_cost, route_cost, PromptCheckpoints};
+use papayamux_protocol::link::ProbeReply;
+use papayamux_state::load::LoadReport;
+use papayamux_state::quantities::{RequestCount, TokenCount};
+
+fn reply(warm: u32, backlog_ms: u64) -> ProbeReply {
+    let load = LoadReport {
+        limit: RequestCount::new(8),
+        backlog: Duration::from_millis(backlog_ms),
+        ..LoadReport::default()
+    };
+    ProbeReply { load, warm, prefill_rate: TokenCount::new(16_000), elsewhere: None }
+}
+
+fn checkpoints(blocks: u64) -> PromptCheckpoints {
+    let hashes: Vec<u64> = (1..=blocks).collect();
+    PromptCheckpoints::new(&hashes, TokenCount::new(blocks * 16))
+}
+
+#[test]
+fn checkpoints_cover_a_prompt_of_any_length_to_its_end() {
+    for blocks in 0..300 {
+        let checkpoints = checkpoints(blocks);
+        let count = checkpoints.hashes().len() as u32;
+        assert_eq!(checkpoints.cold_tokens(count), TokenCount::new(0), "{blocks}");
+        assert_eq!(checkpoints.cold_tokens(0), TokenCount::new(blocks * 16));
+        let left: Vec<_> = (0..=count).map(|warm| checkpoints.cold_tokens(warm)).collect();
+        assert!(left.windows(2).all(|pair| pair[0] > pair[1]), "{left:?}");
+    }
+}
+
+#[test]
+fn a_short_wait_where_the_prompt_is_warm_beats_computing_it_elsewhere() {
+    let prompt = checkpoints(100);
+    let whole = prompt.hashes().len() as u32;
+    let idle = idle_cost(TokenCount::new(16_000), &prompt);
+    assert_eq!(route_cost(&reply(0, 0), &prompt), Some(idle));
+    assert!(route_cost(&reply(whole, 50), &prompt) < Some(idle));
+    assert!(route_cost(&reply(whole, 5_000), &prompt) > Some(idle));
+}
+
+#[test]
+fn a_server_that_takes_nothing_is_no_candidate() {
+    let mut leaving = reply(1, 0);
+    leaving.load.limit = RequestCount::new(0);
+    assert_eq!(route_cost(&leaving, &checkpoints(10)), None);
+}
--- a/crates/papayamux-protocol/src/link.rs
+++ b/crates/papayamux-protocol/src/link.rs
@@ -10,6 +10,8 @@
     AdapterId, ChatKey, FailureDomain, IdempotencyKey, Incarnation, ModelId, OrganisationId,
     RequestId, ServerId,
 };
+use papayamux_state::load::{GroupLoad, LoadReport};
+use papayamux_state::quantities::TokenCount;
 use papayamux_state::refusal::RefusalReason;
 
 use crate::proof::{ProofNonce, ProofTag};
@@ -66,7 +68,7 @@
 }
 
 /// A request for the agent's backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct OpenRequest {
     /// The attempt's id.
     pub id: RequestId,
@@ -92,6 +94,55 @@
     pub headers: Vec<HeaderField>,
     /// The body.
     pub body: Bytes,
+    /// What the agent may do with the request where it has no place for it.
+    pub placement: PlacementRule,
+}
+
+/// What an agent needs to know to place a request among others.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct PlacementRule {
+    /// The organisation's weight among those that wait; 0 counts as 1.
+    pub share: u32,
+    /// How long the request may be expected to wait for a place; it is refused at once where the
+    /// wait would be longer.
+    pub patience: Duration,
+    /// Whether the agent may refuse because it knows that the chat's context is elsewhere.
+    pub may_redirect: bool,
+    /// The mean load that the router knows of; without it there is no bound but the capacity.
+    pub group_load: Option<GroupLoad>,
+}
+
+/// A question for an agent's load and for what its engine's cache holds of a prompt.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LoadProbe {
+    /// Hashes of some of the prompt's blocks, the first block's first, cut to 32 bits.
+    pub checkpoints: Vec<u32>,
+    /// The chat, as a hash; 0 where the request is no chat.
+    pub chat: u64,
+    /// The mean load that the router knows of.
+    pub group_load: Option<GroupLoad>,
+}
+
+/// An agent's answer to a [`LoadProbe`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProbeReply {
+    /// The load.
+    pub load: LoadReport,
+    /// How many of the leading checkpoints are cached.
+    pub warm: u32,
+    /// Prompt tokens that the engine computes in a second.
+    pub prefill_rate: TokenCount,
+    /// Where the chat was sent last, when that was not here.
+    pub elsewhere: Option<ServerId>,
+}
+
+/// Tells a chat's home that the chat was served elsewhere.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MovedChat {
+    /// The chat, as a hash.
+    pub chat: u64,
+    /// Where it was served.
+    pub server: ServerId,
 }
 
 /// An attempt's claim of a key, for one witness.
@@ -226,12 +277,21 @@
 }
 
 /// A refusal: the request was not run and won't be.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RefusalNotice {
     /// Why.
     pub reason: RefusalReason,
     /// Milliseconds after which it may be worth asking again.
     pub retry_after_ms: u32,
+    /// The server to ask next, where the agent knows a better one.
+    pub better: Option<ServerId>,
+}
+
+impl RefusalNotice {
+    /// A refusal that names no better server.
+    pub const fn new(reason: RefusalReason, retry_after_ms: u32) -> Self {
+        Self { reason, retry_after_ms, better: None }
+    }
 }
 
 /// Status and headers of an answer.
@@ -262,7 +322,7 @@
 }
 
 /// What a router says about one stream, or about the connection.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum RouterMessage {
     /// Opens the connection.
     Hello(RouterHello),
@@ -288,6 +348,10 @@
     ClaimNotice(ClaimNotice),
     /// Asks for the answer of an earlier run.
     Recall(RecallRequest),
+    /// Asks for a [`AgentMessage::Probed`] on the same stream.
+    Probe(LoadProbe),
+    /// A chat was served elsewhere.
+    Moved(MovedChat),
 }
 
 /// What an agent says about one stream, or about the connection.
@@ -315,6 +379,10 @@
     Ping(u64),
     /// Answers a claim.
     Claim(ClaimReply),
+    /// The load, told unasked beside other messages.
+    Load(LoadReport),
+    /// Answers a probe.
+    Probed(ProbeReply),
 }
 
 /// A message of either side with the stream it belongs to; stream 0 is the connection itself.
--- a/crates/papayamux-protocol/src/wire/convert_agent.rs
+++ b/crates/papayamux-protocol/src/wire/convert_agent.rs
@@ -2,6 +2,7 @@
 
 use papayamux_state::refusal::RefusalReason;
 
+use super::convert_load::optional_server;
 use super::messages::*;
 use super::{identifier, nonce_bytes, read_nonce, required, FrameMessage, WireError};
 use crate::link::{
@@ -28,6 +29,8 @@
             AgentMessage::NotHeld => AgentBody::NotHeld(WireNothing {}),
             AgentMessage::Ping(number) => AgentBody::Ping(number),
             AgentMessage::Claim(reply) => AgentBody::Claim(reply.into()),
+            AgentMessage::Load(report) => AgentBody::Load(report.into()),
+            AgentMessage::Probed(reply) => AgentBody::Probed(reply.into()),
         };
         Self { stream: addressed.stream, body: Some(body) }
     }
@@ -54,6 +57,8 @@
             AgentBody::NotHeld(_) => AgentMessage::NotHeld,
             AgentBody::Ping(number) => AgentMessage::Ping(number),
             AgentBody::Claim(reply) => AgentMessage::Claim(reply.try_into()?),
+            AgentBody::Load(load) => AgentMessage::Load(load.into()),
+            AgentBody::Probed(reply) => AgentMessage::Probed(reply.try_into()?),
         };
         Ok(Addressed { stream: self.stream, message })
     }
@@ -106,7 +111,11 @@
 
 impl From<RefusalNotice> for WireRefusal {
     fn from(notice: RefusalNotice) -> Self {
-        Self { reason: notice.reason.number(), retry_after_ms: notice.retry_after_ms }
+        Self {
+            reason: notice.reason.number(),
+            retry_after_ms: notice.retry_after_ms,
+            better: notice.better.map(|server| server.to_string()),
+        }
     }
 }
 
@@ -116,7 +125,8 @@
     fn try_from(refusal: WireRefusal) -> Result<Self, WireError> {
         let reason = RefusalReason::from_number(refusal.reason)
             .ok_or(WireError::Number { part: "reason", number: refusal.reason })?;
-        Ok(Self { reason, retry_after_ms: refusal.retry_after_ms })
+        let better = optional_server("better", refusal.better)?;
+        Ok(Self { reason, retry_after_ms: refusal.retry_after_ms, better })
     }
 }
 
--- a/crates/papayamux-protocol/src/wire/convert_router.rs
+++ b/crates/papayamux-protocol/src/wire/convert_router.rs
@@ -1,13 +1,15 @@
 //! Router messages to and from their wire form.
 
 use papayamux_state::claims::ClaimId;
+use std::time::Duration;
+
 use papayamux_state::ids::{Incarnation, RequestId};
 
 use super::messages::*;
 use super::{identifier, nonce_bytes, read_nonce, required, FrameMessage, WireError};
 use crate::link::{
-    Addressed, AgentClock, ChatTarget, HeaderField, OpenRequest, RepeatRule, ResumePoint,
-    ResumeRequest, RouterHello, RouterMessage,
+    Addressed, AgentClock, ChatTarget, HeaderField, OpenRequest, PlacementRule, RepeatRule,
+    ResumePoint, ResumeRequest, RouterHello, RouterMessage,
 };
 use crate::proof::ProofTag;
 
@@ -26,6 +28,8 @@
             RouterMessage::Claim(claim) => RouterBody::Claim(claim.into()),
             RouterMessage::ClaimNotice(notice) => RouterBody::ClaimNotice(notice.into()),
             RouterMessage::Recall(recall) => RouterBody::Recall(recall.into()),
+            RouterMessage::Probe(probe) => RouterBody::Probe(probe.into()),
+            RouterMessage::Moved(moved) => RouterBody::Moved(moved.into()),
         };
         Self { stream: addressed.stream, body: Some(body) }
     }
@@ -48,6 +52,8 @@
             RouterBody::Claim(claim) => RouterMessage::Claim(claim.try_into()?),
             RouterBody::ClaimNotice(notice) => RouterMessage::ClaimNotice(notice.try_into()?),
             RouterBody::Recall(recall) => RouterMessage::Recall(recall.try_into()?),
+            RouterBody::Probe(probe) => RouterMessage::Probe(probe.into()),
+            RouterBody::Moved(moved) => RouterMessage::Moved(moved.try_into()?),
         };
         Ok(Addressed { stream: self.stream, message })
     }
@@ -179,6 +185,10 @@
             path: open.path,
             headers: open.headers.into_iter().map(Into::into).collect(),
             body: open.body,
+            share: open.placement.share,
+            patience_ms: u32::try_from(open.placement.patience.as_millis()).unwrap_or(u32::MAX),
+            may_redirect: open.placement.may_redirect,
+            group_load: open.placement.group_load.map(Into::into),
         }
     }
 }
@@ -192,6 +202,12 @@
             (true, None) => RepeatRule::AtMostOnce(None),
             (true, Some(key)) => RepeatRule::AtMostOnce(Some(identifier("idempotency_key", &key)?)),
         };
+        let placement = PlacementRule {
+            share: open.share,
+            patience: Duration::from_millis(open.patience_ms.into()),
+            may_redirect: open.may_redirect,
+            group_load: open.group_load.map(Into::into),
+        };
         Ok(Self {
             id: required("id", open.id)?.into(),
             agent: open.agent.into(),
@@ -205,6 +221,7 @@
             path: open.path,
             headers: open.headers.into_iter().map(Into::into).collect(),
             body: open.body,
+            placement,
         })
     }
 }
--- a/crates/papayamux-protocol/src/wire/messages.rs
+++ b/crates/papayamux-protocol/src/wire/messages.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 
 use super::claim_messages::{WireClaim, WireClaimNotice, WireClaimReply, WireRecall};
+use super::load_messages::{WireGroupLoad, WireLoad, WireMoved, WireProbe, WireProbed};
 
 /// A frame from a router to an agent.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -11,7 +12,7 @@
     #[prost(uint64, tag = "1")]
     pub stream: u64,
     /// What is said.
-    #[prost(oneof = "RouterBody", tags = "2, 3, 4, 5, 6, 10, 11, 12, 13, 14, 15, 16")]
+    #[prost(oneof = "RouterBody", tags = "2, 3, 4, 5, 6, 7, 8, 10, 11, 12, 13, 14, 15, 16")]
     pub body: Option<RouterBody>,
 }
 
@@ -54,6 +55,12 @@
     /// See [`crate::link::RecallRequest`].
     #[prost(message, tag = "12")]
     Recall(WireRecall),
+    /// See [`crate::link::LoadProbe`].
+    #[prost(message, tag = "7")]
+    Probe(WireProbe),
+    /// See [`crate::link::MovedChat`].
+    #[prost(message, tag = "8")]
+    Moved(WireMoved),
 }
 
 /// A frame from an agent to a router.
@@ -63,7 +70,7 @@
     #[prost(uint64, tag = "1")]
     pub stream: u64,
     /// What is said.
-    #[prost(oneof = "AgentBody", tags = "2, 3, 4, 5, 6, 7, 8, 12, 15, 16, 17")]
+    #[prost(oneof = "AgentBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 15, 16, 17")]
     pub body: Option<AgentBody>,
 }
 
@@ -103,6 +110,12 @@
     /// See [`crate::link::ClaimReply`].
     #[prost(message, tag = "12")]
     Claim(WireClaimReply),
+    /// See [`papayamux_state::load::LoadReport`].
+    #[prost(message, tag = "9")]
+    Load(WireLoad),
+    /// See [`crate::link::ProbeReply`].
+    #[prost(message, tag = "10")]
+    Probed(WireProbed),
 }
 
 /// A message without content.
@@ -275,10 +288,22 @@
     /// The claim of a call with a key.
     #[prost(message, optional, tag = "20")]
     pub claim: Option<WireRequestId>,
+    /// The organisation's weight.
+    #[prost(uint32, tag = "13")]
+    pub share: u32,
+    /// How long the request may be expected to wait for a place, in milliseconds.
+    #[prost(uint32, tag = "14")]
+    pub patience_ms: u32,
+    /// Whether the request may be refused in favour of the place of its context.
+    #[prost(bool, tag = "15")]
+    pub may_redirect: bool,
+    /// The mean load that the router knows of.
+    #[prost(message, optional, tag = "16")]
+    pub group_load: Option<WireGroupLoad>,
 }
 
 /// The wire form of [`crate::link::RefusalNotice`].
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq, prost::Message)]
 pub struct WireRefusal {
     /// The reason's number.
     #[prost(uint32, tag = "1")]
@@ -286,6 +311,9 @@
     /// Milliseconds after which to ask again.
     #[prost(uint32, tag = "2")]
     pub retry_after_ms: u32,
+    /// A better server.
+    #[prost(string, optional, tag = "3")]
+    pub better: Option<String>,
 }
 
 /// The wire form of [`crate::link::AnswerHead`].
--- a/crates/papayamux-protocol/src/wire/mod.rs
+++ b/crates/papayamux-protocol/src/wire/mod.rs
@@ -1,14 +1,20 @@
 //! The wire form of messages: prost types, their conversion, and frames.
 
 mod claim_messages;
+mod control_length;
 mod convert_agent;
 mod convert_claim;
+mod convert_load;
 mod convert_router;
 mod frame_codec;
+mod load_messages;
 mod messages;
 
 pub use claim_messages::*;
+pub use control_length::{agent_control_length, router_control_length};
+pub use convert_load::MOST_CHECKPOINTS;
 pub use frame_codec::{CodecError, FrameCodec, FrameMessage};
+pub use load_messages::*;
 pub use messages::*;
 
 use bytes::Bytes;
--- a/crates/papayamux-router/src/agents/agent_link.rs
+++ b/crates/papayamux-router/src/agents/agent_link.rs
@@ -7,17 +7,22 @@
 
 use futures_util::future::{select, Either};
 use local_sync::mpsc::unbounded;
+use local_sync::oneshot;
 use papayamux_protocol::link::{
     AgentClock, AgentMessage, AgentWelcome, AnswerEnd, ClaimNotice, ClaimReply, ClaimRequest,
-    OpenRequest, RecallRequest, RepeatRule, ResumePoint, RouterMessage,
+    LoadProbe, MovedChat, OpenRequest, ProbeReply, RecallRequest, RepeatRule, ResumePoint,
+    RouterMessage,
 };
+use papayamux_protocol::wire::{agent_control_length, router_control_length};
 use papayamux_state::ids::RequestId;
+use papayamux_state::load::LoadReport;
 use papayamux_transport::link::{LinkError, LinkSender};
 
 use super::handshake::{AgentReceiver, ProvedLink, CONNECTION};
 use super::stream_slot::{SlotOrigin, StreamSlot};
 use super::{StreamEvent, StreamHandle};
 use crate::metrics::RouterMetrics;
+use crate::routing::LoadBook;
 
 /// How often a connection with open streams is checked for silence.
 const CHECK_EVERY: Duration = Duration::from_secs(1);
@@ -41,11 +46,18 @@
     next_stream: Cell<u64>,
     open: Cell<bool>,
     leaving: Cell<bool>,
+    probes: RefCell<HashMap<u64, oneshot::Sender<ProbeReply>>>,
+    loads: Rc<LoadBook>,
+    metrics: RouterMetrics,
 }
 
 impl AgentLink {
     /// Uses a connection whose ends have proved themselves; its messages have still to be read.
-    pub fn new(proved: ProvedLink) -> (Rc<Self>, AgentReceiver) {
+    pub fn new(
+        proved: ProvedLink,
+        loads: Rc<LoadBook>,
+        metrics: RouterMetrics,
+    ) -> (Rc<Self>, AgentReceiver) {
         let ProvedLink { sender, receiver, welcome } = proved;
         let reading = ClockReading { clock: welcome.clock, read: Instant::now() };
         let link = Self {
@@ -57,6 +69,9 @@
             next_stream: Cell::new(CONNECTION + 1),
             open: Cell::new(true),
             leaving: Cell::new(false),
+            probes: RefCell::default(),
+            loads,
+            metrics,
         };
         (Rc::new(link), receiver)
     }
@@ -133,8 +148,7 @@
         if !self.is_open() {
             return None;
         }
-        let stream = self.next_stream.get();
-        self.next_stream.set(stream + 1);
+        let stream = self.next_number();
         let (sender, mut reply) = unbounded::channel();
         self.claims.borrow_mut().insert(stream, sender);
         let _pending = PendingClaim { link: self, stream };
@@ -158,14 +172,47 @@
         if !self.is_open() {
             return false;
         }
-        let stream = self.next_stream.get();
-        self.next_stream.set(stream + 1);
+        let stream = self.next_number();
         slot.sit(self.clone(), stream);
         self.streams.borrow_mut().insert(stream, slot.clone());
         self.send(stream, first)
     }
 
+    fn next_number(&self) -> u64 {
+        let stream = self.next_stream.get();
+        self.next_stream.set(stream + 1);
+        stream
+    }
+
+    /// Asks the agent for its load; `None` where the connection is lost meanwhile.
+    pub async fn probe(&self, probe: LoadProbe) -> Option<ProbeReply> {
+        let (answer, answered) = oneshot::channel();
+        let stream = self.next_number();
+        self.probes.borrow_mut().insert(stream, answer);
+        if !self.is_open() || !self.send(stream, RouterMessage::Probe(probe)) {
+            self.probes.borrow_mut().remove(&stream);
+            return None;
+        }
+        answered.await.ok()
+    }
+
+    /// Tells the agent that a chat of which it is the home was served elsewhere.
+    pub fn tell_moved(&self, moved: MovedChat) {
+        self.send(CONNECTION, RouterMessage::Moved(moved));
+    }
+
+    fn note_load(&self, report: LoadReport) {
+        self.loads.note(&self.welcome.server, report, Instant::now());
+    }
+
+    fn take_reply(&self, stream: u64, reply: ProbeReply) -> bool {
+        self.note_load(reply.load);
+        let answer = self.probes.borrow_mut().remove(&stream);
+        answer.is_some_and(|answer| answer.send(reply).is_ok())
+    }
+
     pub(super) fn send(&self, stream: u64, message: RouterMessage) -> bool {
+        self.metrics.control_bytes_out.inc_by(router_control_length(&message));
         self.sender.send(stream, message)
     }
 
@@ -174,7 +221,9 @@
     }
 
     fn has_streams(&self) -> bool {
-        !self.streams.borrow().is_empty() || !self.claims.borrow().is_empty()
+        !self.streams.borrow().is_empty()
+            || !self.claims.borrow().is_empty()
+            || !self.probes.borrow().is_empty()
     }
 
     fn awaits_heads(&self) -> bool {
@@ -185,6 +234,7 @@
     fn lose(&self) -> Vec<Rc<StreamSlot>> {
         self.open.set(false);
         self.claims.borrow_mut().clear();
+        self.probes.borrow_mut().clear();
         self.streams.borrow_mut().drain().map(|(_, slot)| slot).collect()
     }
 
@@ -315,7 +365,10 @@
 
 /// Acts on a message; `false` where it belongs to nothing.
 fn take_message(link: &AgentLink, stream: u64, message: AgentMessage) -> bool {
+    link.metrics.control_bytes_in.inc_by(agent_control_length(&message));
     match message {
+        AgentMessage::Load(report) => link.note_load(report),
+        AgentMessage::Probed(reply) => return link.take_reply(stream, reply),
         AgentMessage::Pong(pong) => link.take_clock(pong.clock),
         AgentMessage::Leaving => link.leaving.set(true),
         AgentMessage::Ping(number) => drop(link.send(CONNECTION, RouterMessage::Pong(number))),
--- a/crates/papayamux-router/src/agents/agent_peer.rs
+++ b/crates/papayamux-router/src/agents/agent_peer.rs
@@ -13,6 +13,7 @@
 use super::handshake::{open_link, AgentLinkError, AgentReceiver};
 use super::stream_recovery::recover_streams;
 use crate::metrics::RouterMetrics;
+use crate::routing::LoadBook;
 
 /// What a router says of itself to agents, and how it keeps to them.
 #[derive(Debug, Clone)]
@@ -44,6 +45,7 @@
     address: SocketAddr,
     identity: RouterIdentity,
     metrics: RouterMetrics,
+    loads: Rc<LoadBook>,
     state: RefCell<PeerState>,
 }
 
@@ -54,9 +56,10 @@
         address: SocketAddr,
         identity: RouterIdentity,
         metrics: RouterMetrics,
+        loads: Rc<LoadBook>,
     ) -> Self {
         let state = RefCell::new(PeerState::Down);
-        Self { core: Rc::new(PeerCore { server, address, identity, metrics, state }) }
+        Self { core: Rc::new(PeerCore { server, address, identity, metrics, loads, state }) }
     }
 
     /// The server that the agent stands beside.
@@ -64,6 +67,11 @@
         &self.core.server
     }
 
+    /// The open connection, if there is one.
+    pub fn current_link(&self) -> Option<Rc<AgentLink>> {
+        self.core.current_link()
+    }
+
     /// Where the agent listens.
     pub fn address(&self) -> SocketAddr {
         self.core.address
@@ -124,7 +132,8 @@
         let outcome = open_link(&self.server, self.address, &self.identity).await;
         let outcome = match outcome {
             Ok(proved) => {
-                let (link, receiver) = AgentLink::new(proved);
+                let (link, receiver) =
+                    AgentLink::new(proved, self.loads.clone(), self.metrics.clone());
                 *self.state.borrow_mut() = PeerState::Up(link.clone());
                 monoio::spawn(self.clone().serve_link(link.clone(), receiver));
                 Ok(link)
--- a/crates/papayamux-router/src/callers/answer_stream.rs
+++ b/crates/papayamux-router/src/callers/answer_stream.rs
@@ -16,6 +16,7 @@
 use super::offer::TakenRequest;
 use super::request_handler::InFlightGuard;
 use crate::agents::{StreamEvent, StreamHandle};
+use crate::routing::OccupiedPlace;
 
 /// The media type of streamed answers.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -43,6 +44,7 @@
     is_between_events: bool,
     progress: AnswerProgress,
     in_flight: Rc<InFlightGuard>,
+    _place: Option<OccupiedPlace>,
 }
 
 type AnswerItem = Option<Result<Bytes, BodyError>>;
@@ -117,7 +119,7 @@
 
 /// The response to the caller.
 pub fn answer_response(taken: TakenRequest, in_flight: Rc<InFlightGuard>) -> Response<AnswerBody> {
-    let TakenRequest { id, server, head, stream } = taken;
+    let TakenRequest { id, server, head, stream, place } = taken;
     let is_event_stream = head.headers.iter().any(|field| {
         field.name == CONTENT_TYPE.as_str() && field.value.starts_with(EVENT_STREAM.as_bytes())
     });
@@ -128,6 +130,7 @@
         is_between_events: true,
         progress: AnswerProgress::Open,
         in_flight,
+        _place: place,
     };
     let mut response = Response::new(AnswerBody::Stream(Box::pin(stream)));
     *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/crates/papayamux-router/src/callers/offer.rs
+++ b/crates/papayamux-router/src/callers/offer.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use papayamux_coordination::server_evidence::EvidenceKind;
 use papayamux_protocol::failure::{FailureBody, FailureCode, FailureOutcome};
 use papayamux_protocol::link::{
     AgentClock, AnswerHead, ChatTarget, HeaderField, OpenRequest, RefusalNotice, RepeatRule,
@@ -13,8 +14,9 @@
 use papayamux_state::refusal::RefusalReason;
 
 use super::CallerDesk;
-use crate::agents::{AgentLink, AgentPeer, StreamEvent, StreamHandle};
+use crate::agents::{AgentLink, StreamEvent, StreamHandle};
 use crate::claims::ClaimHold;
+use crate::routing::{OccupiedPlace, RouteCandidate, RoutePlan};
 
 /// What is offered.
 #[derive(Debug, Clone)]
@@ -57,6 +59,8 @@
     pub head: AnswerHead,
     /// The rest of the answer.
     pub stream: StreamHandle,
+    /// Its place in the router's count of requests at the server, where the router offered it.
+    pub place: Option<OccupiedPlace>,
 }
 
 /// What came of offering a request to one server.
@@ -66,75 +70,101 @@
     Unknown,
 }
 
-const UNREACHABLE: RefusalNotice =
-    RefusalNotice { reason: RefusalReason::NoAgentReachable, retry_after_ms: 1_000 };
+const UNREACHABLE: RefusalNotice = RefusalNotice::new(RefusalReason::NoAgentReachable, 1_000);
 
-/// Offers a request to `peers` in their order.
+/// Offers a request to the servers of `plan`.
 ///
 /// After a refusal the next server is asked. After an unknown outcome it is asked only where the
 /// request is idempotent, and no later refusal makes the outcome known again.
 pub async fn offer_request(
     desk: &CallerDesk,
     offer: &RequestOffer,
-    peers: &[Rc<AgentPeer>],
+    mut plan: RoutePlan,
 ) -> Result<TakenRequest, FailureBody> {
     let mut refusal = UNREACHABLE;
     let mut may_have_run = false;
-    for peer in peers.iter().take(desk.settings.most_offers) {
-        match offer_to(desk, offer, peer).await {
-            OfferOutcome::Taken(taken) => return Ok(*taken),
+    let mut named = None;
+    let organisation = desk.settings.organisation(&offer.organisation);
+    plan = plan.with_share(organisation.share).with_offers(desk.settings.most_offers);
+    desk.planner.retries().note_request();
+    while let Some(candidate) = plan.next(named.as_ref()) {
+        named = None;
+        let server = candidate.record.entry.server.clone();
+        match offer_to(desk, offer, &candidate).await {
+            OfferOutcome::Taken(taken) => {
+                desk.planner.note_answer(&server);
+                desk.planner.loads().note_taken(&server);
+                plan.note_taken(&server);
+                return Ok(*taken);
+            }
             OfferOutcome::NotRun(notice) => {
+                if let Some(kind) = evidence_of(notice.reason) {
+                    desk.planner.note_evidence(&server, kind);
+                }
                 desk.metrics.refusals.count(notice.reason.label());
                 refusal = notice;
-                if !notice.reason.may_ask_elsewhere() {
+                if !refusal.reason.may_ask_elsewhere() {
                     break;
                 }
-                desk.metrics.retries.count(notice.reason.label());
+                desk.metrics.retries.count(refusal.reason.label());
+                named.clone_from(&refusal.better);
             }
             OfferOutcome::Unknown => {
+                desk.planner.note_evidence(&server, EvidenceKind::Unreachable);
                 may_have_run = true;
                 if offer.repeat != RepeatRule::Idempotent {
                     break;
                 }
+                if !desk.planner.retries().take_retry() {
+                    desk.metrics.retries_denied.count("connection_lost");
+                    break;
+                }
                 desk.metrics.retries.count("connection_lost");
             }
         }
     }
     Err(match may_have_run {
         true => lost(&offer.repeat),
-        false => refused(refusal),
+        false => refused(&refusal),
     })
 }
 
 /// Offers a request to one server, once more where the connection was lost before it arrived.
-async fn offer_to(desk: &CallerDesk, offer: &RequestOffer, peer: &AgentPeer) -> OfferOutcome {
-    match attempt_at(desk, offer, peer).await {
+async fn offer_to(
+    desk: &CallerDesk,
+    offer: &RequestOffer,
+    candidate: &RouteCandidate,
+) -> OfferOutcome {
+    match attempt_at(desk, offer, candidate).await {
         OfferOutcome::NotRun(notice) if notice.reason == RefusalReason::NeverArrived => {
             desk.metrics.retries.count(notice.reason.label());
-            attempt_at(desk, offer, peer).await
+            attempt_at(desk, offer, candidate).await
         }
         outcome => outcome,
     }
 }
 
-async fn attempt_at(desk: &CallerDesk, offer: &RequestOffer, peer: &AgentPeer) -> OfferOutcome {
+async fn attempt_at(
+    desk: &CallerDesk,
+    offer: &RequestOffer,
+    candidate: &RouteCandidate,
+) -> OfferOutcome {
+    let peer = &candidate.record.peer;
     let Ok(link) = peer.link().await else {
         return OfferOutcome::NotRun(UNREACHABLE);
     };
     if link.is_leaving() {
-        let reason = RefusalReason::Leaving;
-        return OfferOutcome::NotRun(RefusalNotice { reason, retry_after_ms: 0 });
+        return OfferOutcome::NotRun(RefusalNotice::new(RefusalReason::Leaving, 0));
     }
     let Some(start_before) = offer.start_before(&link, desk.settings.start_within) else {
-        let reason = RefusalReason::DeadlinePassed;
-        return OfferOutcome::NotRun(RefusalNotice { reason, retry_after_ms: 0 });
+        return OfferOutcome::NotRun(RefusalNotice::new(RefusalReason::DeadlinePassed, 0));
     };
     let id = desk.request_ids.draw();
     let open = OpenRequest {
         id,
         agent: link.welcome().incarnation,
         organisation: offer.organisation.clone(),
-        priority: 0,
+        priority: desk.settings.organisation(&offer.organisation).priority,
         start_before,
         repeat: offer.repeat.clone(),
         claim: offer.claim.as_ref().map(|hold| hold.claim()),
@@ -143,18 +173,23 @@
         path: offer.path.clone(),
         headers: offer.headers.clone(),
         body: offer.body.clone(),
+        placement: candidate.placement,
     };
     if let Some(hold) = &offer.claim {
         hold.place(RunPlace { server: peer.server().clone(), agent: peer.address() });
     }
+    let place = Some(desk.planner.loads().occupy(peer.server()));
     let Some(mut stream) = link.open_stream(open) else {
         return OfferOutcome::NotRun(UNREACHABLE);
     };
     match stream.next_event().await {
-        StreamEvent::Refused(notice) => OfferOutcome::NotRun(notice),
+        StreamEvent::Refused(notice) => {
+            desk.metrics.refused_request_bytes.inc_by(offer.body.len() as u64);
+            OfferOutcome::NotRun(notice)
+        }
         StreamEvent::Head(head) => {
             let server = peer.server().clone();
-            OfferOutcome::Taken(Box::new(TakenRequest { id, server, head, stream }))
+            OfferOutcome::Taken(Box::new(TakenRequest { id, server, head, stream, place }))
         }
         StreamEvent::Data(_) | StreamEvent::End(_) | StreamEvent::NotHeld | StreamEvent::Lost => {
             OfferOutcome::Unknown
@@ -162,7 +197,17 @@
     }
 }
 
-fn refused(notice: RefusalNotice) -> FailureBody {
+/// What a refusal says of the server that refused.
+fn evidence_of(reason: RefusalReason) -> Option<EvidenceKind> {
+    match reason {
+        RefusalReason::NoAgentReachable => Some(EvidenceKind::Unreachable),
+        RefusalReason::ServerUnreachable => Some(EvidenceKind::ServerDown),
+        RefusalReason::Leaving => Some(EvidenceKind::Leaving),
+        _ => None,
+    }
+}
+
+fn refused(notice: &RefusalNotice) -> FailureBody {
     let message = format!("no server took the request: {}", notice.reason);
     FailureBody::not_run(FailureCode::Refused, message)
         .because(notice.reason)
--- a/crates/papayamux-router/src/callers/request_handler.rs
+++ b/crates/papayamux-router/src/callers/request_handler.rs
@@ -20,6 +20,7 @@
 use crate::claims::FleetKeeper;
 use crate::directory::ServerDirectory;
 use crate::metrics::RouterMetrics;
+use crate::routing::RoutePlanner;
 use crate::settings::RouterSettings;
 
 /// Counts a request as in flight until it is dropped.
@@ -53,6 +54,7 @@
     pub(crate) request_ids: RequestIdSource,
     pub(crate) directory: Rc<ServerDirectory>,
     pub(crate) fleets: Rc<FleetKeeper>,
+    pub(crate) planner: RoutePlanner,
 }
 
 impl CallerDesk {
@@ -60,6 +62,7 @@
     pub fn new(
         settings: RouterSettings,
         directory: Rc<ServerDirectory>,
+        planner: RoutePlanner,
         incarnation: Incarnation,
         metrics: RouterMetrics,
     ) -> Rc<Self> {
@@ -69,7 +72,7 @@
             [] => directory.keep_fleets(fleets.clone()),
             entries => fleets.put_in_force(directory.witness_peers(entries)),
         }
-        Rc::new(Self { settings, metrics, request_ids, directory, fleets })
+        Rc::new(Self { settings, metrics, request_ids, directory, fleets, planner })
     }
 
     /// Answers one request.
--- a/crates/papayamux-router/src/callers/resume_handler.rs
+++ b/crates/papayamux-router/src/callers/resume_handler.rs
@@ -39,7 +39,8 @@
     let mut stream = link.resume_stream(origin, from).ok_or_else(unreachable)?;
     match stream.next_event().await {
         StreamEvent::Head(head) => {
-            Ok(TakenRequest { id: event.request, server: event.server, head, stream })
+            let (id, server, place) = (event.request, event.server, None);
+            Ok(TakenRequest { id, server, head, stream, place })
         }
         StreamEvent::Lost => Err(unreachable()),
         _ => Err(gone()),
--- a/crates/papayamux-router/src/callers/service_handler.rs
+++ b/crates/papayamux-router/src/callers/service_handler.rs
@@ -10,9 +10,8 @@
 use super::caller_request::{end_to_end_headers, header_text, CallerRequest};
 use super::offer::{offer_request, RequestOffer, TakenRequest};
 use super::CallerDesk;
-use crate::agents::AgentPeer;
 use crate::claims::{run_keyed, KeyedCall};
-use crate::directory::PathRoute;
+use crate::routing::RoutePlan;
 
 /// Brings a call to a server declared for its path.
 pub async fn handle_service(
@@ -40,13 +39,13 @@
         headers: end_to_end_headers(&request.head.headers),
         body: request.body,
     };
-    let peers = rotated_peers(&route);
+    let plan = desk.planner.plan_service(route).await;
     match &offer.repeat {
         RepeatRule::AtMostOnce(Some(key)) => {
             let call = KeyedCall::new(&offer, key);
-            run_detached(desk.clone(), call, offer, peers).await
+            run_detached(desk.clone(), call, offer, plan).await
         }
-        _ => offer_request(desk, &offer, &peers).await,
+        _ => offer_request(desk, &offer, plan).await,
     }
 }
 
@@ -56,19 +55,9 @@
     desk: Rc<CallerDesk>,
     call: KeyedCall,
     offer: RequestOffer,
-    peers: Vec<Rc<AgentPeer>>,
+    plan: RoutePlan,
 ) -> Result<TakenRequest, FailureBody> {
-    monoio::spawn(async move { run_keyed(&desk, &call, offer, &peers).await }).await
-}
-
-/// The agents of a route's servers, beginning anywhere.
-fn rotated_peers(route: &PathRoute) -> Vec<Rc<AgentPeer>> {
-    let mut peers: Vec<_> = route.servers.iter().map(|record| record.peer.clone()).collect();
-    if !peers.is_empty() {
-        let first = rand::random_range(0..peers.len());
-        peers.rotate_left(first);
-    }
-    peers
+    monoio::spawn(async move { run_keyed(&desk, &call, offer, plan).await }).await
 }
 
 fn read_key(request: &CallerRequest) -> Result<Option<IdempotencyKey>, FailureBody> {
--- a/crates/papayamux-router/src/claims/keyed_call.rs
+++ b/crates/papayamux-router/src/claims/keyed_call.rs
@@ -12,8 +12,8 @@
 use super::recall::{answer_not_kept, key_in_use, key_reused, recall_answer, RecallOutcome};
 use super::witness_round::{claim_key, RoundOutcome};
 use super::ClaimHold;
-use crate::agents::AgentPeer;
 use crate::callers::{offer_request, CallerDesk, RequestOffer, TakenRequest};
+use crate::routing::RoutePlan;
 
 /// Rounds of claims for one call, where another attempt is in the way.
 const MOST_ROUNDS: u32 = 4;
@@ -45,12 +45,12 @@
     }
 }
 
-/// Claims the key and offers the call to `peers`, or gets the first run's answer.
+/// Claims the key and offers the call to the servers of `plan`, or gets the first run's answer.
 pub async fn run_keyed(
     desk: &CallerDesk,
     call: &KeyedCall,
     offer: RequestOffer,
-    peers: &[Rc<AgentPeer>],
+    plan: RoutePlan,
 ) -> Result<TakenRequest, FailureBody> {
     let started = Instant::now();
     let mut failure = key_in_use("another call with this key is under way");
@@ -63,7 +63,7 @@
         let claim = ClaimId(desk.request_ids.draw());
         let hold = ClaimHold::new(call.key, claim, started);
         match claim_key(&desk.fleets, call, hold, desk.settings.start_within).await {
-            RoundOutcome::Won(hold) => return run_under_claim(desk, offer, peers, hold).await,
+            RoundOutcome::Won(hold) => return run_under_claim(desk, offer, plan, hold).await,
             RoundOutcome::Lost { held, refusal } => {
                 desk.metrics.refusals.count(refusal.reason.label());
                 match after_lost_round(desk, call, held, refusal).await {
@@ -117,11 +117,11 @@
 async fn run_under_claim(
     desk: &CallerDesk,
     offer: RequestOffer,
-    peers: &[Rc<AgentPeer>],
+    plan: RoutePlan,
     hold: Rc<ClaimHold>,
 ) -> Result<TakenRequest, FailureBody> {
     let offer = RequestOffer { claim: Some(hold.clone()), ..offer };
-    let outcome = offer_request(desk, &offer, peers).await;
+    let outcome = offer_request(desk, &offer, plan).await;
     match outcome {
         Err(failure) if failure.outcome != FailureOutcome::NotRun => Err(failure),
         Err(failure) if ran_before(&failure) => {
--- a/crates/papayamux-router/src/claims/recall.rs
+++ b/crates/papayamux-router/src/claims/recall.rs
@@ -44,7 +44,7 @@
                 value: Bytes::from_static(b"true"),
             });
             let server = place.server.clone();
-            RecallOutcome::Taken(Box::new(TakenRequest { id, server, head, stream }))
+            RecallOutcome::Taken(Box::new(TakenRequest { id, server, head, stream, place: None }))
         }
         StreamEvent::Refused(notice) => match notice.reason {
             RefusalReason::AnswerNotKept => RecallOutcome::NotThere,
--- a/crates/papayamux-router/src/claims/witness_round.rs
+++ b/crates/papayamux-router/src/claims/witness_round.rs
@@ -41,7 +41,7 @@
 ) -> RoundOutcome {
     let Some(WitnessSets { digests, fleets }) = keeper.witnesses(call.key) else {
         let reason = RefusalReason::OtherFleet;
-        let refusal = RefusalNotice { reason, retry_after_ms: NO_FLEET_RETRY_MS };
+        let refusal = RefusalNotice::new(reason, NO_FLEET_RETRY_MS);
         return RoundOutcome::Lost { held: None, refusal };
     };
     let ask = ClaimAsk {
--- a/crates/papayamux-router/src/daemon.rs
+++ b/crates/papayamux-router/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::callers::CallerDesk;
 use crate::directory::ServerDirectory;
 use crate::metrics::RouterMetrics;
+use crate::routing::{LoadBook, RoutePlanner};
 use crate::settings::RouterSettings;
 
 struct RouterView {
@@ -128,9 +129,12 @@
     let registry = Rc::new(registry);
     monoio::spawn(serve_operations(operators, registry, view.clone(), ShutdownSignal::new()));
     let incarnation = identity.incarnation;
-    let directory = ServerDirectory::new(identity, metrics.clone(), settings.servers.clone());
+    let loads = Rc::new(LoadBook::default());
+    let servers = settings.servers.clone();
+    let directory = ServerDirectory::new(identity, metrics.clone(), loads.clone(), servers);
+    let planner = RoutePlanner::new(settings.policy, loads, metrics.clone());
     let limits = caller_limits(&settings, &metrics);
-    let desk = CallerDesk::new(settings, directory, incarnation, metrics);
+    let desk = CallerDesk::new(settings, directory, planner, incarnation, metrics);
     let life = view.clone();
     let handler = Rc::new(move |request| {
         let (desk, life) = (desk.clone(), life.clone());
--- a/crates/papayamux-router/src/directory.rs
+++ b/crates/papayamux-router/src/directory.rs
@@ -11,6 +11,7 @@
 use crate::agents::{AgentPeer, RouterIdentity};
 use crate::claims::{FleetKeeper, WitnessEntry};
 use crate::metrics::RouterMetrics;
+use crate::routing::LoadBook;
 use crate::settings::ServerEntry;
 
 /// A backend server with its agent.
@@ -23,6 +24,8 @@
 
 /// The servers for a path.
 pub struct PathRoute {
+    /// The declared path prefix.
+    pub prefix: String,
     /// Whether calls may be run again.
     pub idempotent: bool,
     /// The servers.
@@ -33,6 +36,7 @@
 pub struct ServerDirectory {
     identity: RouterIdentity,
     metrics: RouterMetrics,
+    loads: Rc<LoadBook>,
     records: RefCell<HashMap<ServerId, Rc<ServerRecord>>>,
     fleets: RefCell<Option<Rc<FleetKeeper>>>,
 }
@@ -42,10 +46,16 @@
     pub fn new(
         identity: RouterIdentity,
         metrics: RouterMetrics,
+        loads: Rc<LoadBook>,
         entries: Vec<ServerEntry>,
     ) -> Rc<Self> {
-        let directory =
-            Self { identity, metrics, records: RefCell::default(), fleets: RefCell::default() };
+        let directory = Self {
+            identity,
+            metrics,
+            loads,
+            records: RefCell::default(),
+            fleets: RefCell::default(),
+        };
         directory.replace(entries);
         Rc::new(directory)
     }
@@ -62,6 +72,7 @@
             };
             records.insert(entry.server.clone(), Rc::new(ServerRecord { entry, peer }));
         }
+        self.loads.retain(|server| records.contains_key(server));
         drop(records);
         self.tell_fleet();
     }
@@ -103,7 +114,8 @@
 
     fn connect_to(&self, server: &ServerId, address: SocketAddr) -> Rc<AgentPeer> {
         let (identity, metrics) = (self.identity.clone(), self.metrics.clone());
-        Rc::new(AgentPeer::new(server.clone(), address, identity, metrics))
+        let loads = self.loads.clone();
+        Rc::new(AgentPeer::new(server.clone(), address, identity, metrics, loads))
     }
 
     /// The server of that name.
@@ -126,7 +138,7 @@
         };
         let servers = self.select(|entry| entry.paths.contains(&longest));
         let idempotent = servers.iter().all(|record| record.entry.idempotent);
-        Some(PathRoute { idempotent, servers })
+        Some(PathRoute { prefix: longest, idempotent, servers })
     }
 
     fn select(&self, wanted: impl Fn(&ServerEntry) -> bool) -> Vec<Rc<ServerRecord>> {
--- a/crates/papayamux-router/src/lib.rs
+++ b/crates/papayamux-router/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod daemon;
 mod directory;
 pub mod metrics;
+pub mod routing;
 pub mod settings;
--- a/crates/papayamux-router/src/metrics.rs
+++ b/crates/papayamux-router/src/metrics.rs
@@ -18,6 +18,20 @@
     pub failures: ReasonCounters,
     /// Requests offered to a further server, by reason.
     pub retries: ReasonCounters,
+    /// Requests that were not offered again because the retry budget was used up, by reason.
+    pub retries_denied: ReasonCounters,
+    /// Probes by what came of them.
+    pub probes: ReasonCounters,
+    /// Decisions by the way they were made.
+    pub decisions: ReasonCounters,
+    /// First-hand evidence against servers, by kind.
+    pub evidence: ReasonCounters,
+    /// Bytes of control messages received.
+    pub control_bytes_in: Counter,
+    /// Bytes of control messages sent.
+    pub control_bytes_out: Counter,
+    /// Bytes of requests that were sent and refused.
+    pub refused_request_bytes: Counter,
     /// Frames that matched no stream.
     pub stray_frames: Counter,
     /// Connections to agents that were lost, by reason.
@@ -45,6 +59,17 @@
         registry.register("refusals", "Refusals by agents", self.refusals.0.clone());
         registry.register("failures", "Failures told to callers", self.failures.0.clone());
         registry.register("retries", "Requests offered again", self.retries.0.clone());
+        let denied = self.retries_denied.0.clone();
+        registry.register("retries_denied", "Requests not offered again", denied);
+        registry.register("probes", "Probes by outcome", self.probes.0.clone());
+        registry.register("decisions", "Decisions by way", self.decisions.0.clone());
+        registry.register("evidence", "Evidence against servers", self.evidence.0.clone());
+        let bytes = self.control_bytes_in.clone();
+        registry.register("control_bytes_in", "Control messages received, in bytes", bytes);
+        let bytes = self.control_bytes_out.clone();
+        registry.register("control_bytes_out", "Control messages sent, in bytes", bytes);
+        let bytes = self.refused_request_bytes.clone();
+        registry.register("refused_request_bytes", "Requests sent and refused, in bytes", bytes);
         let stray = self.stray_frames.clone();
         registry.register("stray_frames", "Frames that matched no stream", stray);
         let lost = self.lost_links.0.clone();
--- /dev/null
+++ b/crates/papayamux-router/src/routing/baselines.rs
@@ -0,0 +1,92 @@
+//! The policies that the product's own is measured against.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use papayamux_protocol::link::LoadProbe;
+use papayamux_state::hash_ring::HashRing;
+use papayamux_state::ids::{ChatKey, ServerId};
+use papayamux_state::load::GroupId;
+
+use super::load_book::LoadBook;
+use super::probe::probe_all;
+use crate::directory::ServerRecord;
+
+/// How far a server's requests may lie above the mean before bounded hashing passes it by.
+const BOUNDED_FACTOR: f64 = 1.25;
+/// Rings that are kept.
+const MOST_RINGS: usize = 256;
+
+/// Rings by group, each rebuilt when the group's servers change.
+#[derive(Debug, Default)]
+pub struct RingCache {
+    rings: RefCell<HashMap<GroupId, Rc<HashRing>>>,
+}
+
+impl RingCache {
+    fn ring(&self, group: GroupId, servers: &[Rc<ServerRecord>]) -> Rc<HashRing> {
+        let mut names: Vec<ServerId> =
+            servers.iter().map(|record| record.entry.server.clone()).collect();
+        names.sort_unstable();
+        let mut rings = self.rings.borrow_mut();
+        if let Some(ring) = rings.get(&group).filter(|ring| ring.is_of(&names)) {
+            return ring.clone();
+        }
+        if rings.len() >= MOST_RINGS {
+            rings.clear();
+        }
+        let ring = Rc::new(HashRing::new(names));
+        rings.insert(group, ring.clone());
+        ring
+    }
+
+    /// The servers in the order of a walk around the ring from the chat's point.
+    pub fn walk(
+        &self,
+        group: GroupId,
+        chat: &ChatKey,
+        servers: &[Rc<ServerRecord>],
+    ) -> Vec<Rc<ServerRecord>> {
+        let ring = self.ring(group, servers);
+        let by_name: HashMap<_, _> =
+            servers.iter().map(|record| (&record.entry.server, record)).collect();
+        ring.walk(chat).iter().filter_map(|name| by_name.get(name).copied().cloned()).collect()
+    }
+}
+
+/// The servers in random order.
+pub fn shuffled(servers: &[Rc<ServerRecord>]) -> Vec<Rc<ServerRecord>> {
+    let mut order: Vec<_> =
+        servers.iter().map(|record| (rand::random::<u64>(), record.clone())).collect();
+    order.sort_unstable_by_key(|(draw, _)| *draw);
+    order.into_iter().map(|(_, record)| record).collect()
+}
+
+/// The servers in random order, but the less loaded of the first two goes first.
+pub async fn two_choices(servers: &[Rc<ServerRecord>]) -> Vec<Rc<ServerRecord>> {
+    let mut order = shuffled(servers);
+    let probe = LoadProbe { checkpoints: Vec::new(), chat: 0, group_load: None };
+    let asked = &order[..order.len().min(2)];
+    let loads: Vec<_> = probe_all(asked, &probe)
+        .await
+        .into_iter()
+        .map(|reply| {
+            reply.map_or(u64::MAX, |reply| (reply.load.running + reply.load.waiting).get())
+        })
+        .collect();
+    if loads.len() == 2 && loads[1] < loads[0] {
+        order.swap(0, 1);
+    }
+    order
+}
+
+/// The servers of `walk`, those last at which this router has its share times the factor.
+pub fn pass_full(walk: Vec<Rc<ServerRecord>>, book: &LoadBook) -> Vec<Rc<ServerRecord>> {
+    let in_flight = |record: &Rc<ServerRecord>| book.in_flight(&record.entry.server);
+    let total: u64 = walk.iter().map(in_flight).sum();
+    let bound = (BOUNDED_FACTOR * (total + 1) as f64 / walk.len().max(1) as f64).ceil() as u64;
+    let (open, full): (Vec<_>, Vec<_>) =
+        walk.into_iter().partition(|record| in_flight(record) < bound);
+    open.into_iter().chain(full).collect()
+}
--- /dev/null
+++ b/crates/papayamux-router/src/routing/mod.rs
@@ -0,0 +1,14 @@
+//! Choosing the servers that a request is offered to.
+
+mod baselines;
+mod first_token;
+mod load_book;
+mod policy;
+mod probe;
+mod route_plan;
+mod route_planner;
+
+pub use load_book::{LoadBook, OccupiedPlace};
+pub use policy::{PolicyError, RoutingPolicy};
+pub use route_plan::{PlanBound, RouteCandidate, RoutePlan};
+pub use route_planner::RoutePlanner;
--- /dev/null
+++ b/crates/papayamux-router/src/routing/route_planner.rs
@@ -0,0 +1,118 @@
+//! Planning: which servers a request is offered to.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Instant;
+
+use papayamux_coordination::retry_budget::RetryBudget;
+use papayamux_coordination::server_evidence::{EvidenceBook, EvidenceKind, ServerStanding};
+use papayamux_protocol::chat::ChatCall;
+use papayamux_state::ids::ServerId;
+use papayamux_state::load::GroupId;
+
+use super::baselines::{pass_full, shuffled, two_choices, RingCache};
+use super::first_token::{plan_service_call, ChatDecision};
+use super::route_plan::{PlanBound, PlannedServer, RoutePlan};
+use super::{LoadBook, RoutingPolicy};
+use crate::directory::{PathRoute, ServerRecord};
+use crate::metrics::RouterMetrics;
+
+/// What routing knows, shared by all requests of a router.
+pub struct RoutePlanner {
+    policy: RoutingPolicy,
+    loads: Rc<LoadBook>,
+    rings: RingCache,
+    evidence: RefCell<EvidenceBook>,
+    retries: RetryBudget,
+    metrics: RouterMetrics,
+}
+
+impl RoutePlanner {
+    /// A planner that follows `policy`.
+    pub fn new(policy: RoutingPolicy, loads: Rc<LoadBook>, metrics: RouterMetrics) -> Self {
+        Self {
+            policy,
+            loads,
+            rings: RingCache::default(),
+            evidence: RefCell::default(),
+            retries: RetryBudget::default(),
+            metrics,
+        }
+    }
+
+    /// The loads that servers reported.
+    pub fn loads(&self) -> &Rc<LoadBook> {
+        &self.loads
+    }
+
+    /// The budget for running requests again.
+    pub fn retries(&self) -> &RetryBudget {
+        &self.retries
+    }
+
+    pub(super) fn metrics(&self) -> &RouterMetrics {
+        &self.metrics
+    }
+
+    /// Notes what was seen of a server.
+    pub fn note_evidence(&self, server: &ServerId, kind: EvidenceKind) {
+        self.metrics.evidence.count(kind.label());
+        self.evidence.borrow_mut().note(server, kind, Instant::now());
+    }
+
+    /// Notes what came of a probe.
+    pub(super) fn note_probe(&self, server: &ServerId, answered: bool) {
+        self.metrics.probes.count(if answered { "answered" } else { "silent" });
+        match answered {
+            true => self.note_answer(server),
+            false => self.note_evidence(server, EvidenceKind::Silent),
+        }
+    }
+
+    /// Notes that a server answered.
+    pub fn note_answer(&self, server: &ServerId) {
+        self.evidence.borrow_mut().note_answer(server, Instant::now());
+    }
+
+    pub(super) fn standing(&self, server: &ServerId, now: Instant) -> ServerStanding {
+        self.evidence.borrow().standing(server, now)
+    }
+
+    pub(super) fn begin_trials(&self, records: &[Rc<ServerRecord>]) {
+        let mut evidence = self.evidence.borrow_mut();
+        for record in records {
+            evidence.begin_trial(&record.entry.server, Instant::now());
+        }
+    }
+
+    /// Plans a chat among the `servers` of its model.
+    pub async fn plan_chat(&self, call: &ChatCall, servers: Vec<Rc<ServerRecord>>) -> RoutePlan {
+        let group = GroupId::named(call.model.as_str());
+        let order = match self.policy {
+            RoutingPolicy::Random => shuffled(&servers),
+            RoutingPolicy::TwoChoices => two_choices(&servers).await,
+            RoutingPolicy::ConsistentHash => self.rings.walk(group, &call.chat, &servers),
+            RoutingPolicy::BoundedHash => {
+                pass_full(self.rings.walk(group, &call.chat, &servers), &self.loads)
+            }
+            RoutingPolicy::Papayamux => {
+                if let Some(decision) = ChatDecision::new(self, call, servers) {
+                    return decision.plan().await;
+                }
+                Vec::new()
+            }
+        };
+        RoutePlan::new(PlannedServer::patient(order), PlanBound::Capacity)
+    }
+
+    /// Plans a call to a plain service among the servers of its route.
+    pub async fn plan_service(&self, route: PathRoute) -> RoutePlan {
+        let group = GroupId::named(&route.prefix);
+        let order = match self.policy {
+            RoutingPolicy::TwoChoices => two_choices(&route.servers).await,
+            RoutingPolicy::Papayamux => return plan_service_call(self, group, route.servers).await,
+            _ => shuffled(&route.servers),
+        };
+        RoutePlan::new(PlannedServer::patient(order), PlanBound::Capacity)
+    }
+}
--- a/crates/papayamux-router/src/settings.rs
+++ b/crates/papayamux-router/src/settings.rs
@@ -1,5 +1,6 @@
 //! The router's settings.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,10 +8,11 @@
 use papayamux_protocol::proof::SharedSecret;
 use papayamux_settings::{Findings, IniFile, Millis};
 use papayamux_state::address_range::AddressRange;
-use papayamux_state::ids::{FailureDomain, ModelId, ServerId};
+use papayamux_state::ids::{FailureDomain, ModelId, OrganisationId, ServerId};
 use papayamux_state::quantities::ByteCount;
 
 use crate::claims::ClaimSettings;
+use crate::routing::RoutingPolicy;
 
 /// How long a request may wait before it has to start, where nothing else is set.
 const START_WITHIN: Duration = Duration::from_secs(30);
@@ -32,6 +34,24 @@
     pub idempotent: bool,
 }
 
+/// The priority class of organisations for which none is set.
+pub const USUAL_PRIORITY: u32 = 2;
+
+/// What is set for one organisation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OrganisationEntry {
+    /// The priority class; 0 goes first.
+    pub priority: u32,
+    /// The weight among the organisations that wait in the same class.
+    pub share: u32,
+}
+
+impl Default for OrganisationEntry {
+    fn default() -> Self {
+        Self { priority: USUAL_PRIORITY, share: 1 }
+    }
+}
+
 /// All settings of a router.
 #[derive(Debug, Clone, PartialEq, Eq, Builder)]
 pub struct RouterSettings {
@@ -70,11 +90,22 @@
     /// Claims of idempotency keys.
     #[builder(default = ClaimSettings::builder().build())]
     pub claims: ClaimSettings,
+    /// How servers are chosen.
+    #[builder(default)]
+    pub policy: RoutingPolicy,
+    /// What is set for single organisations.
+    #[builder(default)]
+    pub organisations: HashMap<OrganisationId, OrganisationEntry>,
     /// The backend servers.
     pub servers: Vec<ServerEntry>,
 }
 
 impl RouterSettings {
+    /// What is set for an organisation.
+    pub fn organisation(&self, organisation: &OrganisationId) -> OrganisationEntry {
+        self.organisations.get(organisation).copied().unwrap_or_default()
+    }
+
     /// Reads the settings from the text of an INI file, or reports all that is wrong with it.
     pub fn read(name: &str, text: &str) -> Result<Self, Findings> {
         let file = IniFile::parse(name, text)?;
@@ -84,7 +115,7 @@
 }
 
 fn read_router(file: &IniFile) -> Option<RouterSettings> {
-    file.refuse_other_sections(&["router", "claims"], &["server", "witness"]);
+    file.refuse_other_sections(&["router", "claims"], &["server", "witness", "organisation"]);
     let section = file.section("router");
     let listen = section.required("listen");
     let operations = section.required("operations");
@@ -98,12 +129,16 @@
     let caller_stall = section.optional("caller_stall");
     let secret = section.hidden("secret");
     let allow = section.list("allow");
+    let policy = section.optional("policy");
     section.refuse_other_keys();
     let start_longest = start_within.map_or(START_WITHIN, |within: Millis| within.0);
     let claims = ClaimSettings::read(file, start_longest);
     let servers: Vec<_> =
         file.names_of("server").iter().map(|name| read_server(file, name)).collect();
     let servers = servers.into_iter().collect::<Option<Vec<_>>>();
+    let organisations: Vec<_> =
+        file.names_of("organisation").iter().map(|name| read_organisation(file, name)).collect();
+    let organisations = organisations.into_iter().collect::<Option<HashMap<_, _>>>();
     let settings = RouterSettings::builder()
         .listen(listen?)
         .operations(operations?)
@@ -118,11 +153,32 @@
         .maybe_caller_stall(caller_stall.map(|stall: Millis| stall.0))
         .maybe_secret(secret)
         .allow(allow)
+        .maybe_policy(policy)
+        .organisations(organisations?)
         .servers(servers?)
         .build();
     Some(settings)
 }
 
+fn read_organisation(file: &IniFile, name: &str) -> Option<(OrganisationId, OrganisationEntry)> {
+    let section = file.section(&format!("organisation {name}"));
+    let organisation = match name.parse() {
+        Ok(organisation) => Some(organisation),
+        Err(error) => {
+            section.report("", &format!("{name:?} does not fit: {error}"), "");
+            None
+        }
+    };
+    let usual = OrganisationEntry::default();
+    let priority = section.or("priority", usual.priority);
+    let share = section.or("share", usual.share);
+    if share == 0 {
+        section.report("share", "the share must be at least 1", "");
+    }
+    section.refuse_other_keys();
+    Some((organisation?, OrganisationEntry { priority, share }))
+}
+
 fn read_server(file: &IniFile, name: &str) -> Option<ServerEntry> {
     let section = file.section(&format!("server {name}"));
     let server = match name.parse() {
--- a/crates/papayamux-state/src/chat_key.rs
+++ b/crates/papayamux-state/src/chat_key.rs
@@ -45,3 +45,8 @@
         Err(_) => unreachable!("32 hexadecimal digits are an identifier"),
     }
 }
+
+/// A chat's key as one number, for messages and tables that can't hold the whole key.
+pub fn chat_hash(chat: &ChatKey) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(chat.as_str().as_bytes())
+}
--- /dev/null
+++ b/crates/papayamux-state/src/hash_ring.rs
@@ -0,0 +1,55 @@
+//! A hash ring with virtual points, as plain consistent hashing uses it.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::{ChatKey, ServerId};
+
+/// Points of each server on the ring.
+const POINTS_PER_SERVER: u64 = 100;
+
+/// Servers on a ring.
+#[derive(Debug, Clone)]
+pub struct HashRing {
+    servers: Vec<ServerId>,
+    points: Vec<(u64, usize)>,
+}
+
+impl HashRing {
+    /// A ring of `servers`, whose order has no influence.
+    pub fn new(mut servers: Vec<ServerId>) -> Self {
+        servers.sort_unstable();
+        servers.dedup();
+        let mut points: Vec<_> = servers
+            .iter()
+            .enumerate()
+            .flat_map(|(index, server)| {
+                let name = server.as_str().as_bytes();
+                (0..POINTS_PER_SERVER).map(move |point| (xxh3_64_with_seed(name, point + 1), index))
+            })
+            .collect();
+        points.sort_unstable();
+        Self { servers, points }
+    }
+
+    /// Whether the ring has exactly these servers, which must be sorted.
+    pub fn is_of(&self, sorted: &[ServerId]) -> bool {
+        self.servers == sorted
+    }
+
+    /// All servers in the order in which a walk from the chat's point meets them.
+    pub fn walk(&self, chat: &ChatKey) -> Vec<&ServerId> {
+        let start = xxh3_64_with_seed(chat.as_str().as_bytes(), 0);
+        let first = self.points.partition_point(|(point, _)| *point < start);
+        let mut met = vec![false; self.servers.len()];
+        let mut walked = Vec::with_capacity(self.servers.len());
+        for (_, index) in self.points[first..].iter().chain(&self.points[..first]) {
+            if !std::mem::replace(&mut met[*index], true) {
+                walked.push(&self.servers[*index]);
+                if walked.len() == self.servers.len() {
+                    break;
+                }
+            }
+        }
+        walked
+    }
+}
--- a/crates/papayamux-state/src/lib.rs
+++ b/crates/papayamux-state/src/lib.rs
@@ -3,9 +3,14 @@
 //! Nothing here touches a socket or a clock: callers hand in the time.
 
 pub mod address_range;
+pub mod cache_index;
 pub mod chat_key;
 pub mod claims;
+pub mod hash_ring;
 pub mod ids;
+pub mod load;
+pub mod load_table;
+pub mod moved_chats;
 pub mod placement;
 pub mod quantities;
 pub mod refusal;
--- a/crates/papayamux-state/src/refusal.rs
+++ b/crates/papayamux-state/src/refusal.rs
@@ -73,6 +73,16 @@
     NoMajority = 39, "no_majority";
     /// The connection was lost before the request arrived, and it is refused from now on.
     NeverArrived = 40, "never_arrived";
+    /// The server carries the set multiple of the mean load.
+    OverBound = 10, "over_bound";
+    /// The queue is full.
+    QueueFull = 11, "queue_full";
+    /// The request would have to wait past its deadline.
+    WaitTooLong = 12, "wait_too_long";
+    /// The place in the queue went to an organisation or class with a better right to it.
+    Displaced = 13, "displaced";
+    /// The chat's context is at another server.
+    ContextElsewhere = 14, "context_elsewhere";
 }
 
 impl RefusalReason {
@@ -93,3 +103,5 @@
         formatter.write_str(self.label())
     }
 }
+
+impl std::error::Error for RefusalReason {}
