Ask further servers wherever waits are long; keep probes apart from the connection

Other servers hold the rulebook too. Change: the rule goes. The connection to an agent had grown over 400 lines; its probes have a file.

--- a/crates/papayamux-coordination/src/route_cost.rs
+++ b/crates/papayamux-coordination/src/route_cost.rs
@@ -72,12 +72,6 @@
     Some(reply.load.backlog + cold + crowd)
 }
 
-/// The cost at an idle server that holds nothing of the prompt and computes `rate` tokens a second:
-/// no server that was not asked is sure to cost less.
-pub fn idle_cost(rate: TokenCount, checkpoints: &PromptCheckpoints) -> Duration {
-    cold_cost(rate, checkpoints.cold_tokens(0))
-}
-
 fn cold_cost(rate: TokenCount, tokens: TokenCount) -> Duration {
     let seconds = tokens.get() as f64 / rate.get().max(1) as f64;
     Duration::from_secs_f64(seconds * COLD_WEIGHT)
--- a/crates/papayamux-router/src/agents/agent_link.rs
+++ b/crates/papayamux-router/src/agents/agent_link.rs
@@ -7,7 +7,6 @@
 
 use futures_util::future::{select, Either};
 use local_sync::mpsc::unbounded;
-use local_sync::oneshot;
 use papayamux_protocol::link::{
     AgentClock, AgentMessage, AgentWelcome, AnswerEnd, ClaimNotice, ClaimReply, ClaimRequest,
     LoadProbe, MovedChat, OpenRequest, ProbeReply, RecallRequest, RepeatRule, ResumePoint,
@@ -15,10 +14,10 @@
 };
 use papayamux_protocol::wire::{agent_control_length, router_control_length};
 use papayamux_state::ids::RequestId;
-use papayamux_state::load::LoadReport;
 use papayamux_transport::link::{LinkError, LinkSender};
 
 use super::handshake::{AgentReceiver, ProvedLink, CONNECTION};
+use super::pending_probes::PendingProbes;
 use super::stream_slot::{SlotOrigin, StreamSlot};
 use super::{StreamEvent, StreamHandle};
 use crate::metrics::RouterMetrics;
@@ -46,8 +45,7 @@
     next_stream: Cell<u64>,
     open: Cell<bool>,
     leaving: Cell<bool>,
-    probes: RefCell<HashMap<u64, oneshot::Sender<ProbeReply>>>,
-    loads: Rc<LoadBook>,
+    probes: PendingProbes,
     metrics: RouterMetrics,
 }
 
@@ -59,6 +57,7 @@
         metrics: RouterMetrics,
     ) -> (Rc<Self>, AgentReceiver) {
         let ProvedLink { sender, receiver, welcome } = proved;
+        let server = welcome.server.clone();
         let reading = ClockReading { clock: welcome.clock, read: Instant::now() };
         let link = Self {
             sender,
@@ -69,8 +68,7 @@
             next_stream: Cell::new(CONNECTION + 1),
             open: Cell::new(true),
             leaving: Cell::new(false),
-            probes: RefCell::default(),
-            loads,
+            probes: PendingProbes::new(server, loads),
             metrics,
         };
         (Rc::new(link), receiver)
@@ -186,14 +184,13 @@
 
     /// Asks the agent for its load; `None` where the connection is lost meanwhile.
     pub async fn probe(&self, probe: LoadProbe) -> Option<ProbeReply> {
-        let (answer, answered) = oneshot::channel();
         let stream = self.next_number();
-        self.probes.borrow_mut().insert(stream, answer);
+        let reply = self.probes.begin(stream);
         if !self.is_open() || !self.send(stream, RouterMessage::Probe(probe)) {
-            self.probes.borrow_mut().remove(&stream);
+            self.probes.end(stream);
             return None;
         }
-        answered.await.ok()
+        reply.await.ok()
     }
 
     /// Tells the agent that a chat of which it is the home was served elsewhere.
@@ -201,16 +198,6 @@
         self.send(CONNECTION, RouterMessage::Moved(moved));
     }
 
-    fn note_load(&self, report: LoadReport) {
-        self.loads.note(&self.welcome.server, report, Instant::now());
-    }
-
-    fn take_reply(&self, stream: u64, reply: ProbeReply) -> bool {
-        self.note_load(reply.load);
-        let answer = self.probes.borrow_mut().remove(&stream);
-        answer.is_some_and(|answer| answer.send(reply).is_ok())
-    }
-
     pub(super) fn send(&self, stream: u64, message: RouterMessage) -> bool {
         self.metrics.control_bytes_out.inc_by(router_control_length(&message));
         self.sender.send(stream, message)
@@ -223,7 +210,7 @@
     fn has_streams(&self) -> bool {
         !self.streams.borrow().is_empty()
             || !self.claims.borrow().is_empty()
-            || !self.probes.borrow().is_empty()
+            || !self.probes.is_empty()
     }
 
     fn awaits_heads(&self) -> bool {
@@ -234,7 +221,7 @@
     fn lose(&self) -> Vec<Rc<StreamSlot>> {
         self.open.set(false);
         self.claims.borrow_mut().clear();
-        self.probes.borrow_mut().clear();
+        self.probes.clear();
         self.streams.borrow_mut().drain().map(|(_, slot)| slot).collect()
     }
 
@@ -367,8 +354,8 @@
 fn take_message(link: &AgentLink, stream: u64, message: AgentMessage) -> bool {
     link.metrics.control_bytes_in.inc_by(agent_control_length(&message));
     match message {
-        AgentMessage::Load(report) => link.note_load(report),
-        AgentMessage::Probed(reply) => return link.take_reply(stream, reply),
+        AgentMessage::Load(report) => link.probes.note_load(report),
+        AgentMessage::Probed(reply) => return link.probes.take_reply(stream, reply),
         AgentMessage::Pong(pong) => link.take_clock(pong.clock),
         AgentMessage::Leaving => link.leaving.set(true),
         AgentMessage::Ping(number) => drop(link.send(CONNECTION, RouterMessage::Pong(number))),
--- a/crates/papayamux-router/src/routing/first_token.rs
+++ b/crates/papayamux-router/src/routing/first_token.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use papayamux_coordination::route_cost::{idle_cost, route_cost, PromptCheckpoints};
+use papayamux_coordination::route_cost::{route_cost, PromptCheckpoints};
 use papayamux_coordination::server_evidence::ServerStanding;
 use papayamux_protocol::chat::ChatCall;
 use papayamux_protocol::engine::{block_hashes, prompt_tokens, render_prompt, root_hash};
@@ -167,7 +167,7 @@
         let named = self.servers.iter().filter(|record| Some(&record.entry.server) == named);
         let mut further: Vec<_> = named.filter(is_new).cloned().collect();
         let shortest = probed.iter().map(|server| server.reply.load.backlog).min();
-        if shortest.is_none_or(|wait| wait > SHORT_WAIT) && !self.beats_idle(probed) {
+        if shortest.is_none_or(|wait| wait > SHORT_WAIT) {
             let named = further.first().cloned();
             let is_named =
                 |record: &Rc<ServerRecord>| named.as_ref().is_some_and(|it| Rc::ptr_eq(it, record));
@@ -179,14 +179,6 @@
         further
     }
 
-    /// Whether one of those asked costs less than an idle server without any of the prompt.
-    fn beats_idle(&self, probed: &[ProbedServer]) -> bool {
-        let rate = probed.iter().map(|server| server.reply.prefill_rate).max();
-        let idle = rate.map(|rate| idle_cost(rate, &self.checkpoints));
-        let costs = probed.iter().filter_map(|server| route_cost(&server.reply, &self.checkpoints));
-        costs.min().zip(idle).is_some_and(|(cost, idle)| cost <= idle)
-    }
-
     /// Whether the wait at a server may be much shorter than `wait`, by what is known of it.
     fn may_be_shorter(&self, record: &ServerRecord, wait: Option<Duration>) -> bool {
         let known = self.planner.loads().get(&record.entry.server, Instant::now());
