--- a/crates/papayamux-router/src/daemon.rs
+++ b/crates/papayamux-router/src/daemon.rs
@@ -30,6 +30,7 @@
 use crate::configuration::{follow_configuration, start_configuration};
 use crate::directory::ServerDirectory;
 use crate::metrics::RouterMetrics;
+use crate::routing::{LoadBook, RoutePlanner};
 use crate::settings::RouterSettings;
 
 struct RouterView {
@@ -152,12 +153,15 @@
     let registry = Rc::new(registry);
     monoio::spawn(serve_operations(operators, registry, view.clone(), ShutdownSignal::new()));
     let incarnation = identity.incarnation;
-    let directory = ServerDirectory::new(identity, metrics.clone(), settings.servers.clone());
+    let loads = Rc::new(LoadBook::default());
+    let servers = settings.servers.clone();
+    let directory = ServerDirectory::new(identity, metrics.clone(), loads.clone(), servers);
+    let planner = RoutePlanner::new(settings.policy, loads, metrics.clone());
     let limits = caller_limits(&settings, &metrics);
     if let Some(view) = configuration {
         monoio::spawn(follow_configuration(view, directory.clone()));
     }
-    let desk = CallerDesk::new(settings, directory, incarnation, metrics);
+    let desk = CallerDesk::new(settings, directory, planner, incarnation, metrics);
     let life = view.clone();
     let handler = Rc::new(move |request| {
         let (desk, life) = (desk.clone(), life.clone());
--- a/crates/papayamux-router/src/lib.rs
+++ b/crates/papayamux-router/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod daemon;
 mod directory;
 pub mod metrics;
+pub mod routing;
 pub mod settings;
