--- a/crates/papayamux-router/src/agents/agent_link.rs
+++ b/crates/papayamux-router/src/agents/agent_link.rs
@@ -18,6 +18,7 @@
 
 use super::handshake::{AgentReceiver, ProvedLink, CONNECTION};
 use super::pending_probes::PendingProbes;
+use super::silence_count::SilenceCount;
 use super::stream_slot::{SlotOrigin, StreamSlot};
 use super::{StreamEvent, StreamHandle};
 use crate::metrics::RouterMetrics;
@@ -25,8 +26,6 @@
 
 /// How often a connection with open streams is checked for silence.
 const CHECK_EVERY: Duration = Duration::from_secs(1);
-/// Pings without an answer after which the connection counts as silent.
-const MOST_UNANSWERED: u32 = 3;
 
 /// A reading of the agent's clock.
 #[derive(Debug, Clone, Copy)]
@@ -207,13 +206,13 @@
         self.streams.borrow_mut().remove(&stream);
     }
 
-    fn has_streams(&self) -> bool {
+    pub(super) fn has_streams(&self) -> bool {
         !self.streams.borrow().is_empty()
             || !self.claims.borrow().is_empty()
             || !self.probes.is_empty()
     }
 
-    fn awaits_heads(&self) -> bool {
+    pub(super) fn awaits_heads(&self) -> bool {
         self.streams.borrow().values().any(|slot| slot.awaits_head())
     }
 
@@ -316,40 +315,6 @@
     }
 }
 
-/// How long the agent has been silent, counted in pings.
-///
-/// Any frame shows that the way from the agent works. The way to the agent may be dead all the
-/// same while answers still flow; where a stream waits for its first word, only a pong counts.
-#[derive(Default)]
-struct SilenceCount {
-    heard: bool,
-    unanswered: u32,
-}
-
-impl SilenceCount {
-    fn note(&mut self, link: &AgentLink, message: &AgentMessage) {
-        self.heard = true;
-        if matches!(message, AgentMessage::Pong(_)) || !link.awaits_heads() {
-            self.unanswered = 0;
-        }
-    }
-
-    /// Pings where it is due; `true` where the agent counts as silent.
-    fn check(&mut self, link: &AgentLink) -> bool {
-        let heard = std::mem::take(&mut self.heard);
-        if !link.has_streams() || (heard && !link.awaits_heads()) {
-            self.unanswered = 0;
-            return false;
-        }
-        if self.unanswered == MOST_UNANSWERED {
-            return true;
-        }
-        self.unanswered += 1;
-        link.send(CONNECTION, RouterMessage::Ping(u64::from(self.unanswered)));
-        false
-    }
-}
-
 /// Acts on a message; `false` where it belongs to nothing.
 fn take_message(link: &AgentLink, stream: u64, message: AgentMessage) -> bool {
     link.metrics.control_bytes_in.inc_by(agent_control_length(&message));
--- a/crates/papayamux-router/src/agents/mod.rs
+++ b/crates/papayamux-router/src/agents/mod.rs
@@ -4,6 +4,7 @@
 mod agent_peer;
 mod handshake;
 mod pending_probes;
+mod silence_count;
 mod stream_handle;
 mod stream_recovery;
 mod stream_slot;
--- /dev/null
+++ b/crates/papayamux-router/src/agents/silence_count.rs
@@ -0,0 +1,44 @@
+//! Whether an agent has gone silent on a connection.
+
+use papayamux_protocol::link::{AgentMessage, RouterMessage};
+
+use super::agent_link::AgentLink;
+use super::handshake::CONNECTION;
+
+/// Pings without an answer after which the connection counts as silent.
+const MOST_UNANSWERED: u32 = 3;
+
+/// How long the agent has been silent, counted in pings.
+///
+/// Any frame shows that the way from the agent works. The way to the agent may be dead all the
+/// same while answers still flow; where a stream waits for its first word, only a pong counts.
+#[derive(Default)]
+pub struct SilenceCount {
+    heard: bool,
+    unanswered: u32,
+}
+
+impl SilenceCount {
+    /// Notes a message of the agent.
+    pub fn note(&mut self, link: &AgentLink, message: &AgentMessage) {
+        self.heard = true;
+        if matches!(message, AgentMessage::Pong(_)) || !link.awaits_heads() {
+            self.unanswered = 0;
+        }
+    }
+
+    /// Pings where it is due; `true` where the agent counts as silent.
+    pub fn check(&mut self, link: &AgentLink) -> bool {
+        let heard = std::mem::take(&mut self.heard);
+        if !link.has_streams() || (heard && !link.awaits_heads()) {
+            self.unanswered = 0;
+            return false;
+        }
+        if self.unanswered == MOST_UNANSWERED {
+            return true;
+        }
+        self.unanswered += 1;
+        link.send(CONNECTION, RouterMessage::Ping(u64::from(self.unanswered)));
+        false
+    }
+}
