Define checked text and section names once

Cause: the identifiers and the declarations' names each had the same macro, and three readers of settings parsed a section's own name by the same eight lines. Change: papayamux_state::text_newtype and SectionReader::own_name.

--- a/crates/papayamux-declarations/src/values/names.rs
+++ b/crates/papayamux-declarations/src/values/names.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use http::Method;
+use papayamux_state::text_newtype;
 
 use super::ValueError;
 
@@ -16,34 +17,10 @@
 
 macro_rules! name {
     ($(#[$doc:meta])* $name:ident, $form:literal, $check:expr) => {
-        $(#[$doc])*
-        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-        pub struct $name(String);
-
-        impl $name {
-            /// The name as text.
-            pub fn as_str(&self) -> &str {
-                &self.0
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                formatter.write_str(&self.0)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = ValueError;
-
-            fn from_str(text: &str) -> Result<Self, ValueError> {
-                let check: fn(&str) -> bool = $check;
-                match check(text) {
-                    true => Ok(Self(text.to_string())),
-                    false => Err(ValueError::new(text, $form)),
-                }
-            }
-        }
+        text_newtype!($(#[$doc])* $name, ValueError, |text| match $check(text) {
+            true => Ok(text.to_string()),
+            false => Err(ValueError::new(text, $form)),
+        });
     };
 }
 
--- a/crates/papayamux-router/src/claims/claim_settings.rs
+++ b/crates/papayamux-router/src/claims/claim_settings.rs
@@ -67,13 +67,7 @@
 
 fn read_witness(file: &IniFile, name: &str) -> Option<WitnessEntry> {
     let section = file.section(&format!("witness {name}"));
-    let server = match name.parse() {
-        Ok(server) => Some(server),
-        Err(error) => {
-            section.report("", &format!("{name:?} does not fit: {error}"), "");
-            None
-        }
-    };
+    let server = section.own_name();
     let agent = section.required("agent");
     let domain = section.optional("failure_domain");
     section.refuse_other_keys();
--- a/crates/papayamux-router/src/settings.rs
+++ b/crates/papayamux-router/src/settings.rs
@@ -168,13 +168,7 @@
 
 fn read_organisation(file: &IniFile, name: &str) -> Option<(OrganisationId, OrganisationEntry)> {
     let section = file.section(&format!("organisation {name}"));
-    let organisation = match name.parse() {
-        Ok(organisation) => Some(organisation),
-        Err(error) => {
-            section.report("", &format!("{name:?} does not fit: {error}"), "");
-            None
-        }
-    };
+    let organisation = section.own_name();
     let usual = OrganisationEntry::default();
     let priority = section.or("priority", usual.priority);
     let share = section.or("share", usual.share);
@@ -187,13 +181,7 @@
 
 fn read_server(file: &IniFile, name: &str) -> Option<ServerEntry> {
     let section = file.section(&format!("server {name}"));
-    let server = match name.parse() {
-        Ok(server) => Some(server),
-        Err(error) => {
-            section.report("", &format!("{name:?} does not fit: {error}"), "");
-            None
-        }
-    };
+    let server = section.own_name();
     let agent = section.required("agent");
     let domain = section.optional("failure_domain");
     let models = section.list("models");
--- a/crates/papayamux-settings/src/section.rs
+++ b/crates/papayamux-settings/src/section.rs
@@ -56,6 +56,22 @@
         Self { file, name: name.to_string(), properties, read: RefCell::default() }
     }
 
+    /// The name behind the section's kind: `NAME` in `[kind NAME]`.
+    pub fn own_name<T>(&self) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        let (_, name) = self.name.split_once(' ')?;
+        match name.trim().parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.report("", &format!("{name:?} does not fit: {error}"), "");
+                None
+            }
+        }
+    }
+
     /// The text of a key, if it stands there.
     pub fn text(&self, key: &str) -> Option<&'a str> {
         self.read.borrow_mut().insert(key.to_string());
--- a/crates/papayamux-state/src/ids/text.rs
+++ b/crates/papayamux-state/src/ids/text.rs
@@ -1,8 +1,5 @@
 //! Identifiers that are text: graphic ASCII, bounded in length.
 
-use std::fmt;
-use std::str::FromStr;
-
 use super::IdError;
 
 /// Bytes that a text identifier may have at most.
@@ -23,30 +20,7 @@
 
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-        pub struct $name(String);
-
-        impl $name {
-            /// The identifier as text.
-            pub fn as_str(&self) -> &str {
-                &self.0
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                formatter.write_str(&self.0)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = IdError;
-
-            fn from_str(text: &str) -> Result<Self, IdError> {
-                checked(text).map($name)
-            }
-        }
+        $crate::text_newtype!($(#[$doc])* $name, IdError, checked);
     };
 }
 
--- a/crates/papayamux-state/src/lib.rs
+++ b/crates/papayamux-state/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod placement;
 pub mod quantities;
 pub mod refusal;
+pub mod text_newtype;
