Let a fleet that knows few seeds find together

Now accepting has a rate of its own, peers are named before anything else on a connection, and a process that knows no one tries two seeds at a time.

--- a/crates/papayamux-spread/src/exchange/dialer.rs
+++ b/crates/papayamux-spread/src/exchange/dialer.rs
@@ -15,15 +15,18 @@
 use super::link_reader::run_link;
 use super::peer_error::PeerError;
 use crate::core::SpreadCore;
-use crate::pace::RetryBackoff;
+use crate::pace::{RetryBackoff, TokenBucket};
 use crate::peers::ALIVE_WITHIN;
 
 /// Connections of peers open at once. One more closes the oldest, whose peer knows others by
 /// then, so that a process that has just started always finds a seed that takes it.
 const MOST_ACCEPTED: usize = 12;
-/// Bytes set aside for a new connection before it is accepted: when many processes start at once
+/// Connections accepted a second, and how many may be saved up: when many processes start at once
 /// and know the same seeds, they wait in the listener's backlog instead of overdrawing the budget.
-const GREETING_BYTES: u64 = 1_000;
+const ACCEPT_RATE: f64 = 8.0;
+const ACCEPT_BURST: f64 = 8.0;
+/// Seeds tried at once by a process that knows no one else: the first that answers names others.
+const SEEKING_DIALS: usize = 2;
 /// How long the listener waits after it could not accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// The first and the longest pause before a peer that could not be reached is tried again.
@@ -39,8 +42,9 @@
 
 /// Accepts peers for ever.
 pub(crate) async fn accept_peers(core: Rc<SpreadCore>, listener: TcpListener) {
+    let pace = TokenBucket::new(ACCEPT_RATE, ACCEPT_BURST, ACCEPT_BURST, Instant::now());
     loop {
-        core.budget.take_bulk(GREETING_BYTES).await;
+        pace.take(1.0, 0.0).await;
         let stream = match listener.accept().await {
             Ok((_, from)) if !admits(&core.settings.allow, from.ip()) => {
                 core.metrics.lost_links.count(PeerError::Address.label());
@@ -158,8 +162,9 @@
         let open = self.dialing.len();
         let fanout = self.core.settings.fanout;
         for _ in open..fanout {
-            let Some(address) =
-                self.pick(now, Wanted::Alive).or_else(|| self.pick(now, Wanted::Any))
+            let alive = self.pick(now, Wanted::Alive);
+            let seeks = alive.is_none() && self.dialing.len() < SEEKING_DIALS;
+            let Some(address) = alive.or_else(|| seeks.then(|| self.pick(now, Wanted::Any))?)
             else {
                 break;
             };
--- a/crates/papayamux-spread/src/exchange/link_reader.rs
+++ b/crates/papayamux-spread/src/exchange/link_reader.rs
@@ -37,8 +37,7 @@
     core.metrics.peer_links.inc();
     monoio::spawn(write_messages(core.clone(), link.clone(), wakes.messages));
     monoio::spawn(write_bodies(core.clone(), link.clone(), wakes.requests));
-    link.plan_summary(true);
-    link.plan_peers();
+    greet(core, &link);
     let read = std::pin::pin!(read_messages(core, &link, &mut receiver));
     let outcome = match select(std::pin::pin!(link.closing()), read).await {
         Either::Left(_) => Ok(()),
@@ -50,6 +49,16 @@
     outcome
 }
 
+/// Passes peers on before anything else: a link to a seed may be closed soon to make room, and
+/// what a process that starts needs most is to know others.
+fn greet(core: &SpreadCore, link: &PeerLink) {
+    note_heard(core, link);
+    let peers = link.peers_message(core);
+    core.budget.charge(peers.wire_bytes(), 0);
+    link.send(core, peers);
+    link.plan_summary(true);
+}
+
 async fn read_messages(
     core: &Rc<SpreadCore>,
     link: &Rc<PeerLink>,
--- a/crates/papayamux-spread/src/exchange/peer_link.rs
+++ b/crates/papayamux-spread/src/exchange/peer_link.rs
@@ -17,7 +17,7 @@
 /// Requests of one peer that may wait for their answers.
 const MOST_REQUESTS: usize = 16;
 /// Peers passed on beside the watchers.
-const OTHER_RECORDS: usize = 3;
+const OTHER_RECORDS: usize = 4;
 
 /// What a peer answers to a fetch.
 #[derive(Debug)]
@@ -211,12 +211,16 @@
             return Some(next_inventory(core, bucket, &mut pending.inventory));
         }
         if std::mem::take(&mut pending.peers) {
-            let records = core.table.borrow().records(OTHER_RECORDS, Instant::now());
-            return Some(PeerMessage::Peers(records));
+            return Some(self.peers_message(core));
         }
         None
     }
 
+    /// The peers to pass on.
+    pub(crate) fn peers_message(&self, core: &SpreadCore) -> PeerMessage {
+        PeerMessage::Peers(core.table.borrow().records(OTHER_RECORDS, Instant::now()))
+    }
+
     /// Sends a message that was paid for; `false` when the connection is gone.
     pub(crate) fn send(&self, core: &SpreadCore, message: PeerMessage) -> bool {
         core.metrics.sent_bytes.inc_by(message.wire_bytes());
--- a/crates/papayamux-testbed/tests/configuration_spread.rs
+++ b/crates/papayamux-testbed/tests/configuration_spread.rs
@@ -6,7 +6,7 @@
 
 use nix::sys::signal::Signal;
 use papayamux_standins::config_service::{ConfigFaults, ServedView};
-use papayamux_testbed::{SpreadFleet, SpreadPlan};
+use papayamux_testbed::{wait_until, SpreadFleet, SpreadPlan};
 use papayamux_transport::runtime;
 
 type TestResult = Result<(), Box<dyn Error>>;
@@ -173,3 +173,18 @@
         Ok(())
     })
 }
+
+#[test]
+fn a_fleet_that_knows_three_seeds_soon_agrees_on_its_watchers() -> TestResult {
+    let fleet = SpreadFleet::start(SpreadPlan::builder().processes(80).domains(2).build())?;
+    runtime::run(async {
+        let revision = fleet.put_file("caverns", &team_file("caverns", 1)).await?;
+        assert!(fleet.wait_equal(revision, WITHIN).await?.is_some());
+        let read = async || {
+            let statuses = fleet.statuses().await?;
+            Ok(statuses.iter().filter(|status| status.watching).count())
+        };
+        wait_until(WITHIN, read, |watching| *watching == 4).await?;
+        Ok(())
+    })?
+}
