Keep the pace of calls low until a process has its peers

A process that knew one other could take itself for a watcher and make 8 calls a second: 435 calls in one second from 200 routers that started at once, which would pass 2,000 at 1,020. Now the watchers' pace needs as many peers as the process wants, and one call instead of two is saved up at the start.

--- a/crates/papayamux-measure/src/config/scenarios.rs
+++ b/crates/papayamux-measure/src/config/scenarios.rs
@@ -17,6 +17,9 @@
 
 type ScenarioResult = Result<ConfigReport, Box<dyn Error>>;
 
+/// Seeds that each process is told of: one for so many processes, and no fewer than these.
+const PROCESSES_PER_SEED: usize = 16;
+const FEWEST_SEEDS: usize = 3;
 /// Teams, each with a file.
 const TEAMS: usize = 12;
 /// Models that a team declares.
@@ -70,7 +73,9 @@
 
 impl Trial {
     async fn start(options: &ConfigOptions, processes: usize) -> Result<Self, Box<dyn Error>> {
-        let fleet = SpreadFleet::start(SpreadPlan::builder().processes(processes).build())?;
+        let seeds = (processes / PROCESSES_PER_SEED).max(FEWEST_SEEDS);
+        let plan = SpreadPlan::builder().processes(processes).seeds(seeds).build();
+        let fleet = SpreadFleet::start(plan)?;
         let random = StdRng::seed_from_u64(options.seed);
         let mut trial = Self { fleet, random, sampler: ConfigSampler::default(), version: 0 };
         let mut revision = 0;
--- a/crates/papayamux-spread/src/service/service_reader.rs
+++ b/crates/papayamux-spread/src/service/service_reader.rs
@@ -24,11 +24,11 @@
 /// Calls that may be saved up.
 const READ_BURST: f64 = 20.0;
 /// Calls that a process may make at once when it has just started.
-const START_READS: f64 = 2.0;
+const START_READS: f64 = 1.0;
 /// The time over which processes that start together spread their first call.
 const START_SPREAD: Duration = Duration::from_secs(3);
-/// How long a process must have run before it counts as a watcher for its pace: before, it knows
-/// too few others.
+/// How long a process must have run, with as many peers as it wants, before it counts as a watcher
+/// for its pace: else it may know too few others to know that it is none.
 const WATCHER_AFTER: Duration = Duration::from_secs(10);
 /// Pauses between failed calls of a watcher.
 const WATCHER_PAUSES: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(5));
@@ -94,8 +94,8 @@
         let now = Instant::now();
         let table = self.core.table.borrow();
         let watches = table.is_watcher(&self.core.domain, now);
-        let knows_others = table.alive_count(now) > 0 || self.core.settings.peers.is_empty();
-        let is_sure = now.duration_since(self.started) >= WATCHER_AFTER && knows_others;
+        let is_connected = self.core.links.borrow().len() >= self.core.settings.fanout;
+        let is_sure = now.duration_since(self.started) >= WATCHER_AFTER && is_connected;
         let rate = if watches && is_sure { WATCHER_RATE } else { SLOW_RATE };
         self.pace.set_rate(rate, READ_BURST, now);
         self.core.metrics.watching.set(i64::from(watches));
--- a/crates/papayamux-testbed/src/spread_fleet.rs
+++ b/crates/papayamux-testbed/src/spread_fleet.rs
@@ -18,8 +18,6 @@
 use crate::http_reader::{read_bytes, read_json};
 use crate::process::{ProcessHandle, TestbedError};
 
-/// Processes that a new one is told of.
-const SEEDS: usize = 3;
 /// How often the processes' state is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
@@ -31,6 +29,9 @@
     /// Failure domains that they are in by turns.
     #[builder(default = 3)]
     pub domains: usize,
+    /// Processes that a new one is told of.
+    #[builder(default = 3)]
+    pub seeds: usize,
     /// Further lines for the `[spread]` section of each.
     #[builder(default)]
     pub spread_lines: String,
@@ -119,7 +120,7 @@
     /// Starts one more router, which knows the first ones.
     pub fn add(&mut self) -> Result<usize, TestbedError> {
         let seeds: Vec<_> =
-            self.processes.iter().take(SEEDS).map(|process| process.peers).collect();
+            self.processes.iter().take(self.plan.seeds).map(|process| process.peers).collect();
         let service = self.service.listen()?;
         self.add_with(service, &seeds)
     }
@@ -163,7 +164,7 @@
         let before = std::mem::take(&mut self.processes);
         let places: Vec<_> = before.iter().map(|process| (process.index, process.peers)).collect();
         drop(before);
-        let seeds: Vec<_> = places.iter().take(SEEDS).map(|(_, peers)| *peers).collect();
+        let seeds: Vec<_> = places.iter().take(self.plan.seeds).map(|(_, peers)| *peers).collect();
         let service = self.service.listen()?;
         let fleet = &*self;
         let started: Result<Vec<_>, _> = std::thread::scope(|scope| {
