Decide on orders: fencing numbers, load slots, stops, comparison

An agent has to bring its engine to what is declared without a coordinator. The decisions stand in papayamux-coordination and are told the time: fencing numbers of a term and a step that rise above whatever the engine reports; slots of the weight store's rate by rank in the declared fleet; when a server may stop serving weights; and the comparison of engine and target that gives the next order. Agents ask each other whether they serve, on the same links as routers, so the opening of such a link moves from the router to papayamux-transport.

Tried and taken out: promises with leases, releases and tokens.

--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod claims;
 pub mod fair_queue;
 pub mod load_bound;
+pub mod orders;
 pub mod prefill_backlog;
 pub mod retry_budget;
 pub mod route_cost;
--- a/crates/papayamux-protocol/src/lib.rs
+++ b/crates/papayamux-protocol/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod peer;
 pub mod platform;
 pub mod proof;
+pub mod serving;
 pub mod wire;
--- a/crates/papayamux-protocol/src/link.rs
+++ b/crates/papayamux-protocol/src/link.rs
@@ -15,6 +15,7 @@
 use papayamux_state::refusal::RefusalReason;
 
 use crate::proof::{ProofNonce, ProofTag};
+use crate::serving::{ServingAnswer, ServingQuestion};
 
 /// Version of the protocol between papayamux processes.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -352,6 +353,8 @@
     Probe(LoadProbe),
     /// A chat was served elsewhere.
     Moved(MovedChat),
+    /// Another agent asks for an [`AgentMessage::Serving`].
+    AskServing(ServingQuestion),
 }
 
 /// What an agent says about one stream, or about the connection.
@@ -383,6 +386,8 @@
     Load(LoadReport),
     /// Answers a probe.
     Probed(ProbeReply),
+    /// Answers [`RouterMessage::AskServing`].
+    Serving(ServingAnswer),
 }
 
 /// A message of either side with the stream it belongs to; stream 0 is the connection itself.
--- a/crates/papayamux-protocol/src/wire/control_length.rs
+++ b/crates/papayamux-protocol/src/wire/control_length.rs
@@ -18,6 +18,7 @@
         | RouterMessage::Probe(_)
         | RouterMessage::Claim(_)
         | RouterMessage::ClaimNotice(_)
+        | RouterMessage::AskServing(_)
         | RouterMessage::Moved(_) => {
             let addressed = Addressed { stream: COUNTED_STREAM, message: message.clone() };
             RouterFrame::from(addressed).encoded_len() as u64 + LENGTH_PREFIX
@@ -35,6 +36,7 @@
         | AgentMessage::Leaving
         | AgentMessage::Load(_)
         | AgentMessage::Claim(_)
+        | AgentMessage::Serving(_)
         | AgentMessage::Probed(_) => {
             let addressed = Addressed { stream: COUNTED_STREAM, message: message.clone() };
             AgentFrame::from(addressed).encoded_len() as u64 + LENGTH_PREFIX
--- a/crates/papayamux-protocol/src/wire/convert_agent.rs
+++ b/crates/papayamux-protocol/src/wire/convert_agent.rs
@@ -31,6 +31,7 @@
             AgentMessage::Claim(reply) => AgentBody::Claim(reply.into()),
             AgentMessage::Load(report) => AgentBody::Load(report.into()),
             AgentMessage::Probed(reply) => AgentBody::Probed(reply.into()),
+            AgentMessage::Serving(answer) => AgentBody::Serving(answer.into()),
         };
         Self { stream: addressed.stream, body: Some(body) }
     }
@@ -59,6 +60,7 @@
             AgentBody::Claim(reply) => AgentMessage::Claim(reply.try_into()?),
             AgentBody::Load(load) => AgentMessage::Load(load.into()),
             AgentBody::Probed(reply) => AgentMessage::Probed(reply.try_into()?),
+            AgentBody::Serving(answer) => AgentMessage::Serving(answer.try_into()?),
         };
         Ok(Addressed { stream: self.stream, message })
     }
--- a/crates/papayamux-protocol/src/wire/convert_router.rs
+++ b/crates/papayamux-protocol/src/wire/convert_router.rs
@@ -30,6 +30,7 @@
             RouterMessage::Recall(recall) => RouterBody::Recall(recall.into()),
             RouterMessage::Probe(probe) => RouterBody::Probe(probe.into()),
             RouterMessage::Moved(moved) => RouterBody::Moved(moved.into()),
+            RouterMessage::AskServing(question) => RouterBody::AskServing(question.into()),
         };
         Self { stream: addressed.stream, body: Some(body) }
     }
@@ -54,6 +55,7 @@
             RouterBody::Recall(recall) => RouterMessage::Recall(recall.try_into()?),
             RouterBody::Probe(probe) => RouterMessage::Probe(probe.into()),
             RouterBody::Moved(moved) => RouterMessage::Moved(moved.try_into()?),
+            RouterBody::AskServing(question) => RouterMessage::AskServing(question.try_into()?),
         };
         Ok(Addressed { stream: self.stream, message })
     }
--- /dev/null
+++ b/crates/papayamux-protocol/src/wire/convert_serving.rs
@@ -0,0 +1,58 @@
+//! What agents ask each other, to and from their wire form.
+
+use papayamux_state::ids::{AdapterId, ModelId};
+use papayamux_state::weights::{WeightsKind, WeightsRef};
+
+use super::serving_messages::{WireServingAnswer, WireServingQuestion};
+use super::{identifier, WireError};
+use crate::serving::{ServingAnswer, ServingQuestion, ServingRefusal};
+
+const MODEL: u32 = 1;
+const ADAPTER: u32 = 2;
+const SERVES: u32 = 0;
+
+impl From<ServingQuestion> for WireServingQuestion {
+    fn from(question: ServingQuestion) -> Self {
+        let kind = match question.weights.kind {
+            WeightsKind::Model => MODEL,
+            WeightsKind::Adapter => ADAPTER,
+        };
+        Self { kind, name: question.weights.name, asker: question.asker.to_string() }
+    }
+}
+
+impl TryFrom<WireServingQuestion> for ServingQuestion {
+    type Error = WireError;
+
+    fn try_from(question: WireServingQuestion) -> Result<Self, WireError> {
+        let weights = match question.kind {
+            MODEL => WeightsRef::model(&identifier::<ModelId>("name", &question.name)?),
+            ADAPTER => WeightsRef::adapter(&identifier::<AdapterId>("name", &question.name)?),
+            number => return Err(WireError::Number { part: "kind", number }),
+        };
+        Ok(Self { weights, asker: identifier("asker", &question.asker)? })
+    }
+}
+
+impl From<ServingAnswer> for WireServingAnswer {
+    fn from(answer: ServingAnswer) -> Self {
+        let refusal = match answer {
+            ServingAnswer::Serves => SERVES,
+            ServingAnswer::Refused(refusal) => refusal.number(),
+        };
+        Self { refusal }
+    }
+}
+
+impl TryFrom<WireServingAnswer> for ServingAnswer {
+    type Error = WireError;
+
+    fn try_from(answer: WireServingAnswer) -> Result<Self, WireError> {
+        if answer.refusal == SERVES {
+            return Ok(ServingAnswer::Serves);
+        }
+        ServingRefusal::from_number(answer.refusal)
+            .map(ServingAnswer::Refused)
+            .ok_or(WireError::Number { part: "refusal", number: answer.refusal })
+    }
+}
--- a/crates/papayamux-protocol/src/wire/messages.rs
+++ b/crates/papayamux-protocol/src/wire/messages.rs
@@ -4,6 +4,7 @@
 
 use super::claim_messages::{WireClaim, WireClaimNotice, WireClaimReply, WireRecall};
 use super::load_messages::{WireGroupLoad, WireLoad, WireMoved, WireProbe, WireProbed};
+use super::serving_messages::{WireServingAnswer, WireServingQuestion};
 
 /// A frame from a router to an agent.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -12,7 +13,7 @@
     #[prost(uint64, tag = "1")]
     pub stream: u64,
     /// What is said.
-    #[prost(oneof = "RouterBody", tags = "2, 3, 4, 5, 6, 7, 8, 10, 11, 12, 13, 14, 15, 16")]
+    #[prost(oneof = "RouterBody", tags = "2, 3, 4, 5, 6, 7, 8, 10, 11, 12, 13, 14, 15, 16, 50")]
     pub body: Option<RouterBody>,
 }
 
@@ -61,6 +62,9 @@
     /// See [`crate::link::MovedChat`].
     #[prost(message, tag = "8")]
     Moved(WireMoved),
+    /// See [`crate::serving::ServingQuestion`].
+    #[prost(message, tag = "50")]
+    AskServing(WireServingQuestion),
 }
 
 /// A frame from an agent to a router.
@@ -70,7 +74,7 @@
     #[prost(uint64, tag = "1")]
     pub stream: u64,
     /// What is said.
-    #[prost(oneof = "AgentBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 15, 16, 17")]
+    #[prost(oneof = "AgentBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 15, 16, 17, 50")]
     pub body: Option<AgentBody>,
 }
 
@@ -116,6 +120,9 @@
     /// See [`crate::link::ProbeReply`].
     #[prost(message, tag = "10")]
     Probed(WireProbed),
+    /// See [`crate::serving::ServingAnswer`].
+    #[prost(message, tag = "50")]
+    Serving(WireServingAnswer),
 }
 
 /// A message without content.
--- a/crates/papayamux-protocol/src/wire/mod.rs
+++ b/crates/papayamux-protocol/src/wire/mod.rs
@@ -7,10 +7,12 @@
 mod convert_load;
 mod convert_peer;
 mod convert_router;
+mod convert_serving;
 mod frame_codec;
 mod load_messages;
 mod messages;
 mod peer;
+mod serving_messages;
 
 pub use claim_messages::*;
 pub use control_length::{agent_control_length, router_control_length};
@@ -19,6 +21,7 @@
 pub use load_messages::*;
 pub use messages::*;
 pub use peer::*;
+pub use serving_messages::*;
 
 use bytes::Bytes;
 use papayamux_state::ids::IdError;
--- a/crates/papayamux-router/src/agents/agent_link.rs
+++ b/crates/papayamux-router/src/agents/agent_link.rs
@@ -14,9 +14,9 @@
 };
 use papayamux_protocol::wire::{agent_control_length, router_control_length};
 use papayamux_state::ids::RequestId;
+use papayamux_transport::agent_link::{AgentReceiver, ProvedLink, CONNECTION};
 use papayamux_transport::link::{LinkError, LinkSender};
 
-use super::handshake::{AgentReceiver, ProvedLink, CONNECTION};
 use super::pending_probes::PendingProbes;
 use super::silence_count::SilenceCount;
 use super::stream_slot::{SlotOrigin, StreamSlot};
@@ -324,12 +324,12 @@
         AgentMessage::Pong(pong) => link.take_clock(pong.clock),
         AgentMessage::Leaving => link.leaving.set(true),
         AgentMessage::Ping(number) => drop(link.send(CONNECTION, RouterMessage::Pong(number))),
-        AgentMessage::Welcome(_) => return false,
         AgentMessage::Claim(reply) => {
             if let Some(waiting) = link.claims.borrow().get(&stream) {
                 let _ = waiting.send(reply);
             }
         }
+        AgentMessage::Welcome(_) | AgentMessage::Serving(_) => return false,
         message => {
             let Some(slot) = link.slot(stream) else { return false };
             return take_answer(&slot, message);
--- a/crates/papayamux-router/src/agents/agent_peer.rs
+++ b/crates/papayamux-router/src/agents/agent_peer.rs
@@ -7,10 +7,10 @@
 
 use papayamux_protocol::proof::SharedSecret;
 use papayamux_state::ids::{FailureDomain, Incarnation, ServerId};
+use papayamux_transport::agent_link::{open_link, AgentLinkError, AgentReceiver, LinkIdentity};
 use papayamux_transport::shutdown::ShutdownSignal;
 
 use super::agent_link::{read_messages, AgentLink};
-use super::handshake::{open_link, AgentLinkError, AgentReceiver};
 use super::stream_recovery::recover_streams;
 use crate::metrics::RouterMetrics;
 use crate::routing::LoadBook;
@@ -28,6 +28,13 @@
     pub resume_within: Duration,
 }
 
+impl RouterIdentity {
+    fn link(&self) -> LinkIdentity {
+        let (incarnation, domain) = (self.incarnation, self.domain.clone());
+        LinkIdentity { incarnation, domain, secret: self.secret.clone() }
+    }
+}
+
 enum PeerState {
     Down,
     Connecting(ShutdownSignal),
@@ -129,7 +136,7 @@
         let done = ShutdownSignal::new();
         *self.state.borrow_mut() = PeerState::Connecting(done.clone());
         let attempt = ConnectAttempt { peer: self, done };
-        let outcome = open_link(&self.server, self.address, &self.identity).await;
+        let outcome = open_link(&self.server, self.address, &self.identity.link()).await;
         let outcome = match outcome {
             Ok(proved) => {
                 let (link, receiver) =
--- a/crates/papayamux-router/src/agents/mod.rs
+++ b/crates/papayamux-router/src/agents/mod.rs
@@ -2,7 +2,6 @@
 
 mod agent_link;
 mod agent_peer;
-mod handshake;
 mod pending_probes;
 mod silence_count;
 mod stream_handle;
--- a/crates/papayamux-router/src/agents/silence_count.rs
+++ b/crates/papayamux-router/src/agents/silence_count.rs
@@ -3,7 +3,7 @@
 use papayamux_protocol::link::{AgentMessage, RouterMessage};
 
 use super::agent_link::AgentLink;
-use super::handshake::CONNECTION;
+use papayamux_transport::agent_link::CONNECTION;
 
 /// Pings without an answer after which the connection counts as silent.
 const MOST_UNANSWERED: u32 = 3;
--- a/crates/papayamux-state/src/lib.rs
+++ b/crates/papayamux-state/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod quantities;
 pub mod refusal;
 pub mod text_newtype;
+pub mod weights;
--- a/crates/papayamux-state/src/placement.rs
+++ b/crates/papayamux-state/src/placement.rs
@@ -4,9 +4,14 @@
 
 use crate::ids::{ChatKey, ServerId};
 
+/// A hash of a name, equal in all processes.
+pub fn name_hash(name: &str) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), 0)
+}
+
 /// The weight of `server` for `chat`; the highest weight is the chat's home.
 pub fn rendezvous_weight(chat: &ChatKey, server: &ServerId) -> u64 {
-    let seed = xxh3_64_with_seed(server.as_str().as_bytes(), 0);
+    let seed = name_hash(server.as_str());
     xxh3_64_with_seed(chat.as_str().as_bytes(), seed)
 }
 
--- a/crates/papayamux-state/src/refusal.rs
+++ b/crates/papayamux-state/src/refusal.rs
@@ -83,6 +83,14 @@
     Displaced = 13, "displaced";
     /// The chat's context is at another server.
     ContextElsewhere = 14, "context_elsewhere";
+    /// The engine does not have the model loaded at present.
+    ModelNotLoaded = 50, "model_not_loaded";
+    /// The engine does not have the adapter loaded at present.
+    AdapterNotLoaded = 51, "adapter_not_loaded";
+    /// A newer agent orders the engine.
+    Superseded = 52, "superseded";
+    /// The engine is about to unload the model or adapter.
+    Unloading = 53, "unloading";
 }
 
 impl RefusalReason {
--- a/crates/papayamux-router/src/agents/handshake.rs
+++ b/crates/papayamux-transport/src/agent_link.rs
@@ -1,4 +1,4 @@
-//! How a connection to an agent opens: connected, greeted, proved. Each step consumes the one
+//! How a connection to an agent opens, from a router or another agent: connected, greeted, proved. Each step consumes the one
 //! before, so that nothing can be sent to an agent that has not proved itself.
 
 use std::net::SocketAddr;
@@ -9,11 +9,21 @@
 };
 use papayamux_protocol::proof::{ProofContext, ProofNonce, ProofRole, SharedSecret};
 use papayamux_protocol::wire::{AgentFrame, RouterFrame};
-use papayamux_state::ids::ServerId;
-use papayamux_transport::link::{connect, start_link, LinkError, LinkReceiver, LinkSender};
+use papayamux_state::ids::{FailureDomain, Incarnation, ServerId};
 use thiserror::Error;
 
-use super::RouterIdentity;
+use crate::link::{connect, start_link, LinkError, LinkReceiver, LinkSender};
+
+/// What a process says of itself when it connects to an agent.
+#[derive(Debug, Clone)]
+pub struct LinkIdentity {
+    /// The process's life.
+    pub incarnation: Incarnation,
+    /// The process's failure domain.
+    pub domain: FailureDomain,
+    /// The fleet's secret, where agents have to know it.
+    pub secret: Option<SharedSecret>,
+}
 
 /// The receiving half of a connection to an agent.
 pub type AgentReceiver = LinkReceiver<RouterFrame, AgentFrame>;
@@ -29,11 +39,11 @@
     /// The connection failed.
     #[error(transparent)]
     Link(#[from] LinkError),
-    /// The agent did not welcome the router in time, or closed the connection.
+    /// The agent gave no welcome in time, or closed the connection.
     #[error("the agent gave no welcome")]
     NoWelcome,
     /// The agent speaks another version of the protocol.
-    #[error("the agent speaks version {version}, this router {PROTOCOL_VERSION}")]
+    #[error("the agent speaks version {version}, this process {PROTOCOL_VERSION}")]
     Version {
         /// The agent's version.
         version: u32,
@@ -49,7 +59,7 @@
     /// The agent sent no proof of the fleet's secret, or a wrong one.
     #[error("the agent did not prove that it knows the fleet's secret")]
     Unproved,
-    /// The agent asks for a proof, and this router has no secret.
+    /// The agent asks for a proof, and this process has no secret.
     #[error("the agent asks for a proof of a secret that the settings do not name")]
     SecretNeeded,
 }
@@ -96,7 +106,7 @@
 pub async fn open_link(
     server: &ServerId,
     address: SocketAddr,
-    identity: &RouterIdentity,
+    identity: &LinkIdentity,
 ) -> Result<ProvedLink, AgentLinkError> {
     let connected = ConnectedLink::connect(address).await?;
     connected.greet(server, identity).await?.prove(identity)
@@ -111,7 +121,7 @@
     async fn greet(
         mut self,
         server: &ServerId,
-        identity: &RouterIdentity,
+        identity: &LinkIdentity,
     ) -> Result<WelcomedLink, AgentLinkError> {
         let nonce = identity.secret.as_ref().map(|_| ProofNonce::draw());
         let (incarnation, domain) = (identity.incarnation, identity.domain.clone());
@@ -130,8 +140,8 @@
 }
 
 impl WelcomedLink {
-    /// Checks the agent's proof and sends the router's own.
-    fn prove(self, identity: &RouterIdentity) -> Result<ProvedLink, AgentLinkError> {
+    /// Checks the agent's proof and sends the own one.
+    fn prove(self, identity: &LinkIdentity) -> Result<ProvedLink, AgentLinkError> {
         match (&identity.secret, self.welcome.nonce) {
             (None, None) => {}
             (None, Some(_)) => return Err(AgentLinkError::SecretNeeded),
@@ -146,7 +156,7 @@
         &self,
         secret: &SharedSecret,
         agent_nonce: ProofNonce,
-        identity: &RouterIdentity,
+        identity: &LinkIdentity,
     ) -> Result<(), AgentLinkError> {
         let context = ProofContext {
             router_nonce: self.nonce.ok_or(AgentLinkError::Unproved)?,
--- a/crates/papayamux-transport/src/lib.rs
+++ b/crates/papayamux-transport/src/lib.rs
@@ -1,5 +1,6 @@
 //! Connections, listeners and timers on one `monoio` thread.
 
+pub mod agent_link;
 pub mod http;
 pub mod keepalive;
 pub mod link;
