Let the agent bring its engine to its target

A task reads the engine's state, compares it with the target, and sends the next order under a permission that follows from that reading and is checked last of all; it then reads the state again. Loads wait for the engine's slot of the weight store's rate. What is not wanted any more is unloaded after enough other servers have said that they serve and the requests that use it have ended. A model that the engine does not have loaded is refused, so that routers ask elsewhere. A higher fencing number after the agent's own orders means a newer agent: this one steps back and takes no work.

--- a/crates/papayamux-agent/src/admitted_run.rs
+++ b/crates/papayamux-agent/src/admitted_run.rs
@@ -13,6 +13,7 @@
 use papayamux_state::refusal::RefusalReason;
 
 use crate::answers::{AnswerRecord, Attachment};
+use crate::orders::GatePass;
 use crate::router_link::AgentCore;
 use crate::run::run_request;
 
@@ -27,9 +28,17 @@
     pub attachment: Attachment,
 }
 
+/// A request that was admitted.
+pub struct AdmittedRequest {
+    /// The record of its answer.
+    pub record: Rc<AnswerRecord>,
+    admission: Admission,
+    pass: Option<GatePass>,
+}
+
 impl OpenedStream<'_> {
     /// Decides on a request; `None` where it was refused.
-    pub fn admit(self, open: &OpenRequest) -> Option<(Rc<AnswerRecord>, Admission)> {
+    pub fn admit(self, open: &OpenRequest) -> Option<AdmittedRequest> {
         let core = self.core;
         let now = core.clock();
         if let Some(load) = &open.placement.group_load {
@@ -43,12 +52,20 @@
             self.refuse(open, RefusalReason::ContextElsewhere, elsewhere);
             return None;
         }
-        match core.book.admit(open, now) {
-            Ok(admission) => {
+        let pass = core.gate_pass(open);
+        match pass {
+            Err(reason) if core.book.refuse_unseen(open.id, open.start_before, now) => {
+                self.refuse(open, reason, None);
+                return None;
+            }
+            _ => {}
+        }
+        match (core.book.admit(open, now), pass) {
+            (Ok(admission), Ok(pass)) => {
                 let record = core.answers.start_record(open, self.attachment);
-                Some((record, admission))
+                Some(AdmittedRequest { record, admission, pass })
             }
-            Err(reason) => {
+            (Err(reason), _) | (Ok(_), Err(reason)) => {
                 self.refuse(open, reason, None);
                 None
             }
@@ -69,6 +86,12 @@
 }
 
 impl AgentCore {
+    /// The request's place among those that use its model, where the agent orders the engine.
+    fn gate_pass(&self, open: &OpenRequest) -> Result<Option<GatePass>, RefusalReason> {
+        let gate = self.orders.as_ref().map(|orders| &orders.gate);
+        gate.map(|gate| gate.admit(open.chat.as_ref(), Instant::now())).transpose()
+    }
+
     /// What the server carries, to be told beside another message.
     fn load_message(&self, group: Option<GroupId>) -> AgentMessage {
         let message = AgentMessage::Load(self.load(group));
@@ -90,12 +113,8 @@
 }
 
 /// Runs a request as soon as it has its place.
-pub async fn run_admitted(
-    core: Rc<AgentCore>,
-    open: OpenRequest,
-    record: Rc<AnswerRecord>,
-    admission: Admission,
-) {
+pub async fn run_admitted(core: Rc<AgentCore>, open: OpenRequest, admitted: AdmittedRequest) {
+    let AdmittedRequest { record, admission, pass: _pass } = admitted;
     let permit = match admission {
         Admission::Now(permit) => Ok(permit),
         Admission::Later(ticket) => wait_for_place(&core, &open, &record, ticket).await,
--- a/crates/papayamux-agent/src/daemon.rs
+++ b/crates/papayamux-agent/src/daemon.rs
@@ -28,6 +28,7 @@
 use crate::engine_follower::follow_engine;
 use crate::engine_view::EngineView;
 use crate::metrics::AgentMetrics;
+use crate::orders::{OrderCore, OrderMetrics, OrderTask};
 use crate::router_link::{accept_routers, AgentCore};
 use crate::settings::AgentSettings;
 use crate::trust::RouterTrust;
@@ -42,9 +43,15 @@
     configuration: Option<ConfigurationView>,
 }
 
+impl AgentView {
+    fn is_superseded(&self) -> bool {
+        self.core.orders.as_ref().is_some_and(|orders| orders.gate.is_superseded())
+    }
+}
+
 impl OperationsView for AgentView {
     fn is_ready(&self) -> bool {
-        !self.core.book.is_leaving()
+        !self.core.book.is_leaving() && !self.is_superseded()
     }
 
     fn status(&self) -> serde_json::Value {
@@ -64,6 +71,7 @@
             "held_keys": self.core.witness.held_keys(),
             "kept_answer_bytes": self.core.kept.kept_bytes().get(),
             "router_links": self.core.metrics.router_links.get(),
+            "orders": self.core.orders.as_ref().map(|orders| orders.status()),
         })
     }
 }
@@ -148,6 +156,11 @@
     let metrics = AgentMetrics::default();
     let mut registry = Registry::default();
     metrics.register(&mut registry);
+    let order_metrics = OrderMetrics::default();
+    let orders = settings.orders.clone().map(|settings| {
+        order_metrics.register(&mut registry);
+        Rc::new(OrderCore::new(settings, order_metrics))
+    });
     let routers = listen(settings.listen)?;
     let operators = listen(settings.operations)?;
     let spread_identity = SpreadIdentity {
@@ -165,6 +178,11 @@
         peers:% = configuration.as_ref().map_or(String::new(), |view| view.address().to_string());
         "agent started"
     );
+    if let (Some(orders), Some(view)) = (&orders, &configuration) {
+        if settings.orders.as_ref().is_some_and(|orders| orders.target.is_none()) {
+            monoio::spawn(orders.target.clone().follow(view.clone(), settings.server.clone()));
+        }
+    }
     let core = Rc::new(AgentCore {
         incarnation,
         server: settings.server.clone(),
@@ -182,6 +200,7 @@
         trust: RouterTrust { secret: settings.secret.clone(), allow: settings.allow.clone() },
         progress_within: settings.progress_within,
         next_link: Cell::new(0),
+        orders,
     });
     let view = Rc::new(AgentView { core: core.clone(), configuration });
     monoio::spawn(serve_operations(operators, Rc::new(registry), view, ShutdownSignal::new()));
@@ -190,7 +209,11 @@
     monoio::spawn(follow_engine(core.clone(), timers.clone()));
     monoio::spawn(announce_witness(core.clone()));
     let held_bytes = core.metrics.held_bytes.clone();
-    monoio::spawn(sweep_answers(core.answers.clone(), held_bytes, timers));
+    monoio::spawn(sweep_answers(core.answers.clone(), held_bytes, timers.clone()));
+    if let Some(orders) = core.orders.clone() {
+        let ticks = timers.every(orders.settings.look_every);
+        monoio::spawn(OrderTask::new(core.clone(), orders).run(ticks));
+    }
     Ok(core)
 }
 
--- a/crates/papayamux-agent/src/lib.rs
+++ b/crates/papayamux-agent/src/lib.rs
@@ -7,6 +7,7 @@
 mod engine_follower;
 mod engine_view;
 pub mod metrics;
+pub mod orders;
 mod router_link;
 mod run;
 mod server_exchange;
--- /dev/null
+++ b/crates/papayamux-agent/src/orders/engine_client.rs
@@ -0,0 +1,145 @@
+//! The engine's interface for orders.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use papayamux_protocol::engine::{
+    EngineErrorCode, EngineFailure, EngineOrder, EngineState, ORDERS_PATH, STATE_PATH,
+};
+use papayamux_transport::http::{HttpClient, HttpClientError};
+use thiserror::Error;
+
+use super::order_permit::{OrderPermit, PermitEnd};
+
+/// How long the engine may take to answer.
+const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+/// Bytes of the longest state.
+const LONGEST_STATE: u64 = 1024 * 1024;
+
+/// Why the engine's state is not known, or an order's fate.
+#[derive(Debug, Error)]
+pub enum EngineError {
+    /// The connection failed.
+    #[error(transparent)]
+    Client(#[from] HttpClientError),
+    /// No answer came in time.
+    #[error("no answer within {ANSWER_WITHIN:?}")]
+    Timeout,
+    /// The answer is not what the interface promises.
+    #[error("answer {status} is not as published: {help}")]
+    Answer {
+        /// The status.
+        status: StatusCode,
+        /// What is wrong with it.
+        help: String,
+    },
+    /// The request could not be built.
+    #[error(transparent)]
+    Request(#[from] http::Error),
+}
+
+/// What became of an order.
+#[derive(Debug)]
+pub enum OrderOutcome {
+    /// It was not sent.
+    NotSent(PermitEnd),
+    /// The engine obeys it.
+    Obeyed,
+    /// The engine has seen a higher fencing number.
+    Stale {
+        /// The highest one.
+        highest: u64,
+    },
+    /// The engine refused it for another reason.
+    Refused(StatusCode),
+    /// It may have been obeyed or not.
+    Unknown(EngineError),
+}
+
+impl OrderOutcome {
+    /// The stable word for metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            OrderOutcome::NotSent(end) => end.label(),
+            OrderOutcome::Obeyed => "obeyed",
+            OrderOutcome::Stale { .. } => "stale_fence",
+            OrderOutcome::Refused(_) => "refused",
+            OrderOutcome::Unknown(_) => "unknown",
+        }
+    }
+}
+
+/// Reads the engine's state.
+pub async fn read_state(client: &HttpClient) -> Result<EngineState, EngineError> {
+    let request = engine_request(client, Method::GET, STATE_PATH, Bytes::new())?;
+    let (status, body) = exchange(client, request).await?;
+    if status != StatusCode::OK {
+        return Err(EngineError::Answer { status, help: "a state has status 200".to_string() });
+    }
+    serde_json::from_slice(&body)
+        .map_err(|error| EngineError::Answer { status, help: error.to_string() })
+}
+
+/// Sends an order if `permit` still lets it; the permission is checked last of all.
+pub async fn send_order(
+    client: &HttpClient,
+    order: &EngineOrder,
+    permit: &OrderPermit,
+) -> OrderOutcome {
+    let body = match serde_json::to_vec(order) {
+        Ok(body) => Bytes::from(body),
+        Err(error) => {
+            let (status, help) = (StatusCode::BAD_REQUEST, error.to_string());
+            return OrderOutcome::Unknown(EngineError::Answer { status, help });
+        }
+    };
+    let request = match engine_request(client, Method::POST, ORDERS_PATH, body) {
+        Ok(request) => request,
+        Err(error) => return OrderOutcome::Unknown(error),
+    };
+    if let Err(end) = permit.check() {
+        return OrderOutcome::NotSent(end);
+    }
+    match exchange(client, request).await {
+        Ok((StatusCode::ACCEPTED, _)) => OrderOutcome::Obeyed,
+        Ok((status, body)) => refusal(status, &body),
+        Err(error) => OrderOutcome::Unknown(error),
+    }
+}
+
+fn refusal(status: StatusCode, body: &[u8]) -> OrderOutcome {
+    let error = serde_json::from_slice::<EngineFailure>(body).map(|failure| failure.error);
+    match error {
+        Ok(error) if error.code == EngineErrorCode::StaleFence => {
+            OrderOutcome::Stale { highest: error.highest_fence.unwrap_or_default() }
+        }
+        _ => OrderOutcome::Refused(status),
+    }
+}
+
+fn engine_request(
+    client: &HttpClient,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Bytes>, EngineError> {
+    let host = client.address().to_string();
+    let request = Request::builder().method(method).uri(path);
+    Ok(request.header(http::header::HOST, host).body(body)?)
+}
+
+async fn exchange(
+    client: &HttpClient,
+    request: Request<Bytes>,
+) -> Result<(StatusCode, Bytes), EngineError> {
+    let exchange = async {
+        let answer = client.send_once(request).await?;
+        let status = answer.head.status;
+        Ok((status, answer.whole_body(LONGEST_STATE).await?))
+    };
+    match monoio::time::timeout(ANSWER_WITHIN, exchange).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(EngineError::Timeout),
+    }
+}
--- /dev/null
+++ b/crates/papayamux-agent/src/orders/metrics.rs
@@ -0,0 +1,51 @@
+//! Metrics of the orders.
+
+use papayamux_daemon::metrics::ReasonCounters;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// All metrics of an agent's orders.
+#[derive(Debug, Clone, Default)]
+pub struct OrderMetrics {
+    /// Orders sent, by each of their reasons.
+    pub orders: ReasonCounters,
+    /// Orders by what the engine answered.
+    pub outcomes: ReasonCounters,
+    /// Orders by whether the state read afterwards shows their effect.
+    pub effects: ReasonCounters,
+    /// Looks at the engine after which nothing was ordered, by what is waited for.
+    pub waits: ReasonCounters,
+    /// What the engine's fencing number said, at each look.
+    pub fences: ReasonCounters,
+    /// Loads by how they ended.
+    pub loads: ReasonCounters,
+    /// Other servers asked whether they serve, by answer.
+    pub serving_asked: ReasonCounters,
+    /// Questions of other servers whether this one serves, by answer.
+    pub serving_answers: ReasonCounters,
+    /// 1 where a newer agent orders the engine.
+    pub superseded: Gauge,
+    /// Models and adapters that are not yet as declared.
+    pub open_changes: Gauge,
+}
+
+impl OrderMetrics {
+    /// Registers the metrics.
+    pub fn register(&self, registry: &mut Registry) {
+        let registry = registry.sub_registry_with_prefix("papayamux_agent");
+        registry.register("orders", "Orders sent, by reason", self.orders.0.clone());
+        registry.register("order_outcomes", "Orders by answer", self.outcomes.0.clone());
+        registry.register("order_effects", "Orders by effect seen", self.effects.0.clone());
+        registry.register("order_waits", "Looks without an order, by reason", self.waits.0.clone());
+        registry.register("order_fences", "What fencing numbers said", self.fences.0.clone());
+        registry.register("weight_loads", "Loads by how they ended", self.loads.0.clone());
+        let asked = self.serving_asked.0.clone();
+        registry.register("serving_asked", "Servers asked whether they serve", asked);
+        let answers = self.serving_answers.0.clone();
+        registry.register("serving_answers", "Answers to servers that want to stop", answers);
+        let superseded = self.superseded.clone();
+        registry.register("superseded", "Whether a newer agent orders the engine", superseded);
+        let open = self.open_changes.clone();
+        registry.register("open_changes", "Models and adapters not yet as declared", open);
+    }
+}
--- /dev/null
+++ b/crates/papayamux-agent/src/orders/order_core.rs
@@ -0,0 +1,114 @@
+//! What the order task shares with the rest of the agent.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Instant;
+
+use papayamux_coordination::orders::{ChangePlan, EngineReading, StopBook};
+use papayamux_protocol::serving::{ServingAnswer, ServingQuestion};
+use papayamux_state::weights::WeightsRef;
+use serde_json::json;
+
+use super::metrics::OrderMetrics;
+use super::model_gate::ModelGate;
+use super::order_settings::OrderSettings;
+use super::target_watch::TargetWatch;
+
+/// Looks at the engine after which its state counts as unknown.
+const FRESH_LOOKS: u32 = 5;
+
+/// What an agent knows of its engine and its orders.
+pub struct OrderCore {
+    /// How the orders are given.
+    pub settings: OrderSettings,
+    /// What the engine is to be brought to.
+    pub target: TargetWatch,
+    /// Which requests are taken.
+    pub gate: Rc<ModelGate>,
+    /// What this server wants to stop serving.
+    pub stops: RefCell<StopBook>,
+    /// The metrics.
+    pub metrics: OrderMetrics,
+    report: RefCell<OrderReport>,
+}
+
+/// The last look at the engine.
+#[derive(Debug, Clone, Default)]
+pub struct OrderReport {
+    /// The revision of the target.
+    pub revision: Option<u64>,
+    /// The engine's state.
+    pub view: EngineReading,
+    /// What separates it from the target.
+    pub plan: ChangePlan,
+    /// What is waited for.
+    pub waits: Vec<&'static str>,
+}
+
+impl OrderCore {
+    /// The core of an agent that starts now.
+    pub fn new(settings: OrderSettings, metrics: OrderMetrics) -> Self {
+        let target = TargetWatch::default();
+        if let Some(wanted) = settings.target.clone() {
+            target.set(wanted);
+        }
+        Self {
+            gate: ModelGate::new(settings.look_every * FRESH_LOOKS),
+            stops: RefCell::new(StopBook::new(settings.evidence_for, Instant::now())),
+            settings,
+            target,
+            metrics,
+            report: RefCell::default(),
+        }
+    }
+
+    /// Answers another server's agent that asks whether it can count on this server.
+    pub fn answer_question(&self, question: &ServingQuestion, is_leaving: bool) -> ServingAnswer {
+        let now = Instant::now();
+        let is_serving = !is_leaving && self.gate.is_serving(&question.weights, now);
+        let answered = self.stops.borrow().answer(&question.weights, is_serving, now);
+        let (answer, label) = match answered {
+            Ok(()) => (ServingAnswer::Serves, "serves"),
+            Err(refusal) => (ServingAnswer::Refused(refusal), refusal.label()),
+        };
+        self.metrics.serving_answers.count(label);
+        answer
+    }
+
+    /// Notes the last look at the engine.
+    pub fn note_report(&self, report: OrderReport) {
+        let plan = &report.plan;
+        let open = plan.missing.len() + plan.outdated.len() + plan.surplus.len() + plan.loading;
+        self.metrics.open_changes.set(open as i64);
+        *self.report.borrow_mut() = report;
+    }
+
+    /// The state, for people and programs.
+    pub fn status(&self) -> serde_json::Value {
+        let report = self.report.borrow();
+        let loaded = report.view.loaded.iter().map(|(weights, version)| {
+            (format!("{} {}", weights.kind.label(), weights.name), version.clone())
+        });
+        let loaded: std::collections::BTreeMap<_, _> = loaded.collect();
+        let stops = self.stops.borrow();
+        json!({
+            "revision": report.revision,
+            "fence": report.view.fence,
+            "role": report.view.role,
+            "loaded": loaded,
+            "loading": report.view.loads(),
+            "missing": names(report.plan.missing.iter()),
+            "outdated": names(report.plan.outdated.iter()),
+            "surplus": names(report.plan.surplus.iter()),
+            "stopping": names(stops.stopping()),
+            "stopped": names(stops.stopped()),
+            "as_declared": report.revision.is_some() && report.plan.is_done(),
+            "waits": report.waits,
+            "superseded": self.gate.is_superseded(),
+        })
+    }
+}
+
+fn names<'a>(weights: impl Iterator<Item = &'a WeightsRef>) -> Vec<String> {
+    weights.map(WeightsRef::to_string).collect()
+}
--- /dev/null
+++ b/crates/papayamux-agent/src/orders/order_settings.rs
@@ -0,0 +1,144 @@
+//! The settings of the orders: `[orders]` and `[peer NAME]`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use bon::Builder;
+use papayamux_coordination::orders::{LoadRate, PeerServer, ServerTarget};
+use papayamux_declarations::EngineRole;
+use papayamux_protocol::engine::DEFAULT_VERSION;
+use papayamux_settings::{IniFile, Millis, SectionReader};
+use papayamux_state::ids::{AdapterId, IdError, ModelId, ServerId};
+use papayamux_state::weights::WeightsRef;
+
+/// Loads a second of a weight store that the settings say nothing of.
+const DEFAULT_LOAD_RATE: &str = "10";
+
+const DEFAULT_LOOK_EVERY: Duration = Duration::from_secs(1);
+const DEFAULT_EVIDENCE_FOR: Duration = Duration::from_secs(5);
+/// Looks that have to fit into the time for which evidence counts.
+const LOOKS_PER_EVIDENCE: u32 = 4;
+
+/// How an agent orders its engine.
+#[derive(Debug, Clone, PartialEq, Eq, Builder)]
+pub struct OrderSettings {
+    /// What the engine is to be brought to, where the settings say so.
+    pub target: Option<ServerTarget>,
+    /// Loads a second that the weight store answers to the whole fleet.
+    pub load_rate: LoadRate,
+    /// How often the engine's state is compared with its target.
+    #[builder(default = DEFAULT_LOOK_EVERY)]
+    pub look_every: Duration,
+    /// How long another server's word that it serves counts, and for how long after its start
+    /// others can't count on this one; equal in the whole fleet.
+    #[builder(default = DEFAULT_EVIDENCE_FOR)]
+    pub evidence_for: Duration,
+    /// How long requests may take to finish before their model is unloaded.
+    #[builder(default = Duration::from_secs(600))]
+    pub unload_drain: Duration,
+}
+
+/// A name with a version: `itinerary@3`, or `itinerary` for version 1.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct VersionedName<N> {
+    name: N,
+    version: String,
+}
+
+impl<N: FromStr<Err = IdError>> FromStr for VersionedName<N> {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let (name, version) = text.rsplit_once('@').unwrap_or((text, DEFAULT_VERSION));
+        if version.is_empty() {
+            return Err(IdError::Empty);
+        }
+        Ok(Self { name: name.parse()?, version: version.to_string() })
+    }
+}
+
+impl<N: fmt::Display> fmt::Display for VersionedName<N> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}@{}", self.name, self.version)
+    }
+}
+
+/// Reads the sections; `None` where there is no `[orders]`, so that the agent orders nothing.
+pub fn read_orders(file: &IniFile) -> Option<OrderSettings> {
+    let peers = file.names_of("peer").into_iter().filter_map(|name| read_peer(file, &name));
+    let peers: BTreeMap<ServerId, PeerServer> = peers.collect();
+    let section = file.optional_section("orders");
+    let load_rate = section.text("load_rate").unwrap_or(DEFAULT_LOAD_RATE).parse().ok();
+    let _: Option<LoadRate> = section.optional("load_rate");
+    let models: Vec<VersionedName<ModelId>> = section.list("models");
+    let adapters: Vec<VersionedName<AdapterId>> = section.list("adapters");
+    let in_force: Vec<ModelId> = section.list("in_force");
+    let role: Option<EngineRole> = section.optional("role");
+    let revision = section.optional("revision").unwrap_or_default();
+    let look_every = section.optional("look_every").map(|every: Millis| every.0);
+    let evidence_for = section.optional("evidence_for").map(|time: Millis| time.0);
+    let unload_drain = section.optional("unload_drain").map(|time: Millis| time.0);
+    check_times(&section, look_every, evidence_for);
+    section.refuse_other_keys();
+    if !file.has_section("orders") {
+        return None;
+    }
+    let weights = versions(models, adapters);
+    let served = peers.values().flat_map(|peer| peer.weights.iter().cloned());
+    let in_force = in_force.iter().map(WeightsRef::model).chain(weights.keys().cloned());
+    let in_force = in_force.chain(served).collect();
+    let role = role.unwrap_or(EngineRole::Both).to_string();
+    let target = ServerTarget { revision, weights, role, peers, in_force };
+    let has_target = section.text("models").is_some() || section.text("adapters").is_some();
+    let settings = OrderSettings::builder()
+        .maybe_target(has_target.then_some(target))
+        .load_rate(load_rate?)
+        .maybe_look_every(look_every)
+        .maybe_evidence_for(evidence_for)
+        .maybe_unload_drain(unload_drain)
+        .build();
+    Some(settings)
+}
+
+/// An update's evidence has to last from the look before its slot to the slot.
+fn check_times(
+    section: &SectionReader<'_>,
+    look_every: Option<Duration>,
+    evidence_for: Option<Duration>,
+) {
+    let look_every = look_every.unwrap_or(DEFAULT_LOOK_EVERY);
+    if evidence_for.unwrap_or(DEFAULT_EVIDENCE_FOR) < look_every * LOOKS_PER_EVIDENCE {
+        let help = format!("make evidence_for at least {LOOKS_PER_EVIDENCE} times look_every");
+        section.report("evidence_for", "evidence would run out between two looks", &help);
+    }
+}
+
+fn versions(
+    models: Vec<VersionedName<ModelId>>,
+    adapters: Vec<VersionedName<AdapterId>>,
+) -> BTreeMap<WeightsRef, String> {
+    let models = models.into_iter().map(|named| (WeightsRef::model(&named.name), named.version));
+    let adapters = adapters.into_iter();
+    let adapters = adapters.map(|named| (WeightsRef::adapter(&named.name), named.version));
+    models.chain(adapters).collect()
+}
+
+fn read_peer(file: &IniFile, name: &str) -> Option<(ServerId, PeerServer)> {
+    let section = file.section(&format!("peer {name}"));
+    let server = match name.parse() {
+        Ok(server) => Some(server),
+        Err(error) => {
+            section.report("", &format!("{name:?} does not fit: {error}"), "");
+            None
+        }
+    };
+    let agent = section.required("agent");
+    let models: Vec<ModelId> = section.list("models");
+    let adapters: Vec<AdapterId> = section.list("adapters");
+    section.refuse_other_keys();
+    let models = models.iter().map(WeightsRef::model);
+    let weights: BTreeSet<_> = models.chain(adapters.iter().map(WeightsRef::adapter)).collect();
+    Some((server?, PeerServer { agent: agent?, weights }))
+}
--- /dev/null
+++ b/crates/papayamux-agent/src/orders/step_choice.rs
@@ -0,0 +1,55 @@
+//! What the order task may do at one look: which load is next, and what may be unloaded.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use papayamux_coordination::orders::{
+    needed_keepers, ChangePlan, LoadBackoff, LoadSlots, ServerTarget, ServingEvidence,
+};
+use papayamux_state::weights::WeightsRef;
+
+use super::order_permit::{wall_clock, SlotUse};
+
+/// Evidence by the weights that this server is to stop serving.
+pub type EvidenceTable = BTreeMap<WeightsRef, Vec<ServingEvidence>>;
+
+/// The slot of the weight store that is open now, unless it was used.
+pub fn unused_slot(slots: LoadSlots, used: Option<u64>) -> Option<SlotUse> {
+    let number = slots.open_slot(wall_clock())?;
+    (used != Some(number)).then_some(SlotUse { slots, number })
+}
+
+/// Until when the update of `weights` may be ordered: while enough other servers count. `None`
+/// where they do not; a server that is declared alone needs nobody, since
+/// its engine answers with the old version until the new one is loaded.
+pub fn update_deadline(
+    target: &ServerTarget,
+    weights: &WeightsRef,
+    evidence: &EvidenceTable,
+    now: Instant,
+) -> Option<Option<Instant>> {
+    let keepers = target.keepers(weights).count();
+    if keepers == 0 {
+        return Some(None);
+    }
+    let mut ends: Vec<_> = evidence.get(weights)?.iter().map(|word| word.until).collect();
+    ends.sort_unstable_by(|left, right| right.cmp(left));
+    let end = *ends.get(needed_keepers(keepers) - 1)?;
+    (end > now).then_some(Some(end))
+}
+
+/// The next weights to load: what is missing goes before what is outdated.
+pub fn next_load(
+    target: &ServerTarget,
+    plan: &ChangePlan,
+    backoff: &LoadBackoff,
+    evidence: &EvidenceTable,
+    now: Instant,
+) -> Option<WeightsRef> {
+    let may_try = |weights: &&WeightsRef| backoff.may_try(weights, now);
+    let updatable =
+        |weights: &&WeightsRef| update_deadline(target, weights, evidence, now).is_some();
+    let missing = plan.missing.iter().filter(may_try);
+    let outdated = plan.outdated.iter().filter(may_try).filter(updatable);
+    missing.chain(outdated).next().cloned()
+}
--- /dev/null
+++ b/crates/papayamux-agent/src/orders/stop_requests.rs
@@ -0,0 +1,199 @@
+//! The wishes of this server to stop serving weights, and the evidence that they need.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use papayamux_coordination::orders::{
+    needed_keepers, ChangePlan, EngineReading, LoadBackoff, LoadSlots, ServerTarget,
+    ServingEvidence,
+};
+use papayamux_state::ids::ServerId;
+use papayamux_state::weights::WeightsRef;
+
+use super::order_core::OrderCore;
+use super::order_permit::wall_clock;
+use super::serving_client::ServingClient;
+use super::step_choice::EvidenceTable;
+
+/// Asks other servers, one stop at a time, and keeps the gate closed for what has stopped.
+pub struct StopRequests {
+    client: ServingClient,
+    orders: Rc<OrderCore>,
+    next_ask: Instant,
+    turn: usize,
+    drains: BTreeMap<WeightsRef, Instant>,
+    waits: Vec<&'static str>,
+}
+
+impl StopRequests {
+    /// No wish yet.
+    pub fn new(client: ServingClient, orders: Rc<OrderCore>) -> Self {
+        let (drains, waits) = (BTreeMap::new(), Vec::new());
+        Self { client, orders, next_ask: Instant::now(), turn: 0, drains, waits }
+    }
+
+    /// What is waited for since the last call.
+    pub fn take_waits(&mut self) -> Vec<&'static str> {
+        std::mem::take(&mut self.waits)
+    }
+
+    fn wait_for(&mut self, label: &'static str) {
+        self.orders.metrics.waits.count(label);
+        self.waits.push(label);
+    }
+
+    /// How long before its slot an update asks other servers: at least one look falls into it.
+    fn ask_before(&self) -> Duration {
+        (self.client.evidence_for / 4).max(self.orders.settings.look_every)
+    }
+
+    /// Serves on where stopping is not wanted any more, or its evidence has run out.
+    pub fn settle(
+        &mut self,
+        target: &ServerTarget,
+        view: &EngineReading,
+        plan: &ChangePlan,
+        evidence: &mut EvidenceTable,
+    ) {
+        let now = Instant::now();
+        let mut stops = self.orders.stops.borrow_mut();
+        let wished: BTreeSet<_> = stops.stopping().chain(stops.stopped()).cloned().collect();
+        evidence.retain(|_, words| words.iter().any(|word| word.until > now));
+        for weights in wished {
+            let is_surplus = plan.surplus.contains(&weights);
+            let is_updated = target.weights.get(&weights).is_some_and(|version| {
+                view.is_loading(&weights, version)
+                    || plan.outdated.contains(&weights) && evidence.contains_key(&weights)
+            });
+            let goes_on = is_surplus && stops.has_stopped(&weights) || is_updated;
+            if !goes_on {
+                stops.serve_on(&weights);
+                evidence.remove(&weights);
+                self.drains.remove(&weights);
+            }
+        }
+        evidence.retain(|weights, _| plan.outdated.contains(weights));
+        drop(stops);
+        self.close_gate();
+    }
+
+    fn close_gate(&self) {
+        let stops = self.orders.stops.borrow();
+        self.orders.gate.set_closed(stops.stopped().cloned().collect());
+    }
+
+    /// What may be unloaded at `now`: stopped, and not used by any request any more.
+    pub fn unloadable(&self, plan: &ChangePlan, now: Instant) -> BTreeSet<WeightsRef> {
+        let stops = self.orders.stops.borrow();
+        let is_drained = |weights: &&WeightsRef| {
+            self.orders.gate.running(weights) == 0
+                || self.drains.get(*weights).is_some_and(|bound| *bound <= now)
+        };
+        let stopped = plan.surplus.iter().filter(|weights| stops.has_stopped(weights));
+        stopped.filter(is_drained).cloned().collect()
+    }
+
+    /// Brings one wish to stop forward; whether anything has changed by that.
+    pub async fn ask_next(
+        &mut self,
+        target: &ServerTarget,
+        plan: &ChangePlan,
+        slots: LoadSlots,
+        evidence: &mut EvidenceTable,
+        backoff: &LoadBackoff,
+    ) -> bool {
+        if self.stop_unneeded(target, plan) {
+            return true;
+        }
+        let now = Instant::now();
+        let updates_near = slots.until_next(wall_clock()) <= self.ask_before();
+        let outdated = plan.outdated.iter().filter(|weights| {
+            updates_near && backoff.may_try(weights, now) && !evidence.contains_key(*weights)
+        });
+        let surplus = plan.surplus.iter();
+        let wishes: Vec<_> = {
+            let stops = self.orders.stops.borrow();
+            surplus.filter(|weights| !stops.has_stopped(weights)).chain(outdated).cloned().collect()
+        };
+        if wishes.is_empty() {
+            return false;
+        }
+        self.turn = self.turn.wrapping_add(1);
+        let weights = wishes[self.turn % wishes.len()].clone();
+        let keepers: Vec<_> =
+            target.keepers(&weights).map(|(name, agent)| (name.clone(), agent)).collect();
+        let is_surplus = plan.surplus.contains(&weights);
+        if keepers.is_empty() {
+            if is_surplus {
+                self.wait_for("last_server");
+            }
+            return false;
+        }
+        if now < self.next_ask {
+            self.wait_for("ask_later");
+            return false;
+        }
+        let kept = self.ask(&weights, &keepers).await;
+        match kept {
+            None => false,
+            Some(kept) if is_surplus => self.stop(&weights, &kept, needed_keepers(keepers.len())),
+            Some(kept) => {
+                evidence.insert(weights, kept);
+                true
+            }
+        }
+    }
+
+    /// Stops serving what nobody may ask for any more.
+    fn stop_unneeded(&mut self, target: &ServerTarget, plan: &ChangePlan) -> bool {
+        let bound = Instant::now() + self.orders.settings.unload_drain;
+        let mut stops = self.orders.stops.borrow_mut();
+        let mut stopped = false;
+        for weights in plan.surplus.iter().filter(|weights| !target.is_in_force(weights)) {
+            if !stops.has_stopped(weights) {
+                stops.stop_unneeded(weights);
+                self.drains.insert(weights.clone(), bound);
+                stopped = true;
+            }
+        }
+        drop(stops);
+        self.close_gate();
+        stopped
+    }
+
+    /// Asks `keepers` to serve on; gives their evidence if it is enough.
+    async fn ask(
+        &mut self,
+        weights: &WeightsRef,
+        keepers: &[(ServerId, SocketAddr)],
+    ) -> Option<Vec<ServingEvidence>> {
+        self.orders.stops.borrow_mut().begin_stop(weights);
+        let kept = self.client.ask_all(weights, keepers).await;
+        if kept.len() >= needed_keepers(keepers.len()) {
+            return Some(kept);
+        }
+        self.orders.stops.borrow_mut().serve_on(weights);
+        let share: f64 = rand::random();
+        self.next_ask = Instant::now() + self.client.evidence_for.mul_f64(0.1 + 0.4 * share);
+        self.wait_for("too_few_keepers");
+        None
+    }
+
+    fn stop(&mut self, weights: &WeightsRef, kept: &[ServingEvidence], needed: usize) -> bool {
+        let mut stops = self.orders.stops.borrow_mut();
+        let stopped = stops.stop(weights, kept, needed, Instant::now);
+        if !stopped {
+            stops.serve_on(weights);
+        }
+        drop(stops);
+        if stopped {
+            log::info!(weights:% = weights; "serves no more");
+            let bound = Instant::now() + self.orders.settings.unload_drain;
+            self.drains.insert(weights.clone(), bound);
+            self.close_gate();
+        }
+        stopped
+    }
+}
--- a/crates/papayamux-agent/src/router_link.rs
+++ b/crates/papayamux-agent/src/router_link.rs
@@ -12,6 +12,7 @@
     Addressed, AgentClock, AgentMessage, ClaimReply, ClaimRequest, LoadProbe, OpenRequest,
     PongNotice, ProbeReply, RecallRequest, RefusalNotice, ResumeRequest, RouterMessage,
 };
+use papayamux_protocol::serving::{ServingAnswer, ServingQuestion, ServingRefusal};
 use papayamux_protocol::wire::{
     agent_control_length, router_control_length, AgentFrame, RouterFrame,
 };
@@ -28,6 +29,7 @@
 use crate::claims::{serve_recall, ClaimWitness, KeptAnswers, RecallStream};
 use crate::engine_view::EngineView;
 use crate::metrics::AgentMetrics;
+use crate::orders::OrderCore;
 use crate::trust::{GreetingError, RouterTrust, SilentLink, TrustedLink};
 
 /// The receiving half of a router's connection.
@@ -82,6 +84,8 @@
     pub progress_within: Duration,
     /// The number of the next connection.
     pub next_link: Cell<u64>,
+    /// Orders to the engine, where the agent gives any.
+    pub orders: Option<Rc<OrderCore>>,
 }
 
 impl AgentCore {
@@ -96,6 +100,14 @@
         let report = self.book.load(group, now);
         LoadReport { backlog: report.backlog + self.engine.prefill_left(now), ..report }
     }
+
+    /// Answers another server's agent that asks whether it can count on this server.
+    fn answer_question(&self, question: &ServingQuestion) -> ServingAnswer {
+        match &self.orders {
+            Some(orders) => orders.answer_question(question, self.book.is_leaving()),
+            None => ServingAnswer::Refused(ServingRefusal::NotServing),
+        }
+    }
 }
 
 /// Accepts connections of routers for as long as the agent lives.
@@ -249,6 +261,10 @@
             RouterMessage::Probe(probe) => self.answer_probe(stream, &probe),
             RouterMessage::Moved(moved) => self.core.engine.note_moved(moved),
             RouterMessage::Pong(_) => {}
+            RouterMessage::AskServing(question) => {
+                let answer = self.core.answer_question(&question);
+                self.send(stream, AgentMessage::Serving(answer));
+            }
             RouterMessage::Hello(_) => self.core.metrics.link_failures.count("second_hello"),
             RouterMessage::Prove(_) => self.core.metrics.link_failures.count("second_proof"),
         }
@@ -274,9 +290,9 @@
             self.core.book.refuse_unseen(open.id, open.start_before, self.core.clock());
             return opened.refuse(&open, RefusalReason::AtCapacity, None);
         }
-        if let Some((record, admission)) = opened.admit(&open) {
-            self.streams.borrow_mut().insert(stream, record.clone());
-            monoio::spawn(run_admitted(self.core.clone(), open, record, admission));
+        if let Some(admitted) = opened.admit(&open) {
+            self.streams.borrow_mut().insert(stream, admitted.record.clone());
+            monoio::spawn(run_admitted(self.core.clone(), open, admitted));
         }
     }
 
--- a/crates/papayamux-agent/src/settings.rs
+++ b/crates/papayamux-agent/src/settings.rs
@@ -14,6 +14,7 @@
 use papayamux_state::quantities::{ByteCount, RequestCount, TokenCount};
 
 use crate::claims::ClaimSettings;
+use crate::orders::{read_orders, OrderSettings};
 
 /// All settings of an agent.
 #[derive(Debug, Clone, PartialEq, Eq, Builder)]
@@ -71,6 +72,8 @@
     pub claims: ClaimSettings,
     /// How the configuration is spread, where it is.
     pub spread: Option<SpreadSettings>,
+    /// How the engine is ordered; the agent orders nothing where this is missing.
+    pub orders: Option<OrderSettings>,
 }
 
 impl AgentSettings {
@@ -93,7 +96,7 @@
 }
 
 fn read_agent(file: &IniFile) -> Option<AgentSettings> {
-    file.refuse_other_sections(&["agent", "server", "claims", SPREAD_SECTION], &[]);
+    file.refuse_other_sections(&["agent", "server", "claims", "orders", SPREAD_SECTION], &["peer"]);
     let section = file.section("agent");
     let listen = section.required("listen");
     let operations = section.required("operations");
@@ -117,6 +120,7 @@
     let prefill_rate = section.optional("prefill_rate");
     section.refuse_other_keys();
     let spread = read_spread(file);
+    let orders = read_orders(file);
     let settings = AgentSettings::builder()
         .listen(listen?)
         .operations(operations?)
@@ -138,6 +142,7 @@
         .allow(allow)
         .claims(ClaimSettings::read(file))
         .maybe_spread(spread)
+        .maybe_orders(orders)
         .build();
     Some(settings)
 }
--- a/crates/papayamux-coordination/src/orders/mod.rs
+++ b/crates/papayamux-coordination/src/orders/mod.rs
@@ -7,7 +7,7 @@
 mod server_target;
 mod stop_book;
 
-pub use compare::{ChangePlan, EngineView, OrderDraft, OrderReason, StepRights};
+pub use compare::{ChangePlan, EngineReading, OrderDraft, OrderReason, StepRights};
 pub use fence::{FenceBook, FenceError, FenceNumber, FenceSight, FENCE_CEILING, STEPS_PER_TERM};
 pub use load_backoff::LoadBackoff;
 pub use load_slots::{LoadRate, LoadRateError, LoadSlots, SLOT_LATENESS};
--- a/crates/papayamux-coordination/tests/compare.rs
+++ b/crates/papayamux-coordination/tests/compare.rs
@@ -4,7 +4,7 @@
 
 use bolero::{check, TypeGenerator};
 use papayamux_coordination::orders::{
-    ChangePlan, EngineView, OrderDraft, ServerTarget, StepRights,
+    ChangePlan, EngineReading, OrderDraft, ServerTarget, StepRights,
 };
 use papayamux_protocol::engine::{EngineOrder, EngineState, EngineWeights, FailedLoad};
 use papayamux_state::weights::{WeightsKind, WeightsRef};
@@ -83,7 +83,7 @@
     }
 
     fn step(&mut self, target: &ServerTarget, fence: u64, may_load: bool, may_unload: bool) {
-        let view = EngineView::from(&self.state);
+        let view = EngineReading::from(&self.state);
         let plan = ChangePlan::new(target, &view);
         let load = plan.missing.iter().chain(&plan.outdated).next().cloned();
         let unload = plan.surplus.iter().filter(|_| may_unload).cloned().collect();
@@ -91,7 +91,7 @@
         let loads = view.loads();
         if let Some(draft) = OrderDraft::next(target, &view, &rights) {
             self.obey(&draft.number(fence.into()));
-            let after = EngineView::from(&self.state);
+            let after = EngineReading::from(&self.state);
             assert!(draft.is_in_effect(&after));
             assert!(after.loads() <= loads + usize::from(may_load), "a load without its slot");
             let kept = view.loaded.keys().filter(|_| !may_unload);
@@ -136,7 +136,7 @@
             engine.step(&target, fence, true, true);
             engine.finish(&target);
         }
-        let view = EngineView::from(&engine.state);
+        let view = EngineReading::from(&engine.state);
         assert_eq!((view.loaded.clone(), view.role.as_str()), (target.weights.clone(), "both"));
         assert!(ChangePlan::new(&target, &view).is_done());
     });
--- a/crates/papayamux-router/src/agents/silence_count.rs
+++ b/crates/papayamux-router/src/agents/silence_count.rs
@@ -1,9 +1,9 @@
 //! Whether an agent has gone silent on a connection.
 
 use papayamux_protocol::link::{AgentMessage, RouterMessage};
+use papayamux_transport::agent_link::CONNECTION;
 
 use super::agent_link::AgentLink;
-use papayamux_transport::agent_link::CONNECTION;
 
 /// Pings without an answer after which the connection counts as silent.
 const MOST_UNANSWERED: u32 = 3;
