--- a/crates/papayamux-measure/src/lib.rs
+++ b/crates/papayamux-measure/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod config;
 mod conflicts;
 mod demo;
+mod orders;
 mod path;
 pub mod promises;
 pub mod routing;
--- /dev/null
+++ b/crates/papayamux-measure/src/orders/mod.rs
@@ -0,0 +1,7 @@
+//! The measurement `orders`: engines end as declared, within the weight store's rate.
+
+mod experiment;
+mod scenario;
+mod trial_fleet;
+
+pub use experiment::{measure_orders, OrderOptions};
--- /dev/null
+++ b/crates/papayamux-measure/src/orders/trial_fleet.rs
@@ -0,0 +1,114 @@
+//! A fleet of engines with their agents, and how far it is from what is declared.
+
+use std::error::Error;
+use std::time::{Duration, Instant};
+
+use papayamux_protocol::engine::EngineState;
+use papayamux_testbed::{has_models, OrderFleet, OrderPlan, ProcessHandle};
+
+use super::scenario::{OrderScenario, DECLARED_RATE};
+
+/// How long a fleet may take.
+const CONVERGE_WITHIN: Duration = Duration::from_secs(120);
+/// How long a fleet that has converged is watched for going astray again.
+const WATCH_FOR: Duration = Duration::from_secs(3);
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// Models as `NAME@VERSION`, by engine.
+pub type WantedModels = Vec<Vec<&'static str>>;
+
+/// A running fleet.
+pub struct TrialFleet {
+    /// Engines and weight store.
+    pub fleet: OrderFleet,
+    /// All agents that were started.
+    pub agents: Vec<ProcessHandle>,
+    /// The fewest engines that had a model loaded at any look.
+    pub least_serving: usize,
+}
+
+impl TrialFleet {
+    /// Starts engines and store, and no agent yet.
+    pub fn start(scenario: OrderScenario, engines: usize) -> Result<Self, Box<dyn Error>> {
+        let mut arguments = vec!["--load-ms".to_string(), "100".to_string()];
+        if scenario == OrderScenario::LatePredecessors {
+            arguments.push("--ignore-fencing".to_string());
+        }
+        let plan = OrderPlan::builder()
+            .engines(engines)
+            .loaded(scenario.loaded().to_string())
+            .engine_arguments(arguments)
+            .store_rate(scenario.store_rate())
+            .build();
+        Ok(Self { fleet: OrderFleet::start(plan)?, agents: Vec::new(), least_serving: engines })
+    }
+
+    /// Starts an agent for each engine that is to be brought to `wanted`.
+    pub fn start_agents(
+        &mut self,
+        revision: u64,
+        wanted: &WantedModels,
+    ) -> Result<(), Box<dyn Error>> {
+        let names = |models: &Vec<&str>| -> String {
+            let names = models.iter().map(|model| model.split('@').next().unwrap_or_default());
+            names.collect::<Vec<_>>().join(", ")
+        };
+        let peers: Vec<String> = wanted.iter().map(names).collect();
+        let peers: Vec<&str> = peers.iter().map(String::as_str).collect();
+        for (engine, models) in wanted.iter().enumerate() {
+            let orders = format!(
+                "look_every = 250ms\nload_rate = {DECLARED_RATE}\nrevision = {revision}\n\
+                 in_force = itinerary, refunds\nmodels = {}",
+                models.join(", ")
+            );
+            self.agents.push(self.fleet.start_agent(engine, &orders, &peers)?);
+        }
+        Ok(())
+    }
+
+    /// Waits until all engines are as wanted and stay so; gives how long it took until then, and
+    /// how many are not.
+    pub async fn converge(
+        &mut self,
+        wanted: &WantedModels,
+    ) -> Result<(Duration, usize), Box<dyn Error>> {
+        let start = Instant::now();
+        let mut since: Option<Instant> = None;
+        loop {
+            let wrong = self.count_wrong(wanted).await?;
+            let now = Instant::now();
+            match (wrong, since) {
+                (0, None) => since = Some(now),
+                (0, Some(reached)) if now - reached > WATCH_FOR => return Ok((reached - start, 0)),
+                (0, Some(_)) => {}
+                _ => since = None,
+            }
+            if now - start > CONVERGE_WITHIN {
+                return Ok((now - start, wrong));
+            }
+            monoio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    async fn count_wrong(&mut self, wanted: &WantedModels) -> Result<usize, Box<dyn Error>> {
+        let mut states: Vec<EngineState> = Vec::new();
+        for engine in 0..wanted.len() {
+            states.push(self.fleet.engine_state(engine).await?);
+        }
+        for model in ["itinerary", "refunds"] {
+            let serves = |state: &&EngineState| state.models.iter().any(|item| item.name == model);
+            self.least_serving = self.least_serving.min(states.iter().filter(serves).count());
+        }
+        let pairs = states.iter().zip(wanted);
+        Ok(pairs.filter(|(state, models)| !has_models(state, models)).count())
+    }
+
+    /// The sum of a metric over all agents.
+    pub async fn sum(&self, name: &str, label: &str) -> Result<f64, Box<dyn Error>> {
+        let mut sum = 0.0;
+        for agent in &self.agents {
+            sum += agent.metrics().await?.sum(name, label);
+        }
+        Ok(sum)
+    }
+}
--- a/crates/papayamux-measure/src/tasks/mod.rs
+++ b/crates/papayamux-measure/src/tasks/mod.rs
@@ -4,6 +4,7 @@
 mod conflicts;
 mod demo;
 mod measure_task;
+mod orders;
 mod path;
 mod promises;
 mod routing;
--- a/crates/papayamux-testbed/src/http_reader.rs
+++ b/crates/papayamux-testbed/src/http_reader.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::header::HOST;
-use http::{Method, Request, StatusCode};
+use http::{Method, Request};
 use papayamux_transport::http::HttpClient;
 use serde::de::DeserializeOwned;
 
@@ -25,7 +25,7 @@
     let answer = HttpClient::new(address).send_once(request).await?;
     let status = answer.head.status;
     let body = answer.whole_body(LONGEST_ANSWER).await?;
-    if status != StatusCode::OK {
+    if !status.is_success() {
         let body = String::from_utf8_lossy(&body).into_owned();
         return Err(TestbedError::Status { path: path.to_string(), status, body });
     }
--- /dev/null
+++ b/crates/papayamux-testbed/src/order_fleet.rs
@@ -0,0 +1,188 @@
+//! Engines with their agents and a weight store, for orders: no routers.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use bon::Builder;
+use bytes::Bytes;
+use http::Method;
+use papayamux_protocol::engine::{EngineOrder, EngineState, ORDERS_PATH, STATE_PATH};
+use papayamux_standins::weight_store::{StoreCounters, STORE_COUNTERS_PATH};
+use tempfile::TempDir;
+
+use crate::http_reader::read_json;
+use crate::process::{ProcessHandle, TestbedError};
+use crate::waiting::wait_until;
+
+const ANY_PORT: &str = "127.0.0.1:0";
+
+/// What a fleet of engines consists of.
+#[derive(Debug, Clone, Builder)]
+pub struct OrderPlan {
+    /// Engines.
+    pub engines: usize,
+    /// Models that the engines have loaded at the start, parted by commas.
+    #[builder(default)]
+    pub loaded: String,
+    /// Further arguments for each engine stand-in.
+    #[builder(default)]
+    pub engine_arguments: Vec<String>,
+    /// Loads a second that the weight store answers; no store where this is missing.
+    pub store_rate: Option<u64>,
+}
+
+/// Running engines, and the addresses that their agents are to have.
+#[derive(Debug)]
+pub struct OrderFleet {
+    /// The weight store, if the plan has one.
+    pub store: Option<ProcessHandle>,
+    /// The engines.
+    pub engines: Vec<ProcessHandle>,
+    /// Where the agent of each engine is to listen.
+    pub addresses: Vec<SocketAddr>,
+    plan: OrderPlan,
+    folder: TempDir,
+}
+
+impl OrderFleet {
+    /// Starts the store and the engines, and no agent yet.
+    pub fn start(plan: OrderPlan) -> Result<Self, TestbedError> {
+        let store = plan.store_rate.map(start_store).transpose()?;
+        let addresses = (0..plan.engines).map(|_| reserve_address());
+        let addresses = addresses.collect::<std::io::Result<Vec<_>>>()?;
+        let (folder, engines) = (TempDir::new()?, Vec::new());
+        let mut fleet = Self { store, engines, addresses, plan, folder };
+        for index in 0..fleet.plan.engines {
+            let engine = fleet.start_engine(index, ANY_PORT, &fleet.plan.loaded)?;
+            fleet.engines.push(engine);
+        }
+        Ok(fleet)
+    }
+
+    fn start_engine(
+        &self,
+        index: usize,
+        listen: &str,
+        loaded: &str,
+    ) -> Result<ProcessHandle, TestbedError> {
+        let name = server_name(index);
+        let arguments = ["engine", "--name", &name, "--listen", listen, "--models", loaded];
+        let mut arguments: Vec<String> = arguments.map(str::to_string).into();
+        if let Some(store) = &self.store {
+            arguments.extend(["--weight-store".to_string(), store.listen()?.to_string()]);
+        }
+        arguments.extend(self.plan.engine_arguments.iter().cloned());
+        ProcessHandle::start("papayamux-standins", &arguments)
+    }
+
+    /// Kills an engine and starts an empty one at the same address.
+    pub fn replace_engine(&mut self, index: usize) -> Result<(), TestbedError> {
+        self.engines[index].kill()?;
+        let listen = self.engines[index].listen()?.to_string();
+        self.engines[index] = self.start_engine(index, &listen, "")?;
+        Ok(())
+    }
+
+    /// Gives the agents that are started from now on other addresses, so that they can stand
+    /// beside those that run.
+    pub fn renew_addresses(&mut self) -> Result<(), TestbedError> {
+        for address in &mut self.addresses {
+            *address = reserve_address()?;
+        }
+        Ok(())
+    }
+
+    /// Starts an agent for an engine; `orders` are the lines of its section `[orders]`, and
+    /// `peer_models` what each of the other engines is declared to serve.
+    pub fn start_agent(
+        &self,
+        index: usize,
+        orders: &str,
+        peer_models: &[&str],
+    ) -> Result<ProcessHandle, TestbedError> {
+        let (name, listen) = (server_name(index), self.addresses[index]);
+        let engine = self.engines[index].listen()?;
+        let mut settings = format!(
+            "[agent]\nlisten = {listen}\noperations = {ANY_PORT}\nfailure_domain = a\n\
+             [server]\nname = {name}\naddress = {engine}\n[orders]\n{orders}\n"
+        );
+        for (peer, models) in peer_models.iter().enumerate().filter(|(peer, _)| *peer != index) {
+            let (peer, address) = (server_name(peer), self.addresses[peer]);
+            settings.push_str(&format!("[peer {peer}]\nagent = {address}\nmodels = {models}\n"));
+        }
+        let file = self.folder.path().join(format!("{name}.ini"));
+        std::fs::write(&file, settings)?;
+        let arguments = ["--settings".to_string(), file.to_string_lossy().into_owned()];
+        ProcessHandle::start("papayamux-agent", &arguments)
+    }
+
+    /// Gives an engine an order past its agent, as one that was long on its way.
+    pub async fn send_order(&self, index: usize, order: &EngineOrder) -> Result<(), TestbedError> {
+        let body = Bytes::from(serde_json::to_vec(order)?);
+        let address = self.engines[index].listen()?;
+        let _: EngineState = read_json(address, Method::POST, ORDERS_PATH, body).await?;
+        Ok(())
+    }
+
+    /// What an engine says of itself.
+    pub async fn engine_state(&self, index: usize) -> Result<EngineState, TestbedError> {
+        read_json(self.engines[index].listen()?, Method::GET, STATE_PATH, Bytes::new()).await
+    }
+
+    /// Waits until an engine's state is as wanted.
+    pub async fn wait_state(
+        &self,
+        index: usize,
+        within: Duration,
+        is_wanted: impl Fn(&EngineState) -> bool,
+    ) -> Result<EngineState, TestbedError> {
+        wait_until(within, async || self.engine_state(index).await, is_wanted).await
+    }
+
+    /// Waits until an engine has exactly these models loaded, as `NAME@VERSION`, and loads none.
+    pub async fn wait_models(
+        &self,
+        index: usize,
+        models: &[&str],
+        within: Duration,
+    ) -> Result<EngineState, TestbedError> {
+        self.wait_state(index, within, |state| has_models(state, models)).await
+    }
+
+    /// What the weight store has counted.
+    pub async fn store_counters(&self) -> Result<StoreCounters, TestbedError> {
+        let no_store = || TestbedError::NoPart("weight store".to_string());
+        let address = self.store.as_ref().ok_or_else(no_store)?.listen()?;
+        read_json(address, Method::GET, STORE_COUNTERS_PATH, Bytes::new()).await
+    }
+}
+
+/// Whether an engine has exactly these models loaded, as `NAME@VERSION`, and loads none.
+pub fn has_models(state: &EngineState, models: &[&str]) -> bool {
+    let loaded = state.models.iter().map(|model| format!("{}@{}", model.name, model.version));
+    state.loading.is_empty() && loaded.eq(models.iter().copied())
+}
+
+/// The name of the engine at a place of the fleet.
+fn server_name(index: usize) -> String {
+    format!("engine-{index}")
+}
+
+fn start_store(rate: u64) -> Result<ProcessHandle, TestbedError> {
+    let rate = rate.to_string();
+    let arguments = ["weight-store", "--listen", ANY_PORT, "--loads-per-s", &rate];
+    let mut arguments: Vec<String> = arguments.map(str::to_string).into();
+    arguments.extend(["--weight-bytes", "1024"].map(str::to_string));
+    ProcessHandle::start("papayamux-standins", &arguments)
+}
+
+/// An address that an agent can be given before it starts: free now, on a loopback address that
+/// only this process uses, so that nothing else takes the port in between.
+fn reserve_address() -> std::io::Result<SocketAddr> {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let last = NEXT.fetch_add(1, Ordering::Relaxed);
+    let ip = Ipv4Addr::new(127, 64 | high ^ middle >> 1, low, last.max(1));
+    TcpListener::bind((ip, 0))?.local_addr()
+}
--- a/crates/papayamux-testbed/src/process_view.rs
+++ b/crates/papayamux-testbed/src/process_view.rs
@@ -43,6 +43,20 @@
     pub witness_ready_in_ms: u64,
     /// Keys that the agent has granted and remembers.
     pub held_keys: u64,
+    /// How its orders stand, where it gives any.
+    #[serde(default)]
+    pub orders: Option<OrderStatus>,
+}
+
+/// The parts of an agent's `/status` that tell how its orders stand.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct OrderStatus {
+    /// Whether the engine is as its target says.
+    pub as_declared: bool,
+    /// Whether a newer agent orders the engine.
+    pub superseded: bool,
+    /// What is waited for.
+    pub waits: Vec<String>,
 }
 
 /// One reading of `/metrics`.
--- a/crates/papayamux-testbed/tests/whole_path.rs
+++ b/crates/papayamux-testbed/tests/whole_path.rs
@@ -1,6 +1,7 @@
 //! A chat and a plain call from a caller through router and agent to a server and back.
 
 use std::error::Error;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
@@ -80,3 +81,26 @@
         Ok(())
     })
 }
+
+#[test]
+fn a_chat_for_a_model_that_is_not_loaded_is_refused_unrun() -> TestResult {
+    let plan = FleetPlan::builder().routers(1).engines(1).services(0);
+    let plan = plan.agent_server_lines("[orders]\nmodels = other\nlook_every = 100ms".to_string());
+    with_fleet(plan.build(), async |fleet| {
+        let agent = &fleet.servers[0].agent;
+        let within = Duration::from_secs(60);
+        let (loads, label) = ("papayamux_agent_weight_loads_total", "reason=\"loaded\"");
+        agent.wait_metric(loads, label, 1.0, within).await?;
+        let caller = Caller::new(fleet.routers[0].listen()?, "yanchang-desk");
+        let chat = serde_json::to_vec(&chat_request(FLEET_MODEL, user_says("x"), 1))?;
+        let (_, body) = caller.call(Method::POST, CHAT_PATH, &[], chat.into()).await?;
+        let failure: FailureEnvelope = serde_json::from_slice(&body)?;
+        assert_eq!(failure.error.outcome, FailureOutcome::NotRun);
+        let refusals = agent.metrics().await?;
+        let refusals =
+            refusals.sum("papayamux_agent_refusals_total", "reason=\"model_not_loaded\"");
+        assert!(refusals >= 1.0);
+        assert_eq!(fleet.servers[0].all_runs().await?, 0);
+        Ok(())
+    })
+}
