--- /dev/null
+++ b/crates/papayamux-measure/src/control/chats.rs
@@ -0,0 +1,36 @@
+//! Memory of chats that were served elsewhere.
+
+use std::error::Error;
+use std::time::Duration;
+
+use papayamux_protocol::link::{MovedChat, RouterMessage};
+use papayamux_testbed::{Fleet, FleetPlan};
+
+use super::meter::MeteredRole;
+use super::router_end::open_router_end;
+use super::slope::{CostPoint, CostReading, CostSeries};
+
+/// Chats that the agent is told of; it remembers no more than the last.
+const CHATS: [u64; 3] = [0, 8_000, 16_000];
+/// How long the agent may take to read them.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// An agent that is told of more and more chats.
+pub async fn measure_moved_chats() -> Result<Vec<CostSeries>, Box<dyn Error>> {
+    let fleet = Fleet::start(FleetPlan::builder().routers(0).engines(1).services(0).build())?;
+    let agent = &fleet.servers[0].agent;
+    let router = open_router_end(agent.listen()?).await?;
+    let (mut told, mut points) = (0_u64, Vec::new());
+    for count in CHATS {
+        while told < count {
+            let chat = told.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let moved = MovedChat { chat, server: "engine-17".parse()? };
+            router.send(0, RouterMessage::Moved(moved));
+            told += 1;
+        }
+        monoio::time::sleep(SETTLE).await;
+        let cost = CostReading::of_memory(agent.usage()?);
+        points.push(CostPoint { count: count as f64, cost });
+    }
+    Ok(vec![CostSeries { role: MeteredRole::Agent.name(), points }])
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/control/links.rs
@@ -0,0 +1,81 @@
+//! Connections that are open and idle.
+
+use std::error::Error;
+use std::fmt::Write;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use papayamux_testbed::{Caller, Fleet, FleetPlan, ProcessHandle};
+use tempfile::TempDir;
+
+use super::agent_end::start_agent_end;
+use super::meter::{meter_for, MeteredRole};
+use super::router_end::open_router_end;
+use super::slope::{CostPoint, CostSeries};
+
+/// Routers at an agent.
+const ROUTERS: [usize; 4] = [0, 105, 210, 420];
+/// Agents at a router.
+const AGENTS: [usize; 4] = [0, 150, 300, 600];
+/// How long connections may take to settle.
+const SETTLE: Duration = Duration::from_secs(2);
+/// How long each count is metered.
+const METER_FOR: Duration = Duration::from_secs(4);
+
+/// An agent with the connections of many routers.
+pub async fn measure_agent_links() -> Result<Vec<CostSeries>, Box<dyn Error>> {
+    let fleet = Fleet::start(FleetPlan::builder().routers(0).engines(0).services(1).build())?;
+    let agent = &fleet.servers[0].agent;
+    let (mut ends, mut points) = (Vec::new(), Vec::new());
+    for count in ROUTERS {
+        while ends.len() < count {
+            ends.push(open_router_end(agent.listen()?).await?);
+        }
+        monoio::time::sleep(SETTLE).await;
+        let cost = meter_for(MeteredRole::Agent, agent, METER_FOR).await?;
+        points.push(CostPoint { count: count as f64, cost });
+    }
+    Ok(vec![CostSeries { role: MeteredRole::Agent.name(), points }])
+}
+
+/// A router with connections to many agents, each of which has refused one call.
+pub async fn measure_router_links() -> Result<Vec<CostSeries>, Box<dyn Error>> {
+    let most = AGENTS.iter().copied().max().unwrap_or_default();
+    let folder = TempDir::new()?;
+    let router = start_router(&folder, most)?;
+    let caller = Caller::new(router.listen()?, "measure");
+    let (mut open, mut points) = (0, Vec::new());
+    for count in AGENTS {
+        while open < count {
+            let path = path_of(open);
+            caller.call(Method::GET, &path, &[], Bytes::new()).await?;
+            open += 1;
+        }
+        monoio::time::sleep(SETTLE).await;
+        let cost = meter_for(MeteredRole::Router, &router, METER_FOR).await?;
+        points.push(CostPoint { count: count as f64, cost });
+    }
+    Ok(vec![CostSeries { role: MeteredRole::Router.name(), points }])
+}
+
+fn path_of(agent: usize) -> String {
+    format!("/agent-{agent}")
+}
+
+/// A router that knows `agents` servers, each by a path of its own.
+fn start_router(folder: &TempDir, agents: usize) -> Result<ProcessHandle, Box<dyn Error>> {
+    let mut text = "[router]\nlisten = 127.0.0.1:0\noperations = 127.0.0.1:0\n\
+                    failure_domain = a\n"
+        .to_string();
+    for agent in 0..agents {
+        let server = format!("full-{agent}");
+        let address = start_agent_end(&server.parse()?)?;
+        let path = path_of(agent);
+        write!(text, "[server {server}]\nagent = {address}\npaths = {path}\n")?;
+    }
+    let file = folder.path().join("router.ini");
+    std::fs::write(&file, text)?;
+    let arguments = ["--settings".to_string(), file.to_string_lossy().into_owned()];
+    Ok(ProcessHandle::start("papayamux-router", &arguments)?)
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/control/meter.rs
@@ -0,0 +1,62 @@
+//! What a process spends in a span of time.
+
+use std::error::Error;
+use std::time::{Duration, Instant};
+
+use papayamux_testbed::{ProcessHandle, ProcessUsage};
+
+use super::slope::CostReading;
+
+/// What a process has spent since its start.
+struct Spent {
+    bytes_in: f64,
+    bytes_out: f64,
+    usage: ProcessUsage,
+}
+
+/// The role of a process, as its metrics are named.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MeteredRole {
+    /// A router.
+    Router,
+    /// An agent.
+    Agent,
+}
+
+impl MeteredRole {
+    /// The name.
+    pub const fn name(self) -> &'static str {
+        match self {
+            MeteredRole::Router => "router",
+            MeteredRole::Agent => "agent",
+        }
+    }
+}
+
+async fn read_spent(role: MeteredRole, process: &ProcessHandle) -> Result<Spent, Box<dyn Error>> {
+    let usage = process.usage()?;
+    let metrics = process.metrics().await?;
+    let sum = |way: &str| {
+        metrics.sum(&format!("papayamux_{}_control_bytes_{way}_total", role.name()), "")
+    };
+    Ok(Spent { bytes_in: sum("in"), bytes_out: sum("out"), usage })
+}
+
+/// Meters `process` for `time`. Reading its metrics is outside of the span.
+pub async fn meter_for(
+    role: MeteredRole,
+    process: &ProcessHandle,
+    time: Duration,
+) -> Result<CostReading, Box<dyn Error>> {
+    let before = read_spent(role, process).await?;
+    let (started, cpu_before) = (Instant::now(), process.usage()?.cpu);
+    monoio::time::sleep(time).await;
+    let (seconds, usage) = (started.elapsed().as_secs_f64(), process.usage()?);
+    let after = read_spent(role, process).await?;
+    Ok(CostReading {
+        bytes_in_per_s: (after.bytes_in - before.bytes_in) / seconds,
+        bytes_out_per_s: (after.bytes_out - before.bytes_out) / seconds,
+        cpu_us_per_s: (usage.cpu - cpu_before).as_micros() as f64 / seconds,
+        resident_bytes: before.usage.resident.get() as f64,
+    })
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/control/options.rs
@@ -0,0 +1,65 @@
+//! What is measured of the control cost.
+
+use std::fmt;
+use std::str::FromStr;
+
+use thiserror::Error;
+
+/// One part of the measurement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ControlPart {
+    /// Idle connections of routers at an agent.
+    AgentLinks,
+    /// Idle connections to agents at a router.
+    RouterLinks,
+    /// Probes a second at an agent.
+    Probes,
+    /// Chats a second through one router, with the product's policy and with a random choice.
+    Requests,
+    /// Chats at an agent that were served elsewhere.
+    MovedChats,
+}
+
+/// All parts, in the order in which they are measured.
+pub const ALL_PARTS: [ControlPart; 5] = [
+    ControlPart::AgentLinks,
+    ControlPart::RouterLinks,
+    ControlPart::Probes,
+    ControlPart::Requests,
+    ControlPart::MovedChats,
+];
+
+/// The name is no part's.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("unknown part {0:?}; parts: agent-links router-links probes requests moved-chats")]
+pub struct UnknownPart(String);
+
+impl fmt::Display for ControlPart {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            ControlPart::AgentLinks => "agent-links",
+            ControlPart::RouterLinks => "router-links",
+            ControlPart::Probes => "probes",
+            ControlPart::Requests => "requests",
+            ControlPart::MovedChats => "moved-chats",
+        })
+    }
+}
+
+impl FromStr for ControlPart {
+    type Err = UnknownPart;
+
+    fn from_str(text: &str) -> Result<Self, UnknownPart> {
+        let part = ALL_PARTS.into_iter().find(|part| part.to_string() == text);
+        part.ok_or_else(|| UnknownPart(text.to_string()))
+    }
+}
+
+/// What is measured, and how often.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ControlOptions {
+    /// The parts.
+    pub parts: Vec<ControlPart>,
+    /// How often each part is measured, each time on fresh processes.
+    pub repetitions: usize,
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/control/requests.rs
@@ -0,0 +1,117 @@
+//! Requests and probes at fixed rates.
+
+use std::error::Error;
+use std::time::Duration;
+
+use futures_util::future::join;
+use monoio::time::MissedTickBehavior;
+use papayamux_protocol::chat::ChatMessage;
+use papayamux_protocol::link::{LoadProbe, RouterMessage};
+use papayamux_state::load::{GroupId, GroupLoad};
+use papayamux_testbed::{chat_request, Caller, Fleet, FleetPlan, FLEET_MODEL};
+
+use super::meter::{meter_for, MeteredRole};
+use super::router_end::{open_router_end, RouterEnd};
+use super::slope::{CostPoint, CostSeries};
+
+/// Chats a second through the router.
+const CHAT_RATES: [u32; 4] = [0, 50, 100, 200];
+/// Probes a second at the agent.
+const PROBE_RATES: [u32; 4] = [0, 100, 200, 400];
+/// How long each rate is metered.
+const METER_FOR: Duration = Duration::from_secs(4);
+/// Time at a rate before it is metered.
+const SETTLE: Duration = Duration::from_secs(1);
+/// Engines behind the router.
+const ENGINES: usize = 2;
+/// Checkpoints of a prompt in a probe.
+const CHECKPOINTS: u32 = 6;
+
+/// Does `act` so many times a second, for as long as a rate is metered.
+async fn at_rate(per_second: u32, mut act: impl FnMut(u32)) {
+    if per_second == 0 {
+        return;
+    }
+    let mut ticks = monoio::time::interval(Duration::from_secs(1) / per_second);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
+    let all = (METER_FOR + 2 * SETTLE).as_secs() as u32 * per_second;
+    for number in 0..all {
+        ticks.tick().await;
+        act(number);
+    }
+}
+
+async fn meter_settled(
+    role: MeteredRole,
+    process: &papayamux_testbed::ProcessHandle,
+) -> Result<super::slope::CostReading, Box<dyn Error>> {
+    monoio::time::sleep(SETTLE).await;
+    meter_for(role, process, METER_FOR).await
+}
+
+/// Probes at one agent, as routers send them at a decision.
+pub async fn measure_probes() -> Result<Vec<CostSeries>, Box<dyn Error>> {
+    let fleet = Fleet::start(FleetPlan::builder().routers(0).engines(1).services(0).build())?;
+    let agent = &fleet.servers[0].agent;
+    let router = open_router_end(agent.listen()?).await?;
+    let mut points = Vec::new();
+    for rate in PROBE_RATES {
+        let probes = at_rate(rate, |number| send_probe(&router, number));
+        let (cost, ()) = join(meter_settled(MeteredRole::Agent, agent), probes).await;
+        points.push(CostPoint { count: f64::from(rate), cost: cost? });
+    }
+    Ok(vec![CostSeries { role: MeteredRole::Agent.name(), points }])
+}
+
+fn send_probe(router: &RouterEnd, number: u32) {
+    let group = GroupId::named(FLEET_MODEL);
+    let group_load = GroupLoad { group, mean: 1.0, samples: 1.0, servers: 1 };
+    let hash = number.wrapping_mul(0x9e37_79b9);
+    let probe = LoadProbe {
+        checkpoints: (0..CHECKPOINTS).map(|index| hash.wrapping_add(index)).collect(),
+        chat: u64::from(hash),
+        group_load: Some(group_load),
+    };
+    router.send(u64::from(number) + 1, RouterMessage::Probe(probe));
+}
+
+/// New chats of one short turn through one router, under `policy`.
+pub async fn measure_chat_rates(
+    policy: &str,
+    roles: [&'static str; 2],
+) -> Result<Vec<CostSeries>, Box<dyn Error>> {
+    let engine = ["--step-us", "1000", "--batch", "4096", "--prefill", "1000000"];
+    let plan = FleetPlan::builder().routers(1).engines(ENGINES).services(0);
+    let plan = plan.engine_arguments(engine.map(str::to_string).into());
+    let plan = plan.agent_server_lines("capacity = 4096".to_string());
+    let fleet = Fleet::start(plan.router_lines(format!("policy = {policy}")).build())?;
+    let (router, agent) = (&fleet.routers[0], &fleet.servers[0].agent);
+    let caller = Caller::new(router.listen()?, "measure");
+    let (mut router_points, mut agent_points) = (Vec::new(), Vec::new());
+    for rate in CHAT_RATES {
+        let chats = at_rate(rate, |number| start_chat(&caller, rate, number));
+        let router_cost = meter_settled(MeteredRole::Router, router);
+        let agent_cost = meter_settled(MeteredRole::Agent, agent);
+        let ((router_cost, agent_cost), ()) = join(join(router_cost, agent_cost), chats).await;
+        let count = f64::from(rate);
+        router_points.push(CostPoint { count, cost: router_cost? });
+        let at_one = count / ENGINES as f64;
+        agent_points.push(CostPoint { count: at_one, cost: agent_cost? });
+    }
+    let [router_role, agent_role] = roles;
+    Ok(vec![
+        CostSeries { role: router_role, points: router_points },
+        CostSeries { role: agent_role, points: agent_points },
+    ])
+}
+
+fn start_chat(caller: &Caller, rate: u32, number: u32) {
+    let content = format!("question number {number} at {rate} a second");
+    let message = ChatMessage { role: "user".to_string(), content };
+    let (caller, request) = (caller.clone(), chat_request(FLEET_MODEL, vec![message], 2));
+    monoio::spawn(async move {
+        if let Err(error) = caller.chat(&request).await {
+            eprintln!("chat {number} at {rate} a second: {error}");
+        }
+    });
+}
--- a/crates/papayamux-measure/src/lib.rs
+++ b/crates/papayamux-measure/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod command_line;
 pub mod config;
 mod conflicts;
+pub mod control;
 mod demo;
 mod path;
 pub mod promises;
--- a/crates/papayamux-measure/src/tasks/measure_task.rs
+++ b/crates/papayamux-measure/src/tasks/measure_task.rs
@@ -4,7 +4,7 @@
 
 use getopts::{Matches, Options};
 
-use super::{config, conflicts, demo, path, promises, routing, table};
+use super::{config, conflicts, control, demo, path, promises, routing, table};
 
 /// Why a task can't be run to its end.
 pub type TaskError = Box<dyn Error>;
@@ -30,6 +30,7 @@
     table::TASK,
     promises::TASK,
     conflicts::TASK,
+    control::TASK,
 ];
 
 /// The task of that name.
--- a/crates/papayamux-measure/src/tasks/mod.rs
+++ b/crates/papayamux-measure/src/tasks/mod.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod conflicts;
+mod control;
 mod demo;
 mod measure_task;
 mod path;
