--- a/crates/papayamux-measure/src/tasks/measure_task.rs
+++ b/crates/papayamux-measure/src/tasks/measure_task.rs
@@ -4,7 +4,7 @@
 
 use getopts::{Matches, Options};
 
-use super::{config, conflicts, demo, orders, path, promises, routing, table};
+use super::{config, conflicts, control, demo, orders, path, promises, routing, table};
 
 /// Why a task can't be run to its end.
 pub type TaskError = Box<dyn Error>;
@@ -31,6 +31,7 @@
     promises::TASK,
     conflicts::TASK,
     orders::TASK,
+    control::TASK,
 ];
 
 /// The task of that name.
