--- a/crates/papayamux-agent/src/admitted_run.rs
+++ b/crates/papayamux-agent/src/admitted_run.rs
@@ -63,7 +63,7 @@
         }
         self.attachment.tell(self.core.load_message(group_of(open)));
         let message = AgentMessage::Refused(notice);
-        self.core.metrics.control_bytes_out.inc_by(agent_control_length(&message));
+        self.core.metrics.control_bytes.send(agent_control_length(&message));
         self.attachment.send(message);
     }
 }
@@ -72,7 +72,7 @@
     /// What the server carries, to be told beside another message.
     fn load_message(&self, group: Option<GroupId>) -> AgentMessage {
         let message = AgentMessage::Load(self.load(group));
-        self.metrics.control_bytes_out.inc_by(agent_control_length(&message));
+        self.metrics.control_bytes.send(agent_control_length(&message));
         message
     }
 }
--- a/crates/papayamux-agent/src/metrics.rs
+++ b/crates/papayamux-agent/src/metrics.rs
@@ -1,6 +1,6 @@
 //! The agent's metrics.
 
-use papayamux_daemon::metrics::ReasonCounters;
+use papayamux_daemon::metrics::{ControlBytes, ReasonCounters};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
@@ -26,10 +26,8 @@
     pub queued: Counter,
     /// Readings of the engine's cache, by kind: snapshots, gaps, failures.
     pub cache_reads: ReasonCounters,
-    /// Bytes of control messages received.
-    pub control_bytes_in: Counter,
-    /// Bytes of control messages sent.
-    pub control_bytes_out: Counter,
+    /// Bytes of control messages.
+    pub control_bytes: ControlBytes,
     /// Connections of routers.
     pub router_links: Gauge,
     /// Connections that were refused or broke, by reason.
@@ -61,10 +59,7 @@
         registry.register("queued_requests", "Requests that waited", self.queued.clone());
         let reads = self.cache_reads.0.clone();
         registry.register("cache_reads", "Readings of the engine's cache", reads);
-        let bytes = self.control_bytes_in.clone();
-        registry.register("control_bytes_in", "Control messages received, in bytes", bytes);
-        let bytes = self.control_bytes_out.clone();
-        registry.register("control_bytes_out", "Control messages sent, in bytes", bytes);
+        self.control_bytes.register(registry);
         registry.register("router_links", "Connections of routers", self.router_links.clone());
         let failures = self.link_failures.0.clone();
         registry.register("link_failures", "Connections refused or broken", failures);
--- a/crates/papayamux-agent/src/settings.rs
+++ b/crates/papayamux-agent/src/settings.rs
@@ -116,6 +116,7 @@
     let load_factor = section.optional("load_factor");
     let prefill_rate = section.optional("prefill_rate");
     section.refuse_other_keys();
+    let claims = ClaimSettings::read(file);
     let spread = read_spread(file);
     let settings = AgentSettings::builder()
         .listen(listen?)
@@ -136,7 +137,7 @@
         .maybe_progress_within(progress_within.map(|within: Millis| within.0))
         .maybe_secret(secret)
         .allow(allow)
-        .claims(ClaimSettings::read(file))
+        .claims(claims)
         .maybe_spread(spread)
         .build();
     Some(settings)
--- a/crates/papayamux-daemon/src/metrics.rs
+++ b/crates/papayamux-daemon/src/metrics.rs
@@ -3,6 +3,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
 
 /// The label of counters by reason.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -26,3 +27,29 @@
         self.0.get_or_create(&ReasonLabel { reason }).get()
     }
 }
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WayLabel {
+    way: &'static str,
+}
+
+/// Bytes of control messages between routers and agents, by the way that they went.
+#[derive(Debug, Clone, Default)]
+pub struct ControlBytes(Family<WayLabel, Counter>);
+
+impl ControlBytes {
+    /// Counts `bytes` received.
+    pub fn receive(&self, bytes: u64) {
+        self.0.get_or_create(&WayLabel { way: "in" }).inc_by(bytes);
+    }
+
+    /// Counts `bytes` sent.
+    pub fn send(&self, bytes: u64) {
+        self.0.get_or_create(&WayLabel { way: "out" }).inc_by(bytes);
+    }
+
+    /// Registers the counters as `control_bytes`.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register("control_bytes", "Control messages in bytes, by way", self.0.clone());
+    }
+}
--- a/crates/papayamux-router/src/agents/agent_link.rs
+++ b/crates/papayamux-router/src/agents/agent_link.rs
@@ -198,7 +198,7 @@
     }
 
     pub(super) fn send(&self, stream: u64, message: RouterMessage) -> bool {
-        self.metrics.control_bytes_out.inc_by(router_control_length(&message));
+        self.metrics.control_bytes.send(router_control_length(&message));
         self.sender.send(stream, message)
     }
 
@@ -317,7 +317,7 @@
 
 /// Acts on a message; `false` where it belongs to nothing.
 fn take_message(link: &AgentLink, stream: u64, message: AgentMessage) -> bool {
-    link.metrics.control_bytes_in.inc_by(agent_control_length(&message));
+    link.metrics.control_bytes.receive(agent_control_length(&message));
     match message {
         AgentMessage::Load(report) => link.probes.note_load(report),
         AgentMessage::Probed(reply) => return link.probes.take_reply(stream, reply),
--- a/crates/papayamux-router/src/metrics.rs
+++ b/crates/papayamux-router/src/metrics.rs
@@ -1,6 +1,6 @@
 //! The router's metrics.
 
-use papayamux_daemon::metrics::ReasonCounters;
+use papayamux_daemon::metrics::{ControlBytes, ReasonCounters};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
@@ -26,10 +26,8 @@
     pub decisions: ReasonCounters,
     /// First-hand evidence against servers, by kind.
     pub evidence: ReasonCounters,
-    /// Bytes of control messages received.
-    pub control_bytes_in: Counter,
-    /// Bytes of control messages sent.
-    pub control_bytes_out: Counter,
+    /// Bytes of control messages.
+    pub control_bytes: ControlBytes,
     /// Bytes of requests that were sent and refused.
     pub refused_request_bytes: Counter,
     /// Frames that matched no stream.
@@ -64,10 +62,7 @@
         registry.register("probes", "Probes by outcome", self.probes.0.clone());
         registry.register("decisions", "Decisions by way", self.decisions.0.clone());
         registry.register("evidence", "Evidence against servers", self.evidence.0.clone());
-        let bytes = self.control_bytes_in.clone();
-        registry.register("control_bytes_in", "Control messages received, in bytes", bytes);
-        let bytes = self.control_bytes_out.clone();
-        registry.register("control_bytes_out", "Control messages sent, in bytes", bytes);
+        self.control_bytes.register(registry);
         let bytes = self.refused_request_bytes.clone();
         registry.register("refused_request_bytes", "Requests sent and refused, in bytes", bytes);
         let stray = self.stray_frames.clone();
