Keep callers' text out of the log of failed requests

Cause: "request failed" logged the failure's message, which quotes the value at which a chat's JSON does not fit: messages given as text put the whole prompt into the log. Its code stood in quotes within the JSON text.

Change: the line has the code, plain, and the last refusal's reason.

--- a/crates/papayamux-router/src/callers/request_handler.rs
+++ b/crates/papayamux-router/src/callers/request_handler.rs
@@ -104,9 +104,11 @@
     }
 
     fn failure_response(&self, failure: &FailureBody) -> Response<AnswerBody> {
-        let label = serde_json::to_value(failure.code).unwrap_or_default();
-        log::info!(code:% = label, message = failure.message; "request failed");
-        self.metrics.failures.count(code_label(failure.code));
+        let code = code_label(failure.code);
+        let reason = failure.reason.as_deref().unwrap_or_default();
+        // The failure's message may quote the request, which belongs in no log.
+        log::info!(code = code, reason = reason; "request failed");
+        self.metrics.failures.count(code);
         let mut response = Response::new(AnswerBody::from(failure.to_json()));
         *response.status_mut() = failure.code.status();
         let headers = response.headers_mut();
