--- a/crates/papayamux-daemon/src/command_line.rs
+++ b/crates/papayamux-daemon/src/command_line.rs
@@ -37,6 +37,10 @@
     NoSettings,
 }
 
+const EXIT_CODES: &str = "\
+Exit codes: 0 ended by SIGTERM or SIGINT with nothing cut off, or nothing found by --check; 1 the
+daemon could not start, or its end cut requests off; 2 the command line or the settings are wrong.";
+
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "settings", "the INI file with the settings", "FILE");
@@ -56,7 +60,7 @@
     if matches.opt_present("help") {
         let brief = format!(
             "{program}: {purpose}\n\nUsage: {program} --settings FILE [--check]\n\nExample: \
-             {program} --settings {program}.ini --check",
+             {program} --settings {program}.ini --check\n\n{EXIT_CODES}",
             program = name.program,
             purpose = name.purpose,
         );
--- /dev/null
+++ b/crates/papayamux-daemon/tests/command_line.rs
@@ -0,0 +1,33 @@
+//! What a daemon's command line gives.
+
+use papayamux_daemon::command_line::{read_arguments, CommandLineError, DaemonName, DaemonTask};
+
+const NAME: DaemonName = DaemonName { program: "papayamux-router", purpose: "takes requests" };
+
+fn read(arguments: &[&str]) -> Result<DaemonTask, CommandLineError> {
+    read_arguments(NAME, arguments.iter().map(|argument| argument.to_string()))
+}
+
+#[test]
+fn help_names_options_and_exit_codes() -> Result<(), CommandLineError> {
+    insta::assert_debug_snapshot!(read(&["--settings", "r.ini"])?, @r#"
+    Run(
+        "r.ini",
+    )
+    "#);
+    let DaemonTask::Print(text) = read(&["--help"])? else {
+        return Err(CommandLineError::NoSettings);
+    };
+    insta::assert_snapshot!(text);
+    Ok(())
+}
+
+#[test]
+fn a_wrong_command_line_says_what_to_do() {
+    let texts: Vec<_> = [&["--setings", "r.ini"][..], &[], &["--settings"]]
+        .iter()
+        .filter_map(|arguments| read(arguments).err())
+        .map(|error| error.to_string())
+        .collect();
+    insta::assert_snapshot!(texts.join("\n"));
+}
--- a/crates/papayamux-measure/src/command_line.rs
+++ b/crates/papayamux-measure/src/command_line.rs
@@ -7,6 +7,8 @@
 use crate::tasks::{find_task, MeasureTask, TaskError, TASKS};
 
 const PROGRAM: &str = "papayamux-measure";
+const EXIT_CODES: &str = "Exit codes: 0 the task was run to its end; 1 it was not, or the command \
+                          line is wrong.";
 
 /// Runs the task that the command line names.
 pub fn measure_main() -> ExitCode {
@@ -26,6 +28,7 @@
         for task in TASKS {
             println!("  {:9} {}", task.name, task.purpose);
         }
+        println!("\nExample: {PROGRAM} routing --seed 1\n\n{EXIT_CODES}");
         return Ok(());
     }
     let task = find_task(&name).ok_or_else(|| format!("unknown task {name:?}; try --help"))?;
@@ -38,7 +41,8 @@
     (task.declare)(&mut options);
     let matches = options.parse(arguments)?;
     if matches.opt_present("help") {
-        let brief = format!("Usage: {PROGRAM} {} [options]\n\n{}", task.name, task.purpose);
+        let brief =
+            format!("Usage: {PROGRAM} {} [options]\n\n{}\n\n{EXIT_CODES}", task.name, task.purpose);
         print!("{}", options.usage(&brief));
         return Ok(());
     }
--- a/crates/papayamux-standins/src/command_line.rs
+++ b/crates/papayamux-standins/src/command_line.rs
@@ -11,6 +11,8 @@
 use crate::kinds::{find_kind, kind_names, StandinError, StandinKind};
 
 const PROGRAM: &str = "papayamux-standins";
+const EXIT_CODES: &str = "Exit codes: 1 the stand-in could not start or serve on, or the command \
+                          line is wrong; a running one ends by a signal.";
 const DEFAULT_ADDRESS: &str = "127.0.0.1:0";
 
 /// Runs the stand-in that the command line names.
@@ -29,7 +31,8 @@
     let name = arguments.next().unwrap_or_default();
     if ["", "-h", "--help"].contains(&name.as_str()) {
         println!("Usage: {PROGRAM} KIND [options], {PROGRAM} KIND --help");
-        println!("Kinds: {}", kind_names());
+        println!("Kinds: {}\n", kind_names());
+        println!("Example: {PROGRAM} engine --listen 127.0.0.1:8000\n\n{EXIT_CODES}");
         return Ok(());
     }
     let kind = find_kind(&name)
@@ -44,7 +47,10 @@
     let options = options_of(kind);
     let matches = options.parse(arguments)?;
     if matches.opt_present("help") {
-        print!("{}", options.usage(&format!("Usage: {PROGRAM} {} [options]", kind.name)));
+        print!(
+            "{}",
+            options.usage(&format!("Usage: {PROGRAM} {} [options]\n\n{EXIT_CODES}", kind.name))
+        );
         return Ok(());
     }
     if let Some(argument) = matches.free.first() {
