--- a/crates/papayamux-agent/src/settings.rs
+++ b/crates/papayamux-agent/src/settings.rs
@@ -119,6 +119,7 @@
     let load_factor = section.optional("load_factor");
     let prefill_rate = section.optional("prefill_rate");
     section.refuse_other_keys();
+    let claims = ClaimSettings::read(file);
     let spread = read_spread(file);
     let orders = read_orders(file);
     let settings = AgentSettings::builder()
@@ -140,7 +141,7 @@
         .maybe_progress_within(progress_within.map(|within: Millis| within.0))
         .maybe_secret(secret)
         .allow(allow)
-        .claims(ClaimSettings::read(file))
+        .claims(claims)
         .maybe_spread(spread)
         .maybe_orders(orders)
         .build();
