--- a/crates/papayamux-measure/src/routing/experiment.rs
+++ b/crates/papayamux-measure/src/routing/experiment.rs
@@ -34,7 +34,8 @@
 
 /// Runs the measurement and prints one JSON line for each policy and scenario.
 pub fn measure_routing(options: &RoutingOptions) -> Result<(), Box<dyn Error>> {
-    let site = SiteProfile::of(options.site);
+    let mut site = SiteProfile::of(options.site);
+    site.chats_per_second *= options.load;
     for scenario in &options.scenarios {
         let workload = Workload::generate(options.seed, &site, *scenario, options.seconds);
         let workload = Rc::new(workload);
@@ -46,6 +47,7 @@
                 scenario: scenario.to_string(),
                 site: options.site.to_string(),
                 seed: options.seed,
+                load: options.load,
                 seconds: options.seconds,
                 warm_up_seconds: options.seconds * WARM_UP_SHARE,
             };
@@ -169,10 +171,16 @@
         control_agent: mean_rate(&agents_before, &agents_after, seconds),
         distinct_blocks: desk.oracle.borrow().blocks(),
         unfinished: desk.in_flight.get(),
+        load_average: load_average(),
         disturbance_error: None,
     }
 }
 
+/// The machine's load average over the last minute, where the system tells it.
+fn load_average() -> Option<f64> {
+    std::fs::read_to_string("/proc/loadavg").ok()?.split(' ').next()?.parse().ok()
+}
+
 async fn sleep_until(begun: Instant, at: Duration) {
     monoio::time::sleep(at.saturating_sub(begun.elapsed())).await;
 }
--- a/crates/papayamux-measure/src/routing/options.rs
+++ b/crates/papayamux-measure/src/routing/options.rs
@@ -28,6 +28,9 @@
     /// Seconds of one run, its warm-up included.
     #[builder(default = 16.0)]
     pub seconds: f64,
+    /// Factor on the chats that begin in a second.
+    #[builder(default = 1.0)]
+    pub load: f64,
     /// Further lines for the routers' `[router]` section.
     #[builder(default)]
     pub router_lines: String,
--- a/crates/papayamux-measure/src/routing/report.rs
+++ b/crates/papayamux-measure/src/routing/report.rs
@@ -26,6 +26,8 @@
     pub distinct_blocks: usize,
     /// Requests that had no answer long after the run's end.
     pub unfinished: usize,
+    /// The machine's load average over the last minute.
+    pub load_average: Option<f64>,
     /// Replacements of engines that failed, as text.
     pub disturbance_error: Option<String>,
 }
@@ -41,6 +43,8 @@
     pub site: String,
     /// The seed.
     pub seed: u64,
+    /// Factor on the chats that began in a second.
+    pub load: f64,
     /// Seconds of the run, warm-up included.
     pub seconds: f64,
     /// Seconds at its start that do not count.
@@ -127,6 +131,8 @@
     pub control_bytes_per_s_agent: Option<f64>,
     /// Control bytes of a router for each turn or call.
     pub control_bytes_per_request: Option<f64>,
+    /// The machine's load average over the last minute, at the end of the run.
+    pub load_average: Option<f64>,
     /// Failures that routers told over the whole run, by code and reason.
     pub told: BTreeMap<String, u64>,
     /// Why the scenario could not be carried out, if so.
@@ -203,6 +209,7 @@
             control_bytes_per_request: run
                 .control_router
                 .map(|rate| rounded(rate / request_rate, 0)),
+            load_average: run.load_average,
             told: tally.told.clone(),
             disturbance_error: run.disturbance_error.clone(),
             label,
--- a/crates/papayamux-measure/src/routing/table.rs
+++ b/crates/papayamux-measure/src/routing/table.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 /// A column: its heading, the report's field, and the digits after the point.
-const COLUMNS: [(&str, &str, usize); 17] = [
+const COLUMNS: [(&str, &str, usize); 18] = [
     ("warm", "warm", 3),
     ("token share", "warm_prompt_token_share", 3),
     ("of best", "share_of_best", 3),
@@ -25,6 +25,7 @@
     ("cut", "cut", 0),
     ("control B/s router", "control_bytes_per_s_router", 0),
     ("control B/s agent", "control_bytes_per_s_agent", 0),
+    ("load average", "load_average", 0),
 ];
 
 /// Runs of one site, scenario and policy, in the order in which they were first met.
--- a/crates/papayamux-measure/src/tasks/routing.rs
+++ b/crates/papayamux-measure/src/tasks/routing.rs
@@ -18,6 +18,7 @@
     options.optmulti("", "scenario", "a scenario (all)", "NAME");
     options.optopt("", "site", "yanchang or kitakaze (yanchang)", "NAME");
     options.optopt("", "seconds", "length of one run (16)", "SECONDS");
+    options.optopt("", "load", "factor on the chats that begin in a second (1)", "FACTOR");
     options.optmulti("", "router-line", "a further router setting", "KEY=VALUE");
     options.optmulti("", "agent-line", "a further [server] setting", "KEY=VALUE");
 }
@@ -29,12 +30,14 @@
     let scenarios = scenarios.iter().map(|name| name.parse()).collect::<Result<Vec<_>, _>>()?;
     let site = matches.opt_str("site").map(|name| name.parse()).transpose()?;
     let seconds = matches.opt_str("seconds").map(|text| text.parse()).transpose()?;
+    let load = matches.opt_str("load").map(|text| text.parse()).transpose()?;
     Ok(RoutingOptions::builder()
         .seed(seed)
         .maybe_policies((!policies.is_empty()).then_some(policies))
         .maybe_scenarios((!scenarios.is_empty()).then_some(scenarios))
         .maybe_site(site)
         .maybe_seconds(seconds)
+        .maybe_load(load)
         .router_lines(matches.opt_strs("router-line").join("\n"))
         .agent_lines(matches.opt_strs("agent-line").join("\n"))
         .build())
