Send a chat again that was lost on a silent connection to its engine

The new test a_chat_lost_on_a_silent_connection_to_its_engine_is_sent_again hung for the 40 s that it was given. Change: a stream that a living engine does not know is gone: an idempotent request of which nothing has come is sent once more over a fresh connection, an answer that had begun ends with an error. Result: the test passes, as do the others of link_faults and streams_go_on.

--- a/crates/papayamux-agent/src/run.rs
+++ b/crates/papayamux-agent/src/run.rs
@@ -87,13 +87,21 @@
         let resumable = is_chat && asks_for_stream(&body);
         resumable.then(|| ResumeTarget { id: record.id(), events: 0 })
     };
+    let again = idempotent.then(|| request.clone());
     let exchange = async {
         match idempotent {
             true => core.client.send_idempotent(request).await,
             false => core.client.send_once_if(request, || core.clock() < start_before).await,
         }
     };
-    match ServerWatch::new(core).wait_for(target, exchange).await {
+    let mut step = ServerWatch::new(core).wait_for(target, exchange).await;
+    if let (ServerStep::Gone, Some(request)) = (&step, again) {
+        // Only streamed chats are asked for; nothing of the answer has come, and the request was
+        // lost on a connection that went silent.
+        let exchange = core.client.send_once(request);
+        step = ServerWatch::new(core).wait_for(target, exchange).await;
+    }
+    match step {
         ServerStep::Came(Ok(answer)) => relay(core, answer, is_chat, record, recorder).await,
         ServerStep::Replaced(answer) => relay(core, *answer, is_chat, record, recorder).await,
         ServerStep::Came(Err(HttpClientError::NotAllowed)) => {
@@ -104,6 +112,7 @@
             not_run(RefusalReason::ServerUnreachable)
         }
         ServerStep::Came(Err(error)) => fail(core, record, &error.into()),
+        ServerStep::Gone => fail(core, record, &ServerError::Gone),
         ServerStep::Silent => fail(core, record, &ServerError::Silent),
     }
 }
@@ -210,7 +219,9 @@
                 record.append(piece, &[]).await;
             }
             ServerStep::Came(None) => break,
-            ServerStep::Silent | ServerStep::Replaced(_) => return Err(ServerError::Silent),
+            ServerStep::Silent | ServerStep::Gone | ServerStep::Replaced(_) => {
+                return Err(ServerError::Silent);
+            }
         }
     }
     answer.finish();
@@ -236,6 +247,7 @@
             ServerStep::Came(Some(Err(_))) if tagger.is_complete() => break,
             ServerStep::Came(Some(Err(error))) => go_on(core, target, error).await?,
             ServerStep::Replaced(answer) => answer,
+            ServerStep::Gone => return Err(ServerError::Gone),
             ServerStep::Silent => return Err(ServerError::Silent),
         };
         tagger.drop_partial();
--- a/crates/papayamux-agent/src/server_exchange.rs
+++ b/crates/papayamux-agent/src/server_exchange.rs
@@ -36,6 +36,9 @@
     /// Neither this connection nor another one brought anything.
     #[error("the server is silent on every connection")]
     Silent,
+    /// The connection is silent, and on another one the server does not know the stream.
+    #[error("the server lives and does not know the stream")]
+    Gone,
 }
 
 /// A stream of an engine and where it is to go on.
@@ -53,6 +56,8 @@
     Came(T),
     /// The stream goes on on another connection.
     Replaced(Box<ClientAnswer>),
+    /// The server lives and does not know the stream: its request never came, or it has ended.
+    Gone,
     /// The server is silent.
     Silent,
 }
@@ -60,6 +65,7 @@
 enum ServerCheck {
     Replaced(Box<ClientAnswer>),
     Lives,
+    Gone,
     Silent,
 }
 
@@ -98,6 +104,10 @@
                         self.core.metrics.server_streams.count("replaced");
                         return ServerStep::Replaced(answer);
                     }
+                    ServerCheck::Gone => {
+                        self.core.metrics.server_streams.count("gone");
+                        return ServerStep::Gone;
+                    }
                     ServerCheck::Lives => failed_checks = 0,
                     ServerCheck::Silent => failed_checks += 1,
                 }
@@ -128,7 +138,7 @@
                 core.metrics.server_streams.count("resumed");
                 return Some(answer);
             }
-            ServerCheck::Lives => break,
+            ServerCheck::Lives | ServerCheck::Gone => break,
             ServerCheck::Silent => {}
         }
     }
@@ -150,6 +160,9 @@
         Ok(Ok(answer)) if target.is_some() && answer.head.status == StatusCode::OK => {
             ServerCheck::Replaced(Box::new(answer))
         }
+        Ok(Ok(answer)) if target.is_some() && answer.head.status == StatusCode::NOT_FOUND => {
+            ServerCheck::Gone
+        }
         Ok(Ok(_)) => ServerCheck::Lives,
         Ok(Err(_)) | Err(_) => ServerCheck::Silent,
     }
--- a/crates/papayamux-testbed/tests/link_faults.rs
+++ b/crates/papayamux-testbed/tests/link_faults.rs
@@ -214,6 +214,24 @@
     })
 }
 
+#[test]
+fn a_chat_lost_on_a_silent_connection_to_its_engine_is_sent_again() -> TestResult {
+    let plan = FleetPlan::builder().routers(1).engines(1).services(0).faulty_links(true);
+    let plan = plan.agent_server_lines("progress_within = 300ms".to_string()).build();
+    with_fleet(plan, async |fleet| {
+        let caller = caller_of(fleet)?;
+        let (chat, expected) = long_chat();
+        caller.chat(&chat).await?;
+        fleet.servers[0].link()?.silence().await?;
+        assert_eq!(caller.chat(&chat).await?.text, expected);
+        let streams = "papayamux_agent_server_streams_total";
+        let metrics = fleet.servers[0].agent.metrics().await?;
+        assert_eq!(metrics.sum(streams, "reason=\"gone\""), 1.0);
+        assert_eq!(fleet.servers[0].all_runs().await?, 2);
+        Ok(())
+    })
+}
+
 #[test]
 fn a_restarted_agent_refuses_what_was_meant_for_its_predecessor() -> TestResult {
     with_fleet(one_service(), async |fleet| {
