--- a/crates/papayamux-measure/src/promises/request_record.rs
+++ b/crates/papayamux-measure/src/promises/request_record.rs
@@ -40,6 +40,13 @@
     pub doubled_bytes: u64,
 }
 
+impl AnswerFlaws {
+    /// Whether a caller was given a wrong answer for a whole one.
+    pub fn break_promise(&self) -> bool {
+        self.mixed || self.short
+    }
+}
+
 /// One request of a caller.
 #[derive(Debug, Clone)]
 pub struct RequestRecord {
--- a/crates/papayamux-measure/src/promises/run.rs
+++ b/crates/papayamux-measure/src/promises/run.rs
@@ -45,6 +45,9 @@
     for scenario in &scenarios {
         let tally = run_scenario(scenario, options)?;
         println!("{}", serde_json::to_string(&tally)?);
+        for suspect in &tally.suspects {
+            eprintln!("{}: {suspect}", tally.scenario);
+        }
         total.add(&tally);
     }
     println!("{}", serde_json::to_string(&total)?);
--- a/crates/papayamux-measure/src/promises/tally.rs
+++ b/crates/papayamux-measure/src/promises/tally.rs
@@ -61,6 +61,9 @@
     pub interleavings: u64,
     /// Seconds that it took.
     pub seconds: f64,
+    /// The requests that broke a promise, for people.
+    #[serde(skip)]
+    pub suspects: Vec<String>,
 }
 
 impl PromiseTally {
@@ -76,8 +79,15 @@
             tally.told_not_run_but_ran += u64::from(claims_not_run && runs > 0);
             let is_twice = record.work == RequestWork::Booking && runs > 1;
             tally.ran_twice += u64::from(is_twice && record.key.is_none());
-            tally.cut_by_shutdown += u64::from(was_cut_off(record, faults));
+            let is_answered_elsewhere = runs == 0 && ran_as_other_attempt(record, truth);
+            let is_cut = !is_answered_elsewhere && was_cut_off(record, faults);
+            tally.cut_by_shutdown += u64::from(is_cut);
+            if is_cut || is_twice || (claims_not_run && runs > 0) || record.flaws.break_promise() {
+                tally.suspects.push(format!("runs {runs}: {record:?}"));
+            }
         }
+        let twice = truth.by_key.iter().filter(|(_, runs)| **runs > 1);
+        tally.suspects.extend(twice.map(|(key, runs)| format!("runs {runs}: key {key}")));
         tally.ran_twice += truth.by_key.values().filter(|runs| **runs > 1).count() as u64;
         let met = faults.iter().filter(|fault| fault.met_requests).count();
         tally.interleavings = (met + keys_of_two_routers(records)) as u64;
@@ -138,6 +148,13 @@
     }
 }
 
+/// Whether another attempt under the request's key ran: then a repeat that is told `unknown` was
+/// not cut off, but came when the first answer was no longer held.
+fn ran_as_other_attempt(record: &RequestRecord, truth: &RunTruth) -> bool {
+    let runs = record.key.as_ref().and_then(|key| truth.by_key.get(key));
+    runs.is_some_and(|runs| *runs > 0)
+}
+
 fn keys_of_two_routers(records: &[RequestRecord]) -> usize {
     let mut seen = BTreeSet::new();
     let pairs = records.iter().filter_map(|record| Some((record.key.as_deref()?, record.router)));
