Let no request get lost under way to an agent that ends

Cause: an agent with nothing to do exited at once after SIGTERM. The new test a_booking_under_way_to_an_agent_that_ends_is_refused_and_not_lost failed with Unknown. Change: before it exits, the agent stops accepting and pings each router twice, for 2 s at most: then all that was under way is refused and the refusal is read. A router opens nothing on a connection whose agent leaves. The measurement also counts requests told 'failed' that no server had started. Result: the test passes, as do the others of link_faults and graceful_shutdown.

--- a/crates/papayamux-agent/src/daemon.rs
+++ b/crates/papayamux-agent/src/daemon.rs
@@ -23,18 +23,21 @@
 use serde_json::json;
 use thiserror::Error;
 
+use crate::accept::accept_routers;
 use crate::answers::{sweep_answers, AnswerStore, StoreLimits};
 use crate::claims::{ClaimWitness, KeptAnswers};
 use crate::engine_follower::follow_engine;
 use crate::engine_view::EngineView;
 use crate::metrics::AgentMetrics;
 use crate::orders::{OrderCore, OrderMetrics, OrderTask};
-use crate::router_link::{accept_routers, AgentCore};
+use crate::router_link::AgentCore;
 use crate::settings::AgentSettings;
 use crate::trust::RouterTrust;
 
 /// How often a draining agent looks whether all has finished.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
+/// How long the routers may take to answer a leaving agent's farewell.
+const CLOSE_WITHIN: Duration = Duration::from_secs(2);
 /// Which part of all kept bytes one answer may have.
 const ANSWER_SHARE: u64 = 16;
 
@@ -129,11 +132,17 @@
 }
 
 impl DrainingAgent {
-    /// Waits until all that ran has ended and the routers have received it, or can't any more.
+    /// Waits until all that ran has ended and the routers have received it, or can't any more,
+    /// and until every router that answers has read the refusals of what it sent meanwhile.
     async fn finish(&self) {
         while self.unfinished() > 0 {
             monoio::time::sleep(DRAIN_LOOK).await;
         }
+        self.core.closing.give();
+        let closing = Instant::now();
+        while self.core.metrics.router_links.get() > 0 && closing.elapsed() < CLOSE_WITHIN {
+            monoio::time::sleep(DRAIN_LOOK).await;
+        }
         log::info!("agent drained");
     }
 
@@ -196,6 +205,7 @@
         metrics,
         started: Instant::now(),
         leaving: ShutdownSignal::new(),
+        closing: ShutdownSignal::new(),
         answers: AnswerStore::new(store_limits(settings)),
         trust: RouterTrust { secret: settings.secret.clone(), allow: settings.allow.clone() },
         progress_within: settings.progress_within,
--- a/crates/papayamux-agent/src/lib.rs
+++ b/crates/papayamux-agent/src/lib.rs
@@ -1,11 +1,13 @@
 //! The agent: stands beside one backend server, decides what it takes, and runs it there.
 
+mod accept;
 mod admitted_run;
 pub mod answers;
 pub mod claims;
 pub mod daemon;
 mod engine_follower;
 mod engine_view;
+mod farewell;
 pub mod metrics;
 pub mod orders;
 mod router_link;
--- a/crates/papayamux-agent/src/router_link.rs
+++ b/crates/papayamux-agent/src/router_link.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::{select, Either};
-use monoio::net::{TcpListener, TcpStream};
+use monoio::net::TcpStream;
 use papayamux_coordination::admission::AdmissionBook;
 use papayamux_protocol::link::{
     Addressed, AgentClock, AgentMessage, ClaimReply, ClaimRequest, LoadProbe, OpenRequest,
@@ -16,7 +16,6 @@
 use papayamux_protocol::wire::{
     agent_control_length, router_control_length, AgentFrame, RouterFrame,
 };
-use papayamux_state::address_range::admits;
 use papayamux_state::ids::{FailureDomain, Incarnation, RequestId, ServerId};
 use papayamux_state::load::{GroupId, LoadReport};
 use papayamux_state::refusal::RefusalReason;
@@ -28,6 +27,7 @@
 use crate::answers::{AnswerRecord, AnswerStore, Attachment, AttachmentKey};
 use crate::claims::{serve_recall, ClaimWitness, KeptAnswers, RecallStream};
 use crate::engine_view::EngineView;
+use crate::farewell::{LinkFarewell, FAREWELL_PING};
 use crate::metrics::AgentMetrics;
 use crate::orders::OrderCore;
 use crate::trust::{GreetingError, RouterTrust, SilentLink, TrustedLink};
@@ -41,10 +41,6 @@
 const MOST_UNANSWERED: u32 = 3;
 /// Streams open at once on one connection.
 const MOST_STREAMS: usize = 4_096;
-/// Connections of routers open at once.
-const MOST_LINKS: i64 = 2_048;
-/// How long the listener waits after it could not accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time after which a refused router may ask again.
 const RETRY_AFTER_MS: u32 = 500;
 /// The stream number of the connection itself.
@@ -76,6 +72,8 @@
     pub started: Instant,
     /// Given when the agent leaves.
     pub leaving: ShutdownSignal,
+    /// Given when all that was admitted has ended, and the connections are to be closed.
+    pub closing: ShutdownSignal,
     /// The answers that may still be asked for.
     pub answers: Rc<AnswerStore>,
     /// Which routers may connect.
@@ -110,36 +108,8 @@
     }
 }
 
-/// Accepts connections of routers for as long as the agent lives.
-pub async fn accept_routers(core: Rc<AgentCore>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((_, peer)) if !admits(&core.trust.allow, peer.ip()) => {
-                core.metrics.link_failures.count("address");
-                log::warn!(peer:% = peer; "connection refused: its address may not connect");
-                continue;
-            }
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(error:% = error; "accepting failed");
-                monoio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        if core.metrics.router_links.get() >= MOST_LINKS {
-            core.metrics.link_failures.count("too_many");
-            continue;
-        }
-        let core = core.clone();
-        monoio::spawn(async move {
-            core.metrics.router_links.inc();
-            serve_router(&core, stream).await;
-            core.metrics.router_links.dec();
-        });
-    }
-}
-
-async fn serve_router(core: &Rc<AgentCore>, stream: TcpStream) {
+/// Serves one connection to its end.
+pub async fn serve_router(core: &Rc<AgentCore>, stream: TcpStream) {
     let peer = stream.peer_addr().map(|address| address.to_string()).unwrap_or_default();
     let link = match open_link(core, stream).await {
         Ok(link) => link,
@@ -158,6 +128,7 @@
         sender,
         streams: RefCell::default(),
         recalls: RefCell::default(),
+        farewell: LinkFarewell::default(),
     };
     let end = link.serve(&mut receiver).await;
     link.lose();
@@ -193,6 +164,7 @@
     sender: LinkSender<AgentMessage>,
     streams: RefCell<HashMap<u64, Rc<AnswerRecord>>>,
     recalls: RefCell<HashMap<u64, ShutdownSignal>>,
+    farewell: LinkFarewell,
 }
 
 impl RouterLink {
@@ -203,7 +175,11 @@
         match select(leaving, read).await {
             Either::Left(((), read)) => {
                 self.sender.send(CONNECTION, AgentMessage::Leaving);
-                read.await
+                let farewell = std::pin::pin!(self.farewell.say(&self.core.closing, &self.sender));
+                match select(farewell, read).await {
+                    Either::Left(_) => LinkEnd::Closed,
+                    Either::Right((outcome, _)) => outcome,
+                }
             }
             Either::Right((outcome, _)) => outcome,
         }
@@ -260,6 +236,7 @@
             }
             RouterMessage::Probe(probe) => self.answer_probe(stream, &probe),
             RouterMessage::Moved(moved) => self.core.engine.note_moved(moved),
+            RouterMessage::Pong(FAREWELL_PING) => self.farewell.note_pong(),
             RouterMessage::Pong(_) => {}
             RouterMessage::AskServing(question) => {
                 let answer = self.core.answer_question(&question);
--- a/crates/papayamux-measure/src/promises/tally.rs
+++ b/crates/papayamux-measure/src/promises/tally.rs
@@ -41,6 +41,8 @@
     pub timed_out: u64,
     /// Told that the request ran and failed.
     pub failed: u64,
+    /// Of those, requests that no server had started.
+    pub failed_but_never_ran: u64,
     /// Answers with bytes of another. Breaks a promise.
     pub mixed: u64,
     /// Answers that ended well yet lack bytes. Breaks a promise.
@@ -77,6 +79,8 @@
             let claims_not_run =
                 matches!(record.learned, LearnedOutcome::NotRun | LearnedOutcome::Unsent);
             tally.told_not_run_but_ran += u64::from(claims_not_run && runs > 0);
+            let claims_run = record.learned == LearnedOutcome::Failed;
+            tally.failed_but_never_ran += u64::from(claims_run && runs == 0);
             let is_twice = record.work == RequestWork::Booking && runs > 1;
             tally.ran_twice += u64::from(is_twice && record.key.is_none());
             let is_answered_elsewhere = runs == 0 && ran_as_other_attempt(record, truth);
@@ -111,6 +115,7 @@
         self.broken += other.broken;
         self.timed_out += other.timed_out;
         self.failed += other.failed;
+        self.failed_but_never_ran += other.failed_but_never_ran;
         self.mixed += other.mixed;
         self.short += other.short;
         self.doubled_bytes += other.doubled_bytes;
--- a/crates/papayamux-router/src/agents/agent_link.rs
+++ b/crates/papayamux-router/src/agents/agent_link.rs
@@ -94,8 +94,12 @@
         reading.clock.after(reading.read.elapsed())
     }
 
-    /// Opens a stream; `None` where the connection is gone, and nothing was sent.
+    /// Opens a stream; `None` where the connection is gone or the agent leaves, and nothing was
+    /// sent.
     pub fn open_stream(self: &Rc<Self>, open: OpenRequest) -> Option<StreamHandle> {
+        if self.is_leaving() {
+            return None;
+        }
         let origin = SlotOrigin {
             id: open.id,
             agent: Some(open.agent),
--- a/crates/papayamux-testbed/tests/link_faults.rs
+++ b/crates/papayamux-testbed/tests/link_faults.rs
@@ -232,6 +232,26 @@
     })
 }
 
+#[test]
+fn a_booking_under_way_to_an_agent_that_ends_is_refused_and_not_lost() -> TestResult {
+    with_fleet(one_service(), async |fleet| {
+        let caller = caller_of(fleet)?;
+        let CallerOutcome::Answered(_) = start_booking(&caller).await else { panic!("no fault") };
+        let link = fleet.link(0, 0)?;
+        link.hold_ways(FaultyWays::ToTarget).await?;
+        let booking = start_booking(&caller);
+        link.wait_report(|report| report.kept_to_target > 0).await?;
+        fleet.servers[0].agent.terminate()?;
+        fleet.servers[0].agent.wait_for_line("agent drains", WITHIN)?;
+        link.heal().await?;
+        let failure = failure_of(booking.await)?;
+        assert_eq!(failure.outcome, FailureOutcome::NotRun, "{}", failure.message);
+        assert!(fleet.servers[0].agent.wait_exit(WITHIN)?.success());
+        assert_eq!(fleet.servers[0].all_runs().await?, 1);
+        Ok(())
+    })
+}
+
 #[test]
 fn a_restarted_agent_refuses_what_was_meant_for_its_predecessor() -> TestResult {
     with_fleet(one_service(), async |fleet| {
