Tell attempts that are refused for their key from those that a shutdown cut off

Change: an attempt that is refused for its key and that no server started is counted as key_unknown. An attempt that did run, or whose connection was lost, still counts as cut, now also where another attempt with its key had run. What the router told is printed with each suspect. Result: the measurement's tests pass, with one more case.

--- a/crates/papayamux-measure/src/promises/request_record.rs
+++ b/crates/papayamux-measure/src/promises/request_record.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use papayamux_protocol::failure::FailureOutcome;
+use papayamux_protocol::failure::{FailureBody, FailureCode, FailureOutcome};
 use papayamux_testbed::{CallerError, CallerOutcome};
 
 /// What a request asks for.
@@ -66,6 +66,8 @@
     pub ended: Instant,
     /// The outcome.
     pub learned: LearnedOutcome,
+    /// The failure that the router told.
+    pub told: Option<FailureBody>,
     /// What is wrong with the answer.
     pub flaws: AnswerFlaws,
     /// How often the caller went on with the answer at another router.
@@ -76,6 +78,24 @@
     pub timed_out: bool,
 }
 
+impl RequestRecord {
+    /// Whether the router refused this attempt for its key: it was not run, and what is unknown
+    /// is what became of an earlier attempt.
+    pub fn is_refused_for_key(&self) -> bool {
+        let code = self.told.as_ref().map(|failure| failure.code);
+        matches!(
+            code,
+            Some(
+                FailureCode::KeyInUse
+                    | FailureCode::KeyReused
+                    | FailureCode::AnswerNotKept
+                    | FailureCode::FirstRunFailed
+                    | FailureCode::ClaimsUnavailable
+            )
+        )
+    }
+}
+
 /// What a caller learned by an outcome.
 pub fn learned_of<A>(outcome: &CallerOutcome<A>) -> LearnedOutcome {
     match outcome {
--- a/crates/papayamux-measure/src/promises/tally.rs
+++ b/crates/papayamux-measure/src/promises/tally.rs
@@ -33,6 +33,9 @@
     pub resumed: u64,
     /// Not known: told so, or the answer broke off.
     pub unknown: u64,
+    /// Of the unknown, attempts that were refused for their key, and not run: what became of an
+    /// earlier attempt is not known.
+    pub key_unknown: u64,
     /// Of the unknown, chats.
     pub unknown_chats: u64,
     /// Of the unknown, those whose connection to the router broke off.
@@ -87,8 +90,10 @@
             tally.failed_but_never_ran += u64::from(claims_run && runs == 0);
             let is_twice = record.work == RequestWork::Booking && runs > 1;
             tally.ran_twice += u64::from(is_twice && record.key.is_none());
-            let is_answered_elsewhere = runs == 0 && ran_as_other_attempt(record, truth);
-            let is_cut = !is_answered_elsewhere && was_cut_off(record, faults);
+            let is_refused = runs == 0 && record.is_refused_for_key();
+            let is_cut = !is_refused && was_cut_off(record, faults);
+            let is_unknown = record.learned == LearnedOutcome::Unknown;
+            tally.key_unknown += u64::from(is_refused && is_unknown);
             tally.cut_by_shutdown += u64::from(is_cut);
             if is_cut || is_twice || (claims_not_run && runs > 0) || record.flaws.break_promise() {
                 tally.suspects.push(format!("runs {runs}: {record:?}"));
@@ -115,6 +120,7 @@
         self.unsent += other.unsent;
         self.resumed += other.resumed;
         self.unknown += other.unknown;
+        self.key_unknown += other.key_unknown;
         self.unknown_chats += other.unknown_chats;
         self.broken += other.broken;
         self.timed_out += other.timed_out;
@@ -158,13 +164,6 @@
     }
 }
 
-/// Whether another attempt under the request's key ran: then a repeat that is told `unknown` was
-/// not cut off, but came when the first answer was no longer held.
-fn ran_as_other_attempt(record: &RequestRecord, truth: &RunTruth) -> bool {
-    let runs = record.key.as_ref().and_then(|key| truth.by_key.get(key));
-    runs.is_some_and(|runs| *runs > 0)
-}
-
 fn keys_of_two_routers(records: &[RequestRecord]) -> usize {
     let mut seen = BTreeSet::new();
     let pairs = records.iter().filter_map(|record| Some((record.key.as_deref()?, record.router)));
--- a/crates/papayamux-measure/src/promises/workload.rs
+++ b/crates/papayamux-measure/src/promises/workload.rs
@@ -235,6 +235,10 @@
         server: None,
         sent,
         ended: Instant::now(),
+        told: outcome.as_ref().and_then(|outcome| match outcome {
+            CallerOutcome::Told(failure) => Some(failure.clone()),
+            _ => None,
+        }),
         learned: outcome.as_ref().map_or(LearnedOutcome::Unknown, learned_of),
         flaws: AnswerFlaws::default(),
         resumes: 0,
--- a/crates/papayamux-measure/tests/promise_counts.rs
+++ b/crates/papayamux-measure/tests/promise_counts.rs
@@ -6,6 +6,7 @@
     check_booking, check_chat, AnswerFlaws, FaultKind, FaultRecord, LearnedOutcome, PromiseTally,
     RequestRecord, RequestWork, RunTruth,
 };
+use papayamux_protocol::failure::{FailureBody, FailureCode, FailureOutcome};
 use papayamux_standins::service::ServiceAnswer;
 use papayamux_testbed::{CallerAnswer, CallerError, CallerOutcome};
 
@@ -29,6 +30,7 @@
         sent: Instant::now(),
         ended: Instant::now(),
         learned,
+        told: None,
         flaws: AnswerFlaws::default(),
         resumes: 0,
         broke: false,
@@ -105,6 +107,11 @@
 fn a_shutdown_is_blamed_for_what_no_other_fault_explains() {
     let (shutdown, silence) = (fault(FaultKind::RouterTerminated), fault(FaultKind::LinkSilent));
     let lost = [booking("lost", LearnedOutcome::Unknown)];
+    let refused = FailureBody::new(FailureCode::KeyInUse, FailureOutcome::Unknown, "in use");
+    let repeat = [RequestRecord { told: Some(refused), ..lost[0].clone() }];
+    let truth = RunTruth::default();
+    let tally = PromiseTally::count(&repeat, std::slice::from_ref(&shutdown), &truth);
+    assert_eq!((tally.cut_by_shutdown, tally.key_unknown), (0, 1));
     let cut_by = |faults: &[FaultRecord]| {
         PromiseTally::count(&lost, faults, &RunTruth::default()).cut_by_shutdown
     };
