--- a/crates/papayamux-agent/src/run.rs
+++ b/crates/papayamux-agent/src/run.rs
@@ -97,9 +97,11 @@
     let mut step = ServerWatch::new(core).wait_for(target, exchange).await;
     if let (ServerStep::Gone, Some(request)) = (&step, again) {
         // Only streamed chats are asked for; nothing of the answer has come, and the request was
-        // lost on a connection that went silent.
-        let exchange = core.client.send_once(request);
-        step = ServerWatch::new(core).wait_for(target, exchange).await;
+        // lost on a connection that went silent. A server that leaves gets it no more.
+        if !core.book.is_leaving() {
+            let exchange = core.client.send_once(request);
+            step = ServerWatch::new(core).wait_for(target, exchange).await;
+        }
     }
     match step {
         ServerStep::Came(Ok(answer)) => relay(core, answer, is_chat, record, recorder).await,
