--- a/crates/papayamux-measure/src/control/requests.rs
+++ b/crates/papayamux-measure/src/control/requests.rs
@@ -27,7 +27,7 @@
 /// Checkpoints of a prompt in a probe.
 const CHECKPOINTS: u32 = 6;
 
-/// Does `act` so many times a second, for as long as a rate is metered.
+/// Does `act` so many times a second, for as long as a rate is metered, and lets the last end.
 async fn at_rate(per_second: u32, mut act: impl FnMut(u32)) {
     if per_second == 0 {
         return;
@@ -39,6 +39,7 @@
         ticks.tick().await;
         act(number);
     }
+    monoio::time::sleep(SETTLE).await;
 }
 
 async fn meter_settled(
