Measure what declared servers cost each request

A router looks through all declared servers for each request. The part declared-servers sends the same rate of chats through routers that know 0, 300 and 600 servers of other models.

--- a/crates/papayamux-measure/src/control/options.rs
+++ b/crates/papayamux-measure/src/control/options.rs
@@ -16,22 +16,25 @@
     Probes,
     /// Chats a second through one router, with the product's policy and with a random choice.
     Requests,
+    /// Declared servers of other models at a router, at a fixed rate of chats.
+    DeclaredServers,
     /// Chats at an agent that were served elsewhere.
     MovedChats,
 }
 
 /// All parts, in the order in which they are measured.
-pub const ALL_PARTS: [ControlPart; 5] = [
+pub const ALL_PARTS: [ControlPart; 6] = [
     ControlPart::AgentLinks,
     ControlPart::RouterLinks,
     ControlPart::Probes,
     ControlPart::Requests,
+    ControlPart::DeclaredServers,
     ControlPart::MovedChats,
 ];
 
 /// The name is no part's.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("unknown part {0:?}; parts: agent-links router-links probes requests moved-chats")]
+#[error("unknown part {0:?}; parts: agent-links router-links probes requests declared-servers moved-chats")]
 pub struct UnknownPart(String);
 
 impl fmt::Display for ControlPart {
@@ -41,6 +44,7 @@
             ControlPart::RouterLinks => "router-links",
             ControlPart::Probes => "probes",
             ControlPart::Requests => "requests",
+            ControlPart::DeclaredServers => "declared-servers",
             ControlPart::MovedChats => "moved-chats",
         })
     }
--- a/crates/papayamux-measure/src/control/requests.rs
+++ b/crates/papayamux-measure/src/control/requests.rs
@@ -1,6 +1,7 @@
 //! Requests and probes at fixed rates.
 
 use std::error::Error;
+use std::fmt::Write;
 use std::time::Duration;
 
 use futures_util::future::join;
@@ -8,11 +9,13 @@
 use papayamux_protocol::chat::ChatMessage;
 use papayamux_protocol::link::{LoadProbe, RouterMessage};
 use papayamux_state::load::{GroupId, GroupLoad};
-use papayamux_testbed::{chat_request, Caller, Fleet, FleetPlan, FLEET_MODEL};
+use papayamux_testbed::{
+    chat_request, Caller, Fleet, FleetPlan, ProcessHandle, TestbedError, FLEET_MODEL,
+};
 
 use super::meter::{meter_for, MeteredRole};
 use super::router_end::{open_router_end, RouterEnd};
-use super::slope::{CostPoint, CostSeries};
+use super::slope::{CostPoint, CostReading, CostSeries};
 
 /// Chats a second through the router.
 const CHAT_RATES: [u32; 4] = [0, 50, 100, 200];
@@ -24,6 +27,12 @@
 const SETTLE: Duration = Duration::from_secs(1);
 /// Engines behind the router.
 const ENGINES: usize = 2;
+/// Declared servers that serve other models.
+const DECLARED_SERVERS: [usize; 3] = [0, 300, 600];
+/// Models of those servers.
+const OTHER_MODELS: usize = 26;
+/// Chats a second while declared servers are counted.
+const DECLARED_RATE: u32 = 50;
 /// Checkpoints of a prompt in a probe.
 const CHECKPOINTS: u32 = 6;
 
@@ -44,8 +53,8 @@
 
 async fn meter_settled(
     role: MeteredRole,
-    process: &papayamux_testbed::ProcessHandle,
-) -> Result<super::slope::CostReading, Box<dyn Error>> {
+    process: &ProcessHandle,
+) -> Result<CostReading, Box<dyn Error>> {
     monoio::time::sleep(SETTLE).await;
     meter_for(role, process, METER_FOR).await
 }
@@ -76,16 +85,39 @@
     router.send(u64::from(number) + 1, RouterMessage::Probe(probe));
 }
 
+fn start_fleet(router_lines: String) -> Result<Fleet, TestbedError> {
+    let engine = ["--step-us", "1000", "--batch", "4096", "--prefill", "1000000"];
+    let plan = FleetPlan::builder().routers(1).engines(ENGINES).services(0);
+    let plan = plan.engine_arguments(engine.map(str::to_string).into());
+    let plan = plan.agent_server_lines("capacity = 4096".to_string());
+    Fleet::start(plan.router_lines(router_lines).build())
+}
+
+/// The same rate of chats through routers that know more and more servers of other models.
+pub async fn measure_declared_servers() -> Result<Vec<CostSeries>, Box<dyn Error>> {
+    let mut points = Vec::new();
+    for count in DECLARED_SERVERS {
+        let mut lines = String::new();
+        for server in 0..count {
+            let model = server % OTHER_MODELS;
+            write!(lines, "\n[server other-{server}]\nagent = 127.0.0.1:9\nmodels = m{model}")?;
+        }
+        let fleet = start_fleet(lines)?;
+        let router = &fleet.routers[0];
+        let caller = Caller::new(router.listen()?, "measure");
+        let chats = at_rate(DECLARED_RATE, |number| start_chat(&caller, DECLARED_RATE, number));
+        let (cost, ()) = join(meter_settled(MeteredRole::Router, router), chats).await;
+        points.push(CostPoint { count: count as f64, cost: cost? });
+    }
+    Ok(vec![CostSeries { role: MeteredRole::Router.name(), points }])
+}
+
 /// New chats of one short turn through one router, under `policy`.
 pub async fn measure_chat_rates(
     policy: &str,
     roles: [&'static str; 2],
 ) -> Result<Vec<CostSeries>, Box<dyn Error>> {
-    let engine = ["--step-us", "1000", "--batch", "4096", "--prefill", "1000000"];
-    let plan = FleetPlan::builder().routers(1).engines(ENGINES).services(0);
-    let plan = plan.engine_arguments(engine.map(str::to_string).into());
-    let plan = plan.agent_server_lines("capacity = 4096".to_string());
-    let fleet = Fleet::start(plan.router_lines(format!("policy = {policy}")).build())?;
+    let fleet = start_fleet(format!("policy = {policy}"))?;
     let (router, agent) = (&fleet.routers[0], &fleet.servers[0].agent);
     let caller = Caller::new(router.listen()?, "measure");
     let (mut router_points, mut agent_points) = (Vec::new(), Vec::new());
--- a/crates/papayamux-measure/src/control/run.rs
+++ b/crates/papayamux-measure/src/control/run.rs
@@ -7,7 +7,7 @@
 use super::chats::measure_moved_chats;
 use super::links::{measure_agent_links, measure_router_links};
 use super::options::{ControlOptions, ControlPart};
-use super::requests::{measure_chat_rates, measure_probes};
+use super::requests::{measure_chat_rates, measure_declared_servers, measure_probes};
 use super::slope::{CostSeries, SlopeReport};
 
 type SeriesResult = Result<Vec<CostSeries>, Box<dyn Error>>;
@@ -32,6 +32,7 @@
         ControlPart::RouterLinks => measure_router_links().await,
         ControlPart::Probes => measure_probes().await,
         ControlPart::Requests => measure_requests().await,
+        ControlPart::DeclaredServers => measure_declared_servers().await,
         ControlPart::MovedChats => measure_moved_chats().await,
     }
 }
