--- a/crates/papayamux-agent/tests/operators_pages.rs
+++ b/crates/papayamux-agent/tests/operators_pages.rs
@@ -1,6 +1,7 @@
 //! The example, the page of settings and the page of metrics agree with the agent.
 
 use papayamux_agent::metrics::AgentMetrics;
+use papayamux_agent::orders::OrderMetrics;
 use papayamux_agent::settings::AgentSettings;
 use prometheus_client::registry::Registry;
 
@@ -10,7 +11,8 @@
 
 /// One section of each kind, each with a key that no reader knows.
 const UNKNOWN_KEYS: &str =
-    "[agent]\nzzz = 1\n[server]\nzzz = 1\n[claims]\nzzz = 1\n[spread]\nzzz = 1\n";
+    "[agent]\nzzz = 1\n[server]\nzzz = 1\n[claims]\nzzz = 1\n[spread]\nzzz = 1\n\
+     [orders]\nzzz = 1\n[peer a]\nzzz = 1\n";
 
 #[test]
 fn the_example_has_no_findings() {
@@ -27,7 +29,7 @@
         .filter_map(|finding| Some((finding.place.split(']').next()?, &finding.help)))
         .filter_map(|(section, help)| Some((section, help.strip_prefix("known keys: ")?)))
         .collect();
-    assert_eq!(known.len(), 4, "{findings}");
+    assert_eq!(known.len(), 6, "{findings}");
     for (section, keys) in known {
         for key in keys.split(", ") {
             let row = format!("| `{key}` |");
@@ -40,6 +42,7 @@
 fn the_page_of_metrics_names_each_metric_and_no_other() {
     let mut registry = Registry::default();
     AgentMetrics::default().register(&mut registry);
+    OrderMetrics::default().register(&mut registry);
     assert_page("papayamux_agent_", &registry);
 }
 
