Route plain calls by known loads, without a probe

Cause: each call to a plain service waited for the answers of two probes, and then up to 10 ms at a service that had no place. Plain services hold no context, so the questions told little that was not known already.

Change: a call goes to the least loaded of four random servers, by the router's own calls in flight there and the last report, if it is fresh, else the mean. Two servers are asked only where the best was not heard of for 2 s. A call waits at no agent while there is another one.

--- a/crates/papayamux-router/src/routing/first_token.rs
+++ b/crates/papayamux-router/src/routing/first_token.rs
@@ -232,34 +232,6 @@
     }
 }
 
-/// Plans a call to a plain service: the least loaded of a few that are asked.
-pub(super) async fn plan_service_call(
-    planner: &RoutePlanner,
-    group: GroupId,
-    servers: Vec<Rc<ServerRecord>>,
-) -> RoutePlan {
-    let group_load = planner.loads().group_load(group, &servers);
-    let order = by_known_load(planner, &servers);
-    let (asked, rest) = order.split_at(order.len().min(PROBES_PER_ROUND));
-    planner.begin_trials(asked);
-    let probe = LoadProbe { checkpoints: Vec::new(), chat: 0, group_load };
-    let replies = probe_all(asked, &probe).await;
-    let mut keyed: Vec<_> = asked
-        .iter()
-        .zip(replies)
-        .map(|(record, reply)| {
-            planner.note_probe(&record.entry.server, reply.is_some());
-            let cost = reply.and_then(|reply| route_cost(&reply, &PromptCheckpoints::default()));
-            (cost.unwrap_or(Duration::MAX), record.clone())
-        })
-        .collect();
-    keyed.sort_by_key(|(cost, _)| *cost);
-    let order = keyed.into_iter().map(|(_, record)| record).chain(rest.iter().cloned());
-    let planned = order.map(|record| PlannedServer { record, patience: LEAST_PATIENCE }).collect();
-    let group_load = planner.loads().group_load(group, &servers);
-    RoutePlan::new(planned, PlanBound::MeanLoad(group_load))
-}
-
 fn ranked(
     servers: &[Rc<ServerRecord>],
     weight: impl Fn(&ServerId) -> u64,
--- a/crates/papayamux-router/src/routing/mod.rs
+++ b/crates/papayamux-router/src/routing/mod.rs
@@ -7,6 +7,7 @@
 mod probe;
 mod route_plan;
 mod route_planner;
+mod service_call;
 
 pub use load_book::{LoadBook, OccupiedPlace};
 pub use policy::{PolicyError, RoutingPolicy};
--- a/crates/papayamux-router/src/routing/route_planner.rs
+++ b/crates/papayamux-router/src/routing/route_planner.rs
@@ -11,8 +11,9 @@
 use papayamux_state::load::GroupId;
 
 use super::baselines::{pass_full, shuffled, two_choices, RingCache};
-use super::first_token::{plan_service_call, ChatDecision};
+use super::first_token::ChatDecision;
 use super::route_plan::{PlanBound, PlannedServer, RoutePlan};
+use super::service_call::plan_service_call;
 use super::{LoadBook, RoutingPolicy};
 use crate::directory::{PathRoute, ServerRecord};
 use crate::metrics::RouterMetrics;
--- a/crates/papayamux-testbed/tests/routing.rs
+++ b/crates/papayamux-testbed/tests/routing.rs
@@ -3,11 +3,15 @@
 use std::error::Error;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::{Method, StatusCode};
 use papayamux_protocol::chat::{ChatMessage, ChatRequest};
 use papayamux_protocol::engine::render_prompt;
 use papayamux_standins::engine::expected_answer;
 use papayamux_standins::fault_proxy::FaultyWays;
-use papayamux_testbed::{chat_request, Caller, CallerAnswer, Fleet, FleetPlan, FLEET_MODEL};
+use papayamux_testbed::{
+    chat_request, Caller, CallerAnswer, Fleet, FleetPlan, FLEET_MODEL, FLEET_PATH,
+};
 use papayamux_transport::runtime;
 
 type TestResult = Result<(), Box<dyn Error>>;
@@ -106,3 +110,29 @@
         Ok(())
     })
 }
+
+#[test]
+fn a_call_in_flight_sends_the_next_one_to_another_service() -> TestResult {
+    let plan = FleetPlan::builder().routers(1).engines(0).services(2);
+    let arguments = ["--call-ms", "3000"].map(str::to_string).to_vec();
+    with_fleet(plan.service_arguments(arguments).build(), async |fleet| {
+        let caller = Caller::new(fleet.routers[0].listen()?, "yanchang-gate");
+        let first = caller.clone();
+        let first =
+            monoio::spawn(
+                async move { first.call(Method::POST, FLEET_PATH, &[], Bytes::new()).await },
+            );
+        let admitted = async || -> Result<Vec<f64>, Box<dyn Error>> {
+            let mut counts = Vec::new();
+            for server in &fleet.servers {
+                counts.push(server.agent.metrics().await?.sum(ADMITTED, ""));
+            }
+            Ok(counts)
+        };
+        while admitted().await?.iter().sum::<f64>() < 1.0 {}
+        let second = caller.call(Method::POST, FLEET_PATH, &[], Bytes::new()).await?;
+        assert_eq!((first.await?.0, second.0), (StatusCode::OK, StatusCode::OK));
+        assert_eq!(admitted().await?, [1.0, 1.0]);
+        Ok(())
+    })
+}
