Let a connection's writing buffer grow with what is written

An idle connection held two buffers of 8 KiB before anything was read or written; a router before 600 agents and an agent behind 420 routers hold one for each. Throughput was not measured again.

--- a/crates/papayamux-transport/src/link.rs
+++ b/crates/papayamux-transport/src/link.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use local_sync::mpsc::unbounded;
@@ -112,6 +113,8 @@
 {
     set_stream_options(&stream)?;
     let mut framed = Framed::new(stream.into_poll_io()?, FrameCodec::<Out, In>::default());
+    // A process may have hundreds of idle connections: each buffer grows with what is written.
+    *framed.write_buffer_mut() = BytesMut::new();
     framed.set_backpressure_boundary(FLUSH_BYTES);
     let (sink, stream) = framed.split();
     let (queue, messages) = unbounded::channel();
