Test that a caller that does not read holds nobody else

Change: a test in which one caller leaves 100,000 events unread while another gets its whole answer over the same connection, and then reads them all.

--- a/crates/papayamux-testbed/tests/whole_path.rs
+++ b/crates/papayamux-testbed/tests/whole_path.rs
@@ -13,6 +13,11 @@
 use papayamux_testbed::{chat_request, Caller, Fleet, FleetPlan, FLEET_MODEL};
 use papayamux_transport::runtime;
 
+/// Tokens of an answer that fits into no window and no socket buffers on the way.
+const TOKENS_BEYOND_BUFFERS: u32 = 100_000;
+/// The token counts and the event that ends a stream.
+const EVENTS_AT_THE_END: usize = 2;
+
 type TestResult = Result<(), Box<dyn Error>>;
 
 fn user_says(text: &str) -> Vec<ChatMessage> {
@@ -104,3 +109,24 @@
         Ok(())
     })
 }
+
+#[test]
+fn a_caller_that_does_not_read_holds_nobody_else() -> TestResult {
+    let engine = ["--step-us", "0"].map(str::to_string).into();
+    let plan = FleetPlan::builder().routers(1).engines(1).services(0).engine_arguments(engine);
+    with_fleet(plan.build(), async |fleet| {
+        let caller = Caller::new(fleet.routers[0].listen()?, "yanchang-desk");
+        let long = chat_request(FLEET_MODEL, user_says("Tell me all."), TOKENS_BEYOND_BUFFERS);
+        let body = serde_json::to_vec(&long)?;
+        let mut unread = caller.send(Method::POST, CHAT_PATH, &[], body.into()).await?;
+        let messages = user_says("Is the gate open?");
+        let expected = expected_answer(FLEET_MODEL, &render_prompt(&messages), Some(200));
+        assert_eq!(caller.chat(&chat_request(FLEET_MODEL, messages, 200)).await?.text, expected);
+        let mut events = 0;
+        while let Some(piece) = unread.next_piece().await {
+            events += piece?.windows(2).filter(|pair| *pair == b"\n\n").count();
+        }
+        assert_eq!(events, TOKENS_BEYOND_BUFFERS as usize + EVENTS_AT_THE_END);
+        Ok(())
+    })
+}
