Bound no server that is alone in its group

With one server in the group a router sends no probe, so that the mean stays what the last finished answer said, near 0, and the agent admitted two streams and let the others wait. Change: with one server the mean is its own load, and only its capacity counts.

--- a/crates/papayamux-coordination/src/load_bound.rs
+++ b/crates/papayamux-coordination/src/load_bound.rs
@@ -68,10 +68,11 @@
         estimate.servers = load.servers;
     }
 
-    /// The most requests that may run for a group; `None` where its mean is not known.
+    /// The most requests that may run for a group; `None` where its mean is not known, or where
+    /// the server is the only one: what it carries is the mean then, whatever an old report says.
     pub fn limit(&self, group: GroupId, now: AgentClock) -> Option<RequestCount> {
         let estimate = self.estimates.borrow().get(&group)?.decayed(now);
-        (estimate.weight > LEAST_WEIGHT)
+        (estimate.weight > LEAST_WEIGHT && estimate.servers > 1)
             .then(|| self.factor.limit(estimate.weighted / estimate.weight, estimate.servers))
     }
 }
--- a/crates/papayamux-coordination/tests/admission_book.rs
+++ b/crates/papayamux-coordination/tests/admission_book.rs
@@ -13,7 +13,7 @@
 use papayamux_coordination::admission_ticket::AdmissionTicket;
 use papayamux_protocol::link::AgentClock;
 use papayamux_state::ids::Incarnation;
-use papayamux_state::load::{LoadFactor, ADMISSION_MARGIN};
+use papayamux_state::load::{GroupLoad, LoadFactor, ADMISSION_MARGIN};
 use papayamux_state::quantities::RequestCount;
 use papayamux_state::refusal::RefusalReason;
 use support::{mean_load, request, TestResult, AGENT};
@@ -104,6 +104,21 @@
     }
 }
 
+#[test]
+fn a_server_alone_in_its_group_has_no_bound_but_its_capacity() -> TestResult {
+    let book = book(64);
+    let alone = GroupLoad { servers: 1, ..mean_load(0.0) };
+    let mut permits = Vec::new();
+    for number in 0..64 {
+        let mut open = request(number, "yanchang")?;
+        open.placement.group_load = Some(alone);
+        book.hear_mean(&alone, NOW);
+        let Ok(Admission::Now(permit)) = book.admit(&open, NOW) else { return Err("full".into()) };
+        permits.push(permit);
+    }
+    Ok(())
+}
+
 #[test]
 fn a_server_at_the_bound_refuses_although_it_has_capacity() -> TestResult {
     let book = book(64);
