--- a/crates/papayamux-measure/src/routing/load_sampler.rs
+++ b/crates/papayamux-measure/src/routing/load_sampler.rs
@@ -9,6 +9,7 @@
 use http::{Method, Request, StatusCode};
 use papayamux_protocol::engine::EngineLoad;
 use papayamux_standins::engine::TRUE_LOAD_PATH;
+use papayamux_state::load::LoadFactor;
 use papayamux_transport::http::HttpClient;
 use serde_json::Value;
 
@@ -19,8 +20,6 @@
 /// Samples with a smaller mean load are left out of the skew: a single request more or less would
 /// decide it.
 pub const SMALLEST_MEAN: f64 = 2.0;
-/// The load bound `c` that agents keep where their settings name none.
-const LOAD_FACTOR: f64 = 1.5;
 const STATUS_PATH: &str = "/status";
 const LONGEST_ANSWER: u64 = 64 * 1024;
 
@@ -46,9 +45,10 @@
         self.loads.iter().sum::<u64>() as f64 / self.loads.len().max(1) as f64
     }
 
-    /// Whether an engine has more than `c` times the mean, rounded up to whole requests.
+    /// Whether an engine has more than `c` times the mean, rounded up to whole requests, with the
+    /// factor that agents keep where their settings name none.
     fn is_over_bound(&self) -> bool {
-        self.highest() as f64 > (LOAD_FACTOR * self.mean()).ceil()
+        self.highest() as f64 > (LoadFactor::DEFAULT.get() * self.mean()).ceil()
     }
 
     fn highest(&self) -> u64 {
@@ -65,7 +65,7 @@
     pub p95: f64,
     /// The highest.
     pub max: f64,
-    /// Share of the samples in which an engine had more than `c` (1.5) times the mean, rounded up.
+    /// Share of the samples in which an engine had more than `c` times the mean, rounded up.
     pub over_bound: f64,
     /// The most requests above the mean at any engine.
     pub most_above_mean: f64,
--- a/crates/papayamux-measure/src/routing/report.rs
+++ b/crates/papayamux-measure/src/routing/report.rs
@@ -75,7 +75,7 @@
     pub skew_p95: f64,
     /// The same at its highest.
     pub skew_max: f64,
-    /// Share of the load samples in which an engine had more than `c` (1.5) times the mean,
+    /// Share of the load samples in which an engine had more than `c` times the mean,
     /// rounded up to whole requests.
     pub over_bound: f64,
     /// The most requests that any engine had above the mean.
--- a/crates/papayamux-measure/tests/routing_parts.rs
+++ b/crates/papayamux-measure/tests/routing_parts.rs
@@ -65,10 +65,10 @@
     assert_eq!((skew.max, skew.most_above_mean), (1.5, 2.0));
     assert_eq!((skew.samples, skew.left_out), (1, 1));
     assert_eq!(skew.over_bound, 0.0);
-    let samples = [sample(100, &[7, 1]), sample(200, &[6, 2])];
+    let samples = [sample(100, &[7, 0, 0]), sample(200, &[4, 1, 1])];
     let skew = SkewSummary::of(&samples, Duration::ZERO, Duration::from_secs(1));
     assert_eq!(skew.over_bound, 0.5);
-    assert_eq!(samples[0].of_demands().loads, [8, 2]);
+    assert_eq!(samples[0].of_demands().loads, [8, 1, 1]);
 }
 
 #[test]
