--- a/crates/papayamux-agent/src/daemon.rs
+++ b/crates/papayamux-agent/src/daemon.rs
@@ -9,7 +9,7 @@
 use futures_util::StreamExt;
 use papayamux_coordination::admission::AdmissionBook;
 use papayamux_daemon::logging::start_logging;
-use papayamux_daemon::operations::{serve_operations, OperationsView};
+use papayamux_daemon::operations::{serve_operations, OperationsView, READY_PATH};
 use papayamux_daemon::signals::catch_end_signals;
 use papayamux_spread::configuration::ConfigurationView;
 use papayamux_spread::SpreadIdentity;
@@ -213,7 +213,7 @@
         orders,
     });
     let view = Rc::new(AgentView { core: core.clone(), configuration });
-    monoio::spawn(serve_operations(operators, Rc::new(registry), view, ShutdownSignal::new()));
+    monoio::spawn(serve_operations(operators, READY_PATH.to_string(), Rc::new(registry), view, ShutdownSignal::new()));
     monoio::spawn(accept_routers(core.clone(), routers));
     let timers = TimerService::start();
     monoio::spawn(follow_engine(core.clone(), timers.clone()));
--- /dev/null
+++ b/crates/papayamux-coordination/src/key_freshness.rs
@@ -0,0 +1,50 @@
+//! Whether the known API keys are recent enough to let anybody in.
+//!
+//! A key that was taken away must stop working within a bound, also at a router that can no
+//! longer hear of it. So a router serves keys only while it knows, by a read that came back, that
+//! its configuration was the newest not long ago. A watch that still waits proves nothing.
+
+use std::time::Duration;
+
+use papayamux_state::boot_time::BootInstant;
+
+/// Part of the revocation bound that is kept in reserve. A store that compacts its history may
+/// answer watches without the newest changes for about a second before it cuts them; the rest is
+/// for timers that fire late.
+pub const REVOCATION_RESERVE: Duration = Duration::from_millis(1_200);
+
+/// Confirmation of the configuration by its source.
+#[derive(Debug)]
+pub struct KeyFreshness {
+    longest_age: Option<Duration>,
+    confirmed: Option<BootInstant>,
+}
+
+impl KeyFreshness {
+    /// Keys must be confirmed within `revoke_within` less a reserve; `None` lets keys be used
+    /// however old they are.
+    pub fn new(revoke_within: Option<Duration>) -> Self {
+        let longest_age = revoke_within.map(|bound| bound.saturating_sub(REVOCATION_RESERVE));
+        Self { longest_age, confirmed: None }
+    }
+
+    /// Notes that a read which was sent at `sent` returned the newest configuration. What it
+    /// returned may have been current only at that moment, not when it arrived.
+    pub fn confirm(&mut self, sent: BootInstant) {
+        self.confirmed = self.confirmed.max(Some(sent));
+    }
+
+    /// How old the last confirmation is.
+    pub fn age(&self, now: BootInstant) -> Option<Duration> {
+        self.confirmed.map(|confirmed| now.since(confirmed))
+    }
+
+    /// Whether a key may be accepted.
+    pub fn is_fresh(&self, now: BootInstant) -> bool {
+        match (self.longest_age, self.age(now)) {
+            (None, _) => true,
+            (Some(longest), Some(age)) => age < longest,
+            (Some(_), None) => false,
+        }
+    }
+}
--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -4,12 +4,20 @@
 
 pub mod admission;
 pub mod admission_ticket;
+pub mod attempt_plan;
 pub mod claims;
 pub mod fair_queue;
+pub mod key_freshness;
 pub mod load_bound;
 pub mod orders;
+pub mod placement;
 pub mod prefill_backlog;
 pub mod retry_budget;
 pub mod route_cost;
+pub mod router_peers;
 mod seen_requests;
 pub mod server_evidence;
+pub mod server_presence;
+pub mod server_pulse;
+pub mod service_retry_budget;
+pub mod source_pace;
--- /dev/null
+++ b/crates/papayamux-coordination/src/router_peers.rs
@@ -0,0 +1,104 @@
+//! Which other routers there are, and whom to tell next.
+//!
+//! Each router tells a few others at a time about its requests, in turn, and names the routers
+//! that it hears. So all find one another from a few addresses, and the traffic of one router is
+//! bounded however many there are.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+/// Silence after which a router is forgotten; its address comes back with the next router that
+/// hears it. Longer than a short cut, so that a healed link is used at once.
+const FORGET_AFTER: Duration = Duration::from_secs(10);
+/// Silence after which a router is no longer named to others.
+const NAME_WITHIN: Duration = Duration::from_secs(3);
+/// Routers told at a time.
+const FANOUT: usize = 12;
+/// Reports by which a datagram may be late; an older number is that of a restarted router.
+const REORDERED: u64 = 8;
+/// Routers kept: twice the largest fleet that is designed for.
+const MOST_PEERS: usize = 1_024;
+
+#[derive(Debug, Clone, Copy)]
+struct PeerState {
+    named: Instant,
+    heard: Option<Instant>,
+    sequence: u64,
+}
+
+/// The other routers.
+#[derive(Debug)]
+pub struct RouterPeers {
+    own: IpAddr,
+    seeds: Vec<IpAddr>,
+    peers: BTreeMap<IpAddr, PeerState>,
+    told_last: Option<IpAddr>,
+}
+
+impl RouterPeers {
+    /// The router at `own`, which begins with `seeds`.
+    pub fn new(own: IpAddr, seeds: Vec<IpAddr>) -> Self {
+        Self { own, seeds, peers: BTreeMap::new(), told_last: None }
+    }
+
+    /// Replaces the addresses to begin with.
+    pub fn set_seeds(&mut self, seeds: Vec<IpAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Notes a report of `peer`; `false` where it is older than one that was heard before.
+    pub fn hear(
+        &mut self,
+        peer: IpAddr,
+        sequence: u64,
+        known: &[IpAddr],
+        now: Instant,
+    ) -> bool {
+        if peer == self.own {
+            return false;
+        }
+        let fresh = PeerState { named: now, heard: None, sequence: 0 };
+        for address in known.iter().filter(|address| **address != self.own) {
+            if self.peers.len() < MOST_PEERS {
+                self.peers.entry(*address).or_insert(fresh).named = now;
+            }
+        }
+        let state = self.peers.entry(peer).or_insert(fresh);
+        let heard_lately = state.heard.is_some_and(|heard| now - heard < NAME_WITHIN);
+        let restarted = sequence.saturating_add(REORDERED) < state.sequence;
+        if heard_lately && sequence <= state.sequence && !restarted {
+            return false;
+        }
+        *state = PeerState { named: now, heard: Some(now), sequence };
+        true
+    }
+
+    /// Routers to name to others.
+    pub fn alive(&self, now: Instant) -> Vec<IpAddr> {
+        let alive = self.peers.iter().filter(|(_, state)| state.is_alive(now));
+        alive.map(|(address, _)| *address).collect()
+    }
+
+    /// Whom to tell next: a few routers in turn, and the seeds that are not among the known ones.
+    pub fn next_targets(&mut self, now: Instant) -> Vec<IpAddr> {
+        self.peers.retain(|_, state| now - state.last_sign() < FORGET_AFTER);
+        let seeds = self.seeds.iter().filter(|seed| **seed != self.own);
+        let unknown_seeds = seeds.filter(|seed| !self.peers.contains_key(seed)).copied();
+        let start = self.told_last.map_or(0, |last| self.peers.range(..=last).count());
+        let turn = self.peers.keys().cycle().skip(start).take(FANOUT.min(self.peers.len()));
+        let turn: Vec<_> = turn.copied().collect();
+        self.told_last = turn.last().copied().or(self.told_last);
+        unknown_seeds.chain(turn.iter().copied()).collect()
+    }
+}
+
+impl PeerState {
+    fn last_sign(&self) -> Instant {
+        self.heard.map_or(self.named, |heard| heard.max(self.named))
+    }
+
+    fn is_alive(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|heard| now - heard < NAME_WITHIN)
+    }
+}
--- /dev/null
+++ b/crates/papayamux-coordination/src/server_pulse.rs
@@ -0,0 +1,76 @@
+//! Which servers have gone silent with requests under way.
+//!
+//! A server that lost its power or its link closes no connection. It is told from a busy one by
+//! hearing nothing on any of its connections while others are heard.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use papayamux_state::ids::ServerId;
+
+/// How recently another server must have been heard. Where none was, the silence is our own: a
+/// paused process, or a link that is cut.
+const OTHERS_HEARD_WITHIN: Duration = Duration::from_millis(150);
+
+#[derive(Debug, Clone, Copy)]
+struct Pulse {
+    pending: u32,
+    waiting_since: Instant,
+}
+
+/// When servers were last heard, for one service.
+#[derive(Debug, Default)]
+pub struct PulseBook {
+    servers: HashMap<ServerId, Pulse>,
+    heard_any: Option<(ServerId, Instant)>,
+    heard_other: Option<Instant>,
+}
+
+impl PulseBook {
+    /// Notes that a request was sent to `server` and an answer is awaited.
+    pub fn begin(&mut self, server: &ServerId, now: Instant) {
+        let pulse =
+            self.servers.entry(server.clone()).or_insert(Pulse { pending: 0, waiting_since: now });
+        if pulse.pending == 0 {
+            pulse.waiting_since = now;
+        }
+        pulse.pending += 1;
+    }
+
+    /// Notes that nothing more is awaited for one request.
+    pub fn end(&mut self, server: &ServerId) {
+        if let Some(pulse) = self.servers.get_mut(server) {
+            pulse.pending = pulse.pending.saturating_sub(1);
+            if pulse.pending == 0 {
+                self.servers.remove(server);
+            }
+        }
+    }
+
+    /// Notes that something arrived from `server`.
+    pub fn hear(&mut self, server: &ServerId, now: Instant) {
+        if let Some(pulse) = self.servers.get_mut(server) {
+            pulse.waiting_since = now;
+        }
+        match &mut self.heard_any {
+            Some((last, heard)) if last == server => *heard = now,
+            last => {
+                self.heard_other = last.take().map(|(_, heard)| heard).max(self.heard_other);
+                *last = Some((server.clone(), now));
+            }
+        }
+    }
+
+    /// How long `server` has owed a sign of life while another server gave one.
+    pub fn silence(&self, server: &ServerId, now: Instant) -> Option<Duration> {
+        let pulse = self.servers.get(server)?;
+        let silence = now.saturating_duration_since(pulse.waiting_since);
+        let other = match &self.heard_any {
+            Some((last, heard)) if last != server => Some(*heard),
+            _ => self.heard_other,
+        };
+        let others_live =
+            other.is_some_and(|heard| now.saturating_duration_since(heard) < OTHERS_HEARD_WITHIN);
+        others_live.then_some(silence)
+    }
+}
--- a/crates/papayamux-daemon/src/operations.rs
+++ b/crates/papayamux-daemon/src/operations.rs
@@ -25,16 +25,20 @@
 /// Connections of operators open at once.
 const MOST_CONNECTIONS: usize = 64;
 
-/// Serves the operators' port until `shutdown`.
+/// The path at which a balancer asks whether a daemon is ready, where nothing else is set.
+pub const READY_PATH: &str = "/ready";
+
+/// Serves the operators' port until `shutdown`; `ready_path` answers the balancer.
 pub async fn serve_operations(
     listener: TcpListener,
+    ready_path: String,
     registry: Rc<Registry>,
     view: Rc<dyn OperationsView>,
     shutdown: ShutdownSignal,
 ) -> io::Result<()> {
     let limits = HttpLimits { connections: MOST_CONNECTIONS, ..HttpLimits::default() };
     let handler = Rc::new(move |request: Request<Incoming>| {
-        let answer = answer_operator(&request, &registry, &*view);
+        let answer = answer_operator(&request, &ready_path, &registry, &*view);
         async move { answer }
     });
     serve(listener, limits, shutdown, handler).await
@@ -42,6 +46,7 @@
 
 fn answer_operator(
     request: &Request<Incoming>,
+    ready_path: &str,
     registry: &Registry,
     view: &dyn OperationsView,
 ) -> Response<AnswerBody> {
@@ -62,8 +67,8 @@
             answer(status, METRICS_TYPE, text)
         }
         "/status" => answer(StatusCode::OK, JSON_TYPE, view.status().to_string()),
-        "/ready" if view.is_ready() => answer(StatusCode::OK, JSON_TYPE, "{\"ready\":true}".into()),
-        "/ready" => answer(StatusCode::SERVICE_UNAVAILABLE, JSON_TYPE, "{\"ready\":false}".into()),
+        path if path == ready_path && view.is_ready() => answer(StatusCode::OK, JSON_TYPE, "{\"ready\":true}".into()),
+        path if path == ready_path => answer(StatusCode::SERVICE_UNAVAILABLE, JSON_TYPE, "{\"ready\":false}".into()),
         _ => answer(
             StatusCode::NOT_FOUND,
             JSON_TYPE,
--- a/crates/papayamux-daemon/src/signals.rs
+++ b/crates/papayamux-daemon/src/signals.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use futures_channel::mpsc::{unbounded, UnboundedReceiver};
+pub use signal_hook::consts::SIGHUP;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -11,7 +12,16 @@
 
 /// Catches the signals that end a daemon.
 pub fn catch_end_signals() -> io::Result<SignalReceiver> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    catch(&[SIGTERM, SIGINT])
+}
+
+/// Catches the signals that end a daemon, and the one that asks it to read its settings again.
+pub fn catch_signals() -> io::Result<SignalReceiver> {
+    catch(&[SIGTERM, SIGINT, SIGHUP])
+}
+
+fn catch(numbers: &[i32]) -> io::Result<SignalReceiver> {
+    let mut signals = Signals::new(numbers)?;
     let (sender, receiver) = unbounded();
     std::thread::Builder::new().name("signals".to_string()).spawn(move || {
         for signal in signals.forever() {
--- a/crates/papayamux-protocol/src/lib.rs
+++ b/crates/papayamux-protocol/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod peer;
 pub mod platform;
 pub mod proof;
+pub mod router_report;
 pub mod serving;
 pub mod wire;
--- a/crates/papayamux-router/src/daemon.rs
+++ b/crates/papayamux-router/src/daemon.rs
@@ -11,7 +11,7 @@
 use http::{HeaderValue, Response};
 use monoio::task::JoinHandle;
 use papayamux_daemon::logging::start_logging;
-use papayamux_daemon::operations::{serve_operations, OperationsView};
+use papayamux_daemon::operations::{serve_operations, OperationsView, READY_PATH};
 use papayamux_daemon::signals::catch_end_signals;
 use papayamux_spread::configuration::ConfigurationView;
 use papayamux_spread::SpreadIdentity;
@@ -151,7 +151,7 @@
     });
     let shutdown = ShutdownSignal::new();
     let registry = Rc::new(registry);
-    monoio::spawn(serve_operations(operators, registry, view.clone(), ShutdownSignal::new()));
+    monoio::spawn(serve_operations(operators, READY_PATH.to_string(), registry, view.clone(), ShutdownSignal::new()));
     let incarnation = identity.incarnation;
     let loads = Rc::new(LoadBook::default());
     let servers = settings.servers.clone();
--- /dev/null
+++ b/crates/papayamux-router/src/direct/active_request.rs
@@ -0,0 +1,56 @@
+//! A request that is under way at a backend server.
+
+use std::rc::Rc;
+
+use papayamux_coordination::placement::ServerLoad;
+use papayamux_coordination::server_evidence::EvidenceKind;
+use papayamux_state::backend::BackendServer;
+use papayamux_state::prompt::PromptChain;
+
+use super::fleet::ChosenServer;
+use super::Fleet;
+
+/// Counts a request into its server's load for as long as it lives.
+pub(super) struct ActiveRequest {
+    fleet: Rc<Fleet>,
+    server: Rc<BackendServer>,
+    load: ServerLoad,
+}
+
+impl ActiveRequest {
+    /// Counts a request that is about to be sent.
+    pub(super) fn begin(fleet: &Rc<Fleet>, chosen: &ChosenServer, prompt: &PromptChain) -> Self {
+        fleet.begin_request(chosen, prompt);
+        Self { fleet: fleet.clone(), server: chosen.server.clone(), load: chosen.load }
+    }
+
+    /// The server.
+    pub(super) fn server(&self) -> &Rc<BackendServer> {
+        &self.server
+    }
+
+    /// Notes that something of the answer has arrived. The prompt has been read then.
+    pub(super) fn hear(&mut self) {
+        self.fleet.hear_server(&self.server);
+    }
+
+    /// Notes the first event: the prompt is no longer part of the server's backlog.
+    pub(super) fn prompt_was_read(&mut self) {
+        if self.load.backlog > 0 {
+            let read = ServerLoad { requests: 0, backlog: self.load.backlog };
+            self.fleet.ledger().borrow_mut().end(&self.server.id, read);
+            self.load.backlog = 0;
+        }
+    }
+
+    /// Notes evidence against the server.
+    pub(super) fn accuse(&self, kind: EvidenceKind) {
+        self.fleet.note_evidence(&self.server, kind);
+    }
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        self.fleet.end_request(&self.server, self.load);
+    }
+}
--- /dev/null
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -0,0 +1,178 @@
+//! One sending of a request to one backend server.
+
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::{select, Either};
+use http::request::Request;
+use papayamux_coordination::attempt_plan::AttemptLoss;
+use papayamux_coordination::server_evidence::EvidenceKind;
+use papayamux_transport::http::upstream::{UpstreamAnswer, UpstreamError};
+
+use super::active_request::ActiveRequest;
+use super::call_desk::TIME_UP;
+use super::call_plan::CallPlan;
+use super::interface::{AnswerVerdict, CallInterface};
+
+/// Bytes of an answer that are collected before any of it is passed on, so that an answer that
+/// breaks off can be asked for again.
+const BUFFERED_ANSWER: usize = 128 * 1024;
+/// Silence of a server before a request that may be repeated goes to another one.
+const LEAST_SILENCE: Duration = Duration::from_millis(250);
+/// How often a silence is looked at again.
+const SILENCE_CHECK: Duration = Duration::from_millis(50);
+
+/// An answer that has begun.
+pub(super) struct AttemptAnswer {
+    pub(super) answer: UpstreamAnswer,
+    pub(super) active: ActiveRequest,
+}
+
+/// Why an attempt brought no answer.
+pub(super) struct LostAttempt {
+    pub(super) loss: AttemptLoss,
+    pub(super) cause: String,
+}
+
+/// What was read of an answer's body.
+pub(super) enum CollectedBody {
+    /// All of it.
+    Whole(Bytes),
+    /// The beginning of one that is longer than is collected.
+    Begun(Bytes),
+}
+
+/// What ended a wait.
+pub(super) enum Waited<T> {
+    /// What was waited for.
+    Done(T),
+    /// The server has gone silent.
+    Silent,
+    /// The caller or the route gives up.
+    TimeUp,
+}
+
+/// Waits for `work` until the plan gives up, and for a request that may be repeated no longer
+/// than its server shows signs of life.
+pub(super) async fn wait_for<T>(
+    plan: &CallPlan,
+    active: &ActiveRequest,
+    work: impl std::future::Future<Output = T>,
+) -> Waited<T> {
+    let mut work = std::pin::pin!(work);
+    let patience = patience(plan);
+    let mut wait = patience.min(plan.left());
+    loop {
+        let pause = std::pin::pin!(monoio::time::sleep(wait));
+        match select(work.as_mut(), pause).await {
+            Either::Left((done, _)) => return Waited::Done(done),
+            Either::Right(_) if plan.left().is_zero() => return Waited::TimeUp,
+            Either::Right(_) => {}
+        }
+        let silence = plan.fleet.silence(active.server(), Instant::now());
+        if plan.kind().may_repeat() && silence.is_some_and(|silence| silence >= patience) {
+            return Waited::Silent;
+        }
+        wait = SILENCE_CHECK.min(plan.left());
+    }
+}
+
+/// How long a silence is borne.
+fn patience(plan: &CallPlan) -> Duration {
+    match plan.kind().may_repeat() {
+        true => LEAST_SILENCE.max(plan.route.objective.mul_f64(0.5)),
+        false => plan.left(),
+    }
+}
+
+/// Sends the request once and waits for the head of its answer.
+pub(super) async fn send_attempt(
+    interface: &dyn CallInterface,
+    plan: &CallPlan,
+    active: ActiveRequest,
+    request: Request<Bytes>,
+) -> Result<AttemptAnswer, LostAttempt> {
+    let mut active = active;
+    let sending = plan.fleet.pool().send(active.server().address, request);
+    let answer = match wait_for(plan, &active, sending).await {
+        Waited::Done(Ok(answer)) => answer,
+        Waited::Done(Err(error)) => return Err(lost_by_error(&active, &error)),
+        Waited::Silent => {
+            active.accuse(EvidenceKind::Unreachable);
+            return Err(unknown("the server is silent"));
+        }
+        Waited::TimeUp => return Err(unknown(TIME_UP)),
+    };
+    active.hear();
+    match interface.verdict(&plan.call, &answer.head) {
+        AnswerVerdict::Answer => Ok(AttemptAnswer { answer, active }),
+        AnswerVerdict::NotRun => {
+            finish_rejection(answer).await;
+            Err(LostAttempt { loss: AttemptLoss::Rejected, cause: "rejected".to_string() })
+        }
+        AnswerVerdict::OtherServer => {
+            active.accuse(EvidenceKind::Unreachable);
+            let cause = "another server has the address".to_string();
+            Err(LostAttempt { loss: AttemptLoss::Rejected, cause })
+        }
+        AnswerVerdict::Foreign => Err(unknown("the answer belongs to another request")),
+    }
+}
+
+fn lost_by_error(active: &ActiveRequest, error: &UpstreamError) -> LostAttempt {
+    active.accuse(EvidenceKind::Unreachable);
+    let loss = match error.nothing_was_sent() {
+        true => AttemptLoss::NotSent,
+        false => AttemptLoss::Unknown,
+    };
+    LostAttempt { loss, cause: error.to_string() }
+}
+
+fn unknown(cause: &str) -> LostAttempt {
+    LostAttempt { loss: AttemptLoss::Unknown, cause: cause.to_string() }
+}
+
+/// How long the rest of a rejection may take to arrive, so that its connection can be kept.
+const REJECTION_WITHIN: Duration = Duration::from_millis(5);
+
+async fn finish_rejection(mut answer: UpstreamAnswer) {
+    let rest = async {
+        while let Some(piece) = answer.next_piece().await {
+            if piece.is_err() {
+                return;
+            }
+        }
+        answer.finish();
+    };
+    // A rejection that takes longer costs its connection and nothing else.
+    let _ = monoio::time::timeout(REJECTION_WITHIN, rest).await;
+}
+
+/// Reads an answer's body up to the bound for collecting.
+pub(super) async fn collect_body(
+    plan: &CallPlan,
+    attempt: &mut AttemptAnswer,
+) -> Result<CollectedBody, LostAttempt> {
+    let mut body = BytesMut::new();
+    loop {
+        let piece = wait_for(plan, &attempt.active, attempt.answer.next_piece()).await;
+        match piece {
+            Waited::Done(None) => return Ok(CollectedBody::Whole(body.freeze())),
+            Waited::Done(Some(Ok(piece))) => {
+                attempt.active.hear();
+                body.extend_from_slice(&piece);
+                if body.len() > BUFFERED_ANSWER {
+                    return Ok(CollectedBody::Begun(body.freeze()));
+                }
+            }
+            Waited::Done(Some(Err(error))) => {
+                return Err(unknown(&format!("the answer broke off: {error}")));
+            }
+            Waited::Silent => {
+                attempt.active.accuse(EvidenceKind::Unreachable);
+                return Err(unknown("the server is silent in its answer"));
+            }
+            Waited::TimeUp => return Err(unknown("the time is up in the answer")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayamux-router/src/direct/call_desk.rs
@@ -0,0 +1,323 @@
+//! Serves callers' requests: admits them, finds a server, passes the answer on.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONNECTION, TRANSFER_ENCODING};
+use http::response::Parts;
+use http::{HeaderMap, Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use papayamux_coordination::attempt_plan::AttemptLoss;
+use papayamux_state::service_config::{ConfigurationSnapshot, KeyHolder, Route};
+use papayamux_transport::http::AnswerBody;
+
+use super::active_request::ActiveRequest;
+use super::attempt::{collect_body, send_attempt, AttemptAnswer, CollectedBody, LostAttempt};
+use super::call_plan::CallPlan;
+use super::interface::CallInterface;
+use super::stream_relay::{InFlight, StreamRelay};
+use super::{CallFailure, CallHead, Fleet, NotRunReason};
+
+/// How long a request waits for the configuration to be confirmed: several answers of the source,
+/// and less than an eighth of the shortest objectives of model requests.
+const CONFIRM_WITHIN: Duration = Duration::from_millis(60);
+/// Age of the configuration up to which "no such route" and "no such key" are believed at once.
+const NEGATIVE_AGE: Duration = Duration::from_millis(1_000);
+/// When a caller may come back whose key could not be confirmed: at another router, at once.
+const STALE_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// When a caller may come back while a router has no configuration yet.
+const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Headers that belong to one connection.
+const CONNECTION_HEADERS: [&str; 5] =
+    ["keep-alive", "proxy-connection", "te", "trailer", "upgrade"];
+
+/// The requests of callers.
+pub struct CallDesk {
+    fleet: Rc<Fleet>,
+    interface: Rc<dyn CallInterface>,
+}
+
+/// A request that may be run, with what it may use.
+struct AdmittedCall {
+    route: Rc<Route>,
+    holder: Option<Rc<KeyHolder>>,
+    longest_body: u64,
+}
+
+impl CallDesk {
+    /// A desk that speaks `interface`.
+    pub fn new(fleet: Rc<Fleet>, interface: Rc<dyn CallInterface>) -> Rc<Self> {
+        Rc::new(Self { fleet, interface })
+    }
+
+    /// Answers a request.
+    pub async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let arrived = Instant::now();
+        let (head, body) = request.into_parts();
+        let call = match self.interface.read_call(head) {
+            Ok(call) => Rc::new(call),
+            Err(failure) => return self.refuse(None, arrived, &failure),
+        };
+        match self.serve(call.clone(), body, arrived).await {
+            Ok(response) => response,
+            Err(failure) => self.refuse(Some(&call), arrived, &failure),
+        }
+    }
+
+    fn refuse(
+        &self,
+        call: Option<&CallHead>,
+        arrived: Instant,
+        failure: &CallFailure,
+    ) -> Response<AnswerBody> {
+        log::info!(
+            request:% = call.map_or("", |call| call.id.0.as_str()), outcome = failure.label(),
+            cause:% = failure, ms = arrived.elapsed().as_millis() as u64,
+            configuration_age_ms = self.configuration_age_ms(); "request refused"
+        );
+        self.interface.failure(failure)
+    }
+
+    fn configuration_age_ms(&self) -> u64 {
+        let age = self.fleet.configuration_age();
+        age.map_or(u64::MAX, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    async fn serve(
+        &self,
+        call: Rc<CallHead>,
+        body: Incoming,
+        arrived: Instant,
+    ) -> Result<Response<AnswerBody>, CallFailure> {
+        let admitted = self.admit(&call).await?;
+        let draw = rand::random::<f64>();
+        let Some(service) = admitted.route.pick_service(draw).cloned() else {
+            return Err(CallFailure::not_run(NotRunReason::NoServer));
+        };
+        let fleet = self.fleet.clone();
+        let mut plan =
+            CallPlan::new(fleet, call, admitted.route, service, admitted.holder, arrived);
+        plan.body = read_body(body, admitted.longest_body, plan.left()).await?;
+        let in_flight = InFlight::begin(&self.fleet);
+        self.fleet.budget().borrow_mut().note_request(&plan.service, Instant::now());
+        self.run(plan, in_flight).await
+    }
+
+    /// Finds the route, and whose key it is.
+    async fn admit(&self, call: &CallHead) -> Result<AdmittedCall, CallFailure> {
+        match self.look_up(call) {
+            Ok((admitted, needs_key)) if !needs_key || self.fleet.keys_are_fresh() => {
+                return Ok(admitted);
+            }
+            Err(failure) if self.may_be_believed(&failure) => return Err(failure),
+            _ => self.fleet.refresh_configuration(CONFIRM_WITHIN).await,
+        }
+        let stale = CallFailure::NotRun {
+            reason: NotRunReason::StaleConfiguration,
+            retry_after: Some(STALE_RETRY_AFTER),
+        };
+        match self.look_up(call) {
+            Ok((admitted, needs_key)) if !needs_key || self.fleet.keys_are_fresh() => Ok(admitted),
+            Err(failure) if self.may_be_believed(&failure) => Err(failure),
+            _ => Err(stale),
+        }
+    }
+
+    /// Whether a refusal rests on a configuration that is recent enough.
+    fn may_be_believed(&self, failure: &CallFailure) -> bool {
+        match failure {
+            CallFailure::UnknownRoute | CallFailure::UnknownKey => {
+                self.fleet.configuration_age().is_some_and(|age| age < NEGATIVE_AGE)
+            }
+            _ => true,
+        }
+    }
+
+    /// The route and the key's holder by the configuration in force, and whether the key had to
+    /// be known.
+    fn look_up(&self, call: &CallHead) -> Result<(AdmittedCall, bool), CallFailure> {
+        let Some(configuration) = self.fleet.configuration() else {
+            return Err(CallFailure::NotRun {
+                reason: NotRunReason::NoConfiguration,
+                retry_after: Some(UNCONFIGURED_RETRY_AFTER),
+            });
+        };
+        let route = configuration.routes.find(&call.host, call.target.path());
+        let route = route.ok_or(CallFailure::UnknownRoute)?.clone();
+        let holder = key_holder(&configuration, call);
+        let needs_key = configuration.organisations.is_some() && !route.anonymous;
+        if needs_key && holder.is_none() {
+            return Err(CallFailure::UnknownKey);
+        }
+        let longest_body = configuration.limits.body_bytes.get();
+        Ok((AdmittedCall { route, holder, longest_body }, needs_key))
+    }
+
+    /// Makes attempts until there is an answer, or none can be had.
+    async fn run(
+        &self,
+        mut plan: CallPlan,
+        in_flight: InFlight,
+    ) -> Result<Response<AnswerBody>, CallFailure> {
+        let mut fallback = None;
+        loop {
+            let mut attempt = match self.attempt(&mut plan).await {
+                Ok(attempt) => attempt,
+                Err(Failed::Given(failure)) => return fallback.ok_or(failure),
+                Err(Failed::Lost(lost)) => match plan.after_loss(lost.loss, &lost.cause) {
+                    Ok(()) => continue,
+                    Err(failure) if lost.cause == TIME_UP => return Err(timed_out(failure)),
+                    Err(failure) => return fallback.ok_or(failure),
+                },
+            };
+            if plan.kind().is_stream() && attempt.answer.head.status.is_success() {
+                return Ok(self.pass_stream(plan, attempt, in_flight));
+            }
+            let body = match collect_body(&plan, &mut attempt).await {
+                Ok(CollectedBody::Whole(body)) => body,
+                Ok(CollectedBody::Begun(begun)) => {
+                    return Ok(self.pass_rest(plan, attempt, begun, in_flight));
+                }
+                Err(lost) => match plan.after_loss(lost.loss, &lost.cause) {
+                    Ok(()) => continue,
+                    Err(failure) => return fallback.ok_or(failure),
+                },
+            };
+            let response = self.whole_answer(&plan, attempt, body);
+            let failed = response.status().is_server_error();
+            if !failed || !plan.kind().may_repeat() {
+                return Ok(response);
+            }
+            match plan.after_loss(AttemptLoss::Unknown, "the server failed") {
+                Ok(()) => fallback = Some(response),
+                Err(_) => return Ok(response),
+            }
+        }
+    }
+
+    async fn attempt(&self, plan: &mut CallPlan) -> Result<AttemptAnswer, Failed> {
+        let chosen = plan.choose().map_err(Failed::Given)?;
+        let active = ActiveRequest::begin(&self.fleet, &chosen, &plan.call.prompt);
+        let dispatch = plan.dispatch(&chosen.server.id, plan.call.last_event);
+        let request = self.interface.server_request(&plan.call, &dispatch, plan.body.clone());
+        send_attempt(&*self.interface, plan, active, request).await.map_err(Failed::Lost)
+    }
+
+    fn whole_answer(
+        &self,
+        plan: &CallPlan,
+        attempt: AttemptAnswer,
+        body: Bytes,
+    ) -> Response<AnswerBody> {
+        let mut head = answer_head(&attempt.answer.head);
+        head.headers.remove(http::header::CONTENT_LENGTH);
+        log_answer(plan, &attempt);
+        attempt.answer.finish();
+        Response::from_parts(head, AnswerBody::Whole(body))
+    }
+
+    fn pass_stream(
+        &self,
+        plan: CallPlan,
+        attempt: AttemptAnswer,
+        in_flight: InFlight,
+    ) -> Response<AnswerBody> {
+        let head = answer_head(&attempt.answer.head);
+        log_answer(&plan, &attempt);
+        let relay = StreamRelay::events(self.interface.clone(), plan, attempt, in_flight);
+        Response::from_parts(head, relay.into_body())
+    }
+
+    fn pass_rest(
+        &self,
+        plan: CallPlan,
+        attempt: AttemptAnswer,
+        begun: Bytes,
+        in_flight: InFlight,
+    ) -> Response<AnswerBody> {
+        let head = answer_head(&attempt.answer.head);
+        log_answer(&plan, &attempt);
+        let relay = StreamRelay::rest(self.interface.clone(), plan, attempt, begun, in_flight);
+        Response::from_parts(head, relay.into_body())
+    }
+}
+
+/// Why there is no answer from one attempt.
+enum Failed {
+    /// No attempt was made.
+    Given(CallFailure),
+    /// The attempt was lost.
+    Lost(LostAttempt),
+}
+
+/// The cause of an attempt that ended with the time that was left.
+pub(super) const TIME_UP: &str = "the time is up";
+
+fn timed_out(failure: CallFailure) -> CallFailure {
+    match failure {
+        CallFailure::Unknown(_) => CallFailure::TimedOut,
+        other => other,
+    }
+}
+
+fn key_holder(configuration: &ConfigurationSnapshot, call: &CallHead) -> Option<Rc<KeyHolder>> {
+    configuration.organisations.as_ref()?.holder(call.key.as_ref()?).cloned()
+}
+
+/// Reads the whole body, so that it can be sent more than once.
+async fn read_body(
+    mut body: Incoming,
+    longest: u64,
+    within: Duration,
+) -> Result<Bytes, CallFailure> {
+    if body.size_hint().lower() > longest {
+        return Err(CallFailure::TooLong);
+    }
+    let read = async {
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return Err(CallFailure::not_run(NotRunReason::Incomplete));
+            };
+            if let Ok(piece) = frame.into_data() {
+                whole.extend_from_slice(&piece);
+            }
+            if whole.len() as u64 > longest {
+                return Err(CallFailure::TooLong);
+            }
+        }
+        Ok(whole.freeze())
+    };
+    match monoio::time::timeout(within, read).await {
+        Ok(result) => result,
+        Err(_) => Err(CallFailure::not_run(NotRunReason::Incomplete)),
+    }
+}
+
+/// The head of a caller's answer: the server's, without what belongs to its connection.
+fn answer_head(head: &Parts) -> Parts {
+    let (mut answer, ()) = Response::new(()).into_parts();
+    answer.status = head.status;
+    answer.headers = head.headers.clone();
+    remove_connection_headers(&mut answer.headers);
+    answer
+}
+
+/// Removes headers that belong to one connection.
+fn remove_connection_headers(headers: &mut HeaderMap) {
+    headers.remove(CONNECTION);
+    headers.remove(TRANSFER_ENCODING);
+    for name in CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+}
+
+fn log_answer(plan: &CallPlan, attempt: &AttemptAnswer) {
+    log::info!(
+        request:% = plan.call.id, route:% = plan.route.id, service:% = plan.service,
+        server:% = attempt.active.server().id, status = attempt.answer.head.status.as_u16(),
+        lost = plan.offers(), ms = plan.arrived.elapsed().as_millis() as u64; "answer passed on"
+    );
+}
--- /dev/null
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -0,0 +1,152 @@
+//! What was settled about a request before its first attempt, and what became of its attempts.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use papayamux_coordination::attempt_plan::{AttemptHistory, AttemptLoss, NextStep};
+use papayamux_state::ids::{ServerId, ServiceId};
+use papayamux_state::service_config::{KeyHolder, RequestKind, Route};
+
+use super::fleet::ChosenServer;
+use super::interface::Dispatch;
+use super::{CallFailure, CallHead, Fleet, NotRunReason};
+
+/// Time below which a further attempt is not worth making: a round trip to the server.
+const LEAST_TIME: Duration = Duration::from_millis(4);
+/// When a caller that was turned away by all servers may come back: servers finish a plain call
+/// within tens of milliseconds.
+const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(150);
+/// When a caller for whom there is no server may come back: replacements take about a second.
+const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// A request that may be run, with all that its attempts need.
+pub(super) struct CallPlan {
+    pub(super) fleet: Rc<Fleet>,
+    pub(super) call: Rc<CallHead>,
+    pub(super) body: Bytes,
+    pub(super) route: Rc<Route>,
+    pub(super) service: ServiceId,
+    pub(super) holder: Option<Rc<KeyHolder>>,
+    pub(super) arrived: Instant,
+    /// When the caller or the route gives up.
+    pub(super) give_up: Instant,
+    history: AttemptHistory,
+    tried: Vec<ServerId>,
+}
+
+impl CallPlan {
+    /// A plan without attempts so far.
+    pub(super) fn new(
+        fleet: Rc<Fleet>,
+        call: Rc<CallHead>,
+        route: Rc<Route>,
+        service: ServiceId,
+        holder: Option<Rc<KeyHolder>>,
+        arrived: Instant,
+    ) -> Self {
+        let longest = call.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+        Self {
+            fleet,
+            call,
+            body: Bytes::new(),
+            route,
+            service,
+            holder,
+            arrived,
+            give_up: arrived + longest,
+            history: AttemptHistory::default(),
+            tried: Vec::new(),
+        }
+    }
+
+    /// What may be repeated.
+    pub(super) fn kind(&self) -> RequestKind {
+        self.route.kind
+    }
+
+    /// Time until the caller or the route gives up.
+    pub(super) fn left(&self) -> Duration {
+        self.give_up.saturating_duration_since(Instant::now())
+    }
+
+    /// Attempts so far.
+    pub(super) fn offers(&self) -> u32 {
+        self.history.offers()
+    }
+
+    /// The server for the next attempt.
+    pub(super) fn choose(&mut self) -> Result<ChosenServer, CallFailure> {
+        if self.left() < LEAST_TIME {
+            return Err(self.failure(NotRunReason::Late));
+        }
+        let call = &self.call;
+        let chosen =
+            self.fleet.choose(&self.service, &call.prompt, call.prompt_tokens, &self.tried);
+        match chosen {
+            Some(chosen) => {
+                self.tried.push(chosen.server.id.clone());
+                Ok(chosen)
+            }
+            None if self.tried.is_empty() => Err(self.failure(NotRunReason::NoServer)),
+            None => Err(self.failure(NotRunReason::Rejected)),
+        }
+    }
+
+    /// What the next sending carries.
+    pub(super) fn dispatch<'a>(
+        &'a self,
+        server: &'a ServerId,
+        last_event: Option<u64>,
+    ) -> Dispatch<'a> {
+        let holder = self.holder.as_deref();
+        let own = holder.and_then(|holder| holder.priority);
+        Dispatch {
+            server,
+            organisation: holder.map(|holder| &holder.organisation),
+            left: Some(self.left()),
+            priority: own.unwrap_or(self.route.priority),
+            last_event,
+        }
+    }
+
+    /// Decides after an attempt that brought no answer whether there is another.
+    pub(super) fn after_loss(&mut self, loss: AttemptLoss, cause: &str) -> Result<(), CallFailure> {
+        let step = self.history.after_loss(self.kind(), self.route.attempts, loss);
+        log::info!(
+            request:% = self.call.id, loss:? = loss, cause = cause, next:? = step,
+            server:% = self.tried.last().map_or("", ServerId::as_str);
+            "attempt brought no answer"
+        );
+        match step {
+            NextStep::Again { counts: false } => Ok(()),
+            NextStep::Again { counts: true } if self.take_repeat() => Ok(()),
+            _ => Err(self.failure(NotRunReason::Rejected)),
+        }
+    }
+
+    fn take_repeat(&self) -> bool {
+        let taken =
+            self.fleet.budget().borrow_mut().take_repeat(&self.service, Instant::now());
+        if !taken {
+            log::info!(request:% = self.call.id, service:% = self.service; "retry budget is used up");
+        }
+        taken
+    }
+
+    /// What the caller can be told for certain when no further attempt is made.
+    pub(super) fn failure(&self, reason: NotRunReason) -> CallFailure {
+        if self.history.may_have_run() {
+            return match reason {
+                NotRunReason::Late => CallFailure::TimedOut,
+                _ => CallFailure::Unknown("an attempt was lost".to_string()),
+            };
+        }
+        let retry_after = match reason {
+            NotRunReason::NoServer => Some(NO_SERVER_RETRY_AFTER),
+            NotRunReason::Rejected => Some(REJECTED_RETRY_AFTER),
+            _ => None,
+        };
+        CallFailure::NotRun { reason, retry_after }
+    }
+}
--- /dev/null
+++ b/crates/papayamux-router/src/direct/daemon.rs
@@ -0,0 +1,197 @@
+//! The life of a router that asks backend servers directly: start, serve, drain, end.
+
+use std::cell::Cell;
+use std::error::Error;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::{select, Either};
+use futures_util::StreamExt;
+use http::header::CONNECTION;
+use http::{HeaderValue, Response};
+use monoio::task::JoinHandle;
+use papayamux_daemon::logging::start_logging;
+use papayamux_daemon::operations::{serve_operations, OperationsView};
+use papayamux_daemon::signals::{catch_signals, SignalReceiver, SIGHUP};
+use papayamux_settings::Findings;
+use papayamux_transport::http::{serve, AnswerBody, HttpLimits};
+use papayamux_transport::listen::listen;
+use papayamux_transport::runtime;
+use papayamux_transport::shutdown::ShutdownSignal;
+use papayamux_transport::timer::TimerService;
+use prometheus_client::registry::Registry;
+use serde_json::json;
+
+use super::peers::PeerExchange;
+use super::source_follower::{follow_source, FleetSource};
+use super::{CallDesk, CallInterface, DirectSettings, Fleet};
+
+/// Part of the grace for which new connections are still taken: the balancer needs two misses of
+/// its question, which it asks each second, to see that the router leaves.
+const ACCEPT_PART: f64 = 0.36;
+/// Time before the end of the grace at which the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(700);
+/// How often a draining router looks whether its last request has ended.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+/// Connections of callers open at once; each needs a descriptor, and each request another one.
+const MOST_CALLERS: usize = 2_400;
+/// How long a connection may be idle, or take for a request's head: longer than callers keep idle
+/// connections, so that no request crosses a close.
+const IDLE_WITHIN: Duration = Duration::from_secs(75);
+/// How often connections that were idle for too long are closed.
+const PRUNE_EVERY: Duration = Duration::from_secs(1);
+
+struct DirectView {
+    fleet: Rc<Fleet>,
+    draining: Cell<bool>,
+}
+
+impl OperationsView for DirectView {
+    fn is_ready(&self) -> bool {
+        !self.draining.get()
+            && self.fleet.configuration().is_some()
+            && self.fleet.server_count() > 0
+            && self.fleet.keys_are_fresh()
+    }
+
+    fn status(&self) -> serde_json::Value {
+        let version = self.fleet.configuration().map(|known| known.version.0);
+        json!({
+            "program": "papayamux-router",
+            "version": env!("CARGO_PKG_VERSION"),
+            "failure_domain": self.fleet.domain().to_string(),
+            "ready": self.is_ready(),
+            "draining": self.draining.get(),
+            "configuration": version,
+            "servers": self.fleet.server_count(),
+            "in_flight": self.fleet.in_flight(),
+        })
+    }
+}
+
+/// Runs a router until a signal ends it. `reload` reads the settings again.
+pub fn run_direct_router(
+    settings: DirectSettings,
+    interface: Rc<dyn CallInterface>,
+    source: Rc<dyn FleetSource>,
+    reload: impl Fn() -> Result<DirectSettings, Findings>,
+) -> Result<(), Box<dyn Error>> {
+    start_logging("papayamux-router", log::LevelFilter::Info);
+    let mut signals = catch_signals()?;
+    runtime::run(async move {
+        let router = start(&settings, interface, source)?;
+        let begun = router.wait_for_end(&mut signals, reload).await;
+        router.drain(settings.grace, begun).await;
+        Ok(())
+    })?
+}
+
+struct ServingRouter {
+    view: Rc<DirectView>,
+    peers: Rc<PeerExchange>,
+    shutdown: ShutdownSignal,
+    served: JoinHandle<io::Result<()>>,
+}
+
+fn start(
+    settings: &DirectSettings,
+    interface: Rc<dyn CallInterface>,
+    source: Rc<dyn FleetSource>,
+) -> Result<ServingRouter, Box<dyn Error>> {
+    let fleet = Fleet::new(settings.fleet.clone());
+    let view = Rc::new(DirectView { fleet: fleet.clone(), draining: Cell::new(false) });
+    let callers = listen(settings.listen)?;
+    let operators = listen(settings.operations)?;
+    let registry = Rc::new(Registry::default());
+    let ready_path = settings.ready_path.clone();
+    let operations = serve_operations(
+        operators,
+        ready_path,
+        registry.clone(),
+        view.clone(),
+        ShutdownSignal::new(),
+    );
+    monoio::spawn(operations);
+    let peers = PeerExchange::open(fleet.clone(), settings.peers, settings.seeds.clone())?;
+    monoio::spawn(follow_source(fleet.clone(), source));
+    monoio::spawn(prune_connections(fleet.clone()));
+    let desk = CallDesk::new(fleet, interface);
+    let handler_view = view.clone();
+    let handler = Rc::new(move |request| {
+        let (desk, view) = (desk.clone(), handler_view.clone());
+        async move { close_when_draining(&view, desk.handle(request).await) }
+    });
+    let limits = HttpLimits {
+        connections: MOST_CALLERS,
+        head_within: IDLE_WITHIN,
+        ..HttpLimits::default()
+    };
+    let shutdown = ShutdownSignal::new();
+    let served = monoio::spawn(serve(callers, limits, shutdown.clone(), handler));
+    log::info!(
+        instance:% = settings.instance, listen:% = settings.listen, source:% = settings.source,
+        peers:% = settings.peers; "router started"
+    );
+    Ok(ServingRouter { view, peers, shutdown, served })
+}
+
+async fn prune_connections(fleet: Rc<Fleet>) {
+    let timer = TimerService::start();
+    let mut ticks = timer.every(PRUNE_EVERY);
+    while ticks.tick().await.is_some() {
+        fleet.pool().prune();
+    }
+}
+
+fn close_when_draining(
+    view: &DirectView,
+    mut response: Response<AnswerBody>,
+) -> Response<AnswerBody> {
+    if view.draining.get() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+impl ServingRouter {
+    /// Serves until a signal asks for the end; reads the settings again when one asks for that.
+    async fn wait_for_end(
+        &self,
+        signals: &mut SignalReceiver,
+        reload: impl Fn() -> Result<DirectSettings, Findings>,
+    ) -> Instant {
+        while signals.next().await == Some(SIGHUP) {
+            match reload() {
+                Ok(settings) => {
+                    log::info!(seeds = settings.seeds.len(); "settings read again");
+                    self.peers.set_seeds(settings.seeds);
+                }
+                Err(findings) => {
+                    log::error!(findings:% = findings; "settings can't be read, the old ones stay");
+                }
+            }
+        }
+        Instant::now()
+    }
+
+    /// Turns readiness off, serves on until the balancer has seen it, lets requests finish.
+    async fn drain(self, grace: Duration, begun: Instant) {
+        self.view.draining.set(true);
+        self.peers.leave();
+        log::info!(in_flight = self.view.fleet.in_flight(); "router drains");
+        monoio::time::sleep(grace.mul_f64(ACCEPT_PART)).await;
+        self.shutdown.give();
+        let end = begun + grace.saturating_sub(END_MARGIN);
+        let mut served = self.served;
+        while Instant::now() < end {
+            let check = std::pin::pin!(monoio::time::sleep(DRAIN_CHECK));
+            match select(&mut served, check).await {
+                Either::Left(_) => break,
+                Either::Right(_) => {}
+            }
+        }
+        let in_flight = self.view.fleet.in_flight();
+        log::info!(in_flight = in_flight; "router ends");
+    }
+}
--- /dev/null
+++ b/crates/papayamux-router/src/direct/fleet.rs
@@ -0,0 +1,351 @@
+//! What a router believes of the configuration, the servers and the other routers, and the
+//! decisions that it takes from that.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use papayamux_coordination::key_freshness::KeyFreshness;
+use papayamux_coordination::placement::{
+    place, LoadLedger, PlacementCandidate, PlacementRequest, PlacementTuning, ServerLoad,
+};
+use papayamux_coordination::server_evidence::{EvidenceBook, EvidenceKind, ServerStanding};
+use papayamux_coordination::server_presence::{PresenceChange, ServerPresence};
+use papayamux_coordination::server_pulse::PulseBook;
+use papayamux_coordination::service_retry_budget::ServiceRetryBudget;
+use papayamux_state::backend::{BackendServer, ServerPhase};
+use papayamux_state::boot_time::BootInstant;
+use papayamux_state::ids::{FailureDomain, ServerId, ServiceId};
+use papayamux_state::prompt::{PromptChain, WarmParts};
+use papayamux_state::quantities::TokenCount;
+use papayamux_state::service_config::ConfigurationSnapshot;
+use papayamux_transport::boot_clock::boot_now;
+use papayamux_transport::http::upstream::UpstreamPool;
+use papayamux_transport::shutdown::ShutdownSignal;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::FleetSettings;
+
+/// Tokens of an engine's cache where the configuration doesn't say.
+const DEFAULT_CACHE: TokenCount = TokenCount::new(300_000);
+/// Silence of an engine with requests under way after which nothing more is sent to it: several
+/// times a step that reads a full chunk of a prompt, at up to 100 ms.
+const ENGINE_SILENCE: Duration = Duration::from_millis(600);
+/// The same for a plain service: several times what a slow call takes.
+const PLAIN_SILENCE: Duration = Duration::from_millis(250);
+
+/// All that a router knows. It belongs to one thread; clones of the `Rc` share it.
+pub struct Fleet {
+    settings: FleetSettings,
+    configuration: RefCell<Option<Rc<ConfigurationSnapshot>>>,
+    freshness: RefCell<KeyFreshness>,
+    confirmed: RefCell<ShutdownSignal>,
+    poke: RefCell<ShutdownSignal>,
+    presence: RefCell<ServerPresence>,
+    ledger: RefCell<LoadLedger>,
+    evidence: RefCell<EvidenceBook>,
+    pulses: RefCell<HashMap<ServiceId, PulseBook>>,
+    budget: RefCell<ServiceRetryBudget>,
+    warm: RefCell<HashMap<ServerId, WarmParts>>,
+    in_flight: Cell<usize>,
+    pool: UpstreamPool,
+}
+
+/// A server that was chosen.
+#[derive(Debug, Clone)]
+pub struct ChosenServer {
+    /// The server.
+    pub server: Rc<BackendServer>,
+    /// What the request adds to its load.
+    pub load: ServerLoad,
+}
+
+impl Fleet {
+    /// A router that knows nothing yet.
+    pub fn new(settings: FleetSettings) -> Rc<Self> {
+        let pool = UpstreamPool::new(settings.pool);
+        Rc::new(Self {
+            freshness: RefCell::new(KeyFreshness::new(settings.revoke_within)),
+            budget: RefCell::new(ServiceRetryBudget::new(settings.retries)),
+            settings,
+            configuration: RefCell::default(),
+            confirmed: RefCell::default(),
+            poke: RefCell::default(),
+            presence: RefCell::default(),
+            ledger: RefCell::default(),
+            evidence: RefCell::default(),
+            pulses: RefCell::default(),
+            warm: RefCell::default(),
+            in_flight: Cell::new(0),
+            pool,
+        })
+    }
+
+    /// The router's own failure domain.
+    pub fn domain(&self) -> &FailureDomain {
+        &self.settings.domain
+    }
+
+    /// Connections to servers.
+    pub fn pool(&self) -> &UpstreamPool {
+        &self.pool
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Rc<ConfigurationSnapshot>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Brings a configuration into force, unless it is older than the one in force.
+    pub fn apply_configuration(&self, snapshot: ConfigurationSnapshot) {
+        let mut configuration = self.configuration.borrow_mut();
+        let known = configuration.as_ref().map(|known| known.version);
+        if known.is_some_and(|known| known >= snapshot.version) {
+            return;
+        }
+        log::info!(
+            version:% = snapshot.version, routes = snapshot.routes.len(),
+            services = snapshot.services.len(); "configuration in force"
+        );
+        *configuration = Some(Rc::new(snapshot));
+    }
+
+    /// Notes that a read sent at `sent` returned what was newest.
+    pub fn confirm_configuration(&self, sent: BootInstant) {
+        self.freshness.borrow_mut().confirm(sent);
+        self.confirmed.take().give();
+    }
+
+    /// Whether API keys may be accepted.
+    pub fn keys_are_fresh(&self) -> bool {
+        self.freshness.borrow().is_fresh(boot_now())
+    }
+
+    /// How old the last confirmation of the configuration is.
+    pub fn configuration_age(&self) -> Option<Duration> {
+        self.freshness.borrow().age(boot_now())
+    }
+
+    /// Asks for a confirmation at once and waits for one, up to `limit`.
+    pub async fn refresh_configuration(&self, limit: Duration) {
+        let confirmed = self.confirmed.borrow().clone();
+        self.poke.take().give();
+        // A refusal follows where no confirmation came, so that the timeout needs no handling.
+        let _ = monoio::time::timeout(limit, confirmed.given()).await;
+    }
+
+    /// Waits until somebody asks for a confirmation.
+    pub async fn poked(&self) {
+        let poke = self.poke.borrow().clone();
+        poke.given().await;
+    }
+
+    /// Notes that the list of servers answered.
+    pub fn note_list_contact(&self, now: Instant) {
+        let lapsed = {
+            let mut presence = self.presence.borrow_mut();
+            presence.note_contact(now);
+            presence.expire_lapsed(now)
+        };
+        for id in lapsed {
+            self.forget_server(&id);
+            log::info!(server:% = id; "lapsed server did not come back");
+        }
+    }
+
+    /// Takes in one entry of the list.
+    pub fn note_server(&self, server: BackendServer) {
+        let id = server.id.clone();
+        let change = self.presence.borrow_mut().note_entry(server);
+        self.note_presence(&id, change);
+    }
+
+    /// Takes in that an entry is gone.
+    pub fn note_server_gone(&self, id: &ServerId, now: Instant) {
+        let change = self.presence.borrow_mut().note_removal(id, now);
+        self.note_presence(id, change);
+    }
+
+    /// Takes in the whole list.
+    pub fn note_server_list(&self, servers: Vec<BackendServer>, now: Instant) {
+        let changes = self.presence.borrow_mut().note_list(servers, now);
+        for (id, change) in changes {
+            self.note_presence(&id, change);
+        }
+    }
+
+    fn note_presence(&self, id: &ServerId, change: PresenceChange) {
+        match change {
+            PresenceChange::Unchanged => {}
+            PresenceChange::Departed => {
+                self.forget_server(id);
+                log::info!(server:% = id; "server is gone");
+            }
+            PresenceChange::Arrived => log::info!(server:% = id; "server is there"),
+            PresenceChange::Draining => log::info!(server:% = id; "server is draining"),
+            PresenceChange::Lapsed => log::info!(server:% = id; "server's entry has lapsed"),
+        }
+    }
+
+    fn forget_server(&self, id: &ServerId) {
+        self.warm.borrow_mut().remove(id);
+    }
+
+    /// Servers that are known.
+    pub fn server_count(&self) -> usize {
+        self.presence.borrow().catalog().len()
+    }
+
+    /// The requests that are under way at this router.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    pub(super) fn count_in_flight(&self, begun: bool) {
+        let count = self.in_flight.get();
+        self.in_flight.set(if begun { count + 1 } else { count.saturating_sub(1) });
+    }
+
+    /// Loads at servers, own and others'.
+    pub fn ledger(&self) -> &RefCell<LoadLedger> {
+        &self.ledger
+    }
+
+    /// The budget for repeats.
+    pub fn budget(&self) -> &RefCell<ServiceRetryBudget> {
+        &self.budget
+    }
+
+    /// Chooses a server of `service` that isn't among `tried`.
+    pub fn choose(
+        &self,
+        service: &ServiceId,
+        prompt: &PromptChain,
+        prompt_tokens: TokenCount,
+        tried: &[ServerId],
+    ) -> Option<ChosenServer> {
+        let now = Instant::now();
+        let servers = self.usable_servers(service, tried);
+        let ranks = home_ranks(prompt, &servers);
+        let candidates: Vec<_> = servers
+            .iter()
+            .zip(&ranks)
+            .map(|(server, rank)| self.candidate(server, prompt, *rank, now))
+            .collect();
+        let request = PlacementRequest {
+            prompt: prompt_tokens.max(prompt.tokens()),
+            shared: prompt.longest_shared().map(|part| part.tokens).unwrap_or_default(),
+        };
+        let tuning = PlacementTuning { load_factor: self.settings.load_factor };
+        let index = place(request, &candidates, tuning)?;
+        let server = servers[index].clone();
+        self.evidence.borrow_mut().begin_trial(&server.id, now);
+        let cold = request.prompt.saturating_sub(candidates[index].warm);
+        Some(ChosenServer { server, load: ServerLoad { requests: 1, backlog: cold.get() } })
+    }
+
+    fn usable_servers(&self, service: &ServiceId, tried: &[ServerId]) -> Vec<Rc<BackendServer>> {
+        let presence = self.presence.borrow();
+        let servers = presence.catalog().of_service(service);
+        servers
+            .filter(|server| server.phase == ServerPhase::Serving && !tried.contains(&server.id))
+            .cloned()
+            .collect()
+    }
+
+    fn candidate(
+        &self,
+        server: &BackendServer,
+        prompt: &PromptChain,
+        rank: u32,
+        now: Instant,
+    ) -> PlacementCandidate {
+        let warm = self.warm.borrow().get(&server.id).map(|warm| warm.warm_tokens(prompt));
+        let silence = self.silence(server, now);
+        let limit = if server_is_engine(prompt) { ENGINE_SILENCE } else { PLAIN_SILENCE };
+        let standing = match silence.is_some_and(|silence| silence > limit) {
+            true => ServerStanding::Held,
+            false => self.evidence.borrow().standing(&server.id, now),
+        };
+        PlacementCandidate {
+            load: self.ledger.borrow().total(&server.id),
+            slots: server.slots,
+            warm: warm.unwrap_or_default(),
+            rank,
+            standing,
+            near: server.domain == self.settings.domain,
+        }
+    }
+
+    /// How long a server has owed a sign of life.
+    pub fn silence(&self, server: &BackendServer, now: Instant) -> Option<Duration> {
+        self.pulses.borrow().get(&server.service)?.silence(&server.id, now)
+    }
+
+    /// Counts a request that is sent to a server.
+    pub(super) fn begin_request(&self, chosen: &ChosenServer, prompt: &PromptChain) {
+        let server = &chosen.server;
+        self.ledger.borrow_mut().begin(&server.id, chosen.load);
+        let mut pulses = self.pulses.borrow_mut();
+        pulses.entry(server.service.clone()).or_default().begin(&server.id, Instant::now());
+        if !prompt.parts().is_empty() {
+            let capacity = self.cache_capacity(&server.service);
+            let mut warm = self.warm.borrow_mut();
+            let parts =
+                warm.entry(server.id.clone()).or_insert_with(|| WarmParts::new(capacity));
+            parts.note_use(prompt);
+        }
+    }
+
+    /// Counts that a request at a server has ended, with the load that is still counted.
+    pub(super) fn end_request(&self, server: &BackendServer, load: ServerLoad) {
+        self.ledger.borrow_mut().end(&server.id, load);
+        if let Some(pulses) = self.pulses.borrow_mut().get_mut(&server.service) {
+            pulses.end(&server.id);
+        }
+    }
+
+    /// Notes a sign of life of a server.
+    pub(super) fn hear_server(&self, server: &BackendServer) {
+        let now = Instant::now();
+        if let Some(pulses) = self.pulses.borrow_mut().get_mut(&server.service) {
+            pulses.hear(&server.id, now);
+        }
+        self.evidence.borrow_mut().note_answer(&server.id, now);
+    }
+
+    /// Notes evidence against a server.
+    pub(super) fn note_evidence(&self, server: &BackendServer, kind: EvidenceKind) {
+        self.evidence.borrow_mut().note(&server.id, kind, Instant::now());
+        if kind == EvidenceKind::Unreachable {
+            self.pool.forget(server.address);
+        }
+    }
+
+    fn cache_capacity(&self, service: &ServiceId) -> TokenCount {
+        let configuration = self.configuration.borrow();
+        let profile = configuration.as_ref().and_then(|known| known.services.get(service)?.engine);
+        profile.map_or(DEFAULT_CACHE, |profile| profile.cache_tokens)
+    }
+}
+
+fn server_is_engine(prompt: &PromptChain) -> bool {
+    !prompt.parts().is_empty()
+}
+
+/// The order of servers for the part by which prompts are grouped, by rendezvous hashing: all
+/// routers find the same without a word between them, and a server that comes or goes moves only
+/// its own groups.
+fn home_ranks(prompt: &PromptChain, servers: &[Rc<BackendServer>]) -> Vec<u32> {
+    let mut ranks = vec![u32::MAX; servers.len()];
+    let Some(shared) = prompt.longest_shared() else { return ranks };
+    let weight = |server: &BackendServer| {
+        xxh3_64_with_seed(server.id.as_str().as_bytes(), shared.id.0)
+    };
+    let home = (0..servers.len()).max_by_key(|index| weight(&servers[*index]));
+    if let Some(home) = home {
+        ranks[home] = 0;
+    }
+    ranks
+}
--- /dev/null
+++ b/crates/papayamux-router/src/direct/interface.rs
@@ -0,0 +1,58 @@
+//! What an interface has to translate: callers' requests, servers' requests and their answers.
+//!
+//! Implementations only translate. They hold no state and decide nothing.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::response::Parts as ResponseParts;
+use http::{request, Request, Response};
+use papayamux_state::ids::{OrganisationId, ServerId};
+use papayamux_transport::http::AnswerBody;
+
+use super::{CallFailure, CallHead};
+
+/// What one sending of a request carries beside what the caller sent.
+#[derive(Debug, Clone)]
+pub struct Dispatch<'a> {
+    /// The server that is meant.
+    pub server: &'a ServerId,
+    /// The organisation of the caller's key.
+    pub organisation: Option<&'a OrganisationId>,
+    /// Time that is left.
+    pub left: Option<Duration>,
+    /// Rank at the server; 0 goes first.
+    pub priority: u32,
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+}
+
+/// What a server's answer says of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerVerdict {
+    /// It is the request's answer.
+    Answer,
+    /// The server has not run the request.
+    NotRun,
+    /// Another server has the address; it has not run the request.
+    OtherServer,
+    /// It doesn't belong to the request, or can't be told to.
+    Foreign,
+}
+
+/// Translates between the product and the interface that callers and servers speak.
+pub trait CallInterface {
+    /// Reads the head of a caller's request.
+    fn read_call(&self, head: request::Parts) -> Result<CallHead, CallFailure>;
+    /// The answer that tells a caller of a failure.
+    fn failure(&self, failure: &CallFailure) -> Response<AnswerBody>;
+    /// The request for a backend server.
+    fn server_request(
+        &self,
+        call: &CallHead,
+        dispatch: &Dispatch<'_>,
+        body: Bytes,
+    ) -> Request<Bytes>;
+    /// What an answer is.
+    fn verdict(&self, call: &CallHead, head: &ResponseParts) -> AnswerVerdict;
+}
--- /dev/null
+++ b/crates/papayamux-router/src/direct/mod.rs
@@ -0,0 +1,24 @@
+//! The request path that asks backend servers directly, without agents beside them.
+
+mod active_request;
+mod attempt;
+mod call;
+mod call_desk;
+mod call_plan;
+mod daemon;
+mod event_splitter;
+mod fleet;
+mod interface;
+mod peers;
+mod settings;
+mod source_follower;
+mod stream_relay;
+
+pub use call::{CallFailure, CallHead, CallId, NotRunReason};
+pub use call_desk::CallDesk;
+pub use daemon::run_direct_router;
+pub use event_splitter::{EventSplitter, WholeEvents};
+pub use fleet::Fleet;
+pub use interface::{AnswerVerdict, CallInterface, Dispatch};
+pub use settings::{DirectSettings, FleetSettings};
+pub use source_follower::{FleetSource, SourceRead};
--- /dev/null
+++ b/crates/papayamux-router/src/direct/peers.rs
@@ -0,0 +1,144 @@
+//! Exchanges reports with the other routers, in datagrams.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use monoio::net::udp::UdpSocket;
+use papayamux_coordination::placement::{RouterId, ServerLoad};
+use papayamux_coordination::router_peers::RouterPeers;
+use papayamux_protocol::router_report::{ReportedLoad, RouterReport};
+
+use super::Fleet;
+
+/// Pause between two rounds of reports. Requests last from tens of milliseconds to seconds, so
+/// that a quarter of a second shows most of what others have at a server.
+const REPORT_EVERY: Duration = Duration::from_millis(250);
+/// Bytes that a router sends to others in a second at most; the pause grows where more would be
+/// needed. Half of what control may cost, the rest is for the source.
+const MOST_BYTES_PER_SECOND: f64 = 10_000.0;
+/// Bytes of the longest report: several hundred servers.
+const LONGEST_REPORT: usize = 16 * 1024;
+/// Pause after a failure to receive.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Reports from and to the other routers.
+pub struct PeerExchange {
+    fleet: Rc<Fleet>,
+    socket: UdpSocket,
+    port: u16,
+    peers: RefCell<RouterPeers>,
+    sequence: Cell<u64>,
+    leaving: Cell<bool>,
+}
+
+impl PeerExchange {
+    /// Opens the socket. All routers use the same port.
+    pub fn open(
+        fleet: Rc<Fleet>,
+        listen: SocketAddr,
+        seeds: Vec<IpAddr>,
+    ) -> io::Result<Rc<Self>> {
+        let socket = UdpSocket::bind(listen)?;
+        let peers = RefCell::new(RouterPeers::new(listen.ip(), seeds));
+        let exchange = Rc::new(Self {
+            fleet,
+            socket,
+            port: listen.port(),
+            peers,
+            sequence: Cell::new(0),
+            leaving: Cell::new(false),
+        });
+        monoio::spawn(exchange.clone().receive());
+        monoio::spawn(exchange.clone().report());
+        Ok(exchange)
+    }
+
+    /// Replaces the addresses to begin with.
+    pub fn set_seeds(&self, seeds: Vec<IpAddr>) {
+        self.peers.borrow_mut().set_seeds(seeds);
+    }
+
+    /// Tells the others that this router is about to end.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    async fn receive(self: Rc<Self>) {
+        let mut buffer = vec![0u8; LONGEST_REPORT];
+        loop {
+            let (result, returned) = self.socket.recv_from(buffer).await;
+            buffer = returned;
+            match result {
+                Ok((length, sender)) => {
+                    self.take_report(sender.ip(), Bytes::copy_from_slice(&buffer[..length]));
+                }
+                Err(error) => {
+                    log::debug!(error:% = error; "receiving a report failed");
+                    monoio::time::sleep(RECEIVE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn take_report(&self, sender: IpAddr, bytes: Bytes) {
+        let report = match RouterReport::decode(bytes) {
+            Ok(report) => report,
+            Err(error) => {
+                log::warn!(peer:% = sender, error:% = error; "a report can't be read");
+                return;
+            }
+        };
+        let now = Instant::now();
+        let newer =
+            self.peers.borrow_mut().hear(sender, report.sequence, &report.known, now);
+        if !newer {
+            return;
+        }
+        let loads = report.loads.into_iter().map(|load| {
+            let ReportedLoad { server, requests, backlog } = load;
+            (server, ServerLoad { requests, backlog })
+        });
+        let mut ledger = self.fleet.ledger().borrow_mut();
+        ledger.note_report(RouterId(sender), loads.collect(), now);
+        let routers = u32::try_from(ledger.reporting() + 1).unwrap_or(u32::MAX);
+        self.fleet.budget().borrow_mut().note_routers(routers);
+    }
+
+    async fn report(self: Rc<Self>) {
+        loop {
+            let now = Instant::now();
+            self.fleet.ledger().borrow_mut().expire(now);
+            let targets = self.peers.borrow_mut().next_targets(now);
+            let datagram = self.next_report(now).encode();
+            let bytes = datagram.len() * targets.len();
+            for target in targets {
+                let address = SocketAddr::new(target, self.port);
+                if let (Err(error), _) = self.socket.send_to(datagram.clone(), address).await {
+                    log::debug!(peer:% = target, error:% = error; "sending a report failed");
+                }
+            }
+            let needed = Duration::from_secs_f64(bytes as f64 / MOST_BYTES_PER_SECOND);
+            monoio::time::sleep(REPORT_EVERY.max(needed)).await;
+        }
+    }
+
+    fn next_report(&self, now: Instant) -> RouterReport {
+        self.sequence.set(self.sequence.get() + 1);
+        let ledger = self.fleet.ledger().borrow();
+        let loads = ledger.own().map(|(server, load)| ReportedLoad {
+            server: server.clone(),
+            requests: load.requests,
+            backlog: load.backlog,
+        });
+        RouterReport {
+            sequence: self.sequence.get(),
+            known: self.peers.borrow().alive(now),
+            loads: loads.collect(),
+            leaving: self.leaving.get(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayamux-router/src/direct/settings.rs
@@ -0,0 +1,126 @@
+//! Settings of a router that asks backend servers directly.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use bon::Builder;
+use papayamux_coordination::service_retry_budget::RetryAllowance;
+use papayamux_settings::{Findings, IniFile, Millis};
+use papayamux_state::ids::FailureDomain;
+use papayamux_transport::http::upstream::PoolLimits;
+
+/// What bounds decisions.
+#[derive(Debug, Clone, Builder)]
+pub struct FleetSettings {
+    /// The router's own failure domain.
+    pub domain: FailureDomain,
+    /// How soon a key that was taken away must stop working; `None` where keys may be used
+    /// however old the configuration is.
+    pub revoke_within: Option<Duration>,
+    /// The bound on a server's requests, as a multiple of the mean.
+    #[builder(default = 2.0)]
+    pub load_factor: f64,
+    /// The budget for repeats.
+    #[builder(default)]
+    pub retries: RetryAllowance,
+    /// Connections to servers.
+    #[builder(default)]
+    pub pool: PoolLimits,
+}
+
+/// Where a router listens, and what it needs to know at its start.
+#[derive(Debug, Clone, Builder)]
+pub struct DirectSettings {
+    /// The instance's name, for logs.
+    pub instance: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where the balancer asks whether the router is ready, and operators for status.
+    pub operations: SocketAddr,
+    /// The path of that question.
+    pub ready_path: String,
+    /// Where metrics are served, where they have an address of their own.
+    pub metrics: Option<SocketAddr>,
+    /// Where the source of the configuration and of the servers answers.
+    pub source: SocketAddr,
+    /// Where the other routers' reports arrive.
+    pub peers: SocketAddr,
+    /// Routers to begin with; their addresses may be stale.
+    pub seeds: Vec<IpAddr>,
+    /// From SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// Bounds on decisions.
+    pub fleet: FleetSettings,
+}
+
+/// The grace of the usual process managers, less than which none gives.
+const DEFAULT_GRACE: Millis = Millis(Duration::from_secs(8));
+
+impl DirectSettings {
+    /// Reads the settings from the text of an INI file, or reports all that is wrong with it.
+    pub fn read(name: &str, text: &str) -> Result<Self, Findings> {
+        let file = IniFile::parse(name, text)?;
+        let settings = read_settings(&file);
+        file.refuse_other_sections(&["instance", "listen", "source", "peers", "bounds"], &[]);
+        file.finish(|| settings)
+    }
+}
+
+fn read_settings(file: &IniFile) -> Option<DirectSettings> {
+    let instance = file.section("instance");
+    let name: Option<String> = instance.required("name");
+    let domain = instance.required("failure_domain");
+    instance.refuse_other_keys();
+    let listen = file.section("listen");
+    let callers = listen.required("callers");
+    let operations = listen.required("operations");
+    let ready_path = listen.or("ready_path", "/ready".to_string());
+    let metrics = listen.optional("metrics");
+    listen.refuse_other_keys();
+    let source_section = file.section("source");
+    let source = source_section.required("address");
+    source_section.refuse_other_keys();
+    let peers_section = file.section("peers");
+    let peers = peers_section.required("listen");
+    let seeds: Vec<SocketAddr> = peers_section.list("seeds");
+    peers_section.refuse_other_keys();
+    let (grace, fleet) = read_bounds(file, domain)?;
+    Some(
+        DirectSettings::builder()
+            .instance(name?)
+            .listen(callers?)
+            .operations(operations?)
+            .ready_path(ready_path)
+            .maybe_metrics(metrics)
+            .source(source?)
+            .peers(peers?)
+            .seeds(seeds.iter().map(SocketAddr::ip).collect())
+            .grace(grace)
+            .fleet(fleet)
+            .build(),
+    )
+}
+
+fn read_bounds(
+    file: &IniFile,
+    domain: Option<FailureDomain>,
+) -> Option<(Duration, FleetSettings)> {
+    let bounds = file.section("bounds");
+    let defaults = RetryAllowance::default();
+    let retries = RetryAllowance {
+        ratio: bounds.or("retry_ratio", defaults.ratio),
+        slack: bounds.or("retry_slack", defaults.slack),
+        window: bounds.or("retry_window", Millis(defaults.window)).0,
+    };
+    let revoke_within = bounds.optional::<Millis>("revoke_within").map(|millis| millis.0);
+    let load_factor = bounds.or("load_factor", 2.0);
+    let grace = bounds.or("grace", DEFAULT_GRACE).0;
+    bounds.refuse_other_keys();
+    let fleet = FleetSettings::builder()
+        .domain(domain?)
+        .maybe_revoke_within(revoke_within)
+        .load_factor(load_factor)
+        .retries(retries)
+        .build();
+    Some((grace, fleet))
+}
--- /dev/null
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -0,0 +1,119 @@
+//! Keeps the router's knowledge up to date with the source of the configuration and of the
+//! servers.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Instant;
+
+use futures_util::future::select;
+use papayamux_coordination::source_pace::{SourcePace, READ_WITHIN};
+use papayamux_state::source::{
+    SourceChange, SourceChanges, SourceContents, SourceError, SourcePosition,
+};
+use papayamux_transport::boot_clock::boot_now;
+
+use super::Fleet;
+
+/// A read that is under way.
+pub type SourceRead<'a, T> = Pin<Box<dyn Future<Output = Result<T, SourceError>> + 'a>>;
+
+/// Where the configuration and the list of servers come from.
+pub trait FleetSource {
+    /// Reads everything.
+    fn read_all(&self) -> SourceRead<'_, SourceContents>;
+    /// Reads what has changed behind `position`; returns at once, also where nothing has.
+    fn read_changes(&self, position: SourcePosition) -> SourceRead<'_, SourceChanges>;
+    /// Closes the connection, so that the next read uses a new one.
+    fn disconnect(&self);
+}
+
+/// Reads from the source for ever.
+pub async fn follow_source(fleet: Rc<Fleet>, source: Rc<dyn FleetSource>) {
+    let mut follower = SourceFollower { fleet, source, position: None, pace: SourcePace::default() };
+    loop {
+        follower.read().await;
+        let pause = follower.pace.pause(rand::random());
+        let sleep = std::pin::pin!(monoio::time::sleep(pause));
+        let poked = std::pin::pin!(follower.fleet.poked());
+        select(sleep, poked).await;
+    }
+}
+
+struct SourceFollower {
+    fleet: Rc<Fleet>,
+    source: Rc<dyn FleetSource>,
+    position: Option<SourcePosition>,
+    pace: SourcePace,
+}
+
+impl SourceFollower {
+    async fn read(&mut self) {
+        let sent = boot_now();
+        let reading = async {
+            match self.position {
+                None => self.source.read_all().await.map(Read::All),
+                Some(position) => self.source.read_changes(position).await.map(Read::Changes),
+            }
+        };
+        let result = monoio::time::timeout(READ_WITHIN, reading).await;
+        let result = result.unwrap_or_else(|_| {
+            Err(SourceError::Unavailable(format!("no answer within {READ_WITHIN:?}")))
+        });
+        match result {
+            Ok(read) => {
+                if self.pace.note_success() {
+                    log::info!("source regained");
+                }
+                self.take(read);
+                self.fleet.confirm_configuration(sent);
+            }
+            Err(SourceError::HistoryLost) => {
+                log::info!("source has dropped its history, reading everything");
+                self.position = None;
+                self.pace.note_failure();
+            }
+            Err(error) => {
+                if self.pace.note_failure() {
+                    log::warn!(error:% = error; "source lost");
+                }
+                self.source.disconnect();
+            }
+        }
+    }
+
+    fn take(&mut self, read: Read) {
+        let now = Instant::now();
+        self.fleet.note_list_contact(now);
+        match read {
+            Read::All(contents) => {
+                self.position = Some(contents.position);
+                if let Some(configuration) = contents.configuration {
+                    self.fleet.apply_configuration(configuration);
+                }
+                self.fleet.note_server_list(contents.servers, now);
+            }
+            Read::Changes(changes) => {
+                self.position = Some(changes.position);
+                for change in changes.changes {
+                    self.take_change(change, now);
+                }
+            }
+        }
+    }
+
+    fn take_change(&self, change: SourceChange, now: Instant) {
+        match change {
+            SourceChange::Configuration(configuration) => {
+                self.fleet.apply_configuration(configuration);
+            }
+            SourceChange::Server(server) => self.fleet.note_server(server),
+            SourceChange::ServerGone(id) => self.fleet.note_server_gone(&id, now),
+        }
+    }
+}
+
+enum Read {
+    All(SourceContents),
+    Changes(SourceChanges),
+}
--- /dev/null
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -0,0 +1,205 @@
+//! Passes a stream on as it arrives, and continues it at another server where it breaks off.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use papayamux_coordination::attempt_plan::AttemptLoss;
+use papayamux_coordination::server_evidence::EvidenceKind;
+use papayamux_transport::http::{AnswerBody, BodyError};
+
+use super::active_request::ActiveRequest;
+use super::attempt::{send_attempt, wait_for, AttemptAnswer, LostAttempt, Waited};
+use super::call_plan::CallPlan;
+use super::event_splitter::{EventSplitter, WholeEvents};
+use super::interface::CallInterface;
+
+/// An answer under way to its caller.
+pub(super) struct StreamRelay {
+    interface: Rc<dyn CallInterface>,
+    plan: CallPlan,
+    attempt: Option<AttemptAnswer>,
+    begun: Option<Bytes>,
+    splitter: Option<EventSplitter>,
+    last_event: Option<u64>,
+    events: u64,
+    in_flight: InFlight,
+}
+
+/// Counts an answer that is under way to its caller.
+pub(super) struct InFlight(Rc<super::Fleet>);
+
+impl InFlight {
+    /// Counts until it is dropped.
+    pub(super) fn begin(fleet: &Rc<super::Fleet>) -> Self {
+        fleet.count_in_flight(true);
+        Self(fleet.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.count_in_flight(false);
+    }
+}
+
+impl StreamRelay {
+    /// Passes on a stream of events.
+    pub(super) fn events(
+        interface: Rc<dyn CallInterface>,
+        plan: CallPlan,
+        attempt: AttemptAnswer,
+        in_flight: InFlight,
+    ) -> Self {
+        let last_event = plan.call.last_event;
+        Self {
+            interface,
+            plan,
+            attempt: Some(attempt),
+            begun: None,
+            splitter: Some(EventSplitter::default()),
+            last_event,
+            events: 0,
+            in_flight,
+        }
+    }
+
+    /// Passes on the rest of a long answer of which `begun` was collected.
+    pub(super) fn rest(
+        interface: Rc<dyn CallInterface>,
+        plan: CallPlan,
+        attempt: AttemptAnswer,
+        begun: Bytes,
+        in_flight: InFlight,
+    ) -> Self {
+        let mut relay = Self::events(interface, plan, attempt, in_flight);
+        relay.begun = Some(begun);
+        relay.splitter = None;
+        relay
+    }
+
+    /// The body of the caller's answer.
+    pub(super) fn into_body(self) -> AnswerBody {
+        AnswerBody::Stream(Box::pin(unfold(self, |mut relay| async move {
+            let piece = relay.next().await?;
+            Some((piece, relay))
+        })))
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
+        if let Some(begun) = self.begun.take() {
+            return Some(Ok(begun));
+        }
+        loop {
+            let attempt = self.attempt.as_mut()?;
+            let piece = attempt.answer.next_piece();
+            let lost = match wait_for(&self.plan, &attempt.active, piece).await {
+                Waited::Done(Some(Ok(piece))) => {
+                    attempt.active.hear();
+                    attempt.active.prompt_was_read();
+                    match self.take_piece(piece) {
+                        Ok(Some(bytes)) => return Some(Ok(bytes)),
+                        Ok(None) => continue,
+                        Err(lost) => lost,
+                    }
+                }
+                Waited::Done(None) => return self.end(),
+                Waited::Done(Some(Err(error))) => {
+                    attempt.active.accuse(EvidenceKind::Unreachable);
+                    lost(&format!("the stream broke off: {error}"))
+                }
+                Waited::Silent => {
+                    attempt.active.accuse(EvidenceKind::Unreachable);
+                    lost("the server is silent in its stream")
+                }
+                Waited::TimeUp => return self.cut("the time is up"),
+            };
+            if let Err(cause) = self.resume(lost).await {
+                return self.cut(&cause);
+            }
+        }
+    }
+
+    /// The bytes of a piece that can be passed on now.
+    fn take_piece(&mut self, piece: Bytes) -> Result<Option<Bytes>, LostAttempt> {
+        let Some(splitter) = &mut self.splitter else { return Ok(Some(piece)) };
+        let Some(WholeEvents { bytes, ids }) = splitter.push(&piece) else { return Ok(None) };
+        if let Some((first, last)) = ids {
+            let expected = self.last_event.map(|event| event + 1);
+            if expected.is_some_and(|expected| expected != first) {
+                return Err(lost("the stream goes on at another event"));
+            }
+            self.last_event = Some(last);
+        }
+        self.events += 1;
+        Ok(Some(bytes))
+    }
+
+    /// Finishes a stream that the server ended.
+    fn end(&mut self) -> Option<Result<Bytes, BodyError>> {
+        let rest = self.splitter.as_mut().map(EventSplitter::rest).unwrap_or_default();
+        let attempt = self.attempt.take()?;
+        log::info!(
+            request:% = self.plan.call.id, server:% = attempt.active.server().id,
+            last_event = self.last_event.unwrap_or_default(),
+            ms = self.plan.arrived.elapsed().as_millis() as u64; "stream ended"
+        );
+        attempt.answer.finish();
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
+    /// Breaks the answer off, so that the caller sees that it isn't whole.
+    fn cut(&mut self, cause: &str) -> Option<Result<Bytes, BodyError>> {
+        self.attempt = None;
+        log::warn!(
+            request:% = self.plan.call.id, cause = cause,
+            last_event = self.last_event.unwrap_or_default(),
+            in_flight = self.in_flight.0.in_flight(),
+            ms = self.plan.arrived.elapsed().as_millis() as u64; "stream cut off"
+        );
+        Some(Err(BodyError(cause.to_string())))
+    }
+
+    /// Continues the stream at another server.
+    async fn resume(&mut self, lost: LostAttempt) -> Result<(), String> {
+        self.attempt = None;
+        if self.splitter.is_none() {
+            return Err(lost.cause);
+        }
+        let mut lost = lost;
+        loop {
+            let cause = lost.cause;
+            self.plan
+                .after_loss(lost.loss, &cause)
+                .map_err(|failure| format!("{cause}; {failure}"))?;
+            match self.try_resume().await {
+                Ok(attempt) => {
+                    self.splitter = Some(EventSplitter::default());
+                    self.attempt = Some(attempt);
+                    return Ok(());
+                }
+                Err(failed) => lost = failed,
+            }
+        }
+    }
+
+    async fn try_resume(&mut self) -> Result<AttemptAnswer, LostAttempt> {
+        let chosen = match self.plan.choose() {
+            Ok(chosen) => chosen,
+            Err(failure) => return Err(lost(&failure.to_string())),
+        };
+        let active = ActiveRequest::begin(&self.plan.fleet, &chosen, &self.plan.call.prompt);
+        let dispatch = self.plan.dispatch(&chosen.server.id, self.last_event);
+        let body = self.plan.body.clone();
+        let request = self.interface.server_request(&self.plan.call, &dispatch, body);
+        let attempt = send_attempt(&*self.interface, &self.plan, active, request).await?;
+        match attempt.answer.head.status.is_success() {
+            true => Ok(attempt),
+            false => Err(lost("the other server answered with a failure")),
+        }
+    }
+}
+
+fn lost(cause: &str) -> LostAttempt {
+    LostAttempt { loss: AttemptLoss::Unknown, cause: cause.to_string() }
+}
--- a/crates/papayamux-router/src/lib.rs
+++ b/crates/papayamux-router/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod claims;
 mod configuration;
 pub mod daemon;
+pub mod direct;
 mod directory;
 pub mod metrics;
 pub mod routing;
--- /dev/null
+++ b/crates/papayamux-state/src/backend/backend_server.rs
@@ -0,0 +1,31 @@
+//! One backend server.
+
+use std::net::SocketAddr;
+
+use crate::ids::{FailureDomain, ServerId, ServiceId};
+
+/// Where a server is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerPhase {
+    /// It takes new requests.
+    Serving,
+    /// It finishes what it has and will leave.
+    Draining,
+}
+
+/// A backend server. A restarted one has another identifier, also at the same address.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendServer {
+    /// Names this start of the server.
+    pub id: ServerId,
+    /// The service it belongs to.
+    pub service: ServiceId,
+    /// Where it listens. The address may be used by another server later.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Requests it runs at once; 0 where it doesn't say.
+    pub slots: u32,
+    /// Where it is in its life.
+    pub phase: ServerPhase,
+}
--- /dev/null
+++ b/crates/papayamux-state/src/backend/server_catalog.rs
@@ -0,0 +1,72 @@
+//! All backend servers that are known.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+use super::BackendServer;
+use crate::ids::{ServerId, ServiceId};
+
+/// The known servers, by identifier and by service. Servers of a service are kept in the order of
+/// their identifiers, so that all routers walk them alike.
+#[derive(Debug, Default)]
+pub struct ServerCatalog {
+    by_id: HashMap<ServerId, Rc<BackendServer>>,
+    by_service: HashMap<ServiceId, BTreeMap<ServerId, Rc<BackendServer>>>,
+}
+
+impl ServerCatalog {
+    /// Adds a server or replaces what was known of it; returns what was known before.
+    pub fn upsert(&mut self, server: BackendServer) -> Option<Rc<BackendServer>> {
+        let server = Rc::new(server);
+        let previous = self.by_id.insert(server.id.clone(), server.clone());
+        if let Some(previous) = &previous {
+            if previous.service != server.service {
+                self.remove_from_service(previous);
+            }
+        }
+        let service = self.by_service.entry(server.service.clone()).or_default();
+        service.insert(server.id.clone(), server);
+        previous
+    }
+
+    /// Forgets a server.
+    pub fn remove(&mut self, id: &ServerId) -> Option<Rc<BackendServer>> {
+        let server = self.by_id.remove(id)?;
+        self.remove_from_service(&server);
+        Some(server)
+    }
+
+    /// The server with this identifier.
+    pub fn get(&self, id: &ServerId) -> Option<&Rc<BackendServer>> {
+        self.by_id.get(id)
+    }
+
+    /// The servers of a service, in the order of their identifiers.
+    pub fn of_service(&self, service: &ServiceId) -> impl Iterator<Item = &Rc<BackendServer>> {
+        self.by_service.get(service).into_iter().flat_map(BTreeMap::values)
+    }
+
+    /// All servers.
+    pub fn iter(&self) -> impl Iterator<Item = &Rc<BackendServer>> {
+        self.by_id.values()
+    }
+
+    /// The number of servers.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Whether no server is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
+    fn remove_from_service(&mut self, server: &BackendServer) {
+        if let Some(servers) = self.by_service.get_mut(&server.service) {
+            servers.remove(&server.id);
+            if servers.is_empty() {
+                self.by_service.remove(&server.service);
+            }
+        }
+    }
+}
--- a/crates/papayamux-state/src/ids/mod.rs
+++ b/crates/papayamux-state/src/ids/mod.rs
@@ -7,7 +7,8 @@
 pub use incarnation::Incarnation;
 pub use request_id::{RequestId, RequestIdSource};
 pub use text::{
-    AdapterId, ChatKey, FailureDomain, IdempotencyKey, ModelId, OrganisationId, ServerId,
+    AdapterId, ChatKey, FailureDomain, IdempotencyKey, ModelId, OrganisationId, RouteId, ServerId,
+    ServiceId,
 };
 
 use thiserror::Error;
--- a/crates/papayamux-state/src/ids/text.rs
+++ b/crates/papayamux-state/src/ids/text.rs
@@ -52,3 +52,11 @@
     /// The key under which a caller repeats a non-idempotent call.
     IdempotencyKey
 );
+text_id!(
+    /// A service: a group of backend servers that run the same application or models.
+    ServiceId
+);
+text_id!(
+    /// A route: one way from a host and path to a service.
+    RouteId
+);
--- a/crates/papayamux-state/src/lib.rs
+++ b/crates/papayamux-state/src/lib.rs
@@ -3,6 +3,8 @@
 //! Nothing here touches a socket or a clock: callers hand in the time.
 
 pub mod address_range;
+pub mod backend;
+pub mod boot_time;
 pub mod cache_index;
 pub mod chat_key;
 pub mod claims;
@@ -12,7 +14,10 @@
 pub mod load_table;
 pub mod moved_chats;
 pub mod placement;
+pub mod prompt;
 pub mod quantities;
 pub mod refusal;
+pub mod service_config;
+pub mod source;
 pub mod text_newtype;
 pub mod weights;
--- /dev/null
+++ b/crates/papayamux-state/src/prompt/mod.rs
@@ -0,0 +1,7 @@
+//! Prompts as chains of parts, and which server was given which of them.
+
+mod prompt_chain;
+mod warm_parts;
+
+pub use prompt_chain::{ChainError, PartId, PromptChain, PromptPart};
+pub use warm_parts::WarmParts;
--- /dev/null
+++ b/crates/papayamux-state/src/prompt/prompt_chain.rs
@@ -0,0 +1,105 @@
+//! The parts of a prompt, in order.
+
+use std::fmt;
+use std::str::FromStr;
+
+use thiserror::Error;
+
+use crate::quantities::TokenCount;
+
+/// Parts that a prompt may have at most.
+const MOST_PARTS: usize = 256;
+
+/// Names a part of a prompt; equal names stand for equal text.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:x}", self.0)
+    }
+}
+
+/// A part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// The part's name.
+    pub id: PartId,
+    /// Its length.
+    pub tokens: TokenCount,
+}
+
+/// Why a text is not a chain of parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum ChainError {
+    /// A part is not of the form ID:TOKENS with a hexadecimal ID.
+    #[error("part {index} is not of the form ID:TOKENS")]
+    Part {
+        /// The part's place, from 0.
+        index: usize,
+    },
+    /// There are too many parts.
+    #[error("a prompt has at most {MOST_PARTS} parts")]
+    TooMany,
+}
+
+/// A prompt as a chain of parts. A part is cached only behind all parts before it; the last part
+/// belongs to one session.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PromptChain {
+    parts: Vec<PromptPart>,
+}
+
+impl PromptChain {
+    /// The parts, in order.
+    pub fn parts(&self) -> &[PromptPart] {
+        &self.parts
+    }
+
+    /// The length of the whole prompt.
+    pub fn tokens(&self) -> TokenCount {
+        self.parts.iter().map(|part| part.tokens).sum()
+    }
+
+    /// The longest part that other sessions share: the one by which prompts are grouped.
+    pub fn longest_shared(&self) -> Option<&PromptPart> {
+        let (_, shared) = self.parts.split_last()?;
+        shared.iter().max_by_key(|part| part.tokens)
+    }
+
+    /// The names of all prefixes: each stands for a part together with all parts before it.
+    pub fn prefixes(&self) -> impl Iterator<Item = (PartId, TokenCount)> + '_ {
+        self.parts.iter().scan(0u64, |state, part| {
+            *state = xxhash_rust::xxh3::xxh3_64_with_seed(&part.id.0.to_le_bytes(), *state);
+            Some((PartId(*state), part.tokens))
+        })
+    }
+}
+
+impl FromStr for PromptChain {
+    type Err = ChainError;
+
+    /// Reads `ID:TOKENS,ID:TOKENS`, with hexadecimal IDs. A longer ID is reduced to 64 bits.
+    fn from_str(text: &str) -> Result<Self, ChainError> {
+        let mut parts = Vec::new();
+        for (index, entry) in text.split(',').map(str::trim).enumerate() {
+            if index >= MOST_PARTS {
+                return Err(ChainError::TooMany);
+            }
+            parts.push(read_part(entry).ok_or(ChainError::Part { index })?);
+        }
+        Ok(Self { parts })
+    }
+}
+
+fn read_part(entry: &str) -> Option<PromptPart> {
+    let (id, tokens) = entry.split_once(':')?;
+    if id.is_empty() || !id.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return None;
+    }
+    let number = match u64::from_str_radix(id, 16) {
+        Ok(number) => number,
+        Err(_) => xxhash_rust::xxh3::xxh3_64(id.as_bytes()),
+    };
+    Some(PromptPart { id: PartId(number), tokens: TokenCount::new(tokens.trim().parse().ok()?) })
+}
--- /dev/null
+++ b/crates/papayamux-state/src/prompt/warm_parts.rs
@@ -0,0 +1,80 @@
+//! Which prefixes of prompts a server probably holds in its cache.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::{PartId, PromptChain};
+use crate::quantities::TokenCount;
+
+/// Prefixes remembered for one server; at 40 bytes each, 160 KB a server at most.
+const MOST_PREFIXES: usize = 4_096;
+
+#[derive(Debug, Clone, Copy)]
+struct WarmPrefix {
+    tokens: TokenCount,
+    used: u64,
+}
+
+/// A model of one server's cache: what it was given, the least recently used given up first once
+/// the server's memory is full.
+#[derive(Debug)]
+pub struct WarmParts {
+    capacity: TokenCount,
+    held: TokenCount,
+    prefixes: HashMap<PartId, WarmPrefix>,
+    by_use: BTreeMap<u64, PartId>,
+    uses: u64,
+}
+
+impl WarmParts {
+    /// A cache of `capacity` tokens that holds nothing yet.
+    pub fn new(capacity: TokenCount) -> Self {
+        Self {
+            capacity,
+            held: TokenCount::default(),
+            prefixes: HashMap::new(),
+            by_use: BTreeMap::new(),
+            uses: 0,
+        }
+    }
+
+    /// Tokens of `chain` that are expected to be cached.
+    pub fn warm_tokens(&self, chain: &PromptChain) -> TokenCount {
+        let known = chain.prefixes().take_while(|(prefix, _)| self.prefixes.contains_key(prefix));
+        known.map(|(_, tokens)| tokens).sum()
+    }
+
+    /// Notes that the server reads `chain`.
+    pub fn note_use(&mut self, chain: &PromptChain) {
+        for (prefix, tokens) in chain.prefixes() {
+            self.touch(prefix, tokens);
+        }
+        while self.held > self.capacity || self.prefixes.len() > MOST_PREFIXES {
+            if !self.forget_oldest() {
+                break;
+            }
+        }
+    }
+
+    fn touch(&mut self, prefix: PartId, tokens: TokenCount) {
+        self.uses += 1;
+        match self.prefixes.get_mut(&prefix) {
+            Some(known) => {
+                self.by_use.remove(&known.used);
+                known.used = self.uses;
+            }
+            None => {
+                self.prefixes.insert(prefix, WarmPrefix { tokens, used: self.uses });
+                self.held += tokens;
+            }
+        }
+        self.by_use.insert(self.uses, prefix);
+    }
+
+    fn forget_oldest(&mut self) -> bool {
+        let Some((_, oldest)) = self.by_use.pop_first() else { return false };
+        if let Some(prefix) = self.prefixes.remove(&oldest) {
+            self.held = self.held.saturating_sub(prefix.tokens);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/papayamux-state/src/service_config/mod.rs
@@ -0,0 +1,19 @@
+//! The configuration of services: which request goes to which service, and who may send it.
+
+mod api_key;
+mod caller_limits;
+mod organisation_keys;
+mod request_kind;
+mod route;
+mod route_table;
+mod service;
+mod snapshot;
+
+pub use api_key::{ApiKey, ApiKeyError};
+pub use caller_limits::CallerLimits;
+pub use organisation_keys::{KeyHolder, OrganisationKeys};
+pub use request_kind::RequestKind;
+pub use route::{Route, ServiceShare};
+pub use route_table::RouteTable;
+pub use service::{EngineProfile, Service};
+pub use snapshot::{ConfigVersion, ConfigurationSnapshot};
--- /dev/null
+++ b/crates/papayamux-state/src/source.rs
@@ -0,0 +1,61 @@
+//! What a source of the configuration and of the list of servers returns.
+
+use std::fmt;
+
+use thiserror::Error;
+
+use crate::backend::BackendServer;
+use crate::ids::ServerId;
+use crate::service_config::ConfigurationSnapshot;
+
+/// A point in a source's history.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SourcePosition(pub u64);
+
+impl fmt::Display for SourcePosition {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+/// All that a source holds.
+#[derive(Debug)]
+pub struct SourceContents {
+    /// The newest configuration, where there is one.
+    pub configuration: Option<ConfigurationSnapshot>,
+    /// All servers.
+    pub servers: Vec<BackendServer>,
+    /// The point behind which changes have to be read.
+    pub position: SourcePosition,
+}
+
+/// One change.
+#[derive(Debug)]
+pub enum SourceChange {
+    /// A new configuration.
+    Configuration(ConfigurationSnapshot),
+    /// A server's entry as it is now.
+    Server(BackendServer),
+    /// A server's entry is gone.
+    ServerGone(ServerId),
+}
+
+/// Changes in their order.
+#[derive(Debug)]
+pub struct SourceChanges {
+    /// The changes.
+    pub changes: Vec<SourceChange>,
+    /// The point up to which they go.
+    pub position: SourcePosition,
+}
+
+/// Why a source did not answer.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum SourceError {
+    /// The changes behind the given point are no longer there; everything has to be read again.
+    #[error("the history behind the last read is gone")]
+    HistoryLost,
+    /// The source can't be reached, refuses, or answers with something else.
+    #[error("the source is not available: {0}")]
+    Unavailable(String),
+}
--- a/crates/papayamux-transport/src/http/mod.rs
+++ b/crates/papayamux-transport/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod server;
 mod stall_guard;
+pub mod upstream;
 
 pub use body::{AnswerBody, BodyError};
 pub use client::{ClientAnswer, HttpClient, HttpClientError};
--- /dev/null
+++ b/crates/papayamux-transport/src/http/upstream/exchange.rs
@@ -0,0 +1,93 @@
+//! An answer whose body is still to be read.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::CONNECTION;
+use http::response::Parts;
+use http::HeaderMap;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+
+use super::connection::UpstreamConnection;
+use super::UpstreamPool;
+
+/// A server closes an idle connection at the time that it announces; ours is given up this much
+/// earlier, so that a request never crosses the close.
+const CLOSE_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// An answer. Dropping it before its end closes the connection, which tells the server to stop.
+pub struct UpstreamAnswer {
+    pool: UpstreamPool,
+    address: SocketAddr,
+    /// Status and headers.
+    pub head: Parts,
+    body: Incoming,
+    connection: Option<UpstreamConnection>,
+}
+
+impl UpstreamAnswer {
+    pub(super) fn new(
+        pool: UpstreamPool,
+        address: SocketAddr,
+        connection: UpstreamConnection,
+        response: http::Response<Incoming>,
+    ) -> Self {
+        let (head, body) = response.into_parts();
+        Self { pool, address, head, body, connection: Some(connection) }
+    }
+
+    /// The next piece of the body; `None` after a whole body.
+    pub async fn next_piece(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+        loop {
+            let frame = match self.body.frame().await? {
+                Ok(frame) => frame,
+                Err(error) => return Some(Err(error)),
+            };
+            if let Ok(piece) = frame.into_data() {
+                return Some(Ok(piece));
+            }
+        }
+    }
+
+    /// Whether the body has been read to its end.
+    pub fn is_whole(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    /// Gives the connection back after the whole body was read, for the next request.
+    pub fn finish(mut self) {
+        let Some(connection) = self.connection.take() else { return };
+        let idle_within = match idle_time(&self.head.headers) {
+            IdleTime::Close => return,
+            IdleTime::Announced(time) => Some(time),
+            IdleTime::Unsaid => None,
+        };
+        self.pool.put(self.address, connection, idle_within);
+    }
+}
+
+enum IdleTime {
+    Close,
+    Announced(Duration),
+    Unsaid,
+}
+
+fn idle_time(headers: &HeaderMap) -> IdleTime {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let closes = text(CONNECTION.as_str())
+        .is_some_and(|value| value.split(',').any(|one| one.trim().eq_ignore_ascii_case("close")));
+    if closes {
+        return IdleTime::Close;
+    }
+    let timeout = text("keep-alive")
+        .and_then(|value| value.split(',').find_map(|one| one.trim().strip_prefix("timeout=")))
+        .and_then(|seconds| seconds.trim().parse().ok());
+    match timeout {
+        Some(seconds) => {
+            IdleTime::Announced(Duration::from_secs(seconds).saturating_sub(CLOSE_MARGIN))
+        }
+        None => IdleTime::Unsaid,
+    }
+}
--- /dev/null
+++ b/crates/papayamux-transport/src/http/upstream/mod.rs
@@ -0,0 +1,12 @@
+//! Requests to servers whose answers are passed on as they arrive.
+//!
+//! The connections are `hyper`'s: it reads answers without a length, which end with their
+//! connection, and notices bytes that nobody asked for on an idle connection.
+
+mod connection;
+mod connection_pool;
+mod exchange;
+
+pub use connection::UpstreamError;
+pub use connection_pool::{PoolLimits, UpstreamPool};
+pub use exchange::UpstreamAnswer;
--- a/crates/papayamux-transport/src/lib.rs
+++ b/crates/papayamux-transport/src/lib.rs
@@ -1,6 +1,7 @@
 //! Connections, listeners and timers on one `monoio` thread.
 
 pub mod agent_link;
+pub mod boot_clock;
 pub mod http;
 pub mod keepalive;
 pub mod link;
