Keep prompts at their homes and move cached parts instead of reading them again

Cause: nearly all prices were shared parts read again: a request per server weighed as much as 180 tokens, and each router learned alone where a part lies. Streams were also cut when a second silence found no attempt left. Change: cost of cold tokens, homes by rendezvous hashing believed by all routers, Kv-Fetch from the server that holds the part; a silence ends an attempt only where another may follow.

--- a/crates/papayamux-agent/src/daemon.rs
+++ b/crates/papayamux-agent/src/daemon.rs
@@ -213,7 +213,13 @@
         orders,
     });
     let view = Rc::new(AgentView { core: core.clone(), configuration });
-    monoio::spawn(serve_operations(operators, READY_PATH.to_string(), Rc::new(registry), view, ShutdownSignal::new()));
+    monoio::spawn(serve_operations(
+        operators,
+        READY_PATH.to_string(),
+        Rc::new(registry),
+        view,
+        ShutdownSignal::new(),
+    ));
     monoio::spawn(accept_routers(core.clone(), routers));
     let timers = TimerService::start();
     monoio::spawn(follow_engine(core.clone(), timers.clone()));
--- a/crates/papayamux-coordination/src/attempt_plan.rs
+++ b/crates/papayamux-coordination/src/attempt_plan.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Whether the request may go to another server while this attempt's outcome is unknown.
+    pub fn may_leave(&self, kind: RequestKind, attempts: u32) -> bool {
+        kind.may_repeat() && self.runs + 1 < attempts.max(1) && self.offers + 1 < MOST_OFFERS
+    }
+
     /// Whether an earlier attempt may have run.
     pub fn may_have_run(&self) -> bool {
         self.unknown
--- a/crates/papayamux-coordination/src/placement/candidate.rs
+++ b/crates/papayamux-coordination/src/placement/candidate.rs
@@ -10,8 +10,10 @@
 pub struct PlacementRequest {
     /// Tokens of its prompt; zero for a request to a plain service.
     pub prompt: TokenCount,
-    /// Tokens of the part by which prompts are grouped.
+    /// Tokens up to the end of the part by which prompts are grouped.
     pub shared: TokenCount,
+    /// Cached tokens that one engine can hand another in a millisecond, where it can.
+    pub transfer_tokens_per_ms: Option<f64>,
 }
 
 /// A server that may get it.
@@ -21,12 +23,23 @@
     pub load: ServerLoad,
     /// Requests that it runs at once; 0 where it isn't known.
     pub slots: u32,
-    /// Tokens of the prompt that it probably holds.
+    /// Tokens of the prompt that this router knows it to hold.
     pub warm: TokenCount,
-    /// The rank of the server in the group's order, 0 for its home; all routers rank alike.
-    pub rank: u32,
+    /// Whether it is the home of the prompt's group, by which all routers begin alike.
+    pub home: bool,
     /// What speaks against it.
     pub standing: ServerStanding,
     /// Whether it is in the router's own failure domain.
     pub near: bool,
 }
+
+/// Where a request goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Placement {
+    /// The index of the server.
+    pub server: usize,
+    /// The index of a server from which it should take what it lacks of the prompt.
+    pub fetch_from: Option<usize>,
+    /// Tokens that it has to read for itself.
+    pub cold: TokenCount,
+}
--- a/crates/papayamux-coordination/src/placement/mod.rs
+++ b/crates/papayamux-coordination/src/placement/mod.rs
@@ -4,6 +4,6 @@
 mod load_ledger;
 mod placer;
 
-pub use candidate::{PlacementCandidate, PlacementRequest};
+pub use candidate::{Placement, PlacementCandidate, PlacementRequest};
 pub use load_ledger::{LoadLedger, RouterId, ServerLoad};
 pub use placer::{place, PlacementTuning};
--- a/crates/papayamux-coordination/src/placement/placer.rs
+++ b/crates/papayamux-coordination/src/placement/placer.rs
@@ -1,6 +1,8 @@
 //! The choice itself: the least expected time to the first token, within a bound on load.
 
-use super::{PlacementCandidate, PlacementRequest};
+use papayamux_state::quantities::TokenCount;
+
+use super::{Placement, PlacementCandidate, PlacementRequest};
 use crate::server_evidence::ServerStanding;
 
 /// Figures that placement weighs with.
@@ -19,66 +21,102 @@
 /// Prompt tokens that an engine reads in a millisecond. Engines of this size read 60 to 66; only
 /// the ratio to the other costs matters.
 const PREFILL_TOKENS_PER_MS: f64 = 60.0;
+/// How much more a token that has to be read counts than its own time: it also delays the tokens
+/// of all requests beside it, and takes the place of other parts in the cache.
+const COLD_WEIGHT: f64 = 4.0;
+/// Tokens that a transfer costs before its first: its set-up takes two to three milliseconds.
+const TRANSFER_SETUP_MS: f64 = 3.0;
 /// What one more request at an engine adds to the wait of the next: its part of each step, and
 /// the chance that its own prompt comes first.
-const ENGINE_MS_PER_REQUEST: f64 = 3.0;
+const ENGINE_MS_PER_REQUEST: f64 = 2.0;
 /// What one request per slot adds at a plain service: about the time that a call takes there.
 const PLAIN_MS_PER_FULL_SLOTS: f64 = 20.0;
 /// What another failure domain costs: a round trip of one to two milliseconds, and traffic that
 /// is paid for.
 const FAR_MS: f64 = 1.5;
-/// Part of the cost of reading a shared part that is taken off at the part's home server, so that
-/// routers that have not placed it yet agree on where it goes.
-const HOME_DISCOUNT: f64 = 0.3;
+/// How far a home is believed to hold its group's part when this router has not placed it there:
+/// the other routers have, unless the home is new.
+const HOME_BELIEF: f64 = 0.95;
 /// Part of the load bound that is used: other routers' newest requests are not known yet.
 const BOUND_USED: f64 = 0.8;
 /// Requests above the mean that never count as uneven.
 const BOUND_SLACK: f64 = 2.0;
 
-/// The index of the server that the request should go to; `None` where there is no server.
+/// Where a request goes; `None` where there is no server.
 pub fn place(
     request: PlacementRequest,
     candidates: &[PlacementCandidate],
     tuning: PlacementTuning,
-) -> Option<usize> {
-    let standing = candidates.iter().map(|candidate| candidate.standing).min()?;
-    let usable = || {
-        candidates.iter().enumerate().filter(move |(_, candidate)| match standing {
-            ServerStanding::Held => true,
-            _ => candidate.standing != ServerStanding::Held,
-        })
+) -> Option<Placement> {
+    let best = candidates.iter().map(|candidate| candidate.standing).min()?;
+    let usable = |candidate: &PlacementCandidate| {
+        best == ServerStanding::Held || candidate.standing != ServerStanding::Held
     };
-    let count = usable().count() as f64;
-    let requests: f64 = usable().map(|(_, one)| f64::from(one.load.requests)).sum();
+    let count = candidates.iter().filter(|one| usable(one)).count() as f64;
+    let requests: f64 =
+        candidates.iter().filter(|one| usable(one)).map(|one| f64::from(one.load.requests)).sum();
     let bound = tuning.load_factor * BOUND_USED * (requests / count) + BOUND_SLACK;
-    let within = usable().filter(|(_, one)| f64::from(one.load.requests) < bound);
-    cheapest(request, within).or_else(|| cheapest(request, usable()))
+    let source = warmest(request, candidates);
+    let costs = candidates.iter().enumerate().filter(|(_, one)| usable(one)).map(|(index, one)| {
+        let over = f64::from(one.load.requests) >= bound;
+        (index, over, cost_ms(request, one, source.map(|(_, tokens)| tokens)))
+    });
+    let (server, _, _) = costs
+        .min_by(|left, right| left.1.cmp(&right.1).then_with(|| left.2.total_cmp(&right.2)))?;
+    let held = believed_tokens(request, &candidates[server]);
+    let fetch_from = source.filter(|(index, tokens)| {
+        let known = candidates[server].warm;
+        *index != server && *tokens > known && request.transfer_tokens_per_ms.is_some()
+    });
+    let cold = match fetch_from {
+        Some((_, tokens)) => request.prompt.saturating_sub(tokens.max(held)),
+        None => request.prompt.saturating_sub(held),
+    };
+    Some(Placement { server, fetch_from: fetch_from.map(|(index, _)| index), cold })
 }
 
-fn cheapest<'a>(
+/// The server that is believed to hold most of the prompt, and how much.
+fn warmest(
     request: PlacementRequest,
-    candidates: impl Iterator<Item = (usize, &'a PlacementCandidate)>,
-) -> Option<usize> {
-    let costs = candidates.map(|(index, candidate)| (index, cost_ms(request, candidate)));
-    costs.min_by(|left, right| left.1.total_cmp(&right.1)).map(|(index, _)| index)
+    candidates: &[PlacementCandidate],
+) -> Option<(usize, TokenCount)> {
+    let sound =
+        candidates.iter().enumerate().filter(|(_, one)| one.standing == ServerStanding::Good);
+    let held = sound.map(|(index, one)| (index, believed_tokens(request, one)));
+    held.max_by_key(|(_, tokens)| *tokens).filter(|(_, tokens)| tokens.get() > 0)
 }
 
-/// The expected time to the first token at a server, in milliseconds.
-fn cost_ms(request: PlacementRequest, candidate: &PlacementCandidate) -> f64 {
+/// Tokens of the prompt that a server is believed to hold.
+fn believed_tokens(request: PlacementRequest, candidate: &PlacementCandidate) -> TokenCount {
+    let at_home = match candidate.home {
+        true => TokenCount::new((request.shared.get() as f64 * HOME_BELIEF) as u64),
+        false => TokenCount::default(),
+    };
+    candidate.warm.max(at_home)
+}
+
+/// The expected time to the first token at a server, with what the request costs others there,
+/// in milliseconds.
+fn cost_ms(
+    request: PlacementRequest,
+    candidate: &PlacementCandidate,
+    elsewhere: Option<TokenCount>,
+) -> f64 {
     let near = if candidate.near { 0.0 } else { FAR_MS };
     if request.prompt.get() == 0 {
         let slots = f64::from(candidate.slots.max(1));
         return near + f64::from(candidate.load.requests) / slots * PLAIN_MS_PER_FULL_SLOTS;
     }
-    let cold = request.prompt.saturating_sub(candidate.warm).get() as f64;
+    let held = believed_tokens(request, candidate);
+    let lacking = elsewhere.unwrap_or_default().saturating_sub(held).get() as f64;
+    let (transfer, fetched) = match request.transfer_tokens_per_ms {
+        Some(rate) if lacking > 0.0 => (TRANSFER_SETUP_MS + lacking / rate, lacking),
+        _ => (0.0, 0.0),
+    };
+    let cold = request.prompt.saturating_sub(held).get() as f64 - fetched;
     let backlog = candidate.load.backlog as f64;
     let read = (cold + backlog) / PREFILL_TOKENS_PER_MS;
-    let home = match candidate.rank {
-        0 if candidate.warm < request.shared => {
-            request.shared.get() as f64 / PREFILL_TOKENS_PER_MS * HOME_DISCOUNT
-        }
-        _ => 0.0,
-    };
     let crowd = f64::from(candidate.load.requests) * ENGINE_MS_PER_REQUEST;
-    near + read + crowd - home
+    let moved = transfer * COLD_WEIGHT;
+    near + read + cold / PREFILL_TOKENS_PER_MS * (COLD_WEIGHT - 1.0) + moved + crowd
 }
--- a/crates/papayamux-coordination/src/router_peers.rs
+++ b/crates/papayamux-coordination/src/router_peers.rs
@@ -48,13 +48,7 @@
     }
 
     /// Notes a report of `peer`; `false` where it is older than one that was heard before.
-    pub fn hear(
-        &mut self,
-        peer: IpAddr,
-        sequence: u64,
-        known: &[IpAddr],
-        now: Instant,
-    ) -> bool {
+    pub fn hear(&mut self, peer: IpAddr, sequence: u64, known: &[IpAddr], now: Instant) -> bool {
         if peer == self.own {
             return false;
         }
--- a/crates/papayamux-coordination/src/service_retry_budget.rs
+++ b/crates/papayamux-coordination/src/service_retry_budget.rs
@@ -69,12 +69,17 @@
         self.bucket(service, now).requests += 1;
     }
 
-    /// Takes one repeat; `false` where the budget is used up.
-    pub fn take_repeat(&mut self, service: &ServiceId, now: Instant) -> bool {
+    /// Whether there is room for one more repeat.
+    pub fn has_room(&self, service: &ServiceId, now: Instant) -> bool {
         let (requests, repeats) = self.counts(service, now);
         let from_requests = f64::from(requests) * self.allowance.ratio * RATIO_USED;
         let from_slack = self.allowance.slack / f64::from(self.sharers);
-        if f64::from(repeats) + 1.0 > from_requests + from_slack {
+        f64::from(repeats) + 1.0 <= from_requests + from_slack
+    }
+
+    /// Takes one repeat; `false` where the budget is used up.
+    pub fn take_repeat(&mut self, service: &ServiceId, now: Instant) -> bool {
+        if !self.has_room(service, now) {
             return false;
         }
         self.bucket(service, now).repeats += 1;
@@ -97,7 +102,8 @@
         while buckets.front().is_some_and(|first| now - first.begun > window) {
             buckets.pop_front();
         }
-        let is_current = |bucket: &CountBucket| now.saturating_duration_since(bucket.begun) < BUCKET;
+        let is_current =
+            |bucket: &CountBucket| now.saturating_duration_since(bucket.begun) < BUCKET;
         if !buckets.back().is_some_and(is_current) {
             buckets.push_back(CountBucket { begun: now, requests: 0, repeats: 0 });
         }
--- a/crates/papayamux-daemon/src/operations.rs
+++ b/crates/papayamux-daemon/src/operations.rs
@@ -67,8 +67,12 @@
             answer(status, METRICS_TYPE, text)
         }
         "/status" => answer(StatusCode::OK, JSON_TYPE, view.status().to_string()),
-        path if path == ready_path && view.is_ready() => answer(StatusCode::OK, JSON_TYPE, "{\"ready\":true}".into()),
-        path if path == ready_path => answer(StatusCode::SERVICE_UNAVAILABLE, JSON_TYPE, "{\"ready\":false}".into()),
+        path if path == ready_path && view.is_ready() => {
+            answer(StatusCode::OK, JSON_TYPE, "{\"ready\":true}".into())
+        }
+        path if path == ready_path => {
+            answer(StatusCode::SERVICE_UNAVAILABLE, JSON_TYPE, "{\"ready\":false}".into())
+        }
         _ => answer(
             StatusCode::NOT_FOUND,
             JSON_TYPE,
--- a/crates/papayamux-protocol/src/router_report.rs
+++ b/crates/papayamux-protocol/src/router_report.rs
@@ -42,8 +42,7 @@
     Server(#[from] IdError),
 }
 
-#[derive(Clone, PartialEq)]
-#[derive(Message)]
+#[derive(Clone, PartialEq, Message)]
 struct LoadWire {
     #[prost(string, tag = "1")]
     server: String,
@@ -53,8 +52,7 @@
     backlog: u64,
 }
 
-#[derive(Clone, PartialEq)]
-#[derive(Message)]
+#[derive(Clone, PartialEq, Message)]
 struct ReportWire {
     #[prost(uint64, tag = "1")]
     sequence: u64,
--- a/crates/papayamux-router/src/daemon.rs
+++ b/crates/papayamux-router/src/daemon.rs
@@ -151,7 +151,13 @@
     });
     let shutdown = ShutdownSignal::new();
     let registry = Rc::new(registry);
-    monoio::spawn(serve_operations(operators, READY_PATH.to_string(), registry, view.clone(), ShutdownSignal::new()));
+    monoio::spawn(serve_operations(
+        operators,
+        READY_PATH.to_string(),
+        registry,
+        view.clone(),
+        ShutdownSignal::new(),
+    ));
     let incarnation = identity.incarnation;
     let loads = Rc::new(LoadBook::default());
     let servers = settings.servers.clone();
--- a/crates/papayamux-router/src/direct/active_request.rs
+++ b/crates/papayamux-router/src/direct/active_request.rs
@@ -15,13 +15,19 @@
     fleet: Rc<Fleet>,
     server: Rc<BackendServer>,
     load: ServerLoad,
+    begun: bool,
 }
 
 impl ActiveRequest {
     /// Counts a request that is about to be sent.
     pub(super) fn begin(fleet: &Rc<Fleet>, chosen: &ChosenServer, prompt: &PromptChain) -> Self {
         fleet.begin_request(chosen, prompt);
-        Self { fleet: fleet.clone(), server: chosen.server.clone(), load: chosen.load }
+        Self {
+            fleet: fleet.clone(),
+            server: chosen.server.clone(),
+            load: chosen.load,
+            begun: false,
+        }
     }
 
     /// The server.
@@ -36,6 +42,7 @@
 
     /// Notes the first event: the prompt is no longer part of the server's backlog.
     pub(super) fn prompt_was_read(&mut self) {
+        self.begun = true;
         if self.load.backlog > 0 {
             let read = ServerLoad { requests: 0, backlog: self.load.backlog };
             self.fleet.ledger().borrow_mut().end(&self.server.id, read);
@@ -43,6 +50,11 @@
         }
     }
 
+    /// Whether its first event has arrived.
+    pub(super) fn has_begun(&self) -> bool {
+        self.begun
+    }
+
     /// Notes evidence against the server.
     pub(super) fn accuse(&self, kind: EvidenceKind) {
         self.fleet.note_evidence(&self.server, kind);
--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -17,8 +17,14 @@
 /// Bytes of an answer that are collected before any of it is passed on, so that an answer that
 /// breaks off can be asked for again.
 const BUFFERED_ANSWER: usize = 128 * 1024;
-/// Silence of a server before a request that may be repeated goes to another one.
-const LEAST_SILENCE: Duration = Duration::from_millis(250);
+/// Silence of a plain service before a request that may be repeated goes to another server: more
+/// than the slowest calls take.
+const PLAIN_SILENCE: Duration = Duration::from_millis(250);
+/// Silence of an engine in a stream before the stream is continued elsewhere. An event takes five
+/// steps or so, and a step that reads a full chunk of another prompt takes 60 to 70 ms.
+const STREAM_SILENCE: Duration = Duration::from_millis(450);
+/// Silence of an engine before a stream's first event: its prompt may wait behind others.
+const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(700);
 /// How often a silence is looked at again.
 const SILENCE_CHECK: Duration = Duration::from_millis(50);
 
@@ -60,7 +66,7 @@
     work: impl std::future::Future<Output = T>,
 ) -> Waited<T> {
     let mut work = std::pin::pin!(work);
-    let patience = patience(plan);
+    let patience = patience(plan, active);
     let mut wait = patience.min(plan.left());
     loop {
         let pause = std::pin::pin!(monoio::time::sleep(wait));
@@ -70,7 +76,7 @@
             Either::Right(_) => {}
         }
         let silence = plan.fleet.silence(active.server(), Instant::now());
-        if plan.kind().may_repeat() && silence.is_some_and(|silence| silence >= patience) {
+        if silence.is_some_and(|silence| silence >= patience) && plan.may_leave() {
             return Waited::Silent;
         }
         wait = SILENCE_CHECK.min(plan.left());
@@ -78,10 +84,12 @@
 }
 
 /// How long a silence is borne.
-fn patience(plan: &CallPlan) -> Duration {
-    match plan.kind().may_repeat() {
-        true => LEAST_SILENCE.max(plan.route.objective.mul_f64(0.5)),
-        false => plan.left(),
+fn patience(plan: &CallPlan, active: &ActiveRequest) -> Duration {
+    match (plan.kind().may_repeat(), plan.kind().is_stream()) {
+        (false, _) => plan.left(),
+        (true, false) => PLAIN_SILENCE,
+        (true, true) if active.has_begun() => STREAM_SILENCE,
+        (true, true) => FIRST_EVENT_SILENCE.max(plan.route.objective),
     }
 }
 
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -70,6 +70,12 @@
         self.give_up.saturating_duration_since(Instant::now())
     }
 
+    /// Whether the request may leave a server that is silent for another one.
+    pub(super) fn may_leave(&self) -> bool {
+        self.history.may_leave(self.kind(), self.route.attempts)
+            && self.fleet.budget().borrow().has_room(&self.service, Instant::now())
+    }
+
     /// Attempts so far.
     pub(super) fn offers(&self) -> u32 {
         self.history.offers()
@@ -96,13 +102,14 @@
     /// What the next sending carries.
     pub(super) fn dispatch<'a>(
         &'a self,
-        server: &'a ServerId,
+        chosen: &'a ChosenServer,
         last_event: Option<u64>,
     ) -> Dispatch<'a> {
         let holder = self.holder.as_deref();
         let own = holder.and_then(|holder| holder.priority);
         Dispatch {
-            server,
+            server: &chosen.server.id,
+            fetch_from: chosen.fetch_from.as_ref().map(|source| source.address),
             organisation: holder.map(|holder| &holder.organisation),
             left: Some(self.left()),
             priority: own.unwrap_or(self.route.priority),
@@ -126,8 +133,7 @@
     }
 
     fn take_repeat(&self) -> bool {
-        let taken =
-            self.fleet.budget().borrow_mut().take_repeat(&self.service, Instant::now());
+        let taken = self.fleet.budget().borrow_mut().take_repeat(&self.service, Instant::now());
         if !taken {
             log::info!(request:% = self.call.id, service:% = self.service; "retry budget is used up");
         }
--- a/crates/papayamux-router/src/direct/daemon.rs
+++ b/crates/papayamux-router/src/direct/daemon.rs
@@ -122,11 +122,8 @@
         let (desk, view) = (desk.clone(), handler_view.clone());
         async move { close_when_draining(&view, desk.handle(request).await) }
     });
-    let limits = HttpLimits {
-        connections: MOST_CALLERS,
-        head_within: IDLE_WITHIN,
-        ..HttpLimits::default()
-    };
+    let limits =
+        HttpLimits { connections: MOST_CALLERS, head_within: IDLE_WITHIN, ..HttpLimits::default() };
     let shutdown = ShutdownSignal::new();
     let served = monoio::spawn(serve(callers, limits, shutdown.clone(), handler));
     log::info!(
--- a/crates/papayamux-router/src/direct/fleet.rs
+++ b/crates/papayamux-router/src/direct/fleet.rs
@@ -19,7 +19,7 @@
 use papayamux_state::ids::{FailureDomain, ServerId, ServiceId};
 use papayamux_state::prompt::{PromptChain, WarmParts};
 use papayamux_state::quantities::TokenCount;
-use papayamux_state::service_config::ConfigurationSnapshot;
+use papayamux_state::service_config::{ConfigurationSnapshot, EngineProfile};
 use papayamux_transport::boot_clock::boot_now;
 use papayamux_transport::http::upstream::UpstreamPool;
 use papayamux_transport::shutdown::ShutdownSignal;
@@ -59,6 +59,8 @@
     pub server: Rc<BackendServer>,
     /// What the request adds to its load.
     pub load: ServerLoad,
+    /// A server from which it should take what it lacks of the prompt.
+    pub fetch_from: Option<Rc<BackendServer>>,
 }
 
 impl Fleet {
@@ -227,22 +229,28 @@
     ) -> Option<ChosenServer> {
         let now = Instant::now();
         let servers = self.usable_servers(service, tried);
-        let ranks = home_ranks(prompt, &servers);
+        let home = home_index(prompt, &servers);
         let candidates: Vec<_> = servers
             .iter()
-            .zip(&ranks)
-            .map(|(server, rank)| self.candidate(server, prompt, *rank, now))
+            .enumerate()
+            .map(|(index, server)| self.candidate(server, prompt, home == Some(index), now))
             .collect();
         let request = PlacementRequest {
             prompt: prompt_tokens.max(prompt.tokens()),
-            shared: prompt.longest_shared().map(|part| part.tokens).unwrap_or_default(),
+            shared: prompt.shared_tokens(),
+            transfer_tokens_per_ms: self
+                .engine_profile(service)
+                .and_then(|profile| profile.transfer_tokens_per_ms),
         };
         let tuning = PlacementTuning { load_factor: self.settings.load_factor };
-        let index = place(request, &candidates, tuning)?;
-        let server = servers[index].clone();
+        let placement = place(request, &candidates, tuning)?;
+        let server = servers[placement.server].clone();
         self.evidence.borrow_mut().begin_trial(&server.id, now);
-        let cold = request.prompt.saturating_sub(candidates[index].warm);
-        Some(ChosenServer { server, load: ServerLoad { requests: 1, backlog: cold.get() } })
+        Some(ChosenServer {
+            server,
+            load: ServerLoad { requests: 1, backlog: placement.cold.get() },
+            fetch_from: placement.fetch_from.map(|index| servers[index].clone()),
+        })
     }
 
     fn usable_servers(&self, service: &ServiceId, tried: &[ServerId]) -> Vec<Rc<BackendServer>> {
@@ -258,7 +266,7 @@
         &self,
         server: &BackendServer,
         prompt: &PromptChain,
-        rank: u32,
+        home: bool,
         now: Instant,
     ) -> PlacementCandidate {
         let warm = self.warm.borrow().get(&server.id).map(|warm| warm.warm_tokens(prompt));
@@ -272,7 +280,7 @@
             load: self.ledger.borrow().total(&server.id),
             slots: server.slots,
             warm: warm.unwrap_or_default(),
-            rank,
+            home,
             standing,
             near: server.domain == self.settings.domain,
         }
@@ -292,8 +300,7 @@
         if !prompt.parts().is_empty() {
             let capacity = self.cache_capacity(&server.service);
             let mut warm = self.warm.borrow_mut();
-            let parts =
-                warm.entry(server.id.clone()).or_insert_with(|| WarmParts::new(capacity));
+            let parts = warm.entry(server.id.clone()).or_insert_with(|| WarmParts::new(capacity));
             parts.note_use(prompt);
         }
     }
@@ -323,9 +330,12 @@
         }
     }
 
+    fn engine_profile(&self, service: &ServiceId) -> Option<EngineProfile> {
+        self.configuration.borrow().as_ref()?.services.get(service)?.engine
+    }
+
     fn cache_capacity(&self, service: &ServiceId) -> TokenCount {
-        let configuration = self.configuration.borrow();
-        let profile = configuration.as_ref().and_then(|known| known.services.get(service)?.engine);
+        let profile = self.engine_profile(service);
         profile.map_or(DEFAULT_CACHE, |profile| profile.cache_tokens)
     }
 }
@@ -334,18 +344,11 @@
     !prompt.parts().is_empty()
 }
 
-/// The order of servers for the part by which prompts are grouped, by rendezvous hashing: all
-/// routers find the same without a word between them, and a server that comes or goes moves only
-/// its own groups.
-fn home_ranks(prompt: &PromptChain, servers: &[Rc<BackendServer>]) -> Vec<u32> {
-    let mut ranks = vec![u32::MAX; servers.len()];
-    let Some(shared) = prompt.longest_shared() else { return ranks };
-    let weight = |server: &BackendServer| {
-        xxh3_64_with_seed(server.id.as_str().as_bytes(), shared.id.0)
-    };
-    let home = (0..servers.len()).max_by_key(|index| weight(&servers[*index]));
-    if let Some(home) = home {
-        ranks[home] = 0;
-    }
-    ranks
+/// The home of the part by which prompts are grouped, by rendezvous hashing: all routers find the
+/// same without a word between them, and a server that comes or goes moves only its own groups.
+fn home_index(prompt: &PromptChain, servers: &[Rc<BackendServer>]) -> Option<usize> {
+    let shared = prompt.longest_shared()?;
+    let weight =
+        |server: &BackendServer| xxh3_64_with_seed(server.id.as_str().as_bytes(), shared.id.0);
+    (0..servers.len()).max_by_key(|index| weight(&servers[*index]))
 }
--- a/crates/papayamux-router/src/direct/interface.rs
+++ b/crates/papayamux-router/src/direct/interface.rs
@@ -2,6 +2,7 @@
 //!
 //! Implementations only translate. They hold no state and decide nothing.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +18,8 @@
 pub struct Dispatch<'a> {
     /// The server that is meant.
     pub server: &'a ServerId,
+    /// Where the server should take what it lacks of the prompt, before it reads it.
+    pub fetch_from: Option<SocketAddr>,
     /// The organisation of the caller's key.
     pub organisation: Option<&'a OrganisationId>,
     /// Time that is left.
--- a/crates/papayamux-router/src/direct/peers.rs
+++ b/crates/papayamux-router/src/direct/peers.rs
@@ -37,11 +37,7 @@
 
 impl PeerExchange {
     /// Opens the socket. All routers use the same port.
-    pub fn open(
-        fleet: Rc<Fleet>,
-        listen: SocketAddr,
-        seeds: Vec<IpAddr>,
-    ) -> io::Result<Rc<Self>> {
+    pub fn open(fleet: Rc<Fleet>, listen: SocketAddr, seeds: Vec<IpAddr>) -> io::Result<Rc<Self>> {
         let socket = UdpSocket::bind(listen)?;
         let peers = RefCell::new(RouterPeers::new(listen.ip(), seeds));
         let exchange = Rc::new(Self {
@@ -93,8 +89,7 @@
             }
         };
         let now = Instant::now();
-        let newer =
-            self.peers.borrow_mut().hear(sender, report.sequence, &report.known, now);
+        let newer = self.peers.borrow_mut().hear(sender, report.sequence, &report.known, now);
         if !newer {
             return;
         }
--- a/crates/papayamux-router/src/direct/settings.rs
+++ b/crates/papayamux-router/src/direct/settings.rs
@@ -101,10 +101,7 @@
     )
 }
 
-fn read_bounds(
-    file: &IniFile,
-    domain: Option<FailureDomain>,
-) -> Option<(Duration, FleetSettings)> {
+fn read_bounds(file: &IniFile, domain: Option<FailureDomain>) -> Option<(Duration, FleetSettings)> {
     let bounds = file.section("bounds");
     let defaults = RetryAllowance::default();
     let retries = RetryAllowance {
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -189,7 +189,7 @@
             Err(failure) => return Err(lost(&failure.to_string())),
         };
         let active = ActiveRequest::begin(&self.plan.fleet, &chosen, &self.plan.call.prompt);
-        let dispatch = self.plan.dispatch(&chosen.server.id, self.last_event);
+        let dispatch = self.plan.dispatch(&chosen, self.last_event);
         let body = self.plan.body.clone();
         let request = self.interface.server_request(&self.plan.call, &dispatch, body);
         let attempt = send_attempt(&*self.interface, &self.plan, active, request).await?;
--- a/crates/papayamux-state/src/prompt/prompt_chain.rs
+++ b/crates/papayamux-state/src/prompt/prompt_chain.rs
@@ -67,6 +67,13 @@
         shared.iter().max_by_key(|part| part.tokens)
     }
 
+    /// The length of the prompt up to the end of its longest shared part.
+    pub fn shared_tokens(&self) -> TokenCount {
+        let Some(longest) = self.longest_shared() else { return TokenCount::default() };
+        let end = self.parts.iter().position(|part| part.id == longest.id).unwrap_or(0);
+        self.parts[..=end].iter().map(|part| part.tokens).sum()
+    }
+
     /// The names of all prefixes: each stands for a part together with all parts before it.
     pub fn prefixes(&self) -> impl Iterator<Item = (PartId, TokenCount)> + '_ {
         self.parts.iter().scan(0u64, |state, part| {
--- a/crates/papayamux-state/src/service_config/service.rs
+++ b/crates/papayamux-state/src/service_config/service.rs
@@ -3,16 +3,18 @@
 use crate::quantities::TokenCount;
 
 /// What a model engine can hold and do.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EngineProfile {
     /// Requests that one engine runs at once.
     pub slots: u32,
     /// Tokens that fit into one engine's key-value cache.
     pub cache_tokens: TokenCount,
+    /// Cached tokens that one engine can hand another in a millisecond; `None` where it can't.
+    pub transfer_tokens_per_ms: Option<f64>,
 }
 
 /// A service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Service {
     /// Connections that one server accepts from all callers together.
     pub connection_limit: Option<u32>,
--- a/crates/papayamux-transport/src/http/upstream/connection.rs
+++ b/crates/papayamux-transport/src/http/upstream/connection.rs
@@ -77,9 +77,8 @@
         };
         set_stream_options(&stream).map_err(connect_error)?;
         let io = MonoioIo::new(stream.into_poll_io().map_err(connect_error)?);
-        let (sender, connection) = handshake(io)
-            .await
-            .map_err(|source| UpstreamError::Broken { address, source })?;
+        let (sender, connection) =
+            handshake(io).await.map_err(|source| UpstreamError::Broken { address, source })?;
         let (open, dropped) = oneshot::channel::<()>();
         monoio::spawn(async move {
             match select(connection, dropped).await {
--- a/crates/papayamux-transport/src/http/upstream/connection_pool.rs
+++ b/crates/papayamux-transport/src/http/upstream/connection_pool.rs
@@ -130,5 +130,6 @@
 }
 
 fn is_over(connection: &UpstreamConnection, now: Instant) -> bool {
-    connection.is_closed() || now.saturating_duration_since(connection.idle_since) >= connection.idle_within
+    connection.is_closed()
+        || now.saturating_duration_since(connection.idle_since) >= connection.idle_within
 }
