Wait for no connection's readiness: a waiting task starved all others

Waiting for hyper's readiness parks a waker and wakes the one parked before where the two don't compare equal, which depends on how the compiler lays out waker tables; polled twice in one turn, the task woke itself, and monoio runs such a task before all others. Change: no readiness is waited for; attempts are watched by one task instead of a timer each; logs go to standard output through a bounded buffer; the boot clock is read through the C library.

--- a/crates/papayamux-daemon/src/command_line.rs
+++ b/crates/papayamux-daemon/src/command_line.rs
@@ -110,10 +110,14 @@
         println!("{file}: no findings");
         return ExitCode::SUCCESS;
     }
-    match run(settings) {
+    let result = run(settings);
+    if let Err(error) = &result {
+        log::error!(error:% = error; "the daemon ends");
+    }
+    log::logger().flush();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log::error!(error:% = error; "the daemon ends");
             eprintln!("{}: {error}", name.program);
             ExitCode::FAILURE
         }
--- a/crates/papayamux-daemon/src/logging.rs
+++ b/crates/papayamux-daemon/src/logging.rs
@@ -1,11 +1,13 @@
-//! Logs: one JSON object a line on standard error, with the record's fields beside its message.
+//! Logs: one JSON object a line on standard output, with the record's fields beside its message.
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use log::kv::{Error, Key, Value, VisitSource};
-use log::{LevelFilter, Record};
+use log::{LevelFilter, Log, Metadata, Record};
 use serde_json::Map;
 
+use crate::log_writer::LogWriter;
+
 struct FieldCollector<'a>(&'a mut Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for FieldCollector<'_> {
@@ -32,11 +34,39 @@
     serde_json::Value::Object(fields).to_string()
 }
 
-/// Starts logging at `level`; a second call changes nothing.
+/// Passes lines to the writer.
+struct LineSink(LogWriter);
+
+impl Log for LineSink {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        self.0.push(&record.args().to_string());
+    }
+
+    fn flush(&self) {
+        self.0.flush(&mut std::io::stdout());
+    }
+}
+
+/// Starts logging at `level` to standard output; a second call changes nothing.
+///
+/// Call `log::logger().flush()` before the process ends, since lines are written in batches.
 pub fn start_logging(program: &'static str, level: LevelFilter) {
+    let writer = match LogWriter::start(std::io::stdout()) {
+        Ok(writer) => writer,
+        Err(error) => {
+            eprintln!("{program}: no thread for logs: {error}");
+            return;
+        }
+    };
+    let sink: Box<dyn Log> = Box::new(LineSink(writer));
     let dispatch = fern::Dispatch::new()
         .level(level)
         .format(move |out, _, record| out.finish(format_args!("{}", record_line(program, record))))
-        .chain(std::io::stderr());
+        .chain(sink);
+    // It fails only where logging has been started before.
     let _ = dispatch.apply();
 }
--- a/crates/papayamux-router/src/direct/active_request.rs
+++ b/crates/papayamux-router/src/direct/active_request.rs
@@ -5,8 +5,9 @@
 use papayamux_coordination::placement::ServerLoad;
 use papayamux_coordination::server_evidence::EvidenceKind;
 use papayamux_state::backend::BackendServer;
-use papayamux_state::prompt::PromptChain;
 
+use super::attempt_watch::WatchedAttempt;
+use super::call_plan::CallPlan;
 use super::fleet::ChosenServer;
 use super::Fleet;
 
@@ -16,18 +17,23 @@
     server: Rc<BackendServer>,
     load: ServerLoad,
     begun: bool,
+    watched: Rc<WatchedAttempt>,
 }
 
 impl ActiveRequest {
     /// Counts a request that is about to be sent.
-    pub(super) fn begin(fleet: &Rc<Fleet>, chosen: &ChosenServer, prompt: &PromptChain) -> Self {
-        fleet.begin_request(chosen, prompt);
-        Self {
-            fleet: fleet.clone(),
-            server: chosen.server.clone(),
-            load: chosen.load,
-            begun: false,
-        }
+    pub(super) fn begin(plan: &CallPlan, chosen: &ChosenServer) -> Self {
+        let fleet = plan.fleet.clone();
+        fleet.begin_request(chosen, &plan.call.prompt);
+        let server = chosen.server.clone();
+        let watched = WatchedAttempt::new(server.clone(), plan.give_up);
+        fleet.watch().add(&watched);
+        Self { fleet, server, load: chosen.load, begun: false, watched }
+    }
+
+    /// The attempt as the watch sees it.
+    pub(super) fn watched(&self) -> &WatchedAttempt {
+        &self.watched
     }
 
     /// The server.
--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -1,6 +1,6 @@
 //! One sending of a request to one backend server.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::future::{select, Either};
@@ -10,6 +10,7 @@
 use papayamux_transport::http::upstream::{UpstreamAnswer, UpstreamError};
 
 use super::active_request::ActiveRequest;
+use super::attempt_watch::AttemptAlarm;
 use super::call_desk::TIME_UP;
 use super::call_plan::CallPlan;
 use super::interface::{AnswerVerdict, CallInterface};
@@ -25,8 +26,6 @@
 const STREAM_SILENCE: Duration = Duration::from_millis(450);
 /// Silence of an engine before a stream's first event: its prompt may wait behind others.
 const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(700);
-/// How often a silence is looked at again.
-const SILENCE_CHECK: Duration = Duration::from_millis(50);
 
 /// An answer that has begun.
 pub(super) struct AttemptAnswer {
@@ -65,31 +64,28 @@
     active: &ActiveRequest,
     work: impl std::future::Future<Output = T>,
 ) -> Waited<T> {
+    let watched = active.watched();
+    watched.set_patience(patience(plan, active));
     let mut work = std::pin::pin!(work);
-    let patience = patience(plan, active);
-    let mut wait = patience.min(plan.left());
     loop {
-        let pause = std::pin::pin!(monoio::time::sleep(wait));
-        match select(work.as_mut(), pause).await {
+        let alarm = std::pin::pin!(watched.alarm());
+        match select(work.as_mut(), alarm).await {
             Either::Left((done, _)) => return Waited::Done(done),
-            Either::Right(_) if plan.left().is_zero() => return Waited::TimeUp,
-            Either::Right(_) => {}
+            Either::Right((AttemptAlarm::TimeUp, _)) => return Waited::TimeUp,
+            Either::Right((AttemptAlarm::Silent, _)) if plan.may_leave() => return Waited::Silent,
+            Either::Right((AttemptAlarm::Silent, _)) => watched.set_patience(None),
         }
-        let silence = plan.fleet.silence(active.server(), Instant::now());
-        if silence.is_some_and(|silence| silence >= patience) && plan.may_leave() {
-            return Waited::Silent;
-        }
-        wait = SILENCE_CHECK.min(plan.left());
     }
 }
 
-/// How long a silence is borne.
-fn patience(plan: &CallPlan, active: &ActiveRequest) -> Duration {
-    match (plan.kind().may_repeat(), plan.kind().is_stream()) {
-        (false, _) => plan.left(),
-        (true, false) => PLAIN_SILENCE,
-        (true, true) if active.has_begun() => STREAM_SILENCE,
-        (true, true) => FIRST_EVENT_SILENCE.max(plan.route.objective),
+/// How long a silence is borne; `None` where the request can't be sent again.
+fn patience(plan: &CallPlan, active: &ActiveRequest) -> Option<Duration> {
+    let kind = plan.kind();
+    match (kind.may_repeat(), kind.is_stream()) {
+        (false, _) => None,
+        (true, false) => Some(PLAIN_SILENCE),
+        (true, true) if active.has_begun() => Some(STREAM_SILENCE),
+        (true, true) => Some(FIRST_EVENT_SILENCE.max(plan.route.objective)),
     }
 }
 
--- a/crates/papayamux-router/src/direct/call_desk.rs
+++ b/crates/papayamux-router/src/direct/call_desk.rs
@@ -199,7 +199,7 @@
 
     async fn attempt(&self, plan: &mut CallPlan) -> Result<AttemptAnswer, Failed> {
         let chosen = plan.choose().map_err(Failed::Given)?;
-        let active = ActiveRequest::begin(&self.fleet, &chosen, &plan.call.prompt);
+        let active = ActiveRequest::begin(plan, &chosen);
         let dispatch = plan.dispatch(&chosen, plan.call.last_event);
         let request = self.interface.server_request(&plan.call, &dispatch, plan.body.clone());
         send_attempt(&*self.interface, plan, active, request).await.map_err(Failed::Lost)
--- a/crates/papayamux-router/src/direct/daemon.rs
+++ b/crates/papayamux-router/src/direct/daemon.rs
@@ -23,6 +23,7 @@
 use prometheus_client::registry::Registry;
 use serde_json::json;
 
+use super::attempt_watch::watch_attempts;
 use super::peers::PeerExchange;
 use super::source_follower::{follow_source, FleetSource};
 use super::{CallDesk, CallInterface, DirectSettings, Fleet};
@@ -103,6 +104,7 @@
     let view = Rc::new(DirectView { fleet: fleet.clone(), draining: Cell::new(false) });
     let callers = listen(settings.listen)?;
     let operators = listen(settings.operations)?;
+    let (caller_address, operator_address) = (callers.local_addr()?, operators.local_addr()?);
     let registry = Rc::new(Registry::default());
     let ready_path = settings.ready_path.clone();
     let operations = serve_operations(
@@ -115,7 +117,9 @@
     monoio::spawn(operations);
     let peers = PeerExchange::open(fleet.clone(), settings.peers, settings.seeds.clone())?;
     monoio::spawn(follow_source(fleet.clone(), source));
-    monoio::spawn(prune_connections(fleet.clone()));
+    let timer = TimerService::start();
+    monoio::spawn(prune_connections(fleet.clone(), timer.clone()));
+    monoio::spawn(watch_attempts(fleet.clone(), timer));
     let desk = CallDesk::new(fleet, interface);
     let handler_view = view.clone();
     let handler = Rc::new(move |request| {
@@ -127,14 +131,14 @@
     let shutdown = ShutdownSignal::new();
     let served = monoio::spawn(serve(callers, limits, shutdown.clone(), handler));
     log::info!(
-        instance:% = settings.instance, listen:% = settings.listen, source:% = settings.source,
-        peers:% = settings.peers; "router started"
+        instance:% = settings.instance, listen:% = caller_address,
+        operations:% = operator_address, source:% = settings.source, peers:% = settings.peers;
+        "router started"
     );
     Ok(ServingRouter { view, peers, shutdown, served })
 }
 
-async fn prune_connections(fleet: Rc<Fleet>) {
-    let timer = TimerService::start();
+async fn prune_connections(fleet: Rc<Fleet>, timer: TimerService) {
     let mut ticks = timer.every(PRUNE_EVERY);
     while ticks.tick().await.is_some() {
         fleet.pool().prune();
--- a/crates/papayamux-router/src/direct/fleet.rs
+++ b/crates/papayamux-router/src/direct/fleet.rs
@@ -25,6 +25,7 @@
 use papayamux_transport::shutdown::ShutdownSignal;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::attempt_watch::AttemptWatch;
 use super::FleetSettings;
 
 /// Tokens of an engine's cache where the configuration doesn't say.
@@ -49,6 +50,7 @@
     budget: RefCell<ServiceRetryBudget>,
     warm: RefCell<HashMap<ServerId, WarmParts>>,
     in_flight: Cell<usize>,
+    watch: AttemptWatch,
     pool: UpstreamPool,
 }
 
@@ -80,6 +82,7 @@
             pulses: RefCell::default(),
             warm: RefCell::default(),
             in_flight: Cell::new(0),
+            watch: AttemptWatch::default(),
             pool,
         })
     }
@@ -94,6 +97,11 @@
         &self.pool
     }
 
+    /// The watch over attempts.
+    pub(super) fn watch(&self) -> &AttemptWatch {
+        &self.watch
+    }
+
     /// The configuration in force.
     pub fn configuration(&self) -> Option<Rc<ConfigurationSnapshot>> {
         self.configuration.borrow().clone()
--- a/crates/papayamux-router/src/direct/mod.rs
+++ b/crates/papayamux-router/src/direct/mod.rs
@@ -2,6 +2,7 @@
 
 mod active_request;
 mod attempt;
+mod attempt_watch;
 mod call;
 mod call_desk;
 mod call_plan;
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -188,7 +188,7 @@
             Ok(chosen) => chosen,
             Err(failure) => return Err(lost(&failure.to_string())),
         };
-        let active = ActiveRequest::begin(&self.plan.fleet, &chosen, &self.plan.call.prompt);
+        let active = ActiveRequest::begin(&self.plan, &chosen);
         let dispatch = self.plan.dispatch(&chosen, self.last_event);
         let body = self.plan.body.clone();
         let request = self.interface.server_request(&self.plan.call, &dispatch, body);
--- a/crates/papayamux-transport/src/boot_clock.rs
+++ b/crates/papayamux-transport/src/boot_clock.rs
@@ -2,13 +2,17 @@
 
 use std::time::Duration;
 
+use nix::time::{clock_gettime, ClockId};
 use papayamux_state::boot_time::BootInstant;
-use rustix::time::{clock_gettime, ClockId};
 
 /// The present time on the boot clock.
 pub fn boot_now() -> BootInstant {
-    let time = clock_gettime(ClockId::Boottime);
-    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
-    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
-    BootInstant(Duration::new(seconds, nanos))
+    match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+        Ok(time) => BootInstant(Duration::from(time)),
+        Err(error) => {
+            // Every kernel of the last ten years has this clock.
+            log::error!(error:% = error; "the boot clock can't be read");
+            BootInstant(Duration::MAX)
+        }
+    }
 }
--- a/crates/papayamux-transport/src/http/upstream/connection.rs
+++ b/crates/papayamux-transport/src/http/upstream/connection.rs
@@ -109,9 +109,9 @@
         request: Request<Bytes>,
     ) -> Result<http::Response<Incoming>, UpstreamError> {
         let address = self.address;
-        if self.sender.ready().await.is_err() {
-            return Err(UpstreamError::NotSent { address });
-        }
+        // A fresh connection takes its first request at once, and the pool hands out others only
+        // when they are ready. Waiting for readiness here would wake this task at each poll where
+        // the compiler has made two copies of its waker's table, and starve all other tasks.
         match self.sender.try_send_request(request.map(Full::new)).await {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
