Avoid servers that fail more of their answers than the others

Change: each router keeps a fading record of answers per server; what a server fails beyond the service's usual share counts as cost in placement. Where all fail alike nobody is avoided.

--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod server_evidence;
 pub mod server_presence;
 pub mod server_pulse;
+pub mod server_record;
 pub mod service_retry_budget;
 pub mod source_pace;
--- a/crates/papayamux-coordination/src/placement/candidate.rs
+++ b/crates/papayamux-coordination/src/placement/candidate.rs
@@ -27,6 +27,8 @@
     pub warm: TokenCount,
     /// Whether it is the home of the prompt's group, by which all routers begin alike.
     pub home: bool,
+    /// The part of its answers that it fails beyond what the others fail, from 0 to 1.
+    pub failing: f64,
     /// What speaks against it.
     pub standing: ServerStanding,
     /// Whether it is in the router's own failure domain.
--- a/crates/papayamux-coordination/src/placement/placer.rs
+++ b/crates/papayamux-coordination/src/placement/placer.rs
@@ -34,6 +34,8 @@
 /// What another failure domain costs: a round trip of one to two milliseconds, and traffic that
 /// is paid for.
 const FAR_MS: f64 = 1.5;
+/// What an answer that fails for certain costs: more than any wait that still is on time.
+const FAILURE_MS: f64 = 1_500.0;
 /// How far a home is believed to hold its group's part when this router has not placed it there:
 /// the other routers have, unless the home is new.
 const HOME_BELIEF: f64 = 0.95;
@@ -103,9 +105,10 @@
     elsewhere: Option<TokenCount>,
 ) -> f64 {
     let near = if candidate.near { 0.0 } else { FAR_MS };
+    let risk = near + candidate.failing * FAILURE_MS;
     if request.prompt.get() == 0 {
         let slots = f64::from(candidate.slots.max(1));
-        return near + f64::from(candidate.load.requests) / slots * PLAIN_MS_PER_FULL_SLOTS;
+        return risk + f64::from(candidate.load.requests) / slots * PLAIN_MS_PER_FULL_SLOTS;
     }
     let held = believed_tokens(request, candidate);
     let lacking = elsewhere.unwrap_or_default().saturating_sub(held).get() as f64;
@@ -118,5 +121,5 @@
     let read = (cold + backlog) / PREFILL_TOKENS_PER_MS;
     let crowd = f64::from(candidate.load.requests) * ENGINE_MS_PER_REQUEST;
     let moved = transfer * COLD_WEIGHT;
-    near + read + cold / PREFILL_TOKENS_PER_MS * (COLD_WEIGHT - 1.0) + moved + crowd
+    risk + read + cold / PREFILL_TOKENS_PER_MS * (COLD_WEIGHT - 1.0) + moved + crowd
 }
--- a/crates/papayamux-router/src/direct/active_request.rs
+++ b/crates/papayamux-router/src/direct/active_request.rs
@@ -61,6 +61,11 @@
         self.begun
     }
 
+    /// Notes how the server answered.
+    pub(super) fn judge(&self, failed: bool) {
+        self.fleet.note_answer(&self.server, failed);
+    }
+
     /// Notes evidence against the server.
     pub(super) fn accuse(&self, kind: EvidenceKind) {
         self.fleet.note_evidence(&self.server, kind);
--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -109,8 +109,12 @@
     };
     active.hear();
     match interface.verdict(&plan.call, &answer.head) {
-        AnswerVerdict::Answer => Ok(AttemptAnswer { answer, active }),
+        AnswerVerdict::Answer => {
+            active.judge(answer.head.status.is_server_error());
+            Ok(AttemptAnswer { answer, active })
+        }
         AnswerVerdict::NotRun => {
+            active.judge(true);
             finish_rejection(answer).await;
             Err(LostAttempt { loss: AttemptLoss::Rejected, cause: "rejected".to_string() })
         }
@@ -125,6 +129,7 @@
 
 fn lost_by_error(active: &ActiveRequest, error: &UpstreamError) -> LostAttempt {
     active.accuse(EvidenceKind::Unreachable);
+    active.judge(true);
     let loss = match error.nothing_was_sent() {
         true => AttemptLoss::NotSent,
         false => AttemptLoss::Unknown,
@@ -170,6 +175,7 @@
                 }
             }
             Waited::Done(Some(Err(error))) => {
+                attempt.active.judge(true);
                 return Err(unknown(&format!("the answer broke off: {error}")));
             }
             Waited::Silent => {
--- a/crates/papayamux-router/src/direct/daemon.rs
+++ b/crates/papayamux-router/src/direct/daemon.rs
@@ -40,8 +40,8 @@
 /// How long a connection may be idle, or take for a request's head: longer than callers keep idle
 /// connections, so that no request crosses a close.
 const IDLE_WITHIN: Duration = Duration::from_secs(75);
-/// How often connections that were idle for too long are closed.
-const PRUNE_EVERY: Duration = Duration::from_secs(1);
+/// How often idle connections and faded records are looked through.
+const FORGET_EVERY: Duration = Duration::from_secs(1);
 
 struct DirectView {
     fleet: Rc<Fleet>,
@@ -118,7 +118,7 @@
     let peers = PeerExchange::open(fleet.clone(), settings.peers, settings.seeds.clone())?;
     monoio::spawn(follow_source(fleet.clone(), source));
     let timer = TimerService::start();
-    monoio::spawn(prune_connections(fleet.clone(), timer.clone()));
+    monoio::spawn(forget_old(fleet.clone(), timer.clone()));
     monoio::spawn(watch_attempts(fleet.clone(), timer));
     let desk = CallDesk::new(fleet, interface);
     let handler_view = view.clone();
@@ -138,10 +138,10 @@
     Ok(ServingRouter { view, peers, shutdown, served })
 }
 
-async fn prune_connections(fleet: Rc<Fleet>, timer: TimerService) {
-    let mut ticks = timer.every(PRUNE_EVERY);
+async fn forget_old(fleet: Rc<Fleet>, timer: TimerService) {
+    let mut ticks = timer.every(FORGET_EVERY);
     while ticks.tick().await.is_some() {
-        fleet.pool().prune();
+        fleet.forget_old();
     }
 }
 
--- a/crates/papayamux-router/src/direct/fleet.rs
+++ b/crates/papayamux-router/src/direct/fleet.rs
@@ -13,6 +13,7 @@
 use papayamux_coordination::server_evidence::{EvidenceBook, EvidenceKind, ServerStanding};
 use papayamux_coordination::server_presence::{PresenceChange, ServerPresence};
 use papayamux_coordination::server_pulse::PulseBook;
+use papayamux_coordination::server_record::AnswerRecord;
 use papayamux_coordination::service_retry_budget::ServiceRetryBudget;
 use papayamux_state::backend::{BackendServer, ServerPhase};
 use papayamux_state::boot_time::BootInstant;
@@ -48,6 +49,7 @@
     evidence: RefCell<EvidenceBook>,
     pulses: RefCell<HashMap<ServiceId, PulseBook>>,
     budget: RefCell<ServiceRetryBudget>,
+    records: RefCell<HashMap<ServiceId, AnswerRecord>>,
     warm: RefCell<HashMap<ServerId, WarmParts>>,
     in_flight: Cell<usize>,
     watch: AttemptWatch,
@@ -80,6 +82,7 @@
             ledger: RefCell::default(),
             evidence: RefCell::default(),
             pulses: RefCell::default(),
+            records: RefCell::default(),
             warm: RefCell::default(),
             in_flight: Cell::new(0),
             watch: AttemptWatch::default(),
@@ -289,11 +292,32 @@
             slots: server.slots,
             warm: warm.unwrap_or_default(),
             home,
+            failing: self.excess_failures(server, now),
             standing,
             near: server.domain == self.settings.domain,
         }
     }
 
+    fn excess_failures(&self, server: &BackendServer, now: Instant) -> f64 {
+        let records = self.records.borrow();
+        let record = records.get(&server.service);
+        record.map_or(0.0, |record| record.excess_failures(&server.id, now))
+    }
+
+    /// Notes whether a server's answer was a failure of its own.
+    pub(super) fn note_answer(&self, server: &BackendServer, failed: bool) {
+        let mut records = self.records.borrow_mut();
+        let record = records.entry(server.service.clone()).or_default();
+        record.note(&server.id, failed, Instant::now());
+    }
+
+    /// Forgets what is too old to matter.
+    pub(super) fn forget_old(&self) {
+        let now = Instant::now();
+        self.records.borrow_mut().values_mut().for_each(|record| record.forget_faded(now));
+        self.pool.prune();
+    }
+
     /// How long a server has owed a sign of life.
     pub fn silence(&self, server: &BackendServer, now: Instant) -> Option<Duration> {
         self.pulses.borrow().get(&server.service)?.silence(&server.id, now)
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -105,6 +105,7 @@
                 }
                 Waited::Done(None) => return self.end(),
                 Waited::Done(Some(Err(error))) => {
+                    attempt.active.judge(true);
                     attempt.active.accuse(EvidenceKind::Unreachable);
                     lost(&format!("the stream broke off: {error}"))
                 }
