--- /dev/null
+++ b/crates/papayamux-coordination/tests/placement.rs
@@ -0,0 +1,127 @@
+//! Where requests go, replayed against the decision alone.
+#![allow(clippy::unwrap_used, clippy::panic, reason = "helpers of tests, which may panic")]
+
+use std::time::Instant;
+
+use papayamux_coordination::placement::{
+    place, LoadLedger, PlacementCandidate, PlacementRequest, PlacementTuning, RouterId, ServerLoad,
+};
+use papayamux_coordination::server_evidence::ServerStanding;
+use papayamux_state::ids::ServerId;
+use papayamux_state::quantities::TokenCount;
+
+fn tokens(count: u64) -> TokenCount {
+    TokenCount::new(count)
+}
+
+fn candidate(requests: u32) -> PlacementCandidate {
+    PlacementCandidate {
+        load: ServerLoad { requests, backlog: 0 },
+        slots: 8,
+        warm: tokens(0),
+        home: false,
+        failing: 0.0,
+        standing: ServerStanding::Good,
+        near: true,
+    }
+}
+
+const LONG: PlacementRequest = PlacementRequest {
+    prompt: TokenCount::new(11_800),
+    shared: TokenCount::new(10_500),
+    transfer_tokens_per_ms: Some(500.0),
+};
+
+fn placed(request: PlacementRequest, candidates: &[PlacementCandidate]) -> usize {
+    place(request, candidates, PlacementTuning::default()).unwrap().server
+}
+
+#[test]
+fn first_request_of_a_group_goes_to_its_home() {
+    let home = PlacementCandidate { home: true, ..candidate(3) };
+    assert_eq!(placed(LONG, &[candidate(2), home, candidate(3)]), 1);
+}
+
+#[test]
+fn prompt_stays_where_it_is_known_to_be_when_its_home_is_new() {
+    let known = PlacementCandidate { warm: tokens(10_500), ..candidate(3) };
+    let new_home = PlacementCandidate { home: true, ..candidate(3) };
+    assert_eq!(placed(LONG, &[new_home, known, candidate(3)]), 1);
+}
+
+#[test]
+fn spilled_request_takes_its_part_from_the_server_that_holds_it() {
+    let full = PlacementCandidate { warm: tokens(10_500), home: true, ..candidate(30) };
+    let others = [candidate(3), full, candidate(3), candidate(3)];
+    let placement = place(LONG, &others, PlacementTuning::default()).unwrap();
+    assert_ne!(placement.server, 1);
+    assert_eq!(placement.fetch_from, Some(1));
+    assert_eq!(placement.cold, tokens(1_300));
+}
+
+#[test]
+fn nothing_is_taken_from_a_server_that_is_silent() {
+    let silent =
+        PlacementCandidate { warm: tokens(10_500), standing: ServerStanding::Held, ..candidate(1) };
+    let placement = place(LONG, &[silent, candidate(5)], PlacementTuning::default()).unwrap();
+    assert_eq!((placement.server, placement.fetch_from), (1, None));
+}
+
+#[test]
+fn one_group_with_a_quarter_of_the_traffic_stays_within_the_load_bound() {
+    // 12 servers; a quarter of the requests share one long part, the others have parts of their
+    // own; requests last for 40 arrivals.
+    let mut running: Vec<(usize, usize)> = Vec::new();
+    let mut holders = vec![vec![false; 13]; 12];
+    for arrival in 0..2_000usize {
+        running.retain(|(_, end)| *end > arrival);
+        let group = if arrival % 4 == 0 { 12 } else { arrival % 12 };
+        let home = group % 12;
+        let candidates: Vec<_> = (0..12)
+            .map(|server| PlacementCandidate {
+                warm: if holders[server][group] { tokens(10_500) } else { tokens(0) },
+                home: server == home,
+                ..candidate(running.iter().filter(|(at, _)| *at == server).count() as u32)
+            })
+            .collect();
+        let server = placed(LONG, &candidates);
+        holders[server][group] = true;
+        running.push((server, arrival + 40));
+        let most = (0..12).map(|at| running.iter().filter(|(on, _)| *on == at).count()).max();
+        let mean = running.len() as f64 / 12.0;
+        assert!(most.unwrap() as f64 <= 2.0 * mean + 3.0, "{most:?} over a mean of {mean}");
+    }
+    let copies = holders.iter().filter(|held| held[12]).count();
+    assert!(copies < 12, "the part is not copied everywhere: {copies}");
+}
+
+#[test]
+fn failing_server_gets_no_plain_calls_while_others_have_room() {
+    let failing = PlacementCandidate { failing: 0.3, ..candidate(0) };
+    let request = PlacementRequest::default();
+    assert_eq!(placed(request, &[failing, candidate(5), candidate(6)]), 1);
+}
+
+#[test]
+fn where_all_are_held_one_is_asked_all_the_same() {
+    let held = PlacementCandidate { standing: ServerStanding::Held, ..candidate(1) };
+    assert_eq!(placed(PlacementRequest::default(), &[held, held]), 0);
+    assert!(place(PlacementRequest::default(), &[], PlacementTuning::default()).is_none());
+}
+
+#[test]
+fn reports_replace_one_another_and_expire() {
+    let begun = Instant::now();
+    let server: ServerId = "i-1".parse().unwrap();
+    let router = RouterId("10.0.0.2".parse().unwrap());
+    let load = |requests| ServerLoad { requests, backlog: 10 };
+    let mut ledger = LoadLedger::default();
+    ledger.begin(&server, load(1));
+    ledger.note_report(router, vec![(server.clone(), load(4))], begun);
+    ledger.note_report(router, vec![(server.clone(), load(2))], begun);
+    assert_eq!(ledger.total(&server), ServerLoad { requests: 3, backlog: 20 });
+    ledger.expire(begun + std::time::Duration::from_secs(3));
+    assert_eq!(ledger.total(&server), load(1));
+    ledger.end(&server, load(1));
+    assert_eq!(ledger.total(&server), ServerLoad::default());
+}
--- /dev/null
+++ b/crates/papayamux-coordination/tests/service_retry_budget.rs
@@ -0,0 +1,67 @@
+//! Repeats of all routers together stay within the fleet's budget.
+#![allow(clippy::unwrap_used, clippy::panic, reason = "helpers of tests, which may panic")]
+
+use std::time::{Duration, Instant};
+
+use papayamux_coordination::service_retry_budget::{RetryAllowance, ServiceRetryBudget};
+use papayamux_state::ids::ServiceId;
+
+const ALLOWANCE: RetryAllowance =
+    RetryAllowance { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) };
+
+fn service() -> ServiceId {
+    "plain".parse().unwrap()
+}
+
+/// Routers that don't hear one another, each with a share of the requests, all of which fail.
+fn repeats_in_window(routers: usize, requests_per_second: usize) -> (usize, usize) {
+    let begun = Instant::now();
+    let mut budgets: Vec<_> = (0..routers).map(|_| ServiceRetryBudget::new(ALLOWANCE)).collect();
+    let mut log = Vec::new();
+    for millis in 0..30_000u64 {
+        if millis % (1_000 / requests_per_second as u64) != 0 {
+            continue;
+        }
+        let now = begun + Duration::from_millis(millis);
+        let budget = &mut budgets[(millis as usize / 7) % routers];
+        budget.note_request(&service(), now);
+        let repeated = budget.take_repeat(&service(), now);
+        log.push((millis, repeated));
+    }
+    let window = |from: u64| {
+        let inside = log.iter().filter(|(at, _)| (from..from + 10_000).contains(at));
+        let inside: Vec<_> = inside.collect();
+        let repeats = inside.iter().filter(|(_, repeated)| *repeated).count();
+        (repeats, inside.len())
+    };
+    (0..20_000).step_by(250).map(window).max_by_key(|(repeats, _)| *repeats).unwrap()
+}
+
+#[test]
+fn blind_routers_stay_within_the_sum() {
+    for (routers, rate) in [(1, 20), (5, 50), (8, 100)] {
+        let (repeats, requests) = repeats_in_window(routers, rate);
+        let most = ALLOWANCE.ratio * requests as f64 + ALLOWANCE.slack;
+        assert!((repeats as f64) <= most, "{routers} routers: {repeats} of {most}");
+        assert!(repeats > 0);
+    }
+}
+
+#[test]
+fn every_router_that_was_seen_takes_its_part_of_the_slack() {
+    let now = Instant::now();
+    let mut budget = ServiceRetryBudget::new(ALLOWANCE);
+    budget.note_routers(40);
+    assert!(!budget.take_repeat(&service(), now), "56 over 60 routers is less than one");
+    budget.note_routers(2);
+    assert!(!budget.take_repeat(&service(), now), "routers that fell silent spend on");
+}
+
+#[test]
+fn budget_comes_back_with_the_window() {
+    let now = Instant::now();
+    let mut budget = ServiceRetryBudget::new(ALLOWANCE);
+    while budget.take_repeat(&service(), now) {}
+    let later = now + ALLOWANCE.window + Duration::from_secs(1);
+    assert!(budget.take_repeat(&service(), later));
+}
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -53,7 +53,7 @@
         let sent = boot_now();
         let reading = async {
             match self.position {
-                None => self.source.read_all().await.map(Read::All),
+                None => self.source.read_all().await.map(Box::new).map(Read::All),
                 Some(position) => self.source.read_changes(position).await.map(Read::Changes),
             }
         };
@@ -115,6 +115,6 @@
 }
 
 enum Read {
-    All(SourceContents),
+    All(Box<SourceContents>),
     Changes(SourceChanges),
 }
