Tell other routers who holds which shared part

Cause: a part that had moved (load, a server that left) was read again by each router that did not know, which was most of the price; draining servers were not asked for what they hold. Change: routers tell one another a few holders with each report, what is new first; a draining server still hands on cached parts.

--- a/crates/papayamux-coordination/src/placement/candidate.rs
+++ b/crates/papayamux-coordination/src/placement/candidate.rs
@@ -19,6 +19,8 @@
 /// A server that may get it.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementCandidate {
+    /// Whether it takes requests. A server that is draining may still hand on what it holds.
+    pub accepts: bool,
     /// Requests and prompt tokens that all routers have there, as far as is known.
     pub load: ServerLoad,
     /// Requests that it runs at once; 0 where it isn't known.
--- a/crates/papayamux-coordination/src/placement/load_ledger.rs
+++ b/crates/papayamux-coordination/src/placement/load_ledger.rs
@@ -92,11 +92,12 @@
         self.reports.insert(router, RouterReport { heard: now, loads });
     }
 
-    /// Forgets reports that are too old.
-    pub fn expire(&mut self, now: Instant) {
+    /// Forgets reports that are too old; returns the routers that sent them.
+    pub fn expire(&mut self, now: Instant) -> Vec<RouterId> {
         let old = self.reports.iter().filter(|(_, report)| now - report.heard > REPORT_EXPIRY);
         let routers: Vec<_> = old.map(|(router, _)| *router).collect();
-        routers.into_iter().for_each(|router| self.forget_report(router));
+        routers.iter().for_each(|router| self.forget_report(*router));
+        routers
     }
 
     /// Routers whose reports are believed.
--- a/crates/papayamux-coordination/src/placement/mod.rs
+++ b/crates/papayamux-coordination/src/placement/mod.rs
@@ -3,7 +3,9 @@
 mod candidate;
 mod load_ledger;
 mod placer;
+mod recent_holders;
 
 pub use candidate::{Placement, PlacementCandidate, PlacementRequest};
 pub use load_ledger::{LoadLedger, RouterId, ServerLoad};
 pub use placer::{place, PlacementTuning};
+pub use recent_holders::{HolderNote, RecentHolders};
--- a/crates/papayamux-coordination/src/placement/placer.rs
+++ b/crates/papayamux-coordination/src/placement/placer.rs
@@ -50,9 +50,11 @@
     candidates: &[PlacementCandidate],
     tuning: PlacementTuning,
 ) -> Option<Placement> {
-    let best = candidates.iter().map(|candidate| candidate.standing).min()?;
+    let accepting = candidates.iter().filter(|candidate| candidate.accepts);
+    let best = accepting.map(|candidate| candidate.standing).min()?;
     let usable = |candidate: &PlacementCandidate| {
-        best == ServerStanding::Held || candidate.standing != ServerStanding::Held
+        let sound = best == ServerStanding::Held || candidate.standing != ServerStanding::Held;
+        candidate.accepts && sound
     };
     let count = candidates.iter().filter(|one| usable(one)).count() as f64;
     let requests: f64 =
--- a/crates/papayamux-coordination/tests/placement.rs
+++ b/crates/papayamux-coordination/tests/placement.rs
@@ -16,6 +16,7 @@
 
 fn candidate(requests: u32) -> PlacementCandidate {
     PlacementCandidate {
+        accepts: true,
         load: ServerLoad { requests, backlog: 0 },
         slots: 8,
         warm: tokens(0),
@@ -59,6 +60,14 @@
     assert_eq!(placement.cold, tokens(1_300));
 }
 
+#[test]
+fn draining_server_gets_no_request_and_hands_on_what_it_holds() {
+    let draining = PlacementCandidate { accepts: false, warm: tokens(10_500), ..candidate(0) };
+    let placement = place(LONG, &[draining, candidate(5)], PlacementTuning::default()).unwrap();
+    assert_eq!((placement.server, placement.fetch_from), (1, Some(0)));
+    assert!(place(LONG, &[draining], PlacementTuning::default()).is_none());
+}
+
 #[test]
 fn nothing_is_taken_from_a_server_that_is_silent() {
     let silent =
--- a/crates/papayamux-protocol/src/router_report.rs
+++ b/crates/papayamux-protocol/src/router_report.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use papayamux_state::ids::{IdError, ServerId};
+use papayamux_state::prompt::PartId;
+use papayamux_state::quantities::TokenCount;
 use prost::Message;
 use thiserror::Error;
 
@@ -18,6 +20,15 @@
     pub backlog: u64,
 }
 
+/// A server that holds a shared part of prompts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReportedHolder {
+    /// The server.
+    pub server: ServerId,
+    /// The prefixes that it holds, the longest last.
+    pub prefixes: Vec<(PartId, TokenCount)>,
+}
+
 /// A router's report.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RouterReport {
@@ -27,6 +38,8 @@
     pub known: Vec<IpAddr>,
     /// Its requests.
     pub loads: Vec<ReportedLoad>,
+    /// Some of the shared parts that it used lately, with their servers.
+    pub holders: Vec<ReportedHolder>,
     /// Whether it is about to end.
     pub leaving: bool,
 }
@@ -52,6 +65,16 @@
     backlog: u64,
 }
 
+#[derive(Clone, PartialEq, Message)]
+struct HolderWire {
+    #[prost(string, tag = "1")]
+    server: String,
+    #[prost(fixed64, repeated, tag = "2")]
+    prefixes: Vec<u64>,
+    #[prost(uint64, repeated, tag = "3")]
+    tokens: Vec<u64>,
+}
+
 #[derive(Clone, PartialEq, Message)]
 struct ReportWire {
     #[prost(uint64, tag = "1")]
@@ -62,6 +85,29 @@
     loads: Vec<LoadWire>,
     #[prost(bool, tag = "4")]
     leaving: bool,
+    #[prost(message, repeated, tag = "5")]
+    holders: Vec<HolderWire>,
+}
+
+impl From<&ReportedHolder> for HolderWire {
+    fn from(holder: &ReportedHolder) -> Self {
+        Self {
+            server: holder.server.to_string(),
+            prefixes: holder.prefixes.iter().map(|(prefix, _)| prefix.0).collect(),
+            tokens: holder.prefixes.iter().map(|(_, tokens)| tokens.get()).collect(),
+        }
+    }
+}
+
+impl TryFrom<HolderWire> for ReportedHolder {
+    type Error = ReportError;
+
+    fn try_from(wire: HolderWire) -> Result<Self, ReportError> {
+        let server = wire.server.parse()?;
+        let prefixes = wire.prefixes.into_iter().map(PartId);
+        let prefixes = prefixes.zip(wire.tokens.into_iter().map(TokenCount::new)).collect();
+        Ok(Self { server, prefixes })
+    }
 }
 
 impl From<&RouterReport> for ReportWire {
@@ -80,6 +126,7 @@
             known: known.collect(),
             loads: loads.collect(),
             leaving: report.leaving,
+            holders: report.holders.iter().map(HolderWire::from).collect(),
         }
     }
 }
@@ -96,6 +143,11 @@
             sequence: wire.sequence,
             known: wire.known.into_iter().map(|bits| Ipv4Addr::from(bits).into()).collect(),
             loads: loads.collect::<Result<_, ReportError>>()?,
+            holders: wire
+                .holders
+                .into_iter()
+                .map(ReportedHolder::try_from)
+                .collect::<Result<_, _>>()?,
             leaving: wire.leaving,
         })
     }
--- a/crates/papayamux-protocol/tests/router_report.rs
+++ b/crates/papayamux-protocol/tests/router_report.rs
@@ -1,7 +1,9 @@
 //! Reports between routers survive the way, and broken ones are refused.
 
 use bytes::Bytes;
-use papayamux_protocol::router_report::{ReportedLoad, RouterReport};
+use papayamux_protocol::router_report::{ReportedHolder, ReportedLoad, RouterReport};
+use papayamux_state::prompt::PartId;
+use papayamux_state::quantities::TokenCount;
 
 #[test]
 fn report_comes_back_as_it_was() {
@@ -9,6 +11,13 @@
         sequence: 7,
         known: vec!["10.0.0.1".parse().unwrap(), "10.0.0.2".parse().unwrap()],
         loads: vec![ReportedLoad { server: "i-1".parse().unwrap(), requests: 3, backlog: 11_800 }],
+        holders: vec![ReportedHolder {
+            server: "i-2".parse().unwrap(),
+            prefixes: vec![
+                (PartId(5), TokenCount::new(512)),
+                (PartId(u64::MAX), TokenCount::new(10_000)),
+            ],
+        }],
         leaving: true,
     };
     assert_eq!(RouterReport::decode(report.encode().into()).unwrap(), report);
--- a/crates/papayamux-router/src/direct/fleet.rs
+++ b/crates/papayamux-router/src/direct/fleet.rs
@@ -8,7 +8,8 @@
 
 use papayamux_coordination::key_freshness::KeyFreshness;
 use papayamux_coordination::placement::{
-    place, LoadLedger, PlacementCandidate, PlacementRequest, PlacementTuning, ServerLoad,
+    place, HolderNote, LoadLedger, PlacementCandidate, PlacementRequest, PlacementTuning,
+    RecentHolders, ServerLoad,
 };
 use papayamux_coordination::server_evidence::{EvidenceBook, EvidenceKind, ServerStanding};
 use papayamux_coordination::server_presence::{PresenceChange, ServerPresence};
@@ -51,6 +52,7 @@
     budget: RefCell<ServiceRetryBudget>,
     records: RefCell<HashMap<ServiceId, AnswerRecord>>,
     warm: RefCell<HashMap<ServerId, WarmParts>>,
+    holders: RefCell<RecentHolders>,
     in_flight: Cell<usize>,
     watch: AttemptWatch,
     pool: UpstreamPool,
@@ -84,6 +86,7 @@
             pulses: RefCell::default(),
             records: RefCell::default(),
             warm: RefCell::default(),
+            holders: RefCell::default(),
             in_flight: Cell::new(0),
             watch: AttemptWatch::default(),
             pool,
@@ -239,7 +242,7 @@
         tried: &[ServerId],
     ) -> Option<ChosenServer> {
         let now = Instant::now();
-        let servers = self.usable_servers(service, tried);
+        let servers = self.candidate_servers(service, tried);
         let home = home_index(prompt, &servers);
         let candidates: Vec<_> = servers
             .iter()
@@ -264,13 +267,10 @@
         })
     }
 
-    fn usable_servers(&self, service: &ServiceId, tried: &[ServerId]) -> Vec<Rc<BackendServer>> {
+    fn candidate_servers(&self, service: &ServiceId, tried: &[ServerId]) -> Vec<Rc<BackendServer>> {
         let presence = self.presence.borrow();
         let servers = presence.catalog().of_service(service);
-        servers
-            .filter(|server| server.phase == ServerPhase::Serving && !tried.contains(&server.id))
-            .cloned()
-            .collect()
+        servers.filter(|server| !tried.contains(&server.id)).cloned().collect()
     }
 
     fn candidate(
@@ -288,6 +288,7 @@
             false => self.evidence.borrow().standing(&server.id, now),
         };
         PlacementCandidate {
+            accepts: server.phase == ServerPhase::Serving,
             load: self.ledger.borrow().total(&server.id),
             slots: server.slots,
             warm: warm.unwrap_or_default(),
@@ -318,6 +319,22 @@
         self.pool.prune();
     }
 
+    /// What this router knows of who holds which shared part, for the other routers.
+    pub fn next_holder_notes(&self, now: Instant) -> Vec<HolderNote> {
+        self.holders.borrow_mut().next_notes(now)
+    }
+
+    /// Takes in what another router knows of a server's cache.
+    pub fn note_holder(&self, note: &HolderNote) {
+        let Some(server) = self.presence.borrow().catalog().get(&note.server).cloned() else {
+            return;
+        };
+        let capacity = self.cache_capacity(&server.service);
+        let mut warm = self.warm.borrow_mut();
+        let parts = warm.entry(server.id.clone()).or_insert_with(|| WarmParts::new(capacity));
+        parts.note_prefixes(note.prefixes.iter().copied());
+    }
+
     /// How long a server has owed a sign of life.
     pub fn silence(&self, server: &BackendServer, now: Instant) -> Option<Duration> {
         self.pulses.borrow().get(&server.service)?.silence(&server.id, now)
@@ -334,6 +351,7 @@
             let mut warm = self.warm.borrow_mut();
             let parts = warm.entry(server.id.clone()).or_insert_with(|| WarmParts::new(capacity));
             parts.note_use(prompt);
+            self.holders.borrow_mut().note_use(&server.id, prompt, Instant::now());
         }
     }
 
@@ -382,5 +400,6 @@
     let shared = prompt.longest_shared()?;
     let weight =
         |server: &BackendServer| xxh3_64_with_seed(server.id.as_str().as_bytes(), shared.id.0);
-    (0..servers.len()).max_by_key(|index| weight(&servers[*index]))
+    let serving = (0..servers.len()).filter(|index| servers[*index].phase == ServerPhase::Serving);
+    serving.max_by_key(|index| weight(&servers[*index]))
 }
--- a/crates/papayamux-router/src/direct/peers.rs
+++ b/crates/papayamux-router/src/direct/peers.rs
@@ -8,9 +8,9 @@
 
 use bytes::Bytes;
 use monoio::net::udp::UdpSocket;
-use papayamux_coordination::placement::{RouterId, ServerLoad};
+use papayamux_coordination::placement::{HolderNote, RouterId, ServerLoad};
 use papayamux_coordination::router_peers::RouterPeers;
-use papayamux_protocol::router_report::{ReportedLoad, RouterReport};
+use papayamux_protocol::router_report::{ReportedHolder, ReportedLoad, RouterReport};
 
 use super::Fleet;
 
@@ -73,7 +73,7 @@
                     self.take_report(sender.ip(), Bytes::copy_from_slice(&buffer[..length]));
                 }
                 Err(error) => {
-                    log::debug!(error:% = error; "receiving a report failed");
+                    log::warn!(error:% = error; "receiving a report failed");
                     monoio::time::sleep(RECEIVE_PAUSE).await;
                 }
             }
@@ -93,27 +93,37 @@
         if !newer {
             return;
         }
+        for holder in report.holders {
+            let ReportedHolder { server, prefixes } = holder;
+            self.fleet.note_holder(&HolderNote { server, prefixes });
+        }
         let loads = report.loads.into_iter().map(|load| {
             let ReportedLoad { server, requests, backlog } = load;
             (server, ServerLoad { requests, backlog })
         });
         let mut ledger = self.fleet.ledger().borrow_mut();
+        let before = ledger.reporting();
         ledger.note_report(RouterId(sender), loads.collect(), now);
         let routers = u32::try_from(ledger.reporting() + 1).unwrap_or(u32::MAX);
+        if ledger.reporting() > before {
+            log::info!(peer:% = sender, routers = routers; "router heard");
+        }
         self.fleet.budget().borrow_mut().note_routers(routers);
     }
 
     async fn report(self: Rc<Self>) {
         loop {
             let now = Instant::now();
-            self.fleet.ledger().borrow_mut().expire(now);
+            for silent in self.fleet.ledger().borrow_mut().expire(now) {
+                log::info!(peer:% = silent; "router no longer heard");
+            }
             let targets = self.peers.borrow_mut().next_targets(now);
             let datagram = self.next_report(now).encode();
             let bytes = datagram.len() * targets.len();
             for target in targets {
                 let address = SocketAddr::new(target, self.port);
                 if let (Err(error), _) = self.socket.send_to(datagram.clone(), address).await {
-                    log::debug!(peer:% = target, error:% = error; "sending a report failed");
+                    log::warn!(peer:% = target, error:% = error; "sending a report failed");
                 }
             }
             let needed = Duration::from_secs_f64(bytes as f64 / MOST_BYTES_PER_SECOND);
@@ -129,10 +139,16 @@
             requests: load.requests,
             backlog: load.backlog,
         });
+        let notes = self.fleet.next_holder_notes(now);
+        let holders = notes.into_iter().map(|note| {
+            let HolderNote { server, prefixes } = note;
+            ReportedHolder { server, prefixes }
+        });
         RouterReport {
             sequence: self.sequence.get(),
             known: self.peers.borrow().alive(now),
             loads: loads.collect(),
+            holders: holders.collect(),
             leaving: self.leaving.get(),
         }
     }
--- a/crates/papayamux-state/src/prompt/prompt_chain.rs
+++ b/crates/papayamux-state/src/prompt/prompt_chain.rs
@@ -74,6 +74,13 @@
         self.parts[..=end].iter().map(|part| part.tokens).sum()
     }
 
+    /// The names of the prefixes up to the end of the longest shared part.
+    pub fn shared_prefixes(&self) -> Vec<(PartId, TokenCount)> {
+        let Some(longest) = self.longest_shared() else { return Vec::new() };
+        let end = self.parts.iter().position(|part| part.id == longest.id).unwrap_or(0);
+        self.prefixes().take(end + 1).collect()
+    }
+
     /// The names of all prefixes: each stands for a part together with all parts before it.
     pub fn prefixes(&self) -> impl Iterator<Item = (PartId, TokenCount)> + '_ {
         self.parts.iter().scan(0u64, |state, part| {
--- a/crates/papayamux-state/src/prompt/warm_parts.rs
+++ b/crates/papayamux-state/src/prompt/warm_parts.rs
@@ -45,7 +45,12 @@
 
     /// Notes that the server reads `chain`.
     pub fn note_use(&mut self, chain: &PromptChain) {
-        for (prefix, tokens) in chain.prefixes() {
+        self.note_prefixes(chain.prefixes());
+    }
+
+    /// Notes that the server holds these prefixes.
+    pub fn note_prefixes(&mut self, prefixes: impl Iterator<Item = (PartId, TokenCount)>) {
+        for (prefix, tokens) in prefixes {
             self.touch(prefix, tokens);
         }
         while self.held > self.capacity || self.prefixes.len() > MOST_PREFIXES {
--- a/crates/papayamux-testbed/src/process.rs
+++ b/crates/papayamux-testbed/src/process.rs
@@ -129,13 +129,13 @@
         let mut child = Command::new(path)
             .args(arguments)
             .stdin(Stdio::null())
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .map_err(started)?;
         let log = Arc::new(LogBook::default());
-        if let Some(stderr) = child.stderr.take() {
+        if let Some(stdout) = child.stdout.take() {
             let log = log.clone();
-            std::thread::spawn(move || collect_log(BufReader::new(stderr), &log));
+            std::thread::spawn(move || collect_log(BufReader::new(stdout), &log));
         }
         let program = program.to_string();
         let started = Instant::now();
