Count and time requests, and trace one through logs

Cause: on-call engineers had log lines without the configuration's version, no counters of the new path, and no way from a request's id to its cause but grep. Change: counters and latency histograms on an address of their own; the version that decided on each line; papayamux trace REQUEST LOGS; callers that find no server come back after a quarter of the time they have, spread out.

--- a/crates/papayamux-command/src/command_line.rs
+++ b/crates/papayamux-command/src/command_line.rs
@@ -9,9 +9,10 @@
 
 use crate::check::check_files;
 use crate::explain::explain_files;
-use crate::given_file::{read_files, GivenFileError};
+use crate::given_file::{read_files, read_logs, GivenFileError};
 use crate::output::{CommandOutput, ExitMeaning};
 use crate::status::show_status;
+use crate::trace::trace_request;
 
 const HELP: &str = "\
 papayamux: checks declarations before they are submitted, says which file decides what, and shows
@@ -21,6 +22,7 @@
   papayamux check FILES...                     the fleet's verdict on the files
   papayamux explain FILES... QUESTIONS...      which file and revision decide a thing, and why
   papayamux status ADDRESSES...                the state behind processes' operators' ports
+  papayamux trace REQUEST LOGS...              what became of a request, by the logs of routers
 
 A file is named after its team: caverns.ini is the file of the team caverns. FILE@REVISION gives
 its revision; without, files of one name count up from 1 in their order.
@@ -30,18 +32,19 @@
   papayamux explain declarations/*.ini --item 'model itinerary' --path /tickets/7 --method POST
   papayamux explain old/kiosk.ini@41 kiosk.ini@42 --organisation visitors
   papayamux status 10.1.0.7:9100 10.1.0.8:9100 --json
+  papayamux trace 9c41d07be2a35f68 router-1.log router-2.log
 
-Exit codes: 0 clean; 1 findings, something asked about is not in force, or a process did not
-answer; 2 the command line or a file can't be read.
+Exit codes: 0 clean; 1 findings, something asked about is not in force or not found, or a process
+did not answer; 2 the command line or a file can't be read.
 ";
 
 #[derive(Debug, Error)]
 enum CommandLineError {
     #[error("{0}; try --help")]
     Option(#[from] getopts::Fail),
-    #[error("name a task: check, explain or status; try --help")]
+    #[error("name a task: check, explain, status or trace; try --help")]
     NoTask,
-    #[error("unknown task {0:?}: use check, explain or status; try --help")]
+    #[error("unknown task {0:?}: use check, explain, status or trace; try --help")]
     UnknownTask(String),
     #[error("ask something: --item, --path or a kind of thing; try --help")]
     NoQuestion,
@@ -57,6 +60,8 @@
     NoAddress,
     #[error("{0:?} is not an address such as 10.1.0.7:9100")]
     Address(String),
+    #[error("name the request; try --help")]
+    NoRequest,
     #[error(transparent)]
     File(#[from] GivenFileError),
 }
@@ -106,6 +111,11 @@
             refuse_questions(&matches)?;
             Ok(show_status(&read_addresses(named)?, json))
         }
+        "trace" => {
+            refuse_questions(&matches)?;
+            let (request, logs) = named.split_first().ok_or(CommandLineError::NoRequest)?;
+            Ok(trace_request(request, &read_logs(logs)?))
+        }
         other => Err(CommandLineError::UnknownTask(other.to_string())),
     }
 }
--- a/crates/papayamux-command/src/given_file.rs
+++ b/crates/papayamux-command/src/given_file.rs
@@ -43,6 +43,18 @@
     },
 }
 
+/// Reads the named logs as they are, each with its name.
+pub fn read_logs(paths: &[String]) -> Result<Vec<(String, String)>, GivenFileError> {
+    if paths.is_empty() {
+        return Err(GivenFileError::NoFiles);
+    }
+    let read = |path: &String| match std::fs::read(path) {
+        Ok(bytes) => Ok((path.clone(), String::from_utf8_lossy(&bytes).into_owned())),
+        Err(source) => Err(GivenFileError::Read { path: path.clone(), source }),
+    };
+    paths.iter().map(read).collect()
+}
+
 /// Reads the named files. One given as `FILE@REVISION` has that revision; of the others, each
 /// counts one up from the one of the same name before it, from 1.
 pub fn read_files(paths: &[String]) -> Result<Vec<DeclarationFile>, GivenFileError> {
--- a/crates/papayamux-command/src/lib.rs
+++ b/crates/papayamux-command/src/lib.rs
@@ -1,4 +1,5 @@
-//! The operators' command: check declaration files, explain what decides, show processes' status.
+//! The operators' command: check declaration files, explain what decides, show processes' status,
+//! trace a request through logs.
 //!
 //! The command reads files and the operators' ports of processes; it writes nothing.
 
@@ -8,6 +9,7 @@
 mod given_file;
 mod output;
 mod status;
+mod trace;
 mod wire;
 
 pub use command_line::run_command;
--- /dev/null
+++ b/crates/papayamux-command/src/trace.rs
@@ -0,0 +1,69 @@
+//! The story of one request, from the logs of routers.
+
+use serde_json::{Map, Value};
+
+use crate::output::{CommandOutput, ExitMeaning};
+
+/// How long before a request's last line a change of a process's beliefs is shown with it: the
+/// bound on the age of keys, after which nothing older decides anything.
+const BELIEFS_BEFORE_MS: u64 = 5_000;
+/// Fields that every line has and that say nothing about the request.
+const COMMON_FIELDS: [&str; 6] = ["time_ms", "level", "program", "target", "message", "request"];
+
+#[derive(Debug, Clone)]
+struct LogLine {
+    file: String,
+    time_ms: u64,
+    fields: Map<String, Value>,
+}
+
+impl LogLine {
+    fn read(file: &str, text: &str) -> Option<Self> {
+        // Collectors put their own words before the line.
+        let json = &text[text.find('{')?..];
+        let Value::Object(fields) = serde_json::from_str(json).ok()? else { return None };
+        let time_ms = fields.get("time_ms")?.as_u64()?;
+        Some(Self { file: file.to_string(), time_ms, fields })
+    }
+
+    fn text(&self, field: &str) -> Option<&str> {
+        self.fields.get(field)?.as_str()
+    }
+
+    fn show(&self, since_ms: u64) -> String {
+        let message = self.text("message").unwrap_or_default();
+        let details =
+            self.fields.iter().filter(|(name, _)| !COMMON_FIELDS.contains(&name.as_str()));
+        let details: Vec<_> = details
+            .map(|(name, value)| match value {
+                Value::String(text) => format!("{name}={text:?}"),
+                other => format!("{name}={other}"),
+            })
+            .collect();
+        let after = i128::from(self.time_ms) - i128::from(since_ms);
+        format!("{after:>+7} ms  {}: {message}  {}\n", self.file, details.join(" "))
+    }
+}
+
+/// Tells what became of a request, by the lines of log files that are given with their names.
+pub fn trace_request(request: &str, files: &[(String, String)]) -> CommandOutput {
+    let mut lines: Vec<_> = files
+        .iter()
+        .flat_map(|(file, text)| text.lines().filter_map(|line| LogLine::read(file, line)))
+        .collect();
+    lines.sort_by_key(|line| line.time_ms);
+    let own: Vec<_> = lines.iter().filter(|line| line.text("request") == Some(request)).collect();
+    let (Some(first), Some(last)) = (own.first(), own.last()) else {
+        let text = format!("no line of {} files names request {request}\n", files.len());
+        return CommandOutput::new(ExitMeaning::Findings, text);
+    };
+    let begin = first.time_ms.saturating_sub(BELIEFS_BEFORE_MS);
+    let told = lines.iter().filter(|line| {
+        let inside = line.time_ms >= begin && line.time_ms <= last.time_ms;
+        let same_process = own.iter().any(|own| own.file == line.file);
+        let belief = line.text("request").is_none() && inside && same_process;
+        belief || line.text("request") == Some(request)
+    });
+    let text = told.map(|line| line.show(first.time_ms)).collect();
+    CommandOutput::new(ExitMeaning::Clean, text)
+}
--- a/crates/papayamux-command/tests/command.rs
+++ b/crates/papayamux-command/tests/command.rs
@@ -142,3 +142,24 @@
     assert_eq!(output.exit.code(), 0);
     assert_snapshot!(output.text.replace(&router.to_string(), "127.0.0.1:10001"));
 }
+
+#[test]
+fn a_trace_tells_a_requests_story_with_what_the_router_believed() {
+    let folder = tempfile::tempdir().unwrap();
+    let log = folder.path().join("router.log");
+    let lines = [
+        r#"{"time_ms":1000,"level":"info","message":"configuration in force","version":"4"}"#,
+        r#"{"time_ms":9000,"level":"warn","message":"source lost","error":"status 503"}"#,
+        r#"collected {"time_ms":9900,"message":"attempt brought no answer","request":"ab","loss":"Unknown","server":"i-1"}"#,
+        r#"{"time_ms":9901,"message":"answer passed on","request":"other","server":"i-2"}"#,
+        r#"{"time_ms":9950,"message":"request refused","request":"ab","outcome":"unknown_outcome"}"#,
+        "not a log line",
+    ];
+    std::fs::write(&log, lines.join("\n")).unwrap();
+    let output = run(&format!("trace ab {}", log.display()));
+    assert_eq!(output.exit, ExitMeaning::Clean);
+    let folder_name = folder.path().display().to_string();
+    assert_snapshot!(output.text.replace(&folder_name, "FOLDER"));
+    let unknown = run(&format!("trace cd {}", log.display()));
+    assert_eq!(unknown.exit, ExitMeaning::Findings);
+}
--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod placement;
 pub mod prefill_backlog;
 pub mod retry_budget;
+pub mod return_time;
 pub mod route_cost;
 pub mod router_peers;
 mod seen_requests;
--- a/crates/papayamux-router/src/direct/call_desk.rs
+++ b/crates/papayamux-router/src/direct/call_desk.rs
@@ -72,9 +72,11 @@
         arrived: Instant,
         failure: &CallFailure,
     ) -> Response<AnswerBody> {
+        self.fleet.metrics().outcomes.count(failure.label());
         log::info!(
             request:% = call.map_or("", |call| call.id.0.as_str()), outcome = failure.label(),
             cause:% = failure, ms = arrived.elapsed().as_millis() as u64,
+            configuration:% = self.fleet.configuration_version(),
             configuration_age_ms = self.configuration_age_ms(); "request refused"
         );
         self.interface.failure(failure)
@@ -315,9 +317,12 @@
 }
 
 fn log_answer(plan: &CallPlan, attempt: &AttemptAnswer) {
+    let metrics = plan.fleet.metrics();
+    metrics.outcomes.count("answered");
+    metrics.note_head(plan.kind(), plan.arrived.elapsed());
     log::info!(
         request:% = plan.call.id, route:% = plan.route.id, service:% = plan.service,
         server:% = attempt.active.server().id, status = attempt.answer.head.status.as_u16(),
-        lost = plan.offers(), ms = plan.arrived.elapsed().as_millis() as u64; "answer passed on"
+        configuration:% = plan.fleet.configuration_version(), lost = plan.offers(), ms = plan.arrived.elapsed().as_millis() as u64; "answer passed on"
     );
 }
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use papayamux_coordination::attempt_plan::{AttemptHistory, AttemptLoss, NextStep};
+use papayamux_coordination::return_time::return_time;
 use papayamux_state::ids::{ServerId, ServiceId};
 use papayamux_state::service_config::{KeyHolder, RequestKind, Route};
 
@@ -14,11 +15,6 @@
 
 /// Time below which a further attempt is not worth making: a round trip to the server.
 const LEAST_TIME: Duration = Duration::from_millis(4);
-/// When a caller that was turned away by all servers may come back: servers finish a plain call
-/// within tens of milliseconds.
-const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(150);
-/// When a caller for whom there is no server may come back: replacements take about a second.
-const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A request that may be run, with all that its attempts need.
 pub(super) struct CallPlan {
@@ -119,6 +115,7 @@
 
     /// Decides after an attempt that brought no answer whether there is another.
     pub(super) fn after_loss(&mut self, loss: AttemptLoss, cause: &str) -> Result<(), CallFailure> {
+        self.fleet.metrics().lost_attempts.count(loss_label(loss));
         let step = self.history.after_loss(self.kind(), self.route.attempts, loss);
         log::info!(
             request:% = self.call.id, loss:? = loss, cause = cause, next:? = step,
@@ -135,6 +132,7 @@
     fn take_repeat(&self) -> bool {
         let taken = self.fleet.budget().borrow_mut().take_repeat(&self.service, Instant::now());
         if !taken {
+            self.fleet.metrics().repeats_denied.inc();
             log::info!(request:% = self.call.id, service:% = self.service; "retry budget is used up");
         }
         taken
@@ -149,10 +147,19 @@
             };
         }
         let retry_after = match reason {
-            NotRunReason::NoServer => Some(NO_SERVER_RETRY_AFTER),
-            NotRunReason::Rejected => Some(REJECTED_RETRY_AFTER),
+            NotRunReason::NoServer | NotRunReason::Rejected => {
+                Some(return_time(self.left(), rand::random()))
+            }
             _ => None,
         };
         CallFailure::NotRun { reason, retry_after }
     }
 }
+
+fn loss_label(loss: AttemptLoss) -> &'static str {
+    match loss {
+        AttemptLoss::NotSent => "not_sent",
+        AttemptLoss::Rejected => "rejected",
+        AttemptLoss::Unknown => "unknown",
+    }
+}
--- a/crates/papayamux-router/src/direct/daemon.rs
+++ b/crates/papayamux-router/src/direct/daemon.rs
@@ -105,7 +105,20 @@
     let callers = listen(settings.listen)?;
     let operators = listen(settings.operations)?;
     let (caller_address, operator_address) = (callers.local_addr()?, operators.local_addr()?);
-    let registry = Rc::new(Registry::default());
+    let mut registry = Registry::default();
+    fleet.metrics().register(&mut registry);
+    let registry = Rc::new(registry);
+    if let Some(address) = settings.metrics {
+        let listener = listen(address)?;
+        let ready_path = settings.ready_path.clone();
+        monoio::spawn(serve_operations(
+            listener,
+            ready_path,
+            registry.clone(),
+            view.clone(),
+            ShutdownSignal::new(),
+        ));
+    }
     let ready_path = settings.ready_path.clone();
     let operations = serve_operations(
         operators,
--- a/crates/papayamux-router/src/direct/fleet.rs
+++ b/crates/papayamux-router/src/direct/fleet.rs
@@ -21,14 +21,14 @@
 use papayamux_state::ids::{FailureDomain, ServerId, ServiceId};
 use papayamux_state::prompt::{PromptChain, WarmParts};
 use papayamux_state::quantities::TokenCount;
-use papayamux_state::service_config::{ConfigurationSnapshot, EngineProfile};
+use papayamux_state::service_config::{ConfigVersion, ConfigurationSnapshot, EngineProfile};
 use papayamux_transport::boot_clock::boot_now;
 use papayamux_transport::http::upstream::UpstreamPool;
 use papayamux_transport::shutdown::ShutdownSignal;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::attempt_watch::AttemptWatch;
-use super::FleetSettings;
+use super::{DirectMetrics, FleetSettings};
 
 /// Tokens of an engine's cache where the configuration doesn't say.
 const DEFAULT_CACHE: TokenCount = TokenCount::new(300_000);
@@ -55,6 +55,7 @@
     holders: RefCell<RecentHolders>,
     in_flight: Cell<usize>,
     watch: AttemptWatch,
+    metrics: DirectMetrics,
     pool: UpstreamPool,
 }
 
@@ -89,6 +90,7 @@
             holders: RefCell::default(),
             in_flight: Cell::new(0),
             watch: AttemptWatch::default(),
+            metrics: DirectMetrics::default(),
             pool,
         })
     }
@@ -98,6 +100,11 @@
         &self.settings.domain
     }
 
+    /// Counters and histograms.
+    pub fn metrics(&self) -> &DirectMetrics {
+        &self.metrics
+    }
+
     /// Connections to servers.
     pub fn pool(&self) -> &UpstreamPool {
         &self.pool
@@ -113,6 +120,11 @@
         self.configuration.borrow().clone()
     }
 
+    /// The version in force, 0 where there is none.
+    pub fn configuration_version(&self) -> ConfigVersion {
+        self.configuration.borrow().as_ref().map(|known| known.version).unwrap_or_default()
+    }
+
     /// Brings a configuration into force, unless it is older than the one in force.
     pub fn apply_configuration(&self, snapshot: ConfigurationSnapshot) {
         let mut configuration = self.configuration.borrow_mut();
--- a/crates/papayamux-router/src/direct/peers.rs
+++ b/crates/papayamux-router/src/direct/peers.rs
@@ -120,6 +120,7 @@
             let targets = self.peers.borrow_mut().next_targets(now);
             let datagram = self.next_report(now).encode();
             let bytes = datagram.len() * targets.len();
+            self.fleet.metrics().report_bytes.inc_by(bytes as u64);
             for target in targets {
                 let address = SocketAddr::new(target, self.port);
                 if let (Err(error), _) = self.socket.send_to(datagram.clone(), address).await {
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -63,6 +63,7 @@
         });
         match result {
             Ok(read) => {
+                self.fleet.metrics().source_reads.count("answered");
                 if self.pace.note_success() {
                     log::info!("source regained");
                 }
@@ -70,11 +71,13 @@
                 self.fleet.confirm_configuration(sent);
             }
             Err(SourceError::HistoryLost) => {
+                self.fleet.metrics().source_reads.count("history_lost");
                 log::info!("source has dropped its history, reading everything");
                 self.position = None;
                 self.pace.note_failure();
             }
             Err(error) => {
+                self.fleet.metrics().source_reads.count("failed");
                 if self.pace.note_failure() {
                     log::warn!(error:% = error; "source lost");
                 }
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -140,6 +140,7 @@
     fn end(&mut self) -> Option<Result<Bytes, BodyError>> {
         let rest = self.splitter.as_mut().map(EventSplitter::rest).unwrap_or_default();
         let attempt = self.attempt.take()?;
+        self.plan.fleet.metrics().streams.count("whole");
         log::info!(
             request:% = self.plan.call.id, server:% = attempt.active.server().id,
             last_event = self.last_event.unwrap_or_default(),
@@ -152,6 +153,7 @@
     /// Breaks the answer off, so that the caller sees that it isn't whole.
     fn cut(&mut self, cause: &str) -> Option<Result<Bytes, BodyError>> {
         self.attempt = None;
+        self.plan.fleet.metrics().streams.count("cut");
         log::warn!(
             request:% = self.plan.call.id, cause = cause,
             last_event = self.last_event.unwrap_or_default(),
@@ -175,6 +177,11 @@
                 .map_err(|failure| format!("{cause}; {failure}"))?;
             match self.try_resume().await {
                 Ok(attempt) => {
+                    self.plan.fleet.metrics().streams.count("resumed");
+                    log::info!(
+                        request:% = self.plan.call.id, server:% = attempt.active.server().id,
+                        last_event = self.last_event.unwrap_or_default(); "stream goes on elsewhere"
+                    );
                     self.splitter = Some(EventSplitter::default());
                     self.attempt = Some(attempt);
                     return Ok(());
