Read the store as often as the bounds ask for

Cause: a fixed pause of 0.7 s was more than these bounds need (calls were the largest price on the grown sites) and too long for a deployment with tighter ones; a reserve of 1.2 s would have refused all keys under a revocation bound of 1.2 s. Change: the interval follows from the bounds on configuration, drains and keys; refusals for key or route rest on a configuration of at most three quarters of its bound's age.

--- a/crates/papayamux-coordination/src/key_freshness.rs
+++ b/crates/papayamux-coordination/src/key_freshness.rs
@@ -8,10 +8,17 @@
 
 use papayamux_state::boot_time::BootInstant;
 
-/// Part of the revocation bound that is kept in reserve. A store that compacts its history may
+/// The most of the revocation bound that is kept in reserve. A store that compacts its history may
 /// answer watches without the newest changes for about a second before it cuts them; the rest is
 /// for timers that fire late.
 pub const REVOCATION_RESERVE: Duration = Duration::from_millis(1_200);
+/// The most of a short bound that is kept in reserve, so that keys work at all.
+const MOST_RESERVED: f64 = 0.4;
+
+/// The longest age of the configuration at which keys are accepted, for a bound on revocation.
+pub fn longest_key_age(revoke_within: Duration) -> Duration {
+    revoke_within.saturating_sub(REVOCATION_RESERVE.min(revoke_within.mul_f64(MOST_RESERVED)))
+}
 
 /// Confirmation of the configuration by its source.
 #[derive(Debug)]
@@ -24,8 +31,7 @@
     /// Keys must be confirmed within `revoke_within` less a reserve; `None` lets keys be used
     /// however old they are.
     pub fn new(revoke_within: Option<Duration>) -> Self {
-        let longest_age = revoke_within.map(|bound| bound.saturating_sub(REVOCATION_RESERVE));
-        Self { longest_age, confirmed: None }
+        Self { longest_age: revoke_within.map(longest_key_age), confirmed: None }
     }
 
     /// Notes that a read which was sent at `sent` returned the newest configuration. What it
--- a/crates/papayamux-coordination/src/source_pace.rs
+++ b/crates/papayamux-coordination/src/source_pace.rs
@@ -2,10 +2,15 @@
 
 use std::time::Duration;
 
-/// Pause between two reads of changes. A new configuration has to be in force within two seconds,
-/// and a draining server has to be left within two: a read takes up to a few hundred milliseconds
-/// of a slow source's time, which leaves one read to be lost.
-const READ_EVERY: Duration = Duration::from_millis(700);
+/// Part of the bounds on changes that passes between two reads: the other part is for a slow
+/// source's answer.
+const PART_OF_CHANGE_BOUND: f64 = 0.5;
+/// Part of the keys' longest age that passes between two reads: two reads may be lost.
+const PART_OF_KEY_AGE: f64 = 1.0 / 3.0;
+/// The longest pause between two reads, where no bound asks for less.
+const LONGEST_INTERVAL: Duration = Duration::from_millis(1_500);
+/// The shortest pause between two reads: below this the source's own time would be exceeded.
+const SHORTEST_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause after the first failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after failures: a source that is back is noticed within this time.
@@ -16,13 +21,41 @@
 /// connection that is silent for longer is given up.
 pub const READ_WITHIN: Duration = Duration::from_millis(1_500);
 
+/// How soon what the source says has to have an effect.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReadBounds {
+    /// A new configuration.
+    pub apply_within: Option<Duration>,
+    /// A server that is draining.
+    pub drain_within: Option<Duration>,
+    /// The longest age of the configuration at which keys are accepted.
+    pub key_age: Option<Duration>,
+}
+
+impl ReadBounds {
+    /// The pause between two reads that keeps all bounds.
+    pub fn interval(self) -> Duration {
+        let changes = [self.apply_within, self.drain_within].into_iter().flatten();
+        let changes = changes.map(|bound| bound.mul_f64(PART_OF_CHANGE_BOUND));
+        let keys = self.key_age.map(|age| age.mul_f64(PART_OF_KEY_AGE));
+        let shortest = changes.chain(keys).min().unwrap_or(LONGEST_INTERVAL);
+        shortest.clamp(SHORTEST_INTERVAL, LONGEST_INTERVAL)
+    }
+}
+
 /// The pace of reads.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct SourcePace {
+    interval: Duration,
     failures: u32,
 }
 
 impl SourcePace {
+    /// Reads at the interval that `bounds` ask for.
+    pub fn new(bounds: ReadBounds) -> Self {
+        Self { interval: bounds.interval(), failures: 0 }
+    }
+
     /// Notes that a read came back; `true` where the source was away before.
     pub fn note_success(&mut self) -> bool {
         std::mem::take(&mut self.failures) > 0
@@ -37,7 +70,7 @@
     /// The pause until the next read; `draw` is from 0 up to 1.
     pub fn pause(&self, draw: f64) -> Duration {
         let pause = match self.failures {
-            0 => READ_EVERY,
+            0 => self.interval,
             failures => (FIRST_PAUSE * failures.min(5)).min(LONGEST_PAUSE),
         };
         pause.mul_f64(1.0 - JITTER * draw)
--- a/crates/papayamux-router/src/direct/call_desk.rs
+++ b/crates/papayamux-router/src/direct/call_desk.rs
@@ -23,8 +23,6 @@
 /// How long a request waits for the configuration to be confirmed: several answers of the source,
 /// and less than an eighth of the shortest objectives of model requests.
 const CONFIRM_WITHIN: Duration = Duration::from_millis(60);
-/// Age of the configuration up to which "no such route" and "no such key" are believed at once.
-const NEGATIVE_AGE: Duration = Duration::from_millis(1_000);
 /// When a caller may come back whose key could not be confirmed: at another router, at once.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// When a caller may come back while a router has no configuration yet.
@@ -131,7 +129,8 @@
     fn may_be_believed(&self, failure: &CallFailure) -> bool {
         match failure {
             CallFailure::UnknownRoute | CallFailure::UnknownKey => {
-                self.fleet.configuration_age().is_some_and(|age| age < NEGATIVE_AGE)
+                let longest = self.fleet.settings().negative_age();
+                self.fleet.configuration_age().is_some_and(|age| age < longest)
             }
             _ => true,
         }
--- a/crates/papayamux-router/src/direct/daemon.rs
+++ b/crates/papayamux-router/src/direct/daemon.rs
@@ -61,7 +61,7 @@
         json!({
             "program": "papayamux-router",
             "version": env!("CARGO_PKG_VERSION"),
-            "failure_domain": self.fleet.domain().to_string(),
+            "failure_domain": self.fleet.settings().domain.to_string(),
             "ready": self.is_ready(),
             "draining": self.draining.get(),
             "configuration": version,
--- a/crates/papayamux-router/src/direct/fleet.rs
+++ b/crates/papayamux-router/src/direct/fleet.rs
@@ -18,7 +18,7 @@
 use papayamux_coordination::service_retry_budget::ServiceRetryBudget;
 use papayamux_state::backend::{BackendServer, ServerPhase};
 use papayamux_state::boot_time::BootInstant;
-use papayamux_state::ids::{FailureDomain, ServerId, ServiceId};
+use papayamux_state::ids::{ServerId, ServiceId};
 use papayamux_state::prompt::{PromptChain, WarmParts};
 use papayamux_state::quantities::TokenCount;
 use papayamux_state::service_config::{ConfigVersion, ConfigurationSnapshot, EngineProfile};
@@ -95,9 +95,9 @@
         })
     }
 
-    /// The router's own failure domain.
-    pub fn domain(&self) -> &FailureDomain {
-        &self.settings.domain
+    /// The settings.
+    pub fn settings(&self) -> &FleetSettings {
+        &self.settings
     }
 
     /// Counters and histograms.
--- a/crates/papayamux-router/src/direct/settings.rs
+++ b/crates/papayamux-router/src/direct/settings.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bon::Builder;
+use papayamux_coordination::key_freshness::longest_key_age;
 use papayamux_coordination::service_retry_budget::RetryAllowance;
+use papayamux_coordination::source_pace::ReadBounds;
 use papayamux_settings::{Findings, IniFile, Millis};
 use papayamux_state::ids::FailureDomain;
 use papayamux_transport::http::upstream::PoolLimits;
@@ -17,6 +19,10 @@
     /// How soon a key that was taken away must stop working; `None` where keys may be used
     /// however old the configuration is.
     pub revoke_within: Option<Duration>,
+    /// How soon a new configuration must be in force.
+    pub apply_within: Option<Duration>,
+    /// How soon a draining server must get nothing more.
+    pub drain_within: Option<Duration>,
     /// The bound on a server's requests, as a multiple of the mean.
     #[builder(default = 2.0)]
     pub load_factor: f64,
@@ -28,6 +34,29 @@
     pub pool: PoolLimits,
 }
 
+impl FleetSettings {
+    /// What the source's reads have to keep.
+    pub fn read_bounds(&self) -> ReadBounds {
+        ReadBounds {
+            apply_within: self.apply_within,
+            drain_within: self.drain_within,
+            key_age: self.revoke_within.map(longest_key_age),
+        }
+    }
+
+    /// Age of the configuration up to which a request is refused for its key or route by it. A
+    /// part of the bound within which a new configuration is in force, so that nobody is refused
+    /// by one that was replaced longer ago.
+    pub fn negative_age(&self) -> Duration {
+        self.apply_within.map_or(DEFAULT_NEGATIVE_AGE, |bound| bound.mul_f64(NEGATIVE_PART))
+    }
+}
+
+/// Part of the bound on a new configuration's coming into force that a refusal's one may be old.
+const NEGATIVE_PART: f64 = 0.75;
+/// The same where there is no bound.
+const DEFAULT_NEGATIVE_AGE: Duration = Duration::from_millis(1_500);
+
 /// Where a router listens, and what it needs to know at its start.
 #[derive(Debug, Clone, Builder)]
 pub struct DirectSettings {
@@ -110,12 +139,16 @@
         window: bounds.or("retry_window", Millis(defaults.window)).0,
     };
     let revoke_within = bounds.optional::<Millis>("revoke_within").map(|millis| millis.0);
+    let millis = |key: &str| bounds.optional::<Millis>(key).map(|millis| millis.0);
+    let (apply_within, drain_within) = (millis("apply_within"), millis("drain_within"));
     let load_factor = bounds.or("load_factor", 2.0);
     let grace = bounds.or("grace", DEFAULT_GRACE).0;
     bounds.refuse_other_keys();
     let fleet = FleetSettings::builder()
         .domain(domain?)
         .maybe_revoke_within(revoke_within)
+        .maybe_apply_within(apply_within)
+        .maybe_drain_within(drain_within)
         .load_factor(load_factor)
         .retries(retries)
         .build();
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -30,8 +30,8 @@
 
 /// Reads from the source for ever.
 pub async fn follow_source(fleet: Rc<Fleet>, source: Rc<dyn FleetSource>) {
-    let mut follower =
-        SourceFollower { fleet, source, position: None, pace: SourcePace::default() };
+    let pace = SourcePace::new(fleet.settings().read_bounds());
+    let mut follower = SourceFollower { fleet, source, position: None, pace };
     loop {
         follower.read().await;
         let pause = follower.pace.pause(rand::random());
