Hold lapsed servers for two seconds after the store is heard again, and no longer

Change: the grace is two seconds from the first answer and ends by the clock; while servers may come back, reads come every 0.3 s; an outage is a failed read, however short, or a gap over 2.5 s; after a lost history everything is read at once.

--- a/crates/papayamux-coordination/src/server_presence.rs
+++ b/crates/papayamux-coordination/src/server_presence.rs
@@ -10,12 +10,13 @@
 use papayamux_state::backend::{BackendServer, ServerCatalog, ServerPhase};
 use papayamux_state::ids::ServerId;
 
-/// How long after the return of the list a lapsed entry may still come back. Servers renew within
-/// two seconds of the return; the rest is for the way to here.
-pub const RENEWAL_GRACE: Duration = Duration::from_millis(2_300);
-/// Silence of the list after which entries may have lapsed for want of it: servers lose their
-/// entries after a few missed renewals, which takes longer than this.
-pub const OUTAGE_THRESHOLD: Duration = Duration::from_millis(1_500);
+/// How long after the list was heard again a lapsed entry may still come back. Servers renew
+/// within about two seconds of the list's return, which is a little earlier. A longer grace would
+/// send requests to servers that left while only this router was cut off.
+pub const RENEWAL_GRACE: Duration = Duration::from_millis(2_000);
+/// Silence of the list after which entries may have lapsed for want of it, also where no read has
+/// failed, as after a pause of this process: longer than the longest interval between two reads.
+pub const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2_500);
 
 /// What changed for a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,9 +48,10 @@
         &self.catalog
     }
 
-    /// Notes that the list answered at `now`. After an outage a grace begins.
-    pub fn note_contact(&mut self, now: Instant) {
-        let away = self.heard.is_some_and(|heard| now - heard > OUTAGE_THRESHOLD);
+    /// Notes that the list answered at `now`. After an outage a grace begins; `failed` tells that
+    /// reads had failed since it answered last.
+    pub fn note_contact(&mut self, failed: bool, now: Instant) {
+        let away = failed || self.heard.is_some_and(|heard| now - heard > OUTAGE_THRESHOLD);
         if away {
             self.grace_until = Some(now + RENEWAL_GRACE);
         }
@@ -119,7 +121,12 @@
         changes
     }
 
-    /// Gives up lapsed servers whose grace has passed while the list was there; returns them.
+    /// Whether lapsed entries may still come back.
+    pub fn awaits_renewals(&self) -> bool {
+        !self.lapsed.is_empty()
+    }
+
+    /// Gives up lapsed servers whose grace has passed; returns them.
     pub fn expire_lapsed(&mut self, now: Instant) -> Vec<ServerId> {
         let due = self.lapsed.iter().filter(|(_, until)| **until <= now);
         let gone: Vec<_> = due.map(|(id, _)| id.clone()).collect();
--- a/crates/papayamux-coordination/src/source_pace.rs
+++ b/crates/papayamux-coordination/src/source_pace.rs
@@ -11,6 +11,8 @@
 const LONGEST_INTERVAL: Duration = Duration::from_millis(1_500);
 /// The shortest pause between two reads: below this the source's own time would be exceeded.
 const SHORTEST_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause between two reads while lapsed servers may come back.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(300);
 /// Pause after the first failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after failures: a source that is back is noticed within this time.
@@ -68,8 +70,9 @@
     }
 
     /// The pause until the next read; `draw` is from 0 up to 1.
-    pub fn pause(&self, draw: f64) -> Duration {
+    pub fn pause(&self, awaits_renewals: bool, draw: f64) -> Duration {
         let pause = match self.failures {
+            0 if awaits_renewals => self.interval.min(RENEWAL_INTERVAL),
             0 => self.interval,
             failures => (FIRST_PAUSE * failures.min(5)).min(LONGEST_PAUSE),
         };
--- a/crates/papayamux-coordination/tests/server_presence.rs
+++ b/crates/papayamux-coordination/tests/server_presence.rs
@@ -26,7 +26,7 @@
 
 fn begin(now: Instant) -> ServerPresence {
     let mut presence = ServerPresence::default();
-    presence.note_contact(now);
+    presence.note_contact(false, now);
     for id in ["a", "b"] {
         presence.note_entry(server(id, ServerPhase::Serving));
     }
@@ -38,7 +38,7 @@
     let now = Instant::now();
     let mut presence = begin(now);
     let later = now + Duration::from_millis(700);
-    presence.note_contact(later);
+    presence.note_contact(false, later);
     let change = presence.note_removal(&"a".parse().unwrap(), later);
     assert_eq!(change, PresenceChange::Departed);
     assert_eq!(known(&presence), ["b"]);
@@ -49,13 +49,13 @@
     let now = Instant::now();
     let mut presence = begin(now);
     let back = now + OUTAGE_THRESHOLD + Duration::from_secs(3);
-    presence.note_contact(back);
+    presence.note_contact(false, back);
     let lapsed = presence.note_list(Vec::new(), back);
     assert!(lapsed.iter().all(|(_, change)| *change == PresenceChange::Lapsed));
     assert_eq!(known(&presence), ["a", "b"]);
     // One renews within the grace, the other doesn't.
     let renewed = back + Duration::from_secs(1);
-    presence.note_contact(renewed);
+    presence.note_contact(false, renewed);
     presence.note_entry(server("b", ServerPhase::Serving));
     let over = back + RENEWAL_GRACE;
     assert_eq!(presence.expire_lapsed(over), ["a".parse().unwrap()]);
@@ -68,16 +68,25 @@
     let mut presence = begin(now);
     presence.note_entry(server("a", ServerPhase::Draining));
     let back = now + OUTAGE_THRESHOLD * 3;
-    presence.note_contact(back);
+    presence.note_contact(false, back);
     let change = presence.note_removal(&"a".parse().unwrap(), back);
     assert_eq!(change, PresenceChange::Departed);
 }
 
+#[test]
+fn failed_read_is_an_outage_however_short() {
+    let now = Instant::now();
+    let mut presence = begin(now);
+    let back = now + Duration::from_millis(900);
+    presence.note_contact(true, back);
+    assert_eq!(presence.note_removal(&"a".parse().unwrap(), back), PresenceChange::Lapsed);
+}
+
 #[test]
 fn short_silence_is_no_outage() {
     let now = Instant::now();
     let mut presence = begin(now);
     let back = now + OUTAGE_THRESHOLD;
-    presence.note_contact(back);
+    presence.note_contact(false, back);
     assert_eq!(presence.note_removal(&"a".parse().unwrap(), back), PresenceChange::Departed);
 }
--- a/crates/papayamux-coordination/tests/source_pace.rs
+++ b/crates/papayamux-coordination/tests/source_pace.rs
@@ -39,9 +39,10 @@
     assert!(!pace.note_failure());
     for _ in 0..100 {
         pace.note_failure();
-        assert!(pace.pause(0.0) <= Duration::from_millis(500));
+        assert!(pace.pause(false, 0.0) <= Duration::from_millis(500));
     }
     assert!(pace.note_success());
     assert!(!pace.note_success());
-    assert!(pace.pause(0.0) > pace.pause(0.9));
+    assert!(pace.pause(false, 0.0) > pace.pause(false, 0.9));
+    assert!(pace.pause(true, 0.0) < Duration::from_millis(400), "renewals are seen soon");
 }
--- a/crates/papayamux-router/src/direct/fleet.rs
+++ b/crates/papayamux-router/src/direct/fleet.rs
@@ -170,12 +170,21 @@
     }
 
     /// Notes that the list of servers answered.
-    pub fn note_list_contact(&self, now: Instant) {
-        let lapsed = {
-            let mut presence = self.presence.borrow_mut();
-            presence.note_contact(now);
-            presence.expire_lapsed(now)
-        };
+    pub fn note_list_contact(&self, failed: bool, now: Instant) {
+        self.presence.borrow_mut().note_contact(failed, now);
+    }
+
+    /// Whether lapsed servers may still come back.
+    pub fn awaits_renewals(&self) -> bool {
+        self.presence.borrow().awaits_renewals()
+    }
+
+    /// Gives up servers whose entries have lapsed for too long.
+    pub(super) fn expire_lapsed(&self) {
+        if !self.awaits_renewals() {
+            return;
+        }
+        let lapsed = self.presence.borrow_mut().expire_lapsed(Instant::now());
         for id in lapsed {
             self.forget_server(&id);
             log::info!(server:% = id; "lapsed server did not come back");
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -33,8 +33,10 @@
     let pace = SourcePace::new(fleet.settings().read_bounds());
     let mut follower = SourceFollower { fleet, source, position: None, pace };
     loop {
-        follower.read().await;
-        let pause = follower.pace.pause(rand::random());
+        if follower.read().await == ReadResult::HistoryLost {
+            follower.read().await;
+        }
+        let pause = follower.pace.pause(follower.fleet.awaits_renewals(), rand::random());
         let sleep = std::pin::pin!(monoio::time::sleep(pause));
         let poked = std::pin::pin!(follower.fleet.poked());
         select(sleep, poked).await;
@@ -49,7 +51,8 @@
 }
 
 impl SourceFollower {
-    async fn read(&mut self) {
+    /// Reads what has changed, or everything where nothing is known yet.
+    async fn read(&mut self) -> ReadResult {
         let sent = boot_now();
         let reading = async {
             match self.position {
@@ -64,17 +67,18 @@
         match result {
             Ok(read) => {
                 self.fleet.metrics().source_reads.count("answered");
-                if self.pace.note_success() {
+                let failed = self.pace.note_success();
+                if failed {
                     log::info!("source regained");
                 }
-                self.take(read);
+                self.take(read, failed);
                 self.fleet.confirm_configuration(sent);
             }
             Err(SourceError::HistoryLost) => {
                 self.fleet.metrics().source_reads.count("history_lost");
                 log::info!("source has dropped its history, reading everything");
                 self.position = None;
-                self.pace.note_failure();
+                return ReadResult::HistoryLost;
             }
             Err(error) => {
                 self.fleet.metrics().source_reads.count("failed");
@@ -84,11 +88,12 @@
                 self.source.disconnect();
             }
         }
+        ReadResult::Done
     }
 
-    fn take(&mut self, read: Read) {
+    fn take(&mut self, read: Read, failed: bool) {
         let now = Instant::now();
-        self.fleet.note_list_contact(now);
+        self.fleet.note_list_contact(failed, now);
         match read {
             Read::All(contents) => {
                 self.position = Some(contents.position);
@@ -117,6 +122,13 @@
     }
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadResult {
+    Done,
+    /// Everything has to be read again, at once.
+    HistoryLost,
+}
+
 enum Read {
     All(Box<SourceContents>),
     Changes(SourceChanges),
