Choose among placement policies, and split the placer into short functions

Change: policies warm, least-wait, two-choices, bounded-hash and random, by a setting; the placer's parts stand alone.

--- a/crates/papayamux-coordination/src/placement/candidate.rs
+++ b/crates/papayamux-coordination/src/placement/candidate.rs
@@ -12,6 +12,8 @@
     pub prompt: TokenCount,
     /// Tokens up to the end of the part by which prompts are grouped.
     pub shared: TokenCount,
+    /// A number from 0 up to 1 drawn for the request, for policies that draw.
+    pub draw: f64,
     /// Cached tokens that one engine can hand another in a millisecond, where it can.
     pub transfer_tokens_per_ms: Option<f64>,
 }
@@ -27,8 +29,8 @@
     pub slots: u32,
     /// Tokens of the prompt that this router knows it to hold.
     pub warm: TokenCount,
-    /// Whether it is the home of the prompt's group, by which all routers begin alike.
-    pub home: bool,
+    /// Its place in the order of the prompt's group, 0 for the home; all routers have the same.
+    pub rank: u32,
     /// The part of its answers that it fails beyond what the others fail, from 0 to 1.
     pub failing: f64,
     /// What speaks against it.
--- a/crates/papayamux-coordination/src/placement/mod.rs
+++ b/crates/papayamux-coordination/src/placement/mod.rs
@@ -3,9 +3,11 @@
 mod candidate;
 mod load_ledger;
 mod placer;
+mod policy;
 mod recent_holders;
 
 pub use candidate::{Placement, PlacementCandidate, PlacementRequest};
 pub use load_ledger::{LoadLedger, RouterId, ServerLoad};
 pub use placer::{place, PlacementTuning};
+pub use policy::{PlacementPolicy, PolicyError};
 pub use recent_holders::{HolderNote, RecentHolders};
--- a/crates/papayamux-coordination/src/placement/placer.rs
+++ b/crates/papayamux-coordination/src/placement/placer.rs
@@ -2,7 +2,7 @@
 
 use papayamux_state::quantities::TokenCount;
 
-use super::{Placement, PlacementCandidate, PlacementRequest};
+use super::{Placement, PlacementCandidate, PlacementPolicy, PlacementRequest};
 use crate::server_evidence::ServerStanding;
 
 /// Figures that placement weighs with.
@@ -10,11 +10,13 @@
 pub struct PlacementTuning {
     /// The bound on a server's requests, as a multiple of the mean.
     pub load_factor: f64,
+    /// How servers for prompts are chosen.
+    pub policy: PlacementPolicy,
 }
 
 impl Default for PlacementTuning {
     fn default() -> Self {
-        Self { load_factor: 2.0 }
+        Self { load_factor: 2.0, policy: PlacementPolicy::Warm }
     }
 }
 
@@ -50,33 +52,87 @@
     candidates: &[PlacementCandidate],
     tuning: PlacementTuning,
 ) -> Option<Placement> {
-    let accepting = candidates.iter().filter(|candidate| candidate.accepts);
-    let best = accepting.map(|candidate| candidate.standing).min()?;
-    let usable = |candidate: &PlacementCandidate| {
-        let sound = best == ServerStanding::Held || candidate.standing != ServerStanding::Held;
-        candidate.accepts && sound
-    };
-    let count = candidates.iter().filter(|one| usable(one)).count() as f64;
-    let requests: f64 =
-        candidates.iter().filter(|one| usable(one)).map(|one| f64::from(one.load.requests)).sum();
-    let bound = tuning.load_factor * BOUND_USED * (requests / count) + BOUND_SLACK;
+    let usable = usable_candidates(candidates);
+    let bound = load_bound(&usable, tuning.load_factor);
+    if request.prompt.get() > 0 && tuning.policy != PlacementPolicy::Warm {
+        let server = baseline(request, &usable, bound, tuning.policy)?;
+        return Some(Placement { server, fetch_from: None, cold: request.prompt });
+    }
     let source = warmest(request, candidates);
-    let costs = candidates.iter().enumerate().filter(|(_, one)| usable(one)).map(|(index, one)| {
-        let over = f64::from(one.load.requests) >= bound;
-        (index, over, cost_ms(request, one, source.map(|(_, tokens)| tokens)))
+    let server = cheapest(request, &usable, bound, source.map(|(_, tokens)| tokens))?;
+    let known = candidates[server].warm;
+    let fetch = source.filter(|(index, tokens)| {
+        *index != server && *tokens > known && request.transfer_tokens_per_ms.is_some()
     });
-    let (server, _, _) = costs
-        .min_by(|left, right| left.1.cmp(&right.1).then_with(|| left.2.total_cmp(&right.2)))?;
     let held = believed_tokens(request, &candidates[server]);
-    let fetch_from = source.filter(|(index, tokens)| {
-        let known = candidates[server].warm;
-        *index != server && *tokens > known && request.transfer_tokens_per_ms.is_some()
+    let held = fetch.map_or(held, |(_, tokens)| tokens.max(held));
+    let cold = request.prompt.saturating_sub(held);
+    Some(Placement { server, fetch_from: fetch.map(|(index, _)| index), cold })
+}
+
+type IndexedCandidate<'a> = (usize, &'a PlacementCandidate);
+
+/// The candidates that take requests and against which nothing speaks; where something speaks
+/// against all of them, all that take requests.
+fn usable_candidates(candidates: &[PlacementCandidate]) -> Vec<IndexedCandidate<'_>> {
+    let mut usable: Vec<_> = candidates.iter().enumerate().filter(|(_, one)| one.accepts).collect();
+    if usable.iter().any(|(_, one)| one.standing != ServerStanding::Held) {
+        usable.retain(|(_, one)| one.standing != ServerStanding::Held);
+    }
+    usable
+}
+
+/// Requests at which a server is no longer chosen while others have fewer.
+fn load_bound(usable: &[IndexedCandidate<'_>], factor: f64) -> f64 {
+    let requests: f64 = usable.iter().map(|(_, one)| f64::from(one.load.requests)).sum();
+    let mean = requests / usable.len().max(1) as f64;
+    factor * BOUND_USED * mean + BOUND_SLACK
+}
+
+/// The server with the least cost, those within the load bound first.
+fn cheapest(
+    request: PlacementRequest,
+    usable: &[IndexedCandidate<'_>],
+    bound: f64,
+    elsewhere: Option<TokenCount>,
+) -> Option<usize> {
+    let costs = usable.iter().map(|(index, one)| {
+        let over = f64::from(one.load.requests) >= bound;
+        (*index, over, cost_ms(request, one, elsewhere))
     });
-    let cold = match fetch_from {
-        Some((_, tokens)) => request.prompt.saturating_sub(tokens.max(held)),
-        None => request.prompt.saturating_sub(held),
+    let least =
+        costs.min_by(|left, right| left.1.cmp(&right.1).then_with(|| left.2.total_cmp(&right.2)));
+    least.map(|(index, ..)| index)
+}
+
+/// The choice of a policy that ours is measured against.
+fn baseline(
+    request: PlacementRequest,
+    usable: &[IndexedCandidate<'_>],
+    bound: f64,
+    policy: PlacementPolicy,
+) -> Option<usize> {
+    let drawn = |draw: f64| usable.get((draw * usable.len() as f64) as usize).copied();
+    let chosen = match policy {
+        PlacementPolicy::Random => drawn(request.draw),
+        PlacementPolicy::TwoChoices => {
+            // The digits of the draw behind its first three serve as the second draw.
+            let pair = [drawn(request.draw), drawn((request.draw * 1_000.0).fract())];
+            pair.into_iter().flatten().min_by_key(|(_, one)| one.load.requests)
+        }
+        PlacementPolicy::BoundedHash => {
+            let within = usable.iter().filter(|(_, one)| f64::from(one.load.requests) < bound);
+            within.min_by_key(|(_, one)| one.rank).or(usable.first()).copied()
+        }
+        PlacementPolicy::Warm | PlacementPolicy::LeastWait => {
+            let blind = |one: &PlacementCandidate| {
+                let blind = PlacementCandidate { warm: TokenCount::default(), rank: 1, ..*one };
+                cost_ms(request, &blind, None)
+            };
+            usable.iter().min_by(|left, right| blind(left.1).total_cmp(&blind(right.1))).copied()
+        }
     };
-    Some(Placement { server, fetch_from: fetch_from.map(|(index, _)| index), cold })
+    chosen.map(|(index, _)| index)
 }
 
 /// The server that is believed to hold most of the prompt, and how much.
@@ -92,9 +148,9 @@
 
 /// Tokens of the prompt that a server is believed to hold.
 fn believed_tokens(request: PlacementRequest, candidate: &PlacementCandidate) -> TokenCount {
-    let at_home = match candidate.home {
-        true => TokenCount::new((request.shared.get() as f64 * HOME_BELIEF) as u64),
-        false => TokenCount::default(),
+    let at_home = match candidate.rank {
+        0 => TokenCount::new((request.shared.get() as f64 * HOME_BELIEF) as u64),
+        _ => TokenCount::default(),
     };
     candidate.warm.max(at_home)
 }
--- a/crates/papayamux-coordination/tests/placement.rs
+++ b/crates/papayamux-coordination/tests/placement.rs
@@ -4,7 +4,8 @@
 use std::time::Instant;
 
 use papayamux_coordination::placement::{
-    place, LoadLedger, PlacementCandidate, PlacementRequest, PlacementTuning, RouterId, ServerLoad,
+    place, LoadLedger, PlacementCandidate, PlacementPolicy, PlacementRequest, PlacementTuning,
+    RouterId, ServerLoad,
 };
 use papayamux_coordination::server_evidence::ServerStanding;
 use papayamux_state::ids::ServerId;
@@ -20,7 +21,7 @@
         load: ServerLoad { requests, backlog: 0 },
         slots: 8,
         warm: tokens(0),
-        home: false,
+        rank: 1,
         failing: 0.0,
         standing: ServerStanding::Good,
         near: true,
@@ -30,6 +31,7 @@
 const LONG: PlacementRequest = PlacementRequest {
     prompt: TokenCount::new(11_800),
     shared: TokenCount::new(10_500),
+    draw: 0.5,
     transfer_tokens_per_ms: Some(500.0),
 };
 
@@ -39,20 +41,20 @@
 
 #[test]
 fn first_request_of_a_group_goes_to_its_home() {
-    let home = PlacementCandidate { home: true, ..candidate(3) };
+    let home = PlacementCandidate { rank: 0, ..candidate(3) };
     assert_eq!(placed(LONG, &[candidate(2), home, candidate(3)]), 1);
 }
 
 #[test]
 fn prompt_stays_where_it_is_known_to_be_when_its_home_is_new() {
     let known = PlacementCandidate { warm: tokens(10_500), ..candidate(3) };
-    let new_home = PlacementCandidate { home: true, ..candidate(3) };
+    let new_home = PlacementCandidate { rank: 0, ..candidate(3) };
     assert_eq!(placed(LONG, &[new_home, known, candidate(3)]), 1);
 }
 
 #[test]
 fn spilled_request_takes_its_part_from_the_server_that_holds_it() {
-    let full = PlacementCandidate { warm: tokens(10_500), home: true, ..candidate(30) };
+    let full = PlacementCandidate { warm: tokens(10_500), rank: 0, ..candidate(30) };
     let others = [candidate(3), full, candidate(3), candidate(3)];
     let placement = place(LONG, &others, PlacementTuning::default()).unwrap();
     assert_ne!(placement.server, 1);
@@ -89,7 +91,7 @@
         let candidates: Vec<_> = (0..12)
             .map(|server| PlacementCandidate {
                 warm: if holders[server][group] { tokens(10_500) } else { tokens(0) },
-                home: server == home,
+                rank: u32::from(server != home),
                 ..candidate(running.iter().filter(|(at, _)| *at == server).count() as u32)
             })
             .collect();
@@ -134,3 +136,27 @@
     ledger.end(&server, load(1));
     assert_eq!(ledger.total(&server), ServerLoad::default());
 }
+
+#[test]
+fn policies_are_read_by_their_names() {
+    for name in ["warm", "least-wait", "two-choices", "bounded-hash", "random"] {
+        assert_eq!(name.parse::<PlacementPolicy>().unwrap().to_string(), name);
+    }
+    assert!("best".parse::<PlacementPolicy>().unwrap_err().to_string().contains("bounded-hash"));
+}
+
+#[test]
+fn baselines_choose_without_regard_to_warmth() {
+    let warm = PlacementCandidate { warm: tokens(10_500), rank: 0, ..candidate(4) };
+    let candidates = [candidate(1), warm, candidate(9)];
+    let placed = |policy, draw| {
+        let request = PlacementRequest { draw, ..LONG };
+        let tuning = PlacementTuning { policy, ..PlacementTuning::default() };
+        place(request, &candidates, tuning).unwrap().server
+    };
+    assert_eq!(placed(PlacementPolicy::LeastWait, 0.5), 0);
+    assert_eq!(placed(PlacementPolicy::BoundedHash, 0.5), 1);
+    assert_eq!(placed(PlacementPolicy::Random, 0.9), 2);
+    // Two are drawn: the last and, by the later digits, the first.
+    assert_eq!(placed(PlacementPolicy::TwoChoices, 0.9001), 0);
+}
--- a/crates/papayamux-router/src/direct/fleet.rs
+++ b/crates/papayamux-router/src/direct/fleet.rs
@@ -264,20 +264,24 @@
     ) -> Option<ChosenServer> {
         let now = Instant::now();
         let servers = self.candidate_servers(service, tried);
-        let home = home_index(prompt, &servers);
+        let ranks = group_ranks(prompt, &servers);
         let candidates: Vec<_> = servers
             .iter()
-            .enumerate()
-            .map(|(index, server)| self.candidate(server, prompt, home == Some(index), now))
+            .zip(ranks)
+            .map(|(server, rank)| self.candidate(server, prompt, rank, now))
             .collect();
         let request = PlacementRequest {
             prompt: prompt_tokens.max(prompt.tokens()),
             shared: prompt.shared_tokens(),
+            draw: rand::random(),
             transfer_tokens_per_ms: self
                 .engine_profile(service)
                 .and_then(|profile| profile.transfer_tokens_per_ms),
         };
-        let tuning = PlacementTuning { load_factor: self.settings.load_factor };
+        let tuning = PlacementTuning {
+            load_factor: self.settings.load_factor,
+            policy: self.settings.policy,
+        };
         let placement = place(request, &candidates, tuning)?;
         let server = servers[placement.server].clone();
         self.evidence.borrow_mut().begin_trial(&server.id, now);
@@ -298,7 +302,7 @@
         &self,
         server: &BackendServer,
         prompt: &PromptChain,
-        home: bool,
+        rank: u32,
         now: Instant,
     ) -> PlacementCandidate {
         let warm = self.warm.borrow().get(&server.id).map(|warm| warm.warm_tokens(prompt));
@@ -313,7 +317,7 @@
             load: self.ledger.borrow().total(&server.id),
             slots: server.slots,
             warm: warm.unwrap_or_default(),
-            home,
+            rank,
             failing: self.excess_failures(server, now),
             standing,
             near: server.domain == self.settings.domain,
@@ -415,12 +419,21 @@
     !prompt.parts().is_empty()
 }
 
-/// The home of the part by which prompts are grouped, by rendezvous hashing: all routers find the
-/// same without a word between them, and a server that comes or goes moves only its own groups.
-fn home_index(prompt: &PromptChain, servers: &[Rc<BackendServer>]) -> Option<usize> {
-    let shared = prompt.longest_shared()?;
+/// The places of servers in the order of the part by which prompts are grouped, by rendezvous
+/// hashing: all routers find the same without a word between them, and a server that comes or goes
+/// moves only its own groups. A server that is draining has none.
+fn group_ranks(prompt: &PromptChain, servers: &[Rc<BackendServer>]) -> Vec<u32> {
+    let mut ranks = vec![u32::MAX; servers.len()];
+    let Some(shared) = prompt.longest_shared() else { return ranks };
     let weight =
         |server: &BackendServer| xxh3_64_with_seed(server.id.as_str().as_bytes(), shared.id.0);
-    let serving = (0..servers.len()).filter(|index| servers[*index].phase == ServerPhase::Serving);
-    serving.max_by_key(|index| weight(&servers[*index]))
+    let mut serving: Vec<_> = (0..servers.len())
+        .filter(|index| servers[*index].phase == ServerPhase::Serving)
+        .map(|index| (weight(&servers[index]), index))
+        .collect();
+    serving.sort_unstable_by(|left, right| right.cmp(left));
+    for (rank, (_, index)) in (0u32..).zip(serving) {
+        ranks[index] = rank;
+    }
+    ranks
 }
--- a/crates/papayamux-router/src/direct/settings.rs
+++ b/crates/papayamux-router/src/direct/settings.rs
@@ -5,6 +5,7 @@
 
 use bon::Builder;
 use papayamux_coordination::key_freshness::longest_key_age;
+use papayamux_coordination::placement::PlacementPolicy;
 use papayamux_coordination::service_retry_budget::RetryAllowance;
 use papayamux_coordination::source_pace::ReadBounds;
 use papayamux_settings::{Findings, IniFile, Millis};
@@ -26,6 +27,9 @@
     /// The bound on a server's requests, as a multiple of the mean.
     #[builder(default = 2.0)]
     pub load_factor: f64,
+    /// How servers for prompts are chosen.
+    #[builder(default)]
+    pub policy: PlacementPolicy,
     /// The budget for repeats.
     #[builder(default)]
     pub retries: RetryAllowance,
@@ -90,7 +94,10 @@
     pub fn read(name: &str, text: &str) -> Result<Self, Findings> {
         let file = IniFile::parse(name, text)?;
         let settings = read_settings(&file);
-        file.refuse_other_sections(&["instance", "listen", "source", "peers", "bounds"], &[]);
+        file.refuse_other_sections(
+            &["instance", "listen", "source", "peers", "bounds", "placement"],
+            &[],
+        );
         file.finish(|| settings)
     }
 }
@@ -141,6 +148,9 @@
     let revoke_within = bounds.optional::<Millis>("revoke_within").map(|millis| millis.0);
     let millis = |key: &str| bounds.optional::<Millis>(key).map(|millis| millis.0);
     let (apply_within, drain_within) = (millis("apply_within"), millis("drain_within"));
+    let placement = file.optional_section("placement");
+    let policy = placement.or("policy", PlacementPolicy::default());
+    placement.refuse_other_keys();
     let load_factor = bounds.or("load_factor", 2.0);
     let grace = bounds.or("grace", DEFAULT_GRACE).0;
     bounds.refuse_other_keys();
@@ -150,6 +160,7 @@
         .maybe_apply_within(apply_within)
         .maybe_drain_within(drain_within)
         .load_factor(load_factor)
+        .policy(policy)
         .retries(retries)
         .build();
     Some((grace, fleet))
