--- a/crates/papayamux-router/src/direct/call_desk.rs
+++ b/crates/papayamux-router/src/direct/call_desk.rs
@@ -1,32 +1,24 @@
 //! Serves callers' requests: admits them, finds a server, passes the answer on.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{HeaderMap, Request, Response};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use papayamux_coordination::attempt_plan::AttemptLoss;
-use papayamux_state::service_config::{ConfigurationSnapshot, KeyHolder, Route};
 use papayamux_transport::http::AnswerBody;
 
 use super::active_request::ActiveRequest;
 use super::attempt::{collect_body, send_attempt, AttemptAnswer, CollectedBody, LostAttempt};
 use super::call_plan::CallPlan;
 use super::interface::CallInterface;
+use super::request_body::read_body;
 use super::stream_relay::{InFlight, StreamRelay};
 use super::{CallFailure, CallHead, Fleet, NotRunReason};
 
-/// How long a request waits for the configuration to be confirmed: several answers of the source,
-/// and less than an eighth of the shortest objectives of model requests.
-const CONFIRM_WITHIN: Duration = Duration::from_millis(60);
-/// When a caller may come back whose key could not be confirmed: at another router, at once.
-const STALE_RETRY_AFTER: Duration = Duration::from_millis(200);
-/// When a caller may come back while a router has no configuration yet.
-const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Headers that belong to one connection.
 const CONNECTION_HEADERS: [&str; 5] =
     ["keep-alive", "proxy-connection", "te", "trailer", "upgrade"];
@@ -37,13 +29,6 @@
     interface: Rc<dyn CallInterface>,
 }
 
-/// A request that may be run, with what it may use.
-struct AdmittedCall {
-    route: Rc<Route>,
-    holder: Option<Rc<KeyHolder>>,
-    longest_body: u64,
-}
-
 impl CallDesk {
     /// A desk that speaks `interface`.
     pub fn new(fleet: Rc<Fleet>, interface: Rc<dyn CallInterface>) -> Rc<Self> {
@@ -91,7 +76,7 @@
         body: Incoming,
         arrived: Instant,
     ) -> Result<Response<AnswerBody>, CallFailure> {
-        let admitted = self.admit(&call).await?;
+        let admitted = self.fleet.admit(&call).await?;
         let draw = rand::random::<f64>();
         let Some(service) = admitted.route.pick_service(draw).cloned() else {
             return Err(CallFailure::not_run(NotRunReason::NoServer));
@@ -105,57 +90,6 @@
         self.run(plan, in_flight).await
     }
 
-    /// Finds the route, and whose key it is.
-    async fn admit(&self, call: &CallHead) -> Result<AdmittedCall, CallFailure> {
-        match self.look_up(call) {
-            Ok((admitted, needs_key)) if !needs_key || self.fleet.keys_are_fresh() => {
-                return Ok(admitted);
-            }
-            Err(failure) if self.may_be_believed(&failure) => return Err(failure),
-            _ => self.fleet.refresh_configuration(CONFIRM_WITHIN).await,
-        }
-        let stale = CallFailure::NotRun {
-            reason: NotRunReason::StaleConfiguration,
-            retry_after: Some(STALE_RETRY_AFTER),
-        };
-        match self.look_up(call) {
-            Ok((admitted, needs_key)) if !needs_key || self.fleet.keys_are_fresh() => Ok(admitted),
-            Err(failure) if self.may_be_believed(&failure) => Err(failure),
-            _ => Err(stale),
-        }
-    }
-
-    /// Whether a refusal rests on a configuration that is recent enough.
-    fn may_be_believed(&self, failure: &CallFailure) -> bool {
-        match failure {
-            CallFailure::UnknownRoute | CallFailure::UnknownKey => {
-                let longest = self.fleet.settings().negative_age();
-                self.fleet.configuration_age().is_some_and(|age| age < longest)
-            }
-            _ => true,
-        }
-    }
-
-    /// The route and the key's holder by the configuration in force, and whether the key had to
-    /// be known.
-    fn look_up(&self, call: &CallHead) -> Result<(AdmittedCall, bool), CallFailure> {
-        let Some(configuration) = self.fleet.configuration() else {
-            return Err(CallFailure::NotRun {
-                reason: NotRunReason::NoConfiguration,
-                retry_after: Some(UNCONFIGURED_RETRY_AFTER),
-            });
-        };
-        let route = configuration.routes.find(&call.host, call.target.path());
-        let route = route.ok_or(CallFailure::UnknownRoute)?.clone();
-        let holder = key_holder(&configuration, call);
-        let needs_key = configuration.organisations.is_some() && !route.anonymous;
-        if needs_key && holder.is_none() {
-            return Err(CallFailure::UnknownKey);
-        }
-        let longest_body = configuration.limits.body_bytes.get();
-        Ok((AdmittedCall { route, holder, longest_body }, needs_key))
-    }
-
     /// Makes attempts until there is an answer, or none can be had.
     async fn run(
         &self,
@@ -263,40 +197,6 @@
     }
 }
 
-fn key_holder(configuration: &ConfigurationSnapshot, call: &CallHead) -> Option<Rc<KeyHolder>> {
-    configuration.organisations.as_ref()?.holder(call.key.as_ref()?).cloned()
-}
-
-/// Reads the whole body, so that it can be sent more than once.
-async fn read_body(
-    mut body: Incoming,
-    longest: u64,
-    within: Duration,
-) -> Result<Bytes, CallFailure> {
-    if body.size_hint().lower() > longest {
-        return Err(CallFailure::TooLong);
-    }
-    let read = async {
-        let mut whole = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else {
-                return Err(CallFailure::not_run(NotRunReason::Incomplete));
-            };
-            if let Ok(piece) = frame.into_data() {
-                whole.extend_from_slice(&piece);
-            }
-            if whole.len() as u64 > longest {
-                return Err(CallFailure::TooLong);
-            }
-        }
-        Ok(whole.freeze())
-    };
-    match monoio::time::timeout(within, read).await {
-        Ok(result) => result,
-        Err(_) => Err(CallFailure::not_run(NotRunReason::Incomplete)),
-    }
-}
-
 /// The head of a caller's answer: the server's, without what belongs to its connection.
 fn answer_head(head: &Parts) -> Parts {
     let (mut answer, ()) = Response::new(()).into_parts();
--- /dev/null
+++ b/crates/papayamux-router/src/direct/fleet/choice.rs
@@ -0,0 +1,162 @@
+//! The choice of a server for a request.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use papayamux_coordination::placement::{
+    place, HolderNote, PlacementCandidate, PlacementRequest, PlacementTuning, ServerLoad,
+};
+use papayamux_coordination::server_evidence::ServerStanding;
+use papayamux_state::backend::{BackendServer, ServerPhase};
+use papayamux_state::ids::{ServerId, ServiceId};
+use papayamux_state::prompt::{PromptChain, WarmParts};
+use papayamux_state::quantities::TokenCount;
+use papayamux_state::service_config::EngineProfile;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::Fleet;
+
+/// Tokens of an engine's cache where the configuration doesn't say.
+const DEFAULT_CACHE: TokenCount = TokenCount::new(300_000);
+/// Silence of an engine with requests under way after which nothing more is sent to it: several
+/// times a step that reads a full chunk of a prompt, at up to 100 ms.
+const ENGINE_SILENCE: Duration = Duration::from_millis(600);
+/// The same for a plain service: several times what a slow call takes.
+const PLAIN_SILENCE: Duration = Duration::from_millis(250);
+
+/// A server that was chosen.
+#[derive(Debug, Clone)]
+pub struct ChosenServer {
+    /// The server.
+    pub server: Rc<BackendServer>,
+    /// What the request adds to its load.
+    pub load: ServerLoad,
+    /// A server from which it should take what it lacks of the prompt.
+    pub fetch_from: Option<Rc<BackendServer>>,
+}
+
+impl Fleet {
+    /// Chooses a server of `service` that isn't among `tried`.
+    pub fn choose(
+        &self,
+        service: &ServiceId,
+        prompt: &PromptChain,
+        prompt_tokens: TokenCount,
+        tried: &[ServerId],
+    ) -> Option<ChosenServer> {
+        let now = Instant::now();
+        let servers = self.candidate_servers(service, tried);
+        let ranks = group_ranks(prompt, &servers);
+        let candidates: Vec<_> = servers
+            .iter()
+            .zip(ranks)
+            .map(|(server, rank)| self.candidate(server, prompt, rank, now))
+            .collect();
+        let request = PlacementRequest {
+            prompt: prompt_tokens.max(prompt.tokens()),
+            shared: prompt.shared_tokens(),
+            draw: rand::random(),
+            transfer_tokens_per_ms: self
+                .engine_profile(service)
+                .and_then(|profile| profile.transfer_tokens_per_ms),
+        };
+        let tuning = PlacementTuning {
+            load_factor: self.settings.load_factor,
+            policy: self.settings.policy,
+        };
+        let placement = place(request, &candidates, tuning)?;
+        let server = servers[placement.server].clone();
+        self.evidence.borrow_mut().begin_trial(&server.id, now);
+        Some(ChosenServer {
+            server,
+            load: ServerLoad { requests: 1, backlog: placement.cold.get() },
+            fetch_from: placement.fetch_from.map(|index| servers[index].clone()),
+        })
+    }
+
+    fn candidate_servers(&self, service: &ServiceId, tried: &[ServerId]) -> Vec<Rc<BackendServer>> {
+        let presence = self.presence.borrow();
+        let servers = presence.catalog().of_service(service);
+        servers.filter(|server| !tried.contains(&server.id)).cloned().collect()
+    }
+
+    fn candidate(
+        &self,
+        server: &BackendServer,
+        prompt: &PromptChain,
+        rank: u32,
+        now: Instant,
+    ) -> PlacementCandidate {
+        let warm = self.warm.borrow().get(&server.id).map(|warm| warm.warm_tokens(prompt));
+        let silence = self.silence(server, now);
+        let limit = if server_is_engine(prompt) { ENGINE_SILENCE } else { PLAIN_SILENCE };
+        let standing = match silence.is_some_and(|silence| silence > limit) {
+            true => ServerStanding::Held,
+            false => self.evidence.borrow().standing(&server.id, now),
+        };
+        PlacementCandidate {
+            accepts: server.phase == ServerPhase::Serving,
+            load: self.ledger.borrow().total(&server.id),
+            slots: server.slots,
+            warm: warm.unwrap_or_default(),
+            rank,
+            failing: self.excess_failures(server, now),
+            standing,
+            near: server.domain == self.settings.domain,
+        }
+    }
+
+    fn excess_failures(&self, server: &BackendServer, now: Instant) -> f64 {
+        let records = self.records.borrow();
+        let record = records.get(&server.service);
+        record.map_or(0.0, |record| record.excess_failures(&server.id, now))
+    }
+
+    fn engine_profile(&self, service: &ServiceId) -> Option<EngineProfile> {
+        self.configuration.borrow().as_ref()?.services.get(service)?.engine
+    }
+
+    pub(super) fn cache_capacity(&self, service: &ServiceId) -> TokenCount {
+        let profile = self.engine_profile(service);
+        profile.map_or(DEFAULT_CACHE, |profile| profile.cache_tokens)
+    }
+
+    /// What this router knows of who holds which shared part, for the other routers.
+    pub fn next_holder_notes(&self, now: Instant) -> Vec<HolderNote> {
+        self.holders.borrow_mut().next_notes(now)
+    }
+
+    /// Takes in what another router knows of a server's cache.
+    pub fn note_holder(&self, note: &HolderNote) {
+        let Some(server) = self.presence.borrow().catalog().get(&note.server).cloned() else {
+            return;
+        };
+        let capacity = self.cache_capacity(&server.service);
+        let mut warm = self.warm.borrow_mut();
+        let parts = warm.entry(server.id.clone()).or_insert_with(|| WarmParts::new(capacity));
+        parts.note_prefixes(note.prefixes.iter().copied());
+    }
+}
+
+fn server_is_engine(prompt: &PromptChain) -> bool {
+    !prompt.parts().is_empty()
+}
+
+/// The places of servers in the order of the part by which prompts are grouped, by rendezvous
+/// hashing: all routers find the same without a word between them, and a server that comes or goes
+/// moves only its own groups. A server that is draining has none.
+fn group_ranks(prompt: &PromptChain, servers: &[Rc<BackendServer>]) -> Vec<u32> {
+    let mut ranks = vec![u32::MAX; servers.len()];
+    let Some(shared) = prompt.longest_shared() else { return ranks };
+    let weight =
+        |server: &BackendServer| xxh3_64_with_seed(server.id.as_str().as_bytes(), shared.id.0);
+    let mut serving: Vec<_> = (0..servers.len())
+        .filter(|index| servers[*index].phase == ServerPhase::Serving)
+        .map(|index| (weight(&servers[index]), index))
+        .collect();
+    serving.sort_unstable_by(|left, right| right.cmp(left));
+    for (rank, (_, index)) in (0u32..).zip(serving) {
+        ranks[index] = rank;
+    }
+    ranks
+}
--- /dev/null
+++ b/crates/papayamux-router/src/direct/fleet/fleet_state.rs
@@ -0,0 +1,98 @@
+//! What a router believes, and what it has under way.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use papayamux_coordination::key_freshness::KeyFreshness;
+use papayamux_coordination::placement::{LoadLedger, RecentHolders};
+use papayamux_coordination::server_evidence::EvidenceBook;
+use papayamux_coordination::server_presence::ServerPresence;
+use papayamux_coordination::server_pulse::PulseBook;
+use papayamux_coordination::server_record::AnswerRecord;
+use papayamux_coordination::service_retry_budget::ServiceRetryBudget;
+use papayamux_state::ids::{ServerId, ServiceId};
+use papayamux_state::prompt::WarmParts;
+use papayamux_state::service_config::ConfigurationSnapshot;
+use papayamux_transport::http::upstream::UpstreamPool;
+use papayamux_transport::shutdown::ShutdownSignal;
+
+use crate::direct::attempt_watch::AttemptWatch;
+use crate::direct::{DirectMetrics, FleetSettings};
+
+/// All that a router knows. It belongs to one thread; clones of the `Rc` share it.
+pub struct Fleet {
+    pub(super) settings: FleetSettings,
+    pub(super) configuration: RefCell<Option<Rc<ConfigurationSnapshot>>>,
+    pub(super) freshness: RefCell<KeyFreshness>,
+    pub(super) confirmed: RefCell<ShutdownSignal>,
+    pub(super) poke: RefCell<ShutdownSignal>,
+    pub(super) presence: RefCell<ServerPresence>,
+    pub(super) ledger: RefCell<LoadLedger>,
+    pub(super) evidence: RefCell<EvidenceBook>,
+    pub(super) pulses: RefCell<HashMap<ServiceId, PulseBook>>,
+    pub(super) budget: RefCell<ServiceRetryBudget>,
+    pub(super) records: RefCell<HashMap<ServiceId, AnswerRecord>>,
+    pub(super) warm: RefCell<HashMap<ServerId, WarmParts>>,
+    pub(super) holders: RefCell<RecentHolders>,
+    pub(super) in_flight: Cell<usize>,
+    pub(super) watch: AttemptWatch,
+    pub(super) metrics: DirectMetrics,
+    pub(super) pool: UpstreamPool,
+}
+
+impl Fleet {
+    /// A router that knows nothing yet.
+    pub fn new(settings: FleetSettings) -> Rc<Self> {
+        let pool = UpstreamPool::new(settings.pool);
+        Rc::new(Self {
+            freshness: RefCell::new(KeyFreshness::new(settings.revoke_within)),
+            budget: RefCell::new(ServiceRetryBudget::new(settings.retries)),
+            settings,
+            configuration: RefCell::default(),
+            confirmed: RefCell::default(),
+            poke: RefCell::default(),
+            presence: RefCell::default(),
+            ledger: RefCell::default(),
+            evidence: RefCell::default(),
+            pulses: RefCell::default(),
+            records: RefCell::default(),
+            warm: RefCell::default(),
+            holders: RefCell::default(),
+            in_flight: Cell::new(0),
+            watch: AttemptWatch::default(),
+            metrics: DirectMetrics::default(),
+            pool,
+        })
+    }
+
+    /// The settings.
+    pub fn settings(&self) -> &FleetSettings {
+        &self.settings
+    }
+
+    /// Counters and histograms.
+    pub fn metrics(&self) -> &DirectMetrics {
+        &self.metrics
+    }
+
+    /// Connections to servers.
+    pub fn pool(&self) -> &UpstreamPool {
+        &self.pool
+    }
+
+    /// The watch over attempts.
+    pub(in crate::direct) fn watch(&self) -> &AttemptWatch {
+        &self.watch
+    }
+
+    /// Loads at servers, own and others'.
+    pub fn ledger(&self) -> &RefCell<LoadLedger> {
+        &self.ledger
+    }
+
+    /// The budget for repeats.
+    pub fn budget(&self) -> &RefCell<ServiceRetryBudget> {
+        &self.budget
+    }
+}
--- /dev/null
+++ b/crates/papayamux-router/src/direct/fleet/known_servers.rs
@@ -0,0 +1,76 @@
+//! The backend servers that are believed to be there.
+
+use std::time::Instant;
+
+use papayamux_coordination::server_presence::PresenceChange;
+use papayamux_state::backend::BackendServer;
+use papayamux_state::ids::ServerId;
+
+use super::Fleet;
+
+impl Fleet {
+    /// Notes that the list of servers answered.
+    pub fn note_list_contact(&self, failed: bool, now: Instant) {
+        self.presence.borrow_mut().note_contact(failed, now);
+    }
+
+    /// Whether lapsed servers may still come back.
+    pub fn awaits_renewals(&self) -> bool {
+        self.presence.borrow().awaits_renewals()
+    }
+
+    /// Gives up servers whose entries have lapsed for too long.
+    pub(in crate::direct) fn expire_lapsed(&self) {
+        if !self.awaits_renewals() {
+            return;
+        }
+        let lapsed = self.presence.borrow_mut().expire_lapsed(Instant::now());
+        for id in lapsed {
+            self.forget_server(&id);
+            log::info!(server:% = id; "lapsed server did not come back");
+        }
+    }
+
+    /// Takes in one entry of the list.
+    pub fn note_server(&self, server: BackendServer) {
+        let id = server.id.clone();
+        let change = self.presence.borrow_mut().note_entry(server);
+        self.note_presence(&id, change);
+    }
+
+    /// Takes in that an entry is gone.
+    pub fn note_server_gone(&self, id: &ServerId, now: Instant) {
+        let change = self.presence.borrow_mut().note_removal(id, now);
+        self.note_presence(id, change);
+    }
+
+    /// Takes in the whole list.
+    pub fn note_server_list(&self, servers: Vec<BackendServer>, now: Instant) {
+        let changes = self.presence.borrow_mut().note_list(servers, now);
+        for (id, change) in changes {
+            self.note_presence(&id, change);
+        }
+    }
+
+    fn note_presence(&self, id: &ServerId, change: PresenceChange) {
+        match change {
+            PresenceChange::Unchanged => {}
+            PresenceChange::Departed => {
+                self.forget_server(id);
+                log::info!(server:% = id; "server is gone");
+            }
+            PresenceChange::Arrived => log::info!(server:% = id; "server is there"),
+            PresenceChange::Draining => log::info!(server:% = id; "server is draining"),
+            PresenceChange::Lapsed => log::info!(server:% = id; "server's entry has lapsed"),
+        }
+    }
+
+    fn forget_server(&self, id: &ServerId) {
+        self.warm.borrow_mut().remove(id);
+    }
+
+    /// Servers that are known.
+    pub fn server_count(&self) -> usize {
+        self.presence.borrow().catalog().len()
+    }
+}
--- /dev/null
+++ b/crates/papayamux-router/src/direct/fleet/mod.rs
@@ -0,0 +1,11 @@
+//! What a router believes of the configuration, the servers and the other routers, and the
+//! decisions that it takes from that.
+
+mod beliefs;
+mod choice;
+mod fleet_state;
+mod known_servers;
+mod requests;
+
+pub use choice::ChosenServer;
+pub use fleet_state::Fleet;
--- /dev/null
+++ b/crates/papayamux-router/src/direct/fleet/requests.rs
@@ -0,0 +1,81 @@
+//! Requests that are under way, and what they show of servers.
+
+use std::time::{Duration, Instant};
+
+use papayamux_coordination::placement::ServerLoad;
+use papayamux_coordination::server_evidence::EvidenceKind;
+use papayamux_state::backend::BackendServer;
+use papayamux_state::prompt::{PromptChain, WarmParts};
+
+use super::{ChosenServer, Fleet};
+
+impl Fleet {
+    /// The requests that are under way at this router.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    pub(in crate::direct) fn count_in_flight(&self, begun: bool) {
+        let count = self.in_flight.get();
+        self.in_flight.set(if begun { count + 1 } else { count.saturating_sub(1) });
+    }
+
+    /// Counts a request that is sent to a server.
+    pub(in crate::direct) fn begin_request(&self, chosen: &ChosenServer, prompt: &PromptChain) {
+        let server = &chosen.server;
+        self.ledger.borrow_mut().begin(&server.id, chosen.load);
+        let mut pulses = self.pulses.borrow_mut();
+        pulses.entry(server.service.clone()).or_default().begin(&server.id, Instant::now());
+        if !prompt.parts().is_empty() {
+            let capacity = self.cache_capacity(&server.service);
+            let mut warm = self.warm.borrow_mut();
+            let parts = warm.entry(server.id.clone()).or_insert_with(|| WarmParts::new(capacity));
+            parts.note_use(prompt);
+            self.holders.borrow_mut().note_use(&server.id, prompt, Instant::now());
+        }
+    }
+
+    /// Counts that a request at a server has ended, with the load that is still counted.
+    pub(in crate::direct) fn end_request(&self, server: &BackendServer, load: ServerLoad) {
+        self.ledger.borrow_mut().end(&server.id, load);
+        if let Some(pulses) = self.pulses.borrow_mut().get_mut(&server.service) {
+            pulses.end(&server.id);
+        }
+    }
+
+    /// Notes a sign of life of a server.
+    pub(in crate::direct) fn hear_server(&self, server: &BackendServer) {
+        let now = Instant::now();
+        if let Some(pulses) = self.pulses.borrow_mut().get_mut(&server.service) {
+            pulses.hear(&server.id, now);
+        }
+        self.evidence.borrow_mut().note_answer(&server.id, now);
+    }
+
+    /// Notes evidence against a server.
+    pub(in crate::direct) fn note_evidence(&self, server: &BackendServer, kind: EvidenceKind) {
+        self.evidence.borrow_mut().note(&server.id, kind, Instant::now());
+        if kind == EvidenceKind::Unreachable {
+            self.pool.forget(server.address);
+        }
+    }
+
+    /// Notes whether a server's answer was a failure of its own.
+    pub(in crate::direct) fn note_answer(&self, server: &BackendServer, failed: bool) {
+        let mut records = self.records.borrow_mut();
+        let record = records.entry(server.service.clone()).or_default();
+        record.note(&server.id, failed, Instant::now());
+    }
+
+    /// How long a server has owed a sign of life.
+    pub fn silence(&self, server: &BackendServer, now: Instant) -> Option<Duration> {
+        self.pulses.borrow().get(&server.service)?.silence(&server.id, now)
+    }
+
+    /// Forgets what is too old to matter.
+    pub(in crate::direct) fn forget_old(&self) {
+        let now = Instant::now();
+        self.records.borrow_mut().values_mut().for_each(|record| record.forget_faded(now));
+        self.pool.prune();
+    }
+}
--- a/crates/papayamux-router/src/direct/mod.rs
+++ b/crates/papayamux-router/src/direct/mod.rs
@@ -1,6 +1,7 @@
 //! The request path that asks backend servers directly, without agents beside them.
 
 mod active_request;
+mod admission;
 mod attempt;
 mod attempt_watch;
 mod call;
@@ -12,6 +13,7 @@
 mod interface;
 mod metrics;
 mod peers;
+mod request_body;
 mod settings;
 mod source_follower;
 mod stream_relay;
--- /dev/null
+++ b/crates/papayamux-router/src/direct/request_body.rs
@@ -0,0 +1,39 @@
+//! The body of a caller's request.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+
+use super::{CallFailure, NotRunReason};
+
+/// Reads the whole body, so that it can be sent more than once.
+pub(super) async fn read_body(
+    mut body: Incoming,
+    longest: u64,
+    within: Duration,
+) -> Result<Bytes, CallFailure> {
+    if body.size_hint().lower() > longest {
+        return Err(CallFailure::TooLong);
+    }
+    let read = async {
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return Err(CallFailure::not_run(NotRunReason::Incomplete));
+            };
+            if let Ok(piece) = frame.into_data() {
+                whole.extend_from_slice(&piece);
+            }
+            if whole.len() as u64 > longest {
+                return Err(CallFailure::TooLong);
+            }
+        }
+        Ok(whole.freeze())
+    };
+    match monoio::time::timeout(within, read).await {
+        Ok(result) => result,
+        Err(_) => Err(CallFailure::not_run(NotRunReason::Incomplete)),
+    }
+}
