Bound the model of servers' caches to 800 prefixes each

Cause: 4,096 prefixes for each of 600 engines would take over 100 MB, where 32 MB are meant. Change: 800, which holds the last 80 seconds of a server at ten requests a second.

--- a/crates/papayamux-state/src/prompt/warm_parts.rs
+++ b/crates/papayamux-state/src/prompt/warm_parts.rs
@@ -5,8 +5,10 @@
 use super::{PartId, PromptChain};
 use crate::quantities::TokenCount;
 
-/// Prefixes remembered for one server; at 40 bytes each, 160 KB a server at most.
-const MOST_PREFIXES: usize = 4_096;
+/// Prefixes remembered for one server. At about 55 bytes each, 600 servers take 26 MB of the 32 MB
+/// that a router may use for control; a server that begins ten requests a second, each with a part
+/// of its own, has its last 80 seconds remembered.
+const MOST_PREFIXES: usize = 800;
 
 #[derive(Debug, Clone, Copy)]
 struct WarmPrefix {
