--- a/crates/papayamux-router/src/direct/admission.rs
+++ b/crates/papayamux-router/src/direct/admission.rs
@@ -65,8 +65,10 @@
         };
         let route = configuration.routes.find(&call.host, call.target.path());
         let route = route.ok_or(CallFailure::UnknownRoute)?.clone();
-        let holder = key_holder(&configuration, call);
         let needs_key = configuration.organisations.is_some() && !route.anonymous;
+        // Where no key is needed, one that may have been taken away since names nobody.
+        let may_be_named = needs_key || self.keys_are_fresh();
+        let holder = key_holder(&configuration, call).filter(|_| may_be_named);
         if needs_key && holder.is_none() {
             return Err(CallFailure::UnknownKey);
         }
--- a/crates/papayamux-router/src/direct/daemon.rs
+++ b/crates/papayamux-router/src/direct/daemon.rs
@@ -35,8 +35,6 @@
 const END_MARGIN: Duration = Duration::from_millis(700);
 /// How often a draining router looks whether its last request has ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
-/// Connections of callers open at once; each needs a descriptor, and each request another one.
-const MOST_CALLERS: usize = 2_400;
 /// How long a connection may be idle, or take for a request's head: longer than callers keep idle
 /// connections, so that no request crosses a close.
 const IDLE_WITHIN: Duration = Duration::from_secs(75);
@@ -139,8 +137,11 @@
         let (desk, view) = (desk.clone(), handler_view.clone());
         async move { close_when_draining(&view, desk.handle(request).await) }
     });
-    let limits =
-        HttpLimits { connections: MOST_CALLERS, head_within: IDLE_WITHIN, ..HttpLimits::default() };
+    let limits = HttpLimits {
+        connections: settings.most_callers(),
+        head_within: IDLE_WITHIN,
+        ..HttpLimits::default()
+    };
     let shutdown = ShutdownSignal::new();
     let served = monoio::spawn(serve(callers, limits, shutdown.clone(), handler));
     log::info!(
--- a/crates/papayamux-router/src/direct/settings.rs
+++ b/crates/papayamux-router/src/direct/settings.rs
@@ -68,6 +68,8 @@
     pub instance: String,
     /// Where callers connect.
     pub listen: SocketAddr,
+    /// File descriptors that the process may have open.
+    pub descriptors: usize,
     /// Where the balancer asks whether the router is ready, and operators for status.
     pub operations: SocketAddr,
     /// The path of that question.
@@ -86,10 +88,21 @@
     pub fleet: FleetSettings,
 }
 
+/// Descriptors where nothing is said: the usual limit of a service.
+const DEFAULT_DESCRIPTORS: usize = 4_096;
+/// Descriptors that are not connections of callers or their requests: listeners, the source, files,
+/// and connections kept to servers.
+const OTHER_DESCRIPTORS: usize = 400;
+
 /// The grace of the usual process managers, less than which none gives.
 const DEFAULT_GRACE: Millis = Millis(Duration::from_secs(8));
 
 impl DirectSettings {
+    /// Connections of callers open at once. Each needs a descriptor, and its request another one.
+    pub fn most_callers(&self) -> usize {
+        (self.descriptors.saturating_sub(OTHER_DESCRIPTORS) / 2).max(1)
+    }
+
     /// Reads the settings from the text of an INI file, or reports all that is wrong with it.
     pub fn read(name: &str, text: &str) -> Result<Self, Findings> {
         let file = IniFile::parse(name, text)?;
@@ -112,6 +125,7 @@
     let operations = listen.required("operations");
     let ready_path = listen.or("ready_path", "/ready".to_string());
     let metrics = listen.optional("metrics");
+    let descriptors = listen.or("descriptors", DEFAULT_DESCRIPTORS);
     listen.refuse_other_keys();
     let source_section = file.section("source");
     let source = source_section.required("address");
@@ -125,6 +139,7 @@
         DirectSettings::builder()
             .instance(name?)
             .listen(callers?)
+            .descriptors(descriptors)
             .operations(operations?)
             .ready_path(ready_path)
             .maybe_metrics(metrics)
--- /dev/null
+++ b/crates/papayamux-router/tests/direct_settings.rs
@@ -0,0 +1,62 @@
+//! The settings of a router that asks backend servers directly.
+#![allow(clippy::unwrap_used, reason = "helpers of tests, which may panic")]
+
+use std::time::Duration;
+
+use papayamux_router::direct::DirectSettings;
+
+const COMPLETE: &str = "\
+[instance]
+name = front-1
+failure_domain = hall
+[listen]
+callers = 10.0.0.1:80
+operations = 10.0.0.1:81
+ready_path = /-/readiness
+metrics = 10.0.0.1:9464
+descriptors = 4100
+[source]
+address = 10.0.0.9:82
+[peers]
+listen = 10.0.0.1:7340
+seeds = 10.0.0.1:83,10.0.0.2:83
+[bounds]
+grace = 8s
+revoke_within = 5000ms
+apply_within = 2000ms
+drain_within = 2000ms
+retry_ratio = 0.2
+retry_slack = 56
+retry_window = 10s
+load_factor = 2
+";
+
+#[test]
+fn complete_file_is_read() {
+    let settings = DirectSettings::read("front.ini", COMPLETE).unwrap();
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.grace, Duration::from_secs(8));
+    assert_eq!(settings.fleet.read_bounds().interval(), Duration::from_secs(1));
+    assert_eq!(settings.most_callers(), 1_850);
+}
+
+#[test]
+fn few_descriptors_leave_room_for_one_caller() {
+    let text = COMPLETE.replace("descriptors = 4100", "descriptors = 64");
+    assert_eq!(DirectSettings::read("front.ini", &text).unwrap().most_callers(), 1);
+}
+
+#[test]
+fn bounds_may_be_missing() {
+    let end = COMPLETE.find("grace").unwrap();
+    let settings = DirectSettings::read("front.ini", &COMPLETE[..end]).unwrap();
+    assert_eq!(settings.fleet.revoke_within, None);
+}
+
+#[test]
+fn unknown_keys_and_sections_are_findings_with_their_lines() {
+    let text = format!("{COMPLETE}colour = red\n[extra]\n");
+    let findings = DirectSettings::read("front.ini", &text).unwrap_err().to_string();
+    assert!(findings.contains("[bounds] colour"), "{findings}");
+    assert!(findings.contains("[extra]"), "{findings}");
+}
