Let requests wait at the router, by shares of organisations, and turn away who would be late

Whoever sent most got most. After a surge a router whose connections were all held by idle callers accepted nobody for seconds. Change: a line for each service at each router (`service_line`), in front of servers that are kept just full (`server_places`): by slots, by prompts that wait, and by the engine's own word on its queue. Fair shares by organisation and rank, in tokens of work; who comes back goes first, told by its deadline; who would wait for too long is refused on arrival. Answers ask callers to close when three quarters of the connections are taken.

--- /dev/null
+++ b/crates/papayamux-coordination/src/fair_share.rs
@@ -0,0 +1,160 @@
+//! Start-time fair queueing: flows share what is served by their weights.
+//!
+//! Of the flows that wait, the one whose next entry is due first in virtual time is served. Each
+//! entry moves its flow's due time on by its cost over the flow's weight, so that over time each
+//! flow gets its share, and one that sends nothing can't save up.
+
+use std::collections::{HashMap, VecDeque};
+use std::hash::Hash;
+
+/// A flow's place among the others.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FlowShare {
+    /// The flow's weight, above zero.
+    pub weight: f64,
+    /// What the entry costs, in the unit of all entries.
+    pub cost: f64,
+}
+
+#[derive(Debug)]
+struct FlowEntry<T> {
+    cost: f64,
+    item: T,
+}
+
+#[derive(Debug)]
+struct Flow<T> {
+    due: f64,
+    weight: f64,
+    entries: VecDeque<FlowEntry<T>>,
+}
+
+/// The entries of all flows.
+#[derive(Debug)]
+pub struct FairShare<K, T> {
+    virtual_time: f64,
+    flows: HashMap<K, Flow<T>>,
+}
+
+impl<K, T> Default for FairShare<K, T> {
+    fn default() -> Self {
+        Self { virtual_time: 0.0, flows: HashMap::new() }
+    }
+}
+
+impl<K: Clone + Eq + Hash + Ord, T> FairShare<K, T> {
+    /// Adds an entry behind all others of its flow.
+    pub fn push(&mut self, key: K, share: FlowShare, item: T) {
+        self.push_before(key, share, item, |_| false);
+    }
+
+    /// Adds an entry to its flow, in front of the first one for which `before` holds.
+    pub fn push_before(&mut self, key: K, share: FlowShare, item: T, before: impl Fn(&T) -> bool) {
+        let now = self.virtual_time;
+        let flow = self.flows.entry(key).or_insert_with(|| Flow {
+            due: now,
+            weight: share.weight,
+            entries: VecDeque::new(),
+        });
+        if flow.entries.is_empty() {
+            flow.due = flow.due.max(now);
+        }
+        flow.weight = share.weight;
+        let place = flow.entries.iter().position(|entry| before(&entry.item));
+        let place = place.unwrap_or(flow.entries.len());
+        flow.entries.insert(place, FlowEntry { cost: share.cost, item });
+    }
+
+    /// The entry that goes next.
+    pub fn peek(&self) -> Option<&T> {
+        let entry = self.flows.get(self.next()?)?.entries.front();
+        entry.map(|entry| &entry.item)
+    }
+
+    /// Takes out the entry that goes next.
+    pub fn pop(&mut self) -> Option<T> {
+        let next = self.next()?.clone();
+        let flow = self.flows.get_mut(&next)?;
+        let entry = flow.entries.pop_front()?;
+        self.virtual_time = self.virtual_time.max(flow.due);
+        flow.due += entry.cost / flow.weight;
+        let now = self.virtual_time;
+        self.flows.retain(|_, flow| !flow.entries.is_empty() || flow.due > now);
+        Some(entry.item)
+    }
+
+    /// Takes out the entries for which `gone` holds.
+    pub fn take_where(&mut self, mut gone: impl FnMut(&T) -> bool) -> Vec<T> {
+        let mut taken = Vec::new();
+        for flow in self.flows.values_mut() {
+            let entries = std::mem::take(&mut flow.entries);
+            let (leaving, staying): (VecDeque<_>, _) =
+                entries.into_iter().partition(|entry| gone(&entry.item));
+            taken.extend(leaving.into_iter().map(|entry| entry.item));
+            flow.entries = staying;
+        }
+        taken
+    }
+
+    /// Takes out the last entry of a flow.
+    pub fn pop_last(&mut self, key: &K) -> Option<T> {
+        self.flows.get_mut(key)?.entries.pop_back().map(|entry| entry.item)
+    }
+
+    /// The flow with the most entries for its weight.
+    pub fn longest(&self) -> Option<(&K, f64)> {
+        let lengths = self.flows.iter().map(|(key, flow)| {
+            let length = flow.entries.len() as f64 / flow.weight;
+            (key, length)
+        });
+        lengths.max_by(|left, right| left.1.total_cmp(&right.1).then_with(|| left.0.cmp(right.0)))
+    }
+
+    /// The entries of one flow for its weight, with one more.
+    pub fn length_with_one_more(&self, key: &K, weight: f64) -> f64 {
+        let flow = self.flows.get(key);
+        flow.map_or(1.0 / weight, |flow| (flow.entries.len() + 1) as f64 / flow.weight)
+    }
+
+    /// The weights of all flows that wait, other than `key`.
+    pub fn weight_of_others(&self, key: &K) -> f64 {
+        let others = self.flows.iter().filter(|(other, _)| *other != key);
+        let waiting = others.filter(|(_, flow)| !flow.entries.is_empty());
+        waiting.map(|(_, flow)| flow.weight).sum()
+    }
+
+    /// The cost of the entries of `key` for which `ahead` holds.
+    pub fn cost_where(&self, key: &K, ahead: impl Fn(&T) -> bool) -> f64 {
+        let entries = self.flows.get(key).into_iter().flat_map(|flow| &flow.entries);
+        entries.filter(|entry| ahead(&entry.item)).map(|entry| entry.cost).sum()
+    }
+
+    /// The cost of all entries.
+    pub fn total_cost(&self) -> f64 {
+        let entries = self.flows.values().flat_map(|flow| &flow.entries);
+        entries.map(|entry| entry.cost).sum()
+    }
+
+    /// Entries that wait.
+    pub fn len(&self) -> usize {
+        self.flows.values().map(|flow| flow.entries.len()).sum()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.flows.values().all(|flow| flow.entries.is_empty())
+    }
+
+    /// Whether nothing waits, and no flow is ahead of its share.
+    pub fn is_forgotten(&self) -> bool {
+        self.flows.is_empty()
+    }
+
+    fn next(&self) -> Option<&K> {
+        let waiting = self.flows.iter().filter(|(_, flow)| !flow.entries.is_empty());
+        let next = waiting.min_by(|(left_key, left), (right_key, right)| {
+            left.due.total_cmp(&right.due).then_with(|| left_key.cmp(right_key))
+        });
+        next.map(|(key, _)| key)
+    }
+}
--- a/crates/papayamux-coordination/src/placement/candidate.rs
+++ b/crates/papayamux-coordination/src/placement/candidate.rs
@@ -25,6 +25,8 @@
     pub accepts: bool,
     /// Requests and prompt tokens that all routers have there, as far as is known.
     pub load: ServerLoad,
+    /// Requests that wait there for a slot or for memory, by its own word.
+    pub waiting: u32,
     /// Requests that it runs at once; 0 where it isn't known.
     pub slots: u32,
     /// Tokens of the prompt that this router knows it to hold.
--- a/crates/papayamux-coordination/src/placement/placer.rs
+++ b/crates/papayamux-coordination/src/placement/placer.rs
@@ -31,6 +31,9 @@
 /// What one more request at an engine adds to the wait of the next: its part of each step, and
 /// the chance that its own prompt comes first.
 const ENGINE_MS_PER_REQUEST: f64 = 2.0;
+/// What one more request that waits at an engine adds to the wait of the next: the time until
+/// another one ends there.
+const ENGINE_MS_PER_WAITING: f64 = 10.0;
 /// What one request per slot adds at a plain service: about the time that a call takes there.
 const PLAIN_MS_PER_FULL_SLOTS: f64 = 20.0;
 /// What another failure domain costs: a round trip of one to two milliseconds, and traffic that
@@ -177,7 +180,8 @@
     let cold = request.prompt.saturating_sub(held).get() as f64 - fetched;
     let backlog = candidate.load.backlog as f64;
     let read = (cold + backlog) / PREFILL_TOKENS_PER_MS;
-    let crowd = f64::from(candidate.load.requests) * ENGINE_MS_PER_REQUEST;
+    let crowd = f64::from(candidate.load.requests) * ENGINE_MS_PER_REQUEST
+        + f64::from(candidate.waiting) * ENGINE_MS_PER_WAITING;
     let moved = transfer * COLD_WEIGHT;
     risk + read + cold / PREFILL_TOKENS_PER_MS * (COLD_WEIGHT - 1.0) + moved + crowd
 }
--- /dev/null
+++ b/crates/papayamux-coordination/src/server_places.rs
@@ -0,0 +1,69 @@
+//! How many more requests a server can take without a long wait of their own.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use papayamux_state::backend::ReportedQueue;
+use papayamux_state::ids::ServerId;
+
+use crate::placement::ServerLoad;
+
+/// Requests for each slot of a plain server: one runs and one waits there, so that the server is
+/// never idle between an answer and the next request. A call takes some ten milliseconds.
+const PLAIN_REQUESTS_PER_SLOT: u32 = 2;
+/// Prompt tokens that may wait at an engine before it counts as full. Engines read 60 to 66 in a
+/// millisecond: a fifth of a second, which with the wait in the line stays below the objectives.
+const ENGINE_BACKLOG: u64 = 12_000;
+/// Requests that may wait at an engine, by its own word, before it counts as full, although it has
+/// slots: its cache's memory is taken. A few wait while others' prompts are read.
+const ENGINE_QUEUE: u32 = 4;
+/// Age up to which a server's word on its queue is believed. Full servers answer many times in that
+/// time; one that no longer answers is not kept full by an old word.
+const WORD_EXPIRY: Duration = Duration::from_millis(400);
+
+/// How a server takes requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerWork {
+    /// It runs calls of some milliseconds, each in a slot.
+    Plain,
+    /// It reads prompts and generates, all slots together.
+    Engine,
+}
+
+/// The places that are free at a server with `slots` slots, 0 where their number isn't known, given
+/// the requests that all routers have there and what it said last of those that wait.
+pub fn free_places(work: ServerWork, slots: u32, load: ServerLoad, waiting: u32) -> u32 {
+    match (slots, work) {
+        (0, _) => u32::MAX,
+        (_, ServerWork::Engine) if load.backlog >= ENGINE_BACKLOG || waiting >= ENGINE_QUEUE => 0,
+        (_, ServerWork::Engine) => slots.saturating_sub(load.requests),
+        (_, ServerWork::Plain) => {
+            slots.saturating_mul(PLAIN_REQUESTS_PER_SLOT).saturating_sub(load.requests)
+        }
+    }
+}
+
+/// What servers said last of the requests that wait there.
+#[derive(Debug, Default)]
+pub struct QueueWords {
+    servers: HashMap<ServerId, (u32, Instant)>,
+}
+
+impl QueueWords {
+    /// Notes what a server said.
+    pub fn note(&mut self, server: &ServerId, queue: ReportedQueue, now: Instant) {
+        self.servers.insert(server.clone(), (queue.waiting, now));
+    }
+
+    /// Requests that wait at a server; 0 where nothing recent is known.
+    pub fn waiting(&self, server: &ServerId, now: Instant) -> u32 {
+        let known = self.servers.get(server);
+        let recent = known.filter(|(_, noted)| now.saturating_duration_since(*noted) < WORD_EXPIRY);
+        recent.map_or(0, |(waiting, _)| *waiting)
+    }
+
+    /// Forgets what is no longer believed.
+    pub fn forget_old(&mut self, now: Instant) {
+        self.servers.retain(|_, (_, noted)| now.saturating_duration_since(*noted) < WORD_EXPIRY);
+    }
+}
--- a/crates/papayamux-coordination/tests/placement.rs
+++ b/crates/papayamux-coordination/tests/placement.rs
@@ -19,6 +19,7 @@
     PlacementCandidate {
         accepts: true,
         load: ServerLoad { requests, backlog: 0 },
+        waiting: 0,
         slots: 8,
         warm: tokens(0),
         rank: 1,
@@ -160,3 +161,12 @@
     // Two are drawn: the last and, by the later digits, the first.
     assert_eq!(placed(PlacementPolicy::TwoChoices, 0.9001), 0);
 }
+
+#[test]
+fn prompt_leaves_a_home_where_many_wait_by_its_own_word() {
+    let home = PlacementCandidate { rank: 0, warm: tokens(10_500), waiting: 40, ..candidate(20) };
+    let placement = place(LONG, &[home, candidate(20)], PlacementTuning::default()).unwrap();
+    assert_eq!((placement.server, placement.fetch_from), (1, Some(0)));
+    let home = PlacementCandidate { waiting: 3, ..home };
+    assert_eq!(placed(LONG, &[home, candidate(20)]), 0);
+}
--- /dev/null
+++ b/crates/papayamux-coordination/tests/server_places.rs
@@ -0,0 +1,44 @@
+//! When a server counts as full.
+#![allow(clippy::unwrap_used, clippy::panic, reason = "helpers of tests, which may panic")]
+
+use std::time::{Duration, Instant};
+
+use papayamux_coordination::placement::ServerLoad;
+use papayamux_coordination::server_places::{free_places, QueueWords, ServerWork};
+use papayamux_state::backend::ReportedQueue;
+
+fn load(requests: u32, backlog: u64) -> ServerLoad {
+    ServerLoad { requests, backlog }
+}
+
+#[test]
+fn an_engine_is_full_by_slots_by_prompts_or_by_its_own_word() {
+    let engine = |load, waiting| free_places(ServerWork::Engine, 64, load, waiting);
+    assert_eq!(engine(load(60, 3_000), 0), 4);
+    assert_eq!(engine(load(70, 0), 0), 0);
+    assert_eq!(engine(load(10, 50_000), 0), 0, "its prompts take most of a second to read");
+    assert_eq!(engine(load(30, 0), 20), 0, "its memory is taken");
+    assert_eq!(engine(load(30, 0), 1), 34);
+}
+
+#[test]
+fn a_plain_server_is_kept_busy_with_a_second_request_for_each_slot() {
+    let plain = |requests| free_places(ServerWork::Plain, 6, load(requests, 0), 0);
+    assert_eq!((plain(0), plain(11), plain(12), plain(40)), (12, 1, 0, 0));
+}
+
+#[test]
+fn servers_that_do_not_tell_their_slots_are_never_full() {
+    assert_eq!(free_places(ServerWork::Plain, 0, load(500, 0), 0), u32::MAX);
+}
+
+#[test]
+fn an_old_word_on_a_queue_is_not_believed() {
+    let now = Instant::now();
+    let server = "i-1".parse().unwrap();
+    let mut words = QueueWords::default();
+    assert_eq!(words.waiting(&server, now), 0);
+    words.note(&server, ReportedQueue { running: 64, waiting: 30, slots: 64 }, now);
+    assert_eq!(words.waiting(&server, now + Duration::from_millis(100)), 30);
+    assert_eq!(words.waiting(&server, now + Duration::from_secs(1)), 0);
+}
--- /dev/null
+++ b/crates/papayamux-coordination/tests/service_line.rs
@@ -0,0 +1,233 @@
+//! The waiting line under the loads that it is for, replayed against the decision alone.
+#![allow(clippy::unwrap_used, clippy::panic, reason = "helpers of tests, which may panic")]
+
+use std::time::{Duration, Instant};
+
+use papayamux_coordination::service_line::{
+    line_patience, request_work, FlowKey, LineArrival, LineRequest, ServiceLine,
+};
+use papayamux_state::quantities::TokenCount;
+
+/// Slots of the replayed service, and the time that each request takes there: 160 a second.
+const SLOTS: usize = 16;
+const SERVICE_TIME: Duration = Duration::from_millis(100);
+const OBJECTIVE: Duration = Duration::from_millis(500);
+const DEADLINE: Duration = Duration::from_secs(15);
+const TICK: Duration = Duration::from_millis(5);
+
+#[derive(Debug, Clone)]
+struct Caller {
+    organisation: &'static str,
+    priority: u32,
+    arrives: Duration,
+    /// How long before its arrival it asked first.
+    asked_before: Duration,
+    started: Option<Duration>,
+    refused: Option<Duration>,
+}
+
+/// `rate` callers a second of one organisation.
+fn callers(organisation: &'static str, priority: u32, rate: u32, seconds: u32) -> Vec<Caller> {
+    let gap = Duration::from_secs(1) / rate;
+    let caller = |number| Caller {
+        organisation,
+        priority,
+        arrives: gap * number,
+        asked_before: Duration::ZERO,
+        started: None,
+        refused: None,
+    };
+    (0..rate * seconds).map(caller).collect()
+}
+
+fn request(caller: &Caller, now: Instant) -> LineRequest {
+    let returned = !caller.asked_before.is_zero();
+    LineRequest {
+        flow: FlowKey {
+            organisation: Some(caller.organisation.parse().unwrap()),
+            priority: caller.priority,
+        },
+        work: request_work(TokenCount::new(500)),
+        arrived: now,
+        patience: line_patience(OBJECTIVE, DEADLINE - caller.asked_before, returned),
+        due: now + OBJECTIVE - caller.asked_before,
+    }
+}
+
+/// Plays the callers before a service with [`SLOTS`] slots; returns what became of each.
+fn replay(mut callers: Vec<Caller>) -> Vec<Caller> {
+    callers.sort_by_key(|caller| caller.arrives);
+    let begun = Instant::now() + Duration::from_secs(60);
+    let mut line = ServiceLine::<usize>::default();
+    let mut running: Vec<(Duration, TokenCount)> = Vec::new();
+    let mut next = 0;
+    let end = callers.last().unwrap().arrives + DEADLINE;
+    let work = request_work(TokenCount::new(500));
+    let mut time = Duration::ZERO;
+    while time < end {
+        let now = begun + time;
+        running.retain(|(until, work)| {
+            if *until <= time {
+                line.note_end(*work, SERVICE_TIME, now);
+            }
+            *until > time
+        });
+        for (index, _) in line.take_overdue(now) {
+            let caller: &mut Caller = &mut callers[index];
+            caller.refused = Some(time);
+        }
+        let free = (SLOTS - running.len()) as u32;
+        for index in line.call(free, free) {
+            line.note_taken();
+            callers[index].started = Some(time);
+            line.note_begin(work);
+            running.push((time + SERVICE_TIME, work));
+        }
+        while next < callers.len() && callers[next].arrives <= time {
+            let free = (SLOTS - running.len()) as u32;
+            let caller = &mut callers[next];
+            match line.arrive(request(caller, now), next, free) {
+                LineArrival::Goes => {
+                    caller.started = Some(time);
+                    line.note_begin(work);
+                    running.push((time + SERVICE_TIME, work));
+                }
+                LineArrival::Waits => {}
+                LineArrival::TurnedAway(_) => caller.refused = Some(time),
+            }
+            next += 1;
+        }
+        time += TICK;
+    }
+    callers
+}
+
+fn on_time(caller: &Caller) -> bool {
+    caller.started.is_some_and(|started| started + SERVICE_TIME - caller.arrives <= OBJECTIVE)
+}
+
+/// The part of the callers for which `check` holds.
+fn part(callers: &[Caller], check: impl Fn(&Caller) -> bool) -> f64 {
+    callers.iter().filter(|caller| check(caller)).count() as f64 / callers.len() as f64
+}
+
+fn of(callers: &[Caller], organisation: &str) -> Vec<Caller> {
+    callers.iter().filter(|caller| caller.organisation == organisation).cloned().collect()
+}
+
+#[test]
+fn nobody_waits_while_there_are_places() {
+    let played = replay(callers("calm", 1, 140, 4));
+    let at_once =
+        |caller: &Caller| caller.started.is_some_and(|started| started - caller.arrives < 2 * TICK);
+    assert!(part(&played, at_once) > 0.999);
+}
+
+#[test]
+fn in_a_surge_of_all_those_who_are_served_are_served_on_time() {
+    // Twice and a half what the service can run, from ten organisations.
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j"];
+    let all = names.into_iter().flat_map(|name| callers(name, 1, 40, 6)).collect();
+    let played = replay(all);
+    let served = part(&played, |caller| caller.started.is_some());
+    assert!((0.35..0.5).contains(&served), "{served}");
+    assert!(part(&played, on_time) > 0.9 * served, "{}", part(&played, on_time));
+    let answered = part(&played, |caller| caller.started.is_some() != caller.refused.is_some());
+    assert_eq!(answered, 1.0);
+}
+
+#[test]
+fn who_can_not_be_served_is_told_at_once() {
+    let played = replay(callers("all", 1, 400, 6));
+    let refused: Vec<_> = played.into_iter().filter(|caller| caller.refused.is_some()).collect();
+    let at_once = |caller: &Caller| {
+        caller.refused.is_some_and(|refused| refused - caller.arrives < OBJECTIVE / 8)
+    };
+    assert!(part(&refused, at_once) > 0.95, "{}", part(&refused, at_once));
+}
+
+#[test]
+fn a_sudden_surge_is_not_judged_by_the_calm_before_it() {
+    // Five a second for a while, then 36 at once: all of them can be served within 300 ms.
+    let mut all = callers("calm", 1, 5, 3);
+    let at_once = callers("surge", 1, 36, 1).into_iter();
+    all.extend(at_once.map(|caller| Caller { arrives: Duration::from_secs(2), ..caller }));
+    let played = replay(all);
+    assert_eq!(part(&played, on_time), 1.0);
+}
+
+#[test]
+fn a_surge_of_one_organisation_leaves_the_others_their_service() {
+    // One of five organisations sends eight times its usual.
+    let names = ["b", "c", "d", "e"];
+    let mut all = callers("surging", 1, 200, 6);
+    all.extend(names.into_iter().flat_map(|name| callers(name, 1, 25, 6)));
+    let played = replay(all);
+    for name in names {
+        let served = part(&of(&played, name), on_time);
+        assert!(served > 0.95, "{name}: {served}");
+    }
+    let surging = part(&of(&played, "surging"), on_time);
+    assert!(surging > 0.2, "the rest of the service is the surging organisation's: {surging}");
+}
+
+#[test]
+fn urgent_requests_go_first_and_no_rank_is_starved() {
+    let mut all = callers("urgent", 0, 150, 6);
+    all.extend(callers("usual", 1, 150, 6));
+    all.extend(callers("batch", 2, 150, 6));
+    let played = replay(all);
+    let served = |name: &str| part(&of(&played, name), |caller| caller.started.is_some());
+    let (urgent, usual, batch) = (served("urgent"), served("usual"), served("batch"));
+    assert!(urgent > usual && usual > batch, "{urgent} {usual} {batch}");
+    let mean = (urgent + usual + batch) / 3.0;
+    assert!(batch > mean / 4.0, "{batch} of {mean}");
+}
+
+#[test]
+fn a_caller_that_comes_back_is_served_before_newcomers() {
+    let mut all = callers("all", 1, 380, 6);
+    let back = callers("all", 1, 20, 6);
+    all.extend(
+        back.into_iter().map(|caller| Caller { asked_before: Duration::from_secs(3), ..caller }),
+    );
+    let played = replay(all);
+    let served = |returned: bool| {
+        let group: Vec<_> =
+            played.iter().filter(|one| one.asked_before.is_zero() != returned).cloned().collect();
+        part(&group, |caller| caller.started.is_some())
+    };
+    assert!(served(true) > 0.95, "{}", served(true));
+    assert!(served(false) > 0.3, "{}", served(false));
+}
+
+#[test]
+fn the_place_of_a_caller_that_leaves_goes_to_the_next() {
+    let now = Instant::now();
+    let mut line = ServiceLine::default();
+    let caller = &callers("all", 1, 1, 1)[0];
+    assert_eq!(line.arrive(request(caller, now), 1, 0), LineArrival::Waits);
+    assert_eq!(line.arrive(request(caller, now), 2, 0), LineArrival::Waits);
+    assert!(line.leave(&1));
+    assert!(!line.leave(&1));
+    assert_eq!(line.call(1, 1), [2]);
+    // The place is promised until it is taken: nobody else gets it meanwhile.
+    assert_ne!(line.arrive(request(caller, now), 3, 1), LineArrival::Goes);
+    line.note_taken();
+    assert_eq!(line.call(1, 1), [3]);
+}
+
+#[test]
+fn a_line_gives_way_when_places_come_back() {
+    // The service stands still for a while: what waited too long is refused, the rest is called.
+    let now = Instant::now();
+    let mut line = ServiceLine::default();
+    let caller = &callers("all", 1, 1, 1)[0];
+    line.arrive(request(caller, now), 1, 0);
+    let later = now + OBJECTIVE;
+    line.arrive(request(caller, later), 2, 0);
+    let refused: Vec<_> = line.take_overdue(later).into_iter().map(|(item, _)| item).collect();
+    assert_eq!(refused, [1]);
+    assert_eq!(line.call(u32::MAX, u32::MAX), [2]);
+    assert!(line.is_empty());
+}
--- a/crates/papayamux-router/src/direct/active_request.rs
+++ b/crates/papayamux-router/src/direct/active_request.rs
@@ -1,14 +1,16 @@
 //! A request that is under way at a backend server.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use papayamux_coordination::placement::ServerLoad;
 use papayamux_coordination::server_evidence::EvidenceKind;
-use papayamux_state::backend::BackendServer;
+use papayamux_state::backend::{BackendServer, ReportedQueue};
+use papayamux_state::quantities::TokenCount;
 
 use super::attempt_watch::WatchedAttempt;
 use super::call_plan::CallPlan;
-use super::fleet::ChosenServer;
+use super::fleet::{ChosenServer, EndedRequest};
 use super::Fleet;
 
 /// Counts a request into its server's load for as long as it lives.
@@ -16,6 +18,8 @@
     fleet: Rc<Fleet>,
     server: Rc<BackendServer>,
     load: ServerLoad,
+    work: TokenCount,
+    sent: Instant,
     begun: bool,
     watched: Rc<WatchedAttempt>,
 }
@@ -24,11 +28,12 @@
     /// Counts a request that is about to be sent.
     pub(super) fn begin(plan: &CallPlan, chosen: &ChosenServer) -> Self {
         let fleet = plan.fleet.clone();
-        fleet.begin_request(chosen, &plan.call.prompt);
+        let work = plan.work();
+        fleet.begin_request(chosen, &plan.call.prompt, work);
         let server = chosen.server.clone();
         let watched = WatchedAttempt::new(server.clone(), plan.give_up);
         fleet.watch().add(&watched);
-        Self { fleet, server, load: chosen.load, begun: false, watched }
+        Self { fleet, server, load: chosen.load, work, sent: Instant::now(), begun: false, watched }
     }
 
     /// The attempt as the watch sees it.
@@ -61,6 +66,11 @@
         self.begun
     }
 
+    /// Notes what the server said of its queue.
+    pub(super) fn note_queue(&self, queue: ReportedQueue) {
+        self.fleet.note_queue(&self.server, queue);
+    }
+
     /// Notes how the server answered.
     pub(super) fn judge(&self, failed: bool) {
         self.fleet.note_answer(&self.server, failed);
@@ -74,6 +84,7 @@
 
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
-        self.fleet.end_request(&self.server, self.load);
+        let ended = EndedRequest { load: self.load, work: self.work, took: self.sent.elapsed() };
+        self.fleet.end_request(&self.server, ended);
     }
 }
--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -108,6 +108,9 @@
         Waited::TimeUp => return Err(unknown(TIME_UP)),
     };
     active.hear();
+    if let Some(queue) = interface.reported_queue(&answer.head) {
+        active.note_queue(queue);
+    }
     match interface.verdict(&plan.call, &answer.head) {
         AnswerVerdict::Answer => {
             active.judge(answer.head.status.is_server_error());
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use papayamux_coordination::attempt_plan::{AttemptHistory, AttemptLoss, NextStep};
 use papayamux_coordination::return_time::return_time;
-use papayamux_state::ids::{ServerId, ServiceId};
+use papayamux_coordination::service_line::request_work;
+use papayamux_state::ids::{OrganisationId, ServerId, ServiceId};
+use papayamux_state::quantities::TokenCount;
 use papayamux_state::service_config::{KeyHolder, RequestKind, Route};
 
 use super::fleet::ChosenServer;
@@ -61,6 +63,23 @@
         self.route.kind
     }
 
+    /// The organisation of the caller's key.
+    pub(super) fn organisation(&self) -> Option<&OrganisationId> {
+        self.holder.as_ref().map(|holder| &holder.organisation)
+    }
+
+    /// The request's rank: its organisation's own, or the route's.
+    pub(super) fn priority(&self) -> u32 {
+        let own = self.holder.as_ref().and_then(|holder| holder.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
+    /// What the request costs a server.
+    pub(super) fn work(&self) -> TokenCount {
+        let call = &self.call;
+        request_work(call.prompt_tokens.saturating_sub(call.prompt.shared_tokens()))
+    }
+
     /// Time until the caller or the route gives up.
     pub(super) fn left(&self) -> Duration {
         self.give_up.saturating_duration_since(Instant::now())
@@ -101,14 +120,12 @@
         chosen: &'a ChosenServer,
         last_event: Option<u64>,
     ) -> Dispatch<'a> {
-        let holder = self.holder.as_deref();
-        let own = holder.and_then(|holder| holder.priority);
         Dispatch {
             server: &chosen.server.id,
             fetch_from: chosen.fetch_from.as_ref().map(|source| source.address),
-            organisation: holder.map(|holder| &holder.organisation),
+            organisation: self.organisation(),
             left: Some(self.left()),
-            priority: own.unwrap_or(self.route.priority),
+            priority: self.priority(),
             last_event,
         }
     }
@@ -147,7 +164,7 @@
             };
         }
         let retry_after = match reason {
-            NotRunReason::NoServer | NotRunReason::Rejected => {
+            NotRunReason::NoServer | NotRunReason::Rejected | NotRunReason::Full => {
                 Some(return_time(self.left(), rand::random()))
             }
             _ => None,
--- a/crates/papayamux-router/src/direct/fleet/choice.rs
+++ b/crates/papayamux-router/src/direct/fleet/choice.rs
@@ -97,6 +97,7 @@
         PlacementCandidate {
             accepts: server.phase == ServerPhase::Serving,
             load: self.ledger.borrow().total(&server.id),
+            waiting: self.queue_words.borrow().waiting(&server.id, now),
             slots: server.slots,
             warm: warm.unwrap_or_default(),
             rank,
@@ -112,7 +113,7 @@
         record.map_or(0.0, |record| record.excess_failures(&server.id, now))
     }
 
-    fn engine_profile(&self, service: &ServiceId) -> Option<EngineProfile> {
+    pub(super) fn engine_profile(&self, service: &ServiceId) -> Option<EngineProfile> {
         self.configuration.borrow().as_ref()?.services.get(service)?.engine
     }
 
--- a/crates/papayamux-router/src/direct/fleet/fleet_state.rs
+++ b/crates/papayamux-router/src/direct/fleet/fleet_state.rs
@@ -7,16 +7,20 @@
 use papayamux_coordination::key_freshness::KeyFreshness;
 use papayamux_coordination::placement::{LoadLedger, RecentHolders};
 use papayamux_coordination::server_evidence::EvidenceBook;
+use papayamux_coordination::server_places::QueueWords;
 use papayamux_coordination::server_presence::ServerPresence;
 use papayamux_coordination::server_pulse::PulseBook;
 use papayamux_coordination::server_record::AnswerRecord;
+use papayamux_coordination::service_line::ServiceLine;
 use papayamux_coordination::service_retry_budget::ServiceRetryBudget;
-use papayamux_state::ids::{ServerId, ServiceId};
+use papayamux_coordination::usual_deadline::UsualDeadline;
+use papayamux_state::ids::{RouteId, ServerId, ServiceId};
 use papayamux_state::prompt::WarmParts;
 use papayamux_state::service_config::ConfigurationSnapshot;
 use papayamux_transport::http::upstream::UpstreamPool;
 use papayamux_transport::shutdown::ShutdownSignal;
 
+use super::turns::Turn;
 use crate::direct::attempt_watch::AttemptWatch;
 use crate::direct::{DirectMetrics, FleetSettings};
 
@@ -35,6 +39,9 @@
     pub(super) records: RefCell<HashMap<ServiceId, AnswerRecord>>,
     pub(super) warm: RefCell<HashMap<ServerId, WarmParts>>,
     pub(super) holders: RefCell<RecentHolders>,
+    pub(super) lines: RefCell<HashMap<ServiceId, ServiceLine<Rc<Turn>>>>,
+    pub(super) queue_words: RefCell<QueueWords>,
+    pub(super) deadlines: RefCell<HashMap<RouteId, UsualDeadline>>,
     pub(super) in_flight: Cell<usize>,
     pub(super) watch: AttemptWatch,
     pub(super) metrics: DirectMetrics,
@@ -59,6 +66,9 @@
             records: RefCell::default(),
             warm: RefCell::default(),
             holders: RefCell::default(),
+            lines: RefCell::default(),
+            queue_words: RefCell::default(),
+            deadlines: RefCell::default(),
             in_flight: Cell::new(0),
             watch: AttemptWatch::default(),
             metrics: DirectMetrics::default(),
--- a/crates/papayamux-router/src/direct/fleet/mod.rs
+++ b/crates/papayamux-router/src/direct/fleet/mod.rs
@@ -6,6 +6,8 @@
 mod fleet_state;
 mod known_servers;
 mod requests;
+mod turns;
 
 pub use choice::ChosenServer;
 pub use fleet_state::Fleet;
+pub(in crate::direct) use requests::EndedRequest;
--- a/crates/papayamux-router/src/direct/fleet/requests.rs
+++ b/crates/papayamux-router/src/direct/fleet/requests.rs
@@ -4,11 +4,22 @@
 
 use papayamux_coordination::placement::ServerLoad;
 use papayamux_coordination::server_evidence::EvidenceKind;
-use papayamux_state::backend::BackendServer;
+use papayamux_state::backend::{BackendServer, ReportedQueue};
 use papayamux_state::prompt::{PromptChain, WarmParts};
+use papayamux_state::quantities::TokenCount;
 
 use super::{ChosenServer, Fleet};
 
+/// A request that has ended.
+pub(in crate::direct) struct EndedRequest {
+    /// What is still counted into its server's load.
+    pub load: ServerLoad,
+    /// What it cost.
+    pub work: TokenCount,
+    /// How long it took, from its sending.
+    pub took: Duration,
+}
+
 impl Fleet {
     /// The requests that are under way at this router.
     pub fn in_flight(&self) -> usize {
@@ -21,8 +32,14 @@
     }
 
     /// Counts a request that is sent to a server.
-    pub(in crate::direct) fn begin_request(&self, chosen: &ChosenServer, prompt: &PromptChain) {
+    pub(in crate::direct) fn begin_request(
+        &self,
+        chosen: &ChosenServer,
+        prompt: &PromptChain,
+        work: TokenCount,
+    ) {
         let server = &chosen.server;
+        self.lines.borrow_mut().entry(server.service.clone()).or_default().note_begin(work);
         self.ledger.borrow_mut().begin(&server.id, chosen.load);
         let mut pulses = self.pulses.borrow_mut();
         pulses.entry(server.service.clone()).or_default().begin(&server.id, Instant::now());
@@ -35,12 +52,17 @@
         }
     }
 
-    /// Counts that a request at a server has ended, with the load that is still counted.
-    pub(in crate::direct) fn end_request(&self, server: &BackendServer, load: ServerLoad) {
+    /// Counts that a request at a server has ended.
+    pub(in crate::direct) fn end_request(&self, server: &BackendServer, ended: EndedRequest) {
+        let EndedRequest { load, work, took } = ended;
         self.ledger.borrow_mut().end(&server.id, load);
         if let Some(pulses) = self.pulses.borrow_mut().get_mut(&server.service) {
             pulses.end(&server.id);
         }
+        if let Some(line) = self.lines.borrow_mut().get_mut(&server.service) {
+            line.note_end(work, took, Instant::now());
+        }
+        self.call_waiting(&server.service);
     }
 
     /// Notes a sign of life of a server.
@@ -60,6 +82,11 @@
         }
     }
 
+    /// Notes what a server said of its queue.
+    pub(in crate::direct) fn note_queue(&self, server: &BackendServer, queue: ReportedQueue) {
+        self.queue_words.borrow_mut().note(&server.id, queue, Instant::now());
+    }
+
     /// Notes whether a server's answer was a failure of its own.
     pub(in crate::direct) fn note_answer(&self, server: &BackendServer, failed: bool) {
         let mut records = self.records.borrow_mut();
@@ -76,6 +103,7 @@
     pub(in crate::direct) fn forget_old(&self) {
         let now = Instant::now();
         self.records.borrow_mut().values_mut().for_each(|record| record.forget_faded(now));
+        self.queue_words.borrow_mut().forget_old(now);
         self.pool.prune();
     }
 }
--- a/crates/papayamux-router/src/direct/interface.rs
+++ b/crates/papayamux-router/src/direct/interface.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::response::Parts as ResponseParts;
 use http::{request, Request, Response};
+use papayamux_state::backend::ReportedQueue;
 use papayamux_state::ids::{OrganisationId, ServerId};
 use papayamux_transport::http::AnswerBody;
 
@@ -56,6 +57,8 @@
         dispatch: &Dispatch<'_>,
         body: Bytes,
     ) -> Request<Bytes>;
+    /// What a server says of its queue with an answer.
+    fn reported_queue(&self, head: &ResponseParts) -> Option<ReportedQueue>;
     /// What an answer is.
     fn verdict(&self, call: &CallHead, head: &ResponseParts) -> AnswerVerdict;
 }
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -52,6 +52,7 @@
     /// Bytes of reports sent to other routers.
     pub report_bytes: Counter,
     heads: LatencyFamily,
+    waits: LatencyFamily,
 }
 
 impl Default for DirectMetrics {
@@ -64,6 +65,7 @@
             source_reads: ReasonCounters::default(),
             report_bytes: Counter::default(),
             heads: latency_family(),
+            waits: latency_family(),
         }
     }
 }
@@ -74,6 +76,11 @@
         self.heads.get_or_create(&label(kind)).observe(took.as_secs_f64());
     }
 
+    /// Notes how long a request waited in the line of its service.
+    pub fn note_wait(&self, kind: RequestKind, took: Duration) {
+        self.waits.get_or_create(&label(kind)).observe(took.as_secs_f64());
+    }
+
     /// Registers the metrics.
     pub fn register(&self, registry: &mut Registry) {
         let registry = registry.sub_registry_with_prefix("papayamux_router");
@@ -87,6 +94,8 @@
         registry.register("source_reads", "Reads of the configuration's source", reads);
         let bytes = self.report_bytes.clone();
         registry.register("report_bytes", "Bytes of reports to other routers", bytes);
+        let waits = self.waits.clone();
+        registry.register("line_wait_seconds", "Wait of requests that found no place", waits);
         let heads = self.heads.clone();
         registry.register("head_seconds", "From arrival to the answer's head", heads);
     }
--- a/crates/papayamux-router/src/direct/settings.rs
+++ b/crates/papayamux-router/src/direct/settings.rs
@@ -90,17 +90,20 @@
 
 /// Descriptors where nothing is said: the usual limit of a service.
 const DEFAULT_DESCRIPTORS: usize = 4_096;
-/// Descriptors that are not connections of callers or their requests: listeners, the source, files,
-/// and connections kept to servers.
+/// Descriptors that are not connections: listeners, the source, files.
 const OTHER_DESCRIPTORS: usize = 400;
+/// Part of the rest that is for callers. Their requests need fewer connections to servers than they
+/// have themselves: some are idle, and some wait for a place.
+const CALLERS_PART: f64 = 0.6;
 
 /// The grace of the usual process managers, less than which none gives.
 const DEFAULT_GRACE: Millis = Millis(Duration::from_secs(8));
 
 impl DirectSettings {
-    /// Connections of callers open at once. Each needs a descriptor, and its request another one.
+    /// Connections of callers open at once.
     pub fn most_callers(&self) -> usize {
-        (self.descriptors.saturating_sub(OTHER_DESCRIPTORS) / 2).max(1)
+        let rest = self.descriptors.saturating_sub(OTHER_DESCRIPTORS) as f64;
+        ((rest * CALLERS_PART) as usize).max(1)
     }
 
     /// Reads the settings from the text of an INI file, or reports all that is wrong with it.
--- a/crates/papayamux-router/tests/direct_settings.rs
+++ b/crates/papayamux-router/tests/direct_settings.rs
@@ -37,7 +37,7 @@
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.grace, Duration::from_secs(8));
     assert_eq!(settings.fleet.read_bounds().interval(), Duration::from_secs(1));
-    assert_eq!(settings.most_callers(), 1_850);
+    assert_eq!(settings.most_callers(), 2_220);
 }
 
 #[test]
--- a/crates/papayamux-state/src/backend/mod.rs
+++ b/crates/papayamux-state/src/backend/mod.rs
@@ -1,7 +1,9 @@
 //! Backend servers as a list of servers describes them.
 
 mod backend_server;
+mod reported_queue;
 mod server_catalog;
 
 pub use backend_server::{BackendServer, ServerPhase};
+pub use reported_queue::ReportedQueue;
 pub use server_catalog::ServerCatalog;
--- a/crates/papayamux-transport/src/http/server.rs
+++ b/crates/papayamux-transport/src/http/server.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 use futures_util::future::{select, Either};
+use http::header::CONNECTION;
+use http::HeaderValue;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -65,19 +67,43 @@
 /// How long a connection without any request so far may still send its first at a shutdown.
 const FIRST_REQUEST_WITHIN: Duration = Duration::from_millis(500);
 
+/// Part of the connections above which each answer asks its caller to close: idle connections make
+/// room before newcomers have to wait in the kernel's backlog.
+const CROWDED_PART: f64 = 0.75;
+
 struct OpenConnections {
+    limit: usize,
     count: Cell<usize>,
+    crowded: Cell<bool>,
     closed: Cell<Option<ShutdownSignal>>,
 }
 
 impl OpenConnections {
+    fn enter(&self) {
+        self.count.set(self.count.get() + 1);
+        self.note_count();
+    }
+
     fn leave(&self) {
         self.count.set(self.count.get() - 1);
+        self.note_count();
         if let Some(signal) = self.closed.take() {
             signal.give();
         }
     }
 
+    fn is_crowded(&self) -> bool {
+        self.crowded.get()
+    }
+
+    fn note_count(&self) {
+        let crowded = self.count.get() as f64 > self.limit as f64 * CROWDED_PART;
+        if self.crowded.replace(crowded) != crowded {
+            let (count, limit) = (self.count.get(), self.limit);
+            log::warn!(crowded = crowded, connections = count, limit = limit; "callers' connections");
+        }
+    }
+
     async fn wait_below(&self, limit: usize) {
         while self.count.get() >= limit {
             let signal = ShutdownSignal::new();
@@ -99,7 +125,12 @@
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
-    let open = Rc::new(OpenConnections { count: Cell::new(0), closed: Cell::new(None) });
+    let open = Rc::new(OpenConnections {
+        limit: limits.connections,
+        count: Cell::new(0),
+        crowded: Cell::new(false),
+        closed: Cell::new(None),
+    });
     loop {
         open.wait_below(limits.connections).await;
         let accept = std::pin::pin!(listener.accept());
@@ -116,11 +147,11 @@
         if limits.admits.as_ref().is_some_and(|check| !(check.0)(peer.ip())) {
             continue;
         }
-        open.count.set(open.count.get() + 1);
+        open.enter();
         let (open, shutdown, handler) = (open.clone(), shutdown.clone(), handler.clone());
         let limits = limits.clone();
         monoio::spawn(async move {
-            if let Err(error) = serve_connection(stream, limits, shutdown, handler).await {
+            if let Err(error) = serve_connection(stream, limits, shutdown, &open, handler).await {
                 log::debug!(error:% = error; "caller's connection ended");
             }
             open.leave();
@@ -135,6 +166,7 @@
     stream: TcpStream,
     limits: HttpLimits,
     shutdown: ShutdownSignal,
+    open: &Rc<OpenConnections>,
     handler: Rc<H>,
 ) -> Result<(), Box<dyn std::error::Error>>
 where
@@ -144,10 +176,17 @@
     set_stream_options(&stream)?;
     let begun = Rc::new(Cell::new(false));
     let begins = begun.clone();
+    let open = open.clone();
     let service = service_fn(move |request| {
         begins.set(true);
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler(request).await) }
+        let (handler, open) = (handler.clone(), open.clone());
+        async move {
+            let mut response = handler(request).await;
+            if open.is_crowded() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let guarded = StallGuard::new(MonoioIo::new(stream.into_poll_io()?), limits.write_within);
     let connection = http1::Builder::new()
