Tell links that hold events up from servers that pause, and weigh them by the answer's length

Cause: where a failure domain's links lose packets, an event that is lost arrives 200 ms later with all that follow it, and a stream of sixty events is late nearly always. Change: `link_delays` counts, by failure domain, events that arrive together after a pause; placement adds the chance that one of an answer's events is held up, by the callers' estimate of its length. Domains that are blamed, and no longer, are logged.

--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fair_queue;
 pub mod fair_share;
 pub mod key_freshness;
+pub mod link_delays;
 pub mod load_bound;
 pub mod orders;
 pub mod placement;
--- a/crates/papayamux-coordination/src/placement/candidate.rs
+++ b/crates/papayamux-coordination/src/placement/candidate.rs
@@ -10,6 +10,8 @@
 pub struct PlacementRequest {
     /// Tokens of its prompt; zero for a request to a plain service.
     pub prompt: TokenCount,
+    /// Tokens that its answer is expected to have; zero for a request to a plain service.
+    pub answer: TokenCount,
     /// Tokens up to the end of the part by which prompts are grouped.
     pub shared: TokenCount,
     /// A number from 0 up to 1 drawn for the request, for policies that draw.
@@ -35,6 +37,8 @@
     pub rank: u32,
     /// The part of its answers that it fails beyond what the others fail, from 0 to 1.
     pub failing: f64,
+    /// The chance that a message from it is held up on the way, beyond the usual.
+    pub held_up: f64,
     /// What speaks against it.
     pub standing: ServerStanding,
     /// Whether it is in the router's own failure domain.
--- a/crates/papayamux-coordination/src/placement/placer.rs
+++ b/crates/papayamux-coordination/src/placement/placer.rs
@@ -39,6 +39,13 @@
 /// What another failure domain costs: a round trip of one to two milliseconds, and traffic that
 /// is paid for.
 const FAR_MS: f64 = 1.5;
+/// What an answer that is late for its link costs: less than one that fails, and more than to take a
+/// long prompt over from another engine.
+const LATE_MS: f64 = 250.0;
+/// Messages of a plain call, each of which may be held up: connection, request and answer.
+const PLAIN_MESSAGES: f64 = 3.0;
+/// Tokens in one event of a stream: engines make five to seven before they send.
+const EVENT_TOKENS: f64 = 6.0;
 /// What an answer that fails for certain costs: more than any wait that still is on time.
 const FAILURE_MS: f64 = 1_500.0;
 /// How far a home is believed to hold its group's part when this router has not placed it there:
@@ -166,8 +173,11 @@
     elsewhere: Option<TokenCount>,
 ) -> f64 {
     let near = if candidate.near { 0.0 } else { FAR_MS };
-    let risk = near + candidate.failing * FAILURE_MS;
-    if request.prompt.get() == 0 {
+    let plain = request.prompt.get() == 0;
+    let messages = PLAIN_MESSAGES + request.answer.get() as f64 / EVENT_TOKENS;
+    let late = 1.0 - (1.0 - candidate.held_up).powf(messages);
+    let risk = near + candidate.failing * FAILURE_MS + late * LATE_MS;
+    if plain {
         let slots = f64::from(candidate.slots.max(1));
         return risk + f64::from(candidate.load.requests) / slots * PLAIN_MS_PER_FULL_SLOTS;
     }
--- a/crates/papayamux-coordination/src/service_line/line_request.rs
+++ b/crates/papayamux-coordination/src/service_line/line_request.rs
@@ -38,15 +38,17 @@
     pub due: Instant,
 }
 
-/// What a request costs beside reading its prompt: the steps of its answer, of which it has a
-/// sixty-fourth each, and its place meanwhile. A few hundred tokens of an answer come to 20 to 30 ms
-/// of an engine's time, in which it reads about this many tokens.
-const ANSWER_WORK: TokenCount = TokenCount::new(1_500);
+/// What a token of an answer costs, in prompt tokens read. An engine with 64 requests makes a token
+/// for each in a step of five to six milliseconds, in which it reads about 360 tokens.
+const ANSWER_TOKEN_WORK: u64 = 6;
+/// What every request costs, of a plain service too: a place, and a step or two.
+const LEAST_WORK: u64 = 500;
 
-/// The work of a prompt of which `own` tokens are shared with nobody. Shared parts are mostly
-/// cached.
-pub fn request_work(own: TokenCount) -> TokenCount {
-    TokenCount::new(own.get().saturating_add(ANSWER_WORK.get()))
+/// The work of a request: `own` tokens of its prompt are shared with nobody, and its answer is
+/// expected to have `answer` tokens. Shared parts are mostly cached.
+pub fn request_work(own: TokenCount, answer: TokenCount) -> TokenCount {
+    let answering = answer.get().saturating_mul(ANSWER_TOKEN_WORK);
+    TokenCount::new(own.get().saturating_add(answering).saturating_add(LEAST_WORK))
 }
 
 /// Part of a request's objective that may pass in the line: the rest is for the server's own queue,
--- a/crates/papayamux-coordination/tests/placement.rs
+++ b/crates/papayamux-coordination/tests/placement.rs
@@ -24,6 +24,7 @@
         warm: tokens(0),
         rank: 1,
         failing: 0.0,
+        held_up: 0.0,
         standing: ServerStanding::Good,
         near: true,
     }
@@ -31,6 +32,7 @@
 
 const LONG: PlacementRequest = PlacementRequest {
     prompt: TokenCount::new(11_800),
+    answer: TokenCount::new(360),
     shared: TokenCount::new(10_500),
     draw: 0.5,
     transfer_tokens_per_ms: Some(500.0),
@@ -170,3 +172,14 @@
     let home = PlacementCandidate { waiting: 3, ..home };
     assert_eq!(placed(LONG, &[home, candidate(20)]), 0);
 }
+
+#[test]
+fn long_answers_leave_a_lossy_link_and_short_ones_stay_where_their_prompt_is() {
+    let home = PlacementCandidate { rank: 0, warm: tokens(10_500), held_up: 0.03, ..candidate(5) };
+    let near = candidate(5);
+    assert_eq!(placed(LONG, &[home, near]), 1);
+    let short = PlacementRequest { answer: tokens(24), ..LONG };
+    assert_eq!(placed(short, &[home, near]), 0);
+    let sound = PlacementCandidate { held_up: 0.0, ..home };
+    assert_eq!(placed(LONG, &[sound, near]), 0);
+}
--- a/crates/papayamux-coordination/tests/service_line.rs
+++ b/crates/papayamux-coordination/tests/service_line.rs
@@ -47,7 +47,7 @@
             organisation: Some(caller.organisation.parse().unwrap()),
             priority: caller.priority,
         },
-        work: request_work(TokenCount::new(500)),
+        work: request_work(TokenCount::new(500), TokenCount::new(200)),
         arrived: now,
         patience: line_patience(OBJECTIVE, DEADLINE - caller.asked_before, returned),
         due: now + OBJECTIVE - caller.asked_before,
@@ -62,7 +62,7 @@
     let mut running: Vec<(Duration, TokenCount)> = Vec::new();
     let mut next = 0;
     let end = callers.last().unwrap().arrives + DEADLINE;
-    let work = request_work(TokenCount::new(500));
+    let work = request_work(TokenCount::new(500), TokenCount::new(200));
     let mut time = Duration::ZERO;
     while time < end {
         let now = begun + time;
--- a/crates/papayamux-router/src/direct/active_request.rs
+++ b/crates/papayamux-router/src/direct/active_request.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use papayamux_coordination::link_delays::{EventRhythm, EventTiming};
 use papayamux_coordination::placement::ServerLoad;
 use papayamux_coordination::server_evidence::EvidenceKind;
 use papayamux_state::backend::{BackendServer, ReportedQueue};
@@ -20,7 +21,7 @@
     load: ServerLoad,
     work: TokenCount,
     sent: Instant,
-    begun: bool,
+    rhythm: Option<EventRhythm>,
     watched: Rc<WatchedAttempt>,
 }
 
@@ -31,9 +32,10 @@
         let work = plan.work();
         fleet.begin_request(chosen, &plan.call.prompt, work);
         let server = chosen.server.clone();
+        let sent = Instant::now();
         let watched = WatchedAttempt::new(server.clone(), plan.give_up);
         fleet.watch().add(&watched);
-        Self { fleet, server, load: chosen.load, work, sent: Instant::now(), begun: false, watched }
+        Self { fleet, server, load: chosen.load, work, sent, rhythm: None, watched }
     }
 
     /// The attempt as the watch sees it.
@@ -51,9 +53,23 @@
         self.fleet.hear_server(&self.server);
     }
 
-    /// Notes the first event: the prompt is no longer part of the server's backlog.
-    pub(super) fn prompt_was_read(&mut self) {
-        self.begun = true;
+    /// Notes events of a stream that arrived together. The first ones show that the prompt was read;
+    /// the others show how the link delivers.
+    pub(super) fn note_events(&mut self, events: u64) {
+        let now = Instant::now();
+        let Some(rhythm) = &mut self.rhythm else {
+            self.rhythm = Some(EventRhythm::new(now));
+            self.prompt_was_read();
+            return;
+        };
+        match rhythm.note(events, now) {
+            EventTiming::InTime => self.fleet.note_event(&self.server, false),
+            EventTiming::HeldUp => self.fleet.note_event(&self.server, true),
+            EventTiming::Undecided => {}
+        }
+    }
+
+    fn prompt_was_read(&mut self) {
         if self.load.backlog > 0 {
             let read = ServerLoad { requests: 0, backlog: self.load.backlog };
             self.fleet.ledger().borrow_mut().end(&self.server.id, read);
@@ -63,7 +79,7 @@
 
     /// Whether its first event has arrived.
     pub(super) fn has_begun(&self) -> bool {
-        self.begun
+        self.rhythm.is_some()
     }
 
     /// Notes what the server said of its queue.
--- a/crates/papayamux-router/src/direct/call.rs
+++ b/crates/papayamux-router/src/direct/call.rs
@@ -41,6 +41,8 @@
     pub prompt: PromptChain,
     /// Tokens of the prompt; of its parts where the caller doesn't say.
     pub prompt_tokens: TokenCount,
+    /// Tokens that its answer is expected to have; zero for a request to a plain service.
+    pub answer_tokens: TokenCount,
     /// The last event that the caller has, where it resumes a stream.
     pub last_event: Option<u64>,
 }
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -77,7 +77,8 @@
     /// What the request costs a server.
     pub(super) fn work(&self) -> TokenCount {
         let call = &self.call;
-        request_work(call.prompt_tokens.saturating_sub(call.prompt.shared_tokens()))
+        let own = call.prompt_tokens.saturating_sub(call.prompt.shared_tokens());
+        request_work(own, call.answer_tokens)
     }
 
     /// Time until the caller or the route gives up.
@@ -102,9 +103,7 @@
             return Err(self.failure(NotRunReason::Late));
         }
         let call = &self.call;
-        let chosen =
-            self.fleet.choose(&self.service, &call.prompt, call.prompt_tokens, &self.tried);
-        match chosen {
+        match self.fleet.choose(&self.service, call, &self.tried) {
             Some(chosen) => {
                 self.tried.push(chosen.server.id.clone());
                 Ok(chosen)
--- a/crates/papayamux-router/src/direct/fleet/choice.rs
+++ b/crates/papayamux-router/src/direct/fleet/choice.rs
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Fleet;
+use crate::direct::CallHead;
 
 /// Tokens of an engine's cache where the configuration doesn't say.
 const DEFAULT_CACHE: TokenCount = TokenCount::new(300_000);
@@ -40,11 +41,11 @@
     pub fn choose(
         &self,
         service: &ServiceId,
-        prompt: &PromptChain,
-        prompt_tokens: TokenCount,
+        call: &CallHead,
         tried: &[ServerId],
     ) -> Option<ChosenServer> {
         let now = Instant::now();
+        let prompt = &call.prompt;
         let servers = self.candidate_servers(service, tried);
         let ranks = group_ranks(prompt, &servers);
         let candidates: Vec<_> = servers
@@ -53,7 +54,8 @@
             .map(|(server, rank)| self.candidate(server, prompt, rank, now))
             .collect();
         let request = PlacementRequest {
-            prompt: prompt_tokens.max(prompt.tokens()),
+            prompt: call.prompt_tokens.max(prompt.tokens()),
+            answer: call.answer_tokens,
             shared: prompt.shared_tokens(),
             draw: rand::random(),
             transfer_tokens_per_ms: self
@@ -102,6 +104,7 @@
             warm: warm.unwrap_or_default(),
             rank,
             failing: self.excess_failures(server, now),
+            held_up: self.links.borrow().excess(&server.domain, now),
             standing,
             near: server.domain == self.settings.domain,
         }
--- a/crates/papayamux-router/src/direct/fleet/fleet_state.rs
+++ b/crates/papayamux-router/src/direct/fleet/fleet_state.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use papayamux_coordination::key_freshness::KeyFreshness;
+use papayamux_coordination::link_delays::LinkDelays;
 use papayamux_coordination::placement::{LoadLedger, RecentHolders};
 use papayamux_coordination::server_evidence::EvidenceBook;
 use papayamux_coordination::server_places::QueueWords;
@@ -40,6 +41,7 @@
     pub(super) warm: RefCell<HashMap<ServerId, WarmParts>>,
     pub(super) holders: RefCell<RecentHolders>,
     pub(super) lines: RefCell<HashMap<ServiceId, ServiceLine<Rc<Turn>>>>,
+    pub(super) links: RefCell<LinkDelays>,
     pub(super) queue_words: RefCell<QueueWords>,
     pub(super) deadlines: RefCell<HashMap<RouteId, UsualDeadline>>,
     pub(super) in_flight: Cell<usize>,
@@ -67,6 +69,7 @@
             warm: RefCell::default(),
             holders: RefCell::default(),
             lines: RefCell::default(),
+            links: RefCell::default(),
             queue_words: RefCell::default(),
             deadlines: RefCell::default(),
             in_flight: Cell::new(0),
--- a/crates/papayamux-router/src/direct/fleet/requests.rs
+++ b/crates/papayamux-router/src/direct/fleet/requests.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use papayamux_coordination::link_delays::LinkChange;
 use papayamux_coordination::placement::ServerLoad;
 use papayamux_coordination::server_evidence::EvidenceKind;
 use papayamux_state::backend::{BackendServer, ReportedQueue};
@@ -82,6 +83,11 @@
         }
     }
 
+    /// Notes whether an event of a server was held up on its way.
+    pub(in crate::direct) fn note_event(&self, server: &BackendServer, held_up: bool) {
+        self.links.borrow_mut().note(&server.domain, held_up, Instant::now());
+    }
+
     /// Notes what a server said of its queue.
     pub(in crate::direct) fn note_queue(&self, server: &BackendServer, queue: ReportedQueue) {
         self.queue_words.borrow_mut().note(&server.id, queue, Instant::now());
@@ -104,6 +110,9 @@
         let now = Instant::now();
         self.records.borrow_mut().values_mut().for_each(|record| record.forget_faded(now));
         self.queue_words.borrow_mut().forget_old(now);
+        for LinkChange { domain, excess } in self.links.borrow_mut().changes(now) {
+            log::info!(domain:% = domain, held_up = excess; "link holds messages up");
+        }
         self.pool.prune();
     }
 }
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -22,7 +22,6 @@
     begun: Option<Bytes>,
     splitter: Option<EventSplitter>,
     last_event: Option<u64>,
-    events: u64,
     in_flight: InFlight,
 }
 
@@ -59,7 +58,6 @@
             begun: None,
             splitter: Some(EventSplitter::default()),
             last_event,
-            events: 0,
             in_flight,
         }
     }
@@ -96,7 +94,6 @@
             let lost = match wait_for(&self.plan, &attempt.active, piece).await {
                 Waited::Done(Some(Ok(piece))) => {
                     attempt.active.hear();
-                    attempt.active.prompt_was_read();
                     match self.take_piece(piece) {
                         Ok(Some(bytes)) => return Some(Ok(bytes)),
                         Ok(None) => continue,
@@ -132,7 +129,11 @@
             }
             self.last_event = Some(last);
         }
-        self.events += 1;
+        if let Some(attempt) = &mut self.attempt {
+            attempt
+                .active
+                .note_events(ids.map_or(1, |(first, last)| last.saturating_sub(first) + 1));
+        }
         Ok(Some(bytes))
     }
 
