Let routers vouch for one another's configuration

Cause: a router that alone was cut off from the store refused every request with a key after 3.8 s, though its neighbours knew that its configuration was still the newest. Change: reports carry a question, and answers with version, age and the question (`peer_vouching`). The age counts from the question on the asker's clock, so that delays, pauses and restarts can't make it younger. Keys are served by another's word; readiness still asks for the router's own reads.

--- a/crates/papayamux-coordination/src/key_freshness.rs
+++ b/crates/papayamux-coordination/src/key_freshness.rs
@@ -20,18 +20,24 @@
     revoke_within.saturating_sub(REVOCATION_RESERVE.min(revoke_within.mul_f64(MOST_RESERVED)))
 }
 
-/// Confirmation of the configuration by its source.
+/// Confirmation of the configuration, by its source or by other routers.
 #[derive(Debug)]
 pub struct KeyFreshness {
     longest_age: Option<Duration>,
     confirmed: Option<BootInstant>,
+    vouched: Option<BootInstant>,
 }
 
 impl KeyFreshness {
     /// Keys must be confirmed within `revoke_within` less a reserve; `None` lets keys be used
     /// however old they are.
     pub fn new(revoke_within: Option<Duration>) -> Self {
-        Self { longest_age: revoke_within.map(longest_key_age), confirmed: None }
+        Self { longest_age: revoke_within.map(longest_key_age), confirmed: None, vouched: None }
+    }
+
+    /// The longest age at which keys are accepted; `None` where any is.
+    pub fn longest_age(&self) -> Option<Duration> {
+        self.longest_age
     }
 
     /// Notes that a read which was sent at `sent` returned the newest configuration. What it
@@ -40,14 +46,28 @@
         self.confirmed = self.confirmed.max(Some(sent));
     }
 
-    /// How old the last confirmation is.
+    /// Notes that another router knew the configuration to be the newest at `known`.
+    pub fn vouch(&mut self, known: BootInstant) {
+        self.vouched = self.vouched.max(Some(known));
+    }
+
+    /// How old the last confirmation is, whoever gave it.
     pub fn age(&self, now: BootInstant) -> Option<Duration> {
-        self.confirmed.map(|confirmed| now.since(confirmed))
+        self.confirmed.max(self.vouched).map(|known| now.since(known))
     }
 
     /// Whether a key may be accepted.
     pub fn is_fresh(&self, now: BootInstant) -> bool {
-        match (self.longest_age, self.age(now)) {
+        self.is_within(self.age(now))
+    }
+
+    /// Whether a key may be accepted by what this router has read itself.
+    pub fn is_confirmed(&self, now: BootInstant) -> bool {
+        self.is_within(self.confirmed.map(|sent| now.since(sent)))
+    }
+
+    fn is_within(&self, age: Option<Duration>) -> bool {
+        match (self.longest_age, age) {
             (None, _) => true,
             (Some(longest), Some(age)) => age < longest,
             (Some(_), None) => false,
--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod link_delays;
 pub mod load_bound;
 pub mod orders;
+pub mod peer_vouching;
 pub mod placement;
 pub mod prefill_backlog;
 pub mod retry_budget;
--- a/crates/papayamux-protocol/src/router_report.rs
+++ b/crates/papayamux-protocol/src/router_report.rs
@@ -29,6 +29,26 @@
     pub prefixes: Vec<(PartId, TokenCount)>,
 }
 
+/// Asks whether the sender's configuration is still the newest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportedQuestion {
+    /// The life of the router that asks.
+    pub life: u64,
+    /// When it asked, in milliseconds of its own clock.
+    pub asked_ms: u64,
+}
+
+/// What the sender knows of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReportedConfiguration {
+    /// The version in force.
+    pub version: u64,
+    /// Milliseconds since it was known to be the newest, rounded up.
+    pub age_ms: u64,
+    /// The questions that this answers, by the routers that asked them.
+    pub answers: Vec<(IpAddr, ReportedQuestion)>,
+}
+
 /// A router's report.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RouterReport {
@@ -42,6 +62,10 @@
     pub holders: Vec<ReportedHolder>,
     /// Whether it is about to end.
     pub leaving: bool,
+    /// What it asks the others.
+    pub question: Option<ReportedQuestion>,
+    /// What it answers others.
+    pub configuration: Option<ReportedConfiguration>,
 }
 
 /// Why a datagram is not a report.
@@ -75,6 +99,32 @@
     tokens: Vec<u64>,
 }
 
+#[derive(Clone, Copy, PartialEq, Message)]
+struct QuestionWire {
+    #[prost(fixed64, tag = "1")]
+    life: u64,
+    #[prost(uint64, tag = "2")]
+    asked_ms: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+struct AnswerWire {
+    #[prost(fixed32, tag = "1")]
+    router: u32,
+    #[prost(message, optional, tag = "2")]
+    question: Option<QuestionWire>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ConfigurationWire {
+    #[prost(uint64, tag = "1")]
+    version: u64,
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
+    #[prost(message, repeated, tag = "3")]
+    answers: Vec<AnswerWire>,
+}
+
 #[derive(Clone, PartialEq, Message)]
 struct ReportWire {
     #[prost(uint64, tag = "1")]
@@ -87,6 +137,10 @@
     leaving: bool,
     #[prost(message, repeated, tag = "5")]
     holders: Vec<HolderWire>,
+    #[prost(message, optional, tag = "6")]
+    question: Option<QuestionWire>,
+    #[prost(message, optional, tag = "7")]
+    configuration: Option<ConfigurationWire>,
 }
 
 impl From<&ReportedHolder> for HolderWire {
@@ -110,12 +164,53 @@
     }
 }
 
+impl From<ReportedQuestion> for QuestionWire {
+    fn from(question: ReportedQuestion) -> Self {
+        Self { life: question.life, asked_ms: question.asked_ms }
+    }
+}
+
+impl From<QuestionWire> for ReportedQuestion {
+    fn from(wire: QuestionWire) -> Self {
+        Self { life: wire.life, asked_ms: wire.asked_ms }
+    }
+}
+
+impl From<&ReportedConfiguration> for ConfigurationWire {
+    fn from(configuration: &ReportedConfiguration) -> Self {
+        let answers = configuration.answers.iter().filter_map(|(router, question)| {
+            let router = address_bits(router)?;
+            Some(AnswerWire { router, question: Some((*question).into()) })
+        });
+        Self {
+            version: configuration.version,
+            age_ms: configuration.age_ms,
+            answers: answers.collect(),
+        }
+    }
+}
+
+impl From<ConfigurationWire> for ReportedConfiguration {
+    fn from(wire: ConfigurationWire) -> Self {
+        let answers = wire.answers.into_iter().filter_map(|answer| {
+            let question = answer.question?;
+            Some((Ipv4Addr::from(answer.router).into(), question.into()))
+        });
+        Self { version: wire.version, age_ms: wire.age_ms, answers: answers.collect() }
+    }
+}
+
+/// An address between routers as it travels; those of version 6 are left out.
+fn address_bits(address: &IpAddr) -> Option<u32> {
+    match address {
+        IpAddr::V4(address) => Some(u32::from(*address)),
+        IpAddr::V6(_) => None,
+    }
+}
+
 impl From<&RouterReport> for ReportWire {
     fn from(report: &RouterReport) -> Self {
-        let known = report.known.iter().filter_map(|address| match address {
-            IpAddr::V4(address) => Some(u32::from(*address)),
-            IpAddr::V6(_) => None,
-        });
+        let known = report.known.iter().filter_map(address_bits);
         let loads = report.loads.iter().map(|load| LoadWire {
             server: load.server.to_string(),
             requests: load.requests,
@@ -127,6 +222,8 @@
             loads: loads.collect(),
             leaving: report.leaving,
             holders: report.holders.iter().map(HolderWire::from).collect(),
+            question: report.question.map(QuestionWire::from),
+            configuration: report.configuration.as_ref().map(ConfigurationWire::from),
         }
     }
 }
@@ -149,6 +246,8 @@
                 .map(ReportedHolder::try_from)
                 .collect::<Result<_, _>>()?,
             leaving: wire.leaving,
+            question: wire.question.map(ReportedQuestion::from),
+            configuration: wire.configuration.map(ReportedConfiguration::from),
         })
     }
 }
--- a/crates/papayamux-protocol/tests/router_report.rs
+++ b/crates/papayamux-protocol/tests/router_report.rs
@@ -1,7 +1,9 @@
 //! Reports between routers survive the way, and broken ones are refused.
 
 use bytes::Bytes;
-use papayamux_protocol::router_report::{ReportedHolder, ReportedLoad, RouterReport};
+use papayamux_protocol::router_report::{
+    ReportedConfiguration, ReportedHolder, ReportedLoad, ReportedQuestion, RouterReport,
+};
 use papayamux_state::prompt::PartId;
 use papayamux_state::quantities::TokenCount;
 
@@ -19,6 +21,12 @@
             ],
         }],
         leaving: true,
+        question: Some(ReportedQuestion { life: u64::MAX, asked_ms: 4_711 }),
+        configuration: Some(ReportedConfiguration {
+            version: 45,
+            age_ms: 612,
+            answers: vec![("10.0.0.1".parse().unwrap(), ReportedQuestion { life: 1, asked_ms: 2 })],
+        }),
     };
     assert_eq!(RouterReport::decode(report.encode().into()).unwrap(), report);
 }
--- a/crates/papayamux-router/src/direct/daemon.rs
+++ b/crates/papayamux-router/src/direct/daemon.rs
@@ -51,7 +51,7 @@
         !self.draining.get()
             && self.fleet.configuration().is_some()
             && self.fleet.server_count() > 0
-            && self.fleet.keys_are_fresh()
+            && self.fleet.keys_are_confirmed()
     }
 
     fn status(&self) -> serde_json::Value {
--- a/crates/papayamux-router/src/direct/fleet/beliefs.rs
+++ b/crates/papayamux-router/src/direct/fleet/beliefs.rs
@@ -1,8 +1,12 @@
 //! The configuration in force, and how recent it is known to be.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use papayamux_coordination::peer_vouching::{
+    should_ask, vouched_until, VouchQuestion, VouchStatement,
+};
 use papayamux_state::boot_time::BootInstant;
 use papayamux_state::service_config::{ConfigVersion, ConfigurationSnapshot};
 use papayamux_transport::boot_clock::boot_now;
@@ -37,9 +41,50 @@
     /// Notes that a read sent at `sent` returned what was newest.
     pub fn confirm_configuration(&self, sent: BootInstant) {
         self.freshness.borrow_mut().confirm(sent);
+        self.vouched_for.set(false);
         self.confirmed.take().give();
     }
 
+    /// Whether other routers should be asked if the configuration is still the newest.
+    pub(in crate::direct) fn needs_vouching(&self) -> bool {
+        let freshness = self.freshness.borrow();
+        should_ask(freshness.age(boot_now()), freshness.longest_age())
+    }
+
+    /// What this router can tell others of the configuration.
+    pub(in crate::direct) fn statement(&self) -> Option<VouchStatement> {
+        let version = self.configuration()?.version;
+        Some(VouchStatement { version, age: self.configuration_age()? })
+    }
+
+    /// Takes in what `peer` answers to a question of this router's present `life`.
+    pub(in crate::direct) fn take_vouching(
+        &self,
+        peer: IpAddr,
+        life: u64,
+        question: VouchQuestion,
+        statement: VouchStatement,
+    ) {
+        let now = boot_now();
+        let own = (life, self.configuration_version());
+        let Some(known) = vouched_until(question, own, statement, now) else { return };
+        let mut freshness = self.freshness.borrow_mut();
+        freshness.vouch(known);
+        if !freshness.is_confirmed(now) && !self.vouched_for.replace(true) {
+            log::info!(
+                peer:% = peer, configuration:% = statement.version,
+                age_ms = now.since(known).as_millis() as u64; "configuration is vouched for"
+            );
+        }
+        self.confirmed.take().give();
+    }
+
+    /// Whether API keys may be accepted by what this router has read itself, without the word of
+    /// others: its list of servers is as old.
+    pub fn keys_are_confirmed(&self) -> bool {
+        self.freshness.borrow().is_confirmed(boot_now())
+    }
+
     /// Whether API keys may be accepted.
     pub fn keys_are_fresh(&self) -> bool {
         self.freshness.borrow().is_fresh(boot_now())
--- a/crates/papayamux-router/src/direct/peers.rs
+++ b/crates/papayamux-router/src/direct/peers.rs
@@ -8,9 +8,15 @@
 
 use bytes::Bytes;
 use monoio::net::udp::UdpSocket;
+use papayamux_coordination::peer_vouching::{VouchQuestion, VouchQuestions, VouchStatement};
 use papayamux_coordination::placement::{HolderNote, RouterId, ServerLoad};
 use papayamux_coordination::router_peers::RouterPeers;
-use papayamux_protocol::router_report::{ReportedHolder, ReportedLoad, RouterReport};
+use papayamux_protocol::router_report::{
+    ReportedConfiguration, ReportedHolder, ReportedLoad, ReportedQuestion, RouterReport,
+};
+use papayamux_state::boot_time::BootInstant;
+use papayamux_state::service_config::ConfigVersion;
+use papayamux_transport::boot_clock::boot_now;
 
 use super::Fleet;
 
@@ -29,8 +35,10 @@
 pub struct PeerExchange {
     fleet: Rc<Fleet>,
     socket: UdpSocket,
-    port: u16,
+    address: SocketAddr,
     peers: RefCell<RouterPeers>,
+    questions: RefCell<VouchQuestions<IpAddr>>,
+    life: u64,
     sequence: Cell<u64>,
     leaving: Cell<bool>,
 }
@@ -43,8 +51,10 @@
         let exchange = Rc::new(Self {
             fleet,
             socket,
-            port: listen.port(),
+            address: listen,
             peers,
+            questions: RefCell::default(),
+            life: rand::random(),
             sequence: Cell::new(0),
             leaving: Cell::new(false),
         });
@@ -93,6 +103,12 @@
         if !newer {
             return;
         }
+        if let Some(question) = report.question {
+            self.questions.borrow_mut().note(sender, read_question(question), now);
+        }
+        if let Some(configuration) = report.configuration {
+            self.take_answers(sender, &configuration);
+        }
         for holder in report.holders {
             let ReportedHolder { server, prefixes } = holder;
             self.fleet.note_holder(&HolderNote { server, prefixes });
@@ -111,6 +127,17 @@
         self.fleet.budget().borrow_mut().note_routers(routers);
     }
 
+    fn take_answers(&self, sender: IpAddr, configuration: &ReportedConfiguration) {
+        let statement = VouchStatement {
+            version: ConfigVersion(configuration.version),
+            age: Duration::from_millis(configuration.age_ms),
+        };
+        let own = configuration.answers.iter().filter(|(asker, _)| *asker == self.address.ip());
+        for (_, question) in own {
+            self.fleet.take_vouching(sender, self.life, read_question(*question), statement);
+        }
+    }
+
     async fn report(self: Rc<Self>) {
         loop {
             let now = Instant::now();
@@ -122,7 +149,7 @@
             let bytes = datagram.len() * targets.len();
             self.fleet.metrics().report_bytes.inc_by(bytes as u64);
             for target in targets {
-                let address = SocketAddr::new(target, self.port);
+                let address = SocketAddr::new(target, self.address.port());
                 if let (Err(error), _) = self.socket.send_to(datagram.clone(), address).await {
                     log::warn!(peer:% = target, error:% = error; "sending a report failed");
                 }
@@ -134,6 +161,10 @@
 
     fn next_report(&self, now: Instant) -> RouterReport {
         self.sequence.set(self.sequence.get() + 1);
+        let question = self
+            .fleet
+            .needs_vouching()
+            .then(|| ReportedQuestion { life: self.life, asked_ms: whole_millis(boot_now().0) });
         let ledger = self.fleet.ledger().borrow();
         let loads = ledger.own().map(|(server, load)| ReportedLoad {
             server: server.clone(),
@@ -151,6 +182,36 @@
             loads: loads.collect(),
             holders: holders.collect(),
             leaving: self.leaving.get(),
+            question,
+            configuration: self.next_answers(now),
+        }
+    }
+
+    /// Answers to the routers that ask. Their questions are looked at before the age is, which so
+    /// counts from a later moment than they asked.
+    fn next_answers(&self, now: Instant) -> Option<ReportedConfiguration> {
+        let open = self.questions.borrow_mut().open(now);
+        if open.is_empty() {
+            return None;
         }
+        let VouchStatement { version, age } = self.fleet.statement()?;
+        let answers = open.into_iter().map(|(router, question)| {
+            let asked_ms = whole_millis(question.asked.0);
+            (router, ReportedQuestion { life: question.life, asked_ms })
+        });
+        Some(ReportedConfiguration {
+            version: version.0,
+            age_ms: whole_millis(age).saturating_add(1),
+            answers: answers.collect(),
+        })
     }
 }
+
+fn read_question(question: ReportedQuestion) -> VouchQuestion {
+    let asked = BootInstant(Duration::from_millis(question.asked_ms));
+    VouchQuestion { life: question.life, asked }
+}
+
+fn whole_millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
