--- a/crates/papayamux-router/src/direct/call_desk.rs
+++ b/crates/papayamux-router/src/direct/call_desk.rs
@@ -87,7 +87,7 @@
         plan.body = read_body(body, admitted.longest_body, plan.left()).await?;
         let in_flight = InFlight::begin(&self.fleet);
         self.fleet.budget().borrow_mut().note_request(&plan.service, Instant::now());
-        self.fleet.wait_for_turn(&plan).await?;
+        plan.wait_for_turn().await?;
         self.run(plan, in_flight).await
     }
 
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use papayamux_coordination::attempt_plan::{AttemptHistory, AttemptLoss, NextStep};
 use papayamux_coordination::return_time::return_time;
-use papayamux_coordination::service_line::request_work;
+use papayamux_coordination::service_line::{line_patience, request_work, FlowKey, LineRequest};
 use papayamux_state::ids::{OrganisationId, ServerId, ServiceId};
 use papayamux_state::quantities::TokenCount;
 use papayamux_state::service_config::{KeyHolder, RequestKind, Route};
@@ -97,6 +97,43 @@
         self.history.offers()
     }
 
+    /// Waits until there is a place for the request.
+    pub(super) async fn wait_for_turn(&self) -> Result<(), CallFailure> {
+        let request = self.line_request();
+        let patience = request.patience;
+        match self.fleet.wait_for_turn(&self.service, request).await {
+            Ok(Some(waited)) => self.fleet.metrics().note_wait(self.kind(), waited),
+            Ok(None) => {}
+            Err(refusal) => {
+                log::info!(
+                    request:% = self.call.id, service:% = self.service,
+                    organisation:% = self.organisation().map_or("", OrganisationId::as_str),
+                    wait_ms = refusal.wait.as_millis() as u64,
+                    patience_ms = patience.as_millis() as u64, waiting = refusal.waiting;
+                    "no place in time"
+                );
+                return Err(self.failure(NotRunReason::Full));
+            }
+        }
+        Ok(())
+    }
+
+    fn line_request(&self) -> LineRequest {
+        let objective = self.route.objective;
+        let deadline = self.call.deadline;
+        let asked_before = deadline.map(|time| self.fleet.asked_before(&self.route.id, time));
+        let asked_before = asked_before.unwrap_or_default();
+        let first_asked = self.arrived.checked_sub(asked_before).unwrap_or(self.arrived);
+        let organisation = self.organisation().cloned();
+        LineRequest {
+            flow: FlowKey { organisation, priority: self.priority() },
+            work: self.work(),
+            arrived: self.arrived,
+            patience: line_patience(objective, self.left(), !asked_before.is_zero()),
+            due: first_asked + objective,
+        }
+    }
+
     /// The server for the next attempt.
     pub(super) fn choose(&mut self) -> Result<ChosenServer, CallFailure> {
         if self.left() < LEAST_TIME {
--- a/crates/papayamux-router/src/direct/fleet/turns.rs
+++ b/crates/papayamux-router/src/direct/fleet/turns.rs
@@ -6,16 +6,12 @@
 
 use papayamux_coordination::server_evidence::ServerStanding;
 use papayamux_coordination::server_places::{free_places, ServerWork};
-use papayamux_coordination::service_line::{
-    line_patience, FlowKey, LineArrival, LineRefusal, LineRequest,
-};
+use papayamux_coordination::service_line::{LineArrival, LineRefusal, LineRequest};
 use papayamux_state::backend::{BackendServer, ServerPhase};
-use papayamux_state::ids::ServiceId;
+use papayamux_state::ids::{RouteId, ServiceId};
 use papayamux_transport::shutdown::ShutdownSignal;
 
 use super::Fleet;
-use crate::direct::call_plan::CallPlan;
-use crate::direct::{CallFailure, NotRunReason};
 
 /// One request's wait.
 #[derive(Debug, Default)]
@@ -66,49 +62,38 @@
 }
 
 impl Fleet {
-    /// Waits until there is a place for a request, or tells that there will be none in time.
+    /// Waits until there is a place for a request, or tells that there will be none in time. Returns
+    /// how long it waited, nothing where it went at once.
     pub(in crate::direct) async fn wait_for_turn(
         &self,
-        plan: &CallPlan,
-    ) -> Result<(), CallFailure> {
+        service: &ServiceId,
+        request: LineRequest,
+    ) -> Result<Option<Duration>, LineRefusal> {
         let now = Instant::now();
         let turn = Rc::new(Turn::default());
         let arrival = {
-            let request = line_request(plan, self.asked_before(plan));
-            let places = self.free_places(&plan.service, now);
+            let places = self.free_places(service, now);
             let mut lines = self.lines.borrow_mut();
-            let line = lines.entry(plan.service.clone()).or_default();
+            let line = lines.entry(service.clone()).or_default();
             line.arrive(request, turn.clone(), places)
         };
         match arrival {
-            LineArrival::Goes => return Ok(()),
-            LineArrival::TurnedAway(refusal) => return Err(self.turn_away(plan, refusal)),
+            LineArrival::Goes => return Ok(None),
+            LineArrival::TurnedAway(refusal) => return Err(refusal),
             LineArrival::Waits => {}
         }
-        let guard = LineGuard { fleet: self, service: &plan.service, turn: &turn };
+        let guard = LineGuard { fleet: self, service, turn: &turn };
         turn.decided.given().await;
         drop(guard);
-        self.metrics().note_wait(plan.kind(), now.elapsed());
         match turn.outcome.get() {
-            Some(TurnOutcome::TurnedAway(refusal)) => Err(self.turn_away(plan, refusal)),
-            Some(TurnOutcome::Called) | None => Ok(()),
+            Some(TurnOutcome::TurnedAway(refusal)) => Err(refusal),
+            Some(TurnOutcome::Called) | None => Ok(Some(now.elapsed())),
         }
     }
 
-    /// How long ago a request's caller first asked, as far as its deadline shows.
-    fn asked_before(&self, plan: &CallPlan) -> Duration {
-        let Some(deadline) = plan.call.deadline else { return Duration::ZERO };
-        let mut deadlines = self.deadlines.borrow_mut();
-        deadlines.entry(plan.route.id.clone()).or_default().note(deadline)
-    }
-
-    fn turn_away(&self, plan: &CallPlan, refusal: LineRefusal) -> CallFailure {
-        log::info!(
-            request:% = plan.call.id, service:% = plan.service,
-            wait_ms = refusal.wait.as_millis() as u64,
-            waiting = refusal.waiting; "no place in time"
-        );
-        plan.failure(NotRunReason::Full)
+    /// How long ago a caller on a route first asked, as far as its deadline shows.
+    pub(in crate::direct) fn asked_before(&self, route: &RouteId, deadline: Duration) -> Duration {
+        self.deadlines.borrow_mut().entry(route.clone()).or_default().note(deadline)
     }
 
     /// Calls requests that wait for a service with free places.
@@ -167,15 +152,3 @@
         free_places(work, server.slots, load, waiting)
     }
 }
-
-fn line_request(plan: &CallPlan, asked_before: Duration) -> LineRequest {
-    let objective = plan.route.objective;
-    let first_asked = plan.arrived.checked_sub(asked_before).unwrap_or(plan.arrived);
-    LineRequest {
-        flow: FlowKey { organisation: plan.organisation().cloned(), priority: plan.priority() },
-        work: plan.work(),
-        arrived: plan.arrived,
-        patience: line_patience(objective, plan.left(), !asked_before.is_zero()),
-        due: first_asked + objective,
-    }
-}
