Soak the platform's routers with faults drawn by a seed

Change: `papayamux-measure soak` runs routers as processes, with proxies on their links to the store and to servers. It kills, pauses, ends and reloads routers, silences, mutes, refuses, delays, holds and cuts links, takes the store away in three ways, drains servers, moves routes and replaces keys, while callers keep their connections. `checks.rs` judges what callers, servers and the operator saw: own whole answers, "not run", runs, retry budget, keys, drains, configurations, graceful ends, deadlines, recovery. Not shown: another time of day, which a process can't be given without a preloaded library.

--- a/crates/papayamux-measure/src/lib.rs
+++ b/crates/papayamux-measure/src/lib.rs
@@ -9,4 +9,5 @@
 mod path;
 pub mod promises;
 pub mod routing;
+pub mod soak;
 mod tasks;
--- /dev/null
+++ b/crates/papayamux-measure/src/soak/checks.rs
@@ -0,0 +1,310 @@
+//! What must hold of a history.
+//!
+//! Bounds of time hold for routers that nothing disturbed; those on runs and keys hold for all.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::time::Duration;
+
+use super::history::{CallRecord, RunRecord, SoakHistory, Subject, Told};
+
+/// The routers' bounds, as their settings state them.
+pub(super) const REVOKE_WITHIN: Duration = Duration::from_secs(5);
+pub(super) const APPLY_WITHIN: Duration = Duration::from_secs(2);
+pub(super) const DRAIN_WITHIN: Duration = Duration::from_secs(2);
+pub(super) const RETRY_RATIO: f64 = 0.1;
+pub(super) const RETRY_SLACK: f64 = 16.0;
+pub(super) const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// The time that callers give a request.
+pub(super) const DEADLINE: Duration = Duration::from_secs(3);
+
+/// How late something may be seen on a busy machine.
+const MACHINE_SLACK: Duration = Duration::from_millis(500);
+/// How long before a moment nothing may have been disturbed for a bound of time to hold.
+const CALM_BEFORE: Duration = Duration::from_secs(4);
+/// Time after the last disturbance from which every request must be served.
+const RECOVER_WITHIN: Duration = Duration::from_secs(8);
+
+/// A promise of the routers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Promise {
+    /// A caller gets its own whole answer, or sees that it isn't.
+    OwnWholeAnswer,
+    /// What was said not to have run never runs.
+    NotRunIsTrue,
+    /// No request runs more often than it may.
+    RunsAtMost,
+    /// Repeats stay within the fleet's budget.
+    RetryBudget,
+    /// Keys that were taken away end within their bound.
+    KeysEnd,
+    /// A draining server gets nothing more after its bound.
+    DrainsKept,
+    /// A new configuration is in force within its bound.
+    ConfigurationApplies,
+    /// A router never goes back to an older configuration.
+    ConfigurationRises,
+    /// A graceful shutdown cuts nothing off.
+    GracefulShutdown,
+    /// Every request gets its end within its deadline.
+    DeadlineKept,
+    /// After the disturbances all is served again.
+    Recovery,
+}
+
+/// A promise that was broken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Violation {
+    /// Which promise.
+    pub promise: Promise,
+    /// What was seen.
+    pub seen: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:?}: {}", self.promise, self.seen)
+    }
+}
+
+/// A history with its runs by request.
+struct CheckedHistory<'a> {
+    history: &'a SoakHistory,
+    runs: HashMap<&'a str, Vec<&'a RunRecord>>,
+    calls: HashMap<&'a str, &'a CallRecord>,
+}
+
+/// All promises that a history breaks.
+pub fn check_history(history: &SoakHistory) -> Vec<Violation> {
+    let mut runs: HashMap<_, Vec<_>> = HashMap::new();
+    for run in &history.runs {
+        runs.entry(run.id.as_str()).or_default().push(run);
+    }
+    let calls = history.calls.iter().map(|call| (call.id.as_str(), call)).collect();
+    let checked = CheckedHistory { history, runs, calls };
+    let mut violations = Vec::new();
+    for call in &history.calls {
+        violations.extend(checked.check_answer(call));
+        violations.extend(checked.check_runs(call));
+        violations.extend(checked.check_end(call));
+        violations.extend(checked.check_recovery(call));
+    }
+    for run in &history.runs {
+        if let Some(call) = checked.calls.get(run.id.as_str()) {
+            violations.extend(checked.check_key(call, run));
+            violations.extend(checked.check_drain(call, run));
+            violations.extend(checked.check_service(call, run));
+        }
+    }
+    violations.extend(checked.check_stuck());
+    violations.extend(checked.check_budget());
+    violations.extend(checked.check_rising());
+    violations
+}
+
+fn broken(promise: Promise, seen: String) -> Option<Violation> {
+    Some(Violation { promise, seen })
+}
+
+impl CheckedHistory<'_> {
+    fn check_answer(&self, call: &CallRecord) -> Option<Violation> {
+        match &call.told {
+            Told::Wrong(seen) => {
+                broken(Promise::OwnWholeAnswer, format!("request {} got {seen}", call.id))
+            }
+            Told::NotRun if self.runs.contains_key(call.id.as_str()) => {
+                broken(Promise::NotRunIsTrue, format!("request {} ran all the same", call.id))
+            }
+            _ => None,
+        }
+    }
+
+    fn check_runs(&self, call: &CallRecord) -> Option<Violation> {
+        let runs = self.runs.get(call.id.as_str()).map_or(0, Vec::len);
+        let most = call.kind.most_runs();
+        if runs <= most {
+            return None;
+        }
+        broken(Promise::RunsAtMost, format!("{:?} {} ran {runs} times", call.kind, call.id))
+    }
+
+    /// The end of a request in time, and in a graceful shutdown with its answer.
+    fn check_end(&self, call: &CallRecord) -> Option<Violation> {
+        let router = Subject::Router(call.router);
+        let before = call.sent.saturating_sub(CALM_BEFORE);
+        let mut on_router = self.history.disturbances.iter().filter(|one| one.subject == router);
+        let late = call.ended - call.sent > DEADLINE + MACHINE_SLACK;
+        if late && self.history.is_calm(router, before, call.ended) {
+            let took = call.ended - call.sent;
+            return broken(Promise::DeadlineKept, format!("request {} took {took:?}", call.id));
+        }
+        let overlaps = |from: Duration, until: Duration| from <= call.ended && until >= before;
+        let shutdown = on_router
+            .find(|one| one.graceful && one.from >= call.sent && one.from <= call.ended)?;
+        let alone = self
+            .history
+            .disturbances
+            .iter()
+            .all(|one| std::ptr::eq(one, shutdown) || !overlaps(one.from, one.until));
+        if !alone || !matches!(call.told, Told::Nothing) {
+            return None;
+        }
+        let seen = format!("request {} was cut off by the end of router {}", call.id, call.router);
+        broken(Promise::GracefulShutdown, seen)
+    }
+
+    fn check_recovery(&self, call: &CallRecord) -> Option<Violation> {
+        let newest = self.history.configurations.last()?;
+        let after = call.sent > self.history.calm_from + RECOVER_WITHIN;
+        if !after || call.told == Told::Served || !newest.keys.contains(&call.key) {
+            return None;
+        }
+        broken(Promise::Recovery, format!("request {} got {:?} in the calm", call.id, call.told))
+    }
+
+    fn check_key(&self, call: &CallRecord, run: &RunRecord) -> Option<Violation> {
+        let good_until = self.key_ended(&call.key)?;
+        if call.sent <= good_until + REVOKE_WITHIN {
+            return None;
+        }
+        let seen = format!("{} ran {:?} after its key's end", run.id, call.sent - good_until);
+        broken(Promise::KeysEnd, seen)
+    }
+
+    /// When the operator took a key away for good.
+    fn key_ended(&self, key: &str) -> Option<Duration> {
+        let holds = |keys: &[String]| keys.iter().any(|known| known == key);
+        let mut ended = None;
+        for configuration in &self.history.configurations {
+            match holds(&configuration.keys) {
+                true => ended = None,
+                false => ended = ended.or(Some(configuration.at)),
+            }
+        }
+        ended
+    }
+
+    fn knows_the_store(&self, router: usize, from: Duration, until: Duration) -> bool {
+        let from = from.saturating_sub(CALM_BEFORE);
+        self.history.is_calm(Subject::Router(router), from, until)
+            && self.history.is_calm(Subject::Store, from, until)
+    }
+
+    fn check_drain(&self, call: &CallRecord, run: &RunRecord) -> Option<Violation> {
+        let drained = self.history.drains.iter().find(|(server, _)| *server == run.server);
+        let (server, drained) = drained?;
+        let bound = *drained + DRAIN_WITHIN + MACHINE_SLACK;
+        let in_touch = self.knows_the_store(call.router, *drained, run.at)
+            && self.history.is_calm(Subject::Servers, *drained, run.at);
+        if run.at <= bound || !in_touch {
+            return None;
+        }
+        let late = run.at - *drained;
+        broken(Promise::DrainsKept, format!("{} ran at {server} {late:?} after its drain", run.id))
+    }
+
+    fn check_service(&self, call: &CallRecord, run: &RunRecord) -> Option<Violation> {
+        if call.kind.is_stream() {
+            return None;
+        }
+        let bound = APPLY_WITHIN + MACHINE_SLACK;
+        let settled = call.sent.checked_sub(bound)?;
+        let newer = self.history.configurations.iter().skip_while(|one| one.at <= settled);
+        let at_settled = self.history.configurations.iter().take_while(|one| one.at <= settled);
+        let mut allowed = at_settled.last().into_iter().chain(newer);
+        let first = self.history.configurations.first()?.at;
+        if settled < first || !self.knows_the_store(call.router, settled, call.ended) {
+            return None;
+        }
+        if allowed.any(|one| one.service == run.service) {
+            return None;
+        }
+        let seen =
+            format!("{} ran at {}, which no configuration of late allows", run.id, run.service);
+        broken(Promise::ConfigurationApplies, seen)
+    }
+
+    /// Each router's runs must fit versions that only rise.
+    fn check_rising(&self) -> Vec<Violation> {
+        let mut plain: Vec<_> = self
+            .history
+            .runs
+            .iter()
+            .filter_map(|run| {
+                let call = *self.calls.get(run.id.as_str())?;
+                (!call.kind.is_stream()).then_some((call, run))
+            })
+            .collect();
+        plain.sort_by_key(|(call, _)| call.sent);
+        let mut reached: HashMap<(usize, usize), (usize, Duration)> = HashMap::new();
+        let mut violations = Vec::new();
+        for (call, run) in plain {
+            let life = self.life(call);
+            let (least, seen) = reached.get(&(call.router, life)).copied().unwrap_or_default();
+            // What was sent before the newer one was seen may still have been under way.
+            if call.sent < seen + MACHINE_SLACK {
+                continue;
+            }
+            let configurations = self.history.configurations.iter().enumerate().skip(least);
+            let mut known = configurations.filter(|(_, one)| one.at <= run.at);
+            match known.find(|(_, one)| one.service == run.service) {
+                Some((version, _)) if version > least => {
+                    reached.insert((call.router, life), (version, run.at));
+                }
+                Some(_) => {}
+                None => {
+                    let seen = format!("{} ran at {} after a newer one", run.id, run.service);
+                    violations.extend(broken(Promise::ConfigurationRises, seen));
+                }
+            }
+        }
+        violations
+    }
+
+    /// Which start of its router served a request.
+    fn life(&self, call: &CallRecord) -> usize {
+        let starts = self.history.starts.iter();
+        starts.filter(|(router, at)| *router == call.router && *at <= call.sent).count()
+    }
+
+    /// Routers that did not end in their grace, though nothing else held them up.
+    fn check_stuck(&self) -> Vec<Violation> {
+        let stuck = self.history.stuck_ends.iter().filter(|(router, at)| {
+            let from = at.saturating_sub(CALM_BEFORE * 3);
+            let subject = Subject::Router(*router);
+            let others = self.history.disturbances.iter().filter(|one| !one.graceful);
+            let mut others = others.filter(|one| one.subject == subject);
+            !others.any(|one| one.from <= *at && one.until >= from)
+        });
+        let violations = stuck.filter_map(|(router, _)| {
+            broken(Promise::GracefulShutdown, format!("router {router} did not end"))
+        });
+        violations.collect()
+    }
+
+    fn check_budget(&self) -> Option<Violation> {
+        let mut repeats = Vec::new();
+        for runs in self.runs.values() {
+            let mut times: Vec<_> = runs.iter().map(|run| run.at).collect();
+            times.sort();
+            repeats.extend(times.into_iter().skip(1));
+        }
+        repeats.sort();
+        for (index, begun) in repeats.iter().enumerate() {
+            let until = *begun + RETRY_WINDOW;
+            let count = repeats[index..].iter().take_while(|at| **at < until).count();
+            // Requests of the window, or of the one that began half a window before.
+            let early = begun.saturating_sub(RETRY_WINDOW / 2);
+            let sent = |from: Duration| {
+                let inside = |call: &&CallRecord| (from..from + RETRY_WINDOW).contains(&call.sent);
+                self.history.calls.iter().filter(inside).count()
+            };
+            let requests = sent(*begun).max(sent(early)) as f64;
+            if count as f64 > requests * RETRY_RATIO + RETRY_SLACK {
+                let seen = format!("{count} repeats for {requests} requests from {begun:?}");
+                return broken(Promise::RetryBudget, seen);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/soak/fleet.rs
@@ -0,0 +1,113 @@
+//! The soak's processes: routers, and proxies on their links.
+
+use std::io::Write;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+
+use papayamux_platform_standins::{ServerStandIn, StoreStandIn};
+use papayamux_testbed::{LinkControl, ProcessHandle, TestbedError};
+
+use super::checks::{
+    APPLY_WITHIN, DRAIN_WITHIN, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, REVOKE_WITHIN,
+};
+use super::servers::{start_server, RunBook};
+use super::workload::CallerBoard;
+
+/// The program under test.
+const ROUTER: &str = "papayamux-front";
+
+/// A router's process and its link to the store.
+pub(super) struct SoakRouter {
+    pub(super) process: Option<ProcessHandle>,
+    pub(super) store_link: LinkControl,
+    settings: tempfile::NamedTempFile,
+}
+
+/// A server and the link that leads to it.
+pub(super) struct SoakServer {
+    pub(super) server: ServerStandIn,
+    pub(super) link: LinkControl,
+}
+
+impl SoakServer {
+    /// Starts a server and writes it into the store, at its link's address.
+    pub(super) fn start(
+        store: &StoreStandIn,
+        book: &RunBook,
+        service: &str,
+        id: &str,
+    ) -> Result<Self, TestbedError> {
+        let server = start_server(id, service, book);
+        let link = LinkControl::start(server.address)?;
+        let started = Self { server, link };
+        started.write_entry(store, "ready")?;
+        Ok(started)
+    }
+
+    /// Writes the server's state into the store.
+    pub(super) fn write_entry(
+        &self,
+        store: &StoreStandIn,
+        state: &str,
+    ) -> Result<(), TestbedError> {
+        let mut entry = self.server.entry(state);
+        entry["address"] = self.link.listen()?.to_string().into();
+        store.put(&self.server.key(), &entry);
+        Ok(())
+    }
+}
+
+/// All of it.
+pub(super) struct SoakFleet {
+    pub(super) store: StoreStandIn,
+    pub(super) book: RunBook,
+    pub(super) board: Arc<CallerBoard>,
+    pub(super) routers: Vec<SoakRouter>,
+    pub(super) servers: Vec<SoakServer>,
+}
+
+impl SoakFleet {
+    /// Starts routers, each on a loopback address of its own, before a store with a configuration.
+    pub(super) fn start_routers(&mut self, count: usize) -> Result<(), TestbedError> {
+        let peers_port = UdpSocket::bind("127.0.0.1:0")?.local_addr()?.port();
+        for index in 0..count {
+            let store_link = LinkControl::start(self.store.address)?;
+            let mut settings = tempfile::NamedTempFile::new()?;
+            let text = settings_text(index, count, peers_port, store_link.listen()?);
+            settings.write_all(text.as_bytes())?;
+            self.routers.push(SoakRouter { process: None, store_link, settings });
+            self.start_router(index)?;
+        }
+        Ok(())
+    }
+
+    /// Starts a router's process.
+    pub(super) fn start_router(&mut self, index: usize) -> Result<(), TestbedError> {
+        let router = &mut self.routers[index];
+        let file = router.settings.path().to_string_lossy().into_owned();
+        let process = ProcessHandle::start(ROUTER, &[file])?;
+        self.board.set_router(index, Some(process.listen()?));
+        router.process = Some(process);
+        Ok(())
+    }
+}
+
+fn settings_text(index: usize, count: usize, peers_port: u16, store: SocketAddr) -> String {
+    let host = |index: usize| format!("127.0.0.{}", index + 1);
+    let seeds: Vec<_> =
+        (0..count.min(3)).map(|seed| format!("{}:{peers_port}", host(seed))).collect();
+    format!(
+        "[instance]\nname = router-{index}\nfailure_domain = here\n\
+         [listen]\ncallers = 127.0.0.1:0\noperations = 127.0.0.1:0\n\
+         [source]\naddress = {store}\n\
+         [peers]\nlisten = {}:{peers_port}\nseeds = {}\n\
+         [bounds]\ngrace = 4s\nrevoke_within = {}ms\napply_within = {}ms\ndrain_within = {}ms\n\
+         retry_ratio = {RETRY_RATIO}\nretry_slack = {RETRY_SLACK}\nretry_window = {}s\n",
+        host(index),
+        seeds.join(","),
+        REVOKE_WITHIN.as_millis(),
+        APPLY_WITHIN.as_millis(),
+        DRAIN_WITHIN.as_millis(),
+        RETRY_WINDOW.as_secs()
+    )
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/soak/injector.rs
@@ -0,0 +1,295 @@
+//! Applies the drawn faults, and notes what each disturbs.
+
+use std::time::Duration;
+
+use papayamux_platform_standins::{ConfigurationDraft, StoreMode};
+use papayamux_standins::fault_proxy::{FaultyWays, LinkFaults};
+use papayamux_testbed::TestbedError;
+
+use super::fault_kind::{FaultKind, PlannedFault};
+use super::fleet::{SoakFleet, SoakServer};
+use super::history::{ConfigurationRecord, DisturbanceRecord, SoakHistory, Subject};
+
+/// By how much a slow link is late: more than a retransmission, less than a silence is borne.
+const LINK_DELAY_MS: u64 = 120;
+/// How long a router that is asked to end may take, beyond its grace of 4 s.
+const END_WITHIN: Duration = Duration::from_secs(6);
+/// How long a leaving server is listed as draining.
+const LISTED_DRAINING: Duration = Duration::from_secs(3);
+
+/// A fault that is under way.
+struct OpenFault {
+    planned: PlannedFault,
+    until: Duration,
+    disturbance: usize,
+    /// The router's process that it struck.
+    process: Option<u32>,
+}
+
+/// Plays faults against a fleet.
+pub(super) struct FaultInjector {
+    pub(super) fleet: SoakFleet,
+    pub(super) history: SoakHistory,
+    draft: ConfigurationDraft,
+    open: Vec<OpenFault>,
+    leaving: Vec<(SoakServer, Duration)>,
+    replaced: u32,
+}
+
+impl FaultInjector {
+    /// Begins with a configuration in the store.
+    pub(super) fn new(fleet: SoakFleet, draft: ConfigurationDraft) -> Self {
+        let history = SoakHistory::default();
+        let mut injector =
+            Self { fleet, history, draft, open: Vec::new(), leaving: Vec::new(), replaced: 0 };
+        injector.write_configuration();
+        injector
+    }
+
+    /// Begins a fault.
+    pub(super) async fn begin(&mut self, planned: PlannedFault) -> Result<(), TestbedError> {
+        let now = self.fleet.board.now();
+        self.history.disturbances.push(DisturbanceRecord {
+            subject: self.subject(planned),
+            from: now,
+            until: Duration::MAX,
+            graceful: planned.kind == FaultKind::EndRouter,
+        });
+        let disturbance = self.history.disturbances.len() - 1;
+        let process = self.process_id(self.router(planned));
+        self.apply(planned).await?;
+        self.open.push(OpenFault { planned, until: now + planned.length, disturbance, process });
+        Ok(())
+    }
+
+    /// Ends the faults whose time is over.
+    pub(super) async fn end_due(&mut self) -> Result<(), TestbedError> {
+        let now = self.fleet.board.now();
+        let (due, open) = std::mem::take(&mut self.open)
+            .into_iter()
+            .partition::<Vec<_>, _>(|fault| fault.until <= now);
+        self.open = open;
+        for fault in due {
+            self.end(fault).await?;
+        }
+        self.remove_left(now);
+        Ok(())
+    }
+
+    /// Ends everything that is still under way.
+    pub(super) async fn end_all(&mut self) -> Result<(), TestbedError> {
+        for fault in std::mem::take(&mut self.open) {
+            self.end(fault).await?;
+        }
+        self.history.calm_from = self.fleet.board.now();
+        Ok(())
+    }
+
+    fn subject(&self, planned: PlannedFault) -> Subject {
+        match planned.kind {
+            FaultKind::KillRouter
+            | FaultKind::PauseRouter
+            | FaultKind::EndRouter
+            | FaultKind::ReloadRouter
+            | FaultKind::SilenceStoreLink
+            | FaultKind::MuteStoreLink
+            | FaultKind::RefuseStoreLink => Subject::Router(self.router(planned)),
+            FaultKind::SilenceStore | FaultKind::RefuseStore | FaultKind::CompactStore => {
+                Subject::Store
+            }
+            FaultKind::DelayServerLink
+            | FaultKind::CutServerLink
+            | FaultKind::HoldServerLink
+            | FaultKind::MuteServerLink => Subject::Servers,
+            // Planned work disturbs nothing: the routers' bounds hold beside it.
+            FaultKind::DrainServer | FaultKind::ChangeConfiguration | FaultKind::ReplaceKey => {
+                Subject::Order
+            }
+        }
+    }
+
+    fn router(&self, planned: PlannedFault) -> usize {
+        planned.target % self.fleet.routers.len()
+    }
+
+    async fn apply(&mut self, planned: PlannedFault) -> Result<(), TestbedError> {
+        let router = self.router(planned);
+        let server = planned.target % self.fleet.servers.len();
+        match planned.kind {
+            FaultKind::KillRouter => self.kill(router)?,
+            FaultKind::PauseRouter => self.signal_router(router, |process| process.pause())?,
+            FaultKind::EndRouter => self.signal_router(router, |process| process.terminate())?,
+            FaultKind::ReloadRouter => self.signal_router(router, |process| process.reload())?,
+            FaultKind::SilenceStoreLink => {
+                self.fleet.routers[router].store_link.silence().await?;
+            }
+            FaultKind::MuteStoreLink => {
+                let faults = LinkFaults { hold: FaultyWays::ToClient, ..LinkFaults::default() };
+                self.fleet.routers[router].store_link.set(faults).await?;
+            }
+            FaultKind::RefuseStoreLink => {
+                let link = &self.fleet.routers[router].store_link;
+                link.refuse().await?;
+                link.cut().await?;
+            }
+            FaultKind::SilenceStore => self.fleet.store.set_mode(StoreMode::Silent),
+            FaultKind::RefuseStore => self.fleet.store.set_mode(StoreMode::Refusing),
+            FaultKind::CompactStore => self.fleet.store.set_mode(StoreMode::Compacted),
+            FaultKind::DelayServerLink => {
+                let faults = LinkFaults { delay_ms: LINK_DELAY_MS, ..LinkFaults::default() };
+                self.fleet.servers[server].link.set(faults).await?;
+            }
+            FaultKind::CutServerLink => {
+                self.fleet.servers[server].link.cut().await?;
+            }
+            FaultKind::HoldServerLink => {
+                self.fleet.servers[server].link.hold_ways(FaultyWays::ToTarget).await?;
+            }
+            FaultKind::MuteServerLink => {
+                let faults = LinkFaults { drop: FaultyWays::ToClient, ..LinkFaults::default() };
+                self.fleet.servers[server].link.set(faults).await?;
+            }
+            FaultKind::DrainServer => self.drain(server)?,
+            FaultKind::ChangeConfiguration => self.move_routes(),
+            FaultKind::ReplaceKey => self.replace_key(),
+        }
+        Ok(())
+    }
+
+    async fn end(&mut self, fault: OpenFault) -> Result<(), TestbedError> {
+        let planned = fault.planned;
+        let router = self.router(planned);
+        match planned.kind {
+            FaultKind::KillRouter => self.restart(router)?,
+            FaultKind::EndRouter => {
+                self.fleet.board.set_router(router, None);
+                // Another fault's end may have put a new process in its place.
+                if self.process_id(router) == fault.process {
+                    self.wait_for_end(router)?;
+                }
+                self.restart(router)?;
+            }
+            FaultKind::PauseRouter => self.signal_router(router, |process| process.wake())?,
+            FaultKind::SilenceStoreLink | FaultKind::MuteStoreLink | FaultKind::RefuseStoreLink => {
+                self.fleet.routers[router].store_link.heal().await?;
+            }
+            FaultKind::SilenceStore | FaultKind::RefuseStore | FaultKind::CompactStore => {
+                self.fleet.store.set_mode(StoreMode::Up);
+            }
+            FaultKind::DelayServerLink
+            | FaultKind::CutServerLink
+            | FaultKind::HoldServerLink
+            | FaultKind::MuteServerLink => {
+                let server = planned.target % self.fleet.servers.len();
+                self.fleet.servers[server].link.heal().await?;
+            }
+            FaultKind::ReloadRouter
+            | FaultKind::DrainServer
+            | FaultKind::ChangeConfiguration
+            | FaultKind::ReplaceKey => {}
+        }
+        self.history.disturbances[fault.disturbance].until = self.fleet.board.now();
+        Ok(())
+    }
+
+    /// Sends a signal, unless the process has been ended by another fault.
+    fn signal_router(
+        &mut self,
+        router: usize,
+        send: impl Fn(&papayamux_testbed::ProcessHandle) -> Result<(), TestbedError>,
+    ) -> Result<(), TestbedError> {
+        let Some(process) = &mut self.fleet.routers[router].process else { return Ok(()) };
+        match process.try_exit()? {
+            None => send(process),
+            Some(_) => Ok(()),
+        }
+    }
+
+    fn kill(&mut self, router: usize) -> Result<(), TestbedError> {
+        self.fleet.board.set_router(router, None);
+        if let Some(mut process) = self.fleet.routers[router].process.take() {
+            process.kill()?;
+        }
+        Ok(())
+    }
+
+    fn process_id(&self, router: usize) -> Option<u32> {
+        self.fleet.routers[router].process.as_ref().map(papayamux_testbed::ProcessHandle::id)
+    }
+
+    /// Waits for a router that was asked to end; one that does not is killed.
+    fn wait_for_end(&mut self, router: usize) -> Result<(), TestbedError> {
+        let Some(process) = &mut self.fleet.routers[router].process else { return Ok(()) };
+        if process.wait_exit(END_WITHIN).is_err() {
+            process.kill()?;
+            self.history.stuck_ends.push((router, self.fleet.board.now()));
+        }
+        Ok(())
+    }
+
+    /// Starts a router again, unless another fault's end has done so.
+    fn restart(&mut self, router: usize) -> Result<(), TestbedError> {
+        let ended = match &mut self.fleet.routers[router].process {
+            Some(process) => process.try_exit()?.is_some(),
+            None => true,
+        };
+        if ended {
+            self.fleet.start_router(router)?;
+            self.history.starts.push((router, self.fleet.board.now()));
+        }
+        Ok(())
+    }
+
+    fn drain(&mut self, index: usize) -> Result<(), TestbedError> {
+        self.replaced += 1;
+        let old = self.fleet.servers[index].server.clone();
+        let id = format!("s-{}", self.replaced);
+        let fresh = SoakServer::start(&self.fleet.store, &self.fleet.book, old.service(), &id)?;
+        let leaving = std::mem::replace(&mut self.fleet.servers[index], fresh);
+        leaving.write_entry(&self.fleet.store, "draining")?;
+        let now = self.fleet.board.now();
+        self.history.drains.push((leaving.server.id.clone(), now));
+        self.leaving.push((leaving, now + LISTED_DRAINING));
+        Ok(())
+    }
+
+    /// Takes servers that have drained off the list; they go on serving what they have.
+    fn remove_left(&mut self, now: Duration) {
+        for (server, until) in &mut self.leaving {
+            if *until <= now {
+                self.fleet.store.delete(&server.server.key());
+                *until = Duration::MAX;
+            }
+        }
+    }
+
+    fn move_routes(&mut self) {
+        let service = match self.draft.plain_service.as_str() {
+            "plain" => "other",
+            _ => "plain",
+        };
+        self.draft.plain_service = service.to_string();
+        self.write_configuration();
+    }
+
+    /// Adds a key and takes the one before the last away.
+    fn replace_key(&mut self) {
+        let key = format!("key-{}", self.draft.version);
+        self.draft.keys.push(key.clone());
+        while self.draft.keys.len() > 2 {
+            self.draft.keys.remove(0);
+        }
+        self.write_configuration();
+        self.fleet.board.add_key(&key);
+    }
+
+    fn write_configuration(&mut self) {
+        self.draft.version += 2;
+        self.fleet.store.put("op/config", &self.draft.value());
+        self.history.configurations.push(ConfigurationRecord {
+            at: self.fleet.board.now(),
+            service: self.draft.plain_service.clone(),
+            keys: self.draft.keys.clone(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/soak/mod.rs
@@ -0,0 +1,20 @@
+//! A randomized soak: real routers, faults from outside, and checks of what they promise.
+
+mod checks;
+mod fault_kind;
+mod fleet;
+mod history;
+mod injector;
+mod options;
+mod run;
+mod servers;
+mod workload;
+
+pub use checks::{check_history, Promise, Violation};
+pub use fault_kind::{draw_faults, FaultKind, PlannedFault};
+pub use history::{
+    CallKind, CallRecord, ConfigurationRecord, DisturbanceRecord, RunRecord, SoakHistory, Subject,
+    Told,
+};
+pub use options::SoakOptions;
+pub use run::run_soak;
--- /dev/null
+++ b/crates/papayamux-measure/src/soak/run.rs
@@ -0,0 +1,128 @@
+//! Runs a soak and reports.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use papayamux_platform_standins::{ConfigurationDraft, StoreStandIn, KEY};
+use papayamux_transport::runtime;
+
+use super::checks::{check_history, Violation};
+use super::fault_kind::draw_faults;
+use super::fleet::{SoakFleet, SoakServer};
+use super::history::{SoakHistory, Told};
+use super::injector::FaultInjector;
+use super::options::SoakOptions;
+use super::servers::RunBook;
+use super::workload::{run_caller, CallerBoard};
+use crate::tasks::TaskError;
+
+/// How often faults are looked at.
+const TICK: Duration = Duration::from_millis(20);
+/// How long all is left alone at the end: recovery, and some seconds in which all must be served.
+const CALM: Duration = Duration::from_secs(12);
+/// How long the fleet has before callers come.
+const SETTLE: Duration = Duration::from_secs(2);
+/// The services and whether they are engines'.
+const SERVICES: [&str; 3] = ["plain", "other", "llm"];
+
+/// Runs a soak; fails where a promise was broken.
+pub fn run_soak(options: &SoakOptions) -> Result<(), TaskError> {
+    let history = runtime::run(play(options))??;
+    let violations = check_history(&history);
+    print_report(options, &history, &violations);
+    match violations.is_empty() {
+        true => Ok(()),
+        false => Err(format!("seed {}: {} broken promises", options.seed, violations.len()).into()),
+    }
+}
+
+async fn play(options: &SoakOptions) -> Result<SoakHistory, TaskError> {
+    let begun = Instant::now();
+    let mut injector = start(options, begun)?;
+    monoio::time::sleep(SETTLE).await;
+    let callers: Vec<_> = (0..options.callers as u64)
+        .map(|number| {
+            let (board, seed) = (injector.fleet.board.clone(), options.seed);
+            std::thread::spawn(move || run_caller(&board, number, seed))
+        })
+        .collect();
+    let offset = injector.fleet.board.now();
+    for fault in draw_faults(options.seed, options.length) {
+        println!(
+            "{:>6.2} s {:?} for {:.1} s, target {}",
+            fault.at.as_secs_f64(),
+            fault.kind,
+            fault.length.as_secs_f64(),
+            fault.target
+        );
+        while injector.fleet.board.now() < offset + fault.at {
+            monoio::time::sleep(TICK).await;
+            injector.end_due().await?;
+        }
+        injector.begin(fault).await?;
+    }
+    injector.end_all().await?;
+    let calm_until = injector.fleet.board.now() + CALM;
+    while injector.fleet.board.now() < calm_until {
+        monoio::time::sleep(TICK).await;
+        injector.end_due().await?;
+    }
+    injector.fleet.board.end();
+    for caller in callers {
+        caller.join().map_err(|_| "a caller panicked")?;
+    }
+    let mut history = injector.history;
+    history.calls = injector.fleet.board.take_calls();
+    history.runs = injector.fleet.book.take();
+    Ok(history)
+}
+
+fn start(options: &SoakOptions, begun: Instant) -> Result<FaultInjector, TaskError> {
+    let store = StoreStandIn::start();
+    let book = RunBook::new(begun);
+    let board = CallerBoard::new(begun, options.routers, KEY);
+    let mut servers = Vec::new();
+    for service in SERVICES {
+        for number in 0..options.servers {
+            let id = format!("{service}-{number}");
+            servers.push(SoakServer::start(&store, &book, service, &id)?);
+        }
+    }
+    let fleet = SoakFleet { store, book, board, routers: Vec::new(), servers };
+    let draft = ConfigurationDraft {
+        version: 1,
+        plain_service: "plain".to_string(),
+        keys: vec![KEY.to_string()],
+    };
+    let mut injector = FaultInjector::new(fleet, draft);
+    injector.fleet.start_routers(options.routers)?;
+    Ok(injector)
+}
+
+fn print_report(options: &SoakOptions, history: &SoakHistory, violations: &[Violation]) {
+    let mut told: BTreeMap<&str, usize> = BTreeMap::new();
+    for call in &history.calls {
+        let name = match call.told {
+            Told::Served => "served",
+            Told::Wrong(_) => "wrong",
+            Told::NotRun => "not run",
+            Told::Failed(_) => "failed",
+            Told::Nothing => "cut off",
+        };
+        *told.entry(name).or_default() += 1;
+    }
+    let told: Vec<_> = told.into_iter().map(|(name, count)| format!("{name} {count}")).collect();
+    println!(
+        "seed {}: {} requests ({}), {} runs, {} faults, {} configurations, {} broken",
+        options.seed,
+        history.calls.len(),
+        told.join(", "),
+        history.runs.len(),
+        history.disturbances.len(),
+        history.configurations.len(),
+        violations.len()
+    );
+    for violation in violations {
+        println!("  {violation}");
+    }
+}
--- a/crates/papayamux-measure/src/tasks/measure_task.rs
+++ b/crates/papayamux-measure/src/tasks/measure_task.rs
@@ -4,7 +4,7 @@
 
 use getopts::{Matches, Options};
 
-use super::{config, conflicts, control, demo, orders, path, promises, routing, table};
+use super::{config, conflicts, control, demo, orders, path, promises, routing, soak, table};
 
 /// Why a task can't be run to its end.
 pub type TaskError = Box<dyn Error>;
@@ -32,6 +32,7 @@
     conflicts::TASK,
     orders::TASK,
     control::TASK,
+    soak::TASK,
 ];
 
 /// The task of that name.
--- a/crates/papayamux-measure/src/tasks/mod.rs
+++ b/crates/papayamux-measure/src/tasks/mod.rs
@@ -9,6 +9,7 @@
 mod path;
 mod promises;
 mod routing;
+mod soak;
 mod table;
 
 pub use measure_task::{find_task, MeasureTask, TaskError, TASKS};
--- /dev/null
+++ b/crates/papayamux-measure/src/tasks/soak.rs
@@ -0,0 +1,34 @@
+//! `papayamux-measure soak`.
+
+use std::time::Duration;
+
+use getopts::{Matches, Options};
+
+use super::{MeasureTask, TaskError};
+use crate::soak::{run_soak, SoakOptions};
+
+pub(super) const TASK: MeasureTask = MeasureTask {
+    name: "soak",
+    purpose: "what the routers on the platform promise, under faults drawn by a seed",
+    declare,
+    run: |matches| run_soak(&soak_options(matches)?),
+};
+
+fn declare(options: &mut Options) {
+    options.optopt("", "seed", "draws faults and requests (1)", "NUMBER");
+    options.optopt("", "seconds", "how long faults are injected (30)", "SECONDS");
+    options.optopt("", "routers", "router processes (3)", "COUNT");
+    options.optopt("", "servers", "servers of each of three services (3)", "COUNT");
+    options.optopt("", "callers", "callers, each with one request at a time (12)", "COUNT");
+}
+
+fn soak_options(matches: &Matches) -> Result<SoakOptions, TaskError> {
+    let length = matches.opt_get("seconds")?.map(Duration::from_secs);
+    Ok(SoakOptions::builder()
+        .maybe_seed(matches.opt_get("seed")?)
+        .maybe_length(length)
+        .maybe_routers(matches.opt_get("routers")?)
+        .maybe_servers(matches.opt_get("servers")?)
+        .maybe_callers(matches.opt_get("callers")?)
+        .build())
+}
--- /dev/null
+++ b/crates/papayamux-measure/tests/soak_checks.rs
@@ -0,0 +1,200 @@
+//! Each check of the soak can fail: a planted fault for each, beside a history without one.
+#![allow(clippy::unwrap_used, clippy::panic, reason = "helpers of tests, which may panic")]
+
+use std::time::Duration;
+
+use papayamux_measure::soak::{
+    check_history, draw_faults, CallKind, CallRecord, ConfigurationRecord, DisturbanceRecord,
+    Promise, RunRecord, SoakHistory, Subject, Told,
+};
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn call(id: &str, kind: CallKind, sent: u64, told: Told) -> CallRecord {
+    CallRecord {
+        id: id.to_string(),
+        kind,
+        router: 0,
+        key: "good".to_string(),
+        sent: at(sent),
+        ended: at(sent + 30),
+        told,
+    }
+}
+
+fn run(id: &str, service: &str, millis: u64) -> RunRecord {
+    RunRecord {
+        id: id.to_string(),
+        server: format!("{service}-0"),
+        service: service.to_string(),
+        at: at(millis),
+    }
+}
+
+fn configuration(millis: u64, service: &str, keys: &[&str]) -> ConfigurationRecord {
+    let keys = keys.iter().map(ToString::to_string).collect();
+    ConfigurationRecord { at: at(millis), service: service.to_string(), keys }
+}
+
+fn disturbance(subject: Subject, from: u64, until: u64) -> DisturbanceRecord {
+    DisturbanceRecord { subject, from: at(from), until: at(until), graceful: false }
+}
+
+/// A request of each kind, served as it should be.
+fn sound() -> SoakHistory {
+    let calls = CallKind::ALL
+        .iter()
+        .enumerate()
+        .map(|(number, kind)| call(&format!("c{number}"), *kind, 10_000, Told::Served));
+    let runs = CallKind::ALL.iter().enumerate().map(|(number, kind)| {
+        run(&format!("c{number}"), if kind.is_stream() { "llm" } else { "plain" }, 10_010)
+    });
+    SoakHistory {
+        calls: calls.collect(),
+        runs: runs.collect(),
+        configurations: vec![configuration(0, "plain", &["good"])],
+        calm_from: at(60_000),
+        ..SoakHistory::default()
+    }
+}
+
+fn broken(history: &SoakHistory) -> Vec<Promise> {
+    check_history(history).into_iter().map(|violation| violation.promise).collect()
+}
+
+#[test]
+fn nothing_is_broken_in_a_sound_history() {
+    assert_eq!(broken(&sound()), []);
+}
+
+#[test]
+fn answer_of_another_request_is_found() {
+    let mut history = sound();
+    history.calls[0].told = Told::Wrong("answer to c9".to_string());
+    assert_eq!(broken(&history), [Promise::OwnWholeAnswer]);
+}
+
+#[test]
+fn request_that_ran_though_it_was_said_not_to_is_found_also_later() {
+    let mut history = sound();
+    history.calls[1].told = Told::NotRun;
+    assert_eq!(broken(&history), [Promise::NotRunIsTrue]);
+    history.runs[1].at = at(25_000);
+    assert!(broken(&history).contains(&Promise::NotRunIsTrue));
+}
+
+#[test]
+fn second_run_of_what_may_run_once_is_found() {
+    let mut history = sound();
+    history.runs.push(run("c1", "plain", 10_020));
+    assert_eq!(broken(&history), [Promise::RunsAtMost]);
+    let mut history = sound();
+    history.runs.push(run("c0", "plain", 10_020));
+    assert_eq!(broken(&history), [], "an idempotent request may run twice");
+    history.runs.push(run("c0", "plain", 10_025));
+    assert_eq!(broken(&history), [Promise::RunsAtMost]);
+}
+
+#[test]
+fn storm_of_repeats_is_found() {
+    let mut history = sound();
+    for number in 0..30 {
+        let id = format!("r{number}");
+        history.calls.push(call(&id, CallKind::Idempotent, 11_000, Told::Served));
+        history.runs.push(run(&id, "plain", 11_010));
+        history.runs.push(run(&id, "plain", 11_020));
+    }
+    assert_eq!(broken(&history), [Promise::RetryBudget]);
+}
+
+#[test]
+fn key_that_works_after_its_end_is_found() {
+    let mut history = sound();
+    history.configurations.push(configuration(4_000, "plain", &["other"]));
+    assert_eq!(broken(&history), [Promise::KeysEnd; 4]);
+    history.configurations[1].at = at(6_000);
+    assert_eq!(broken(&history), [], "within the bound");
+}
+
+#[test]
+fn work_for_a_server_that_drains_is_found_where_nothing_excuses_it() {
+    let mut history = sound();
+    history.drains.push(("llm-0".to_string(), at(7_000)));
+    assert_eq!(broken(&history), [Promise::DrainsKept; 2]);
+    history.disturbances.push(disturbance(Subject::Router(0), 8_000, 8_500));
+    assert_eq!(broken(&history), []);
+}
+
+#[test]
+fn run_by_a_service_that_was_left_is_found() {
+    let mut history = sound();
+    history.configurations.push(configuration(5_000, "other", &["good"]));
+    assert_eq!(broken(&history), [Promise::ConfigurationApplies; 2]);
+    history.disturbances.push(disturbance(Subject::Store, 5_000, 6_000));
+    assert_eq!(broken(&history), []);
+}
+
+#[test]
+fn router_that_goes_back_to_an_older_configuration_is_found() {
+    let mut history = sound();
+    history.configurations.push(configuration(10_200, "other", &["good"]));
+    history.calls.push(call("n1", CallKind::Once, 10_300, Told::Served));
+    history.runs.push(run("n1", "other", 10_310));
+    history.calls.push(call("n2", CallKind::Once, 11_000, Told::Served));
+    history.runs.push(run("n2", "plain", 11_010));
+    assert_eq!(broken(&history), [Promise::ConfigurationRises]);
+    history.starts.push((0, at(10_900)));
+    assert_eq!(broken(&history), [], "a new life may begin with what it reads first");
+}
+
+#[test]
+fn answer_that_a_graceful_shutdown_cuts_off_is_found() {
+    let mut history = sound();
+    history.calls[3].told = Told::Nothing;
+    let graceful =
+        DisturbanceRecord { graceful: true, ..disturbance(Subject::Router(0), 10_010, 14_000) };
+    history.disturbances.push(graceful);
+    assert_eq!(broken(&history), [Promise::GracefulShutdown]);
+    history.disturbances.push(disturbance(Subject::Servers, 9_000, 10_005));
+    assert_eq!(broken(&history), [], "the server's link was cut as well");
+}
+
+#[test]
+fn router_that_does_not_end_is_found() {
+    let mut history = sound();
+    history.stuck_ends.push((1, at(30_000)));
+    assert_eq!(broken(&history), [Promise::GracefulShutdown]);
+    history.disturbances.push(disturbance(Subject::Router(1), 25_000, 29_000));
+    assert_eq!(broken(&history), []);
+}
+
+#[test]
+fn request_without_an_end_in_time_is_found() {
+    let mut history = sound();
+    history.calls[0].ended = at(14_000);
+    assert_eq!(broken(&history), [Promise::DeadlineKept]);
+    history.disturbances.push(disturbance(Subject::Router(0), 10_500, 13_000));
+    assert_eq!(broken(&history), [], "the router stood still");
+}
+
+#[test]
+fn failure_in_the_calm_after_the_faults_is_found() {
+    let mut history = sound();
+    history.calm_from = at(1_000);
+    assert_eq!(broken(&history), []);
+    history.calls[0].told = Told::NotRun;
+    history.runs.retain(|run| run.id != "c0");
+    assert_eq!(broken(&history), [Promise::Recovery]);
+}
+
+#[test]
+fn a_seed_draws_the_same_faults_each_time() {
+    let length = Duration::from_secs(60);
+    assert_eq!(draw_faults(7, length), draw_faults(7, length));
+    assert_ne!(draw_faults(7, length), draw_faults(8, length));
+    let kinds: std::collections::HashSet<_> =
+        (0..40).flat_map(|seed| draw_faults(seed, length)).map(|fault| fault.kind).collect();
+    assert_eq!(kinds.len(), papayamux_measure::soak::FaultKind::ALL.len());
+}
--- /dev/null
+++ b/crates/papayamux-measure/tests/soak_short.rs
@@ -0,0 +1,12 @@
+//! A short soak on real processes, with the verdict of its seed.
+#![allow(clippy::unwrap_used, clippy::panic, reason = "helpers of tests, which may panic")]
+
+use std::time::Duration;
+
+use papayamux_measure::soak::{run_soak, SoakOptions};
+
+#[test]
+fn no_promise_is_broken_in_a_short_soak() {
+    let options = SoakOptions::builder().seed(3).length(Duration::from_secs(10)).build();
+    run_soak(&options).unwrap();
+}
--- a/crates/papayamux-testbed/src/process.rs
+++ b/crates/papayamux-testbed/src/process.rs
@@ -226,6 +226,11 @@
         self.signal(Signal::SIGTERM)
     }
 
+    /// Asks the process to read its settings again (SIGHUP).
+    pub fn reload(&self) -> Result<(), TestbedError> {
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Ends the process at once (SIGKILL) and waits until it has gone.
     pub fn kill(&mut self) -> Result<(), TestbedError> {
         self.child.kill()?;
