Play load patterns with each policy on loopback

Change: `papayamux-measure surge` draws calm load, a surge of all, a surge of one organisation, a hot shared part and engines that leave, and plays them against real routers with modelled engines: slots, a cache of shared parts, prompts read one after the other. Callers come back once when they are told to. The stand-ins' configuration takes organisations and an engine's sizes. Tests: `surge_patterns.rs`.

--- a/crates/papayamux-measure/src/soak/fleet.rs
+++ b/crates/papayamux-measure/src/soak/fleet.rs
@@ -1,7 +1,7 @@
 //! The soak's processes: routers, and proxies on their links.
 
 use std::io::Write;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::UdpSocket;
 use std::sync::Arc;
 
 use papayamux_platform_standins::{ServerStandIn, StoreStandIn};
@@ -12,6 +12,7 @@
 };
 use super::servers::{start_server, RunBook};
 use super::workload::CallerBoard;
+use crate::front_settings::FrontSettings;
 
 /// The program under test.
 const ROUTER: &str = "papayamux-front";
@@ -73,8 +74,9 @@
         for index in 0..count {
             let store_link = LinkControl::start(self.store.address)?;
             let mut settings = tempfile::NamedTempFile::new()?;
-            let text = settings_text(index, count, peers_port, store_link.listen()?);
-            settings.write_all(text.as_bytes())?;
+            let store = store_link.listen()?;
+            let file = FrontSettings { index, count, peers_port, store, further: bounds() };
+            settings.write_all(file.text().as_bytes())?;
             self.routers.push(SoakRouter { process: None, store_link, settings });
             self.start_router(index)?;
         }
@@ -92,19 +94,11 @@
     }
 }
 
-fn settings_text(index: usize, count: usize, peers_port: u16, store: SocketAddr) -> String {
-    let host = |index: usize| format!("127.0.0.{}", index + 1);
-    let seeds: Vec<_> =
-        (0..count.min(3)).map(|seed| format!("{}:{peers_port}", host(seed))).collect();
+/// The bounds that the checks judge by.
+fn bounds() -> String {
     format!(
-        "[instance]\nname = router-{index}\nfailure_domain = here\n\
-         [listen]\ncallers = 127.0.0.1:0\noperations = 127.0.0.1:0\n\
-         [source]\naddress = {store}\n\
-         [peers]\nlisten = {}:{peers_port}\nseeds = {}\n\
-         [bounds]\ngrace = 4s\nrevoke_within = {}ms\napply_within = {}ms\ndrain_within = {}ms\n\
+        "[bounds]\ngrace = 4s\nrevoke_within = {}ms\napply_within = {}ms\ndrain_within = {}ms\n\
          retry_ratio = {RETRY_RATIO}\nretry_slack = {RETRY_SLACK}\nretry_window = {}s\n",
-        host(index),
-        seeds.join(","),
         REVOKE_WITHIN.as_millis(),
         APPLY_WITHIN.as_millis(),
         DRAIN_WITHIN.as_millis(),
--- a/crates/papayamux-measure/src/soak/injector.rs
+++ b/crates/papayamux-measure/src/soak/injector.rs
@@ -14,6 +14,8 @@
 const LINK_DELAY_MS: u64 = 120;
 /// How long a router that is asked to end may take, beyond its grace of 4 s.
 const END_WITHIN: Duration = Duration::from_secs(6);
+/// Keys that are good at once.
+const MOST_KEYS: usize = 2;
 /// How long a leaving server is listed as draining.
 const LISTED_DRAINING: Duration = Duration::from_secs(3);
 
@@ -275,9 +277,11 @@
     /// Adds a key and takes the one before the last away.
     fn replace_key(&mut self) {
         let key = format!("key-{}", self.draft.version);
-        self.draft.keys.push(key.clone());
-        while self.draft.keys.len() > 2 {
-            self.draft.keys.remove(0);
+        for organisation in &mut self.draft.organisations {
+            organisation.keys.push(key.clone());
+            if organisation.keys.len() > MOST_KEYS {
+                organisation.keys.remove(0);
+            }
         }
         self.write_configuration();
         self.fleet.board.add_key(&key);
@@ -286,10 +290,11 @@
     fn write_configuration(&mut self) {
         self.draft.version += 2;
         self.fleet.store.put("op/config", &self.draft.value());
-        self.history.configurations.push(ConfigurationRecord {
+        let record = ConfigurationRecord {
             at: self.fleet.board.now(),
             service: self.draft.plain_service.clone(),
-            keys: self.draft.keys.clone(),
-        });
+            keys: self.draft.organisations.iter().flat_map(|one| one.keys.clone()).collect(),
+        };
+        self.history.configurations.push(record);
     }
 }
--- a/crates/papayamux-measure/src/soak/run.rs
+++ b/crates/papayamux-measure/src/soak/run.rs
@@ -89,12 +89,7 @@
         }
     }
     let fleet = SoakFleet { store, book, board, routers: Vec::new(), servers };
-    let draft = ConfigurationDraft {
-        version: 1,
-        plain_service: "plain".to_string(),
-        keys: vec![KEY.to_string()],
-    };
-    let mut injector = FaultInjector::new(fleet, draft);
+    let mut injector = FaultInjector::new(fleet, ConfigurationDraft::default());
     injector.fleet.start_routers(options.routers)?;
     Ok(injector)
 }
--- /dev/null
+++ b/crates/papayamux-measure/src/surge/engine_model.rs
@@ -0,0 +1,155 @@
+//! An engine with slots, a cache of shared parts, and prompts that are read one after the other.
+
+use std::collections::{HashMap, VecDeque};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use papayamux_platform_standins::{ServerRequest, ServerStandIn};
+
+/// Requests that an engine runs at once.
+pub(super) const SLOTS: u32 = 8;
+/// Shared parts that its cache holds.
+const CACHED_PARTS: usize = 8;
+/// Tokens of a shared part, and of a request's own part.
+pub(super) const SHARED_TOKENS: u64 = 4_000;
+pub(super) const OWN_TOKENS: u64 = 200;
+/// Tokens that the cache holds.
+pub(super) const CACHE_TOKENS: u64 = CACHED_PARTS as u64 * (SHARED_TOKENS + OWN_TOKENS);
+/// Time to read a token of a prompt: a cold prompt takes 170 ms, a cached one 8 ms.
+const READ_TOKEN: Duration = Duration::from_micros(40);
+/// Time to take a part over from another engine.
+const TAKE_OVER: Duration = Duration::from_millis(6);
+/// Events of an answer and the time for each.
+const EVENTS: u64 = 8;
+const EVENT_EVERY: Duration = Duration::from_millis(20);
+
+#[derive(Debug, Default)]
+struct EngineState {
+    running: u32,
+    waiting: u32,
+    cache: VecDeque<String>,
+    cold_tokens: u64,
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    state: Mutex<EngineState>,
+    freed: Condvar,
+    /// Held while a prompt is read: prompts are read one after the other.
+    reading: Mutex<()>,
+}
+
+/// All engines, by their addresses.
+#[derive(Debug, Clone, Default)]
+pub(super) struct EngineRoom {
+    engines: Arc<Mutex<HashMap<SocketAddr, Arc<Engine>>>>,
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl EngineRoom {
+    /// Starts an engine.
+    pub(super) fn start(&self, id: &str) -> ServerStandIn {
+        let engine = Arc::<Engine>::default();
+        let (own, room) = (engine.clone(), self.clone());
+        let server = ServerStandIn::start(id, "llm", move |request, stream| {
+            room.serve(&own, request, stream)
+        });
+        locked(&self.engines).insert(server.address, engine);
+        server
+    }
+
+    /// Tokens of shared parts that engines read.
+    pub(super) fn cold_tokens(&self) -> u64 {
+        let engines = locked(&self.engines);
+        engines.values().map(|engine| locked(&engine.state).cold_tokens).sum()
+    }
+
+    fn serve(&self, engine: &Engine, request: &ServerRequest, stream: &mut TcpStream) -> bool {
+        engine.take_slot();
+        let held = self.read_prompt(engine, request);
+        let queue = {
+            let mut state = locked(&engine.state);
+            state.cold_tokens += if held { 0 } else { SHARED_TOKENS };
+            format!("{},{},{SLOTS}", state.running, state.waiting)
+        };
+        let answered = answer(request, &queue, stream);
+        engine.free_slot();
+        answered.is_ok()
+    }
+
+    /// Reads what the cache lacks of a prompt; whether its shared part was there.
+    fn read_prompt(&self, engine: &Engine, request: &ServerRequest) -> bool {
+        let _reading = locked(&engine.reading);
+        let part = shared_part(request);
+        let source = request.header("kv-fetch").and_then(|text| text.parse().ok());
+        let own = locked(&engine.state).holds(&part);
+        let taken_over = !own && source.is_some_and(|source| self.holds(source, &part));
+        let cold = if own || taken_over { 0 } else { SHARED_TOKENS };
+        std::thread::sleep(READ_TOKEN * (cold + OWN_TOKENS) as u32);
+        if taken_over {
+            std::thread::sleep(TAKE_OVER);
+        }
+        locked(&engine.state).keep(part);
+        cold == 0
+    }
+
+    fn holds(&self, address: SocketAddr, part: &str) -> bool {
+        let engine = locked(&self.engines).get(&address).cloned();
+        engine.is_some_and(|engine| locked(&engine.state).holds(part))
+    }
+}
+
+impl EngineState {
+    fn holds(&self, part: &str) -> bool {
+        self.cache.iter().any(|known| known == part)
+    }
+
+    /// Keeps a part; the one that was used longest ago gives way.
+    fn keep(&mut self, part: String) {
+        self.cache.retain(|known| *known != part);
+        self.cache.push_back(part);
+        if self.cache.len() > CACHED_PARTS {
+            self.cache.pop_front();
+        }
+    }
+}
+
+impl Engine {
+    fn take_slot(&self) {
+        let mut state = locked(&self.state);
+        state.waiting += 1;
+        while state.running >= SLOTS {
+            state = self.freed.wait(state).unwrap_or_else(PoisonError::into_inner);
+        }
+        state.waiting -= 1;
+        state.running += 1;
+    }
+
+    fn free_slot(&self) {
+        locked(&self.state).running -= 1;
+        self.freed.notify_one();
+    }
+}
+
+fn shared_part(request: &ServerRequest) -> String {
+    let chain = request.header("prompt-prefix").unwrap_or_default();
+    chain.split(':').next().unwrap_or_default().to_string()
+}
+
+fn answer(request: &ServerRequest, queue: &str, stream: &mut TcpStream) -> std::io::Result<()> {
+    let headers = format!(
+        "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\nserver-load: {queue}\r\n"
+    );
+    stream.write_all(request.answer_head(200, &headers).as_bytes())?;
+    for number in 1..=EVENTS {
+        std::thread::sleep(EVENT_EVERY);
+        let event = format!("id: {number}\ndata: word\n\n");
+        stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+    }
+    stream.write_all(b"0\r\n\r\n")
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/surge/load_pattern.rs
@@ -0,0 +1,113 @@
+//! Which requests come when.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use thiserror::Error;
+
+/// A way in which load comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadPattern {
+    /// What the engines serve with ease.
+    Calm,
+    /// Ten times as much from everybody, for a third of the time.
+    SurgeOfAll,
+    /// One organisation sends twenty times its usual, for a third of the time.
+    SurgeOfOne,
+    /// One shared part is in a quarter of the requests.
+    HotPart,
+    /// A third of the engines leave halfway.
+    EnginesGone,
+}
+
+/// All patterns.
+const PATTERNS: [LoadPattern; 5] = [
+    LoadPattern::Calm,
+    LoadPattern::SurgeOfAll,
+    LoadPattern::SurgeOfOne,
+    LoadPattern::HotPart,
+    LoadPattern::EnginesGone,
+];
+
+impl fmt::Display for LoadPattern {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            LoadPattern::Calm => "calm",
+            LoadPattern::SurgeOfAll => "surge-of-all",
+            LoadPattern::SurgeOfOne => "surge-of-one",
+            LoadPattern::HotPart => "hot-part",
+            LoadPattern::EnginesGone => "engines-gone",
+        })
+    }
+}
+
+/// No pattern has this name.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{0:?} is no pattern; use calm, surge-of-all, surge-of-one, hot-part or engines-gone")]
+pub struct UnknownPattern(String);
+
+impl FromStr for LoadPattern {
+    type Err = UnknownPattern;
+
+    fn from_str(text: &str) -> Result<Self, UnknownPattern> {
+        let known = PATTERNS.into_iter().find(|pattern| pattern.to_string() == text);
+        known.ok_or_else(|| UnknownPattern(text.to_string()))
+    }
+}
+
+/// Organisations that send.
+pub(super) const ORGANISATIONS: usize = 6;
+/// Shared parts of prompts.
+const PARTS: u64 = 24;
+/// Requests a second in calm: a fifth of what six engines serve.
+const USUAL_RATE: f64 = 50.0;
+/// How many times as much comes in a surge of all.
+const SURGE: f64 = 10.0;
+/// How many times its usual the surging organisation sends.
+const SURGE_OF_ONE: f64 = 20.0;
+/// The part of requests with the hot part.
+const HOT_PART: f64 = 0.25;
+
+/// A request to come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlannedCall {
+    /// When.
+    pub at: Duration,
+    /// The organisation's number; 0 is the one that surges.
+    pub organisation: usize,
+    /// The shared part of its prompt.
+    pub part: u64,
+}
+
+/// The requests of a pattern, by its seed.
+pub fn draw_calls(pattern: LoadPattern, seed: u64, length: Duration) -> Vec<PlannedCall> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut calls = Vec::new();
+    let mut at = 0.0;
+    while at < length.as_secs_f64() {
+        let surging = (1.0 / 3.0..2.0 / 3.0).contains(&(at / length.as_secs_f64()));
+        let (rate, from_one) = match (pattern, surging) {
+            (LoadPattern::SurgeOfAll, true) => (USUAL_RATE * SURGE, None),
+            (LoadPattern::SurgeOfOne, true) => {
+                let own = USUAL_RATE / ORGANISATIONS as f64 * SURGE_OF_ONE;
+                let others = USUAL_RATE * (1.0 - 1.0 / ORGANISATIONS as f64);
+                (own + others, Some(own / (own + others)))
+            }
+            _ => (USUAL_RATE, None),
+        };
+        // Exponential pauses: callers don't know of one another.
+        at += -random.random_range(f64::EPSILON..1.0).ln() / rate;
+        let organisation = match from_one {
+            Some(part) if random.random_bool(part) => 0,
+            Some(_) => random.random_range(1..ORGANISATIONS),
+            None => random.random_range(0..ORGANISATIONS),
+        };
+        let hot = pattern == LoadPattern::HotPart && random.random_bool(HOT_PART);
+        let part = if hot { 0 } else { random.random_range(0..PARTS) };
+        calls.push(PlannedCall { at: Duration::from_secs_f64(at), organisation, part });
+    }
+    calls
+}
--- /dev/null
+++ b/crates/papayamux-measure/src/surge/mod.rs
@@ -0,0 +1,13 @@
+//! Load patterns against real routers on loopback, by placement policy.
+
+mod callers;
+mod engine_model;
+mod load_pattern;
+mod options;
+mod run;
+mod summary;
+
+pub use load_pattern::{draw_calls, LoadPattern, PlannedCall};
+pub use options::SurgeOptions;
+pub use run::run_surge;
+pub use summary::{summarize, CallOutcome, SurgeSummary};
--- /dev/null
+++ b/crates/papayamux-measure/src/surge/summary.rs
@@ -0,0 +1,58 @@
+//! What became of the requests.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// One request's end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallOutcome {
+    /// The organisation's number.
+    pub organisation: usize,
+    /// From the first try to the first event; nothing where there was none.
+    pub first_event: Option<Duration>,
+}
+
+/// The time to the first event within which an answer is on time: that of the configuration.
+pub(super) const OBJECTIVE: Duration = Duration::from_millis(200);
+
+/// Figures of one policy under one pattern.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SurgeSummary {
+    /// Part of the requests that were on time.
+    pub on_time: f64,
+    /// The same for organisations that don't surge.
+    pub others_on_time: f64,
+    /// Part that was late.
+    pub late: f64,
+    /// Part that was not served.
+    pub unserved: f64,
+    /// Time to the first event, in milliseconds, of those that were served.
+    pub median_ms: u64,
+    /// The 99th percentile of the same.
+    pub high_ms: u64,
+}
+
+/// Sums outcomes up.
+pub fn summarize(outcomes: &[CallOutcome]) -> SurgeSummary {
+    let on_time = |outcome: &CallOutcome| outcome.first_event.is_some_and(|took| took <= OBJECTIVE);
+    let part = |count: usize, all: usize| count as f64 / all.max(1) as f64;
+    let mut times = Histogram::<u64>::new(3).ok();
+    for took in outcomes.iter().filter_map(|outcome| outcome.first_event) {
+        if let Some(times) = &mut times {
+            times.saturating_record(took.as_millis() as u64);
+        }
+    }
+    let others: Vec<_> = outcomes.iter().filter(|outcome| outcome.organisation != 0).collect();
+    let served = outcomes.iter().filter(|outcome| outcome.first_event.is_some()).count();
+    let timely = outcomes.iter().filter(|outcome| on_time(outcome)).count();
+    let quantile = |at: f64| times.as_ref().map_or(0, |times| times.value_at_quantile(at));
+    SurgeSummary {
+        on_time: part(timely, outcomes.len()),
+        others_on_time: part(others.iter().filter(|one| on_time(one)).count(), others.len()),
+        late: part(served - timely, outcomes.len()),
+        unserved: part(outcomes.len() - served, outcomes.len()),
+        median_ms: quantile(0.5),
+        high_ms: quantile(0.99),
+    }
+}
--- a/crates/papayamux-measure/src/tasks/measure_task.rs
+++ b/crates/papayamux-measure/src/tasks/measure_task.rs
@@ -4,7 +4,9 @@
 
 use getopts::{Matches, Options};
 
-use super::{config, conflicts, control, demo, orders, path, promises, routing, soak, table};
+use super::{
+    config, conflicts, control, demo, orders, path, promises, routing, soak, surge, table,
+};
 
 /// Why a task can't be run to its end.
 pub type TaskError = Box<dyn Error>;
@@ -33,6 +35,7 @@
     orders::TASK,
     control::TASK,
     soak::TASK,
+    surge::TASK,
 ];
 
 /// The task of that name.
--- a/crates/papayamux-measure/src/tasks/mod.rs
+++ b/crates/papayamux-measure/src/tasks/mod.rs
@@ -10,6 +10,7 @@
 mod promises;
 mod routing;
 mod soak;
+mod surge;
 mod table;
 
 pub use measure_task::{find_task, MeasureTask, TaskError, TASKS};
