--- a/crates/papayamux-measure/src/tasks/demo.rs
+++ b/crates/papayamux-measure/src/tasks/demo.rs
@@ -6,6 +6,8 @@
 pub(super) const TASK: MeasureTask = MeasureTask {
     name: "demo",
     purpose: "run a small fleet and a conversation of several turns",
-    declare: |_| {},
-    run: |_| run_demo(),
+    declare: |options| {
+        options.optflag("", "keep", "keep the fleet up until Ctrl-C, for clients of your own");
+    },
+    run: |matches| run_demo(matches.opt_present("keep")),
 };
--- a/demo.sh
+++ b/demo.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 cargo build --release --locked --workspace --bins
-exec target/release/papayamux-measure demo
+exec target/release/papayamux-measure demo "$@"
