Untie three circles of files at agents, declarations and the wire

Cause: files imported each other in 15 circles; six files of the agent through what all connections share. Change: the agent's shared core stands in a file of its own and the stream number of a connection is the transport's; parsing, computing and hashing are methods beside their work, so that the types don't import it; wire types that several messages contain have a file.

--- a/crates/papayamux-agent/src/accept.rs
+++ b/crates/papayamux-agent/src/accept.rs
@@ -7,7 +7,8 @@
 use monoio::net::TcpListener;
 use papayamux_state::address_range::admits;
 
-use crate::router_link::{serve_router, AgentCore};
+use crate::agent_core::AgentCore;
+use crate::router_link::serve_router;
 
 /// Connections of routers open at once.
 const MOST_LINKS: i64 = 2_048;
--- a/crates/papayamux-agent/src/admitted_run.rs
+++ b/crates/papayamux-agent/src/admitted_run.rs
@@ -12,9 +12,9 @@
 use papayamux_state::load::GroupId;
 use papayamux_state::refusal::RefusalReason;
 
+use crate::agent_core::AgentCore;
 use crate::answers::{AnswerRecord, Attachment};
 use crate::orders::GatePass;
-use crate::router_link::AgentCore;
 use crate::run::run_request;
 
 /// Time after which a refused router may ask again, where nothing better is known.
--- a/crates/papayamux-agent/src/answers/answer_record.rs
+++ b/crates/papayamux-agent/src/answers/answer_record.rs
@@ -15,7 +15,7 @@
 
 use super::held_bytes::HeldBytes;
 use super::StoreLimits;
-use crate::router_link::CONNECTION;
+use papayamux_transport::agent_link::CONNECTION;
 
 /// Bytes of one data frame at most.
 const LONGEST_PIECE: usize = 64 * 1024;
--- a/crates/papayamux-agent/src/claims/recall.rs
+++ b/crates/papayamux-agent/src/claims/recall.rs
@@ -8,7 +8,7 @@
 use papayamux_transport::shutdown::ShutdownSignal;
 
 use super::kept_answers::KeptAnswer;
-use crate::router_link::AgentCore;
+use crate::agent_core::AgentCore;
 
 /// Bytes of one piece of an answer at most.
 const LONGEST_PIECE: usize = 64 * 1024;
--- a/crates/papayamux-agent/src/daemon.rs
+++ b/crates/papayamux-agent/src/daemon.rs
@@ -24,13 +24,13 @@
 use thiserror::Error;
 
 use crate::accept::accept_routers;
+use crate::agent_core::AgentCore;
 use crate::answers::{sweep_answers, AnswerStore, StoreLimits};
 use crate::claims::{ClaimWitness, KeptAnswers};
 use crate::engine_follower::follow_engine;
 use crate::engine_view::EngineView;
 use crate::metrics::AgentMetrics;
 use crate::orders::{OrderCore, OrderMetrics, OrderTask};
-use crate::router_link::AgentCore;
 use crate::settings::AgentSettings;
 use crate::trust::RouterTrust;
 
--- a/crates/papayamux-agent/src/engine_follower.rs
+++ b/crates/papayamux-agent/src/engine_follower.rs
@@ -14,7 +14,7 @@
 use papayamux_transport::timer::TimerService;
 use serde::de::DeserializeOwned;
 
-use crate::router_link::AgentCore;
+use crate::agent_core::AgentCore;
 
 /// How often the engine is asked for events.
 const EVENTS_EVERY: Duration = Duration::from_millis(100);
--- a/crates/papayamux-agent/src/farewell.rs
+++ b/crates/papayamux-agent/src/farewell.rs
@@ -6,7 +6,7 @@
 use papayamux_transport::link::LinkSender;
 use papayamux_transport::shutdown::ShutdownSignal;
 
-use crate::router_link::CONNECTION;
+use papayamux_transport::agent_link::CONNECTION;
 
 /// The ping by which a leaving agent learns that a router has read all before it.
 pub const FAREWELL_PING: u64 = u64::MAX;
--- a/crates/papayamux-agent/src/lib.rs
+++ b/crates/papayamux-agent/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod admitted_run;
+mod agent_core;
 pub mod answers;
 pub mod claims;
 pub mod daemon;
--- a/crates/papayamux-agent/src/orders/order_task.rs
+++ b/crates/papayamux-agent/src/orders/order_task.rs
@@ -19,7 +19,7 @@
 use super::serving_client::ServingClient;
 use super::step_choice::{next_load, unused_slot, update_deadline, EvidenceTable};
 use super::stop_requests::StopRequests;
-use crate::router_link::AgentCore;
+use crate::agent_core::AgentCore;
 
 /// Looks in a row without a fencing number after an obeyed order, after which the engine is taken
 /// to publish none.
--- a/crates/papayamux-agent/src/router_link.rs
+++ b/crates/papayamux-agent/src/router_link.rs
@@ -1,39 +1,29 @@
 //! Connections of routers: one task each, and one for each stream.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures_util::future::{select, Either};
 use monoio::net::TcpStream;
-use papayamux_coordination::admission::AdmissionBook;
 use papayamux_protocol::link::{
-    Addressed, AgentClock, AgentMessage, ClaimReply, ClaimRequest, LoadProbe, OpenRequest,
-    PongNotice, ProbeReply, RecallRequest, RefusalNotice, ResumeRequest, RouterMessage,
+    Addressed, AgentMessage, ClaimReply, ClaimRequest, LoadProbe, OpenRequest, PongNotice,
+    ProbeReply, RecallRequest, RefusalNotice, ResumeRequest, RouterMessage,
 };
-use papayamux_protocol::serving::{ServingAnswer, ServingQuestion, ServingRefusal};
-use papayamux_protocol::wire::{
-    agent_control_length, router_control_length, AgentFrame, RouterFrame,
-};
-use papayamux_state::ids::{FailureDomain, Incarnation, RequestId, ServerId};
-use papayamux_state::load::{GroupId, LoadReport};
+use papayamux_protocol::wire::{agent_control_length, router_control_length};
+use papayamux_state::ids::RequestId;
 use papayamux_state::refusal::RefusalReason;
-use papayamux_transport::http::HttpClient;
-use papayamux_transport::link::{start_link, LinkError, LinkReceiver, LinkSender};
+use papayamux_transport::agent_link::CONNECTION;
+use papayamux_transport::link::{start_link, LinkError, LinkSender};
 use papayamux_transport::shutdown::ShutdownSignal;
 
 use crate::admitted_run::{run_admitted, OpenedStream};
-use crate::answers::{AnswerRecord, AnswerStore, Attachment, AttachmentKey};
-use crate::claims::{serve_recall, ClaimWitness, KeptAnswers, RecallStream};
-use crate::engine_view::EngineView;
+use crate::agent_core::AgentCore;
+use crate::answers::{AnswerRecord, Attachment, AttachmentKey};
+use crate::claims::{serve_recall, RecallStream};
 use crate::farewell::{LinkFarewell, FAREWELL_PING};
-use crate::metrics::AgentMetrics;
-use crate::orders::OrderCore;
-use crate::trust::{GreetingError, RouterTrust, SilentLink, TrustedLink};
-
-/// The receiving half of a router's connection.
-pub type RouterReceiver = LinkReceiver<AgentFrame, RouterFrame>;
+use crate::trust::{GreetingError, RouterReceiver, SilentLink, TrustedLink};
 
 /// Silence on a connection with open streams after which the router is pinged.
 const PING_AFTER: Duration = Duration::from_secs(2);
@@ -43,71 +33,6 @@
 const MOST_STREAMS: usize = 4_096;
 /// Time after which a refused router may ask again.
 const RETRY_AFTER_MS: u32 = 500;
-/// The stream number of the connection itself.
-pub const CONNECTION: u64 = 0;
-
-/// What all connections of an agent share.
-pub struct AgentCore {
-    /// The agent's life.
-    pub incarnation: Incarnation,
-    /// The backend server.
-    pub server: ServerId,
-    /// The agent's failure domain.
-    pub domain: FailureDomain,
-    /// What was admitted.
-    pub book: Rc<AdmissionBook>,
-    /// The witness of claims.
-    pub witness: ClaimWitness,
-    /// Answers kept for repeats.
-    pub kept: Rc<KeptAnswers>,
-    /// Repeats whose answer has not arrived.
-    pub recalls: Cell<u64>,
-    /// Requests to the backend server.
-    pub client: HttpClient,
-    /// What is known of the engine.
-    pub engine: EngineView,
-    /// The agent's metrics.
-    pub metrics: AgentMetrics,
-    /// When the agent started.
-    pub started: Instant,
-    /// Given when the agent leaves.
-    pub leaving: ShutdownSignal,
-    /// Given when all that was admitted has ended, and the connections are to be closed.
-    pub closing: ShutdownSignal,
-    /// The answers that may still be asked for.
-    pub answers: Rc<AnswerStore>,
-    /// Which routers may connect.
-    pub trust: RouterTrust,
-    /// How long the server may make no progress before it is asked whether it lives.
-    pub progress_within: Duration,
-    /// The number of the next connection.
-    pub next_link: Cell<u64>,
-    /// Orders to the engine, where the agent gives any.
-    pub orders: Option<Rc<OrderCore>>,
-}
-
-impl AgentCore {
-    /// The agent's clock.
-    pub fn clock(&self) -> AgentClock {
-        AgentClock::default().after(self.started.elapsed())
-    }
-
-    /// What the server carries, for a group of servers that it belongs to.
-    pub fn load(&self, group: Option<GroupId>) -> LoadReport {
-        let now = self.clock();
-        let report = self.book.load(group, now);
-        LoadReport { backlog: report.backlog + self.engine.prefill_left(now), ..report }
-    }
-
-    /// Answers another server's agent that asks whether it can count on this server.
-    fn answer_question(&self, question: &ServingQuestion) -> ServingAnswer {
-        match &self.orders {
-            Some(orders) => orders.answer_question(question, self.book.is_leaving()),
-            None => ServingAnswer::Refused(ServingRefusal::NotServing),
-        }
-    }
-}
-
 /// Serves one connection to its end.
 pub async fn serve_router(core: &Rc<AgentCore>, stream: TcpStream) {
     let peer = stream.peer_addr().map(|address| address.to_string()).unwrap_or_default();
--- a/crates/papayamux-agent/src/run.rs
+++ b/crates/papayamux-agent/src/run.rs
@@ -12,9 +12,9 @@
 use papayamux_state::refusal::RefusalReason;
 use papayamux_transport::http::{ClientAnswer, HttpClientError};
 
+use crate::agent_core::AgentCore;
 use crate::answers::{AnswerRecord, EventTagger};
 use crate::claims::RunRecorder;
-use crate::router_link::AgentCore;
 use crate::server_exchange::{resume_stream, ResumeTarget, ServerError, ServerStep, ServerWatch};
 
 /// The media type of streamed answers.
--- a/crates/papayamux-agent/src/server_exchange.rs
+++ b/crates/papayamux-agent/src/server_exchange.rs
@@ -17,7 +17,7 @@
 use papayamux_transport::http::{ClientAnswer, HttpClientError};
 use thiserror::Error;
 
-use crate::router_link::AgentCore;
+use crate::agent_core::AgentCore;
 
 /// How long the server may take to answer whether it lives.
 const CHECK_WITHIN: Duration = Duration::from_secs(2);
--- a/crates/papayamux-agent/src/trust.rs
+++ b/crates/papayamux-agent/src/trust.rs
@@ -6,11 +6,16 @@
     Addressed, AgentMessage, AgentWelcome, RouterHello, RouterMessage, PROTOCOL_VERSION,
 };
 use papayamux_protocol::proof::{ProofContext, ProofNonce, ProofRole, SharedSecret};
+use papayamux_protocol::wire::{AgentFrame, RouterFrame};
 use papayamux_state::address_range::AddressRange;
-use papayamux_transport::link::{LinkError, LinkSender};
+use papayamux_transport::agent_link::CONNECTION;
+use papayamux_transport::link::{LinkError, LinkReceiver, LinkSender};
 use thiserror::Error;
 
-use crate::router_link::{AgentCore, RouterReceiver, CONNECTION};
+use crate::agent_core::AgentCore;
+
+/// The receiving half of a router's connection.
+pub type RouterReceiver = LinkReceiver<AgentFrame, RouterFrame>;
 
 /// How long a router may take to say hello, and to prove itself.
 const HELLO_WITHIN: Duration = Duration::from_secs(5);
--- a/crates/papayamux-declarations/src/file/mod.rs
+++ b/crates/papayamux-declarations/src/file/mod.rs
@@ -3,6 +3,7 @@
 mod declaration_file;
 mod grants;
 mod items;
+mod parse;
 mod parsed_file;
 mod reader;
 
--- a/crates/papayamux-declarations/src/file/parsed_file.rs
+++ b/crates/papayamux-declarations/src/file/parsed_file.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use papayamux_settings::{Finding, Findings, IniFile};
 use papayamux_state::ids::{AdapterId, ModelId, OrganisationId, ServerId};
 
 use super::grants::GrantSection;
@@ -10,13 +9,8 @@
     AdapterDeclaration, ModelDeclaration, OrganisationDeclaration, Placed, RouteDeclaration,
     ServerDeclaration,
 };
-use super::reader::read_file;
-use super::LARGEST_FILE;
 use crate::values::{FileName, PathPrefix};
 
-/// Lines of the longest file, which bounds the memory that its parsing takes.
-const MOST_LINES: usize = 65_536;
-
 /// All that a file declares.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ParsedFile {
@@ -35,16 +29,6 @@
 }
 
 impl ParsedFile {
-    /// Parses the text of the file called `name`, or reports all that is wrong with it by itself.
-    pub fn parse(name: &FileName, text: &str) -> Result<Self, Findings> {
-        check_size(name, "bytes", text.len(), LARGEST_FILE)?;
-        check_size(name, "lines", text.lines().count(), MOST_LINES)?;
-        let file = IniFile::parse(name.as_str(), text)?;
-        report_replaced_bytes(&file, text);
-        let parsed = read_file(&file, name);
-        file.finish(|| parsed)
-    }
-
     /// How many things the file declares.
     pub fn item_count(&self) -> usize {
         self.organisations.len()
@@ -54,23 +38,3 @@
             + self.routes.len()
     }
 }
-
-fn report_replaced_bytes(file: &IniFile, text: &str) {
-    let replaced = |line: &&str| line.contains(char::REPLACEMENT_CHARACTER);
-    if let Some(index) = text.lines().position(|line| replaced(&line)) {
-        file.report(index + 1, "text".to_string(), "the line is not UTF-8", "");
-    }
-}
-
-fn check_size(name: &FileName, unit: &str, size: usize, bound: usize) -> Result<(), Findings> {
-    if size <= bound {
-        return Ok(());
-    }
-    Err(Findings(vec![Finding {
-        file: name.to_string(),
-        line: 1,
-        place: "file".to_string(),
-        message: format!("the file has {size} {unit}, the bound is {bound}"),
-        help: "split it among teams".to_string(),
-    }]))
-}
--- a/crates/papayamux-declarations/src/in_force/compute.rs
+++ b/crates/papayamux-declarations/src/in_force/compute.rs
@@ -13,46 +13,65 @@
 use crate::values::{ItemKind, PathPrefix};
 use papayamux_state::ids::ServerId;
 
-pub(super) fn compute(set: &FileSet) -> InForce {
-    let files = files_in_force(set);
-    let ownership = Ownership::new(&files);
-    let mut blocked = Vec::new();
-    let organisations = settle_names(
-        &files,
-        &ownership,
-        ItemKind::Organisation,
-        |parsed| &parsed.organisations,
-        &mut blocked,
-    );
-    let mut models =
-        settle_names(&files, &ownership, ItemKind::Model, |parsed| &parsed.models, &mut blocked);
-    let mut adapters = settle_names(
-        &files,
-        &ownership,
-        ItemKind::Adapter,
-        |parsed| &parsed.adapters,
-        &mut blocked,
-    );
-    let mut owned_servers =
-        settle_names(&files, &ownership, ItemKind::Server, |parsed| &parsed.servers, &mut blocked);
-    let owned_routes =
-        settle_names(&files, &ownership, ItemKind::Route, |parsed| &parsed.routes, &mut blocked);
-    settle_agents(&mut owned_servers, &mut blocked);
-    retire_models(&mut models, &adapters, &owned_servers, &mut blocked);
-    settle_adapters(&models, &mut adapters, &mut blocked);
-    let servers = settle_servers(&models, &adapters, &owned_servers, &mut blocked);
-    let routes = settle_routes(&ownership, &owned_servers, &owned_routes, &servers, &mut blocked);
-    let organisations = settle_organisations(&ownership, &organisations, &mut blocked);
-    blocked.sort();
-    InForce {
-        files: files.iter().map(|file| (file.name.clone(), file.revision)).collect(),
-        organisations,
-        models: declared(models),
-        adapters: declared(adapters),
-        servers,
-        routes,
-        refused: refusals(set),
-        blocked,
+impl InForce {
+    /// Derives what is in force from `set` and nothing else.
+    pub fn compute(set: &FileSet) -> Self {
+        let files = files_in_force(set);
+        let ownership = Ownership::new(&files);
+        let mut blocked = Vec::new();
+        let organisations = settle_names(
+            &files,
+            &ownership,
+            ItemKind::Organisation,
+            |parsed| &parsed.organisations,
+            &mut blocked,
+        );
+        let mut models = settle_names(
+            &files,
+            &ownership,
+            ItemKind::Model,
+            |parsed| &parsed.models,
+            &mut blocked,
+        );
+        let mut adapters = settle_names(
+            &files,
+            &ownership,
+            ItemKind::Adapter,
+            |parsed| &parsed.adapters,
+            &mut blocked,
+        );
+        let mut owned_servers = settle_names(
+            &files,
+            &ownership,
+            ItemKind::Server,
+            |parsed| &parsed.servers,
+            &mut blocked,
+        );
+        let owned_routes = settle_names(
+            &files,
+            &ownership,
+            ItemKind::Route,
+            |parsed| &parsed.routes,
+            &mut blocked,
+        );
+        settle_agents(&mut owned_servers, &mut blocked);
+        retire_models(&mut models, &adapters, &owned_servers, &mut blocked);
+        settle_adapters(&models, &mut adapters, &mut blocked);
+        let servers = settle_servers(&models, &adapters, &owned_servers, &mut blocked);
+        let routes =
+            settle_routes(&ownership, &owned_servers, &owned_routes, &servers, &mut blocked);
+        let organisations = settle_organisations(&ownership, &organisations, &mut blocked);
+        blocked.sort();
+        InForce {
+            files: files.iter().map(|file| (file.name.clone(), file.revision)).collect(),
+            organisations,
+            models: declared(models),
+            adapters: declared(adapters),
+            servers,
+            routes,
+            refused: refusals(set),
+            blocked,
+        }
     }
 }
 
--- a/crates/papayamux-declarations/src/in_force/digest.rs
+++ b/crates/papayamux-declarations/src/in_force/digest.rs
@@ -43,17 +43,20 @@
     }
 }
 
-/// Hashes the revisions in force and the text of each item. Refused revisions are left out: two
-/// processes act alike though only one has heard of them.
-pub(super) fn digest(in_force: &InForce) -> ConfigurationDigest {
-    let mut hasher = Xxh3::new();
-    let mut update = |line: String| {
-        hasher.update(&(line.len() as u64).to_le_bytes());
-        hasher.update(line.as_bytes());
-    };
-    for (file, revision) in &in_force.files {
-        update(format!("file {file} {revision}"));
+impl InForce {
+    /// A hash over all that is in force: equal in all processes that act alike. It covers the
+    /// revisions in force and the text of each item. Refused revisions are left out: two processes
+    /// act alike though only one has heard of them.
+    pub fn digest(&self) -> ConfigurationDigest {
+        let mut hasher = Xxh3::new();
+        let mut update = |line: String| {
+            hasher.update(&(line.len() as u64).to_le_bytes());
+            hasher.update(line.as_bytes());
+        };
+        for (file, revision) in &self.files {
+            update(format!("file {file} {revision}"));
+        }
+        item_lines(self).for_each(&mut update);
+        ConfigurationDigest(hasher.digest())
     }
-    item_lines(in_force).for_each(&mut update);
-    ConfigurationDigest(hasher.digest())
 }
--- a/crates/papayamux-declarations/src/in_force/summary.rs
+++ b/crates/papayamux-declarations/src/in_force/summary.rs
@@ -7,11 +7,9 @@
 use papayamux_state::ids::{AdapterId, ModelId, OrganisationId, ServerId};
 
 use super::block::BlockedItem;
-use super::compute::compute;
-use super::digest::{digest, ConfigurationDigest};
 use super::items::{Declared, EngineTarget, Organisation, Route, Server, ServerTask};
 use crate::file::{AdapterDeclaration, ModelDeclaration};
-use crate::file_set::{FileSet, RefusedRevision};
+use crate::file_set::RefusedRevision;
 use crate::values::{FileName, FileRevision, MethodName, PathPrefix};
 
 /// A file whose newest revision is refused.
@@ -65,16 +63,6 @@
 }
 
 impl InForce {
-    /// Derives what is in force from `set` and nothing else.
-    pub fn compute(set: &FileSet) -> Self {
-        compute(set)
-    }
-
-    /// A hash over all that is in force: equal in all processes that act alike.
-    pub fn digest(&self) -> ConfigurationDigest {
-        digest(self)
-    }
-
     /// How far the files have come.
     pub fn generation(&self) -> Generation {
         let revisions = self.files.values().map(|revision| revision.get());
--- a/crates/papayamux-protocol/src/wire/claim_messages.rs
+++ b/crates/papayamux-protocol/src/wire/claim_messages.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::messages::{WireRefusal, WireRequestId};
+use super::shared_messages::{WireRefusal, WireRequestId};
 
 /// The wire form of [`crate::link::ClaimRequest`].
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/papayamux-protocol/src/wire/convert_agent.rs
+++ b/crates/papayamux-protocol/src/wire/convert_agent.rs
@@ -4,6 +4,7 @@
 
 use super::convert_load::optional_server;
 use super::messages::*;
+use super::shared_messages::WireRefusal;
 use super::{identifier, nonce_bytes, read_nonce, required, FrameMessage, WireError};
 use crate::link::{
     Addressed, AgentClock, AgentMessage, AgentWelcome, AnswerData, AnswerEnd, AnswerHead,
--- a/crates/papayamux-protocol/src/wire/convert_router.rs
+++ b/crates/papayamux-protocol/src/wire/convert_router.rs
@@ -6,6 +6,7 @@
 use papayamux_state::ids::{Incarnation, RequestId};
 
 use super::messages::*;
+use super::shared_messages::WireRequestId;
 use super::{identifier, nonce_bytes, read_nonce, required, FrameMessage, WireError};
 use crate::link::{
     Addressed, AgentClock, ChatTarget, HeaderField, OpenRequest, PlacementRule, RepeatRule,
--- a/crates/papayamux-protocol/src/wire/messages.rs
+++ b/crates/papayamux-protocol/src/wire/messages.rs
@@ -5,6 +5,7 @@
 use super::claim_messages::{WireClaim, WireClaimNotice, WireClaimReply, WireRecall};
 use super::load_messages::{WireGroupLoad, WireLoad, WireMoved, WireProbe, WireProbed};
 use super::serving_messages::{WireServingAnswer, WireServingQuestion};
+use super::shared_messages::{WireRefusal, WireRequestId};
 
 /// A frame from a router to an agent.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -217,17 +218,6 @@
     pub clock_ms: u64,
 }
 
-/// The wire form of [`papayamux_state::ids::RequestId`].
-#[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct WireRequestId {
-    /// The router's life.
-    #[prost(fixed64, tag = "1")]
-    pub incarnation: u64,
-    /// The attempt's number.
-    #[prost(uint64, tag = "2")]
-    pub number: u64,
-}
-
 /// The wire form of [`crate::link::HeaderField`].
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct WireHeader {
@@ -309,20 +299,6 @@
     pub group_load: Option<WireGroupLoad>,
 }
 
-/// The wire form of [`crate::link::RefusalNotice`].
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct WireRefusal {
-    /// The reason's number.
-    #[prost(uint32, tag = "1")]
-    pub reason: u32,
-    /// Milliseconds after which to ask again.
-    #[prost(uint32, tag = "2")]
-    pub retry_after_ms: u32,
-    /// A better server.
-    #[prost(string, optional, tag = "3")]
-    pub better: Option<String>,
-}
-
 /// The wire form of [`crate::link::AnswerHead`].
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct WireHead {
--- a/crates/papayamux-protocol/src/wire/mod.rs
+++ b/crates/papayamux-protocol/src/wire/mod.rs
@@ -13,6 +13,7 @@
 mod messages;
 mod peer;
 mod serving_messages;
+mod shared_messages;
 
 pub use claim_messages::*;
 pub use control_length::{agent_control_length, router_control_length};
@@ -22,6 +23,7 @@
 pub use messages::*;
 pub use peer::*;
 pub use serving_messages::*;
+pub use shared_messages::*;
 
 use bytes::Bytes;
 use papayamux_state::ids::IdError;
