Untie the attempt from the call desk

Cause: the attempt took one name from the desk that makes it. Change: the name stands with the attempt.

--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -11,7 +11,6 @@
 
 use super::active_request::ActiveRequest;
 use super::attempt_watch::AttemptAlarm;
-use super::call_desk::TIME_UP;
 use super::call_plan::CallPlan;
 use super::interface::{AnswerVerdict, CallInterface};
 
@@ -27,6 +26,9 @@
 /// Silence of an engine before a stream's first event: its prompt may wait behind others.
 const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(700);
 
+/// The cause of an attempt that ended with the time that was left.
+pub(super) const TIME_UP: &str = "the time is up";
+
 /// An answer that has begun.
 pub(super) struct AttemptAnswer {
     pub(super) answer: UpstreamAnswer,
--- a/crates/papayamux-router/src/direct/call_desk.rs
+++ b/crates/papayamux-router/src/direct/call_desk.rs
@@ -12,7 +12,9 @@
 use papayamux_transport::http::AnswerBody;
 
 use super::active_request::ActiveRequest;
-use super::attempt::{collect_body, send_attempt, AttemptAnswer, CollectedBody, LostAttempt};
+use super::attempt::{
+    collect_body, send_attempt, AttemptAnswer, CollectedBody, LostAttempt, TIME_UP,
+};
 use super::call_plan::CallPlan;
 use super::interface::CallInterface;
 use super::request_body::read_body;
@@ -188,9 +190,6 @@
     Lost(LostAttempt),
 }
 
-/// The cause of an attempt that ended with the time that was left.
-pub(super) const TIME_UP: &str = "the time is up";
-
 fn timed_out(failure: CallFailure) -> CallFailure {
     match failure {
         CallFailure::Unknown(_) => CallFailure::TimedOut,
