Count what a nearly full cache pushes out

Cause: in a surge, prompts moved to engines with a little less to do, and pushed other parts out of caches that hold little more than the parts in use; these were read again. Change: placement adds the reading of as many tokens where the router's model of a cache is nine tenths full. Tests: `placement.rs` (a nearly full cache takes a part in only for a greater difference in load).

--- a/crates/papayamux-coordination/src/placement/candidate.rs
+++ b/crates/papayamux-coordination/src/placement/candidate.rs
@@ -33,6 +33,8 @@
     pub slots: u32,
     /// Tokens of the prompt that this router knows it to hold.
     pub warm: TokenCount,
+    /// Whether its cache is nearly full.
+    pub tight: bool,
     /// Its place in the order of the prompt's group, 0 for the home; all routers have the same.
     pub rank: u32,
     /// The part of its answers that it fails beyond what the others fail, from 0 to 1.
--- a/crates/papayamux-coordination/tests/placement.rs
+++ b/crates/papayamux-coordination/tests/placement.rs
@@ -22,6 +22,7 @@
         waiting: 0,
         slots: 8,
         warm: tokens(0),
+        tight: false,
         rank: 1,
         failing: 0.0,
         held_up: 0.0,
@@ -183,3 +184,17 @@
     let sound = PlacementCandidate { held_up: 0.0, ..home };
     assert_eq!(placed(LONG, &[sound, near]), 0);
 }
+
+#[test]
+fn nearly_full_cache_takes_a_part_in_only_for_a_greater_difference_in_load() {
+    let home = PlacementCandidate { rank: 0, warm: tokens(10_500), ..candidate(60) };
+    let spare = PlacementCandidate { tight: false, ..candidate(10) };
+    let tight = PlacementCandidate { tight: true, ..candidate(10) };
+    let others = [candidate(60), candidate(60), candidate(60)];
+    let with = |one| [vec![home, one], others.to_vec()].concat();
+    assert_eq!(placed(LONG, &with(spare)), 1);
+    assert_eq!(placed(LONG, &with(tight)), 0);
+    let idle = PlacementCandidate { tight: true, ..candidate(0) };
+    let crowded = PlacementCandidate { waiting: 30, ..home };
+    assert_eq!(placed(LONG, &[crowded, idle, candidate(60)]), 1);
+}
--- a/crates/papayamux-router/src/direct/fleet/choice.rs
+++ b/crates/papayamux-router/src/direct/fleet/choice.rs
@@ -89,7 +89,8 @@
         rank: u32,
         now: Instant,
     ) -> PlacementCandidate {
-        let warm = self.warm.borrow().get(&server.id).map(|warm| warm.warm_tokens(prompt));
+        let caches = self.warm.borrow();
+        let cache = caches.get(&server.id);
         let silence = self.silence(server, now);
         let limit = if server_is_engine(prompt) { ENGINE_SILENCE } else { PLAIN_SILENCE };
         let standing = match silence.is_some_and(|silence| silence > limit) {
@@ -101,7 +102,8 @@
             load: self.ledger.borrow().total(&server.id),
             waiting: self.queue_words.borrow().waiting(&server.id, now),
             slots: server.slots,
-            warm: warm.unwrap_or_default(),
+            warm: cache.map(|cache| cache.warm_tokens(prompt)).unwrap_or_default(),
+            tight: cache.is_some_and(WarmParts::is_tight),
             rank,
             failing: self.excess_failures(server, now),
             held_up: self.links.borrow().excess(&server.domain, now),
--- a/crates/papayamux-state/src/prompt/warm_parts.rs
+++ b/crates/papayamux-state/src/prompt/warm_parts.rs
@@ -10,6 +10,9 @@
 /// of its own, has its last 80 seconds remembered.
 const MOST_PREFIXES: usize = 800;
 
+/// The part of its capacity from which a cache counts as nearly full.
+const TIGHT_PART: f64 = 0.9;
+
 #[derive(Debug, Clone, Copy)]
 struct WarmPrefix {
     tokens: TokenCount,
@@ -45,6 +48,11 @@
         known.map(|(_, tokens)| tokens).sum()
     }
 
+    /// Whether the cache is nearly full: what comes pushes out about as much.
+    pub fn is_tight(&self) -> bool {
+        self.held.get() as f64 >= self.capacity.get() as f64 * TIGHT_PART
+    }
+
     /// Notes that the server reads `chain`.
     pub fn note_use(&mut self, chain: &PromptChain) {
         self.note_prefixes(chain.prefixes());
