Name servers' queue reports and evictions by the usual terms, and bound what is learnt of routes

Cause: read as a newcomer would, 'words' and 'pushed out' had to be explained; deadlines were kept for every route ever called. Change: queue reports, evicts; above 4,096 routes the deadlines are dropped and learnt again.

--- a/crates/papayamux-coordination/src/placement/candidate.rs
+++ b/crates/papayamux-coordination/src/placement/candidate.rs
@@ -27,14 +27,14 @@
     pub accepts: bool,
     /// Requests and prompt tokens that all routers have there, as far as is known.
     pub load: ServerLoad,
-    /// Requests that wait there for a slot or for memory, by its own word.
+    /// Requests that wait there for a slot or for memory, by its own report.
     pub waiting: u32,
     /// Requests that it runs at once; 0 where it isn't known.
     pub slots: u32,
     /// Tokens of the prompt that this router knows it to hold.
     pub warm: TokenCount,
     /// Whether its cache is nearly full.
-    pub tight: bool,
+    pub nearly_full: bool,
     /// Its place in the order of the prompt's group, 0 for the home; all routers have the same.
     pub rank: u32,
     /// The part of its answers that it fails beyond what the others fail, from 0 to 1.
--- a/crates/papayamux-coordination/src/placement/placer.rs
+++ b/crates/papayamux-coordination/src/placement/placer.rs
@@ -193,7 +193,7 @@
     let crowd = f64::from(candidate.load.requests) * ENGINE_MS_PER_REQUEST
         + f64::from(candidate.waiting) * ENGINE_MS_PER_WAITING;
     let moved = transfer * COLD_WEIGHT;
-    // What a nearly full cache takes in pushes out as much, which will be read again.
-    let pushed_out = if candidate.tight { lacking / PREFILL_TOKENS_PER_MS } else { 0.0 };
-    risk + pushed_out + read + cold / PREFILL_TOKENS_PER_MS * (COLD_WEIGHT - 1.0) + moved + crowd
+    // What a nearly full cache takes in evicts as much, which will be read again.
+    let eviction = if candidate.nearly_full { lacking / PREFILL_TOKENS_PER_MS } else { 0.0 };
+    risk + eviction + read + cold / PREFILL_TOKENS_PER_MS * (COLD_WEIGHT - 1.0) + moved + crowd
 }
--- a/crates/papayamux-coordination/src/server_places.rs
+++ b/crates/papayamux-coordination/src/server_places.rs
@@ -14,12 +14,12 @@
 /// Prompt tokens that may wait at an engine before it counts as full. Engines read 60 to 66 in a
 /// millisecond: a fifth of a second, which with the wait in the line stays below the objectives.
 const ENGINE_BACKLOG: u64 = 12_000;
-/// Requests that may wait at an engine, by its own word, before it counts as full, although it has
+/// Requests that may wait at an engine, by its own report, before it counts as full, although it has
 /// slots: its cache's memory is taken. A few wait while others' prompts are read.
 const ENGINE_QUEUE: u32 = 4;
-/// Age up to which a server's word on its queue is believed. Full servers answer many times in that
-/// time; one that no longer answers is not kept full by an old word.
-const WORD_EXPIRY: Duration = Duration::from_millis(400);
+/// Age up to which a server's report of its queue is believed. Full servers answer many times in that
+/// time; one that no longer answers is not kept full by an old report.
+const REPORT_EXPIRY: Duration = Duration::from_millis(400);
 
 /// How a server takes requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,11 +45,11 @@
 
 /// What servers said last of the requests that wait there.
 #[derive(Debug, Default)]
-pub struct QueueWords {
+pub struct QueueReports {
     servers: HashMap<ServerId, (u32, Instant)>,
 }
 
-impl QueueWords {
+impl QueueReports {
     /// Notes what a server said.
     pub fn note(&mut self, server: &ServerId, queue: ReportedQueue, now: Instant) {
         self.servers.insert(server.clone(), (queue.waiting, now));
@@ -58,12 +58,13 @@
     /// Requests that wait at a server; 0 where nothing recent is known.
     pub fn waiting(&self, server: &ServerId, now: Instant) -> u32 {
         let known = self.servers.get(server);
-        let recent = known.filter(|(_, noted)| now.saturating_duration_since(*noted) < WORD_EXPIRY);
+        let recent =
+            known.filter(|(_, noted)| now.saturating_duration_since(*noted) < REPORT_EXPIRY);
         recent.map_or(0, |(waiting, _)| *waiting)
     }
 
     /// Forgets what is no longer believed.
     pub fn forget_old(&mut self, now: Instant) {
-        self.servers.retain(|_, (_, noted)| now.saturating_duration_since(*noted) < WORD_EXPIRY);
+        self.servers.retain(|_, (_, noted)| now.saturating_duration_since(*noted) < REPORT_EXPIRY);
     }
 }
--- a/crates/papayamux-coordination/tests/placement.rs
+++ b/crates/papayamux-coordination/tests/placement.rs
@@ -22,7 +22,7 @@
         waiting: 0,
         slots: 8,
         warm: tokens(0),
-        tight: false,
+        nearly_full: false,
         rank: 1,
         failing: 0.0,
         held_up: 0.0,
@@ -166,7 +166,7 @@
 }
 
 #[test]
-fn prompt_leaves_a_home_where_many_wait_by_its_own_word() {
+fn prompt_leaves_a_home_where_many_wait_by_its_own_report() {
     let home = PlacementCandidate { rank: 0, warm: tokens(10_500), waiting: 40, ..candidate(20) };
     let placement = place(LONG, &[home, candidate(20)], PlacementTuning::default()).unwrap();
     assert_eq!((placement.server, placement.fetch_from), (1, Some(0)));
@@ -188,13 +188,13 @@
 #[test]
 fn nearly_full_cache_takes_a_part_in_only_for_a_greater_difference_in_load() {
     let home = PlacementCandidate { rank: 0, warm: tokens(10_500), ..candidate(60) };
-    let spare = PlacementCandidate { tight: false, ..candidate(10) };
-    let tight = PlacementCandidate { tight: true, ..candidate(10) };
+    let spare = PlacementCandidate { nearly_full: false, ..candidate(10) };
+    let nearly_full = PlacementCandidate { nearly_full: true, ..candidate(10) };
     let others = [candidate(60), candidate(60), candidate(60)];
     let with = |one| [vec![home, one], others.to_vec()].concat();
     assert_eq!(placed(LONG, &with(spare)), 1);
-    assert_eq!(placed(LONG, &with(tight)), 0);
-    let idle = PlacementCandidate { tight: true, ..candidate(0) };
+    assert_eq!(placed(LONG, &with(nearly_full)), 0);
+    let idle = PlacementCandidate { nearly_full: true, ..candidate(0) };
     let crowded = PlacementCandidate { waiting: 30, ..home };
     assert_eq!(placed(LONG, &[crowded, idle, candidate(90)]), 1);
 }
--- a/crates/papayamux-coordination/tests/server_places.rs
+++ b/crates/papayamux-coordination/tests/server_places.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use papayamux_coordination::placement::ServerLoad;
-use papayamux_coordination::server_places::{free_places, QueueWords, ServerWork};
+use papayamux_coordination::server_places::{free_places, QueueReports, ServerWork};
 use papayamux_state::backend::ReportedQueue;
 
 fn load(requests: u32, backlog: u64) -> ServerLoad {
@@ -12,7 +12,7 @@
 }
 
 #[test]
-fn an_engine_is_full_by_slots_by_prompts_or_by_its_own_word() {
+fn an_engine_is_full_by_slots_by_prompts_or_by_its_own_report() {
     let engine = |load, waiting| free_places(ServerWork::Engine, 64, load, waiting);
     assert_eq!(engine(load(60, 3_000), 0), 4);
     assert_eq!(engine(load(70, 0), 0), 0);
@@ -33,12 +33,12 @@
 }
 
 #[test]
-fn an_old_word_on_a_queue_is_not_believed() {
+fn an_old_report_is_not_believed() {
     let now = Instant::now();
     let server = "i-1".parse().unwrap();
-    let mut words = QueueWords::default();
-    assert_eq!(words.waiting(&server, now), 0);
-    words.note(&server, ReportedQueue { running: 64, waiting: 30, slots: 64 }, now);
-    assert_eq!(words.waiting(&server, now + Duration::from_millis(100)), 30);
-    assert_eq!(words.waiting(&server, now + Duration::from_secs(1)), 0);
+    let mut reports = QueueReports::default();
+    assert_eq!(reports.waiting(&server, now), 0);
+    reports.note(&server, ReportedQueue { running: 64, waiting: 30, slots: 64 }, now);
+    assert_eq!(reports.waiting(&server, now + Duration::from_millis(100)), 30);
+    assert_eq!(reports.waiting(&server, now + Duration::from_secs(1)), 0);
 }
--- a/crates/papayamux-router/src/direct/fleet/choice.rs
+++ b/crates/papayamux-router/src/direct/fleet/choice.rs
@@ -100,10 +100,10 @@
         PlacementCandidate {
             accepts: server.phase == ServerPhase::Serving,
             load: self.ledger.borrow().total(&server.id),
-            waiting: self.queue_words.borrow().waiting(&server.id, now),
+            waiting: self.queue_reports.borrow().waiting(&server.id, now),
             slots: server.slots,
             warm: cache.map(|cache| cache.warm_tokens(prompt)).unwrap_or_default(),
-            tight: cache.is_some_and(WarmParts::is_tight),
+            nearly_full: cache.is_some_and(WarmParts::is_nearly_full),
             rank,
             failing: self.excess_failures(server, now),
             held_up: self.links.borrow().excess(&server.domain, now),
--- a/crates/papayamux-router/src/direct/fleet/fleet_state.rs
+++ b/crates/papayamux-router/src/direct/fleet/fleet_state.rs
@@ -8,7 +8,7 @@
 use papayamux_coordination::link_delays::LinkDelays;
 use papayamux_coordination::placement::{LoadLedger, RecentHolders};
 use papayamux_coordination::server_evidence::EvidenceBook;
-use papayamux_coordination::server_places::QueueWords;
+use papayamux_coordination::server_places::QueueReports;
 use papayamux_coordination::server_presence::ServerPresence;
 use papayamux_coordination::server_pulse::PulseBook;
 use papayamux_coordination::server_record::AnswerRecord;
@@ -43,7 +43,7 @@
     pub(super) holders: RefCell<RecentHolders>,
     pub(super) lines: RefCell<HashMap<ServiceId, ServiceLine<Rc<Turn>>>>,
     pub(super) links: RefCell<LinkDelays>,
-    pub(super) queue_words: RefCell<QueueWords>,
+    pub(super) queue_reports: RefCell<QueueReports>,
     pub(super) deadlines: RefCell<HashMap<RouteId, UsualDeadline>>,
     pub(super) in_flight: Cell<usize>,
     pub(super) watch: AttemptWatch,
@@ -72,7 +72,7 @@
             holders: RefCell::default(),
             lines: RefCell::default(),
             links: RefCell::default(),
-            queue_words: RefCell::default(),
+            queue_reports: RefCell::default(),
             deadlines: RefCell::default(),
             in_flight: Cell::new(0),
             watch: AttemptWatch::default(),
--- a/crates/papayamux-router/src/direct/fleet/requests.rs
+++ b/crates/papayamux-router/src/direct/fleet/requests.rs
@@ -11,6 +11,10 @@
 
 use super::{ChosenServer, Fleet};
 
+/// Routes whose usual deadlines are kept: many configurations' worth. What is dropped is learnt again
+/// from a few requests.
+const MOST_ROUTES: usize = 4_096;
+
 /// A request that has ended.
 pub(in crate::direct) struct EndedRequest {
     /// What is still counted into its server's load.
@@ -90,7 +94,7 @@
 
     /// Notes what a server said of its queue.
     pub(in crate::direct) fn note_queue(&self, server: &BackendServer, queue: ReportedQueue) {
-        self.queue_words.borrow_mut().note(&server.id, queue, Instant::now());
+        self.queue_reports.borrow_mut().note(&server.id, queue, Instant::now());
     }
 
     /// Notes whether a server's answer was a failure of its own.
@@ -108,8 +112,11 @@
     /// Forgets what is too old to matter.
     pub(in crate::direct) fn forget_old(&self) {
         let now = Instant::now();
+        if self.deadlines.borrow().len() > MOST_ROUTES {
+            self.deadlines.borrow_mut().clear();
+        }
         self.records.borrow_mut().values_mut().for_each(|record| record.forget_faded(now));
-        self.queue_words.borrow_mut().forget_old(now);
+        self.queue_reports.borrow_mut().forget_old(now);
         for LinkChange { domain, excess } in self.links.borrow_mut().changes(now) {
             log::info!(domain:% = domain, held_up = excess; "link holds messages up");
         }
--- a/crates/papayamux-router/src/direct/fleet/turns.rs
+++ b/crates/papayamux-router/src/direct/fleet/turns.rs
@@ -148,7 +148,7 @@
             None => ServerWork::Plain,
         };
         let load = self.ledger.borrow().total(&server.id);
-        let waiting = self.queue_words.borrow().waiting(&server.id, now);
+        let waiting = self.queue_reports.borrow().waiting(&server.id, now);
         free_places(work, server.slots, load, waiting)
     }
 }
--- a/crates/papayamux-state/src/prompt/warm_parts.rs
+++ b/crates/papayamux-state/src/prompt/warm_parts.rs
@@ -11,7 +11,7 @@
 const MOST_PREFIXES: usize = 800;
 
 /// The part of its capacity from which a cache counts as nearly full.
-const TIGHT_PART: f64 = 0.9;
+const NEARLY_FULL: f64 = 0.9;
 
 #[derive(Debug, Clone, Copy)]
 struct WarmPrefix {
@@ -48,9 +48,9 @@
         known.map(|(_, tokens)| tokens).sum()
     }
 
-    /// Whether the cache is nearly full: what comes pushes out about as much.
-    pub fn is_tight(&self) -> bool {
-        self.held.get() as f64 >= self.capacity.get() as f64 * TIGHT_PART
+    /// Whether the cache is nearly full: what comes evicts about as much.
+    pub fn is_nearly_full(&self) -> bool {
+        self.held.get() as f64 >= self.capacity.get() as f64 * NEARLY_FULL
     }
 
     /// Notes that the server reads `chain`.
