Read on at once where a watch's answer may be cut short, and confirm nothing by it

Supposed: behind very many changes a watch's answer is cut short, and was taken for the newest. Change: an answer with 250 changes or more is read on without a pause and confirms neither keys nor refusals.

--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -15,6 +15,10 @@
 
 use super::Fleet;
 
+/// Reads without a pause between them, so that a source that is behind is not asked for ever: with 250
+/// changes each, more than the largest fleet has servers.
+const MOST_READS_AT_ONCE: u32 = 16;
+
 /// A read that is under way.
 pub type SourceRead<'a, T> = Pin<Box<dyn Future<Output = Result<T, SourceError>> + 'a>>;
 
@@ -33,8 +37,8 @@
     let pace = SourcePace::new(fleet.settings().read_bounds());
     let mut follower = SourceFollower { fleet, source, position: None, pace };
     loop {
-        if follower.read().await == ReadResult::HistoryLost {
-            follower.read().await;
+        if follower.read().await == ReadResult::Again {
+            follower.read_rest().await;
         }
         let pause = follower.pace.pause(follower.fleet.awaits_renewals(), rand::random());
         let sleep = std::pin::pin!(monoio::time::sleep(pause));
@@ -51,6 +55,15 @@
 }
 
 impl SourceFollower {
+    /// Reads on until all is read, as far as that goes within a pause's time.
+    async fn read_rest(&mut self) {
+        for _ in 0..MOST_READS_AT_ONCE {
+            if self.read().await == ReadResult::Done {
+                return;
+            }
+        }
+    }
+
     /// Reads what has changed, or everything where nothing is known yet.
     async fn read(&mut self) -> ReadResult {
         let sent = boot_now();
@@ -71,14 +84,18 @@
                 if failed {
                     log::info!("source regained");
                 }
+                let may_go_on = read.may_go_on();
                 self.take(read, failed);
+                if may_go_on {
+                    return ReadResult::Again;
+                }
                 self.fleet.confirm_configuration(sent);
             }
             Err(SourceError::HistoryLost) => {
                 self.fleet.metrics().source_reads.count("history_lost");
                 log::info!("source has dropped its history, reading everything");
                 self.position = None;
-                return ReadResult::HistoryLost;
+                return ReadResult::Again;
             }
             Err(error) => {
                 self.fleet.metrics().source_reads.count("failed");
@@ -125,11 +142,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ReadResult {
     Done,
-    /// Everything has to be read again, at once.
-    HistoryLost,
+    /// There is more to be read, at once.
+    Again,
 }
 
 enum Read {
     All(Box<SourceContents>),
     Changes(SourceChanges),
 }
+
+impl Read {
+    fn may_go_on(&self) -> bool {
+        matches!(self, Read::Changes(changes) if changes.may_go_on)
+    }
+}
--- a/crates/papayamux-state/src/source.rs
+++ b/crates/papayamux-state/src/source.rs
@@ -47,6 +47,8 @@
     pub changes: Vec<SourceChange>,
     /// The point up to which they go.
     pub position: SourcePosition,
+    /// Whether there may be more behind them, so that they don't show what is newest.
+    pub may_go_on: bool,
 }
 
 /// Why a source did not answer.
