Keep the platform's wire in its stand-ins, and count connections that a router refuses

Cause: the soak and the load tool wrote the platform's headers, statuses and store keys themselves. A caller that got no connection left no trace in the soak, so that a router which takes nobody after the faults could not have been found; a caller's panic was left out of the load tool's figures. Change: `platform/standins` writes callers' requests, reads what servers are asked and lists servers; the tools speak of requests, prompts and queues. A refused connection is a request without an answer. A panic fails the measurement. Tests: `soak_checks.rs` (a router that takes no connection breaks recovery).

--- a/crates/papayamux-measure/src/soak/checks.rs
+++ b/crates/papayamux-measure/src/soak/checks.rs
@@ -22,6 +22,9 @@
 const MACHINE_SLACK: Duration = Duration::from_millis(500);
 /// How long before a moment nothing may have been disturbed for a bound of time to hold.
 const CALM_BEFORE: Duration = Duration::from_secs(4);
+/// How long before a router was given up nothing else may have held its end up: its grace of 4 s, the
+/// wait for its end, and the usual span before.
+const END_CALM: Duration = Duration::from_secs(14);
 /// Time after the last disturbance from which every request must be served.
 const RECOVER_WITHIN: Duration = Duration::from_secs(8);
 
@@ -270,7 +273,7 @@
     /// Routers that did not end in their grace, though nothing else held them up.
     fn check_stuck(&self) -> Vec<Violation> {
         let stuck = self.history.stuck_ends.iter().filter(|(router, at)| {
-            let from = at.saturating_sub(CALM_BEFORE * 3);
+            let from = at.saturating_sub(END_CALM);
             let subject = Subject::Router(*router);
             let others = self.history.disturbances.iter().filter(|one| !one.graceful);
             let mut others = others.filter(|one| one.subject == subject);
--- a/crates/papayamux-measure/src/soak/fleet.rs
+++ b/crates/papayamux-measure/src/soak/fleet.rs
@@ -4,7 +4,7 @@
 use std::net::UdpSocket;
 use std::sync::Arc;
 
-use papayamux_platform_standins::{ServerStandIn, StoreStandIn};
+use papayamux_platform_standins::{ServerListing, ServerStandIn, StoreStandIn};
 use papayamux_testbed::{LinkControl, ProcessHandle, TestbedError};
 
 use super::checks::{
@@ -41,19 +41,14 @@
         let server = start_server(id, service, book);
         let link = LinkControl::start(server.address)?;
         let started = Self { server, link };
-        started.write_entry(store, "ready")?;
+        started.list(store, false)?;
         Ok(started)
     }
 
-    /// Writes the server's state into the store.
-    pub(super) fn write_entry(
-        &self,
-        store: &StoreStandIn,
-        state: &str,
-    ) -> Result<(), TestbedError> {
-        let mut entry = self.server.entry(state);
-        entry["address"] = self.link.listen()?.to_string().into();
-        store.put(&self.server.key(), &entry);
+    /// Writes the server's entry into the store.
+    pub(super) fn list(&self, store: &StoreStandIn, draining: bool) -> Result<(), TestbedError> {
+        let address = Some(self.link.listen()?);
+        self.server.list(store, ServerListing { address, draining, ..ServerListing::default() });
         Ok(())
     }
 }
--- a/crates/papayamux-measure/src/soak/injector.rs
+++ b/crates/papayamux-measure/src/soak/injector.rs
@@ -248,7 +248,7 @@
         let id = format!("s-{}", self.replaced);
         let fresh = SoakServer::start(&self.fleet.store, &self.fleet.book, old.service(), &id)?;
         let leaving = std::mem::replace(&mut self.fleet.servers[index], fresh);
-        leaving.write_entry(&self.fleet.store, "draining")?;
+        leaving.list(&self.fleet.store, true)?;
         let now = self.fleet.board.now();
         self.history.drains.push((leaving.server.id.clone(), now));
         self.leaving.push((leaving, now + LISTED_DRAINING));
@@ -259,7 +259,7 @@
     fn remove_left(&mut self, now: Duration) {
         for (server, until) in &mut self.leaving {
             if *until <= now {
-                self.fleet.store.delete(&server.server.key());
+                server.server.unlist(&self.fleet.store);
                 *until = Duration::MAX;
             }
         }
@@ -289,7 +289,7 @@
 
     fn write_configuration(&mut self) {
         self.draft.version += 2;
-        self.fleet.store.put("op/config", &self.draft.value());
+        self.fleet.store.put_configuration(&self.draft);
         let record = ConfigurationRecord {
             at: self.fleet.board.now(),
             service: self.draft.plain_service.clone(),
--- a/crates/papayamux-measure/src/soak/servers.rs
+++ b/crates/papayamux-measure/src/soak/servers.rs
@@ -2,10 +2,11 @@
 
 use std::io::Write;
 use std::net::TcpStream;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use papayamux_platform_standins::{ServerRequest, ServerStandIn};
+use papayamux_platform_standins::{chunk, ServerRequest, ServerStandIn, LAST_CHUNK};
+use parking_lot::Mutex;
 
 use super::history::RunRecord;
 
@@ -29,14 +30,14 @@
     }
 
     fn note(&self, request: &ServerRequest, service: &str) {
-        let id = request.header("attempt-id").unwrap_or_default().to_string();
+        let id = request.id().to_string();
         let (server, service) = (request.server.clone(), service.to_string());
         let run = RunRecord { id, server, service, at: self.begun.elapsed() };
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner).push(run);
+        self.runs.lock().push(run);
     }
 
     pub(super) fn take(&self) -> Vec<RunRecord> {
-        std::mem::take(&mut *self.runs.lock().unwrap_or_else(PoisonError::into_inner))
+        std::mem::take(&mut *self.runs.lock())
     }
 }
 
@@ -44,9 +45,8 @@
 pub(super) fn start_server(id: &str, service: &str, book: &RunBook) -> ServerStandIn {
     let (book, name) = (book.clone(), service.to_string());
     ServerStandIn::start(id, service, move |request, stream| {
-        if request.header("expected-instance") != Some(request.server.as_str()) {
-            let head = request.answer_head(421, "not-executed: 1\r\ncontent-length: 0\r\n");
-            return stream.write_all(head.as_bytes()).is_ok();
+        if !request.is_meant_here() {
+            return stream.write_all(request.refusal_of_other().as_bytes()).is_ok();
         }
         book.note(request, &name);
         match name.as_str() {
@@ -58,8 +58,7 @@
 
 fn answer_plain(request: &ServerRequest, stream: &mut TcpStream) -> bool {
     std::thread::sleep(PLAIN_WORK);
-    let id = request.header("attempt-id").unwrap_or_default();
-    stream.write_all(request.answer(200, &plain_body(id)).as_bytes()).is_ok()
+    stream.write_all(request.answer(200, &plain_body(request.id())).as_bytes()).is_ok()
 }
 
 /// The body of a request's answer.
@@ -68,21 +67,17 @@
 }
 
 fn answer_stream(request: &ServerRequest, stream: &mut TcpStream) -> bool {
-    let id = request.header("attempt-id").unwrap_or_default();
-    let last = request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0u64);
-    let headers = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
-    if stream.write_all(request.answer_head(200, headers).as_bytes()).is_err() {
+    if stream.write_all(request.stream_head(None).as_bytes()).is_err() {
         return false;
     }
-    for number in last + 1..=EVENTS {
+    for number in request.last_event() + 1..=EVENTS {
         std::thread::sleep(EVENT_EVERY);
-        let event = stream_event(id, number);
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        if stream.write_all(chunk.as_bytes()).is_err() {
+        let event = chunk(&stream_event(request.id(), number));
+        if stream.write_all(event.as_bytes()).is_err() {
             return false;
         }
     }
-    stream.write_all(b"0\r\n\r\n").is_ok()
+    stream.write_all(LAST_CHUNK.as_bytes()).is_ok()
 }
 
 /// One event of a request's stream.
--- a/crates/papayamux-measure/src/soak/workload.rs
+++ b/crates/papayamux-measure/src/soak/workload.rs
@@ -2,10 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use papayamux_platform_standins::{Answer, CallerConnection, HOST};
+use papayamux_platform_standins::{
+    Answer, CallPart, CallPrompt, CallRoute, CallerConnection, CallerRequest,
+};
+use parking_lot::Mutex;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -23,6 +26,14 @@
 /// Requests of a caller on one connection.
 const CALLS_PER_CONNECTION: u32 = 40;
 
+/// The prompt of every stream: a shared part and one of its own. Their sizes matter to no check.
+const PROMPT_PARTS: [CallPart; 2] =
+    [CallPart { id: 0x5c1e, tokens: 800 }, CallPart { id: 0x91bd, tokens: 660 }];
+/// The most tokens of a stream's answer.
+const ANSWER_TOKENS: u64 = 80;
+/// Spreads the callers' numbers over the seeds (the golden ratio in 64 bits).
+const SEED_SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// What callers share with whoever changes the fleet.
 #[derive(Debug)]
 pub(super) struct CallerBoard {
@@ -33,10 +44,6 @@
     ended: AtomicBool,
 }
 
-fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl CallerBoard {
     pub(super) fn new(begun: Instant, routers: usize, key: &str) -> Arc<Self> {
         Arc::new(Self {
@@ -54,12 +61,12 @@
 
     /// Where a router is, once it is there.
     pub(super) fn set_router(&self, router: usize, address: Option<SocketAddr>) {
-        locked(&self.routers)[router] = address;
+        self.routers.lock()[router] = address;
     }
 
     /// Adds the key that callers use from now on.
     pub(super) fn add_key(&self, key: &str) {
-        locked(&self.keys).push(key.to_string());
+        self.keys.lock().push(key.to_string());
     }
 
     pub(super) fn end(&self) {
@@ -67,44 +74,56 @@
     }
 
     pub(super) fn take_calls(&self) -> Vec<CallRecord> {
-        std::mem::take(&mut *locked(&self.calls))
+        std::mem::take(&mut *self.calls.lock())
     }
 }
 
 /// One caller, until the board says that it is over.
 pub(super) fn run_caller(board: &CallerBoard, number: u64, seed: u64) {
-    let mut random = StdRng::seed_from_u64(seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-    let mut kept: Option<(usize, CallerConnection, u32)> = None;
+    let mut random = StdRng::seed_from_u64(seed ^ number.wrapping_mul(SEED_SPREAD));
+    let mut kept: Option<KeptConnection> = None;
     let mut count = 0u64;
     while !board.ended.load(Ordering::Relaxed) {
         std::thread::sleep(Duration::from_millis(random.random_range(PAUSE_MILLIS)));
-        if kept.as_ref().is_none_or(|(_, _, calls)| *calls >= CALLS_PER_CONNECTION) {
-            kept = connect(board, &mut random);
-        }
-        let Some((router, connection, calls)) = &mut kept else { continue };
-        *calls += 1;
         count += 1;
-        let call = DraftCall::draw(board, &mut random, format!("{number:x}-{count:x}"), *router);
+        let id = format!("{number:x}-{count:x}");
+        if kept.as_ref().is_none_or(|kept| kept.calls >= CALLS_PER_CONNECTION) {
+            kept = connect(board, &mut random, id.clone());
+        }
+        let Some(connection) = &mut kept else { continue };
+        let call = DraftCall::draw(board, &mut random, id, connection.router);
         let sent = board.now();
-        let answer = connection.exchange(&call.text());
-        let closes = answer.as_ref().is_none_or(closes_connection);
+        connection.calls += 1;
+        let answer = connection.connection.exchange(&call.text());
+        let ends = answer.as_ref().is_none_or(Answer::ends_connection);
         let record = call.record(sent, board.now(), answer.as_ref());
-        locked(&board.calls).push(record);
-        if closes {
+        board.calls.lock().push(record);
+        if ends {
             kept = None;
         }
     }
 }
 
-fn connect(board: &CallerBoard, random: &mut StdRng) -> Option<(usize, CallerConnection, u32)> {
-    let routers = locked(&board.routers).clone();
-    let router = random.random_range(0..routers.len());
-    let connection = CallerConnection::open(routers[router]?, WAIT_WITHIN)?;
-    Some((router, connection, 0))
+/// A connection that is used for several requests.
+struct KeptConnection {
+    router: usize,
+    connection: CallerConnection,
+    calls: u32,
 }
 
-fn closes_connection(answer: &Answer) -> bool {
-    !answer.whole || answer.header("connection").is_some_and(|value| value.contains("close"))
+/// A connection to a router that is there; a failure to connect is recorded as a request without an
+/// answer, so that a router which takes nobody is seen.
+fn connect(board: &CallerBoard, random: &mut StdRng, id: String) -> Option<KeptConnection> {
+    let routers = board.routers.lock().clone();
+    let router = random.random_range(0..routers.len());
+    let address = routers[router]?;
+    let sent = board.now();
+    if let Some(connection) = CallerConnection::open(address, WAIT_WITHIN) {
+        return Some(KeptConnection { router, connection, calls: 0 });
+    }
+    let call = DraftCall::draw(board, random, id, router);
+    board.calls.lock().push(call.record(sent, board.now(), None));
+    None
 }
 
 struct DraftCall {
@@ -116,7 +135,7 @@
 
 impl DraftCall {
     fn draw(board: &CallerBoard, random: &mut StdRng, id: String, router: usize) -> Self {
-        let keys = locked(&board.keys);
+        let keys = board.keys.lock();
         let newest = keys.len() - 1;
         let old = random.random_ratio(1, OLD_KEY_EVERY);
         let key = keys[newest.saturating_sub(usize::from(old))].clone();
@@ -125,25 +144,24 @@
     }
 
     fn text(&self) -> String {
-        let (method, path) = match self.kind {
-            CallKind::Idempotent => ("GET", "/safe/a"),
-            CallKind::Once => ("POST", "/unsafe/a"),
-            CallKind::ResumableStream => ("POST", "/chat/a"),
-            CallKind::OnceStream => ("POST", "/once/a"),
-        };
-        let prompt = match self.kind.is_stream() {
-            true => {
-                "Model: m\r\nToken-Counts: 1460,80\r\nPrompt-Prefix: 5c1e07a2:800,91bd3f06:410\r\n"
-            }
-            false => "",
+        let route = match self.kind {
+            CallKind::Idempotent => CallRoute::Idempotent,
+            CallKind::Once => CallRoute::Once,
+            CallKind::ResumableStream => CallRoute::ResumableStream,
+            CallKind::OnceStream => CallRoute::OnceStream,
         };
-        format!(
-            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {}\r\nX-Api-Key: {}\r\n\
-             Deadline-Milliseconds: {}\r\n{prompt}Content-Length: 0\r\n\r\n",
-            self.id,
-            self.key,
-            DEADLINE.as_millis()
-        )
+        let prompt = self
+            .kind
+            .is_stream()
+            .then(|| CallPrompt { parts: PROMPT_PARTS.to_vec(), answer_tokens: ANSWER_TOKENS });
+        let request = CallerRequest::builder()
+            .route(route)
+            .id(self.id.clone())
+            .key(self.key.clone())
+            .left(DEADLINE)
+            .maybe_prompt(prompt)
+            .build();
+        request.text()
     }
 
     fn record(self, sent: Duration, ended: Duration, answer: Option<&Answer>) -> CallRecord {
@@ -165,7 +183,7 @@
         }
         match answer.status {
             200 => self.whole_answer(answer),
-            408 | 421 | 429 | 503 => Told::NotRun,
+            _ if answer.promises_not_run() => Told::NotRun,
             status => Told::Failed(status),
         }
     }
@@ -175,8 +193,7 @@
             true => (1..=EVENTS).map(|number| stream_event(&self.id, number)).collect(),
             false => plain_body(&self.id),
         };
-        let signed = answer.header("response-signature").is_some_and(|text| !text.is_empty());
-        match answer.text() == expected && signed {
+        match answer.text() == expected && answer.is_signed() {
             true => Told::Served,
             false => Told::Wrong(format!("{:?}", answer.text())),
         }
--- a/crates/papayamux-measure/src/surge/callers.rs
+++ b/crates/papayamux-measure/src/surge/callers.rs
@@ -3,22 +3,33 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use papayamux_platform_standins::{send, Answer, HOST};
+use papayamux_platform_standins::{send, Answer, CallPart, CallPrompt, CallRoute, CallerRequest};
 
 use super::engine_model::{OWN_TOKENS, SHARED_TOKENS};
 use super::load_pattern::PlannedCall;
 use super::summary::CallOutcome;
+use crate::tasks::TaskError;
 
 /// The time that a caller has.
 const DEADLINE: Duration = Duration::from_secs(3);
 
+/// The longest time for which a caller waits as it is told: a third of its deadline.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// The most tokens of an answer: six for each of its eight events.
+const ANSWER_TOKENS: u64 = 48;
+/// Names of callers' own parts begin here, above those of shared parts.
+const OWN_PARTS_FROM: u64 = 0x10_000;
+
 /// The key of an organisation.
 pub(super) fn key_of(organisation: usize) -> String {
     format!("key-{organisation}")
 }
 
 /// Sends all calls at their times, each from a thread of its own; returns their outcomes.
-pub(super) fn play_calls(calls: &[PlannedCall], routers: &[SocketAddr]) -> Vec<CallOutcome> {
+pub(super) fn play_calls(
+    calls: &[PlannedCall],
+    routers: &[SocketAddr],
+) -> Result<Vec<CallOutcome>, TaskError> {
     let begun = Instant::now();
     std::thread::scope(|scope| {
         let running: Vec<_> = calls
@@ -30,7 +41,8 @@
                 scope.spawn(move || play_call(number, *call, routers))
             })
             .collect();
-        running.into_iter().filter_map(|call| call.join().ok()).collect()
+        let joined = running.into_iter().map(|call| call.join());
+        joined.map(|outcome| outcome.map_err(|_| "a caller panicked".into())).collect()
     })
 }
 
@@ -54,8 +66,8 @@
 
 /// How long a caller that was turned away is told to wait.
 fn pause_before_return(answer: &Answer) -> Option<Duration> {
-    let seconds: f64 = answer.header("retry-after")?.parse().ok()?;
-    (answer.status == 503).then(|| Duration::from_secs_f64(seconds.clamp(0.0, 1.0)))
+    let pause = answer.retry_after().filter(|_| answer.promises_not_run())?;
+    Some(pause.min(LONGEST_PAUSE))
 }
 
 fn try_call(
@@ -66,15 +78,14 @@
     left: Duration,
 ) -> Option<Answer> {
     let router = routers[(number + attempt) % routers.len()];
-    let text = format!(
-        "POST /chat/a HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {number:x}-{attempt}\r\n\
-         X-Api-Key: {}\r\nDeadline-Milliseconds: {}\r\nModel: m\r\nToken-Counts: {},48\r\n\
-         Prompt-Prefix: {:x}:{SHARED_TOKENS},{:x}:{OWN_TOKENS}\r\nContent-Length: 0\r\n\r\n",
-        key_of(call.organisation),
-        left.as_millis(),
-        SHARED_TOKENS + OWN_TOKENS,
-        call.part + 1,
-        0x10_000 + number,
-    );
-    send(router, &text, DEADLINE)
+    let shared = CallPart { id: call.part + 1, tokens: SHARED_TOKENS };
+    let own = CallPart { id: OWN_PARTS_FROM + number as u64, tokens: OWN_TOKENS };
+    let request = CallerRequest::builder()
+        .route(CallRoute::ResumableStream)
+        .id(format!("{number:x}-{attempt}"))
+        .key(key_of(call.organisation))
+        .left(left)
+        .prompt(CallPrompt { parts: vec![shared, own], answer_tokens: ANSWER_TOKENS })
+        .build();
+    send(router, &request.text(), DEADLINE)
 }
--- a/crates/papayamux-measure/src/surge/engine_model.rs
+++ b/crates/papayamux-measure/src/surge/engine_model.rs
@@ -3,10 +3,13 @@
 use std::collections::{HashMap, VecDeque};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
-use papayamux_platform_standins::{ServerRequest, ServerStandIn};
+use papayamux_platform_standins::{
+    chunk, QueueStatement, ServerRequest, ServerStandIn, LAST_CHUNK,
+};
+use parking_lot::{Condvar, Mutex};
 
 /// Requests that an engine runs at once.
 pub(super) const SLOTS: u32 = 8;
@@ -47,10 +50,6 @@
     engines: Arc<Mutex<HashMap<SocketAddr, Arc<Engine>>>>,
 }
 
-fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl EngineRoom {
     /// Starts an engine.
     pub(super) fn start(&self, id: &str) -> ServerStandIn {
@@ -59,48 +58,48 @@
         let server = ServerStandIn::start(id, "llm", move |request, stream| {
             room.serve(&own, request, stream)
         });
-        locked(&self.engines).insert(server.address, engine);
+        self.engines.lock().insert(server.address, engine);
         server
     }
 
     /// Tokens of shared parts that engines read.
     pub(super) fn cold_tokens(&self) -> u64 {
-        let engines = locked(&self.engines);
-        engines.values().map(|engine| locked(&engine.state).cold_tokens).sum()
+        let engines = self.engines.lock();
+        engines.values().map(|engine| engine.state.lock().cold_tokens).sum()
     }
 
     fn serve(&self, engine: &Engine, request: &ServerRequest, stream: &mut TcpStream) -> bool {
         engine.take_slot();
         let held = self.read_prompt(engine, request);
         let queue = {
-            let mut state = locked(&engine.state);
+            let mut state = engine.state.lock();
             state.cold_tokens += if held { 0 } else { SHARED_TOKENS };
-            format!("{},{},{SLOTS}", state.running, state.waiting)
+            QueueStatement { running: state.running, waiting: state.waiting, slots: SLOTS }
         };
-        let answered = answer(request, &queue, stream);
+        let answered = answer(request, queue, stream);
         engine.free_slot();
         answered.is_ok()
     }
 
     /// Reads what the cache lacks of a prompt; whether its shared part was there.
     fn read_prompt(&self, engine: &Engine, request: &ServerRequest) -> bool {
-        let _reading = locked(&engine.reading);
-        let part = shared_part(request);
-        let source = request.header("kv-fetch").and_then(|text| text.parse().ok());
-        let own = locked(&engine.state).holds(&part);
+        let _reading = engine.reading.lock();
+        let part = request.first_part().to_string();
+        let source = request.fetch_source();
+        let own = engine.state.lock().holds(&part);
         let taken_over = !own && source.is_some_and(|source| self.holds(source, &part));
         let cold = if own || taken_over { 0 } else { SHARED_TOKENS };
         std::thread::sleep(READ_TOKEN * (cold + OWN_TOKENS) as u32);
         if taken_over {
             std::thread::sleep(TAKE_OVER);
         }
-        locked(&engine.state).keep(part);
+        engine.state.lock().keep(part);
         cold == 0
     }
 
     fn holds(&self, address: SocketAddr, part: &str) -> bool {
-        let engine = locked(&self.engines).get(&address).cloned();
-        engine.is_some_and(|engine| locked(&engine.state).holds(part))
+        let engine = self.engines.lock().get(&address).cloned();
+        engine.is_some_and(|engine| engine.state.lock().holds(part))
     }
 }
 
@@ -121,35 +120,30 @@
 
 impl Engine {
     fn take_slot(&self) {
-        let mut state = locked(&self.state);
+        let mut state = self.state.lock();
         state.waiting += 1;
         while state.running >= SLOTS {
-            state = self.freed.wait(state).unwrap_or_else(PoisonError::into_inner);
+            self.freed.wait(&mut state);
         }
         state.waiting -= 1;
         state.running += 1;
     }
 
     fn free_slot(&self) {
-        locked(&self.state).running -= 1;
+        self.state.lock().running -= 1;
         self.freed.notify_one();
     }
 }
 
-fn shared_part(request: &ServerRequest) -> String {
-    let chain = request.header("prompt-prefix").unwrap_or_default();
-    chain.split(':').next().unwrap_or_default().to_string()
-}
-
-fn answer(request: &ServerRequest, queue: &str, stream: &mut TcpStream) -> std::io::Result<()> {
-    let headers = format!(
-        "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\nserver-load: {queue}\r\n"
-    );
-    stream.write_all(request.answer_head(200, &headers).as_bytes())?;
+fn answer(
+    request: &ServerRequest,
+    queue: QueueStatement,
+    stream: &mut TcpStream,
+) -> std::io::Result<()> {
+    stream.write_all(request.stream_head(Some(queue)).as_bytes())?;
     for number in 1..=EVENTS {
         std::thread::sleep(EVENT_EVERY);
-        let event = format!("id: {number}\ndata: word\n\n");
-        stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        stream.write_all(chunk(&format!("id: {number}\ndata: word\n\n")).as_bytes())?;
     }
-    stream.write_all(b"0\r\n\r\n")
+    stream.write_all(LAST_CHUNK.as_bytes())
 }
--- a/crates/papayamux-measure/src/surge/run.rs
+++ b/crates/papayamux-measure/src/surge/run.rs
@@ -6,7 +6,7 @@
 
 use papayamux_coordination::placement::PlacementPolicy;
 use papayamux_platform_standins::{
-    ConfigurationDraft, OrganisationDraft, ServerStandIn, StoreStandIn,
+    ConfigurationDraft, OrganisationDraft, ServerListing, ServerStandIn, StoreStandIn,
 };
 use papayamux_testbed::ProcessHandle;
 
@@ -20,6 +20,8 @@
 
 /// Time for routers to read the store and to find one another.
 const SETTLE: Duration = Duration::from_millis(1_500);
+/// How an engine is listed.
+const LISTING: ServerListing = ServerListing { address: None, slots: SLOTS, draining: false };
 /// Engines that leave under [`LoadPattern::EnginesGone`]: one of so many.
 const LEAVING: usize = 3;
 
@@ -57,12 +59,12 @@
     policy: PlacementPolicy,
 ) -> Result<(SurgeSummary, u64), TaskError> {
     let store = StoreStandIn::start();
-    store.put("op/config", &configuration().value());
+    store.put_configuration(&configuration());
     let room = EngineRoom::default();
     let engines: Vec<_> =
         (0..options.engines).map(|number| room.start(&format!("engine-{number}"))).collect();
     for engine in &engines {
-        store.put(&engine.key(), &engine.entry_with_slots("ready", SLOTS));
+        engine.list(&store, LISTING);
     }
     let routers = start_routers(options, policy, &store)?;
     std::thread::sleep(SETTLE);
@@ -74,7 +76,7 @@
             scope.spawn(|| leave_halfway(&store, &engines, options.length));
         }
         play_calls(&calls, &addresses)
-    });
+    })?;
     Ok((summarize(&outcomes), room.cold_tokens()))
 }
 
@@ -94,7 +96,7 @@
 fn leave_halfway(store: &StoreStandIn, engines: &[ServerStandIn], length: Duration) {
     std::thread::sleep(length / 2);
     for engine in engines.iter().take(engines.len() / LEAVING) {
-        store.put(&engine.key(), &engine.entry_with_slots("draining", SLOTS));
+        engine.list(store, ServerListing { draining: true, ..LISTING });
     }
 }
 
--- a/crates/papayamux-measure/tests/soak_checks.rs
+++ b/crates/papayamux-measure/tests/soak_checks.rs
@@ -187,6 +187,8 @@
     history.calls[0].told = Told::NotRun;
     history.runs.retain(|run| run.id != "c0");
     assert_eq!(broken(&history), [Promise::Recovery]);
+    history.calls[0].told = Told::Nothing;
+    assert_eq!(broken(&history), [Promise::Recovery], "a router that takes no connection");
 }
 
 #[test]
--- a/crates/papayamux-testbed/src/process.rs
+++ b/crates/papayamux-testbed/src/process.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
+use parking_lot::{Condvar, Mutex};
 use serde_json::Value;
 use thiserror::Error;
 
@@ -147,7 +148,7 @@
     /// Waits until a log line's message contains `part`.
     pub fn wait_for_line(&self, part: &str, within: Duration) -> Result<Value, TestbedError> {
         let deadline = Instant::now() + within;
-        let mut lines = lock(&self.log.lines);
+        let mut lines = self.log.lines.lock();
         loop {
             let found = lines
                 .iter()
@@ -161,14 +162,13 @@
                 let (program, message) = (self.program.clone(), part.to_string());
                 return Err(TestbedError::NoLine { program, message, within, log });
             }
-            let waited = self.log.grown.wait_timeout(lines, left);
-            lines = waited.map_or_else(|error| error.into_inner().0, |(lines, _)| lines);
+            self.log.grown.wait_for(&mut lines, left);
         }
     }
 
     /// All log lines whose message contains `part`.
     pub fn lines_with(&self, part: &str) -> Vec<Value> {
-        let lines = lock(&self.log.lines);
+        let lines = self.log.lines.lock();
         let has_part =
             |line: &&Value| line["message"].as_str().is_some_and(|text| text.contains(part));
         lines.iter().filter(has_part).cloned().collect()
@@ -264,10 +264,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
-}
-
 fn collect_log(reader: impl BufRead, log: &LogBook) {
     let shown = std::env::var_os(SHOW_LOGS).is_some();
     for line in reader.lines().map_while(Result::ok) {
@@ -276,7 +272,7 @@
         }
         let value =
             serde_json::from_str(&line).unwrap_or_else(|_| serde_json::json!({ "message": line }));
-        lock(&log.lines).push(value);
+        log.lines.lock().push(value);
         log.grown.notify_all();
     }
 }
