Name the last bare numbers of the tools, and pass a histogram's error on

Cause: read as a newcomer would, a time and a precision stood bare, and an error became an empty histogram. Change: named constants with their reasons; the summary returns the error.

--- a/crates/papayamux-measure/src/soak/fault_kind.rs
+++ b/crates/papayamux-measure/src/soak/fault_kind.rs
@@ -91,6 +91,8 @@
     pub target: usize,
 }
 
+/// When the first fault begins: callers have connected by then.
+const FIRST_FAULT: Duration = Duration::from_secs(1);
 /// The shortest and the longest fault, in milliseconds: from less than a connection's timeout to
 /// more than the bound on keys.
 const FAULT_MILLIS: std::ops::Range<u64> = 100..7_000;
@@ -104,7 +106,7 @@
 pub fn draw_faults(seed: u64, length: Duration) -> Vec<PlannedFault> {
     let mut random = StdRng::seed_from_u64(seed);
     let mut faults: Vec<PlannedFault> = Vec::new();
-    let mut at = Duration::from_millis(1_000);
+    let mut at = FIRST_FAULT;
     while at < length {
         let drawn = FaultKind::ALL[random.random_range(0..FaultKind::ALL.len())];
         let again = faults.last().filter(|_| random.random_bool(SERIES_CHANCE)).copied();
--- a/crates/papayamux-measure/src/surge/run.rs
+++ b/crates/papayamux-measure/src/surge/run.rs
@@ -77,7 +77,7 @@
         }
         play_calls(&calls, &addresses)
     })?;
-    Ok((summarize(&outcomes), room.cold_tokens()))
+    Ok((summarize(&outcomes)?, room.cold_tokens()))
 }
 
 fn configuration() -> ConfigurationDraft {
--- a/crates/papayamux-measure/src/surge/summary.rs
+++ b/crates/papayamux-measure/src/surge/summary.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hdrhistogram::Histogram;
+use hdrhistogram::{CreationError, Histogram};
 
 /// One request's end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -16,6 +16,9 @@
 /// The time to the first event within which an answer is on time: that of the configuration.
 pub(super) const OBJECTIVE: Duration = Duration::from_millis(200);
 
+/// Decimal digits of times that are kept.
+const TIME_DIGITS: u8 = 3;
+
 /// Figures of one policy under one pattern.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SurgeSummary {
@@ -34,25 +37,26 @@
 }
 
 /// Sums outcomes up.
-pub fn summarize(outcomes: &[CallOutcome]) -> SurgeSummary {
+///
+/// # Errors
+///
+/// Where no histogram can be made, which its fixed precision rules out.
+pub fn summarize(outcomes: &[CallOutcome]) -> Result<SurgeSummary, CreationError> {
     let on_time = |outcome: &CallOutcome| outcome.first_event.is_some_and(|took| took <= OBJECTIVE);
     let part = |count: usize, all: usize| count as f64 / all.max(1) as f64;
-    let mut times = Histogram::<u64>::new(3).ok();
+    let mut times = Histogram::<u64>::new(TIME_DIGITS)?;
     for took in outcomes.iter().filter_map(|outcome| outcome.first_event) {
-        if let Some(times) = &mut times {
-            times.saturating_record(took.as_millis() as u64);
-        }
+        times.saturating_record(took.as_millis() as u64);
     }
     let others: Vec<_> = outcomes.iter().filter(|outcome| outcome.organisation != 0).collect();
     let served = outcomes.iter().filter(|outcome| outcome.first_event.is_some()).count();
     let timely = outcomes.iter().filter(|outcome| on_time(outcome)).count();
-    let quantile = |at: f64| times.as_ref().map_or(0, |times| times.value_at_quantile(at));
-    SurgeSummary {
+    Ok(SurgeSummary {
         on_time: part(timely, outcomes.len()),
         others_on_time: part(others.iter().filter(|one| on_time(one)).count(), others.len()),
         late: part(served - timely, outcomes.len()),
         unserved: part(outcomes.len() - served, outcomes.len()),
-        median_ms: quantile(0.5),
-        high_ms: quantile(0.99),
-    }
+        median_ms: times.value_at_quantile(0.5),
+        high_ms: times.value_at_quantile(0.99),
+    })
 }
