--- a/crates/papayamux-measure/tests/surge_patterns.rs
+++ b/crates/papayamux-measure/tests/surge_patterns.rs
@@ -53,7 +53,7 @@
     let outcomes =
         [outcome(0, Some(50)), outcome(0, None), outcome(1, Some(900)), outcome(1, Some(100))];
     assert_eq!(
-        summarize(&outcomes),
+        summarize(&outcomes).unwrap(),
         SurgeSummary {
             on_time: 0.5,
             others_on_time: 0.5,
