Report a section that stands twice behind a bare carriage return

The library reads it as a second section of that name; the line scan compared names of sections and not their number, so that the keys of the second were passed over in silence. Result: the new test fails on the old code.

--- a/crates/papayamux-settings/src/ini_file.rs
+++ b/crates/papayamux-settings/src/ini_file.rs
@@ -86,14 +86,24 @@
     /// as after a bare carriage return or in a quoted value of several lines, something would be
     /// passed over in silence.
     fn report_differences(&self) {
+        let mut section_counts: BTreeMap<&str, usize> = BTreeMap::new();
         let mut counts: BTreeMap<(&str, &str), usize> = BTreeMap::new();
         for (section, properties) in &self.ini {
-            let section = section.unwrap_or_default();
-            if !section.is_empty() && !self.section_lines.contains_key(section) {
-                self.report_unseen(1, format!("[{section}]"));
+            if let Some(section) = section {
+                *section_counts.entry(section).or_default() += 1;
             }
             for (key, _) in properties.iter() {
-                *counts.entry((section, key)).or_default() += 1;
+                *counts.entry((section.unwrap_or_default(), key)).or_default() += 1;
+            }
+        }
+        for (section, count) in &section_counts {
+            if self.section_lines.get(*section).map_or(0, Vec::len) != *count {
+                self.report_unseen(self.section_line(section), format!("[{section}]"));
+            }
+        }
+        for section in self.section_lines.keys() {
+            if !section_counts.contains_key(section.as_str()) {
+                self.report_unseen(self.section_line(section), format!("[{section}]"));
             }
         }
         for ((section, key), count) in &counts {
--- a/crates/papayamux-settings/tests/places.rs
+++ b/crates/papayamux-settings/tests/places.rs
@@ -15,6 +15,12 @@
     assert_eq!(places("[a] b = 1\n"), [(1, "[a] b".to_string())]);
 }
 
+#[test]
+fn a_section_repeated_behind_a_bare_carriage_return_is_reported() {
+    let text = "[team]\nname = kiosk\r[team]\nweights=w[model m]\n";
+    assert_eq!(places(text), [(1, "[team]".to_string())]);
+}
+
 #[test]
 fn lines_that_only_the_scan_sees_are_reported() {
     assert_eq!(places("[a]\nb = \"1\nc = 2\"\n"), [(3, "[a] c".to_string())]);
