Ask engines what their caches hold after a loss of all routers

Change: a router that starts and hears only routers as fresh as itself asks its share of the engines, by rendezvous hashing and 32 at most, for a list of their caches, keeps the 32 longest parts of each and tells the others for ten seconds. A listed part counts as held with all before it, and yields before what was placed since.

--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod admission_ticket;
 pub mod attempt_plan;
+pub mod cache_survey;
 pub mod claims;
 pub mod fair_queue;
 pub mod fair_share;
--- a/crates/papayamux-coordination/src/router_peers.rs
+++ b/crates/papayamux-coordination/src/router_peers.rs
@@ -25,6 +25,18 @@
     named: Instant,
     heard: Option<Instant>,
     sequence: u64,
+    fresh: bool,
+}
+
+/// What a router says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerNews<'a> {
+    /// The number of its report.
+    pub sequence: u64,
+    /// The routers that it hears.
+    pub known: &'a [IpAddr],
+    /// Whether it has started lately.
+    pub fresh: bool,
 }
 
 /// The other routers.
@@ -48,23 +60,24 @@
     }
 
     /// Notes a report of `peer`; `false` where it is older than one that was heard before.
-    pub fn hear(&mut self, peer: IpAddr, sequence: u64, known: &[IpAddr], now: Instant) -> bool {
+    pub fn hear(&mut self, peer: IpAddr, news: PeerNews<'_>, now: Instant) -> bool {
+        let PeerNews { sequence, known, fresh } = news;
         if peer == self.own {
             return false;
         }
-        let fresh = PeerState { named: now, heard: None, sequence: 0 };
+        let unheard = PeerState { named: now, heard: None, sequence: 0, fresh: false };
         for address in known.iter().filter(|address| **address != self.own) {
             if self.peers.len() < MOST_PEERS {
-                self.peers.entry(*address).or_insert(fresh).named = now;
+                self.peers.entry(*address).or_insert(unheard).named = now;
             }
         }
-        let state = self.peers.entry(peer).or_insert(fresh);
+        let state = self.peers.entry(peer).or_insert(unheard);
         let heard_lately = state.heard.is_some_and(|heard| now - heard < NAME_WITHIN);
         let restarted = sequence.saturating_add(REORDERED) < state.sequence;
         if heard_lately && sequence <= state.sequence && !restarted {
             return false;
         }
-        *state = PeerState { named: now, heard: Some(now), sequence };
+        *state = PeerState { named: now, heard: Some(now), sequence, fresh };
         true
     }
 
@@ -74,6 +87,11 @@
         alive.map(|(address, _)| *address).collect()
     }
 
+    /// Whether all routers that are heard have started lately, or none is heard.
+    pub fn all_are_fresh(&self, now: Instant) -> bool {
+        self.peers.values().filter(|state| state.is_alive(now)).all(|state| state.fresh)
+    }
+
     /// Whom to tell next: a few routers in turn, and the seeds that are not among the known ones.
     pub fn next_targets(&mut self, now: Instant) -> Vec<IpAddr> {
         self.peers.retain(|_, state| now - state.last_sign() < FORGET_AFTER);
--- /dev/null
+++ b/crates/papayamux-coordination/tests/cache_survey.rs
@@ -0,0 +1,89 @@
+//! After a loss of all routers, each engine is asked by one of them, and all are told.
+#![allow(clippy::unwrap_used, clippy::panic, reason = "helpers of tests, which may panic")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::{Duration, Instant};
+
+use papayamux_coordination::cache_survey::{survey_share, CacheListing, ListingNews};
+use papayamux_state::ids::ServerId;
+use papayamux_state::prompt::{PartId, PromptPart};
+use papayamux_state::quantities::TokenCount;
+
+fn router(index: u32) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::from(0x0a00_0000 + index))
+}
+
+fn engines(count: u32) -> Vec<ServerId> {
+    (0..count).map(|index| format!("i-{index}").parse().unwrap()).collect()
+}
+
+fn shares(routers: u32, engines: &[ServerId]) -> BTreeMap<u32, Vec<ServerId>> {
+    let share = |index| {
+        let others: Vec<_> = (0..routers).filter(|other| *other != index).map(router).collect();
+        survey_share(router(index), &others, engines)
+    };
+    (0..routers).map(|index| (index, share(index))).collect()
+}
+
+fn listing(server: &str, tokens: &[u64]) -> CacheListing {
+    let parts = (1..)
+        .zip(tokens)
+        .map(|(id, tokens)| PromptPart { id: PartId(id), tokens: TokenCount::new(*tokens) });
+    CacheListing::new(server.parse().unwrap(), parts.collect())
+}
+
+#[test]
+fn each_engine_is_asked_by_one_router() {
+    for (routers, count) in [(1, 12), (6, 18), (420, 600)] {
+        let engines = engines(count);
+        let asked: Vec<_> = shares(routers, &engines).into_values().flatten().collect();
+        assert_eq!(asked.len(), engines.len());
+        assert_eq!(asked.iter().collect::<BTreeSet<_>>().len(), engines.len());
+    }
+}
+
+#[test]
+fn no_router_asks_many_engines_of_a_large_fleet() {
+    let most = shares(420, &engines(600)).into_values().map(|share| share.len()).max();
+    assert!(most.unwrap() <= 10, "{most:?}");
+}
+
+#[test]
+fn router_that_hears_nobody_does_not_ask_a_whole_large_fleet() {
+    assert_eq!(survey_share(router(1), &[], &engines(600)).len(), 32);
+}
+
+#[test]
+fn an_engine_is_asked_although_routers_do_not_hear_one_another() {
+    let engines = engines(18);
+    let alone = survey_share(router(1), &[], &engines);
+    assert_eq!(alone.len(), 18);
+}
+
+#[test]
+fn long_parts_are_kept_of_a_long_list() {
+    let mut tokens = vec![300; 500];
+    tokens.extend([12_000, 90, 9_000]);
+    let listing = listing("i-1", &tokens);
+    let kept: Vec<_> = listing.parts.iter().map(|part| part.tokens.get()).collect();
+    assert_eq!(kept[..3], [12_000, 9_000, 300]);
+    assert!(kept.len() <= 32);
+}
+
+#[test]
+fn each_list_is_told_several_times_and_not_for_ever() {
+    let begun = Instant::now();
+    let mut news = ListingNews::default();
+    for index in 0..5 {
+        news.add(listing(&format!("i-{index}"), &[10_000]), begun);
+    }
+    news.add(listing("i-empty", &[]), begun);
+    let mut told: BTreeMap<String, u32> = BTreeMap::new();
+    for round in 0..200 {
+        for listing in news.next(begun + Duration::from_millis(250) * round) {
+            *told.entry(listing.server.to_string()).or_default() += 1;
+        }
+    }
+    insta::assert_debug_snapshot!(told);
+}
--- a/crates/papayamux-protocol/src/router_report.rs
+++ b/crates/papayamux-protocol/src/router_report.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use papayamux_state::ids::{IdError, ServerId};
-use papayamux_state::prompt::PartId;
+use papayamux_state::prompt::{PartId, PromptPart};
 use papayamux_state::quantities::TokenCount;
 use prost::Message;
 use thiserror::Error;
@@ -29,6 +29,15 @@
     pub prefixes: Vec<(PartId, TokenCount)>,
 }
 
+/// Parts that an engine listed of its cache.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReportedListing {
+    /// The engine.
+    pub server: ServerId,
+    /// The parts, the largest first.
+    pub parts: Vec<PromptPart>,
+}
+
 /// Asks whether the sender's configuration is still the newest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReportedQuestion {
@@ -60,8 +69,12 @@
     pub loads: Vec<ReportedLoad>,
     /// Some of the shared parts that it used lately, with their servers.
     pub holders: Vec<ReportedHolder>,
+    /// Parts that engines listed to it.
+    pub listings: Vec<ReportedListing>,
     /// Whether it is about to end.
     pub leaving: bool,
+    /// Whether it has started so lately that it knows little of caches.
+    pub fresh: bool,
     /// What it asks the others.
     pub question: Option<ReportedQuestion>,
     /// What it answers others.
@@ -99,6 +112,16 @@
     tokens: Vec<u64>,
 }
 
+#[derive(Clone, PartialEq, Message)]
+struct ListingWire {
+    #[prost(string, tag = "1")]
+    server: String,
+    #[prost(fixed64, repeated, tag = "2")]
+    parts: Vec<u64>,
+    #[prost(uint64, repeated, tag = "3")]
+    tokens: Vec<u64>,
+}
+
 #[derive(Clone, Copy, PartialEq, Message)]
 struct QuestionWire {
     #[prost(fixed64, tag = "1")]
@@ -141,6 +164,10 @@
     question: Option<QuestionWire>,
     #[prost(message, optional, tag = "7")]
     configuration: Option<ConfigurationWire>,
+    #[prost(message, repeated, tag = "8")]
+    listings: Vec<ListingWire>,
+    #[prost(bool, tag = "9")]
+    fresh: bool,
 }
 
 impl From<&ReportedHolder> for HolderWire {
@@ -164,6 +191,28 @@
     }
 }
 
+impl From<&ReportedListing> for ListingWire {
+    fn from(listing: &ReportedListing) -> Self {
+        Self {
+            server: listing.server.to_string(),
+            parts: listing.parts.iter().map(|part| part.id.0).collect(),
+            tokens: listing.parts.iter().map(|part| part.tokens.get()).collect(),
+        }
+    }
+}
+
+impl TryFrom<ListingWire> for ReportedListing {
+    type Error = ReportError;
+
+    fn try_from(wire: ListingWire) -> Result<Self, ReportError> {
+        let server = wire.server.parse()?;
+        let parts = wire.parts.into_iter().zip(wire.tokens);
+        let parts = parts
+            .map(|(id, tokens)| PromptPart { id: PartId(id), tokens: TokenCount::new(tokens) });
+        Ok(Self { server, parts: parts.collect() })
+    }
+}
+
 impl From<ReportedQuestion> for QuestionWire {
     fn from(question: ReportedQuestion) -> Self {
         Self { life: question.life, asked_ms: question.asked_ms }
@@ -222,6 +271,8 @@
             loads: loads.collect(),
             leaving: report.leaving,
             holders: report.holders.iter().map(HolderWire::from).collect(),
+            listings: report.listings.iter().map(ListingWire::from).collect(),
+            fresh: report.fresh,
             question: report.question.map(QuestionWire::from),
             configuration: report.configuration.as_ref().map(ConfigurationWire::from),
         }
@@ -245,7 +296,13 @@
                 .into_iter()
                 .map(ReportedHolder::try_from)
                 .collect::<Result<_, _>>()?,
+            listings: wire
+                .listings
+                .into_iter()
+                .map(ReportedListing::try_from)
+                .collect::<Result<_, _>>()?,
             leaving: wire.leaving,
+            fresh: wire.fresh,
             question: wire.question.map(ReportedQuestion::from),
             configuration: wire.configuration.map(ReportedConfiguration::from),
         })
--- a/crates/papayamux-protocol/tests/router_report.rs
+++ b/crates/papayamux-protocol/tests/router_report.rs
@@ -2,9 +2,10 @@
 
 use bytes::Bytes;
 use papayamux_protocol::router_report::{
-    ReportedConfiguration, ReportedHolder, ReportedLoad, ReportedQuestion, RouterReport,
+    ReportedConfiguration, ReportedHolder, ReportedListing, ReportedLoad, ReportedQuestion,
+    RouterReport,
 };
-use papayamux_state::prompt::PartId;
+use papayamux_state::prompt::{PartId, PromptPart};
 use papayamux_state::quantities::TokenCount;
 
 /// Inputs tried by each property: about a second's worth in a debug build.
@@ -23,7 +24,12 @@
                 (PartId(u64::MAX), TokenCount::new(10_000)),
             ],
         }],
+        listings: vec![ReportedListing {
+            server: "i-3".parse().unwrap(),
+            parts: vec![PromptPart { id: PartId(9), tokens: TokenCount::new(9_876) }],
+        }],
         leaving: true,
+        fresh: true,
         question: Some(ReportedQuestion { life: u64::MAX, asked_ms: 4_711 }),
         configuration: Some(ReportedConfiguration {
             version: 45,
--- /dev/null
+++ b/crates/papayamux-router/src/direct/cache_survey.rs
@@ -0,0 +1,108 @@
+//! Asks engines for lists of their caches where no router knows what they hold.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use http::StatusCode;
+use papayamux_coordination::cache_survey::{survey_share, CacheListing, SURVEY_AFTER};
+use papayamux_state::backend::BackendServer;
+use papayamux_state::prompt::PromptPart;
+use papayamux_transport::http::upstream::UpstreamError;
+use thiserror::Error;
+
+use super::interface::{CacheListError, CallInterface};
+use super::peers::PeerExchange;
+use super::Fleet;
+
+/// How often a starting router looks whether it knows of servers.
+const START_CHECK: Duration = Duration::from_millis(20);
+/// How long a list may take: it waits for a step of its engine, of 100 ms at most, several times.
+const LIST_WITHIN: Duration = Duration::from_millis(500);
+/// Bytes of the longest list: some ten thousand parts.
+const LONGEST_LIST: usize = 1024 * 1024;
+
+/// Why there is no list.
+#[derive(Debug, Error)]
+enum SurveyError {
+    #[error("no answer within {LIST_WITHIN:?}")]
+    Late,
+    #[error("status {0}")]
+    Status(StatusCode),
+    #[error("the list is longer than {LONGEST_LIST} bytes")]
+    TooLong,
+    #[error(transparent)]
+    Connection(#[from] UpstreamError),
+    #[error("the list broke off: {0}")]
+    BrokenOff(#[from] hyper::Error),
+    #[error(transparent)]
+    List(#[from] CacheListError),
+}
+
+/// Asks this router's share of the engines once, soon after its start, where the other routers have
+/// started as lately.
+pub(super) async fn survey_caches(
+    fleet: Rc<Fleet>,
+    peers: Rc<PeerExchange>,
+    interface: Rc<dyn CallInterface>,
+) {
+    while fleet.server_count() == 0 {
+        monoio::time::sleep(START_CHECK).await;
+    }
+    monoio::time::sleep(SURVEY_AFTER).await;
+    let Some(others) = peers.fresh_routers() else {
+        log::info!("other routers know the caches");
+        return;
+    };
+    let engines = fleet.engines();
+    let share = survey_share(peers.own_address(), &others, engines.iter().map(|engine| &engine.id));
+    log::info!(
+        routers = others.len() + 1, engines = engines.len(), asked = share.len();
+        "nobody knows the caches, asking engines"
+    );
+    for engine in engines.into_iter().filter(|engine| share.contains(&engine.id)) {
+        monoio::spawn(survey_cache(fleet.clone(), peers.clone(), interface.clone(), engine));
+    }
+}
+
+async fn survey_cache(
+    fleet: Rc<Fleet>,
+    peers: Rc<PeerExchange>,
+    interface: Rc<dyn CallInterface>,
+    engine: Rc<BackendServer>,
+) {
+    let listed = read_list(&fleet, &*interface, &engine);
+    let listed = monoio::time::timeout(LIST_WITHIN, listed).await;
+    match listed.unwrap_or(Err(SurveyError::Late)) {
+        Ok(listed) => {
+            let listing = CacheListing::new(engine.id.clone(), listed);
+            log::info!(server:% = engine.id, parts = listing.parts.len(); "cache listed");
+            fleet.note_listing(&listing);
+            peers.tell_listing(listing);
+        }
+        Err(error) => {
+            log::warn!(server:% = engine.id, error:% = error; "no list of the cache");
+        }
+    }
+}
+
+async fn read_list(
+    fleet: &Fleet,
+    interface: &dyn CallInterface,
+    engine: &BackendServer,
+) -> Result<Vec<PromptPart>, SurveyError> {
+    let request = interface.cache_request(&engine.id);
+    let mut answer = fleet.pool().send(engine.address, request).await?;
+    if answer.head.status != StatusCode::OK {
+        return Err(SurveyError::Status(answer.head.status));
+    }
+    let mut body = BytesMut::new();
+    while let Some(piece) = answer.next_piece().await {
+        body.extend_from_slice(&piece?);
+        if body.len() > LONGEST_LIST {
+            return Err(SurveyError::TooLong);
+        }
+    }
+    answer.finish();
+    Ok(interface.listed_parts(&body)?)
+}
--- a/crates/papayamux-router/src/direct/daemon.rs
+++ b/crates/papayamux-router/src/direct/daemon.rs
@@ -24,6 +24,7 @@
 use serde_json::json;
 
 use super::attempt_watch::watch_attempts;
+use super::cache_survey::survey_caches;
 use super::peers::PeerExchange;
 use super::source_follower::{follow_source, FleetSource};
 use super::{CallDesk, CallInterface, DirectSettings, Fleet};
@@ -128,6 +129,7 @@
     monoio::spawn(operations);
     let peers = PeerExchange::open(fleet.clone(), settings.peers, settings.seeds.clone())?;
     monoio::spawn(follow_source(fleet.clone(), source));
+    monoio::spawn(survey_caches(fleet.clone(), peers.clone(), interface.clone()));
     let timer = TimerService::start();
     monoio::spawn(forget_old(fleet.clone(), timer.clone()));
     monoio::spawn(watch_attempts(fleet.clone(), timer));
--- a/crates/papayamux-router/src/direct/fleet/choice.rs
+++ b/crates/papayamux-router/src/direct/fleet/choice.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use papayamux_coordination::cache_survey::CacheListing;
 use papayamux_coordination::placement::{
     place, HolderNote, PlacementCandidate, PlacementRequest, PlacementTuning, ServerLoad,
 };
@@ -142,6 +143,24 @@
         let parts = warm.entry(server.id.clone()).or_insert_with(|| WarmParts::new(capacity));
         parts.note_prefixes(note.prefixes.iter().copied());
     }
+
+    /// Takes in what an engine lists of its cache.
+    pub fn note_listing(&self, listing: &CacheListing) {
+        let Some(server) = self.presence.borrow().catalog().get(&listing.server).cloned() else {
+            return;
+        };
+        let capacity = self.cache_capacity(&server.service);
+        let mut warm = self.warm.borrow_mut();
+        let parts = warm.entry(server.id.clone()).or_insert_with(|| WarmParts::new(capacity));
+        parts.note_listed(listing.parts.iter().copied());
+    }
+
+    /// The servers that have caches of prompts.
+    pub fn engines(&self) -> Vec<Rc<BackendServer>> {
+        let presence = self.presence.borrow();
+        let servers = presence.catalog().iter();
+        servers.filter(|server| self.engine_profile(&server.service).is_some()).cloned().collect()
+    }
 }
 
 fn server_is_engine(prompt: &PromptChain) -> bool {
--- a/crates/papayamux-router/src/direct/interface.rs
+++ b/crates/papayamux-router/src/direct/interface.rs
@@ -10,7 +10,9 @@
 use http::{request, Request, Response};
 use papayamux_state::backend::ReportedQueue;
 use papayamux_state::ids::{OrganisationId, ServerId};
+use papayamux_state::prompt::PromptPart;
 use papayamux_transport::http::AnswerBody;
+use thiserror::Error;
 
 use super::{CallFailure, CallHead};
 
@@ -44,6 +46,11 @@
     Foreign,
 }
 
+/// Why a list of a cache can't be read.
+#[derive(Debug, Error)]
+#[error("the list of the cache can't be read: {0}")]
+pub struct CacheListError(pub String);
+
 /// Translates between the product and the interface that callers and servers speak.
 pub trait CallInterface {
     /// Reads the head of a caller's request.
@@ -59,6 +66,10 @@
     ) -> Request<Bytes>;
     /// What a server says of its queue with an answer.
     fn reported_queue(&self, head: &ResponseParts) -> Option<ReportedQueue>;
+    /// The request for a list of what an engine's cache holds.
+    fn cache_request(&self, server: &ServerId) -> Request<Bytes>;
+    /// The parts in such a list.
+    fn listed_parts(&self, body: &[u8]) -> Result<Vec<PromptPart>, CacheListError>;
     /// What an answer is.
     fn verdict(&self, call: &CallHead, head: &ResponseParts) -> AnswerVerdict;
 }
--- a/crates/papayamux-router/src/direct/peers.rs
+++ b/crates/papayamux-router/src/direct/peers.rs
@@ -8,11 +8,13 @@
 
 use bytes::Bytes;
 use monoio::net::udp::UdpSocket;
+use papayamux_coordination::cache_survey::{CacheListing, ListingNews, FRESH_FOR};
 use papayamux_coordination::peer_vouching::{VouchQuestion, VouchQuestions, VouchStatement};
 use papayamux_coordination::placement::{HolderNote, RouterId, ServerLoad};
-use papayamux_coordination::router_peers::RouterPeers;
+use papayamux_coordination::router_peers::{PeerNews, RouterPeers};
 use papayamux_protocol::router_report::{
-    ReportedConfiguration, ReportedHolder, ReportedLoad, ReportedQuestion, RouterReport,
+    ReportedConfiguration, ReportedHolder, ReportedListing, ReportedLoad, ReportedQuestion,
+    RouterReport,
 };
 use papayamux_state::boot_time::BootInstant;
 use papayamux_state::service_config::ConfigVersion;
@@ -38,7 +40,9 @@
     address: SocketAddr,
     peers: RefCell<RouterPeers>,
     questions: RefCell<VouchQuestions<IpAddr>>,
+    listings: RefCell<ListingNews>,
     life: u64,
+    started: Instant,
     sequence: Cell<u64>,
     leaving: Cell<bool>,
 }
@@ -54,7 +58,9 @@
             address: listen,
             peers,
             questions: RefCell::default(),
+            listings: RefCell::default(),
             life: rand::random(),
+            started: Instant::now(),
             sequence: Cell::new(0),
             leaving: Cell::new(false),
         });
@@ -73,6 +79,22 @@
         self.leaving.set(true);
     }
 
+    /// The other routers that are heard, where all have started lately and so know little of caches.
+    pub fn fresh_routers(&self) -> Option<Vec<IpAddr>> {
+        let (peers, now) = (self.peers.borrow(), Instant::now());
+        peers.all_are_fresh(now).then(|| peers.alive(now))
+    }
+
+    /// The address by which the others know this router.
+    pub fn own_address(&self) -> IpAddr {
+        self.address.ip()
+    }
+
+    /// Tells the others what an engine listed of its cache.
+    pub fn tell_listing(&self, listing: CacheListing) {
+        self.listings.borrow_mut().add(listing, Instant::now());
+    }
+
     async fn receive(self: Rc<Self>) {
         let mut buffer = vec![0u8; LONGEST_REPORT];
         loop {
@@ -99,7 +121,9 @@
             }
         };
         let now = Instant::now();
-        let newer = self.peers.borrow_mut().hear(sender, report.sequence, &report.known, now);
+        let news =
+            PeerNews { sequence: report.sequence, known: &report.known, fresh: report.fresh };
+        let newer = self.peers.borrow_mut().hear(sender, news, now);
         if !newer {
             return;
         }
@@ -113,6 +137,9 @@
             let ReportedHolder { server, prefixes } = holder;
             self.fleet.note_holder(&HolderNote { server, prefixes });
         }
+        for ReportedListing { server, parts } in report.listings {
+            self.fleet.note_listing(&CacheListing::new(server, parts));
+        }
         let loads = report.loads.into_iter().map(|load| {
             let ReportedLoad { server, requests, backlog } = load;
             (server, ServerLoad { requests, backlog })
@@ -176,12 +203,17 @@
             let HolderNote { server, prefixes } = note;
             ReportedHolder { server, prefixes }
         });
+        let listings = self.listings.borrow_mut().next(now).into_iter();
+        let listings =
+            listings.map(|CacheListing { server, parts }| ReportedListing { server, parts });
         RouterReport {
             sequence: self.sequence.get(),
             known: self.peers.borrow().alive(now),
             loads: loads.collect(),
             holders: holders.collect(),
+            listings: listings.collect(),
             leaving: self.leaving.get(),
+            fresh: now.saturating_duration_since(self.started) < FRESH_FOR,
             question,
             configuration: self.next_answers(now),
         }
--- a/crates/papayamux-state/src/prompt/mod.rs
+++ b/crates/papayamux-state/src/prompt/mod.rs
@@ -3,5 +3,5 @@
 mod prompt_chain;
 mod warm_parts;
 
-pub use prompt_chain::{ChainError, PartId, PromptChain, PromptPart};
+pub use prompt_chain::{ChainError, PartId, PartIdError, PromptChain, PromptPart};
 pub use warm_parts::WarmParts;
--- a/crates/papayamux-state/src/prompt/prompt_chain.rs
+++ b/crates/papayamux-state/src/prompt/prompt_chain.rs
@@ -20,6 +20,27 @@
     }
 }
 
+/// A text is no name of a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the name of a part is hexadecimal")]
+pub struct PartIdError;
+
+impl FromStr for PartId {
+    type Err = PartIdError;
+
+    /// Reads a hexadecimal name; a longer one is reduced to 64 bits.
+    fn from_str(text: &str) -> Result<Self, PartIdError> {
+        if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(PartIdError);
+        }
+        let number = match u64::from_str_radix(text, 16) {
+            Ok(number) => number,
+            Err(_) => xxhash_rust::xxh3::xxh3_64(text.as_bytes()),
+        };
+        Ok(Self(number))
+    }
+}
+
 /// A part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
@@ -108,12 +129,5 @@
 
 fn read_part(entry: &str) -> Option<PromptPart> {
     let (id, tokens) = entry.split_once(':')?;
-    if id.is_empty() || !id.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-        return None;
-    }
-    let number = match u64::from_str_radix(id, 16) {
-        Ok(number) => number,
-        Err(_) => xxhash_rust::xxh3::xxh3_64(id.as_bytes()),
-    };
-    Some(PromptPart { id: PartId(number), tokens: TokenCount::new(tokens.trim().parse().ok()?) })
+    Some(PromptPart { id: id.parse().ok()?, tokens: TokenCount::new(tokens.trim().parse().ok()?) })
 }
--- a/crates/papayamux-state/src/prompt/warm_parts.rs
+++ b/crates/papayamux-state/src/prompt/warm_parts.rs
@@ -1,8 +1,12 @@
 //! Which prefixes of prompts a server probably holds in its cache.
+//!
+//! What routers placed is known as prefixes. What an engine lists of its cache is known as parts
+//! without their order; a listed part is taken to be held with all that comes before it in a prompt,
+//! since each use of a part is one of those before it.
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::{PartId, PromptChain};
+use super::{PartId, PromptChain, PromptPart};
 use crate::quantities::TokenCount;
 
 /// Prefixes remembered for one server. At about 55 bytes each, 600 servers take 26 MB of the 32 MB
@@ -10,6 +14,10 @@
 /// of its own, has its last 80 seconds remembered.
 const MOST_PREFIXES: usize = 800;
 
+/// Listed parts remembered for one server: the largest are listed first, and what isn't among them
+/// is read again in some milliseconds.
+const MOST_LISTED: usize = 64;
+
 /// The part of its capacity from which a cache counts as nearly full.
 const NEARLY_FULL: f64 = 0.9;
 
@@ -27,6 +35,7 @@
     held: TokenCount,
     prefixes: HashMap<PartId, WarmPrefix>,
     by_use: BTreeMap<u64, PartId>,
+    listed: HashMap<PartId, TokenCount>,
     uses: u64,
 }
 
@@ -38,6 +47,7 @@
             held: TokenCount::default(),
             prefixes: HashMap::new(),
             by_use: BTreeMap::new(),
+            listed: HashMap::new(),
             uses: 0,
         }
     }
@@ -45,7 +55,17 @@
     /// Tokens of `chain` that are expected to be cached.
     pub fn warm_tokens(&self, chain: &PromptChain) -> TokenCount {
         let known = chain.prefixes().take_while(|(prefix, _)| self.prefixes.contains_key(prefix));
-        known.map(|(_, tokens)| tokens).sum()
+        let placed: TokenCount = known.map(|(_, tokens)| tokens).sum();
+        placed.max(self.listed_tokens(chain))
+    }
+
+    /// Tokens up to the end of the last part of `chain` that the server listed.
+    fn listed_tokens(&self, chain: &PromptChain) -> TokenCount {
+        let parts = chain.parts();
+        let last = parts.iter().rposition(|part| self.listed.contains_key(&part.id));
+        last.map_or(TokenCount::default(), |last| {
+            parts[..=last].iter().map(|part| part.tokens).sum()
+        })
     }
 
     /// Whether the cache is nearly full: what comes evicts about as much.
@@ -55,14 +75,35 @@
 
     /// Notes that the server reads `chain`.
     pub fn note_use(&mut self, chain: &PromptChain) {
+        for part in chain.parts() {
+            self.forget_listed(part.id);
+        }
         self.note_prefixes(chain.prefixes());
     }
 
+    /// Notes that the server lists these parts of its cache, the largest first.
+    pub fn note_listed(&mut self, parts: impl IntoIterator<Item = PromptPart>) {
+        for part in parts {
+            if self.listed.len() >= MOST_LISTED {
+                break;
+            }
+            if self.listed.insert(part.id, part.tokens).is_none() {
+                self.held += part.tokens;
+            }
+        }
+        self.make_room();
+    }
+
     /// Notes that the server holds these prefixes.
     pub fn note_prefixes(&mut self, prefixes: impl Iterator<Item = (PartId, TokenCount)>) {
         for (prefix, tokens) in prefixes {
             self.touch(prefix, tokens);
         }
+        self.make_room();
+    }
+
+    /// Gives up what the server has replaced by now.
+    fn make_room(&mut self) {
         while self.held > self.capacity || self.prefixes.len() > MOST_PREFIXES {
             if !self.forget_oldest() {
                 break;
@@ -85,7 +126,18 @@
         self.by_use.insert(self.uses, prefix);
     }
 
+    fn forget_listed(&mut self, part: PartId) {
+        if let Some(tokens) = self.listed.remove(&part) {
+            self.held = self.held.saturating_sub(tokens);
+        }
+    }
+
+    /// Forgets a listed part, which is older than all that was placed since, or the oldest prefix.
     fn forget_oldest(&mut self) -> bool {
+        if let Some(part) = self.listed.keys().next().copied() {
+            self.forget_listed(part);
+            return true;
+        }
         let Some((_, oldest)) = self.by_use.pop_first() else { return false };
         if let Some(prefix) = self.prefixes.remove(&oldest) {
             self.held = self.held.saturating_sub(prefix.tokens);
--- a/crates/papayamux-state/tests/prompts_and_routes.rs
+++ b/crates/papayamux-state/tests/prompts_and_routes.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use papayamux_state::prompt::{ChainError, PromptChain, WarmParts};
+use papayamux_state::prompt::{ChainError, PartId, PromptChain, PromptPart, WarmParts};
 use papayamux_state::quantities::TokenCount;
 use papayamux_state::service_config::{
     ApiKey, KeyHolder, OrganisationKeys, RequestKind, Route, RouteTable, ServiceShare,
@@ -32,6 +32,36 @@
     assert_eq!(vec!["1:1"; 300].join(",").parse::<PromptChain>(), Err(ChainError::TooMany));
 }
 
+fn part(id: u64, tokens: u64) -> PromptPart {
+    PromptPart { id: PartId(id), tokens: TokenCount::new(tokens) }
+}
+
+#[test]
+fn listed_part_is_warm_with_all_before_it() {
+    let mut warm = WarmParts::new(TokenCount::new(10_000));
+    warm.note_listed([part(2, 200)]);
+    assert_eq!(warm.warm_tokens(&chain("1:100,2:200,3:30")), TokenCount::new(300));
+    assert_eq!(warm.warm_tokens(&chain("1:100,4:200")), TokenCount::new(0));
+}
+
+#[test]
+fn listed_part_yields_before_what_was_placed_since() {
+    let mut warm = WarmParts::new(TokenCount::new(1_000));
+    warm.note_listed([part(9, 600)]);
+    warm.note_use(&chain("1:400,a:100"));
+    assert_eq!(warm.warm_tokens(&chain("9:600,b:10")), TokenCount::new(0));
+    assert_eq!(warm.warm_tokens(&chain("1:400,b:10")), TokenCount::new(400));
+}
+
+#[test]
+fn listed_part_that_is_used_counts_once() {
+    let mut warm = WarmParts::new(TokenCount::new(1_000));
+    warm.note_listed([part(1, 600)]);
+    warm.note_use(&chain("1:600,a:100"));
+    assert!(!warm.is_nearly_full());
+    assert_eq!(warm.warm_tokens(&chain("1:600,b:10")), TokenCount::new(600));
+}
+
 #[test]
 fn part_is_warm_only_behind_the_same_parts() {
     let mut warm = WarmParts::new(TokenCount::new(10_000));
