Copy prompts from engines that have left without a notice until they end

Change: such an engine gets nothing new, but stays a source of copies for the drain time where its entry had been renewed lately; renewal_every, from the platform's settings, tells a crashed one.

--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod peer_vouching;
 pub mod placement;
 pub mod prefill_backlog;
+pub mod recent_departures;
 pub mod retry_budget;
 pub mod return_time;
 pub mod route_cost;
--- a/crates/papayamux-router/src/direct/attempt_watch.rs
+++ b/crates/papayamux-router/src/direct/attempt_watch.rs
@@ -108,7 +108,7 @@
 pub(super) async fn watch_attempts(fleet: Rc<Fleet>, timer: TimerService) {
     let mut ticks = timer.every(WATCH_EVERY);
     while ticks.tick().await.is_some() {
-        fleet.expire_lapsed();
+        fleet.expire_servers();
         fleet.watch_lines();
         fleet.watch().look(&fleet);
     }
--- a/crates/papayamux-router/src/direct/fleet/choice.rs
+++ b/crates/papayamux-router/src/direct/fleet/choice.rs
@@ -47,7 +47,7 @@
     ) -> Option<ChosenServer> {
         let now = Instant::now();
         let prompt = &call.prompt;
-        let servers = self.candidate_servers(service, tried);
+        let servers = self.candidate_servers(service, tried, now);
         let ranks = group_ranks(prompt, &servers);
         let candidates: Vec<_> = servers
             .iter()
@@ -77,10 +77,17 @@
         })
     }
 
-    fn candidate_servers(&self, service: &ServiceId, tried: &[ServerId]) -> Vec<Rc<BackendServer>> {
+    /// The servers that may get the request, and those that have left but still hold prompts.
+    fn candidate_servers(
+        &self,
+        service: &ServiceId,
+        tried: &[ServerId],
+        now: Instant,
+    ) -> Vec<Rc<BackendServer>> {
         let presence = self.presence.borrow();
-        let servers = presence.catalog().of_service(service);
-        servers.filter(|server| !tried.contains(&server.id)).cloned().collect()
+        let servers = presence.catalog().of_service(service).cloned();
+        let departed = self.departures.borrow().of_service(service, now);
+        servers.chain(departed).filter(|server| !tried.contains(&server.id)).collect()
     }
 
     fn candidate(
--- a/crates/papayamux-router/src/direct/fleet/fleet_state.rs
+++ b/crates/papayamux-router/src/direct/fleet/fleet_state.rs
@@ -7,6 +7,7 @@
 use papayamux_coordination::key_freshness::KeyFreshness;
 use papayamux_coordination::link_delays::LinkDelays;
 use papayamux_coordination::placement::{LoadLedger, RecentHolders};
+use papayamux_coordination::recent_departures::RecentDepartures;
 use papayamux_coordination::server_evidence::EvidenceBook;
 use papayamux_coordination::server_places::QueueReports;
 use papayamux_coordination::server_presence::ServerPresence;
@@ -34,6 +35,7 @@
     pub(super) vouched_for: Cell<bool>,
     pub(super) poke: RefCell<ShutdownSignal>,
     pub(super) presence: RefCell<ServerPresence>,
+    pub(super) departures: RefCell<RecentDepartures>,
     pub(super) ledger: RefCell<LoadLedger>,
     pub(super) evidence: RefCell<EvidenceBook>,
     pub(super) pulses: RefCell<HashMap<ServiceId, PulseBook>>,
@@ -58,6 +60,7 @@
         Rc::new(Self {
             freshness: RefCell::new(KeyFreshness::new(settings.revoke_within)),
             budget: RefCell::new(ServiceRetryBudget::new(settings.retries)),
+            departures: RefCell::new(RecentDepartures::new(settings.departure_bounds())),
             settings,
             configuration: RefCell::default(),
             confirmed: RefCell::default(),
--- a/crates/papayamux-router/src/direct/fleet/known_servers.rs
+++ b/crates/papayamux-router/src/direct/fleet/known_servers.rs
@@ -19,8 +19,11 @@
         self.presence.borrow().awaits_renewals()
     }
 
-    /// Gives up servers whose entries have lapsed for too long.
-    pub(in crate::direct) fn expire_lapsed(&self) {
+    /// Gives up servers whose entries have lapsed for too long, and those that have ended.
+    pub(in crate::direct) fn expire_servers(&self) {
+        for id in self.departures.borrow_mut().expire(Instant::now()) {
+            self.forget_server(&id);
+        }
         if !self.awaits_renewals() {
             return;
         }
@@ -34,18 +37,28 @@
     /// Takes in one entry of the list.
     pub fn note_server(&self, server: BackendServer) {
         let id = server.id.clone();
+        self.departures.borrow_mut().note_renewal(&id, Instant::now());
         let change = self.presence.borrow_mut().note_entry(server);
         self.note_presence(&id, change);
     }
 
     /// Takes in that an entry is gone.
     pub fn note_server_gone(&self, id: &ServerId, now: Instant) {
+        let known = self.presence.borrow().catalog().get(id).cloned();
         let change = self.presence.borrow_mut().note_removal(id, now);
-        self.note_presence(id, change);
+        let lingers = change == PresenceChange::Departed
+            && known.is_some_and(|known| self.departures.borrow_mut().note_departure(&known, now));
+        match lingers {
+            true => log::info!(server:% = id; "server has left and finishes its work"),
+            false => self.note_presence(id, change),
+        }
     }
 
     /// Takes in the whole list.
     pub fn note_server_list(&self, servers: Vec<BackendServer>, now: Instant) {
+        for server in &servers {
+            self.departures.borrow_mut().note_renewal(&server.id, now);
+        }
         let changes = self.presence.borrow_mut().note_list(servers, now);
         for (id, change) in changes {
             self.note_presence(&id, change);
--- a/crates/papayamux-router/src/direct/settings.rs
+++ b/crates/papayamux-router/src/direct/settings.rs
@@ -6,6 +6,7 @@
 use bon::Builder;
 use papayamux_coordination::key_freshness::longest_key_age;
 use papayamux_coordination::placement::PlacementPolicy;
+use papayamux_coordination::recent_departures::DepartureBounds;
 use papayamux_coordination::service_retry_budget::RetryAllowance;
 use papayamux_coordination::source_pace::ReadBounds;
 use papayamux_settings::{Findings, IniFile, Millis};
@@ -24,6 +25,9 @@
     pub apply_within: Option<Duration>,
     /// How soon a draining server must get nothing more.
     pub drain_within: Option<Duration>,
+    /// The pause between two renewals of a server's entry.
+    #[builder(default = DEFAULT_RENEWAL)]
+    pub renewal_every: Duration,
     /// The bound on a server's requests, as a multiple of the mean.
     #[builder(default = 2.0)]
     pub load_factor: f64,
@@ -48,6 +52,12 @@
         }
     }
 
+    /// How servers renew their entries and leave.
+    pub fn departure_bounds(&self) -> DepartureBounds {
+        let linger = self.drain_within.unwrap_or_default();
+        DepartureBounds { renewal: self.renewal_every, linger }
+    }
+
     /// Age of the configuration up to which a request is refused for its key or route by it. A
     /// part of the bound within which a new configuration is in force, so that nobody is refused
     /// by one that was replaced longer ago.
@@ -56,6 +66,8 @@
     }
 }
 
+/// The pause between two renewals where nothing is said: a usual heartbeat.
+const DEFAULT_RENEWAL: Duration = Duration::from_millis(1_200);
 /// Part of the bound on a new configuration's coming into force that a refusal's one may be old.
 const NEGATIVE_PART: f64 = 0.75;
 /// The same where there is no bound.
@@ -166,6 +178,7 @@
     let revoke_within = bounds.optional::<Millis>("revoke_within").map(|millis| millis.0);
     let millis = |key: &str| bounds.optional::<Millis>(key).map(|millis| millis.0);
     let (apply_within, drain_within) = (millis("apply_within"), millis("drain_within"));
+    let renewal_every = bounds.or("renewal_every", Millis(DEFAULT_RENEWAL)).0;
     let placement = file.optional_section("placement");
     let policy = placement.or("policy", PlacementPolicy::default());
     placement.refuse_other_keys();
@@ -177,6 +190,7 @@
         .maybe_revoke_within(revoke_within)
         .maybe_apply_within(apply_within)
         .maybe_drain_within(drain_within)
+        .renewal_every(renewal_every)
         .load_factor(load_factor)
         .policy(policy)
         .retries(retries)
--- a/crates/papayamux-router/tests/direct_settings.rs
+++ b/crates/papayamux-router/tests/direct_settings.rs
@@ -25,6 +25,7 @@
 revoke_within = 5000ms
 apply_within = 2000ms
 drain_within = 2000ms
+renewal_every = 1500ms
 retry_ratio = 0.2
 retry_slack = 56
 retry_window = 10s
@@ -38,6 +39,7 @@
     assert_eq!(settings.grace, Duration::from_secs(8));
     assert_eq!(settings.fleet.read_bounds().interval(), Duration::from_secs(1));
     assert_eq!(settings.most_callers(), 2_220);
+    assert_eq!(settings.fleet.departure_bounds().renewal, Duration::from_millis(1_500));
 }
 
 #[test]
