Copy what many prompts begin with to a home that is only believed to hold it

Change: where the home is only believed to hold the prompt, it is told to copy from the engine that is known to hold most of it. Test: placement.rs (fails before: nothing is copied).

--- a/crates/papayamux-coordination/src/placement/placer.rs
+++ b/crates/papayamux-coordination/src/placement/placer.rs
@@ -68,10 +68,14 @@
         let server = baseline(request, &usable, bound, tuning.policy)?;
         return Some(Placement { server, fetch_from: None, cold: request.prompt });
     }
-    let source = warmest(request, candidates);
+    let source = warmest(candidates, |one| believed_tokens(request, one));
+    // A home that is only believed to hold the prompt may lack even its beginning, which other
+    // engines are known to hold. To ask in vain costs milliseconds, to read it again slows others.
+    let known_source = warmest(candidates, |one| one.warm);
     let server = cheapest(request, &usable, bound, source.map(|(_, tokens)| tokens))?;
     let known = candidates[server].warm;
-    let fetch = source.filter(|(index, tokens)| {
+    let mut sources = [source, known_source].into_iter().flatten();
+    let fetch = sources.find(|(index, tokens)| {
         *index != server && *tokens > known && request.transfer_tokens_per_ms.is_some()
     });
     let held = believed_tokens(request, &candidates[server]);
@@ -145,14 +149,14 @@
     chosen.map(|(index, _)| index)
 }
 
-/// The server that is believed to hold most of the prompt, and how much.
+/// The server that holds most of the prompt by the count of `held`, and how much.
 fn warmest(
-    request: PlacementRequest,
     candidates: &[PlacementCandidate],
+    held: impl Fn(&PlacementCandidate) -> TokenCount,
 ) -> Option<(usize, TokenCount)> {
     let sound =
         candidates.iter().enumerate().filter(|(_, one)| one.standing == ServerStanding::Good);
-    let held = sound.map(|(index, one)| (index, believed_tokens(request, one)));
+    let held = sound.map(|(index, one)| (index, held(one)));
     held.max_by_key(|(_, tokens)| *tokens).filter(|(_, tokens)| tokens.get() > 0)
 }
 
--- a/crates/papayamux-coordination/tests/placement.rs
+++ b/crates/papayamux-coordination/tests/placement.rs
@@ -43,6 +43,17 @@
     place(request, candidates, PlacementTuning::default()).unwrap().server
 }
 
+#[test]
+fn home_that_is_only_believed_to_hold_a_prompt_copies_the_beginning_that_another_holds() {
+    let home = PlacementCandidate { rank: 0, ..candidate(0) };
+    let other = PlacementCandidate { warm: tokens(512), ..candidate(0) };
+    let placement = place(LONG, &[home, other], PlacementTuning::default()).unwrap();
+    assert_eq!((placement.server, placement.fetch_from), (0, Some(1)));
+    let known_home = PlacementCandidate { warm: tokens(10_500), ..home };
+    let placement = place(LONG, &[known_home, other], PlacementTuning::default()).unwrap();
+    assert_eq!((placement.server, placement.fetch_from), (0, None));
+}
+
 #[test]
 fn first_request_of_a_group_goes_to_its_home() {
     let home = PlacementCandidate { rank: 0, ..candidate(3) };
