Don't press a store that is known to be away with a read for each request

A store that sheds load got the more reads the more callers came. Change: after a failed read such a request is refused at once, and reads keep their own pace.

--- a/crates/papayamux-router/src/direct/admission.rs
+++ b/crates/papayamux-router/src/direct/admission.rs
@@ -7,8 +7,8 @@
 
 use super::{CallFailure, CallHead, Fleet, NotRunReason};
 
-/// How long a request waits for the configuration to be confirmed: several answers of the source,
-/// and less than an eighth of the shortest objectives of model requests.
+/// How long a request waits for the configuration to be confirmed, as after a pause of the process:
+/// several answers of the source, and less than an eighth of the shortest objectives of model requests.
 const CONFIRM_WITHIN: Duration = Duration::from_millis(60);
 /// When a caller may come back whose key could not be confirmed: at another router, at once.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -30,7 +30,9 @@
                 return Ok(admitted);
             }
             Err(failure) if self.may_be_believed(&failure) => return Err(failure),
-            _ => self.refresh_configuration(CONFIRM_WITHIN).await,
+            // A source that is known to be away is not pressed, and nobody waits for it.
+            _ if self.may_be_confirmed() => self.refresh_configuration(CONFIRM_WITHIN).await,
+            _ => {}
         }
         let stale = CallFailure::NotRun {
             reason: NotRunReason::StaleConfiguration,
--- a/crates/papayamux-router/src/direct/fleet/beliefs.rs
+++ b/crates/papayamux-router/src/direct/fleet/beliefs.rs
@@ -42,9 +42,20 @@
     pub fn confirm_configuration(&self, sent: BootInstant) {
         self.freshness.borrow_mut().confirm(sent);
         self.vouched_for.set(false);
+        self.source_lost.set(false);
         self.confirmed.take().give();
     }
 
+    /// Notes that a read brought no answer.
+    pub(in crate::direct) fn note_source_lost(&self) {
+        self.source_lost.set(true);
+    }
+
+    /// Whether a confirmation may come at once: the last read was answered.
+    pub(in crate::direct) fn may_be_confirmed(&self) -> bool {
+        !self.source_lost.get()
+    }
+
     /// Whether other routers should be asked if the configuration is still the newest.
     pub(in crate::direct) fn needs_vouching(&self) -> bool {
         let freshness = self.freshness.borrow();
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -102,6 +102,7 @@
                 if self.pace.note_failure() {
                     log::warn!(error:% = error; "source lost");
                 }
+                self.fleet.note_source_lost();
                 self.source.disconnect();
             }
         }
