Shorten routers' reports, so that each router hears the others in time

Reports had some 850 bytes; at 10 KB/s to 12 of 25 others a round took about a second, so that each router was heard every two seconds, and reports are believed for 2.5. Change: servers are named by 32 bits, loads travel in columns, 16 routers are named in turn, and holders that were told before are told again two at a time: 300 bytes, checked by a test. Where a fleet is so large that others are still not heard in time, those that are heard stand for the rest. Tests: router_report.rs (a report's length), router_peers.rs (all routers are found by the routers named in turn), placement.rs (loads that are not heard in time).

--- a/crates/papayamux-coordination/src/placement/load_ledger.rs
+++ b/crates/papayamux-coordination/src/placement/load_ledger.rs
@@ -37,6 +37,17 @@
         self.backlog += other.backlog;
     }
 
+    /// The load that is expected where this is the `part` of it that is known.
+    fn of_part(self, part: f64) -> Self {
+        if part >= 1.0 {
+            return self;
+        }
+        Self {
+            requests: (f64::from(self.requests) / part).round() as u32,
+            backlog: (self.backlog as f64 / part).round() as u64,
+        }
+    }
+
     fn subtract(&mut self, other: ServerLoad) {
         self.requests = self.requests.saturating_sub(other.requests);
         self.backlog = self.backlog.saturating_sub(other.backlog);
@@ -55,6 +66,17 @@
     own: HashMap<ServerId, ServerLoad>,
     reports: HashMap<RouterId, RouterReport>,
     reported: HashMap<ServerId, ServerLoad>,
+    heard_part: HeardPart,
+}
+
+/// The part of the other routers of which a report is believed, from 0 to 1.
+#[derive(Debug, Clone, Copy)]
+struct HeardPart(f64);
+
+impl Default for HeardPart {
+    fn default() -> Self {
+        Self(1.0)
+    }
 }
 
 impl LoadLedger {
@@ -105,10 +127,18 @@
         self.reports.len()
     }
 
+    /// Notes how long it takes until each other router has reported once. Where that is longer than
+    /// reports are believed, those that are believed stand for the others too.
+    pub fn note_cycle(&mut self, cycle: Duration) {
+        let believed = REPORT_EXPIRY.as_secs_f64() / cycle.as_secs_f64().max(f64::MIN_POSITIVE);
+        self.heard_part = HeardPart(believed.min(1.0));
+    }
+
     /// The requests of all routers at `server`.
     pub fn total(&self, server: &ServerId) -> ServerLoad {
         let mut total = self.own.get(server).copied().unwrap_or_default();
-        total.add(self.reported.get(server).copied().unwrap_or_default());
+        let reported = self.reported.get(server).copied().unwrap_or_default();
+        total.add(reported.of_part(self.heard_part.0));
         total
     }
 
--- a/crates/papayamux-coordination/src/placement/recent_holders.rs
+++ b/crates/papayamux-coordination/src/placement/recent_holders.rs
@@ -13,9 +13,12 @@
 /// Time after its last use for which a part is told of: what is not used for longer is soon
 /// replaced in the cache.
 const TOLD_WITHIN: Duration = Duration::from_secs(10);
-/// Parts that one report tells of. At four reports a second a few hundred parts are told within
-/// some seconds, in a few hundred bytes each.
+/// New holders that one report tells of. At four reports a second a few hundred parts are told within
+/// some seconds, in some 30 bytes each.
 const NOTES_PER_REPORT: usize = 8;
+/// Holders that were told before and are told again, for datagrams that were lost and for routers that
+/// have started since: a hundred parts in some ten seconds.
+const REPEATS_PER_REPORT: usize = 2;
 /// Parts kept.
 const MOST_PARTS: usize = 2_048;
 /// Tokens below which a part is not worth telling: reading it takes a few milliseconds.
@@ -69,7 +72,9 @@
         let recent = |holder: &&mut RecentHolder| now - holder.used < TOLD_WITHIN;
         let mut holders: Vec<_> = self.parts.values_mut().filter(recent).collect();
         holders.sort_by_key(|holder| holder.told);
-        let next = holders.into_iter().take(NOTES_PER_REPORT).map(|holder| {
+        let fresh = holders.iter().filter(|holder| holder.told.is_none()).count();
+        let count = NOTES_PER_REPORT.min(fresh.max(REPEATS_PER_REPORT));
+        let next = holders.into_iter().take(count).map(|holder| {
             holder.told = Some(now);
             holder.note.clone()
         });
--- a/crates/papayamux-coordination/src/router_peers.rs
+++ b/crates/papayamux-coordination/src/router_peers.rs
@@ -17,6 +17,9 @@
 const FANOUT: usize = 12;
 /// Reports by which a datagram may be late; an older number is that of a restarted router.
 const REORDERED: u64 = 8;
+/// Routers named in one report: with a hundred reports in a few seconds each router of the largest fleet
+/// is named several times in that time.
+const NAMED_PER_REPORT: usize = 16;
 /// Routers kept: twice the largest fleet that is designed for.
 const MOST_PEERS: usize = 1_024;
 
@@ -46,12 +49,13 @@
     seeds: Vec<IpAddr>,
     peers: BTreeMap<IpAddr, PeerState>,
     told_last: Option<IpAddr>,
+    named_last: Option<IpAddr>,
 }
 
 impl RouterPeers {
     /// The router at `own`, which begins with `seeds`.
     pub fn new(own: IpAddr, seeds: Vec<IpAddr>) -> Self {
-        Self { own, seeds, peers: BTreeMap::new(), told_last: None }
+        Self { own, seeds, peers: BTreeMap::new(), told_last: None, named_last: None }
     }
 
     /// Replaces the addresses to begin with.
@@ -81,7 +85,22 @@
         true
     }
 
-    /// Routers to name to others.
+    /// Some of the routers that are heard, in turn, to be named to others.
+    pub fn next_named(&mut self, now: Instant) -> Vec<IpAddr> {
+        let alive = self.alive(now);
+        let start = self.named_last.map_or(0, |last| alive.partition_point(|peer| *peer <= last));
+        let count = NAMED_PER_REPORT.min(alive.len());
+        let named: Vec<_> = alive.iter().cycle().skip(start).take(count).copied().collect();
+        self.named_last = named.last().copied().or(self.named_last);
+        named
+    }
+
+    /// How many rounds of reports it takes until each router has been told once.
+    pub fn rounds(&self) -> usize {
+        self.peers.len().div_ceil(FANOUT).max(1)
+    }
+
+    /// Routers that are heard.
     pub fn alive(&self, now: Instant) -> Vec<IpAddr> {
         let alive = self.peers.iter().filter(|(_, state)| state.is_alive(now));
         alive.map(|(address, _)| *address).collect()
--- a/crates/papayamux-coordination/tests/placement.rs
+++ b/crates/papayamux-coordination/tests/placement.rs
@@ -43,6 +43,25 @@
     place(request, candidates, PlacementTuning::default()).unwrap().server
 }
 
+#[test]
+fn loads_of_routers_that_are_not_heard_in_time_are_made_up_for() {
+    let now = Instant::now();
+    let server: ServerId = "i-1".parse().unwrap();
+    let load = |requests| ServerLoad { requests, backlog: 1_000 * u64::from(requests) };
+    let mut ledger = LoadLedger::default();
+    ledger.begin(&server, load(2));
+    for index in 1..=5 {
+        let router = RouterId(std::net::Ipv4Addr::new(10, 0, 0, index).into());
+        ledger.note_report(router, vec![(server.clone(), load(3))], now);
+    }
+    // All others report once in a second, so that all are known.
+    ledger.note_cycle(std::time::Duration::from_secs(1));
+    assert_eq!(ledger.total(&server), load(17));
+    // They take ten seconds, and reports are believed for a quarter of that.
+    ledger.note_cycle(std::time::Duration::from_secs(10));
+    assert_eq!(ledger.total(&server), load(62));
+}
+
 #[test]
 fn home_that_is_only_believed_to_hold_a_prompt_copies_the_beginning_that_another_holds() {
     let home = PlacementCandidate { rank: 0, ..candidate(0) };
--- a/crates/papayamux-coordination/tests/router_peers.rs
+++ b/crates/papayamux-coordination/tests/router_peers.rs
@@ -25,7 +25,7 @@
         let now = begun + Duration::from_millis(round * 250);
         for index in 0..routers {
             let targets = all[index as usize].next_targets(now);
-            let known = all[index as usize].alive(now);
+            let known = all[index as usize].next_named(now);
             assert!(targets.len() <= 12 + seeds.len());
             assert!(!targets.contains(&address(index)), "nobody tells itself");
             let targets: BTreeSet<_> = targets.into_iter().collect();
--- a/crates/papayamux-protocol/src/router_report.rs
+++ b/crates/papayamux-protocol/src/router_report.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr};
 
 use bytes::Bytes;
-use papayamux_state::ids::{IdError, ServerId};
+use papayamux_state::ids::ServerKey;
 use papayamux_state::prompt::{PartId, PromptPart};
 use papayamux_state::quantities::TokenCount;
 use prost::Message;
@@ -13,7 +13,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReportedLoad {
     /// The server.
-    pub server: ServerId,
+    pub server: ServerKey,
     /// Requests that were sent and have not ended.
     pub requests: u32,
     /// Prompt tokens that wait to be read.
@@ -24,7 +24,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReportedHolder {
     /// The server.
-    pub server: ServerId,
+    pub server: ServerKey,
     /// The prefixes that it holds, the longest last.
     pub prefixes: Vec<(PartId, TokenCount)>,
 }
@@ -33,7 +33,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReportedListing {
     /// The engine.
-    pub server: ServerId,
+    pub server: ServerKey,
     /// The parts, the largest first.
     pub parts: Vec<PromptPart>,
 }
@@ -87,35 +87,23 @@
     /// The bytes are no message.
     #[error(transparent)]
     Decode(#[from] prost::DecodeError),
-    /// A server's identifier is none.
-    #[error(transparent)]
-    Server(#[from] IdError),
-}
-
-#[derive(Clone, PartialEq, Message)]
-struct LoadWire {
-    #[prost(string, tag = "1")]
-    server: String,
-    #[prost(uint32, tag = "2")]
-    requests: u32,
-    #[prost(uint64, tag = "3")]
-    backlog: u64,
 }
 
+/// Loads in columns, which take 7 bytes a server where messages would take 12.
 #[derive(Clone, PartialEq, Message)]
-struct HolderWire {
-    #[prost(string, tag = "1")]
-    server: String,
-    #[prost(fixed64, repeated, tag = "2")]
-    prefixes: Vec<u64>,
+struct LoadsWire {
+    #[prost(fixed32, repeated, tag = "1")]
+    servers: Vec<u32>,
+    #[prost(uint32, repeated, tag = "2")]
+    requests: Vec<u32>,
     #[prost(uint64, repeated, tag = "3")]
-    tokens: Vec<u64>,
+    backlogs: Vec<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
-struct ListingWire {
-    #[prost(string, tag = "1")]
-    server: String,
+struct PartsWire {
+    #[prost(fixed32, tag = "1")]
+    server: u32,
     #[prost(fixed64, repeated, tag = "2")]
     parts: Vec<u64>,
     #[prost(uint64, repeated, tag = "3")]
@@ -148,68 +136,85 @@
     answers: Vec<AnswerWire>,
 }
 
+/// Tags 3, 5 and 8 held loads, holders and listings with whole identifiers; they stay unused.
 #[derive(Clone, PartialEq, Message)]
 struct ReportWire {
     #[prost(uint64, tag = "1")]
     sequence: u64,
     #[prost(fixed32, repeated, tag = "2")]
     known: Vec<u32>,
-    #[prost(message, repeated, tag = "3")]
-    loads: Vec<LoadWire>,
     #[prost(bool, tag = "4")]
     leaving: bool,
-    #[prost(message, repeated, tag = "5")]
-    holders: Vec<HolderWire>,
     #[prost(message, optional, tag = "6")]
     question: Option<QuestionWire>,
     #[prost(message, optional, tag = "7")]
     configuration: Option<ConfigurationWire>,
-    #[prost(message, repeated, tag = "8")]
-    listings: Vec<ListingWire>,
     #[prost(bool, tag = "9")]
     fresh: bool,
+    #[prost(message, optional, tag = "10")]
+    loads: Option<LoadsWire>,
+    #[prost(message, repeated, tag = "11")]
+    holders: Vec<PartsWire>,
+    #[prost(message, repeated, tag = "12")]
+    listings: Vec<PartsWire>,
+}
+
+impl From<&[ReportedLoad]> for LoadsWire {
+    fn from(loads: &[ReportedLoad]) -> Self {
+        Self {
+            servers: loads.iter().map(|load| load.server.0).collect(),
+            requests: loads.iter().map(|load| load.requests).collect(),
+            backlogs: loads.iter().map(|load| load.backlog).collect(),
+        }
+    }
 }
 
-impl From<&ReportedHolder> for HolderWire {
+impl From<LoadsWire> for Vec<ReportedLoad> {
+    fn from(wire: LoadsWire) -> Self {
+        let loads = wire.servers.into_iter().zip(wire.requests).zip(wire.backlogs);
+        let loads = loads.map(|((server, requests), backlog)| ReportedLoad {
+            server: ServerKey(server),
+            requests,
+            backlog,
+        });
+        loads.collect()
+    }
+}
+
+impl From<&ReportedHolder> for PartsWire {
     fn from(holder: &ReportedHolder) -> Self {
         Self {
-            server: holder.server.to_string(),
-            prefixes: holder.prefixes.iter().map(|(prefix, _)| prefix.0).collect(),
+            server: holder.server.0,
+            parts: holder.prefixes.iter().map(|(prefix, _)| prefix.0).collect(),
             tokens: holder.prefixes.iter().map(|(_, tokens)| tokens.get()).collect(),
         }
     }
 }
 
-impl TryFrom<HolderWire> for ReportedHolder {
-    type Error = ReportError;
-
-    fn try_from(wire: HolderWire) -> Result<Self, ReportError> {
-        let server = wire.server.parse()?;
-        let prefixes = wire.prefixes.into_iter().map(PartId);
+impl From<PartsWire> for ReportedHolder {
+    fn from(wire: PartsWire) -> Self {
+        let prefixes = wire.parts.into_iter().map(PartId);
         let prefixes = prefixes.zip(wire.tokens.into_iter().map(TokenCount::new)).collect();
-        Ok(Self { server, prefixes })
+        Self { server: ServerKey(wire.server), prefixes }
     }
 }
 
-impl From<&ReportedListing> for ListingWire {
+impl From<&ReportedListing> for PartsWire {
     fn from(listing: &ReportedListing) -> Self {
         Self {
-            server: listing.server.to_string(),
+            server: listing.server.0,
             parts: listing.parts.iter().map(|part| part.id.0).collect(),
             tokens: listing.parts.iter().map(|part| part.tokens.get()).collect(),
         }
     }
 }
 
-impl TryFrom<ListingWire> for ReportedListing {
-    type Error = ReportError;
-
-    fn try_from(wire: ListingWire) -> Result<Self, ReportError> {
-        let server = wire.server.parse()?;
+impl From<PartsWire> for ReportedListing {
+    fn from(wire: PartsWire) -> Self {
         let parts = wire.parts.into_iter().zip(wire.tokens);
         let parts = parts
             .map(|(id, tokens)| PromptPart { id: PartId(id), tokens: TokenCount::new(tokens) });
-        Ok(Self { server, parts: parts.collect() })
+        Self { server: ServerKey(wire.server), parts: parts.collect() }
     }
 }
 
@@ -259,53 +264,34 @@
 
 impl From<&RouterReport> for ReportWire {
     fn from(report: &RouterReport) -> Self {
-        let known = report.known.iter().filter_map(address_bits);
-        let loads = report.loads.iter().map(|load| LoadWire {
-            server: load.server.to_string(),
-            requests: load.requests,
-            backlog: load.backlog,
-        });
+        let loads = report.loads.as_slice();
         Self {
             sequence: report.sequence,
-            known: known.collect(),
-            loads: loads.collect(),
+            known: report.known.iter().filter_map(address_bits).collect(),
             leaving: report.leaving,
-            holders: report.holders.iter().map(HolderWire::from).collect(),
-            listings: report.listings.iter().map(ListingWire::from).collect(),
-            fresh: report.fresh,
             question: report.question.map(QuestionWire::from),
             configuration: report.configuration.as_ref().map(ConfigurationWire::from),
+            fresh: report.fresh,
+            loads: (!loads.is_empty()).then(|| LoadsWire::from(loads)),
+            holders: report.holders.iter().map(PartsWire::from).collect(),
+            listings: report.listings.iter().map(PartsWire::from).collect(),
         }
     }
 }
 
-impl TryFrom<ReportWire> for RouterReport {
-    type Error = ReportError;
-
-    fn try_from(wire: ReportWire) -> Result<Self, ReportError> {
-        let loads = wire.loads.into_iter().map(|load| {
-            let server = load.server.parse()?;
-            Ok(ReportedLoad { server, requests: load.requests, backlog: load.backlog })
-        });
-        Ok(Self {
+impl From<ReportWire> for RouterReport {
+    fn from(wire: ReportWire) -> Self {
+        Self {
             sequence: wire.sequence,
             known: wire.known.into_iter().map(|bits| Ipv4Addr::from(bits).into()).collect(),
-            loads: loads.collect::<Result<_, ReportError>>()?,
-            holders: wire
-                .holders
-                .into_iter()
-                .map(ReportedHolder::try_from)
-                .collect::<Result<_, _>>()?,
-            listings: wire
-                .listings
-                .into_iter()
-                .map(ReportedListing::try_from)
-                .collect::<Result<_, _>>()?,
+            loads: wire.loads.map(Vec::from).unwrap_or_default(),
+            holders: wire.holders.into_iter().map(ReportedHolder::from).collect(),
+            listings: wire.listings.into_iter().map(ReportedListing::from).collect(),
             leaving: wire.leaving,
             fresh: wire.fresh,
             question: wire.question.map(ReportedQuestion::from),
             configuration: wire.configuration.map(ReportedConfiguration::from),
-        })
+        }
     }
 }
 
@@ -317,6 +303,6 @@
 
     /// Reads a datagram.
     pub fn decode(bytes: Bytes) -> Result<Self, ReportError> {
-        ReportWire::decode(bytes)?.try_into()
+        Ok(ReportWire::decode(bytes)?.into())
     }
 }
--- a/crates/papayamux-protocol/tests/router_report.rs
+++ b/crates/papayamux-protocol/tests/router_report.rs
@@ -5,6 +5,7 @@
     ReportedConfiguration, ReportedHolder, ReportedListing, ReportedLoad, ReportedQuestion,
     RouterReport,
 };
+use papayamux_state::ids::ServerKey;
 use papayamux_state::prompt::{PartId, PromptPart};
 use papayamux_state::quantities::TokenCount;
 
@@ -16,16 +17,16 @@
     let report = RouterReport {
         sequence: 7,
         known: vec!["10.0.0.1".parse().unwrap(), "10.0.0.2".parse().unwrap()],
-        loads: vec![ReportedLoad { server: "i-1".parse().unwrap(), requests: 3, backlog: 11_800 }],
+        loads: vec![ReportedLoad { server: ServerKey(1), requests: 3, backlog: 11_800 }],
         holders: vec![ReportedHolder {
-            server: "i-2".parse().unwrap(),
+            server: ServerKey(2),
             prefixes: vec![
                 (PartId(5), TokenCount::new(512)),
                 (PartId(u64::MAX), TokenCount::new(10_000)),
             ],
         }],
         listings: vec![ReportedListing {
-            server: "i-3".parse().unwrap(),
+            server: ServerKey(3),
             parts: vec![PromptPart { id: PartId(9), tokens: TokenCount::new(9_876) }],
         }],
         leaving: true,
@@ -40,6 +41,32 @@
     assert_eq!(RouterReport::decode(report.encode().into()).unwrap(), report);
 }
 
+#[test]
+fn report_of_a_router_of_a_large_fleet_is_short() {
+    let loads = (0..20).map(|index| ReportedLoad {
+        server: ServerKey(u32::MAX - index),
+        requests: 1,
+        backlog: 1_300,
+    });
+    let holders = (0..2).map(|index| ReportedHolder {
+        server: ServerKey(index),
+        prefixes: vec![
+            (PartId(u64::MAX), TokenCount::new(512)),
+            (PartId(u64::MAX - 1), TokenCount::new(10_000)),
+        ],
+    });
+    let report = RouterReport {
+        sequence: 100_000,
+        known: vec!["10.0.0.1".parse().unwrap(); 16],
+        loads: loads.collect(),
+        holders: holders.collect(),
+        ..RouterReport::default()
+    };
+    // A dozen of them every quarter of a second are less than 20 KB a second.
+    let bytes = report.encode().len();
+    assert!(bytes <= 300, "{bytes}");
+}
+
 #[test]
 fn any_bytes_are_a_report_or_an_error() {
     bolero::check!().with_iterations(GENERATED_INPUTS).with_type::<Vec<u8>>().for_each(|bytes| {
--- a/crates/papayamux-router/src/direct/fleet/known_servers.rs
+++ b/crates/papayamux-router/src/direct/fleet/known_servers.rs
@@ -4,7 +4,7 @@
 
 use papayamux_coordination::server_presence::PresenceChange;
 use papayamux_state::backend::BackendServer;
-use papayamux_state::ids::ServerId;
+use papayamux_state::ids::{ServerId, ServerKey};
 
 use super::Fleet;
 
@@ -82,6 +82,12 @@
         self.warm.borrow_mut().remove(id);
     }
 
+    /// The server with this short name, which other routers use.
+    pub fn server_by_key(&self, key: ServerKey) -> Option<ServerId> {
+        let presence = self.presence.borrow();
+        presence.catalog().by_key(key).map(|server| server.id.clone())
+    }
+
     /// Servers that are known.
     pub fn server_count(&self) -> usize {
         self.presence.borrow().catalog().len()
--- a/crates/papayamux-router/src/direct/peers.rs
+++ b/crates/papayamux-router/src/direct/peers.rs
@@ -133,16 +133,19 @@
         if let Some(configuration) = report.configuration {
             self.take_answers(sender, &configuration);
         }
-        for holder in report.holders {
-            let ReportedHolder { server, prefixes } = holder;
-            self.fleet.note_holder(&HolderNote { server, prefixes });
+        for ReportedHolder { server, prefixes } in report.holders {
+            if let Some(server) = self.fleet.server_by_key(server) {
+                self.fleet.note_holder(&HolderNote { server, prefixes });
+            }
         }
         for ReportedListing { server, parts } in report.listings {
-            self.fleet.note_listing(&CacheListing::new(server, parts));
+            if let Some(server) = self.fleet.server_by_key(server) {
+                self.fleet.note_listing(&CacheListing::new(server, parts));
+            }
         }
-        let loads = report.loads.into_iter().map(|load| {
+        let loads = report.loads.into_iter().filter_map(|load| {
             let ReportedLoad { server, requests, backlog } = load;
-            (server, ServerLoad { requests, backlog })
+            Some((self.fleet.server_by_key(server)?, ServerLoad { requests, backlog }))
         });
         let mut ledger = self.fleet.ledger().borrow_mut();
         let before = ledger.reporting();
@@ -182,7 +185,11 @@
                 }
             }
             let needed = Duration::from_secs_f64(bytes as f64 / MOST_BYTES_PER_SECOND);
-            monoio::time::sleep(REPORT_EVERY.max(needed)).await;
+            let pause = REPORT_EVERY.max(needed);
+            // The others report at about the same pace.
+            let rounds = u32::try_from(self.peers.borrow().rounds()).unwrap_or(u32::MAX);
+            self.fleet.ledger().borrow_mut().note_cycle(pause * rounds);
+            monoio::time::sleep(pause).await;
         }
     }
 
@@ -194,21 +201,23 @@
             .then(|| ReportedQuestion { life: self.life, asked_ms: whole_millis(boot_now().0) });
         let ledger = self.fleet.ledger().borrow();
         let loads = ledger.own().map(|(server, load)| ReportedLoad {
-            server: server.clone(),
+            server: server.into(),
             requests: load.requests,
             backlog: load.backlog,
         });
         let notes = self.fleet.next_holder_notes(now);
         let holders = notes.into_iter().map(|note| {
             let HolderNote { server, prefixes } = note;
-            ReportedHolder { server, prefixes }
+            ReportedHolder { server: (&server).into(), prefixes }
         });
         let listings = self.listings.borrow_mut().next(now).into_iter();
-        let listings =
-            listings.map(|CacheListing { server, parts }| ReportedListing { server, parts });
+        let listings = listings.map(|CacheListing { server, parts }| ReportedListing {
+            server: (&server).into(),
+            parts,
+        });
         RouterReport {
             sequence: self.sequence.get(),
-            known: self.peers.borrow().alive(now),
+            known: self.peers.borrow_mut().next_named(now),
             loads: loads.collect(),
             holders: holders.collect(),
             listings: listings.collect(),
--- a/crates/papayamux-state/src/backend/server_catalog.rs
+++ b/crates/papayamux-state/src/backend/server_catalog.rs
@@ -4,13 +4,14 @@
 use std::rc::Rc;
 
 use super::BackendServer;
-use crate::ids::{ServerId, ServiceId};
+use crate::ids::{ServerId, ServerKey, ServiceId};
 
 /// The known servers, by identifier and by service. Servers of a service are kept in the order of
 /// their identifiers, so that all routers walk them alike.
 #[derive(Debug, Default)]
 pub struct ServerCatalog {
     by_id: HashMap<ServerId, Rc<BackendServer>>,
+    by_key: HashMap<ServerKey, Rc<BackendServer>>,
     by_service: HashMap<ServiceId, BTreeMap<ServerId, Rc<BackendServer>>>,
 }
 
@@ -18,6 +19,7 @@
     /// Adds a server or replaces what was known of it; returns what was known before.
     pub fn upsert(&mut self, server: BackendServer) -> Option<Rc<BackendServer>> {
         let server = Rc::new(server);
+        self.by_key.insert(ServerKey::from(&server.id), server.clone());
         let previous = self.by_id.insert(server.id.clone(), server.clone());
         if let Some(previous) = &previous {
             if previous.service != server.service {
@@ -32,6 +34,7 @@
     /// Forgets a server.
     pub fn remove(&mut self, id: &ServerId) -> Option<Rc<BackendServer>> {
         let server = self.by_id.remove(id)?;
+        self.by_key.remove(&ServerKey::from(id));
         self.remove_from_service(&server);
         Some(server)
     }
@@ -41,6 +44,11 @@
         self.by_id.get(id)
     }
 
+    /// The server with this short name.
+    pub fn by_key(&self, key: ServerKey) -> Option<&Rc<BackendServer>> {
+        self.by_key.get(&key)
+    }
+
     /// The servers of a service, in the order of their identifiers.
     pub fn of_service(&self, service: &ServiceId) -> impl Iterator<Item = &Rc<BackendServer>> {
         self.by_service.get(service).into_iter().flat_map(BTreeMap::values)
--- a/crates/papayamux-state/src/ids/mod.rs
+++ b/crates/papayamux-state/src/ids/mod.rs
@@ -2,10 +2,12 @@
 
 mod incarnation;
 mod request_id;
+mod server_key;
 mod text;
 
 pub use incarnation::Incarnation;
 pub use request_id::{RequestId, RequestIdSource};
+pub use server_key::ServerKey;
 pub use text::{
     AdapterId, ChatKey, FailureDomain, IdempotencyKey, ModelId, OrganisationId, RouteId, ServerId,
     ServiceId,
