--- a/crates/papayamux-measure/src/surge/mod.rs
+++ b/crates/papayamux-measure/src/surge/mod.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod engine_model;
+mod footprint;
 mod load_pattern;
 mod options;
 mod run;
--- a/crates/papayamux-measure/src/surge/run.rs
+++ b/crates/papayamux-measure/src/surge/run.rs
@@ -8,10 +8,12 @@
 use papayamux_platform_standins::{
     ConfigurationDraft, OrganisationDraft, ServerListing, ServerStandIn, StoreStandIn,
 };
-use papayamux_testbed::ProcessHandle;
+use papayamux_state::quantities::ByteCount;
+use papayamux_testbed::{ProcessHandle, ProcessUsage};
 
 use super::callers::{key_of, play_calls};
 use super::engine_model::{EngineRoom, CACHE_TOKENS, SLOTS};
+use super::footprint::RouterFootprint;
 use super::load_pattern::{draw_calls, LoadPattern, ORGANISATIONS};
 use super::options::SurgeOptions;
 use super::summary::{summarize, SurgeSummary};
@@ -29,35 +31,53 @@
 pub fn run_surge(options: &SurgeOptions) -> Result<(), TaskError> {
     println!(
         "| pattern | policy | on time | other organisations on time | late | not served | \
-         first event, p50 ms | p99 ms | shared tokens read |"
+         first event, p50 ms | p99 ms | shared tokens read | router, MB at start: program, rest | \
+         MB at most | processor ms a request |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
     for pattern in &options.patterns {
         for policy in &options.policies {
-            let (summary, cold) = play(options, *pattern, *policy)?;
-            print_row(*pattern, *policy, &summary, cold);
+            let played = play(options, *pattern, *policy)?;
+            print_row(*pattern, *policy, &played);
         }
     }
     Ok(())
 }
 
-fn print_row(pattern: LoadPattern, policy: PlacementPolicy, summary: &SurgeSummary, cold: u64) {
+/// What came out with one policy under one pattern.
+struct PlayedPattern {
+    summary: SurgeSummary,
+    /// Tokens of shared parts that engines read.
+    cold_tokens: u64,
+    footprint: RouterFootprint,
+}
+
+fn print_row(pattern: LoadPattern, policy: PlacementPolicy, played: &PlayedPattern) {
+    let PlayedPattern { summary, cold_tokens, footprint } = played;
     println!(
-        "| {pattern} | {policy} | {:.3} | {:.3} | {:.3} | {:.3} | {} | {} | {cold} |",
+        "| {pattern} | {policy} | {:.3} | {:.3} | {:.3} | {:.3} | {} | {} | {cold_tokens} | {:.1}, {:.1} | {:.1} | {:.2} |",
         summary.on_time,
         summary.others_on_time,
         summary.late,
         summary.unserved,
         summary.median_ms,
-        summary.high_ms
+        summary.high_ms,
+        megabytes(footprint.program),
+        megabytes(footprint.rest),
+        megabytes(footprint.peak),
+        footprint.cpu_a_request.as_secs_f64() * 1_000.0
     );
 }
 
+fn megabytes(bytes: ByteCount) -> f64 {
+    bytes.get() as f64 / 1_000_000.0
+}
+
 fn play(
     options: &SurgeOptions,
     pattern: LoadPattern,
     policy: PlacementPolicy,
-) -> Result<(SurgeSummary, u64), TaskError> {
+) -> Result<PlayedPattern, TaskError> {
     let store = StoreStandIn::start();
     store.put_configuration(&configuration());
     let room = EngineRoom::default();
@@ -70,6 +90,7 @@
     std::thread::sleep(SETTLE);
     let addresses =
         routers.iter().map(|router| router.0.listen()).collect::<Result<Vec<_>, _>>()?;
+    let before = usages(&routers)?;
     let calls = draw_calls(pattern, options.seed, options.length);
     let outcomes = std::thread::scope(|scope| {
         if pattern == LoadPattern::EnginesGone {
@@ -77,7 +98,15 @@
         }
         play_calls(&calls, &addresses)
     })?;
-    Ok((summarize(&outcomes)?, room.cold_tokens()))
+    Ok(PlayedPattern {
+        summary: summarize(&outcomes)?,
+        cold_tokens: room.cold_tokens(),
+        footprint: RouterFootprint::between(&before, &usages(&routers)?, outcomes.len()),
+    })
+}
+
+fn usages(routers: &[StartedRouter]) -> Result<Vec<ProcessUsage>, TaskError> {
+    routers.iter().map(|router| Ok(router.0.usage()?)).collect()
 }
 
 fn configuration() -> ConfigurationDraft {
--- a/crates/papayamux-testbed/src/usage.rs
+++ b/crates/papayamux-testbed/src/usage.rs
@@ -9,6 +9,11 @@
 /// Bytes of one page of memory.
 const PAGE_BYTES: u64 = 4_096;
 
+/// The line of a process's status that holds the most resident memory, in kilobytes.
+const PEAK_LINE: &str = "VmHWM:";
+/// Bytes of one of them.
+const PEAK_UNIT: u64 = 1_024;
+
 /// Processor time and memory of a process.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ProcessUsage {
@@ -16,6 +21,10 @@
     pub cpu: Duration,
     /// Resident memory.
     pub resident: ByteCount,
+    /// The part of it that is mapped from files: the program and its libraries.
+    pub mapped: ByteCount,
+    /// The most resident memory so far.
+    pub peak: ByteCount,
 }
 
 impl ProcessHandle {
@@ -29,7 +38,11 @@
         }
         let memory = std::fs::read_to_string(format!("{folder}/statm"))?;
         let resident = ByteCount::new(number_in(&memory, 1) * PAGE_BYTES);
-        Ok(ProcessUsage { cpu: Duration::from_nanos(nanos), resident })
+        let mapped = ByteCount::new(number_in(&memory, 2) * PAGE_BYTES);
+        let status = std::fs::read_to_string(format!("{folder}/status"))?;
+        let peak = status.lines().find(|line| line.starts_with(PEAK_LINE));
+        let peak = ByteCount::new(peak.map_or(0, |line| number_in(line, 1) * PEAK_UNIT));
+        Ok(ProcessUsage { cpu: Duration::from_nanos(nanos), resident, mapped, peak })
     }
 }
 
