Untie two circles of files in the router

Cause: the route planner imported the decisions that import it, and the request handler the answer that counts by its guard. Change: planning.rs has what the planner decides, in_flight.rs the guard. No behaviour changes.

--- a/crates/papayamux-router/src/callers/answer_stream.rs
+++ b/crates/papayamux-router/src/callers/answer_stream.rs
@@ -13,8 +13,8 @@
 use papayamux_protocol::link::AnswerEnd;
 use papayamux_transport::http::{AnswerBody, BodyError};
 
+use super::in_flight::InFlightGuard;
 use super::offer::TakenRequest;
-use super::request_handler::InFlightGuard;
 use crate::agents::{StreamEvent, StreamHandle};
 use crate::routing::OccupiedPlace;
 
--- /dev/null
+++ b/crates/papayamux-router/src/callers/in_flight.rs
@@ -0,0 +1,30 @@
+//! Requests in flight, and answers that were cut off, as metrics count them.
+
+use std::rc::Rc;
+
+use crate::metrics::RouterMetrics;
+
+/// Counts a request as in flight until it is dropped.
+pub struct InFlightGuard {
+    metrics: RouterMetrics,
+}
+
+impl InFlightGuard {
+    /// Counts until it is dropped.
+    pub fn new(metrics: &RouterMetrics) -> Rc<Self> {
+        metrics.requests.inc();
+        metrics.in_flight.inc();
+        Rc::new(Self { metrics: metrics.clone() })
+    }
+
+    /// Counts an answer that was cut off.
+    pub fn count_cut(&self, reason: &'static str) {
+        self.metrics.cut_answers.count(reason);
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.metrics.in_flight.dec();
+    }
+}
--- a/crates/papayamux-router/src/callers/mod.rs
+++ b/crates/papayamux-router/src/callers/mod.rs
@@ -3,6 +3,7 @@
 mod answer_stream;
 mod caller_request;
 mod chat_handler;
+mod in_flight;
 mod offer;
 mod request_handler;
 mod resume_handler;
--- a/crates/papayamux-router/src/callers/request_handler.rs
+++ b/crates/papayamux-router/src/callers/request_handler.rs
@@ -14,6 +14,7 @@
 use super::answer_stream::answer_response;
 use super::caller_request::read_request;
 use super::chat_handler::handle_chat;
+use super::in_flight::InFlightGuard;
 use super::offer::TakenRequest;
 use super::resume_handler::handle_resume;
 use super::service_handler::handle_service;
@@ -23,30 +24,6 @@
 use crate::routing::RoutePlanner;
 use crate::settings::RouterSettings;
 
-/// Counts a request as in flight until it is dropped.
-pub struct InFlightGuard {
-    metrics: RouterMetrics,
-}
-
-impl InFlightGuard {
-    fn new(metrics: &RouterMetrics) -> Rc<Self> {
-        metrics.requests.inc();
-        metrics.in_flight.inc();
-        Rc::new(Self { metrics: metrics.clone() })
-    }
-
-    /// Counts an answer that was cut off.
-    pub fn count_cut(&self, reason: &'static str) {
-        self.metrics.cut_answers.count(reason);
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.metrics.in_flight.dec();
-    }
-}
-
 /// Takes callers' requests and knows the agents they may go to.
 pub struct CallerDesk {
     pub(crate) settings: RouterSettings,
--- a/crates/papayamux-router/src/routing/mod.rs
+++ b/crates/papayamux-router/src/routing/mod.rs
@@ -3,6 +3,7 @@
 mod baselines;
 mod first_token;
 mod load_book;
+mod planning;
 mod policy;
 mod probe;
 mod route_plan;
--- a/crates/papayamux-router/src/routing/route_planner.rs
+++ b/crates/papayamux-router/src/routing/route_planner.rs
@@ -1,4 +1,4 @@
-//! Planning: which servers a request is offered to.
+//! What routing knows, shared by all requests of a router.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -6,23 +6,18 @@
 
 use papayamux_coordination::retry_budget::RetryBudget;
 use papayamux_coordination::server_evidence::{EvidenceBook, EvidenceKind, ServerStanding};
-use papayamux_protocol::chat::ChatCall;
 use papayamux_state::ids::ServerId;
-use papayamux_state::load::GroupId;
 
-use super::baselines::{pass_full, shuffled, two_choices, RingCache};
-use super::first_token::ChatDecision;
-use super::route_plan::{PlanBound, PlannedServer, RoutePlan};
-use super::service_call::plan_service_call;
+use super::baselines::RingCache;
 use super::{LoadBook, RoutingPolicy};
-use crate::directory::{PathRoute, ServerRecord};
+use crate::directory::ServerRecord;
 use crate::metrics::RouterMetrics;
 
 /// What routing knows, shared by all requests of a router.
 pub struct RoutePlanner {
-    policy: RoutingPolicy,
+    pub(super) policy: RoutingPolicy,
     loads: Rc<LoadBook>,
-    rings: RingCache,
+    pub(super) rings: RingCache,
     evidence: RefCell<EvidenceBook>,
     retries: RetryBudget,
     metrics: RouterMetrics,
@@ -85,35 +80,4 @@
             evidence.begin_trial(&record.entry.server, Instant::now());
         }
     }
-
-    /// Plans a chat among the `servers` of its model.
-    pub async fn plan_chat(&self, call: &ChatCall, servers: Vec<Rc<ServerRecord>>) -> RoutePlan {
-        let group = GroupId::named(call.model.as_str());
-        let order = match self.policy {
-            RoutingPolicy::Random => shuffled(&servers),
-            RoutingPolicy::TwoChoices => two_choices(&servers).await,
-            RoutingPolicy::ConsistentHash => self.rings.walk(group, &call.chat, &servers),
-            RoutingPolicy::BoundedHash => {
-                pass_full(self.rings.walk(group, &call.chat, &servers), &self.loads)
-            }
-            RoutingPolicy::Papayamux => {
-                if let Some(decision) = ChatDecision::new(self, call, servers) {
-                    return decision.plan().await;
-                }
-                Vec::new()
-            }
-        };
-        RoutePlan::new(PlannedServer::patient(order), PlanBound::Capacity)
-    }
-
-    /// Plans a call to a plain service among the servers of its route.
-    pub async fn plan_service(&self, route: PathRoute) -> RoutePlan {
-        let group = GroupId::named(&route.prefix);
-        let order = match self.policy {
-            RoutingPolicy::TwoChoices => two_choices(&route.servers).await,
-            RoutingPolicy::Papayamux => return plan_service_call(self, group, route.servers).await,
-            _ => shuffled(&route.servers),
-        };
-        RoutePlan::new(PlannedServer::patient(order), PlanBound::Capacity)
-    }
 }
