--- a/crates/papayamux-coordination/src/recent_departures.rs
+++ b/crates/papayamux-coordination/src/recent_departures.rs
@@ -60,6 +60,11 @@
         lives
     }
 
+    /// Forgets a server that is gone for good.
+    pub fn forget(&mut self, id: &ServerId) {
+        self.renewed.remove(id);
+    }
+
     /// The servers of a service that have left and may still be copied from.
     pub fn of_service(&self, service: &ServiceId, now: Instant) -> Vec<Rc<BackendServer>> {
         let lingers = |left: Instant| now.saturating_duration_since(left) < self.bounds.linger;
--- a/crates/papayamux-router/src/direct/fleet/known_servers.rs
+++ b/crates/papayamux-router/src/direct/fleet/known_servers.rs
@@ -21,9 +21,8 @@
 
     /// Gives up servers whose entries have lapsed for too long, and those that have ended.
     pub(in crate::direct) fn expire_servers(&self) {
-        for id in self.departures.borrow_mut().expire(Instant::now()) {
-            self.forget_server(&id);
-        }
+        let ended = self.departures.borrow_mut().expire(Instant::now());
+        ended.iter().for_each(|id| self.forget_server(id));
         if !self.awaits_renewals() {
             return;
         }
@@ -80,6 +79,7 @@
 
     fn forget_server(&self, id: &ServerId) {
         self.warm.borrow_mut().remove(id);
+        self.departures.borrow_mut().forget(id);
     }
 
     /// The server with this short name, which other routers use.
