Take an engine's list of its cache once

Cause: read again as a newcomer would, a list is told for ten seconds, and each telling put the parts that had been used since back beside their prefixes: they counted twice, and the cache as nearly full too soon. Change: the first list of a server is taken. Test: prompts_and_routes.rs (fails before).

--- a/crates/papayamux-state/src/prompt/warm_parts.rs
+++ b/crates/papayamux-state/src/prompt/warm_parts.rs
@@ -36,6 +36,7 @@
     prefixes: HashMap<PartId, WarmPrefix>,
     by_use: BTreeMap<u64, PartId>,
     listed: HashMap<PartId, TokenCount>,
+    was_listed: bool,
     uses: u64,
 }
 
@@ -48,6 +49,7 @@
             prefixes: HashMap::new(),
             by_use: BTreeMap::new(),
             listed: HashMap::new(),
+            was_listed: false,
             uses: 0,
         }
     }
@@ -81,12 +83,13 @@
         self.note_prefixes(chain.prefixes());
     }
 
-    /// Notes that the server lists these parts of its cache, the largest first.
+    /// Notes that the server lists these parts of its cache, the largest first. One list is taken:
+    /// the same one is told several times, and what was placed since is known better.
     pub fn note_listed(&mut self, parts: impl IntoIterator<Item = PromptPart>) {
-        for part in parts {
-            if self.listed.len() >= MOST_LISTED {
-                break;
-            }
+        if std::mem::replace(&mut self.was_listed, true) {
+            return;
+        }
+        for part in parts.into_iter().take(MOST_LISTED) {
             if self.listed.insert(part.id, part.tokens).is_none() {
                 self.held += part.tokens;
             }
--- a/crates/papayamux-state/tests/prompts_and_routes.rs
+++ b/crates/papayamux-state/tests/prompts_and_routes.rs
@@ -53,6 +53,16 @@
     assert_eq!(warm.warm_tokens(&chain("1:400,b:10")), TokenCount::new(400));
 }
 
+#[test]
+fn list_that_is_told_again_changes_nothing() {
+    let mut warm = WarmParts::new(TokenCount::new(1_400));
+    warm.note_listed([part(1, 600)]);
+    warm.note_use(&chain("1:600,a:100"));
+    warm.note_listed([part(1, 600)]);
+    assert!(!warm.is_nearly_full(), "700 of 1,400 tokens are held");
+    assert_eq!(warm.warm_tokens(&chain("1:600,b:10")), TokenCount::new(600));
+}
+
 #[test]
 fn listed_part_that_is_used_counts_once() {
     let mut warm = WarmParts::new(TokenCount::new(1_000));
