--- /dev/null
+++ b/crates/papayamux-coordination/src/fleet_knowledge/source_duty.rs
@@ -0,0 +1,132 @@
+//! Whether a router reads the source for others, or follows one that does.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+use super::reader_order::{reading_interval, ReaderOrder};
+
+/// Pauses between two reads that a followed router may let pass without news, and what a slow answer
+/// and the way take beside them, before another one is followed. A follower's own read comes later than
+/// that, so that the loss of a reader costs hardly a call.
+const SILENT_PAUSES: u32 = 2;
+const NEWS_DELAY: Duration = Duration::from_millis(100);
+/// How long a router that brought no news is passed over. In an outage of the source each follower so
+/// comes by some four others, all of which tell it of the source's return.
+const PASSED_OVER_FOR: Duration = Duration::from_secs(3);
+
+/// What a router does to know the source.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SourceRole {
+    /// It reads at this pause, for itself and those who follow it.
+    Reader(Duration),
+    /// It is told by this router, and reads only where that fails.
+    Follower(IpAddr),
+}
+
+/// What a router knows when it chooses its role.
+#[derive(Debug, Clone, Copy)]
+pub struct DutyView<'a> {
+    /// The other routers.
+    pub known: &'a [IpAddr],
+    /// Whether the router's own last read of the source failed.
+    pub reads_fail: bool,
+    /// Whether others follow it.
+    pub has_followers: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct FollowedRouter {
+    router: IpAddr,
+    fruitful: Instant,
+}
+
+/// The choice of a role, again and again.
+#[derive(Debug)]
+pub struct SourceDuty {
+    own: IpAddr,
+    alone: Duration,
+    interval: Duration,
+    known: Vec<IpAddr>,
+    order: ReaderOrder,
+    passed_over: HashMap<IpAddr, Instant>,
+    followed: Option<FollowedRouter>,
+    seeks_source: bool,
+}
+
+impl SourceDuty {
+    /// The duty of the router at `own`, which would read at the pause `alone` by itself.
+    pub fn new(own: IpAddr, alone: Duration) -> Self {
+        Self {
+            own,
+            alone,
+            interval: alone,
+            known: Vec::new(),
+            order: ReaderOrder::new([own]),
+            passed_over: HashMap::new(),
+            followed: None,
+            seeks_source: true,
+        }
+    }
+
+    /// The role as it was chosen last.
+    pub fn role(&self) -> SourceRole {
+        match self.followed {
+            Some(followed) => SourceRole::Follower(followed.router),
+            None => SourceRole::Reader(self.interval),
+        }
+    }
+
+    /// The pause at which this router would read by itself.
+    pub fn alone(&self) -> Duration {
+        self.alone
+    }
+
+    /// Whether this router is among those that look often for a source that is away. The others are
+    /// told of its return by them; all together would press it.
+    pub fn seeks_source(&self) -> bool {
+        self.seeks_source
+    }
+
+    /// Chooses the role. Returns whether the router begins or ceases to read for others, or follows
+    /// another one than before.
+    pub fn choose(&mut self, view: DutyView<'_>, now: Instant) -> bool {
+        let before = self.followed.map(|followed| followed.router);
+        let routers = view.known.len() + 1;
+        let often = reading_interval(routers, self.alone);
+        self.pass_over_silent(often * SILENT_PAUSES + NEWS_DELAY, now);
+        self.passed_over.retain(|_, until| now < *until);
+        if self.known != view.known {
+            self.known = view.known.to_vec();
+            self.order = ReaderOrder::new(view.known.iter().copied().chain([self.own]));
+        }
+        let usable = self.order.without(|router| self.passed_over.contains_key(router));
+        self.seeks_source = self.order.followed_by(self.own).is_none();
+        // Nobody but itself would profit from many reads of a router that is alone in its view.
+        let reads_for_others = self.seeks_source || view.has_followers;
+        self.interval = if reads_for_others { often } else { self.alone };
+        let followed = match self.seeks_source && view.reads_fail {
+            // A reader that can't read is told by one that can, wherever it stands.
+            true => usable.first_other(self.own),
+            false => usable.followed_by(self.own),
+        };
+        if self.followed.map(|followed| followed.router) != followed {
+            self.followed = followed.map(|router| FollowedRouter { router, fruitful: now });
+        }
+        before != followed
+    }
+
+    /// Notes that `router` brought a newer confirmation than was known.
+    pub fn note_newer(&mut self, router: IpAddr, now: Instant) {
+        if let Some(followed) = self.followed.as_mut().filter(|known| known.router == router) {
+            followed.fruitful = now;
+        }
+    }
+
+    fn pass_over_silent(&mut self, longest: Duration, now: Instant) {
+        let silence = |followed: &FollowedRouter| now.saturating_duration_since(followed.fruitful);
+        if let Some(silent) = self.followed.take_if(|followed| silence(followed) >= longest) {
+            self.passed_over.insert(silent.router, now + PASSED_OVER_FOR);
+        }
+    }
+}
--- a/crates/papayamux-coordination/src/key_freshness.rs
+++ b/crates/papayamux-coordination/src/key_freshness.rs
@@ -40,8 +40,9 @@
         self.longest_age
     }
 
-    /// Notes that a read which was sent at `sent` returned the newest configuration. What it
-    /// returned may have been current only at that moment, not when it arrived.
+    /// Notes that a read which was sent at `sent` returned the newest configuration, to this router or
+    /// to one that passed it on. What it returned may have been current only at that moment, not when
+    /// it arrived.
     pub fn confirm(&mut self, sent: BootInstant) {
         self.confirmed = self.confirmed.max(Some(sent));
     }
@@ -56,12 +57,18 @@
         self.confirmed.max(self.vouched).map(|known| now.since(known))
     }
 
+    /// When the configuration and the servers were known to be the newest.
+    pub fn confirmed(&self) -> Option<BootInstant> {
+        self.confirmed
+    }
+
     /// Whether a key may be accepted.
     pub fn is_fresh(&self, now: BootInstant) -> bool {
         self.is_within(self.age(now))
     }
 
-    /// Whether a key may be accepted by what this router has read itself.
+    /// Whether a key may be accepted by what this router has read itself, or was told with all that a
+    /// read returns.
     pub fn is_confirmed(&self, now: BootInstant) -> bool {
         self.is_within(self.confirmed.map(|sent| now.since(sent)))
     }
--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod claims;
 pub mod fair_queue;
 pub mod fair_share;
+pub mod fleet_knowledge;
 pub mod key_freshness;
 pub mod link_delays;
 pub mod load_bound;
--- a/crates/papayamux-coordination/src/mechanism.rs
+++ b/crates/papayamux-coordination/src/mechanism.rs
@@ -41,6 +41,8 @@
     LinkDelays,
     /// Routers that can't reach the source ask the others if the configuration is still the newest.
     PeerVouching,
+    /// A few routers read the source, and the others follow them.
+    FewReaders,
     /// No server gets more requests than a multiple of the mean.
     LoadBound,
     /// Copies to engines with nearly full caches count what they evict.
@@ -54,7 +56,7 @@
 }
 
 /// Every mechanism with the name that settings use.
-const NAMES: [(Mechanism, &str); 20] = [
+const NAMES: [(Mechanism, &str); 21] = [
     (Mechanism::Copies, "copies"),
     (Mechanism::HomeBelief, "home-belief"),
     (Mechanism::HoldersTold, "holders-told"),
@@ -70,6 +72,7 @@
     (Mechanism::Liveness, "liveness"),
     (Mechanism::LinkDelays, "link-delays"),
     (Mechanism::PeerVouching, "peer-vouching"),
+    (Mechanism::FewReaders, "few-readers"),
     (Mechanism::LoadBound, "load-bound"),
     (Mechanism::EvictionCost, "eviction-cost"),
     (Mechanism::LearntProfile, "learnt-profile"),
--- a/crates/papayamux-coordination/src/recent_departures.rs
+++ b/crates/papayamux-coordination/src/recent_departures.rs
@@ -54,12 +54,23 @@
         let lives = server.phase == ServerPhase::Serving
             && silence.is_some_and(|silence| silence < longest);
         if lives {
-            let leaving = BackendServer { phase: ServerPhase::Draining, ..server.clone() };
-            self.departed.push((Rc::new(leaving), now));
+            self.note_lingering(server, now);
         }
         lives
     }
 
+    /// Notes that a server has left and lives on for a while, as another router saw by its renewals.
+    pub fn note_lingering(&mut self, server: &BackendServer, now: Instant) {
+        self.renewed.remove(&server.id);
+        let leaving = BackendServer { phase: ServerPhase::Draining, ..server.clone() };
+        self.departed.push((Rc::new(leaving), now));
+    }
+
+    /// Whether a server has left and is believed to live on.
+    pub fn lingers(&self, server: &BackendServer) -> bool {
+        self.departed.iter().any(|(departed, _)| departed.id == server.id)
+    }
+
     /// Forgets a server that is gone for good.
     pub fn forget(&mut self, id: &ServerId) {
         self.renewed.remove(id);
--- a/crates/papayamux-coordination/src/router_peers.rs
+++ b/crates/papayamux-coordination/src/router_peers.rs
@@ -100,6 +100,11 @@
         self.peers.len().div_ceil(FANOUT).max(1)
     }
 
+    /// Routers that are there, heard by this one or named by others lately.
+    pub fn known(&self) -> Vec<IpAddr> {
+        self.peers.keys().copied().collect()
+    }
+
     /// Routers that are heard.
     pub fn alive(&self, now: Instant) -> Vec<IpAddr> {
         let alive = self.peers.iter().filter(|(_, state)| state.is_alive(now));
--- a/crates/papayamux-coordination/src/server_presence.rs
+++ b/crates/papayamux-coordination/src/server_presence.rs
@@ -141,6 +141,25 @@
         }
     }
 
+    /// Takes over what another router believes of a server, which has weighed starts and lapses itself.
+    /// Returns what changed for the server, and for the one that had its name before.
+    pub fn adopt(&mut self, server: BackendServer) -> Vec<(ServerId, PresenceChange)> {
+        let id = server.id.clone();
+        let other = self.catalog.named(&server.name).filter(|known| known.id != id).cloned();
+        self.outdated.remove(&server.name);
+        if let Some(known) = &other {
+            self.forget(&known.id);
+        }
+        let told_again = self.catalog.get(&id).is_some_and(|known| **known == server);
+        let change = self.note_start(server.clone());
+        if told_again {
+            // It may have changed and changed back. Whoever follows this router is told it again too.
+            self.catalog.upsert(server);
+        }
+        let restarted = other.map(|known| (known.id.clone(), PresenceChange::Restarted));
+        restarted.into_iter().chain([(id, change)]).collect()
+    }
+
     /// The identifier of the server that is listed under `name`.
     pub fn id_of(&self, name: &ServerName) -> Option<ServerId> {
         self.catalog.named(name).map(|server| server.id.clone())
--- a/crates/papayamux-coordination/src/source_pace.rs
+++ b/crates/papayamux-coordination/src/source_pace.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::fleet_knowledge::SourceRole;
+
 /// Part of the bounds on changes that passes between two reads: the other part is for a slow
 /// source's answer.
 const PART_OF_CHANGE_BOUND: f64 = 0.5;
@@ -17,6 +19,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after failures: a source that is back is noticed within this time.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// Waits below this are none: timers fire later than that.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 /// Part of a pause that is drawn at random, so that routers don't ask in step.
 const JITTER: f64 = 0.2;
 /// How long one read may take. A source under heavy load answers in hundreds of milliseconds; a
@@ -45,6 +49,21 @@
     }
 }
 
+/// What a router knows when it decides whether to read now.
+#[derive(Debug, Clone, Copy)]
+pub struct PaceView {
+    /// What it does to know the source.
+    pub role: SourceRole,
+    /// Whether it looks often for a source that is away.
+    pub seeks_source: bool,
+    /// Whether lapsed servers may still come back.
+    pub awaits_renewals: bool,
+    /// Time since its last read ended.
+    pub since_read: Duration,
+    /// How old its last confirmation is, by its own read or by the word of others.
+    pub age: Option<Duration>,
+}
+
 /// The pace of reads.
 #[derive(Debug)]
 pub struct SourcePace {
@@ -69,6 +88,27 @@
         self.failures == 1
     }
 
+    /// How long to wait before the next read, as things are now; `None` where it is due. `draw` is from 0
+    /// up to 1, the same for all questions between two reads.
+    ///
+    /// A follower reads by itself once what it was told is as old as its own last read would be: never
+    /// later than if it followed nobody.
+    pub fn wait(&self, view: PaceView, draw: f64) -> Option<Duration> {
+        let (pause, passed) = match view.role {
+            SourceRole::Reader(interval) if self.failures == 0 => {
+                let pace = Self { interval, failures: 0 };
+                (pace.pause(view.awaits_renewals, draw), view.since_read)
+            }
+            _ if view.seeks_source => (self.pause(view.awaits_renewals, draw), view.since_read),
+            _ => {
+                let told = view.age.unwrap_or(Duration::MAX);
+                (self.interval.mul_f64(1.0 - JITTER * draw), view.since_read.min(told))
+            }
+        };
+        let left = pause.saturating_sub(passed);
+        (left >= SHORTEST_WAIT).then_some(left)
+    }
+
     /// The pause until the next read; `draw` is from 0 up to 1.
     pub fn pause(&self, awaits_renewals: bool, draw: f64) -> Duration {
         let pause = match self.failures {
--- /dev/null
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/fleet.rs
@@ -0,0 +1,292 @@
+//! Whole fleets in simulated time: what they ask of the source, and how soon all know of a change.
+//!
+//! The decisions are the product's own; datagrams take a millisecond, and readers an answer's time.
+
+use std::collections::{HashMap, HashSet};
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+use papayamux_coordination::fleet_knowledge::{
+    DutyView, FollowerTable, HeardQuestion, SourceDuty, SourceRole,
+};
+use papayamux_coordination::peer_vouching::VouchQuestion;
+use papayamux_coordination::source_pace::{PaceView, ReadBounds, SourcePace};
+use papayamux_state::boot_time::BootInstant;
+use papayamux_state::source::SourcePosition;
+
+use super::reader_order::address;
+
+/// One step of simulated time.
+const TICK: u64 = 10;
+/// Pause between two choices and two questions of a router.
+const CHOOSE_EVERY: u64 = 150;
+const ASK_EVERY: u64 = 1_000;
+/// The pause at which a router would read by itself, by the bounds below.
+const ALONE: u64 = 1_000;
+
+struct Router {
+    address: IpAddr,
+    duty: SourceDuty,
+    pace: SourcePace,
+    followers: FollowerTable,
+    /// When what it knows was read, and until when it stands still.
+    known: Option<u64>,
+    read_ended: u64,
+    asked: Option<(IpAddr, u64)>,
+    still_until: u64,
+    draw: f64,
+}
+
+struct Fleet {
+    begun: Instant,
+    now: u64,
+    routers: Vec<Router>,
+    places: HashMap<IpAddr, usize>,
+    known: Vec<IpAddr>,
+    cut_off: HashSet<usize>,
+    source_is_away: bool,
+    calls: u64,
+    /// Messages for the next step: to whom, from whom, and what was known since when.
+    news: Vec<(usize, usize, u64)>,
+}
+
+impl Fleet {
+    fn start(routers: u32) -> Self {
+        let known: Vec<_> = (0..routers).map(address).collect();
+        let bounds = ReadBounds {
+            drain_within: Some(Duration::from_millis(2 * ALONE)),
+            ..ReadBounds::default()
+        };
+        let router = |(index, address): (usize, &IpAddr)| Router {
+            address: *address,
+            duty: SourceDuty::new(*address, bounds.interval()),
+            pace: SourcePace::new(bounds),
+            followers: FollowerTable::default(),
+            known: None,
+            read_ended: 0,
+            asked: None,
+            still_until: 0,
+            draw: (index as f64 * 0.618).fract(),
+        };
+        Self {
+            begun: Instant::now(),
+            now: 0,
+            routers: known.iter().enumerate().map(router).collect(),
+            places: known.iter().enumerate().map(|(index, address)| (*address, index)).collect(),
+            known,
+            cut_off: HashSet::new(),
+            source_is_away: false,
+            calls: 0,
+            news: Vec::new(),
+        }
+    }
+
+    fn instant(&self) -> Instant {
+        self.begun + Duration::from_millis(self.now)
+    }
+
+    /// Runs for `millis`; the source answers in the same step.
+    fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += TICK;
+            for (to, from, known) in std::mem::take(&mut self.news) {
+                self.deliver(to, from, known);
+            }
+            for index in 0..self.routers.len() {
+                if self.routers[index].still_until <= self.now {
+                    self.step(index);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, index: usize) {
+        let now = self.instant();
+        if self.now % CHOOSE_EVERY == (index as u64 * TICK) % CHOOSE_EVERY {
+            self.choose(index, now);
+        }
+        let router = &self.routers[index];
+        let view = PaceView {
+            role: router.duty.role(),
+            seeks_source: router.duty.seeks_source(),
+            awaits_renewals: false,
+            since_read: Duration::from_millis(self.now - router.read_ended),
+            age: router.known.map(|known| Duration::from_millis(self.now - known)),
+        };
+        let is_first = router.known.is_none() && router.read_ended == 0;
+        if is_first || router.pace.wait(view, router.draw).is_none() {
+            self.read(index);
+        }
+    }
+
+    fn read(&mut self, index: usize) {
+        self.calls += 1;
+        let fails = self.source_is_away || self.cut_off.contains(&index);
+        let router = &mut self.routers[index];
+        router.read_ended = self.now;
+        if fails {
+            router.pace.note_failure();
+            return;
+        }
+        router.pace.note_success();
+        router.known = Some(self.now);
+        self.tell(index);
+    }
+
+    fn tell(&mut self, index: usize) {
+        let now = self.instant();
+        let Some(known) = self.routers[index].known else { return };
+        for (follower, entry) in self.routers[index].followers.current(now) {
+            let heard = entry.question.heard.0.as_millis() as i64;
+            let shift = entry.question.shift_to(BootInstant(Duration::from_millis(known)));
+            let told = shift.on_askers_clock(entry.question.question, entry.question.heard);
+            assert!(told.is_none() || shift.0 <= known as i64 - heard);
+            self.news.push((self.places[&follower], index, known));
+        }
+    }
+
+    fn deliver(&mut self, to: usize, from: usize, known: u64) {
+        let now = self.instant();
+        let router = &mut self.routers[to];
+        if router.still_until > self.now || router.known.is_some_and(|own| own >= known) {
+            return;
+        }
+        router.known = Some(known);
+        let sender = address(from as u32);
+        router.duty.note_newer(sender, now);
+        self.tell(to);
+    }
+
+    fn choose(&mut self, index: usize, now: Instant) {
+        let others: Vec<_> = self
+            .known
+            .iter()
+            .copied()
+            .filter(|known| *known != self.routers[index].address)
+            .collect();
+        let router = &mut self.routers[index];
+        let view = DutyView {
+            known: &others,
+            reads_fail: self.cut_off.contains(&index) || self.source_is_away,
+            has_followers: !router.followers.current(now).is_empty(),
+        };
+        router.duty.choose(view, now);
+        let SourceRole::Follower(followed) = router.duty.role() else { return };
+        let is_due =
+            router.asked.is_none_or(|(asked, at)| asked != followed || self.now - at >= ASK_EVERY);
+        if !is_due || router.known.is_none() {
+            return;
+        }
+        router.asked = Some((followed, self.now));
+        let (asker, asked) = (router.address, BootInstant(Duration::from_millis(self.now)));
+        let question = HeardQuestion { question: VouchQuestion { life: 1, asked }, heard: asked };
+        let place = self.places[&followed];
+        if self.routers[place].still_until > self.now {
+            return;
+        }
+        self.routers[place].followers.note(asker, question, SourcePosition(0), now);
+        if let Some(known) = self.routers[place].known {
+            self.news.push((index, place, known));
+        }
+    }
+
+    /// Ages of what routers know that run and reach the source, the oldest last.
+    fn ages(&self) -> Vec<u64> {
+        let sound = (0..self.routers.len())
+            .filter(|index| !self.cut_off.contains(index))
+            .map(|index| &self.routers[index])
+            .filter(|router| router.still_until <= self.now);
+        let mut ages: Vec<_> =
+            sound.map(|router| router.known.map_or(u64::MAX, |known| self.now - known)).collect();
+        ages.sort_unstable();
+        ages
+    }
+
+    fn readers(&self) -> Vec<usize> {
+        let reads = |router: &Router| matches!(router.duty.role(), SourceRole::Reader(_));
+        (0..self.routers.len()).filter(|index| reads(&self.routers[*index])).collect()
+    }
+}
+
+/// The oldest knowledge in the fleet, looked at each 50 ms while it runs for `millis`.
+fn oldest(fleet: &mut Fleet, millis: u64) -> u64 {
+    (0..millis / 50)
+        .map(|_| {
+            fleet.run(50);
+            *fleet.ages().last().unwrap()
+        })
+        .max()
+        .unwrap()
+}
+
+#[test]
+fn calls_of_a_fleet_stay_level_from_thirty_to_a_thousand_routers() {
+    for routers in [30, 68, 100, 300, 1_000] {
+        let mut fleet = Fleet::start(routers);
+        fleet.run(5_000);
+        let before = fleet.calls;
+        let oldest = oldest(&mut fleet, 10_000);
+        let a_second = (fleet.calls - before) as f64 / 10.0;
+        // Three readers at 300 ms, less their draws, and no more.
+        assert!(a_second <= 13.0, "{routers}: {a_second} calls a second");
+        assert!(oldest <= 400, "{routers}: {oldest} ms old");
+    }
+}
+
+#[test]
+fn all_routers_know_within_the_first_exchange_after_a_loss_of_power() {
+    for routers in [68, 300, 1_000] {
+        let mut fleet = Fleet::start(routers);
+        fleet.run(TICK);
+        assert_eq!(fleet.calls, u64::from(routers), "each reads once");
+        assert!(fleet.ages().iter().all(|age| *age <= TICK), "and knows all at once");
+        fleet.run(1_000);
+        let more = fleet.calls - u64::from(routers);
+        assert!(more <= 40, "{routers}: {more} further calls in the first second");
+    }
+}
+
+#[test]
+fn frozen_and_cut_off_readers_are_replaced_before_anybody_reads_too_late() {
+    for routers in [6, 30, 68, 300, 1_000] {
+        let mut fleet = Fleet::start(routers);
+        fleet.run(5_000);
+        let readers = fleet.readers();
+        let (frozen, cut) = (readers[0], readers[1]);
+        fleet.routers[frozen].still_until = fleet.now + 6_000;
+        fleet.cut_off.insert(cut);
+        let before = fleet.calls;
+        let oldest = oldest(&mut fleet, 6_000);
+        assert!(oldest <= ALONE + 50, "{routers}: {oldest} ms old");
+        // It can't read, but others tell it of their reads.
+        let behind_the_cut = fleet.now - fleet.routers[cut].known.unwrap();
+        assert!(behind_the_cut <= 2 * ALONE, "{routers}: {behind_the_cut} ms old behind the cut");
+        let calls = fleet.calls - before;
+        let alone = u64::from(routers) * 6;
+        assert!(
+            calls <= alone.max(160),
+            "{routers}: {calls} calls, {alone} if each read by itself"
+        );
+    }
+}
+
+#[test]
+fn return_of_the_source_is_known_to_all_within_a_second() {
+    for routers in [6, 68, 300, 1_000] {
+        let mut fleet = Fleet::start(routers);
+        fleet.run(5_000);
+        fleet.source_is_away = true;
+        let before = fleet.calls;
+        fleet.run(8_000);
+        let a_second = (fleet.calls - before) as f64 / 8.0;
+        assert!(
+            a_second <= f64::from(routers) * 1.3 + 15.0,
+            "{routers}: {a_second} calls a second"
+        );
+        fleet.source_is_away = false;
+        fleet.run(1_000);
+        let oldest = *fleet.ages().last().unwrap();
+        assert!(oldest <= 1_000, "{routers}: {oldest} ms old");
+    }
+}
--- /dev/null
+++ b/crates/papayamux-protocol/src/fleet_news.rs
@@ -0,0 +1,252 @@
+//! What routers tell those who follow them of the source: changes, and how recent they are.
+
+use std::net::SocketAddr;
+
+use papayamux_state::backend::{BackendServer, ServerPhase};
+use papayamux_state::ids::{ServerId, ServerName, ServerStart};
+use prost::Message;
+use thiserror::Error;
+
+/// Asks to be told of changes. It is asked again each second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FollowRequest {
+    /// The life of the router that asks: its clock begins anew with its instance.
+    pub life: u64,
+    /// When it asked, in milliseconds of its own clock.
+    pub asked_ms: u64,
+    /// The source's position up to which it knows all.
+    pub position: u64,
+}
+
+/// A change of one server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ServerNews {
+    /// It is there, as described.
+    Present(BackendServer),
+    /// It is gone.
+    Gone {
+        /// The name under which it was listed.
+        name: ServerName,
+        /// Whether it lives on for a while.
+        lingers: bool,
+    },
+}
+
+/// Changes of servers between two positions of the source.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NewsSpan {
+    /// The changes are those behind this position.
+    pub behind: u64,
+    /// All changes, one a server.
+    pub changes: Vec<ServerNews>,
+    /// A digest of all servers at the news' position.
+    pub digest: u64,
+}
+
+/// What a router knows of the source.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetNews {
+    /// The life of the router that asked, as it said.
+    pub life: u64,
+    /// When it asked, as it said.
+    pub asked_ms: u64,
+    /// Milliseconds from the question's arrival to the moment at which all this was known to be
+    /// newest; negative where that was earlier.
+    pub shift_ms: i64,
+    /// The position up to which the sender knows all.
+    pub position: u64,
+    /// The version of the configuration that it has in force.
+    pub version: u64,
+    /// How many routers have passed this on; 1 from the one that read it.
+    pub hops: u32,
+    /// The changes since the position that was asked for; `None` where the sender no longer knows them
+    /// all, or they are too many for a datagram.
+    pub span: Option<NewsSpan>,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(crate) struct FollowWire {
+    #[prost(fixed64, tag = "1")]
+    life: u64,
+    #[prost(uint64, tag = "2")]
+    asked_ms: u64,
+    #[prost(uint64, tag = "3")]
+    position: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ServerWire {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(uint64, optional, tag = "2")]
+    start: Option<u64>,
+    #[prost(string, tag = "3")]
+    service: String,
+    #[prost(string, tag = "4")]
+    address: String,
+    #[prost(string, tag = "5")]
+    domain: String,
+    #[prost(uint32, tag = "6")]
+    slots: u32,
+    #[prost(bool, tag = "7")]
+    draining: bool,
+    /// The rest is not meant where this is set.
+    #[prost(bool, tag = "8")]
+    gone: bool,
+    #[prost(bool, tag = "9")]
+    lingers: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct SpanWire {
+    #[prost(uint64, tag = "1")]
+    behind: u64,
+    #[prost(message, repeated, tag = "2")]
+    changes: Vec<ServerWire>,
+    #[prost(fixed64, tag = "3")]
+    digest: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct NewsWire {
+    #[prost(fixed64, tag = "1")]
+    life: u64,
+    #[prost(uint64, tag = "2")]
+    asked_ms: u64,
+    #[prost(sint64, tag = "3")]
+    shift_ms: i64,
+    #[prost(uint64, tag = "4")]
+    position: u64,
+    #[prost(uint64, tag = "5")]
+    version: u64,
+    #[prost(uint32, tag = "6")]
+    hops: u32,
+    #[prost(message, optional, tag = "7")]
+    span: Option<SpanWire>,
+}
+
+/// Why news can't be read.
+#[derive(Debug, Error)]
+pub enum NewsError {
+    /// A part doesn't fit.
+    #[error("{part} of a server does not fit: {cause}")]
+    Part {
+        /// Which part.
+        part: &'static str,
+        /// Why.
+        cause: String,
+    },
+}
+
+fn misfit(part: &'static str) -> impl Fn(&dyn std::error::Error) -> NewsError {
+    move |cause| NewsError::Part { part, cause: cause.to_string() }
+}
+
+impl From<FollowRequest> for FollowWire {
+    fn from(request: FollowRequest) -> Self {
+        let FollowRequest { life, asked_ms, position } = request;
+        Self { life, asked_ms, position }
+    }
+}
+
+impl From<FollowWire> for FollowRequest {
+    fn from(wire: FollowWire) -> Self {
+        let FollowWire { life, asked_ms, position } = wire;
+        Self { life, asked_ms, position }
+    }
+}
+
+impl From<&ServerNews> for ServerWire {
+    fn from(news: &ServerNews) -> Self {
+        match news {
+            ServerNews::Gone { name, lingers } => {
+                Self { name: name.to_string(), gone: true, lingers: *lingers, ..Self::default() }
+            }
+            ServerNews::Present(server) => Self {
+                name: server.name.to_string(),
+                start: server.start.map(|start| start.0),
+                service: server.service.to_string(),
+                address: server.address.to_string(),
+                domain: server.domain.to_string(),
+                slots: server.slots,
+                draining: server.phase == ServerPhase::Draining,
+                gone: false,
+                lingers: false,
+            },
+        }
+    }
+}
+
+impl TryFrom<ServerWire> for ServerNews {
+    type Error = NewsError;
+
+    fn try_from(wire: ServerWire) -> Result<Self, NewsError> {
+        let name: ServerName = wire.name.parse().map_err(|error| misfit("name")(&error))?;
+        if wire.gone {
+            return Ok(Self::Gone { name, lingers: wire.lingers });
+        }
+        let start = wire.start.map(ServerStart);
+        let address: SocketAddr =
+            wire.address.parse().map_err(|error| misfit("address")(&error))?;
+        Ok(Self::Present(BackendServer {
+            id: ServerId::of_start(&name, start),
+            name,
+            start,
+            service: wire.service.parse().map_err(|error| misfit("service")(&error))?,
+            address,
+            domain: wire.domain.parse().map_err(|error| misfit("failure domain")(&error))?,
+            slots: wire.slots,
+            phase: match wire.draining {
+                true => ServerPhase::Draining,
+                false => ServerPhase::Serving,
+            },
+        }))
+    }
+}
+
+impl From<&NewsSpan> for SpanWire {
+    fn from(span: &NewsSpan) -> Self {
+        let changes = span.changes.iter().map(ServerWire::from).collect();
+        Self { behind: span.behind, changes, digest: span.digest }
+    }
+}
+
+impl TryFrom<SpanWire> for NewsSpan {
+    type Error = NewsError;
+
+    fn try_from(wire: SpanWire) -> Result<Self, NewsError> {
+        let changes: Result<_, NewsError> =
+            wire.changes.into_iter().map(ServerNews::try_from).collect();
+        Ok(Self { behind: wire.behind, changes: changes?, digest: wire.digest })
+    }
+}
+
+impl From<&FleetNews> for NewsWire {
+    fn from(news: &FleetNews) -> Self {
+        Self {
+            life: news.life,
+            asked_ms: news.asked_ms,
+            shift_ms: news.shift_ms,
+            position: news.position,
+            version: news.version,
+            hops: news.hops,
+            span: news.span.as_ref().map(SpanWire::from),
+        }
+    }
+}
+
+impl TryFrom<NewsWire> for FleetNews {
+    type Error = NewsError;
+
+    fn try_from(wire: NewsWire) -> Result<Self, NewsError> {
+        Ok(Self {
+            life: wire.life,
+            asked_ms: wire.asked_ms,
+            shift_ms: wire.shift_ms,
+            position: wire.position,
+            version: wire.version,
+            hops: wire.hops,
+            span: wire.span.map(NewsSpan::try_from).transpose()?,
+        })
+    }
+}
--- a/crates/papayamux-protocol/src/lib.rs
+++ b/crates/papayamux-protocol/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod event_id;
 pub mod failure;
+pub mod fleet_news;
 pub mod headers;
 pub mod link;
 pub mod peer;
--- a/crates/papayamux-protocol/src/router_report.rs
+++ b/crates/papayamux-protocol/src/router_report.rs
@@ -9,6 +9,8 @@
 use prost::Message;
 use thiserror::Error;
 
+use crate::fleet_news::{FleetNews, FollowRequest, FollowWire, NewsError, NewsWire};
+
 /// One router's requests at a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReportedLoad {
@@ -94,7 +96,11 @@
     pub configuration: Option<ReportedConfiguration>,
     /// What servers have begun to read for it.
     pub readings: Vec<ReportedReading>,
-    /// Whether this tells of readings only, ahead of the next whole report.
+    /// Asks to be told of changes in the source.
+    pub follow: Option<FollowRequest>,
+    /// Tells of them.
+    pub news: Option<FleetNews>,
+    /// Whether this has no loads, as it goes ahead of the next whole report.
     pub is_partial: bool,
 }
 
@@ -104,6 +110,9 @@
     /// The bytes are no message.
     #[error(transparent)]
     Decode(#[from] prost::DecodeError),
+    /// A part of it doesn't fit.
+    #[error(transparent)]
+    News(#[from] NewsError),
 }
 
 /// Loads in columns, which take 7 bytes a server where messages would take 12.
@@ -188,6 +197,10 @@
     readings: Vec<ReadingWire>,
     #[prost(bool, tag = "14")]
     is_partial: bool,
+    #[prost(message, optional, tag = "15")]
+    follow: Option<FollowWire>,
+    #[prost(message, optional, tag = "16")]
+    news: Option<NewsWire>,
 }
 
 impl From<&[ReportedLoad]> for LoadsWire {
@@ -332,13 +345,17 @@
             listings: report.listings.iter().map(PartsWire::from).collect(),
             readings: report.readings.iter().map(ReadingWire::from).collect(),
             is_partial: report.is_partial,
+            follow: report.follow.map(FollowWire::from),
+            news: report.news.as_ref().map(NewsWire::from),
         }
     }
 }
 
-impl From<ReportWire> for RouterReport {
-    fn from(wire: ReportWire) -> Self {
-        Self {
+impl TryFrom<ReportWire> for RouterReport {
+    type Error = ReportError;
+
+    fn try_from(wire: ReportWire) -> Result<Self, ReportError> {
+        Ok(Self {
             sequence: wire.sequence,
             known: wire.known.into_iter().map(|bits| Ipv4Addr::from(bits).into()).collect(),
             loads: wire.loads.map(Vec::from).unwrap_or_default(),
@@ -350,7 +367,9 @@
             configuration: wire.configuration.map(ReportedConfiguration::from),
             readings: wire.readings.into_iter().map(ReportedReading::from).collect(),
             is_partial: wire.is_partial,
-        }
+            follow: wire.follow.map(FollowRequest::from),
+            news: wire.news.map(FleetNews::try_from).transpose()?,
+        })
     }
 }
 
@@ -362,6 +381,6 @@
 
     /// Reads a datagram.
     pub fn decode(bytes: Bytes) -> Result<Self, ReportError> {
-        Ok(ReportWire::decode(bytes)?.into())
+        ReportWire::decode(bytes)?.try_into()
     }
 }
--- a/crates/papayamux-protocol/tests/router_report.rs
+++ b/crates/papayamux-protocol/tests/router_report.rs
@@ -1,11 +1,14 @@
 //! Reports between routers survive the way, and broken ones are refused.
+#![allow(clippy::unwrap_used, clippy::panic, reason = "helpers of tests, which may panic")]
 
 use bytes::Bytes;
+use papayamux_protocol::fleet_news::{FleetNews, FollowRequest, NewsSpan, ServerNews};
 use papayamux_protocol::router_report::{
     ReportedConfiguration, ReportedHolder, ReportedListing, ReportedLoad, ReportedQuestion,
     ReportedReading, RouterReport,
 };
-use papayamux_state::ids::ServerKey;
+use papayamux_state::backend::{BackendServer, ServerPhase};
+use papayamux_state::ids::{ServerId, ServerKey, ServerName, ServerStart};
 use papayamux_state::prompt::{PartId, PromptPart};
 use papayamux_state::quantities::TokenCount;
 
@@ -43,11 +46,74 @@
             cold: TokenCount::new(9_200),
             expected_ms: 317,
         }],
+        follow: Some(FollowRequest { life: 3, asked_ms: 70_000, position: u64::MAX }),
+        news: Some(news(vec![present(Some(1_700_000_000_000)), present(None), gone()])),
         is_partial: true,
     };
     assert_eq!(RouterReport::decode(report.encode().into()).unwrap(), report);
 }
 
+fn present(start: Option<u64>) -> ServerNews {
+    let name: ServerName = "i-7f3a91c2".parse().unwrap();
+    let start = start.map(ServerStart);
+    ServerNews::Present(BackendServer {
+        id: ServerId::of_start(&name, start),
+        name,
+        start,
+        service: "chat".parse().unwrap(),
+        address: "10.5.64.55:8128".parse().unwrap(),
+        domain: "hall-1".parse().unwrap(),
+        slots: 16,
+        phase: ServerPhase::Draining,
+    })
+}
+
+fn gone() -> ServerNews {
+    ServerNews::Gone { name: "i-409792a0e0".parse().unwrap(), lingers: true }
+}
+
+fn news(changes: Vec<ServerNews>) -> FleetNews {
+    let span = NewsSpan { behind: 4_000_000, changes, digest: u64::MAX };
+    FleetNews {
+        life: u64::MAX,
+        asked_ms: 86_400_000,
+        shift_ms: -612,
+        position: 4_000_117,
+        version: 45,
+        hops: 2,
+        span: Some(span),
+    }
+}
+
+/// A router tells up to sixteen others three times a second: at 100 bytes that is 5 KB/s, a quarter of
+/// what control may cost.
+#[test]
+fn news_without_a_change_are_short() {
+    let report = RouterReport {
+        sequence: 100_000,
+        news: Some(news(Vec::new())),
+        is_partial: true,
+        ..RouterReport::default()
+    };
+    assert!(report.encode().len() <= 72, "{} bytes", report.encode().len());
+}
+
+#[test]
+fn news_of_servers_that_cannot_be_are_refused() {
+    let ServerNews::Present(server) = present(None) else { panic!("present") };
+    let unnamed = RouterReport {
+        news: Some(news(vec![ServerNews::Present(BackendServer {
+            service: "chat".parse().unwrap(),
+            ..server
+        })])),
+        ..RouterReport::default()
+    };
+    let mut bytes = unnamed.encode();
+    let place = bytes.windows(4).position(|window| window == b"chat").unwrap();
+    bytes[place] = b' ';
+    assert!(RouterReport::decode(bytes.into()).is_err());
+}
+
 #[test]
 fn report_of_a_router_of_a_large_fleet_is_short() {
     let loads = (0..20).map(|index| ReportedLoad {
--- a/crates/papayamux-router/src/direct/fleet/beliefs.rs
+++ b/crates/papayamux-router/src/direct/fleet/beliefs.rs
@@ -41,12 +41,23 @@
 
     /// Notes that a read sent at `sent` returned what was newest.
     pub fn confirm_configuration(&self, sent: BootInstant) {
-        self.freshness.borrow_mut().confirm(sent);
-        self.vouched_for.set(false);
         self.source_lost.set(false);
+        self.note_confirmation(sent);
+    }
+
+    /// Notes that configuration and servers were known to be the newest at `known`.
+    pub(super) fn note_confirmation(&self, known: BootInstant) {
+        self.freshness.borrow_mut().confirm(known);
+        self.vouched_for.set(false);
         self.confirmed.take().give();
     }
 
+    /// When configuration and servers were known to be the newest, by a read of this router or of one
+    /// that it follows.
+    pub(super) fn confirmed_since(&self) -> Option<BootInstant> {
+        self.freshness.borrow().confirmed()
+    }
+
     /// Notes that a read brought no answer.
     pub(in crate::direct) fn note_source_lost(&self) {
         self.source_lost.set(true);
@@ -111,11 +122,16 @@
     /// Asks for a confirmation at once and waits for one, up to `limit`.
     pub async fn refresh_configuration(&self, limit: Duration) {
         let confirmed = self.confirmed.borrow().clone();
-        self.poke.take().give();
+        self.poke();
         // A refusal follows where no confirmation came, so that the timeout needs no handling.
         let _ = monoio::time::timeout(limit, confirmed.given()).await;
     }
 
+    /// Asks for a read of the source at once.
+    pub(super) fn poke(&self) {
+        self.poke.take().give();
+    }
+
     /// Waits until somebody asks for a confirmation.
     pub async fn poked(&self) {
         let poke = self.poke.borrow().clone();
--- a/crates/papayamux-router/src/direct/fleet/fleet_state.rs
+++ b/crates/papayamux-router/src/direct/fleet/fleet_state.rs
@@ -28,6 +28,7 @@
 use papayamux_transport::shutdown::ShutdownSignal;
 
 use super::part_waits::StartedReading;
+use super::source_knowledge::SourceKnowledge;
 use super::turns::Turn;
 use crate::direct::attempt_watch::AttemptWatch;
 use crate::direct::{DirectMetrics, FleetSettings};
@@ -41,6 +42,7 @@
     pub(super) vouched_for: Cell<bool>,
     pub(super) source_lost: Cell<bool>,
     pub(super) poke: RefCell<ShutdownSignal>,
+    pub(super) knowledge: SourceKnowledge,
     pub(super) presence: RefCell<ServerPresence>,
     pub(super) departures: RefCell<RecentDepartures>,
     pub(super) ledger: RefCell<LoadLedger>,
@@ -75,6 +77,7 @@
             freshness: RefCell::new(KeyFreshness::new(settings.revoke_within)),
             budget: RefCell::new(ServiceRetryBudget::new(settings.retries)),
             round_trips: RefCell::new(RoundTrips::new(settings.domain.clone())),
+            knowledge: SourceKnowledge::new(settings.address, settings.read_bounds().interval()),
             departures: RefCell::new(RecentDepartures::new(settings.departure_bounds())),
             settings,
             configuration: RefCell::default(),
--- a/crates/papayamux-router/src/direct/fleet/known_servers.rs
+++ b/crates/papayamux-router/src/direct/fleet/known_servers.rs
@@ -1,9 +1,10 @@
 //! The backend servers that are believed to be there.
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use papayamux_coordination::server_presence::PresenceChange;
-use papayamux_state::backend::BackendServer;
+use papayamux_state::backend::{BackendServer, ServerPhase};
 use papayamux_state::ids::{ServerId, ServerKey, ServerName};
 use papayamux_state::source::EntryFault;
 
@@ -44,7 +45,7 @@
 
     /// Takes in that an entry is gone.
     pub fn note_server_gone(&self, name: &ServerName, now: Instant) {
-        let Some(known) = self.presence.borrow().catalog().named(name).cloned() else { return };
+        let Some(known) = self.listed_server(name) else { return };
         let change = self.presence.borrow_mut().note_removal(&known.id, now);
         self.note_departure(&known, change, now);
     }
@@ -59,14 +60,40 @@
                 suppressed = suppressed; "entry names no server"
             );
         }
-        let known = fault.name.as_ref();
-        let known = known.and_then(|name| self.presence.borrow().catalog().named(name).cloned());
+        let known = fault.name.as_ref().and_then(|name| self.listed_server(name));
         if let Some(known) = known {
             let change = self.presence.borrow_mut().note_overwritten(&known.id);
             self.note_departure(&known, change, now);
         }
     }
 
+    /// Takes over that a server is there, by the word of a router that follows the list more closely.
+    pub(super) fn adopt_server(&self, server: BackendServer, now: Instant) {
+        let id = server.id.clone();
+        let changes = self.presence.borrow_mut().adopt(server);
+        self.note_renewal(&id, now);
+        changes.iter().for_each(|(id, change)| self.note_presence(id, *change));
+    }
+
+    /// Takes over that a server is gone, and whether it lives on for a while.
+    pub(super) fn adopt_departure(&self, name: &ServerName, lingers: bool, now: Instant) {
+        let Some(known) = self.listed_server(name) else { return };
+        let change = self.presence.borrow_mut().note_overwritten(&known.id);
+        match lingers && known.phase == ServerPhase::Serving {
+            true => {
+                self.departures.borrow_mut().note_lingering(&known, now);
+                log::info!(server:% = known.id; "server has left and finishes its work");
+            }
+            false => self.note_presence(&known.id, change),
+        }
+    }
+
+    /// The server of this name, whose entry goes. Followers may know it where it isn't known here.
+    fn listed_server(&self, name: &ServerName) -> Option<Rc<BackendServer>> {
+        self.note_heard_departure(name);
+        self.presence.borrow().catalog().named(name).cloned()
+    }
+
     fn note_departure(&self, known: &BackendServer, change: PresenceChange, now: Instant) {
         let lingers = change == PresenceChange::Departed
             && self.departures.borrow_mut().note_departure(known, now);
--- a/crates/papayamux-router/src/direct/fleet/mod.rs
+++ b/crates/papayamux-router/src/direct/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod known_servers;
 mod part_waits;
 mod requests;
+mod source_knowledge;
 mod turns;
 
 pub use choice::ChosenServer;
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -30,6 +30,9 @@
 /// that show an error of a quarter.
 const RATIO_BUCKETS: [f64; 9] = [0.1, 0.25, 0.5, 0.75, 1.0, 1.25, 2.0, 4.0, 10.0];
 
+/// Bounds of the number of routers between a reader and one that is told.
+const HOP_BUCKETS: [f64; 6] = [1.0, 2.0, 3.0, 4.0, 6.0, 8.0];
+
 fn ratio_histogram() -> Histogram {
     Histogram::new(RATIO_BUCKETS)
 }
@@ -66,6 +69,10 @@
     pub entry_faults: ReasonCounters,
     /// Bytes of reports sent to other routers.
     pub report_bytes: Counter,
+    /// Seconds since what other routers told of the source was known to be newest, when they told it.
+    pub news_age: Histogram,
+    /// How many routers had passed that on.
+    pub news_hops: Histogram,
     heads: LatencyFamily,
     waits: LatencyFamily,
     part_waits: LatencyFamily,
@@ -83,6 +90,8 @@
             source_reads: ReasonCounters::default(),
             entry_faults: ReasonCounters::default(),
             report_bytes: Counter::default(),
+            news_age: Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS)),
+            news_hops: Histogram::new(HOP_BUCKETS),
             heads: latency_family(),
             waits: latency_family(),
             part_waits: latency_family(),
@@ -133,6 +142,10 @@
         registry.register("entry_faults", "Entries that name no server", faults);
         let bytes = self.report_bytes.clone();
         registry.register("report_bytes", "Bytes of reports to other routers", bytes);
+        let ages = self.news_age.clone();
+        registry.register("source_news_age_seconds", "Age of what others tell of the source", ages);
+        let hops = self.news_hops.clone();
+        registry.register("source_news_hops", "Routers between the source and this one", hops);
         let waits = self.waits.clone();
         registry.register("line_wait_seconds", "Wait of requests that found no place", waits);
         let waits = self.part_waits.clone();
--- a/crates/papayamux-router/src/direct/peers.rs
+++ b/crates/papayamux-router/src/direct/peers.rs
@@ -13,6 +13,7 @@
 use papayamux_coordination::peer_vouching::{VouchQuestion, VouchQuestions, VouchStatement};
 use papayamux_coordination::placement::{HolderNote, RouterId, ServerLoad};
 use papayamux_coordination::router_peers::{PeerNews, RouterPeers};
+use papayamux_protocol::fleet_news::{FleetNews, FollowRequest};
 use papayamux_protocol::router_report::{
     ReportedConfiguration, ReportedHolder, ReportedListing, ReportedLoad, ReportedQuestion,
     ReportedReading, RouterReport,
@@ -41,6 +42,10 @@
 const READINGS_AT_ONCE: usize = 8;
 /// Bytes of the longest report: several hundred servers.
 const LONGEST_REPORT: usize = 16 * 1024;
+/// Pause between two questions to the router that is followed: it tells for 2.5 s, so that one may be lost.
+const FOLLOW_EVERY: Duration = Duration::from_secs(1);
+/// Pause between two choices of whom to follow, part of what a silent reader may cost.
+const CHOOSE_EVERY: Duration = Duration::from_millis(150);
 /// Pause after a failure to receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -78,6 +83,8 @@
         monoio::spawn(exchange.clone().receive());
         monoio::spawn(exchange.clone().report());
         monoio::spawn(exchange.clone().tell_readings());
+        monoio::spawn(exchange.clone().follow());
+        monoio::spawn(exchange.clone().tell_news());
         Ok(exchange)
     }
 
@@ -124,7 +131,7 @@
         }
     }
 
-    fn take_report(&self, sender: IpAddr, bytes: Bytes) {
+    fn take_report(self: &Rc<Self>, sender: IpAddr, bytes: Bytes) {
         let report = match RouterReport::decode(bytes) {
             Ok(report) => report,
             Err(error) => {
@@ -158,6 +165,12 @@
         for reading in report.readings {
             self.take_reading(reading, now);
         }
+        if let Some(request) = report.follow {
+            self.take_follower(sender, request, now);
+        }
+        if let Some(news) = report.news {
+            self.fleet.take_news(sender, self.life, news);
+        }
         if report.is_partial {
             return;
         }
@@ -195,26 +208,75 @@
             if readings.is_empty() {
                 continue;
             }
-            self.sequence.set(self.sequence.get() + 1);
-            let report = RouterReport {
-                sequence: self.sequence.get(),
-                readings,
-                fresh: now.saturating_duration_since(self.started) < FRESH_FOR,
-                is_partial: true,
-                ..RouterReport::default()
-            };
+            let report = RouterReport { readings, ..RouterReport::default() };
             let mut targets = self.peers.borrow().alive(now);
             if targets.len() > MOST_TOLD_AT_ONCE {
                 let first = rand::random_range(0..targets.len());
                 targets.rotate_left(first);
                 targets.truncate(MOST_TOLD_AT_ONCE);
             }
-            let bytes = self.send(&report, &targets).await;
+            let bytes = self.send_partial(report, &targets).await;
             let pause = Duration::from_secs_f64(bytes as f64 / MOST_READING_BYTES_PER_SECOND);
             monoio::time::sleep(pause).await;
         }
     }
 
+    /// Chooses again and again whom to follow, and asks there to be told of changes.
+    async fn follow(self: Rc<Self>) {
+        let mut asked: Option<(IpAddr, Instant)> = None;
+        loop {
+            let now = Instant::now();
+            let known = self.peers.borrow().known();
+            self.fleet.choose_source_role(&known, now);
+            if let Some((followed, request)) = self.fleet.follow_request(self.life) {
+                let due = asked.is_none_or(|(router, at)| {
+                    router != followed || now.saturating_duration_since(at) >= FOLLOW_EVERY
+                });
+                if due {
+                    asked = Some((followed, now));
+                    self.send_partial(
+                        RouterReport { follow: Some(request), ..RouterReport::default() },
+                        &[followed],
+                    )
+                    .await;
+                }
+            }
+            monoio::time::sleep(CHOOSE_EVERY).await;
+        }
+    }
+
+    fn take_follower(self: &Rc<Self>, sender: IpAddr, request: FollowRequest, now: Instant) {
+        let Some(news) = self.fleet.note_follower(sender, request, now) else { return };
+        let exchange = self.clone();
+        monoio::spawn(async move { exchange.send_news(sender, news).await });
+    }
+
+    /// Tells the followers at once of whatever is newer.
+    async fn tell_news(self: Rc<Self>) {
+        loop {
+            for (follower, news) in self.fleet.next_news().await {
+                self.send_news(follower, news).await;
+            }
+        }
+    }
+
+    async fn send_news(&self, follower: IpAddr, news: FleetNews) {
+        let report = RouterReport { news: Some(news), ..RouterReport::default() };
+        self.send_partial(report, &[follower]).await;
+    }
+
+    /// Sends a report without loads, ahead of the next whole one.
+    async fn send_partial(&self, report: RouterReport, targets: &[IpAddr]) -> usize {
+        self.sequence.set(self.sequence.get() + 1);
+        let report = RouterReport {
+            sequence: self.sequence.get(),
+            fresh: self.started.elapsed() < FRESH_FOR,
+            is_partial: true,
+            ..report
+        };
+        self.send(&report, targets).await
+    }
+
     /// Sends a report; returns the bytes that this took in all.
     async fn send(&self, report: &RouterReport, targets: &[IpAddr]) -> usize {
         let datagram = report.encode();
@@ -291,6 +353,8 @@
             question,
             configuration: self.next_answers(now),
             readings: Vec::new(),
+            follow: None,
+            news: None,
             is_partial: false,
         }
     }
--- a/crates/papayamux-router/src/direct/settings.rs
+++ b/crates/papayamux-router/src/direct/settings.rs
@@ -17,6 +17,8 @@
 /// What bounds decisions.
 #[derive(Debug, Clone, Builder)]
 pub struct FleetSettings {
+    /// Where the other routers know this one.
+    pub address: IpAddr,
     /// The router's own failure domain.
     pub domain: FailureDomain,
     /// How soon a key that was taken away must stop working; `None` where keys may be used
@@ -153,7 +155,7 @@
     let peers = peers_section.required("listen");
     let seeds: Vec<SocketAddr> = peers_section.list("seeds");
     peers_section.refuse_other_keys();
-    let (grace, fleet) = read_bounds(file, domain)?;
+    let (grace, fleet) = read_bounds(file, domain, peers)?;
     Some(
         DirectSettings::builder()
             .instance(name?)
@@ -171,7 +173,11 @@
     )
 }
 
-fn read_bounds(file: &IniFile, domain: Option<FailureDomain>) -> Option<(Duration, FleetSettings)> {
+fn read_bounds(
+    file: &IniFile,
+    domain: Option<FailureDomain>,
+    peers: Option<SocketAddr>,
+) -> Option<(Duration, FleetSettings)> {
     let bounds = file.section("bounds");
     let defaults = RetryAllowance::default();
     let retries = RetryAllowance {
@@ -193,6 +199,7 @@
     let grace = bounds.or("grace", DEFAULT_GRACE).0;
     bounds.refuse_other_keys();
     let fleet = FleetSettings::builder()
+        .address(peers?.ip())
         .domain(domain?)
         .maybe_revoke_within(revoke_within)
         .maybe_apply_within(apply_within)
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use futures_util::future::select;
-use papayamux_coordination::source_pace::{SourcePace, READ_WITHIN};
+use futures_util::future::{select, Either};
+use papayamux_coordination::source_pace::{PaceView, SourcePace, READ_WITHIN};
 use papayamux_state::source::{
     SourceChange, SourceChanges, SourceContents, SourceError, SourcePosition,
 };
@@ -18,6 +18,10 @@
 /// Reads without a pause between them, so that a source that is behind is not asked for ever: with 250
 /// changes each, more than the largest fleet has servers.
 const MOST_READS_AT_ONCE: u32 = 16;
+/// Part of the pause of a router that reads by itself that lies at least between two reads which others
+/// ask for. Each router reads a new configuration once it hears of it; where several come in quick
+/// succession, that is not once for each.
+const ASKED_SPACING: f64 = 0.5;
 
 /// A read that is under way.
 pub type SourceRead<'a, T> = Pin<Box<dyn Future<Output = Result<T, SourceError>> + 'a>>;
@@ -35,23 +39,20 @@
 /// Reads from the source for ever.
 pub async fn follow_source(fleet: Rc<Fleet>, source: Rc<dyn FleetSource>) {
     let pace = SourcePace::new(fleet.settings().read_bounds());
-    let mut follower = SourceFollower { fleet, source, position: None, pace };
+    let mut follower = SourceFollower { fleet, source, pace, last_read: Instant::now() };
     loop {
         if follower.read().await == ReadResult::Again {
             follower.read_rest().await;
         }
-        let pause = follower.pace.pause(follower.fleet.awaits_renewals(), rand::random());
-        let sleep = std::pin::pin!(monoio::time::sleep(pause));
-        let poked = std::pin::pin!(follower.fleet.poked());
-        select(sleep, poked).await;
+        follower.wait_for_turn().await;
     }
 }
 
 struct SourceFollower {
     fleet: Rc<Fleet>,
     source: Rc<dyn FleetSource>,
-    position: Option<SourcePosition>,
     pace: SourcePace,
+    last_read: Instant,
 }
 
 impl SourceFollower {
@@ -64,16 +65,41 @@
         }
     }
 
+    /// Waits until the next read is due, or somebody asks for one and the last one is not of just now.
+    async fn wait_for_turn(&mut self) {
+        let draw = rand::random();
+        let spacing = self.fleet.reading_alone().mul_f64(ASKED_SPACING);
+        while let Some(wait) = self.pace.wait(self.view(), draw) {
+            let sleep = std::pin::pin!(monoio::time::sleep(wait));
+            let poked = std::pin::pin!(self.fleet.poked());
+            let poked = matches!(select(sleep, poked).await, Either::Right(_));
+            if poked && self.last_read.elapsed() >= spacing {
+                return;
+            }
+        }
+    }
+
+    fn view(&self) -> PaceView {
+        PaceView {
+            role: self.fleet.source_role(),
+            seeks_source: self.fleet.seeks_source(),
+            awaits_renewals: self.fleet.awaits_renewals(),
+            since_read: self.last_read.elapsed(),
+            age: self.fleet.configuration_age(),
+        }
+    }
+
     /// Reads what has changed, or everything where nothing is known yet.
     async fn read(&mut self) -> ReadResult {
         let sent = boot_now();
         let reading = async {
-            match self.position {
+            match self.fleet.source_position() {
                 None => self.source.read_all().await.map(Box::new).map(Read::All),
                 Some(position) => self.source.read_changes(position).await.map(Read::Changes),
             }
         };
         let result = monoio::time::timeout(READ_WITHIN, reading).await;
+        self.last_read = Instant::now();
         let result = result.unwrap_or_else(|_| {
             Err(SourceError::Unavailable(format!("no answer within {READ_WITHIN:?}")))
         });
@@ -90,11 +116,12 @@
                     return ReadResult::Again;
                 }
                 self.fleet.confirm_configuration(sent);
+                self.fleet.note_own_read();
             }
             Err(SourceError::HistoryLost) => {
                 self.fleet.metrics().source_reads.count("history_lost");
                 log::info!("source has dropped its history, reading everything");
-                self.position = None;
+                self.fleet.note_position(None);
                 return ReadResult::Again;
             }
             Err(error) => {
@@ -114,18 +141,20 @@
         self.fleet.note_list_contact(failed, now);
         match read {
             Read::All(contents) => {
-                self.position = Some(contents.position);
                 if let Some(configuration) = contents.configuration {
                     self.fleet.apply_configuration(configuration);
                 }
                 contents.faults.iter().for_each(|fault| self.fleet.note_entry_fault(fault, now));
                 self.fleet.note_server_list(contents.servers, now);
+                self.fleet.note_whole_read(contents.position);
             }
             Read::Changes(changes) => {
-                self.position = Some(changes.position);
                 for change in changes.changes {
                     self.take_change(change, now);
                 }
+                // Others may have told of more while the answer was under way.
+                let position = self.fleet.source_position().max(Some(changes.position));
+                self.fleet.note_position(position);
             }
         }
     }
