Take over what others tell of servers while a newer configuration is still to be read

Cause: with versions each 75 to 150 ms, a follower never had the version that it was told of; so nothing that it was told of servers counted, and each cheap read of the configuration put its own read off. Ruled out: a reader that failed (all three read on). Change: servers count up to the position told of; the version told of is wanted until it is got, by a whole read of it where the next changes may not show it, and nothing is confirmed until then; cheap reads put no other off. Word of a version is passed on by those who lack it too. Also: [source] readers = all lets each router read by itself.

--- a/crates/papayamux-coordination/src/fleet_knowledge/mod.rs
+++ b/crates/papayamux-coordination/src/fleet_knowledge/mod.rs
@@ -10,9 +10,11 @@
 mod follower_table;
 mod reader_order;
 mod source_duty;
+mod source_readers;
 
 pub use belief_journal::{BeliefChange, BeliefDigest, BeliefJournal, BeliefSpan};
 pub use dated_statement::{HeardQuestion, StatedShift};
 pub use follower_table::{FollowerEntry, FollowerTable};
 pub use reader_order::{reader_count, reading_interval, ReaderOrder};
 pub use source_duty::{DutyView, SourceDuty, SourceRole};
+pub use source_readers::{ReadersError, SourceReaders};
--- a/crates/papayamux-protocol/src/fleet_news.rs
+++ b/crates/papayamux-protocol/src/fleet_news.rs
@@ -55,7 +55,7 @@
     pub shift_ms: i64,
     /// The position up to which the sender knows all.
     pub position: u64,
-    /// The version of the configuration that it has in force.
+    /// The newest version of the configuration up to that position.
     pub version: u64,
     /// How many routers have passed this on; 1 from the one that read it.
     pub hops: u32,
--- a/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
+++ b/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
@@ -6,9 +6,8 @@
 
 use papayamux_coordination::fleet_knowledge::{
     BeliefChange, BeliefDigest, BeliefJournal, BeliefSpan, DutyView, FollowerEntry, FollowerTable,
-    HeardQuestion, SourceDuty, SourceRole, StatedShift,
+    HeardQuestion, SourceDuty, SourceReaders, SourceRole, StatedShift,
 };
-use papayamux_coordination::mechanism::Mechanism;
 use papayamux_coordination::peer_vouching::VouchQuestion;
 use papayamux_protocol::fleet_news::{FleetNews, FollowRequest, NewsSpan, ServerNews};
 use papayamux_state::boot_time::BootInstant;
@@ -36,6 +35,8 @@
     differs_since: Cell<Option<Instant>>,
     hops: Cell<u32>,
     wanted: Cell<ConfigVersion>,
+    /// When what others told of servers was known to be the newest.
+    told: Cell<Option<BootInstant>>,
 }
 
 impl SourceKnowledge {
@@ -50,6 +51,7 @@
             differs_since: Cell::new(None),
             hops: Cell::new(0),
             wanted: Cell::default(),
+            told: Cell::new(None),
         }
     }
 }
@@ -98,12 +100,12 @@
 
     /// Whether this router looks often for a source that is away.
     pub(in crate::direct) fn seeks_source(&self) -> bool {
-        !self.uses(Mechanism::FewReaders) || self.knowledge.duty.borrow().seeks_source()
+        self.settings.readers == SourceReaders::All || self.knowledge.duty.borrow().seeks_source()
     }
 
     /// Chooses the role again among the routers that are known.
     pub(in crate::direct) fn choose_source_role(&self, known: &[IpAddr], now: Instant) {
-        if !self.uses(Mechanism::FewReaders) {
+        if self.settings.readers == SourceReaders::All {
             return;
         }
         let view = DutyView {
@@ -174,29 +176,31 @@
             return;
         }
         let Some(known) = StatedShift(news.shift_ms).on_askers_clock(question, now) else { return };
-        let version = self.configuration_version().0;
-        if news.version != version {
-            // A newer configuration has to be read before anything behind it counts.
-            if news.version > version {
-                self.knowledge.wanted.set(ConfigVersion(news.version));
-                self.poke();
-            }
-            return;
-        }
-        let newer = self.configuration_age().is_none_or(|age| now.since(known) < age);
+        let steady = Instant::now();
         let position = SourcePosition(news.position);
         if !self.adopt_span(position, news.span) {
             self.poke();
             return;
         }
-        if !newer {
+        if self.knowledge.told.get().is_none_or(|told| known > told) {
+            self.knowledge.told.set(Some(known));
+            self.knowledge.duty.borrow_mut().note_newer(sender, steady);
+        }
+        let version = self.configuration_version().0;
+        if news.version > version {
+            // Servers are known up to the position. The configuration has to be read; until then nothing
+            // is confirmed, and the router reads by itself once that is too long ago.
+            self.knowledge.wanted.set(ConfigVersion(news.version));
+            self.poke();
+            self.tell_followers();
+            return;
+        }
+        let newer = self.configuration_age().is_none_or(|age| now.since(known) < age);
+        if news.version < version || !newer {
             return;
         }
-        let steady = Instant::now();
-        self.knowledge.duty.borrow_mut().note_newer(sender, steady);
         self.knowledge.hops.set(news.hops);
-        let age = now.since(known).as_secs_f64();
-        self.metrics.news_age.observe(age);
+        self.metrics.news_age.observe(now.since(known).as_secs_f64());
         self.metrics.news_hops.observe(f64::from(news.hops));
         self.note_list_contact(false, steady);
         self.note_confirmation(known);
@@ -260,7 +264,8 @@
             asked_ms: u64::try_from(question.asked.0.as_millis()).ok()?,
             shift_ms: entry.question.shift_to(known).0,
             position: position.0,
-            version: self.configuration_version().0,
+            // A newer one that this router has only heard of lies before the position too.
+            version: self.configuration_version().max(self.knowledge.wanted.get()).0,
             hops: self.knowledge.hops.get() + 1,
             span: span.filter(|span| span.changes.len() <= MOST_CHANGES).map(told_span),
         })
--- a/crates/papayamux-router/src/direct/mod.rs
+++ b/crates/papayamux-router/src/direct/mod.rs
@@ -27,4 +27,4 @@
 pub use interface::{AnswerVerdict, CacheList, CacheListError, CallInterface, Dispatch};
 pub use metrics::DirectMetrics;
 pub use settings::{DirectSettings, FleetSettings};
-pub use source_follower::{FleetSource, SourceRead};
+pub use source_follower::{FleetSource, ReadRecency, SourceRead};
--- a/crates/papayamux-router/src/direct/settings.rs
+++ b/crates/papayamux-router/src/direct/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bon::Builder;
+use papayamux_coordination::fleet_knowledge::SourceReaders;
 use papayamux_coordination::key_freshness::longest_key_age;
 use papayamux_coordination::mechanism::DisabledMechanisms;
 use papayamux_coordination::placement::PlacementPolicy;
@@ -19,6 +20,9 @@
 pub struct FleetSettings {
     /// Where the other routers know this one.
     pub address: IpAddr,
+    /// Who reads the source.
+    #[builder(default)]
+    pub readers: SourceReaders,
     /// The router's own failure domain.
     pub domain: FailureDomain,
     /// How soon a key that was taken away must stop working; `None` where keys may be used
@@ -150,12 +154,14 @@
     listen.refuse_other_keys();
     let source_section = file.section("source");
     let source = source_section.required("address");
+    let readers = source_section.or("readers", SourceReaders::default());
     source_section.refuse_other_keys();
     let peers_section = file.section("peers");
     let peers = peers_section.required("listen");
     let seeds: Vec<SocketAddr> = peers_section.list("seeds");
     peers_section.refuse_other_keys();
     let (grace, fleet) = read_bounds(file, domain, peers)?;
+    let fleet = FleetSettings { readers, ..fleet };
     Some(
         DirectSettings::builder()
             .instance(name?)
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -22,14 +22,26 @@
 /// A read that is under way.
 pub type SourceRead<'a, T> = Pin<Box<dyn Future<Output = Result<T, SourceError>> + 'a>>;
 
+/// How recent the answer of a read has to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadRecency {
+    /// The newest.
+    Newest,
+    /// As it was at some moment of the last seconds, which costs the source less.
+    Recent,
+}
+
 /// Where the configuration and the list of servers come from.
 pub trait FleetSource {
     /// Reads everything.
     fn read_all(&self) -> SourceRead<'_, SourceContents>;
     /// Reads what has changed behind `position`; returns at once, also where nothing has.
     fn read_changes(&self, position: SourcePosition) -> SourceRead<'_, SourceChanges>;
-    /// Reads the configuration as it was at some moment of the last seconds, which costs the source less.
-    fn read_recent_configuration(&self) -> SourceRead<'_, Option<ConfigurationSnapshot>>;
+    /// Reads the configuration alone.
+    fn read_configuration(
+        &self,
+        recency: ReadRecency,
+    ) -> SourceRead<'_, Option<ConfigurationSnapshot>>;
     /// Closes the connection, so that the next read uses a new one.
     fn disconnect(&self);
 }
@@ -37,7 +49,8 @@
 /// Reads from the source for ever.
 pub async fn follow_source(fleet: Rc<Fleet>, source: Rc<dyn FleetSource>) {
     let pace = SourcePace::new(fleet.settings().read_bounds());
-    let mut follower = SourceFollower { fleet, source, pace, last_read: Instant::now() };
+    let now = Instant::now();
+    let mut follower = SourceFollower { fleet, source, pace, last_read: now, last_asked: now };
     loop {
         if follower.read().await == ReadResult::Again {
             follower.read_rest().await;
@@ -51,6 +64,8 @@
     source: Rc<dyn FleetSource>,
     pace: SourcePace,
     last_read: Instant,
+    /// When the configuration alone was read last, because another router had told of a newer one.
+    last_asked: Instant,
 }
 
 impl SourceFollower {
@@ -72,7 +87,8 @@
                 let poked = std::pin::pin!(self.fleet.poked());
                 matches!(select(sleep, poked).await, Either::Right(_))
             };
-            let may_read = self.last_read.elapsed() >= self.pace.asked_spacing();
+            let last = self.last_read.max(self.last_asked);
+            let may_read = last.elapsed() >= self.pace.asked_spacing();
             if poked && may_read && !self.take_wanted().await {
                 return;
             }
@@ -83,9 +99,9 @@
     /// Its version shows that what was read is no older than that. Whether no other read is due.
     async fn take_wanted(&mut self) -> bool {
         let Some(wanted) = self.fleet.wanted_version() else { return false };
-        let reading = self.source.read_recent_configuration();
+        let reading = self.source.read_configuration(ReadRecency::Recent);
         let read = monoio::time::timeout(READ_WITHIN, reading).await;
-        self.last_read = Instant::now();
+        self.last_asked = Instant::now();
         match read.unwrap_or_else(|_| Err(late())) {
             Ok(Some(configuration)) => {
                 let version = configuration.version;
@@ -106,6 +122,17 @@
         }
     }
 
+    /// Reads the configuration that another router has told of: it may lie before the position up to
+    /// which that router has told of servers, where the next changes don't show it.
+    async fn read_wanted(&self) -> Result<(), SourceError> {
+        if self.fleet.wanted_version().is_none() {
+            return Ok(());
+        }
+        let configuration = self.source.read_configuration(ReadRecency::Newest).await?;
+        configuration.into_iter().for_each(|newest| self.fleet.apply_configuration(newest));
+        Ok(())
+    }
+
     fn note_failure(&mut self, error: &SourceError) {
         self.fleet.metrics().source_reads.count("failed");
         if self.pace.note_failure() {
@@ -131,7 +158,10 @@
         let reading = async {
             match self.fleet.source_position() {
                 None => self.source.read_all().await.map(Box::new).map(Read::All),
-                Some(position) => self.source.read_changes(position).await.map(Read::Changes),
+                Some(position) => {
+                    self.read_wanted().await?;
+                    self.source.read_changes(position).await.map(Read::Changes)
+                }
             }
         };
         let result = monoio::time::timeout(READ_WITHIN, reading).await;
@@ -149,7 +179,9 @@
                 if may_go_on {
                     return ReadResult::Again;
                 }
-                self.fleet.confirm_configuration(sent);
+                if self.fleet.wanted_version().is_none() {
+                    self.fleet.confirm_configuration(sent);
+                }
                 self.fleet.note_own_read();
             }
             Err(SourceError::HistoryLost) => {
--- a/crates/papayamux-router/tests/direct_settings.rs
+++ b/crates/papayamux-router/tests/direct_settings.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use papayamux_coordination::fleet_knowledge::SourceReaders;
 use papayamux_router::direct::DirectSettings;
 
 const COMPLETE: &str = "\
@@ -42,6 +43,16 @@
     assert_eq!(settings.fleet.departure_bounds().renewal, Duration::from_millis(1_500));
 }
 
+#[test]
+fn operators_may_let_each_router_read_by_itself() {
+    let read = |text: &str| DirectSettings::read("front.ini", text);
+    assert_eq!(read(COMPLETE).unwrap().fleet.readers, SourceReaders::Few);
+    let all = COMPLETE.replace("10.0.0.9:82\n", "10.0.0.9:82\nreaders = all\n");
+    assert_eq!(read(&all).unwrap().fleet.readers, SourceReaders::All);
+    let findings = read(&all.replace("= all", "= some")).unwrap_err().to_string();
+    assert!(findings.contains("use few or all") && findings.contains("front.ini:12"), "{findings}");
+}
+
 #[test]
 fn few_descriptors_leave_room_for_one_caller() {
     let text = COMPLETE.replace("descriptors = 4100", "descriptors = 64");
