--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -210,12 +210,17 @@
                 self.fleet.note_whole_read(contents.position);
             }
             Read::Changes(changes) => {
-                for change in changes.changes {
+                // Others may have told of more while the answer was under way. What it says of servers is
+                // older then: a drain that was told of would be taken back.
+                let told = self.fleet.source_position();
+                let is_overtaken = told > Some(changes.position);
+                let is_news = |change: &SourceChange| {
+                    !is_overtaken || matches!(change, SourceChange::Configuration(_))
+                };
+                for change in changes.changes.into_iter().filter(is_news) {
                     self.take_change(change, now);
                 }
-                // Others may have told of more while the answer was under way.
-                let position = self.fleet.source_position().max(Some(changes.position));
-                self.fleet.note_position(position);
+                self.fleet.note_position(told.max(Some(changes.position)));
             }
         }
     }
