--- a/crates/papayamux-router/src/direct/peers/exchange.rs
+++ b/crates/papayamux-router/src/direct/peers/exchange.rs
@@ -172,10 +172,10 @@
             self.take_reading(reading, now);
         }
         if let Some(question) = report.part_question {
-            self.answer_question(sender, question);
+            self.answer_part_question(sender, question);
         }
         if let Some(answer) = report.part_answer {
-            self.take_answer(sender, answer);
+            self.take_part_answer(sender, answer);
         }
         if let Some(request) = report.follow {
             self.take_follower(sender, request, now);
--- a/crates/papayamux-router/src/direct/peers/owner_mail.rs
+++ b/crates/papayamux-router/src/direct/peers/owner_mail.rs
@@ -83,7 +83,7 @@
         number
     }
 
-    pub(super) fn answer_question(self: &Rc<Self>, sender: IpAddr, question: PartQuestion) {
+    pub(super) fn answer_part_question(self: &Rc<Self>, sender: IpAddr, question: PartQuestion) {
         let part_answer = Some(self.part_answer(question.number, question.part));
         let exchange = self.clone();
         monoio::spawn(async move {
@@ -97,7 +97,7 @@
         PartAnswer { number, holders: self.fleet.holders_of(part), is_sure }
     }
 
-    pub(super) fn take_answer(&self, sender: IpAddr, answer: PartAnswer) {
+    pub(super) fn take_part_answer(&self, sender: IpAddr, answer: PartAnswer) {
         let open = self.open_questions.borrow_mut().remove(&answer.number);
         let Some((owner, reply)) = open else { return };
         if owner == sender {
