Let a follower whose read failed try again as soon as a router by itself would

The router had been cut off until 13.0 s; behind a failed read a follower waited two pauses, 2 s, which is later than a router that follows nobody would. Its price, calls in an outage of the store, is not measured. The bound of calls in the replay of an outage becomes what each router would make by itself, which is the aim; recency goes before calls. Tests of fleet_knowledge and source_pace pass.

--- a/crates/papayamux-coordination/src/source_pace.rs
+++ b/crates/papayamux-coordination/src/source_pace.rs
@@ -99,7 +99,9 @@
     /// up to 1, the same for all questions between two reads.
     ///
     /// A follower reads by itself once what it was told is as old as its own last read would be: never
-    /// later than if it followed nobody.
+    /// later than if it followed nobody. Where that read failed it tries again as soon as a router by
+    /// itself would: after twice the pause a server was still used 2.2 s after its drain, behind a cut that
+    /// had just healed (one run).
     pub fn wait(&self, view: PaceView, draw: f64) -> Option<Duration> {
         let jittered = |pause: Duration| pause.mul_f64(1.0 - JITTER * draw);
         let left = match view.role {
@@ -112,7 +114,8 @@
             }
             _ => {
                 let told = view.age.unwrap_or(Duration::MAX);
-                let spacing = if self.failures == 0 { self.interval } else { self.interval * 2 };
+                let retry = self.interval.min(LONGEST_PAUSE);
+                let spacing = if self.failures == 0 { self.interval } else { retry };
                 let due = jittered(self.interval).saturating_sub(told);
                 due.max(jittered(spacing).saturating_sub(view.since_read))
             }
