Learn how long owners of parts take to answer

Cause: eight milliseconds were a figure of one region; with owners in another one, 40 ms away, each question would have waited in vain. Change: the usual time and its deviation, as in TCP's retransmission timer, from answers that came, late ones too; at most a quarter of the time that reading the part takes, else nobody is asked. Test: answers_are_waited_for_as_long_as_they_take_and_never_for_long.

--- a/crates/papayamux-coordination/src/part_owners.rs
+++ b/crates/papayamux-coordination/src/part_owners.rs
@@ -14,14 +14,23 @@
 use papayamux_state::prompt::PartId;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// How long an owner's answer is waited for: two round trips between failure domains and the time of a
-/// busy router. To read a part of a thousand tokens takes longer.
-pub const ASK_WITHIN: Duration = Duration::from_millis(8);
+use crate::server_profile::CallTime;
+
+/// Prior of the time that an owner's answer takes, left with the first answers: a round trip to another
+/// failure domain.
+const ANSWER_PRIOR: Duration = Duration::from_millis(2);
+/// Deviations by which an answer may be later than usual, as in the retransmission timer of TCP (RFC 6298).
+const LATE_DEVIATIONS: f64 = 4.0;
+/// Part of the time that the part takes to be read for which an answer is waited for at most. Where owners
+/// are in another region, short parts are not worth a question.
+const PART_OF_READING: f64 = 0.25;
+/// Age of an unanswered question from which its owner counts as silent: longer than to another region.
+pub const SILENT_AFTER: Duration = Duration::from_millis(500);
 /// How long an owner that did not answer is not asked again: a part of the time after which a router
 /// that is gone is forgotten.
 const SILENT_FOR: Duration = Duration::from_secs(1);
-/// Shared tokens from which it is worth asking: reading them takes some ten times as long as the answer.
-const WORTH_ASKING: u64 = 1_000;
+/// Shared tokens from which the owner is told of a holder: less is read within a few steps of an engine.
+const WORTH_TELLING: u64 = 1_000;
 /// Time from its start until a router takes what it was not told of for held by nobody: until then others
 /// may have told the owner of before.
 pub const OWNER_LEARNS_FOR: Duration = Duration::from_secs(10);
@@ -36,9 +45,34 @@
     routers.into_iter().max_by_key(|router| (weight(router), *router))
 }
 
-/// Whether so many shared tokens, of which no holder is known, are worth a question.
-pub fn is_worth_asking(shared_tokens: u64) -> bool {
-    shared_tokens >= WORTH_ASKING
+/// Whether a part of so many tokens is worth telling its owner of, and asking for.
+pub fn is_worth_telling(shared_tokens: u64) -> bool {
+    shared_tokens >= WORTH_TELLING
+}
+
+/// How long answers of owners take, as this router has seen.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerTimes(CallTime);
+
+impl Default for AnswerTimes {
+    fn default() -> Self {
+        Self(CallTime::new(ANSWER_PRIOR))
+    }
+}
+
+impl AnswerTimes {
+    /// Takes in how long an answer took, also one that came too late.
+    pub fn note(&mut self, took: Duration) {
+        self.0.note(took);
+    }
+
+    /// How long to wait for an answer where the part takes `reading` to be read; `None` where it isn't
+    /// worth a question.
+    pub fn patience(&self, reading: Duration) -> Option<Duration> {
+        let most = reading.mul_f64(PART_OF_READING);
+        let usual = Duration::from_secs_f64(self.0.mean_ms() / 1_000.0);
+        (usual <= most).then(|| self.0.longer_than_usual(LATE_DEVIATIONS).min(most))
+    }
 }
 
 /// Owners that did not answer lately.
--- a/crates/papayamux-coordination/tests/part_owners.rs
+++ b/crates/papayamux-coordination/tests/part_owners.rs
@@ -8,7 +8,9 @@
 use std::time::{Duration, Instant};
 
 use backend_servers::SPEED;
-use papayamux_coordination::part_owners::{is_worth_asking, part_owner, SilentOwners};
+use papayamux_coordination::part_owners::{
+    is_worth_telling, part_owner, AnswerTimes, SilentOwners,
+};
 use papayamux_coordination::placement::{
     place, PlacementCandidate, PlacementRequest, PlacementTuning, ServerLoad,
 };
@@ -65,9 +67,26 @@
 }
 
 #[test]
-fn short_parts_are_not_worth_a_question() {
-    assert!(!is_worth_asking(999));
-    assert!(is_worth_asking(1_000));
+fn short_parts_are_not_worth_a_word() {
+    assert!(!is_worth_telling(999));
+    assert!(is_worth_telling(1_000));
+}
+
+#[test]
+fn answers_are_waited_for_as_long_as_they_take_and_never_for_long() {
+    let millis = Duration::from_millis;
+    let mut times = AnswerTimes::default();
+    assert!(times.patience(millis(160)).is_some_and(|patience| patience < millis(10)));
+    // Owners of another region answer after 42 ms; the first answers come too late and teach that.
+    (0..20).for_each(|_| times.note(millis(42)));
+    assert!(times.patience(millis(400)).is_some_and(|patience| patience > millis(42)));
+    assert_eq!(times.patience(millis(160)), None, "reading the part takes hardly longer");
+    for reading in [200, 1_000, 10_000].map(millis) {
+        assert!(times.patience(reading).is_some_and(|patience| patience <= reading / 4));
+    }
+    // Back near, a few dozen answers bring it back to where it began.
+    (0..48).for_each(|_| times.note(millis(1)));
+    assert!(times.patience(millis(160)).is_some_and(|patience| patience < millis(10)));
 }
 
 const ENGINES: usize = 24;
--- a/crates/papayamux-router/src/direct/fleet/part_inquiries.rs
+++ b/crates/papayamux-router/src/direct/fleet/part_inquiries.rs
@@ -6,7 +6,7 @@
 use futures_channel::oneshot;
 use papayamux_coordination::mechanism::Mechanism;
 use papayamux_coordination::part_flights::PromptReading;
-use papayamux_coordination::part_owners::{is_worth_asking, ASK_WITHIN};
+use papayamux_coordination::part_owners::{is_worth_telling, AnswerTimes};
 use papayamux_coordination::placement::HolderNote;
 use papayamux_coordination::server_evidence::ServerStanding;
 use papayamux_protocol::part_inquiry::{PartAnswer, PartHolder};
@@ -35,6 +35,7 @@
     inquiries: RefCell<Vec<PartInquiry>>,
     notes: RefCell<Vec<StartedReading>>,
     waiting: RefCell<ShutdownSignal>,
+    answers: RefCell<AnswerTimes>,
 }
 
 impl Fleet {
@@ -49,19 +50,21 @@
         let prefixes = prompt.shared_prefixes();
         let Some((part, _)) = prefixes.last().copied() else { return false };
         let asks = self.uses(Mechanism::PartOwners)
-            && is_worth_asking(shared.get())
+            && is_worth_telling(shared.get())
             && !self.knows_holder(service, part);
-        if !asks {
-            return false;
-        }
+        let reading = self.profiles.borrow().service_speed(service).reading_time(shared);
+        let patience = self.mail.answers.borrow().patience(reading).filter(|_| asks);
+        let Some(patience) = patience else { return false };
+        let asked = Instant::now();
         let (reply, answer) = oneshot::channel();
         self.mail.inquiries.borrow_mut().push(PartInquiry { part, reply });
         self.mail.waiting.take().give();
         // Without an answer the home is believed to hold the part, as if nobody had been asked.
-        let Ok(Ok(answer)) = monoio::time::timeout(ASK_WITHIN, answer).await else {
+        let Ok(Ok(answer)) = monoio::time::timeout(patience, answer).await else {
             self.metrics.part_inquiries.count("unanswered");
             return false;
         };
+        self.note_owner_answer(asked.elapsed());
         let found = self.take_holders(&prefixes, &answer);
         let result = match (found, answer.is_sure) {
             (true, _) => "found",
@@ -72,6 +75,11 @@
         !found && answer.is_sure
     }
 
+    /// Notes how long an owner's answer took.
+    pub(in crate::direct) fn note_owner_answer(&self, took: Duration) {
+        self.mail.answers.borrow_mut().note(took);
+    }
+
     /// Tells the owner of a part that a server holds it from now on, or will when it has read it.
     pub(super) fn tell_owner(&self, started: StartedReading) {
         if self.uses(Mechanism::PartOwners) {
--- a/crates/papayamux-router/src/direct/fleet/part_waits.rs
+++ b/crates/papayamux-router/src/direct/fleet/part_waits.rs
@@ -4,7 +4,7 @@
 
 use papayamux_coordination::mechanism::Mechanism;
 use papayamux_coordination::part_flights::{FlightTicket, PromptReading};
-use papayamux_coordination::part_owners::is_worth_asking;
+use papayamux_coordination::part_owners::is_worth_telling;
 use papayamux_coordination::placement::HolderNote;
 use papayamux_state::ids::ServerId;
 use papayamux_state::prompt::PartId;
@@ -30,9 +30,9 @@
     told: Option<StartedReading>,
 }
 
-/// Whether the owner of a chain's last part should know who holds it: whoever asks needs as many tokens.
+/// Whether the owner of a chain's last part should know who holds it.
 fn is_worth_noting(prefixes: &[(PartId, TokenCount)]) -> bool {
-    is_worth_asking(prefixes.iter().map(|(_, tokens)| tokens.get()).sum())
+    is_worth_telling(prefixes.iter().map(|(_, tokens)| tokens.get()).sum())
 }
 
 impl Fleet {
--- a/crates/papayamux-router/src/direct/peers/exchange.rs
+++ b/crates/papayamux-router/src/direct/peers/exchange.rs
@@ -8,7 +8,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_channel::oneshot;
 use monoio::net::udp::UdpSocket;
 use papayamux_coordination::cache_survey::{CacheListing, ListingNews, FRESH_FOR};
 use papayamux_coordination::part_flights::PromptReading;
@@ -16,7 +15,6 @@
 use papayamux_coordination::peer_vouching::{VouchQuestion, VouchQuestions, VouchStatement};
 use papayamux_coordination::placement::{HolderNote, RouterId, ServerLoad};
 use papayamux_coordination::router_peers::{PeerNews, RouterPeers};
-use papayamux_protocol::part_inquiry::PartAnswer;
 use papayamux_protocol::router_report::{
     ReportedConfiguration, ReportedHolder, ReportedListing, ReportedLoad, ReportedQuestion,
     ReportedReading, RouterReport,
@@ -26,6 +24,7 @@
 use papayamux_state::service_config::ConfigVersion;
 use papayamux_transport::boot_clock::boot_now;
 
+use super::owner_mail::OpenQuestion;
 use crate::direct::fleet::StartedReading;
 use crate::direct::Fleet;
 
@@ -61,7 +60,7 @@
     sequence: Cell<u64>,
     leaving: Cell<bool>,
     pub(super) asked: Cell<u64>,
-    pub(super) open_questions: RefCell<HashMap<u64, (IpAddr, oneshot::Sender<PartAnswer>)>>,
+    pub(super) open_questions: RefCell<HashMap<u64, OpenQuestion>>,
     pub(super) silent_owners: RefCell<SilentOwners>,
 }
 
--- a/crates/papayamux-router/src/direct/peers/owner_mail.rs
+++ b/crates/papayamux-router/src/direct/peers/owner_mail.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use futures_channel::oneshot;
-use papayamux_coordination::part_owners::{part_owner, OWNER_LEARNS_FOR};
+use papayamux_coordination::part_owners::{part_owner, OWNER_LEARNS_FOR, SILENT_AFTER};
 use papayamux_protocol::part_inquiry::{PartAnswer, PartQuestion};
 use papayamux_protocol::router_report::RouterReport;
 use papayamux_state::prompt::PartId;
@@ -15,6 +15,13 @@
 use super::PeerExchange;
 use crate::direct::fleet::PartInquiry;
 
+/// A question that was asked.
+pub(super) struct OpenQuestion {
+    owner: IpAddr,
+    asked: Instant,
+    reply: oneshot::Sender<PartAnswer>,
+}
+
 impl PeerExchange {
     /// Puts questions about parts to their owners, and tells owners of new holders.
     pub(super) async fn write_to_owners(self: Rc<Self>) {
@@ -71,15 +78,15 @@
         let number = self.asked.get() + 1;
         self.asked.set(number);
         let mut open = self.open_questions.borrow_mut();
-        // A question whose asker no longer waits was not answered in time.
-        open.retain(|_, (owner, reply)| {
-            let given_up = reply.is_canceled();
-            if given_up {
-                self.silent_owners.borrow_mut().note(*owner, now);
+        // What is answered late still tells how long answers take; what isn't answered at all, who is gone.
+        open.retain(|_, question| {
+            let is_lost = now.saturating_duration_since(question.asked) >= SILENT_AFTER;
+            if is_lost {
+                self.silent_owners.borrow_mut().note(question.owner, now);
             }
-            !given_up
+            !is_lost
         });
-        open.insert(number, (owner, reply));
+        open.insert(number, OpenQuestion { owner, asked: now, reply });
         number
     }
 
@@ -99,10 +106,9 @@
 
     pub(super) fn take_part_answer(&self, sender: IpAddr, answer: PartAnswer) {
         let open = self.open_questions.borrow_mut().remove(&answer.number);
-        let Some((owner, reply)) = open else { return };
-        if owner == sender {
-            // Whoever asked may have given up; the answer is of no use then.
-            let _ = reply.send(answer);
+        let Some(question) = open.filter(|question| question.owner == sender) else { return };
+        if question.reply.send(answer).is_err() {
+            self.fleet.note_owner_answer(question.asked.elapsed());
         }
     }
 }
