Log which requests are the same again, and whether the server ended that ran one

Whether servers end by one request that returns, or that request is only one of those that were there, could not be told: a line names a request by an identifier of one call, and a broken connection looks the same where its server lives on. A lost attempt now logs a fingerprint of method, host, path, organisation and body.

--- a/crates/papayamux-router/src/direct/active_request.rs
+++ b/crates/papayamux-router/src/direct/active_request.rs
@@ -212,6 +212,11 @@
         self.fleet.note_answer(&self.server, failed);
     }
 
+    /// Whether the server has ended that should be serving, after its connection broke.
+    pub(super) async fn server_has_ended(&self) -> bool {
+        self.fleet.has_ended_unexpectedly(&self.server).await
+    }
+
     /// Notes evidence against the server.
     pub(super) fn accuse(&self, kind: EvidenceKind) {
         self.fleet.note_evidence(&self.server, kind);
--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -31,6 +31,26 @@
 pub(super) struct LostAttempt {
     pub(super) loss: AttemptLoss,
     pub(super) cause: String,
+    /// Whether its server ended while it ran the request.
+    pub(super) server_ended: bool,
+}
+
+impl LostAttempt {
+    /// An attempt that may have run.
+    pub(super) fn unknown(cause: impl Into<String>) -> Self {
+        Self { loss: AttemptLoss::Unknown, cause: cause.into(), server_ended: false }
+    }
+
+    /// An attempt whose server turned it away.
+    fn rejected(cause: impl Into<String>) -> Self {
+        Self { loss: AttemptLoss::Rejected, cause: cause.into(), server_ended: false }
+    }
+
+    /// An attempt that may have run and whose connection broke.
+    pub(super) async fn broken(active: &ActiveRequest, cause: String) -> Self {
+        let server_ended = active.server_has_ended().await;
+        Self { loss: AttemptLoss::Unknown, cause, server_ended }
+    }
 }
 
 /// What was read of an answer's body.
@@ -97,12 +117,12 @@
     let sending = plan.fleet.pool().send(active.server().address, request);
     let answer = match wait_for(plan, &active, sending).await {
         Waited::Done(Ok(answer)) => answer,
-        Waited::Done(Err(error)) => return Err(lost_by_error(&active, &error)),
+        Waited::Done(Err(error)) => return Err(lost_by_error(&active, &error).await),
         Waited::Silent(cause) => {
             active.accuse(EvidenceKind::Unreachable);
-            return Err(unknown(cause));
+            return Err(LostAttempt::unknown(cause));
         }
-        Waited::TimeUp => return Err(unknown(TIME_UP)),
+        Waited::TimeUp => return Err(LostAttempt::unknown(TIME_UP)),
     };
     active.hear();
     if let Some(took) = answer.connecting_took() {
@@ -119,29 +139,26 @@
         AnswerVerdict::NotRun => {
             active.judge(true);
             finish_rejection(answer).await;
-            Err(LostAttempt { loss: AttemptLoss::Rejected, cause: "rejected".to_string() })
+            Err(LostAttempt::rejected("rejected"))
         }
         AnswerVerdict::OtherServer => {
             active.accuse(EvidenceKind::Unreachable);
-            let cause = "another server has the address".to_string();
-            Err(LostAttempt { loss: AttemptLoss::Rejected, cause })
+            Err(LostAttempt::rejected("another server has the address"))
+        }
+        AnswerVerdict::Foreign => {
+            Err(LostAttempt::unknown("the answer belongs to another request"))
         }
-        AnswerVerdict::Foreign => Err(unknown("the answer belongs to another request")),
     }
 }
 
-fn lost_by_error(active: &ActiveRequest, error: &UpstreamError) -> LostAttempt {
+async fn lost_by_error(active: &ActiveRequest, error: &UpstreamError) -> LostAttempt {
     active.accuse(EvidenceKind::Unreachable);
     active.judge(true);
-    let loss = match error.nothing_was_sent() {
-        true => AttemptLoss::NotSent,
-        false => AttemptLoss::Unknown,
-    };
-    LostAttempt { loss, cause: error.to_string() }
-}
-
-fn unknown(cause: &str) -> LostAttempt {
-    LostAttempt { loss: AttemptLoss::Unknown, cause: cause.to_string() }
+    let cause = error.to_string();
+    if error.nothing_was_sent() {
+        return LostAttempt { loss: AttemptLoss::NotSent, cause, server_ended: false };
+    }
+    LostAttempt::broken(active, cause).await
 }
 
 /// How long the rest of a rejection may take to arrive, so that its connection can be kept.
@@ -179,13 +196,14 @@
             }
             Waited::Done(Some(Err(error))) => {
                 attempt.active.judge(true);
-                return Err(unknown(&format!("the answer broke off: {error}")));
+                let cause = format!("the answer broke off: {error}");
+                return Err(LostAttempt::broken(&attempt.active, cause).await);
             }
             Waited::Silent(cause) => {
                 attempt.active.accuse(EvidenceKind::Unreachable);
-                return Err(unknown(&format!("{cause}, in its answer")));
+                return Err(LostAttempt::unknown(format!("{cause}, in its answer")));
             }
-            Waited::TimeUp => return Err(unknown("the time is up in the answer")),
+            Waited::TimeUp => return Err(LostAttempt::unknown("the time is up in the answer")),
         }
     }
 }
--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -8,7 +8,6 @@
 use http::response::Parts;
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
-use papayamux_coordination::attempt_plan::AttemptLoss;
 use papayamux_transport::http::AnswerBody;
 
 use super::active_request::ActiveRequest;
@@ -104,7 +103,7 @@
             let mut attempt = match self.attempt(&mut plan).await {
                 Ok(attempt) => attempt,
                 Err(Failed::Given(failure)) => return fallback.ok_or(failure),
-                Err(Failed::Lost(lost)) => match plan.after_loss(lost.loss, &lost.cause) {
+                Err(Failed::Lost(lost)) => match plan.after_loss(&lost) {
                     Ok(()) => continue,
                     Err(failure) if lost.cause == TIME_UP => return Err(timed_out(failure)),
                     Err(failure) => return fallback.ok_or(failure),
@@ -118,7 +117,7 @@
                 Ok(CollectedBody::Begun(begun)) => {
                     return Ok(self.pass_rest(plan, attempt, begun, in_flight));
                 }
-                Err(lost) => match plan.after_loss(lost.loss, &lost.cause) {
+                Err(lost) => match plan.after_loss(&lost) {
                     Ok(()) => continue,
                     Err(failure) => return fallback.ok_or(failure),
                 },
@@ -128,7 +127,7 @@
             if !failed || !plan.kind().may_repeat() {
                 return Ok(response);
             }
-            match plan.after_loss(AttemptLoss::Unknown, "the server failed") {
+            match plan.after_loss(&LostAttempt::unknown("the server failed")) {
                 Ok(()) => fallback = Some(response),
                 Err(_) => return Ok(response),
             }
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -1,17 +1,21 @@
 //! What was settled about a request before its first attempt, and what became of its attempts.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::uri::PathAndQuery;
 use papayamux_coordination::attempt_plan::{AttemptHistory, AttemptLoss, NextStep};
 use papayamux_coordination::mechanism::Mechanism;
 use papayamux_coordination::return_time::return_time;
 use papayamux_coordination::service_line::{request_work, CallerTime, FlowKey, LineRequest};
 use papayamux_state::ids::{OrganisationId, ServerId, ServiceId};
 use papayamux_state::quantities::TokenCount;
+use papayamux_state::request_fingerprint::{RequestContent, RequestFingerprint};
 use papayamux_state::service_config::{KeyHolder, RequestKind, Route};
 
+use super::attempt::LostAttempt;
 use super::fleet::ChosenServer;
 use super::interface::Dispatch;
 use super::{CallFailure, CallHead, Fleet, NotRunReason};
@@ -30,6 +34,7 @@
     pub(super) arrived: Instant,
     /// When the caller or the route gives up.
     pub(super) give_up: Instant,
+    fingerprint: OnceCell<RequestFingerprint>,
     history: AttemptHistory,
     tried: Vec<ServerId>,
     /// Whether no server holds the prompt's shared part.
@@ -56,12 +61,26 @@
             holder,
             arrived,
             give_up: arrived + longest,
+            fingerprint: OnceCell::new(),
             history: AttemptHistory::default(),
             tried: Vec::new(),
             nobody_holds: false,
         }
     }
 
+    /// What names the request's content. The body must have been read.
+    pub(super) fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            RequestFingerprint::from(RequestContent {
+                method: self.call.method.as_str(),
+                host: &self.call.host,
+                target: self.call.target.path_and_query().map_or("", PathAndQuery::as_str),
+                organisation: self.organisation(),
+                body: &self.body,
+            })
+        })
+    }
+
     /// What may be repeated.
     pub(super) fn kind(&self) -> RequestKind {
         self.route.kind
@@ -204,11 +223,13 @@
     }
 
     /// Decides after an attempt that brought no answer whether there is another.
-    pub(super) fn after_loss(&mut self, loss: AttemptLoss, cause: &str) -> Result<(), CallFailure> {
+    pub(super) fn after_loss(&mut self, lost: &LostAttempt) -> Result<(), CallFailure> {
+        let loss = lost.loss;
         self.fleet.metrics().lost_attempts.count(loss_label(loss));
         let step = self.history.after_loss(self.kind(), self.route.attempts, loss);
         log::info!(
-            request:% = self.call.id, loss:? = loss, cause = cause, next:? = step,
+            request:% = self.call.id, fingerprint:% = self.fingerprint(), loss:? = loss,
+            cause = lost.cause.as_str(), next:? = step, server_ended = lost.server_ended,
             server:% = self.tried.last().map_or("", ServerId::as_str);
             "attempt brought no answer"
         );
--- a/crates/papayamux-router/src/direct/fleet/fleet_state.rs
+++ b/crates/papayamux-router/src/direct/fleet/fleet_state.rs
@@ -29,6 +29,7 @@
 
 use super::part_inquiries::OwnerMail;
 use super::part_waits::StartedReading;
+use super::server_checks::ServerChecks;
 use super::source_knowledge::SourceKnowledge;
 use super::turns::Turn;
 use crate::direct::attempt_watch::AttemptWatch;
@@ -66,6 +67,7 @@
     pub(super) readings: RefCell<Vec<StartedReading>>,
     pub(super) reading_begun: RefCell<ShutdownSignal>,
     pub(super) mail: OwnerMail,
+    pub(super) checks: ServerChecks,
     pub(super) watch: AttemptWatch,
     pub(super) metrics: DirectMetrics,
     pub(super) pool: UpstreamPool,
@@ -106,6 +108,7 @@
             readings: RefCell::default(),
             reading_begun: RefCell::default(),
             mail: OwnerMail::default(),
+            checks: ServerChecks::default(),
             watch: AttemptWatch::default(),
             metrics: DirectMetrics::default(),
             pool,
--- a/crates/papayamux-router/src/direct/fleet/mod.rs
+++ b/crates/papayamux-router/src/direct/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod part_inquiries;
 mod part_waits;
 mod requests;
+mod server_checks;
 mod source_knowledge;
 mod turns;
 
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -72,6 +72,8 @@
     /// Questions to the owners of shared parts, by what they brought: `found`, `nobody`, `unknown` or
     /// `unanswered`.
     pub part_inquiries: ReasonCounters,
+    /// Servers that were looked at after a connection to them broke: `refused`, `accepted` or `unanswered`.
+    pub server_checks: ReasonCounters,
     /// Seconds since what other routers told of the source was known to be newest, when they told it.
     pub news_age: Histogram,
     /// How many routers had passed that on.
@@ -94,6 +96,7 @@
             entry_faults: ReasonCounters::default(),
             report_bytes: Counter::default(),
             part_inquiries: ReasonCounters::default(),
+            server_checks: ReasonCounters::default(),
             news_age: Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS)),
             news_hops: Histogram::new(HOP_BUCKETS),
             heads: latency_family(),
@@ -148,6 +151,8 @@
         registry.register("report_bytes", "Bytes of reports to other routers", bytes);
         let inquiries = self.part_inquiries.0.clone();
         registry.register("part_inquiries", "Questions about who holds a part", inquiries);
+        let checks = self.server_checks.0.clone();
+        registry.register("server_checks", "Servers probed after a connection broke", checks);
         let ages = self.news_age.clone();
         registry.register("source_news_age_seconds", "Age of what others tell of the source", ages);
         let hops = self.news_hops.clone();
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use papayamux_coordination::attempt_plan::AttemptLoss;
 use papayamux_coordination::server_evidence::EvidenceKind;
 use papayamux_transport::http::{AnswerBody, BodyError};
 
@@ -118,11 +117,12 @@
                 Waited::Done(Some(Err(error))) => {
                     attempt.active.judge(true);
                     attempt.active.accuse(EvidenceKind::Unreachable);
-                    lost(&format!("the stream broke off: {error}"))
+                    LostAttempt::broken(&attempt.active, format!("the stream broke off: {error}"))
+                        .await
                 }
                 Waited::Silent(cause) => {
                     attempt.active.accuse(EvidenceKind::Unreachable);
-                    lost(&format!("{cause}, in its stream"))
+                    LostAttempt::unknown(format!("{cause}, in its stream"))
                 }
                 Waited::TimeUp => return self.cut("the time is up"),
             };
@@ -139,7 +139,7 @@
         if let Some((first, last)) = ids {
             let expected = self.last_event.map(|event| event + 1);
             if expected.is_some_and(|expected| expected != first) {
-                return Err(lost("the stream goes on at another event"));
+                return Err(LostAttempt::unknown("the stream goes on at another event"));
             }
             self.last_event = Some(last);
         }
@@ -189,10 +189,8 @@
         }
         let mut lost = lost;
         loop {
-            let cause = lost.cause;
-            self.plan
-                .after_loss(lost.loss, &cause)
-                .map_err(|failure| format!("{cause}; {failure}"))?;
+            let cause = &lost.cause;
+            self.plan.after_loss(&lost).map_err(|failure| format!("{cause}; {failure}"))?;
             match self.try_resume().await {
                 Ok(attempt) => {
                     self.plan.fleet.metrics().streams.count("resumed");
@@ -212,7 +210,7 @@
     async fn try_resume(&mut self) -> Result<AttemptAnswer, LostAttempt> {
         let chosen = match self.plan.choose() {
             Ok(chosen) => chosen,
-            Err(failure) => return Err(lost(&failure.to_string())),
+            Err(failure) => return Err(LostAttempt::unknown(failure.to_string())),
         };
         let mut active = ActiveRequest::begin(&self.plan, &chosen);
         active.begin_sending(&self.plan);
@@ -222,11 +220,7 @@
         let attempt = send_attempt(&*self.interface, &self.plan, active, request).await?;
         match attempt.answer.head.status.is_success() {
             true => Ok(attempt),
-            false => Err(lost("the other server answered with a failure")),
+            false => Err(LostAttempt::unknown("the other server answered with a failure")),
         }
     }
 }
-
-fn lost(cause: &str) -> LostAttempt {
-    LostAttempt { loss: AttemptLoss::Unknown, cause: cause.to_string() }
-}
--- a/crates/papayamux-state/src/lib.rs
+++ b/crates/papayamux-state/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod prompt;
 pub mod quantities;
 pub mod refusal;
+pub mod request_fingerprint;
 pub mod service_config;
 pub mod source;
 pub mod text_newtype;
--- a/crates/papayamux-transport/src/http/upstream/mod.rs
+++ b/crates/papayamux-transport/src/http/upstream/mod.rs
@@ -6,7 +6,9 @@
 mod connection;
 mod connection_pool;
 mod exchange;
+mod probe;
 
 pub use connection::UpstreamError;
 pub use connection_pool::{PoolLimits, UpstreamPool};
 pub use exchange::UpstreamAnswer;
+pub use probe::{probe_listener, ProbeResult};
