Keep requests under which servers end from the other servers

Callers saw a quarter of their streams fail for seconds while one request ended engine after engine, 138 in all in three waves. Cause: what a request has done to servers was forgotten with its call. A caller's retry, or the same request at another router, got all the attempts of its route again, and each ended one more server. Change: crashes count for a request's content (method, host, path, organisation, body), and all routers share the count. A crash is a connection that broke with the request on it, at a server that should be serving and where nothing listens any more. Two in a row hold the request for 30 s and four times as long after each further one; its callers get "not run" and the time until it may be tried. A crash counts only on top of those known when the request was sent, and a whole run clears it, so that servers that end together, or flap, hold no innocent request. Records only grow, so that datagrams may be lost, late or doubled; reports repeat what is held to routers that have just started.

--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod attempt_plan;
 pub mod cache_survey;
 pub mod claims;
+pub mod crash_quarantine;
 pub mod fair_queue;
 pub mod fair_share;
 pub mod fleet_knowledge;
--- a/crates/papayamux-coordination/src/mechanism.rs
+++ b/crates/papayamux-coordination/src/mechanism.rs
@@ -53,10 +53,12 @@
     ReadingsTold,
     /// The router that owns a part is told who holds it, and asked by those who know of nobody.
     PartOwners,
+    /// Requests under which servers end are kept from the others.
+    CrashQuarantine,
 }
 
 /// Every mechanism with the name that settings use.
-const NAMES: [(Mechanism, &str); 21] = [
+const NAMES: [(Mechanism, &str); 22] = [
     (Mechanism::Copies, "copies"),
     (Mechanism::HomeBelief, "home-belief"),
     (Mechanism::HoldersTold, "holders-told"),
@@ -78,6 +80,7 @@
     (Mechanism::PartWaits, "part-waits"),
     (Mechanism::ReadingsTold, "readings-told"),
     (Mechanism::PartOwners, "part-owners"),
+    (Mechanism::CrashQuarantine, "crash-quarantine"),
 ];
 
 impl Mechanism {
--- a/crates/papayamux-coordination/tests/constants.rs
+++ b/crates/papayamux-coordination/tests/constants.rs
@@ -6,7 +6,7 @@
 use insta::assert_snapshot;
 
 /// Decisions that a request on the direct path passes through, beside those in folders.
-const FILES: [&str; 11] = [
+const FILES: [&str; 12] = [
     "link_delays.rs",
     "part_flights.rs",
     "return_time.rs",
@@ -18,6 +18,7 @@
     "cache_survey.rs",
     "part_owners.rs",
     "source_pace.rs",
+    "crash_quarantine.rs",
 ];
 /// Folders of such decisions.
 const FOLDERS: [&str; 4] = ["placement", "server_profile", "service_line", "fleet_knowledge"];
--- a/crates/papayamux-protocol/src/lib.rs
+++ b/crates/papayamux-protocol/src/lib.rs
@@ -2,6 +2,7 @@
 //! and the platform.
 
 pub mod chat;
+mod crash_notices;
 pub mod engine;
 pub mod event_id;
 pub mod failure;
--- a/crates/papayamux-protocol/src/router_report.rs
+++ b/crates/papayamux-protocol/src/router_report.rs
@@ -3,12 +3,14 @@
 use std::net::{IpAddr, Ipv4Addr};
 
 use bytes::Bytes;
+use papayamux_state::crash_record::CrashNotice;
 use papayamux_state::ids::ServerKey;
 use papayamux_state::prompt::{PartId, PromptPart};
 use papayamux_state::quantities::TokenCount;
 use prost::Message;
 use thiserror::Error;
 
+use crate::crash_notices::CrashNoticesWire;
 use crate::fleet_news::{FleetNews, FollowRequest, FollowWire, NewsError, NewsWire};
 use crate::part_inquiry::{PartAnswer, PartAnswerWire, PartQuestion, PartQuestionWire};
 
@@ -105,6 +107,8 @@
     pub part_question: Option<PartQuestion>,
     /// Says who does.
     pub part_answer: Option<PartAnswer>,
+    /// Requests under which servers ended.
+    pub crashes: Vec<CrashNotice>,
     /// Whether this has no loads, as it goes ahead of the next whole report.
     pub is_partial: bool,
 }
@@ -210,6 +214,8 @@
     part_question: Option<PartQuestionWire>,
     #[prost(message, optional, tag = "18")]
     part_answer: Option<PartAnswerWire>,
+    #[prost(message, optional, tag = "19")]
+    crashes: Option<CrashNoticesWire>,
 }
 
 impl From<&[ReportedLoad]> for LoadsWire {
@@ -341,7 +347,7 @@
 
 impl From<&RouterReport> for ReportWire {
     fn from(report: &RouterReport) -> Self {
-        let loads = report.loads.as_slice();
+        let (loads, crashes) = (report.loads.as_slice(), report.crashes.as_slice());
         Self {
             sequence: report.sequence,
             known: report.known.iter().filter_map(address_bits).collect(),
@@ -358,6 +364,7 @@
             news: report.news.as_ref().map(NewsWire::from),
             part_question: report.part_question.map(PartQuestionWire::from),
             part_answer: report.part_answer.as_ref().map(PartAnswerWire::from),
+            crashes: (!crashes.is_empty()).then(|| CrashNoticesWire::from(crashes)),
         }
     }
 }
@@ -382,6 +389,7 @@
             news: wire.news.map(FleetNews::try_from).transpose()?,
             part_question: wire.part_question.map(PartQuestion::from),
             part_answer: wire.part_answer.map(PartAnswer::from),
+            crashes: wire.crashes.map(Vec::from).unwrap_or_default(),
         })
     }
 }
--- a/crates/papayamux-protocol/tests/router_report.rs
+++ b/crates/papayamux-protocol/tests/router_report.rs
@@ -1,6 +1,8 @@
 //! Reports between routers survive the way, and broken ones are refused.
 #![allow(clippy::unwrap_used, clippy::panic, reason = "helpers of tests, which may panic")]
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use papayamux_protocol::fleet_news::{FleetNews, FollowRequest, NewsSpan, ServerNews};
 use papayamux_protocol::part_inquiry::{PartAnswer, PartHolder, PartQuestion};
@@ -9,9 +11,11 @@
     ReportedReading, RouterReport,
 };
 use papayamux_state::backend::{BackendServer, ServerPhase};
+use papayamux_state::crash_record::{CrashNotice, CrashRecord};
 use papayamux_state::ids::{ServerId, ServerKey, ServerName, ServerStart};
 use papayamux_state::prompt::{PartId, PromptPart};
 use papayamux_state::quantities::TokenCount;
+use papayamux_state::request_fingerprint::RequestFingerprint;
 
 /// Inputs tried by each property: at least as many as a second takes in a debug build.
 const GENERATED_INPUTS: usize = 250_000;
@@ -58,6 +62,18 @@
             ],
             is_sure: true,
         }),
+        crashes: vec![
+            CrashNotice {
+                fingerprint: RequestFingerprint(u64::MAX),
+                record: CrashRecord { cleared: 1, crashes: 2 },
+                held: Duration::from_millis(29_500),
+            },
+            CrashNotice {
+                fingerprint: RequestFingerprint(1),
+                record: CrashRecord { cleared: 0, crashes: 1 },
+                held: Duration::ZERO,
+            },
+        ],
         is_partial: true,
     };
     assert_eq!(RouterReport::decode(report.encode().into()).unwrap(), report);
--- a/crates/papayamux-router/src/direct/active_request.rs
+++ b/crates/papayamux-router/src/direct/active_request.rs
@@ -217,6 +217,11 @@
         self.fleet.has_ended_unexpectedly(&self.server).await
     }
 
+    /// Whether the server is over for certain, since it has started again.
+    pub(super) fn server_has_restarted(&self) -> bool {
+        self.fleet.has_restarted(&self.server)
+    }
+
     /// Notes evidence against the server.
     pub(super) fn accuse(&self, kind: EvidenceKind) {
         self.fleet.note_evidence(&self.server, kind);
--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -46,6 +46,12 @@
         Self { loss: AttemptLoss::Rejected, cause: cause.into(), server_ended: false }
     }
 
+    /// An attempt that may have run and whose server has gone silent, or has started again.
+    pub(super) fn silent(active: &ActiveRequest, cause: String) -> Self {
+        let server_ended = active.server_has_restarted();
+        Self { loss: AttemptLoss::Unknown, cause, server_ended }
+    }
+
     /// An attempt that may have run and whose connection broke.
     pub(super) async fn broken(active: &ActiveRequest, cause: String) -> Self {
         let server_ended = active.server_has_ended().await;
@@ -120,7 +126,7 @@
         Waited::Done(Err(error)) => return Err(lost_by_error(&active, &error).await),
         Waited::Silent(cause) => {
             active.accuse(EvidenceKind::Unreachable);
-            return Err(LostAttempt::unknown(cause));
+            return Err(LostAttempt::silent(&active, cause.to_string()));
         }
         Waited::TimeUp => return Err(LostAttempt::unknown(TIME_UP)),
     };
@@ -201,7 +207,10 @@
             }
             Waited::Silent(cause) => {
                 attempt.active.accuse(EvidenceKind::Unreachable);
-                return Err(LostAttempt::unknown(format!("{cause}, in its answer")));
+                return Err(LostAttempt::silent(
+                    &attempt.active,
+                    format!("{cause}, in its answer"),
+                ));
             }
             Waited::TimeUp => return Err(LostAttempt::unknown("the time is up in the answer")),
         }
--- a/crates/papayamux-router/src/direct/call.rs
+++ b/crates/papayamux-router/src/direct/call.rs
@@ -99,6 +99,9 @@
     /// Its time was up before it was sent.
     #[error("the time was up before a backend server was found")]
     Late,
+    /// Servers have ended under it.
+    #[error("backend servers have ended while they ran this request")]
+    Quarantined,
     /// The body did not arrive.
     #[error("the request's body did not arrive")]
     Incomplete,
@@ -114,6 +117,7 @@
             NotRunReason::Full => "full",
             NotRunReason::Rejected => "rejected",
             NotRunReason::Late => "late",
+            NotRunReason::Quarantined => "quarantined",
             NotRunReason::Incomplete => "incomplete",
         }
     }
--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -86,6 +86,7 @@
         let mut plan =
             CallPlan::new(fleet, call, admitted.route, service, admitted.holder, arrived);
         plan.body = read_body(body, admitted.longest_body, plan.left()).await?;
+        plan.check_quarantine()?;
         let in_flight = InFlight::begin(&self.fleet);
         self.fleet.budget().borrow_mut().note_request(&plan.service, Instant::now());
         plan.wait_for_turn().await?;
@@ -153,6 +154,7 @@
         let mut head = answer_head(&attempt.answer.head);
         head.headers.remove(http::header::CONTENT_LENGTH);
         log_answer(plan, &attempt);
+        plan.note_run();
         if !plan.kind().is_stream() {
             attempt.active.note_call_end();
         }
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -10,6 +10,7 @@
 use papayamux_coordination::mechanism::Mechanism;
 use papayamux_coordination::return_time::return_time;
 use papayamux_coordination::service_line::{request_work, CallerTime, FlowKey, LineRequest};
+use papayamux_state::crash_record::CrashRecord;
 use papayamux_state::ids::{OrganisationId, ServerId, ServiceId};
 use papayamux_state::quantities::TokenCount;
 use papayamux_state::request_fingerprint::{RequestContent, RequestFingerprint};
@@ -35,6 +36,8 @@
     /// When the caller or the route gives up.
     pub(super) give_up: Instant,
     fingerprint: OnceCell<RequestFingerprint>,
+    /// The crashes that the present attempt was sent after.
+    sent_after: CrashRecord,
     history: AttemptHistory,
     tried: Vec<ServerId>,
     /// Whether no server holds the prompt's shared part.
@@ -62,6 +65,7 @@
             arrived,
             give_up: arrived + longest,
             fingerprint: OnceCell::new(),
+            sent_after: CrashRecord::default(),
             history: AttemptHistory::default(),
             tried: Vec::new(),
             nobody_holds: false,
@@ -176,6 +180,7 @@
         if self.left() < LEAST_TIME {
             return Err(self.failure(NotRunReason::Late));
         }
+        self.check_quarantine()?;
         let call = &self.call;
         match self.fleet.choose(&self.service, call, &self.tried, self.nobody_holds) {
             Some(chosen) if self.comes_too_late(&chosen) => {
@@ -188,6 +193,7 @@
             }
             Some(chosen) => {
                 self.tried.push(chosen.server.id.clone());
+                self.sent_after = self.begin_attempt();
                 Ok(chosen)
             }
             None if self.tried.is_empty() => Err(self.failure(NotRunReason::NoServer)),
@@ -233,6 +239,8 @@
             server:% = self.tried.last().map_or("", ServerId::as_str);
             "attempt brought no answer"
         );
+        self.note_server_end(lost);
+        self.check_quarantine()?;
         match step {
             NextStep::Again { counts: false } => Ok(()),
             NextStep::Again { counts: true } if self.take_repeat() => Ok(()),
@@ -240,6 +248,41 @@
         }
     }
 
+    /// Notes where an attempt was lost that its server ended under the request.
+    pub(super) fn note_server_end(&self, lost: &LostAttempt) {
+        if lost.server_ended {
+            let server = self.tried.last().map_or("", ServerId::as_str);
+            self.fleet.note_crash(self.fingerprint(), self.sent_after, server);
+        }
+    }
+
+    /// Refuses a request that is in quarantine. Each call with it would end as many servers as its route has
+    /// attempts, whichever router takes the call.
+    pub(super) fn check_quarantine(&self) -> Result<(), CallFailure> {
+        if !self.fleet.has_suspects() {
+            return Ok(());
+        }
+        let Some(left) = self.fleet.hold_left(self.fingerprint()) else { return Ok(()) };
+        if self.history.may_have_run() {
+            return Err(self.failure(NotRunReason::Quarantined));
+        }
+        Err(CallFailure::NotRun { reason: NotRunReason::Quarantined, retry_after: Some(left) })
+    }
+
+    fn begin_attempt(&self) -> CrashRecord {
+        match self.fleet.has_suspects() {
+            true => self.fleet.begin_attempt(self.fingerprint()),
+            false => CrashRecord::default(),
+        }
+    }
+
+    /// Notes that a server has run the request to its end.
+    pub(super) fn note_run(&self) {
+        if self.fleet.has_suspects() {
+            self.fleet.note_run(self.fingerprint());
+        }
+    }
+
     fn take_repeat(&self) -> bool {
         let taken = self.fleet.budget().borrow_mut().take_repeat(&self.service, Instant::now());
         if !taken {
--- a/crates/papayamux-router/src/direct/fleet/fleet_state.rs
+++ b/crates/papayamux-router/src/direct/fleet/fleet_state.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use papayamux_coordination::crash_quarantine::CrashQuarantine;
 use papayamux_coordination::key_freshness::KeyFreshness;
 use papayamux_coordination::link_delays::LinkDelays;
 use papayamux_coordination::log_limit::LogLimit;
@@ -68,6 +69,8 @@
     pub(super) reading_begun: RefCell<ShutdownSignal>,
     pub(super) mail: OwnerMail,
     pub(super) checks: ServerChecks,
+    pub(super) quarantine: RefCell<CrashQuarantine>,
+    pub(super) crash_noted: RefCell<ShutdownSignal>,
     pub(super) watch: AttemptWatch,
     pub(super) metrics: DirectMetrics,
     pub(super) pool: UpstreamPool,
@@ -109,6 +112,8 @@
             reading_begun: RefCell::default(),
             mail: OwnerMail::default(),
             checks: ServerChecks::default(),
+            quarantine: RefCell::default(),
+            crash_noted: RefCell::default(),
             watch: AttemptWatch::default(),
             metrics: DirectMetrics::default(),
             pool,
--- a/crates/papayamux-router/src/direct/fleet/mod.rs
+++ b/crates/papayamux-router/src/direct/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 mod beliefs;
 mod choice;
+mod crash_records;
 mod fleet_state;
 mod known_servers;
 mod part_inquiries;
@@ -13,6 +14,7 @@
 mod turns;
 
 pub use choice::ChosenServer;
+pub(in crate::direct) use crash_records::CrashNews;
 pub use fleet_state::Fleet;
 pub(in crate::direct) use part_inquiries::PartInquiry;
 pub(in crate::direct) use part_waits::{OwnReading, StartedReading};
--- a/crates/papayamux-router/src/direct/fleet/requests.rs
+++ b/crates/papayamux-router/src/direct/fleet/requests.rs
@@ -190,6 +190,7 @@
         self.records.borrow_mut().values_mut().for_each(|record| record.forget_faded(now));
         self.queue_reports.borrow_mut().forget_old(now);
         self.flights.borrow_mut().forget_old(now);
+        self.quarantine.borrow_mut().forget_old(now);
         for LinkChange { domain, excess } in self.links.borrow_mut().changes(now) {
             log::info!(domain:% = domain, held_up = excess; "link holds messages up");
         }
--- a/crates/papayamux-router/src/direct/peers/exchange.rs
+++ b/crates/papayamux-router/src/direct/peers/exchange.rs
@@ -90,6 +90,7 @@
         monoio::spawn(exchange.clone().follow());
         monoio::spawn(exchange.clone().tell_news());
         monoio::spawn(exchange.clone().write_to_owners());
+        monoio::spawn(exchange.clone().tell_crashes());
         Ok(exchange)
     }
 
@@ -182,6 +183,7 @@
         if let Some(news) = report.news {
             self.fleet.take_news(sender, self.life, news);
         }
+        self.fleet.take_crash_notices(sender, &report.crashes);
         if report.is_partial {
             return;
         }
@@ -220,12 +222,7 @@
                 continue;
             }
             let report = RouterReport { readings, ..RouterReport::default() };
-            let mut targets = self.peers.borrow().alive(now);
-            if targets.len() > MOST_TOLD_AT_ONCE {
-                let first = rand::random_range(0..targets.len());
-                targets.rotate_left(first);
-                targets.truncate(MOST_TOLD_AT_ONCE);
-            }
+            let targets = self.some_alive(MOST_TOLD_AT_ONCE);
             let bytes = self.send_partial(report, &targets).await;
             let pause = Duration::from_secs_f64(bytes as f64 / MOST_READING_BYTES_PER_SECOND);
             monoio::time::sleep(pause).await;
@@ -324,6 +321,7 @@
             news: None,
             part_question: None,
             part_answer: None,
+            crashes: self.fleet.next_held_requests(now),
             is_partial: false,
         }
     }
--- a/crates/papayamux-router/src/direct/peers/mod.rs
+++ b/crates/papayamux-router/src/direct/peers/mod.rs
@@ -1,5 +1,6 @@
 //! What routers tell one another.
 
+mod crash_news;
 mod exchange;
 mod news;
 mod owner_mail;
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -122,7 +122,7 @@
                 }
                 Waited::Silent(cause) => {
                     attempt.active.accuse(EvidenceKind::Unreachable);
-                    LostAttempt::unknown(format!("{cause}, in its stream"))
+                    LostAttempt::silent(&attempt.active, format!("{cause}, in its stream"))
                 }
                 Waited::TimeUp => return self.cut("the time is up"),
             };
@@ -158,6 +158,7 @@
         if self.splitter.is_some() {
             attempt.active.note_stream_end(Some(self.plan.call.answer_tokens));
         }
+        self.plan.note_run();
         self.plan.fleet.metrics().streams.count("whole");
         log::info!(
             request:% = self.plan.call.id, server:% = attempt.active.server().id,
@@ -185,6 +186,7 @@
     async fn resume(&mut self, lost: LostAttempt) -> Result<(), String> {
         self.attempt = None;
         if self.splitter.is_none() {
+            self.plan.note_server_end(&lost);
             return Err(lost.cause);
         }
         let mut lost = lost;
--- a/crates/papayamux-state/src/lib.rs
+++ b/crates/papayamux-state/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cache_index;
 pub mod chat_key;
 pub mod claims;
+pub mod crash_record;
 pub mod hash_ring;
 pub mod ids;
 pub mod load;
