Reproduce chats that end every engine behind agents

Two routers, nine engines that exit on one text: all nine ended, six are allowed (three, and three later).

--- a/crates/papayamux-standins/src/engine/chat_interface.rs
+++ b/crates/papayamux-standins/src/engine/chat_interface.rs
@@ -26,6 +26,8 @@
 use crate::respond;
 use crate::run_tag::TAG_HEADER;
 
+/// The exit code of an engine that was told to end on a prompt.
+const ENDED_ON_PROMPT: i32 = 70;
 const CANCELLED: &str = "the request was cancelled";
 
 /// Runs a chat request.
@@ -39,6 +41,10 @@
     let chat: ChatRequest = serde_json::from_slice(&body).map_err(invalid_request)?;
     server.loader.check_loaded(&chat.model, chat.adapter.as_deref())?;
     let prompt = render_prompt(&chat.messages);
+    if server.options.ends_on.as_ref().is_some_and(|text| prompt.contains(text)) {
+        log::error!(request = id; "engine ends, as it was told to for this prompt");
+        std::process::exit(ENDED_ON_PROMPT);
+    }
     let plan = AnswerPlan::new(&chat.model, &prompt, chat.max_tokens);
     let (model, adapter) = (chat.model, chat.adapter);
     let request = EngineRequest { id: id.clone(), tag, model, adapter, prompt, priority, plan };
--- a/crates/papayamux-standins/src/engine/options.rs
+++ b/crates/papayamux-standins/src/engine/options.rs
@@ -59,4 +59,6 @@
     /// Bytes of one block in a KV blob.
     #[builder(default = 256)]
     pub kv_block_bytes: usize,
+    /// The process ends when it gets a chat with this text.
+    pub ends_on: Option<String>,
 }
--- a/crates/papayamux-standins/src/kinds/engine.rs
+++ b/crates/papayamux-standins/src/kinds/engine.rs
@@ -43,6 +43,7 @@
     options.optopt("", "kv-export-us", "time to export one block", "MICROSECONDS");
     options.optopt("", "kv-import-us", "time to import one block", "MICROSECONDS");
     options.optopt("", "kv-block-bytes", "bytes of one block in a KV blob", "COUNT");
+    options.optopt("", "ends-on", "end the process on a chat with this text", "TEXT");
 }
 
 fn engine_options(matches: &Matches) -> Result<EngineOptions, StandinError> {
@@ -88,6 +89,7 @@
 fn set_kv_options(engine: &mut EngineOptions, matches: &Matches) -> Result<(), StandinError> {
     engine.kv_export_time = micros_or(matches, "kv-export-us", engine.kv_export_time)?;
     engine.kv_import_time = micros_or(matches, "kv-import-us", engine.kv_import_time)?;
+    engine.ends_on = matches.opt_str("ends-on");
     engine.kv_block_bytes = value_or(matches, "kv-block-bytes", engine.kv_block_bytes)?;
     Ok(())
 }
--- /dev/null
+++ b/crates/papayamux-testbed/tests/ending_requests.rs
@@ -0,0 +1,64 @@
+//! A chat ended each engine that began to run it, and came back through any router. Nothing outlived its
+//! call, so that each call went from engine to engine for as long as the retry budget let it.
+
+use std::error::Error;
+use std::time::Duration;
+
+use papayamux_protocol::chat::{ChatMessage, ChatRequest};
+use papayamux_testbed::{chat_request, Caller, Fleet, FleetPlan, FLEET_MODEL};
+use papayamux_transport::runtime;
+
+type TestResult = Result<(), Box<dyn Error>>;
+
+/// What engines end on.
+const FATAL: &str = "ends every engine";
+/// Engines.
+const ENGINES: usize = 9;
+/// Time after the third engine has ended in which routers may still learn of it.
+const LEARNT_WITHIN: Duration = Duration::from_secs(3);
+/// Engines that may end: three, and three that get the chat after that.
+const MOST_ENDED: usize = 6;
+/// How often the chat comes back.
+const REPETITIONS: usize = 8;
+
+fn chat(text: &str) -> ChatRequest {
+    let message = ChatMessage { role: "user".to_string(), content: text.to_string() };
+    chat_request(FLEET_MODEL, vec![message], 5)
+}
+
+fn ended(fleet: &mut Fleet) -> Result<usize, Box<dyn Error>> {
+    let mut ended = 0;
+    for server in &mut fleet.servers {
+        ended += usize::from(server.standin.try_exit()?.is_some());
+    }
+    Ok(ended)
+}
+
+#[test]
+fn chat_under_which_engines_end_is_kept_from_the_others_by_agents_and_routers() -> TestResult {
+    let arguments = vec!["--ends-on".to_string(), FATAL.to_string()];
+    let plan = FleetPlan::builder().engines(ENGINES).services(0).engine_arguments(arguments);
+    let mut fleet = Fleet::start(plan.build())?;
+    runtime::run(async {
+        let callers =
+            fleet.routers.iter().map(|router| Ok(Caller::new(router.listen()?, "yanchang-desk")));
+        let callers = callers.collect::<Result<Vec<_>, Box<dyn Error>>>()?;
+        // Routers connect to agents by other chats first, as in any fleet with traffic.
+        for number in 0..40 {
+            for caller in &callers {
+                caller.chat(&chat(&format!("harmless {number}"))).await?;
+            }
+        }
+        for repetition in 0..REPETITIONS {
+            let caller = &callers[repetition % callers.len()];
+            let answer = caller.chat(&chat(FATAL)).await;
+            assert!(answer.is_err(), "no engine can answer it");
+            if repetition == 1 {
+                monoio::time::sleep(LEARNT_WITHIN).await;
+            }
+        }
+        let ended = ended(&mut fleet)?;
+        assert!(ended <= MOST_ENDED, "{ended} of {ENGINES} engines ended");
+        Ok(())
+    })?
+}
