Tell no caller that a request was not run which was lost on a kept connection

An agent's client sends an idempotent request over a kept connection, and once more over a new one where that breaks. Where the server had ended meanwhile, the refused new connection was taken for proof that nothing had been sent: the agent told its router "not run: server unreachable" of a request under which the server had ended, and routers offered it to the next one without taking from the retry budget. Now the first loss is returned where the second sending proves nothing. Test: http_client.rs fails on the code before.

--- a/crates/papayamux-transport/src/http/client.rs
+++ b/crates/papayamux-transport/src/http/client.rs
@@ -90,13 +90,16 @@
         &self,
         request: Request<Bytes>,
     ) -> Result<ClientAnswer, HttpClientError> {
-        if let Some(codec) = self.take_idle() {
-            match self.exchange(codec, request.clone()).await {
-                Err(HttpClientError::Closed | HttpClientError::Broken(_)) => {}
-                outcome => return outcome,
-            }
+        let Some(codec) = self.take_idle() else { return self.send_once(request).await };
+        let lost = match self.exchange(codec, request.clone()).await {
+            Err(lost @ (HttpClientError::Closed | HttpClientError::Broken(_))) => lost,
+            outcome => return outcome,
+        };
+        match self.send_once(request).await {
+            // The server may have run what it got on the lost connection, and ended by that.
+            Err(error) if error.nothing_was_sent() => Err(lost),
+            outcome => outcome,
         }
-        self.send_once(request).await
     }
 
     /// Sends a request exactly once, over a fresh connection: a failure to connect then proves
