Keep requests under which servers end from the servers behind other agents

Callers behind agents saw the same: a chat that ends engines came back through any router and ended all nine in the test. Cause: as on the direct path, what a request had done was forgotten with its call. Change: the same decision (crash_quarantine). The agent beside a server finds nothing listening after a connection broke with a request on it, and tells all connected routers before they hear that the answer is lost; a request carries the record that it is sent after, so that two agents count one after the other. Routers refuse a held request with the reason quarantined and the time until it may be tried, and ask no other server. What agents tell unasked, loads and crashes, is one type in the router. Open: a router that was never connected to the agent in question does not hear of it.

--- a/crates/papayamux-agent/src/agent_core.rs
+++ b/crates/papayamux-agent/src/agent_core.rs
@@ -14,6 +14,7 @@
 
 use crate::answers::AnswerStore;
 use crate::claims::{ClaimWitness, KeptAnswers};
+use crate::crash_board::CrashBoard;
 use crate::engine_view::EngineView;
 use crate::metrics::AgentMetrics;
 use crate::orders::OrderCore;
@@ -39,6 +40,8 @@
     pub client: HttpClient,
     /// What is known of the engine.
     pub engine: EngineView,
+    /// Requests under which servers end.
+    pub crashes: CrashBoard,
     /// The agent's metrics.
     pub metrics: AgentMetrics,
     /// When the agent started.
--- a/crates/papayamux-agent/src/daemon.rs
+++ b/crates/papayamux-agent/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::agent_core::AgentCore;
 use crate::answers::{sweep_answers, AnswerStore, StoreLimits};
 use crate::claims::{ClaimWitness, KeptAnswers};
+use crate::crash_board::CrashBoard;
 use crate::engine_follower::follow_engine;
 use crate::engine_view::EngineView;
 use crate::metrics::AgentMetrics;
@@ -202,6 +203,7 @@
         witness: ClaimWitness::new(incarnation, &settings.claims),
         kept: KeptAnswers::new(&settings.claims),
         recalls: Cell::new(0),
+        crashes: CrashBoard::default(),
         metrics,
         started: Instant::now(),
         leaving: ShutdownSignal::new(),
--- a/crates/papayamux-agent/src/lib.rs
+++ b/crates/papayamux-agent/src/lib.rs
@@ -5,6 +5,7 @@
 mod agent_core;
 pub mod answers;
 pub mod claims;
+mod crash_board;
 pub mod daemon;
 mod engine_follower;
 mod engine_view;
--- a/crates/papayamux-agent/src/router_link.rs
+++ b/crates/papayamux-agent/src/router_link.rs
@@ -55,7 +55,9 @@
         recalls: RefCell::default(),
         farewell: LinkFarewell::default(),
     };
+    core.crashes.connect(number, link.sender.clone());
     let end = link.serve(&mut receiver).await;
+    core.crashes.disconnect(number);
     link.lose();
     match end {
         LinkEnd::Closed => {}
--- a/crates/papayamux-agent/src/run.rs
+++ b/crates/papayamux-agent/src/run.rs
@@ -15,7 +15,10 @@
 use crate::agent_core::AgentCore;
 use crate::answers::{AnswerRecord, EventTagger};
 use crate::claims::RunRecorder;
-use crate::server_exchange::{resume_stream, ResumeTarget, ServerError, ServerStep, ServerWatch};
+use crate::crash_board::RunningContent;
+use crate::server_exchange::{
+    broken_connection, resume_stream, ResumeTarget, ServerError, ServerStep, ServerWatch,
+};
 
 /// The media type of streamed answers.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
@@ -69,6 +72,29 @@
     record: &AnswerRecord,
     recorder: Option<&RunRecorder>,
 ) -> RunEnd {
+    let content = RunningContent::from(&open);
+    match run_at_server(core, open, record, recorder).await {
+        Ok(RunEnd::Whole) => {
+            core.crashes.note_run(content);
+            record.finish(AnswerEnd::Whole(record.length()));
+            RunEnd::Whole
+        }
+        Ok(end) => end,
+        Err(error) => {
+            if matches!(error, ServerError::Ended(_)) {
+                core.crashes.note_crash(content);
+            }
+            fail(core, record, &error)
+        }
+    }
+}
+
+async fn run_at_server(
+    core: &AgentCore,
+    open: OpenRequest,
+    record: &AnswerRecord,
+    recorder: Option<&RunRecorder>,
+) -> Result<RunEnd, ServerError> {
     let idempotent = open.repeat == RepeatRule::Idempotent;
     let start_before = open.start_before;
     let not_run = |reason: RefusalReason| {
@@ -80,7 +106,7 @@
     };
     let is_chat = open.chat.is_some();
     let Some(request) = server_request(core, open) else {
-        return not_run(RefusalReason::NotServed);
+        return Ok(not_run(RefusalReason::NotServed));
     };
     let body = request.body().clone();
     let target = || {
@@ -107,15 +133,15 @@
         ServerStep::Came(Ok(answer)) => relay(core, answer, is_chat, record, recorder).await,
         ServerStep::Replaced(answer) => relay(core, *answer, is_chat, record, recorder).await,
         ServerStep::Came(Err(HttpClientError::NotAllowed)) => {
-            not_run(RefusalReason::DeadlinePassed)
+            Ok(not_run(RefusalReason::DeadlinePassed))
         }
         ServerStep::Came(Err(error)) if error.nothing_was_sent() => {
             log::warn!(server:% = core.server, error:% = error; "server unreachable");
-            not_run(RefusalReason::ServerUnreachable)
+            Ok(not_run(RefusalReason::ServerUnreachable))
         }
-        ServerStep::Came(Err(error)) => fail(core, record, &error.into()),
-        ServerStep::Gone => fail(core, record, &ServerError::Gone),
-        ServerStep::Silent => fail(core, record, &ServerError::Silent),
+        ServerStep::Came(Err(error)) => Err(broken_connection(core, error).await),
+        ServerStep::Gone => Err(ServerError::Gone),
+        ServerStep::Silent => Err(ServerError::Silent),
     }
 }
 
@@ -181,27 +207,21 @@
     is_chat: bool,
     record: &AnswerRecord,
     recorder: Option<&RunRecorder>,
-) -> RunEnd {
+) -> Result<RunEnd, ServerError> {
     let is_stream = is_chat && is_event_stream(&answer);
     let head = answer_head(&answer);
     if let Some(recorder) = recorder {
         recorder.head(&head);
     }
     record.set_head(head, is_stream);
-    let outcome = match is_stream {
-        true => relay_events(core, answer, record).await,
-        false => relay_bytes(core, answer, record, recorder).await,
-    };
-    match outcome {
-        Ok(()) => {
-            if let Some(recorder) = recorder {
-                recorder.whole();
-            }
-            record.finish(AnswerEnd::Whole(record.length()));
-            RunEnd::Whole
-        }
-        Err(error) => fail(core, record, &error),
+    match is_stream {
+        true => relay_events(core, answer, record).await?,
+        false => relay_bytes(core, answer, record, recorder).await?,
+    }
+    if let Some(recorder) = recorder {
+        recorder.whole();
     }
+    Ok(RunEnd::Whole)
 }
 
 async fn relay_bytes(
@@ -214,7 +234,10 @@
     loop {
         match watch.wait_for(|| None, answer.next_piece()).await {
             ServerStep::Came(Some(piece)) => {
-                let piece = piece?;
+                let piece = match piece {
+                    Ok(piece) => piece,
+                    Err(error) => return Err(broken_connection(core, error).await),
+                };
                 if let Some(recorder) = recorder {
                     recorder.data(&piece);
                 }
@@ -267,5 +290,10 @@
     error: HttpClientError,
 ) -> Result<Box<ClientAnswer>, ServerError> {
     log::warn!(server:% = core.server, request:% = target.id, error:% = error; "stream broke");
-    resume_stream(core, target).await.ok_or_else(|| error.into())
+    match broken_connection(core, error).await {
+        ServerError::Client(error) => {
+            resume_stream(core, target).await.ok_or(ServerError::Client(error))
+        }
+        ended => Err(ended),
+    }
 }
--- a/crates/papayamux-agent/src/server_exchange.rs
+++ b/crates/papayamux-agent/src/server_exchange.rs
@@ -14,6 +14,7 @@
 use monoio::time::Sleep;
 use papayamux_protocol::engine::{resume_path, LOAD_PATH};
 use papayamux_state::ids::RequestId;
+use papayamux_transport::http::upstream::{probe_listener, ProbeResult};
 use papayamux_transport::http::{ClientAnswer, HttpClientError};
 use thiserror::Error;
 
@@ -21,6 +22,8 @@
 
 /// How long the server may take to answer whether it lives.
 const CHECK_WITHIN: Duration = Duration::from_secs(2);
+/// How long a probe whether the server listens may take. It stands on the agent's own instance.
+const PROBE_WITHIN: Duration = Duration::from_millis(100);
 /// Checks in a row without an answer after which the server counts as silent.
 const MOST_FAILED_CHECKS: u32 = 2;
 /// Pauses between the attempts to resume a stream whose connection broke.
@@ -33,6 +36,9 @@
     /// The connection failed.
     #[error(transparent)]
     Client(#[from] HttpClientError),
+    /// The connection failed, and nothing listens at the server's address any more.
+    #[error("the server has ended: {0}")]
+    Ended(HttpClientError),
     /// Neither this connection nor another one brought anything.
     #[error("the server is silent on every connection")]
     Silent,
@@ -41,6 +47,14 @@
     Gone,
 }
 
+/// Finds out whether the server has ended, after a connection to it failed with `error`.
+pub async fn broken_connection(core: &AgentCore, error: HttpClientError) -> ServerError {
+    match probe_listener(core.client.address(), PROBE_WITHIN).await {
+        ProbeResult::Refused => ServerError::Ended(error),
+        ProbeResult::Accepted | ProbeResult::Unanswered => ServerError::Client(error),
+    }
+}
+
 /// A stream of an engine and where it is to go on.
 #[derive(Debug, Clone, Copy)]
 pub struct ResumeTarget {
--- a/crates/papayamux-agent/tests/answer_records.rs
+++ b/crates/papayamux-agent/tests/answer_records.rs
@@ -38,6 +38,7 @@
         headers: Vec::new(),
         body: Bytes::new(),
         placement: papayamux_protocol::link::PlacementRule::default(),
+        sent_after: papayamux_state::crash_record::CrashRecord::default(),
     }
 }
 
--- a/crates/papayamux-agent/tests/kept_answers.rs
+++ b/crates/papayamux-agent/tests/kept_answers.rs
@@ -39,6 +39,7 @@
         headers: Vec::new(),
         body: Bytes::new(),
         placement: papayamux_protocol::link::PlacementRule::default(),
+        sent_after: papayamux_state::crash_record::CrashRecord::default(),
     }
 }
 
--- a/crates/papayamux-coordination/src/crash_quarantine.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine.rs
@@ -129,10 +129,19 @@
         self.take(notice, NoticeOrigin::Seen, draw, now).then_some(record)
     }
 
-    /// Notes that a server has run a request to its end. Returns whether it was suspect.
-    pub fn note_run(&mut self, fingerprint: RequestFingerprint, now: Instant) -> bool {
+    /// Notes that a server has run a request to its end that was sent with the record `sent`. Returns
+    /// whether it was suspect.
+    pub fn note_run(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        sent: CrashRecord,
+        now: Instant,
+    ) -> bool {
         let known = self.requests.get(&fingerprint).map(|suspect| suspect.record);
-        let Some(record) = known.filter(|record| record.crashes > 0) else { return false };
+        let record = known.unwrap_or_default().max(sent);
+        if record.crashes == 0 {
+            return false;
+        }
         let notice = CrashNotice { fingerprint, record: record.after_run(), held: Duration::ZERO };
         self.take(notice, NoticeOrigin::Seen, 0.0, now)
     }
--- a/crates/papayamux-coordination/tests/crash_quarantine.rs
+++ b/crates/papayamux-coordination/tests/crash_quarantine.rs
@@ -43,8 +43,8 @@
     let (mut quarantine, now) = (CrashQuarantine::default(), Instant::now());
     crash(&mut quarantine, now);
     let before = quarantine.begin_attempt(FATAL, now);
-    assert!(quarantine.note_run(FATAL, now));
-    assert!(!quarantine.note_run(FATAL, now), "nothing is left to clear");
+    assert!(quarantine.note_run(FATAL, CrashRecord::default(), now));
+    assert!(!quarantine.note_run(FATAL, CrashRecord::default(), now), "nothing is left to clear");
     assert_eq!(quarantine.note_crash(FATAL, before, 0.0, now), None, "sent before it was cleared");
     let record = CrashRecord { cleared: 0, crashes: 2 };
     let stale = CrashNotice { fingerprint: FATAL, record, held: seconds(30) };
@@ -61,7 +61,7 @@
         let served = quarantine.begin_attempt(FATAL, now);
         quarantine.note_crash(FATAL, lost, 0.0, now);
         assert_eq!(served, lost);
-        quarantine.note_run(FATAL, now);
+        quarantine.note_run(FATAL, CrashRecord::default(), now);
         assert_eq!(quarantine.hold_left(FATAL, now), None);
     }
 }
--- a/crates/papayamux-coordination/tests/support/mod.rs
+++ b/crates/papayamux-coordination/tests/support/mod.rs
@@ -35,5 +35,6 @@
         headers: Vec::new(),
         body: Bytes::new(),
         placement: PlacementRule { patience: Duration::MAX, share: 1, ..PlacementRule::default() },
+        sent_after: papayamux_state::crash_record::CrashRecord::default(),
     })
 }
--- a/crates/papayamux-protocol/src/crash_notices.rs
+++ b/crates/papayamux-protocol/src/crash_notices.rs
@@ -8,7 +8,7 @@
 
 /// Notices in columns.
 #[derive(Clone, PartialEq, Message)]
-pub(crate) struct CrashNoticesWire {
+pub struct CrashNoticesWire {
     #[prost(fixed64, repeated, tag = "1")]
     fingerprints: Vec<u64>,
     #[prost(uint32, repeated, tag = "2")]
--- a/crates/papayamux-protocol/src/link.rs
+++ b/crates/papayamux-protocol/src/link.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use papayamux_state::claims::{CallFingerprint, ClaimAsk, ClaimId, ClaimKey, HeldClaim, RunPlace};
+use papayamux_state::crash_record::{CrashNotice, CrashRecord};
 use papayamux_state::ids::{
     AdapterId, ChatKey, FailureDomain, IdempotencyKey, Incarnation, ModelId, OrganisationId,
     RequestId, ServerId,
@@ -13,6 +14,7 @@
 use papayamux_state::load::{GroupLoad, LoadReport};
 use papayamux_state::quantities::TokenCount;
 use papayamux_state::refusal::RefusalReason;
+use papayamux_state::request_fingerprint::{RequestContent, RequestFingerprint};
 
 use crate::proof::{ProofNonce, ProofTag};
 use crate::serving::{ServingAnswer, ServingQuestion};
@@ -97,6 +99,26 @@
     pub body: Bytes,
     /// What the agent may do with the request where it has no place for it.
     pub placement: PlacementRule,
+    /// The crashes that the request is sent after.
+    pub sent_after: CrashRecord,
+}
+
+impl OpenRequest {
+    /// What names the request's content.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        content_fingerprint(&self.method, &self.path, &self.organisation, &self.body)
+    }
+}
+
+/// What names the content of an organisation's request.
+pub fn content_fingerprint(
+    method: &str,
+    path: &str,
+    organisation: &OrganisationId,
+    body: &[u8],
+) -> RequestFingerprint {
+    let organisation = Some(organisation);
+    RequestContent { method, host: "", target: path, organisation, body }.into()
 }
 
 /// What an agent needs to know to place a request among others.
@@ -388,6 +410,8 @@
     Probed(ProbeReply),
     /// Answers [`RouterMessage::AskServing`].
     Serving(ServingAnswer),
+    /// Requests under which servers ended, told unasked.
+    Crashes(Vec<CrashNotice>),
 }
 
 /// A message of either side with the stream it belongs to; stream 0 is the connection itself.
--- a/crates/papayamux-protocol/src/wire/control_length.rs
+++ b/crates/papayamux-protocol/src/wire/control_length.rs
@@ -37,6 +37,7 @@
         | AgentMessage::Load(_)
         | AgentMessage::Claim(_)
         | AgentMessage::Serving(_)
+        | AgentMessage::Crashes(_)
         | AgentMessage::Probed(_) => {
             let addressed = Addressed { stream: COUNTED_STREAM, message: message.clone() };
             AgentFrame::from(addressed).encoded_len() as u64 + LENGTH_PREFIX
--- a/crates/papayamux-protocol/src/wire/convert_agent.rs
+++ b/crates/papayamux-protocol/src/wire/convert_agent.rs
@@ -33,6 +33,7 @@
             AgentMessage::Load(report) => AgentBody::Load(report.into()),
             AgentMessage::Probed(reply) => AgentBody::Probed(reply.into()),
             AgentMessage::Serving(answer) => AgentBody::Serving(answer.into()),
+            AgentMessage::Crashes(notices) => AgentBody::Crashes(notices.as_slice().into()),
         };
         Self { stream: addressed.stream, body: Some(body) }
     }
@@ -62,6 +63,7 @@
             AgentBody::Load(load) => AgentMessage::Load(load.into()),
             AgentBody::Probed(reply) => AgentMessage::Probed(reply.try_into()?),
             AgentBody::Serving(answer) => AgentMessage::Serving(answer.try_into()?),
+            AgentBody::Crashes(notices) => AgentMessage::Crashes(notices.into()),
         };
         Ok(Addressed { stream: self.stream, message })
     }
--- a/crates/papayamux-protocol/src/wire/convert_router.rs
+++ b/crates/papayamux-protocol/src/wire/convert_router.rs
@@ -1,6 +1,7 @@
 //! Router messages to and from their wire form.
 
 use papayamux_state::claims::ClaimId;
+use papayamux_state::crash_record::CrashRecord;
 use std::time::Duration;
 
 use papayamux_state::ids::{Incarnation, RequestId};
@@ -192,6 +193,8 @@
             patience_ms: u32::try_from(open.placement.patience.as_millis()).unwrap_or(u32::MAX),
             may_redirect: open.placement.may_redirect,
             group_load: open.placement.group_load.map(Into::into),
+            cleared: open.sent_after.cleared,
+            crashes: open.sent_after.crashes,
         }
     }
 }
@@ -225,6 +228,7 @@
             headers: open.headers.into_iter().map(Into::into).collect(),
             body: open.body,
             placement,
+            sent_after: CrashRecord { cleared: open.cleared, crashes: open.crashes },
         })
     }
 }
--- a/crates/papayamux-protocol/src/wire/messages.rs
+++ b/crates/papayamux-protocol/src/wire/messages.rs
@@ -6,6 +6,7 @@
 use super::load_messages::{WireGroupLoad, WireLoad, WireMoved, WireProbe, WireProbed};
 use super::serving_messages::{WireServingAnswer, WireServingQuestion};
 use super::shared_messages::{WireRefusal, WireRequestId};
+use crate::crash_notices::CrashNoticesWire;
 
 /// A frame from a router to an agent.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -75,7 +76,7 @@
     #[prost(uint64, tag = "1")]
     pub stream: u64,
     /// What is said.
-    #[prost(oneof = "AgentBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 15, 16, 17, 50")]
+    #[prost(oneof = "AgentBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 15, 16, 17, 18, 50")]
     pub body: Option<AgentBody>,
 }
 
@@ -124,6 +125,9 @@
     /// See [`crate::serving::ServingAnswer`].
     #[prost(message, tag = "50")]
     Serving(WireServingAnswer),
+    /// Records of requests under which servers ended.
+    #[prost(message, tag = "18")]
+    Crashes(CrashNoticesWire),
 }
 
 /// A message without content.
@@ -297,6 +301,12 @@
     /// The mean load that the router knows of.
     #[prost(message, optional, tag = "16")]
     pub group_load: Option<WireGroupLoad>,
+    /// How often the request was cleared by a whole run, in the record that it is sent after.
+    #[prost(uint32, tag = "17")]
+    pub cleared: u32,
+    /// Crashes since, in that record.
+    #[prost(uint32, tag = "18")]
+    pub crashes: u32,
 }
 
 /// The wire form of [`crate::link::AnswerHead`].
--- a/crates/papayamux-protocol/tests/round_trip.rs
+++ b/crates/papayamux-protocol/tests/round_trip.rs
@@ -13,6 +13,7 @@
 use papayamux_protocol::proof::{ProofNonce, ProofTag};
 use papayamux_protocol::wire::{AgentFrame, FrameCodec, RouterFrame};
 use papayamux_state::claims::{CallFingerprint, ClaimAsk, ClaimId, ClaimKey, HeldClaim, RunPlace};
+use papayamux_state::crash_record::CrashRecord;
 use papayamux_state::ids::{Incarnation, RequestId, ServerId};
 use papayamux_state::load::{GroupId, GroupLoad, LoadReport};
 use papayamux_state::quantities::{RequestCount, TokenCount};
@@ -47,6 +48,7 @@
             may_redirect: true,
             group_load: Some(GROUP_LOAD),
         },
+        sent_after: CrashRecord { cleared: 1, crashes: 2 },
     };
     assert_kept_from_router(RouterMessage::Open(Box::new(open)));
 }
--- a/crates/papayamux-router/src/agents/agent_link.rs
+++ b/crates/papayamux-router/src/agents/agent_link.rs
@@ -20,9 +20,8 @@
 use super::pending_probes::PendingProbes;
 use super::silence_count::SilenceCount;
 use super::stream_slot::{SlotOrigin, StreamSlot};
-use super::{StreamEvent, StreamHandle};
+use super::{AgentNews, StreamEvent, StreamHandle};
 use crate::metrics::RouterMetrics;
-use crate::routing::LoadBook;
 
 /// How often a connection with open streams is checked for silence.
 const CHECK_EVERY: Duration = Duration::from_secs(1);
@@ -45,6 +44,7 @@
     open: Cell<bool>,
     leaving: Cell<bool>,
     probes: PendingProbes,
+    news: Rc<AgentNews>,
     metrics: RouterMetrics,
 }
 
@@ -52,7 +52,7 @@
     /// Uses a connection whose ends have proved themselves; its messages have still to be read.
     pub fn new(
         proved: ProvedLink,
-        loads: Rc<LoadBook>,
+        news: Rc<AgentNews>,
         metrics: RouterMetrics,
     ) -> (Rc<Self>, AgentReceiver) {
         let ProvedLink { sender, receiver, welcome } = proved;
@@ -67,7 +67,8 @@
             next_stream: Cell::new(CONNECTION + 1),
             open: Cell::new(true),
             leaving: Cell::new(false),
-            probes: PendingProbes::new(server, loads),
+            probes: PendingProbes::new(server, news.loads.clone()),
+            news,
             metrics,
         };
         (Rc::new(link), receiver)
@@ -327,6 +328,7 @@
         AgentMessage::Probed(reply) => return link.probes.take_reply(stream, reply),
         AgentMessage::Pong(pong) => link.take_clock(pong.clock),
         AgentMessage::Leaving => link.leaving.set(true),
+        AgentMessage::Crashes(notices) => link.news.quarantine.take_notices(&notices),
         AgentMessage::Ping(number) => drop(link.send(CONNECTION, RouterMessage::Pong(number))),
         AgentMessage::Claim(reply) => {
             if let Some(waiting) = link.claims.borrow().get(&stream) {
--- a/crates/papayamux-router/src/agents/agent_peer.rs
+++ b/crates/papayamux-router/src/agents/agent_peer.rs
@@ -12,8 +12,8 @@
 
 use super::agent_link::{read_messages, AgentLink};
 use super::stream_recovery::recover_streams;
+use super::AgentNews;
 use crate::metrics::RouterMetrics;
-use crate::routing::LoadBook;
 
 /// What a router says of itself to agents, and how it keeps to them.
 #[derive(Debug, Clone)]
@@ -52,7 +52,7 @@
     address: SocketAddr,
     identity: RouterIdentity,
     metrics: RouterMetrics,
-    loads: Rc<LoadBook>,
+    news: Rc<AgentNews>,
     state: RefCell<PeerState>,
 }
 
@@ -63,10 +63,10 @@
         address: SocketAddr,
         identity: RouterIdentity,
         metrics: RouterMetrics,
-        loads: Rc<LoadBook>,
+        news: Rc<AgentNews>,
     ) -> Self {
         let state = RefCell::new(PeerState::Down);
-        Self { core: Rc::new(PeerCore { server, address, identity, metrics, loads, state }) }
+        Self { core: Rc::new(PeerCore { server, address, identity, metrics, news, state }) }
     }
 
     /// The server that the agent stands beside.
@@ -140,7 +140,7 @@
         let outcome = match outcome {
             Ok(proved) => {
                 let (link, receiver) =
-                    AgentLink::new(proved, self.loads.clone(), self.metrics.clone());
+                    AgentLink::new(proved, self.news.clone(), self.metrics.clone());
                 *self.state.borrow_mut() = PeerState::Up(link.clone());
                 monoio::spawn(self.clone().serve_link(link.clone(), receiver));
                 Ok(link)
--- a/crates/papayamux-router/src/callers/offer.rs
+++ b/crates/papayamux-router/src/callers/offer.rs
@@ -7,14 +7,17 @@
 use papayamux_coordination::server_evidence::EvidenceKind;
 use papayamux_protocol::failure::{FailureBody, FailureCode, FailureOutcome};
 use papayamux_protocol::link::{
-    AgentClock, AnswerHead, ChatTarget, HeaderField, OpenRequest, RefusalNotice, RepeatRule,
+    content_fingerprint, AgentClock, AnswerHead, ChatTarget, HeaderField, OpenRequest,
+    RefusalNotice, RepeatRule,
 };
 use papayamux_state::claims::RunPlace;
+use papayamux_state::crash_record::CrashRecord;
 use papayamux_state::ids::{OrganisationId, RequestId, ServerId};
 use papayamux_state::refusal::RefusalReason;
+use papayamux_state::request_fingerprint::RequestFingerprint;
 
 use super::CallerDesk;
-use crate::agents::{AgentLink, StreamEvent, StreamHandle};
+use crate::agents::{AgentLink, RequestQuarantine, StreamEvent, StreamHandle};
 use crate::claims::ClaimHold;
 use crate::routing::{OccupiedPlace, RouteCandidate, RoutePlan};
 
@@ -40,6 +43,26 @@
 }
 
 impl RequestOffer {
+    fn fingerprint(&self) -> RequestFingerprint {
+        content_fingerprint(&self.method, &self.path, &self.organisation, &self.body)
+    }
+
+    /// How long the request is still to be kept from servers, since others have ended under it.
+    fn hold_left(&self, quarantine: &RequestQuarantine) -> Option<Duration> {
+        match quarantine.is_empty() {
+            true => None,
+            false => quarantine.hold_left(self.fingerprint()),
+        }
+    }
+
+    /// The crashes that the request is sent after.
+    fn begin_attempt(&self, quarantine: &RequestQuarantine) -> CrashRecord {
+        match quarantine.is_empty() {
+            true => CrashRecord::default(),
+            false => quarantine.begin_attempt(self.fingerprint()),
+        }
+    }
+
     /// The time on the agent's clock before which the request must start; none where it is past.
     fn start_before(&self, link: &AgentLink, within: Duration) -> Option<AgentClock> {
         match &self.claim {
@@ -87,8 +110,16 @@
     let organisation = desk.settings.organisation(&offer.organisation);
     plan = plan.with_share(organisation.share).with_offers(desk.settings.most_offers);
     desk.planner.retries().note_request();
+    let quarantine = &desk.directory.news().quarantine;
     while let Some(candidate) = plan.next(named.as_ref()) {
         named = None;
+        // Each offer would end one more server, as those before it did.
+        if let Some(left) = offer.hold_left(quarantine) {
+            let left = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+            refusal = RefusalNotice::new(RefusalReason::Quarantined, left);
+            desk.metrics.refusals.count(refusal.reason.label());
+            break;
+        }
         let server = candidate.record.entry.server.clone();
         match offer_to(desk, offer, &candidate).await {
             OfferOutcome::Taken(taken) => {
@@ -174,6 +205,7 @@
         headers: offer.headers.clone(),
         body: offer.body.clone(),
         placement: candidate.placement,
+        sent_after: offer.begin_attempt(&desk.directory.news().quarantine),
     };
     if let Some(hold) = &offer.claim {
         hold.place(RunPlace { server: peer.server().clone(), agent: peer.address() });
--- a/crates/papayamux-router/src/daemon.rs
+++ b/crates/papayamux-router/src/daemon.rs
@@ -25,12 +25,12 @@
 use serde_json::json;
 use thiserror::Error;
 
-use crate::agents::RouterIdentity;
+use crate::agents::{AgentNews, RouterIdentity};
 use crate::callers::CallerDesk;
 use crate::configuration::{follow_configuration, start_configuration};
 use crate::directory::ServerDirectory;
 use crate::metrics::RouterMetrics;
-use crate::routing::{LoadBook, RoutePlanner};
+use crate::routing::RoutePlanner;
 use crate::settings::RouterSettings;
 
 struct RouterView {
@@ -159,9 +159,10 @@
         ShutdownSignal::new(),
     ));
     let incarnation = identity.incarnation;
-    let loads = Rc::new(LoadBook::default());
+    let news = Rc::new(AgentNews::default());
+    let loads = news.loads.clone();
     let servers = settings.servers.clone();
-    let directory = ServerDirectory::new(identity, metrics.clone(), loads.clone(), servers);
+    let directory = ServerDirectory::new(identity, metrics.clone(), news, servers);
     let planner = RoutePlanner::new(settings.policy, loads, metrics.clone());
     let limits = caller_limits(&settings, &metrics);
     if let Some(view) = configuration {
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -279,7 +279,7 @@
     /// Notes that a server has run the request to its end.
     pub(super) fn note_run(&self) {
         if self.fleet.has_suspects() {
-            self.fleet.note_run(self.fingerprint());
+            self.fleet.note_run(self.fingerprint(), self.sent_after);
         }
     }
 
--- a/crates/papayamux-router/src/direct/fleet/crash_records.rs
+++ b/crates/papayamux-router/src/direct/fleet/crash_records.rs
@@ -61,8 +61,8 @@
     }
 
     /// Notes that a server has run a request to its end.
-    pub(in crate::direct) fn note_run(&self, fingerprint: RequestFingerprint) {
-        if self.quarantine.borrow_mut().note_run(fingerprint, Instant::now()) {
+    pub(in crate::direct) fn note_run(&self, fingerprint: RequestFingerprint, sent: CrashRecord) {
+        if self.quarantine.borrow_mut().note_run(fingerprint, sent, Instant::now()) {
             log::info!(fingerprint:% = fingerprint; "suspect request was served");
             self.crash_noted.take().give();
         }
--- a/crates/papayamux-router/src/directory.rs
+++ b/crates/papayamux-router/src/directory.rs
@@ -8,10 +8,9 @@
 use papayamux_state::claims::DeclaredServer;
 use papayamux_state::ids::{ModelId, ServerId};
 
-use crate::agents::{AgentPeer, RouterIdentity};
+use crate::agents::{AgentNews, AgentPeer, RouterIdentity};
 use crate::claims::{FleetKeeper, WitnessEntry};
 use crate::metrics::RouterMetrics;
-use crate::routing::LoadBook;
 use crate::settings::ServerEntry;
 
 /// A backend server with its agent.
@@ -36,7 +35,7 @@
 pub struct ServerDirectory {
     identity: RouterIdentity,
     metrics: RouterMetrics,
-    loads: Rc<LoadBook>,
+    news: Rc<AgentNews>,
     records: RefCell<HashMap<ServerId, Rc<ServerRecord>>>,
     leaving: RefCell<Rc<BTreeSet<ServerId>>>,
     fleets: RefCell<Option<Rc<FleetKeeper>>>,
@@ -47,13 +46,13 @@
     pub fn new(
         identity: RouterIdentity,
         metrics: RouterMetrics,
-        loads: Rc<LoadBook>,
+        news: Rc<AgentNews>,
         entries: Vec<ServerEntry>,
     ) -> Rc<Self> {
         let directory = Self {
             identity,
             metrics,
-            loads,
+            news,
             records: RefCell::default(),
             leaving: RefCell::default(),
             fleets: RefCell::default(),
@@ -62,6 +61,11 @@
         Rc::new(directory)
     }
 
+    /// What agents tell unasked.
+    pub fn news(&self) -> &AgentNews {
+        &self.news
+    }
+
     /// Puts `entries` in force in place of all servers known before.
     pub fn replace(&self, entries: Vec<ServerEntry>) {
         let mut records = self.records.borrow_mut();
@@ -74,7 +78,7 @@
             };
             records.insert(entry.server.clone(), Rc::new(ServerRecord { entry, peer }));
         }
-        self.loads.retain(|server| records.contains_key(server));
+        self.news.loads.retain(|server| records.contains_key(server));
         drop(records);
         self.tell_fleet();
     }
@@ -122,8 +126,8 @@
 
     fn connect_to(&self, server: &ServerId, address: SocketAddr) -> Rc<AgentPeer> {
         let (identity, metrics) = (self.identity.clone(), self.metrics.clone());
-        let loads = self.loads.clone();
-        Rc::new(AgentPeer::new(server.clone(), address, identity, metrics, loads))
+        let news = self.news.clone();
+        Rc::new(AgentPeer::new(server.clone(), address, identity, metrics, news))
     }
 
     /// The server of that name.
--- a/crates/papayamux-state/src/refusal.rs
+++ b/crates/papayamux-state/src/refusal.rs
@@ -83,6 +83,8 @@
     Displaced = 13, "displaced";
     /// The chat's context is at another server.
     ContextElsewhere = 14, "context_elsewhere";
+    /// Servers have ended under the request.
+    Quarantined = 15, "quarantined";
     /// The engine does not have the model loaded at present.
     ModelNotLoaded = 50, "model_not_loaded";
     /// The engine does not have the adapter loaded at present.
@@ -102,6 +104,7 @@
                 | RefusalReason::Cancelled
                 | RefusalReason::ClaimMissing
                 | RefusalReason::KeyRunBefore
+                | RefusalReason::Quarantined
         )
     }
 }
--- a/crates/papayamux-testbed/tests/ending_requests.rs
+++ b/crates/papayamux-testbed/tests/ending_requests.rs
@@ -1,5 +1,7 @@
 //! A chat ended each engine that began to run it, and came back through any router. Nothing outlived its
-//! call, so that each call went from engine to engine for as long as the retry budget let it.
+//! call, so that each call went from engine to engine for as long as the retry budget let it: all nine ended.
+//! Where it had gone over a kept connection, the agent's log said `"message":"server unreachable"` with
+//! `Connection refused`, as if the engine had ended before.
 
 use std::error::Error;
 use std::time::Duration;
--- a/crates/papayamux-testbed/tests/link_faults.rs
+++ b/crates/papayamux-testbed/tests/link_faults.rs
@@ -294,6 +294,7 @@
         headers: Vec::new(),
         body: Bytes::new(),
         placement: PlacementRule::default(),
+        sent_after: papayamux_state::crash_record::CrashRecord::default(),
     };
     sender.send(0, RouterMessage::Hello(hello));
     sender.send(1, RouterMessage::Open(Box::new(open)));
