Log why a request is held, with its fingerprint

A refusal named no fingerprint, and a stream that was not continued for its quarantine looked like one whose attempts were used up, so that the way from a failed request to the servers that had ended under it was cut.

--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -263,6 +263,10 @@
             return Ok(());
         }
         let Some(left) = self.fleet.hold_left(self.fingerprint()) else { return Ok(()) };
+        log::info!(
+            request:% = self.call.id, fingerprint:% = self.fingerprint(),
+            held_ms = left.as_millis() as u64; "request is held"
+        );
         if self.history.may_have_run() {
             return Err(self.failure(NotRunReason::Quarantined));
         }
