Play requests that end servers in the soak

No test or soak held a request that acts on servers by what it says, which is why none found that routers sent it on and on.

--- a/crates/papayamux-measure/src/soak/checks.rs
+++ b/crates/papayamux-measure/src/soak/checks.rs
@@ -26,6 +26,10 @@
 /// How long before a router was given up nothing else may have held its end up: its grace of 4 s, the
 /// wait for its end, and the usual span before.
 const END_CALM: Duration = Duration::from_secs(14);
+/// Time after the third server has ended under a request in which routers may still learn of it, and how
+/// often it may reach servers after that.
+const CRASHES_KNOWN_WITHIN: Duration = Duration::from_secs(3);
+const MOST_LATE_RUNS: usize = 3;
 /// Time after the last disturbance from which every request must be served.
 const RECOVER_WITHIN: Duration = Duration::from_secs(8);
 
@@ -54,6 +58,8 @@
     DeadlineKept,
     /// After the disturbances all is served again.
     Recovery,
+    /// A request under which servers end is kept from the others.
+    CrashesEnd,
     /// What others write into the list of servers leads nowhere.
     ForeignUnused,
 }
@@ -103,6 +109,8 @@
             violations.extend(checked.check_service(call, run));
         }
     }
+    violations.extend(checked.check_fatal_answers());
+    violations.extend(checked.check_fatal_runs());
     violations.extend(checked.check_stuck());
     violations.extend(checked.check_budget());
     violations.extend(checked.check_rising());
@@ -281,6 +289,35 @@
         starts.filter(|(router, at)| *router == call.router && *at <= call.sent).count()
     }
 
+    /// Calls with the fatal request that ran though they were said not to.
+    fn check_fatal_answers(&self) -> Vec<Violation> {
+        let told = self.history.fatal_calls.iter().filter(|call| call.told == Told::NotRun);
+        let ran = |id: &str| self.history.fatal_runs.iter().any(|run| run.id == id);
+        let false_ones = told.filter(|call| ran(&call.id)).filter_map(|call| {
+            broken(Promise::NotRunIsTrue, format!("request {} ran all the same", call.id))
+        });
+        false_ones.collect()
+    }
+
+    /// Runs of the fatal request after its third server had ended, from routers that could know.
+    fn check_fatal_runs(&self) -> Option<Violation> {
+        let third = self.history.fatal_runs.get(2)?.at;
+        let known = third + CRASHES_KNOWN_WITHIN + MACHINE_SLACK;
+        let late = self.history.fatal_runs.iter().filter(|run| {
+            let call = self.history.fatal_calls.iter().find(|call| call.id == run.id);
+            run.at > known
+                && call.is_some_and(|call| {
+                    let from = call.sent.saturating_sub(CALM_BEFORE);
+                    self.history.is_calm(Subject::Router(call.router), from, run.at)
+                })
+        });
+        let late = late.count();
+        if late <= MOST_LATE_RUNS {
+            return None;
+        }
+        broken(Promise::CrashesEnd, format!("{late} runs after the third server had ended"))
+    }
+
     /// Routers that did not end in their grace, though nothing else held them up.
     fn check_stuck(&self) -> Vec<Violation> {
         let stuck = self.history.stuck_ends.iter().filter(|(router, at)| {
--- /dev/null
+++ b/crates/papayamux-measure/src/soak/fatal_requests.rs
@@ -0,0 +1,57 @@
+//! A request under which every engine ends, repeated at any router.
+
+use std::time::Duration;
+
+use papayamux_platform_standins::{
+    CallPart, CallPrompt, CallRoute, CallerConnection, CallerRequest,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::checks::DEADLINE;
+use super::history::{CallKind, CallRecord, Told};
+use super::servers::FATAL_BODY;
+use super::workload::CallerBoard;
+
+/// The pause between two repetitions, in milliseconds.
+const PAUSE_MILLIS: std::ops::Range<u64> = 50..600;
+/// What the draws of this caller differ by from those of faults.
+const SERIES: u64 = 0x6661_7461_6c00;
+
+/// Repeats the request until the board says that faults are over.
+pub(super) fn run_fatal_caller(board: &CallerBoard, seed: u64) -> Vec<CallRecord> {
+    let mut random = StdRng::seed_from_u64(seed ^ SERIES);
+    let mut calls = Vec::new();
+    while !board.faults_are_over() {
+        std::thread::sleep(Duration::from_millis(random.random_range(PAUSE_MILLIS)));
+        let routers = board.routers();
+        let router = random.random_range(0..routers.len());
+        let Some(address) = routers[router] else { continue };
+        let (id, key) = (format!("fatal-{:x}", calls.len()), board.newest_key());
+        let sent = board.now();
+        let connection = CallerConnection::open(address, DEADLINE);
+        let text = text(&id, &key);
+        let answer = connection.and_then(|mut connection| connection.exchange(&text));
+        let told = match answer {
+            Some(answer) if answer.whole && answer.promises_not_run() => Told::NotRun,
+            Some(answer) if answer.whole => Told::Failed(answer.status),
+            _ => Told::Nothing,
+        };
+        let kind = CallKind::ResumableStream;
+        calls.push(CallRecord { id, kind, router, key, sent, ended: board.now(), told });
+    }
+    calls
+}
+
+fn text(id: &str, key: &str) -> String {
+    let prompt = CallPrompt { parts: vec![CallPart { id: 0x5c1e, tokens: 800 }], answer_tokens: 8 };
+    let request = CallerRequest::builder()
+        .route(CallRoute::ResumableStream)
+        .id(id.to_string())
+        .key(key.to_string())
+        .left(DEADLINE)
+        .prompt(prompt)
+        .body(FATAL_BODY.to_string())
+        .build();
+    request.text()
+}
--- a/crates/papayamux-measure/src/soak/fleet.rs
+++ b/crates/papayamux-measure/src/soak/fleet.rs
@@ -31,6 +31,8 @@
     pub(super) link: LinkControl,
     /// How often it has started.
     pub(super) starts: u64,
+    /// Whether routers reach it without the link.
+    is_direct: bool,
 }
 
 impl SoakServer {
@@ -43,14 +45,18 @@
     ) -> Result<Self, TestbedError> {
         let server = start_server(id, service, book);
         let link = LinkControl::start(server.address)?;
-        let started = Self { server, link, starts: 1 };
+        let started = Self { server, link, starts: 1, is_direct: book.may_end(service) };
         started.list(store, false)?;
         Ok(started)
     }
 
     /// Writes the server's entry into the store.
     pub(super) fn list(&self, store: &StoreStandIn, draining: bool) -> Result<(), TestbedError> {
-        let address = Some(self.link.listen()?);
+        let address = match self.is_direct {
+            true => self.server.address,
+            false => self.link.listen()?,
+        };
+        let address = Some(address);
         let born = Some(self.starts);
         let listing = ServerListing { address, draining, born, ..ServerListing::default() };
         self.server.list(store, listing);
--- a/crates/papayamux-measure/src/soak/history.rs
+++ b/crates/papayamux-measure/src/soak/history.rs
@@ -136,6 +136,10 @@
     pub stuck_ends: Vec<(usize, Duration)>,
     /// Starts of each router's processes.
     pub starts: Vec<(usize, Duration)>,
+    /// Calls with the request under which engines end.
+    pub fatal_calls: Vec<CallRecord>,
+    /// Its runs, each of which ended an engine.
+    pub fatal_runs: Vec<RunRecord>,
     /// When the last disturbance was over.
     pub calm_from: Duration,
 }
--- a/crates/papayamux-measure/src/soak/mod.rs
+++ b/crates/papayamux-measure/src/soak/mod.rs
@@ -1,6 +1,7 @@
 //! A randomized soak: real routers, faults from outside, and checks of what they promise.
 
 mod checks;
+mod fatal_requests;
 mod fault_kind;
 mod fleet;
 mod history;
--- a/crates/papayamux-measure/src/soak/options.rs
+++ b/crates/papayamux-measure/src/soak/options.rs
@@ -22,6 +22,9 @@
     /// Whether servers start again under their names and others write entries, beside other faults.
     #[builder(default)]
     pub entries: bool,
+    /// Whether a request is repeated all the while under which every engine ends.
+    #[builder(default)]
+    pub fatal: bool,
     /// Callers, each with one request at a time.
     #[builder(default = 12)]
     pub callers: usize,
--- a/crates/papayamux-measure/src/soak/run.rs
+++ b/crates/papayamux-measure/src/soak/run.rs
@@ -7,6 +7,7 @@
 use papayamux_transport::runtime;
 
 use super::checks::{check_history, Violation};
+use super::fatal_requests::run_fatal_caller;
 use super::fault_kind::{draw_faults, draw_with_entries};
 use super::fleet::{SoakFleet, SoakServer};
 use super::history::{SoakHistory, Told};
@@ -46,6 +47,10 @@
             std::thread::spawn(move || run_caller(&board, number, seed))
         })
         .collect();
+    let fatal = options.fatal.then(|| {
+        let (board, seed) = (injector.fleet.board.clone(), options.seed);
+        std::thread::spawn(move || run_fatal_caller(&board, seed))
+    });
     let offset = injector.fleet.board.now();
     let faults = match options.entries {
         true => draw_with_entries(options.seed, options.length),
@@ -65,6 +70,10 @@
         }
         injector.begin(fault).await?;
     }
+    injector.fleet.board.end_faults();
+    if let Some(fatal) = fatal {
+        injector.history.fatal_calls = fatal.join().map_err(|_| "the fatal caller panicked")?;
+    }
     injector.end_all().await?;
     let calm_until = injector.fleet.board.now() + CALM;
     while injector.fleet.board.now() < calm_until {
@@ -78,12 +87,13 @@
     let mut history = injector.history;
     history.calls = injector.fleet.board.take_calls();
     history.runs = injector.fleet.book.take();
+    history.fatal_runs = injector.fleet.book.take_fatal();
     Ok(history)
 }
 
 fn start(options: &SoakOptions, begun: Instant) -> Result<FaultInjector, TaskError> {
     let store = StoreStandIn::start();
-    let book = RunBook::new(begun);
+    let book = RunBook::new(begun, options.fatal);
     let board = CallerBoard::new(begun, options.routers, KEY);
     let mut servers = Vec::new();
     for service in SERVICES {
@@ -122,6 +132,13 @@
         history.configurations.len(),
         violations.len()
     );
+    if options.fatal {
+        println!(
+            "  the fatal request: {} calls, {} runs",
+            history.fatal_calls.len(),
+            history.fatal_runs.len()
+        );
+    }
     for violation in violations {
         println!("  {violation}");
     }
--- a/crates/papayamux-measure/src/soak/servers.rs
+++ b/crates/papayamux-measure/src/soak/servers.rs
@@ -17,23 +17,53 @@
 /// How long a plain call takes.
 const PLAIN_WORK: Duration = Duration::from_millis(10);
 
+/// The body of the request under which servers end.
+pub(super) const FATAL_BODY: &str = "fatal";
+/// How long a server is away that has ended.
+const BACK_AFTER: Duration = Duration::from_millis(1_500);
+
 /// The runs of all servers.
 #[derive(Debug, Clone)]
 pub(super) struct RunBook {
     begun: Instant,
     runs: Arc<Mutex<Vec<RunRecord>>>,
+    fatal_runs: Arc<Mutex<Vec<RunRecord>>>,
+    /// Whether a request is repeated under which engines end.
+    is_fatal: bool,
 }
 
 impl RunBook {
-    pub(super) fn new(begun: Instant) -> Self {
-        Self { begun, runs: Arc::default() }
+    pub(super) fn new(begun: Instant, is_fatal: bool) -> Self {
+        Self { begun, runs: Arc::default(), fatal_runs: Arc::default(), is_fatal }
     }
 
-    fn note(&self, request: &ServerRequest, service: &str) {
+    /// Whether the servers of a service may end under a request. A proxy before them would accept
+    /// connections all the same, so that they have none.
+    pub(super) fn may_end(&self, service: &str) -> bool {
+        self.is_fatal && service == "llm"
+    }
+
+    fn record(&self, request: &ServerRequest, service: &str) -> RunRecord {
         let id = request.id().to_string();
         let (server, service) = (request.server.clone(), service.to_string());
-        let run = RunRecord { id, server, service, at: self.begun.elapsed() };
-        self.runs.lock().push(run);
+        RunRecord { id, server, service, at: self.begun.elapsed() }
+    }
+
+    fn note(&self, request: &ServerRequest, service: &str) {
+        self.runs.lock().push(self.record(request, service));
+    }
+
+    /// Notes a request if it is the one under which servers end, and returns whether it is.
+    fn note_fatal(&self, request: &ServerRequest, service: &str) -> bool {
+        let is_fatal = request.message.body == FATAL_BODY.as_bytes();
+        if is_fatal {
+            self.fatal_runs.lock().push(self.record(request, service));
+        }
+        is_fatal
+    }
+
+    pub(super) fn take_fatal(&self) -> Vec<RunRecord> {
+        std::mem::take(&mut *self.fatal_runs.lock())
     }
 
     pub(super) fn take(&self) -> Vec<RunRecord> {
@@ -56,7 +86,11 @@
 /// Starts a server of `service`.
 pub(super) fn start_server(id: &str, service: &str, book: &RunBook) -> ServerStandIn {
     let (book, name) = (book.clone(), service.to_string());
-    ServerStandIn::start(id, service, move |request, stream| {
+    let (fatal_book, fatal_name) = (book.clone(), name.clone());
+    let is_fatal = move |request: &ServerRequest| {
+        request.is_meant_here() && fatal_book.note_fatal(request, &fatal_name)
+    };
+    ServerStandIn::ending_on(id, service, BACK_AFTER, is_fatal, move |request, stream| {
         if !request.is_meant_here() {
             return stream.write_all(request.refusal_of_other().as_bytes()).is_ok();
         }
--- a/crates/papayamux-measure/src/soak/workload.rs
+++ b/crates/papayamux-measure/src/soak/workload.rs
@@ -41,6 +41,7 @@
     routers: Mutex<Vec<Option<SocketAddr>>>,
     keys: Mutex<Vec<String>>,
     calls: Mutex<Vec<CallRecord>>,
+    faults_over: AtomicBool,
     ended: AtomicBool,
 }
 
@@ -51,6 +52,7 @@
             routers: Mutex::new(vec![None; routers]),
             keys: Mutex::new(vec![key.to_string()]),
             calls: Mutex::default(),
+            faults_over: AtomicBool::new(false),
             ended: AtomicBool::new(false),
         })
     }
@@ -69,6 +71,25 @@
         self.keys.lock().push(key.to_string());
     }
 
+    /// Where all routers are.
+    pub(super) fn routers(&self) -> Vec<Option<SocketAddr>> {
+        self.routers.lock().clone()
+    }
+
+    /// The key that was added last.
+    pub(super) fn newest_key(&self) -> String {
+        self.keys.lock().last().cloned().unwrap_or_default()
+    }
+
+    /// Notes that there are no more faults.
+    pub(super) fn end_faults(&self) {
+        self.faults_over.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn faults_are_over(&self) -> bool {
+        self.faults_over.load(Ordering::Relaxed)
+    }
+
     pub(super) fn end(&self) {
         self.ended.store(true, Ordering::Relaxed);
     }
--- a/crates/papayamux-measure/tests/soak_checks.rs
+++ b/crates/papayamux-measure/tests/soak_checks.rs
@@ -218,3 +218,30 @@
     history.runs[1].service = "nobody's".to_string();
     assert!(broken(&history).contains(&Promise::ForeignUnused));
 }
+
+/// Calls and runs of the fatal request, one a second from the first second on; each run ends a server.
+fn fatal_history(runs: u64) -> SoakHistory {
+    let id = |number: u64| format!("fatal-{number}");
+    let kind = CallKind::ResumableStream;
+    SoakHistory {
+        fatal_calls: (1..=runs).map(|n| call(&id(n), kind, n * 1_000, Told::Nothing)).collect(),
+        fatal_runs: (1..=runs).map(|n| run(&id(n), "llm", n * 1_000 + 5)).collect(),
+        ..sound()
+    }
+}
+
+#[test]
+fn request_that_goes_on_ending_servers_is_found() {
+    assert_eq!(broken(&fatal_history(9)), [], "three of them may come after routers could know");
+    assert_eq!(broken(&fatal_history(10)), [Promise::CrashesEnd]);
+    let mut excused = fatal_history(10);
+    excused.disturbances.push(disturbance(Subject::Router(0), 0, 10_500));
+    assert_eq!(broken(&excused), [], "its router had just been disturbed");
+}
+
+#[test]
+fn fatal_request_that_ran_though_it_was_said_not_to_is_found() {
+    let mut history = fatal_history(3);
+    history.fatal_calls[2].told = Told::NotRun;
+    assert_eq!(broken(&history), [Promise::NotRunIsTrue]);
+}
