Hold no request for two ends among others that it had no part in

Callers of harmless requests were turned away that had been at two servers in a row which something else had ended: servers killed one after the other, or those of a failure domain. Cause: two crashes in a row were enough whatever else ended. Change: a router counts the servers that have ended in the last ten seconds; where they are more than the request was at, a third crash is needed, and no other router is told to hold it before. Tests: request_is_not_held_for_two_ends_where_other_servers_end_without_it fails where two are always enough; crash_spread.rs plays up to eight such requests beside other ends, with restarts, and larger fleets that restart: at most 3 late arrivals of each request, as before.

--- a/crates/papayamux-coordination/src/crash_quarantine.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine.rs
@@ -4,15 +4,23 @@
 //! So crashes count for its content and not for the call, and all routers share the count. A request that
 //! only happened to be at a server that ended is cleared by its next whole run.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use papayamux_state::crash_record::{CrashNotice, CrashRecord};
+use papayamux_state::ids::ServerId;
 use papayamux_state::request_fingerprint::RequestFingerprint;
 
 /// Crashes in a row after which a request is kept from servers. Others that were at the same server once
 /// must still be able to go elsewhere.
 const CRASHES_TO_HOLD: u32 = 2;
+/// The same where other servers have ended without it. Something else ends them, which may have ended both
+/// of those that ran it.
+const CRASHES_AMONG_OTHERS: u32 = 3;
+/// How long the end of a server speaks for such a cause.
+const ENDS_COUNT_FOR: Duration = Duration::from_secs(10);
+/// Ends of servers that are kept.
+const MOST_ENDS: usize = 64;
 /// How long the first hold lasts.
 const FIRST_HOLD: Duration = Duration::from_secs(30);
 /// By how much each further crash lengthens the hold.
@@ -61,6 +69,8 @@
     held_until: Instant,
     /// When this router lets it try a server.
     trial_from: Instant,
+    /// Whether it is held, or was until its trial.
+    is_held: bool,
     /// Whether others are still to be told.
     untold: Option<NoticeOrigin>,
 }
@@ -69,7 +79,8 @@
     fn new(record: CrashRecord, held: Duration, draw: f64, now: Instant) -> Self {
         // Routers let it try again at different times: the first of them finds out for all.
         let trial_from = now + held.mul_f64(1.0 + draw);
-        Self { record, changed: now, held_until: now + held, trial_from, untold: None }
+        let (held_until, is_held) = (now + held, !held.is_zero());
+        Self { record, changed: now, held_until, trial_from, is_held, untold: None }
     }
 
     fn notice(&self, fingerprint: RequestFingerprint, now: Instant) -> CrashNotice {
@@ -86,6 +97,8 @@
 #[derive(Debug, Default)]
 pub struct CrashQuarantine {
     requests: BTreeMap<RequestFingerprint, SuspectRequest>,
+    /// Servers that have ended lately, and when, the latest last.
+    ends: VecDeque<(ServerId, Instant)>,
     repeated_last: Option<RequestFingerprint>,
 }
 
@@ -99,7 +112,7 @@
     pub fn hold_left(&self, fingerprint: RequestFingerprint, now: Instant) -> Option<Duration> {
         let suspect = self.requests.get(&fingerprint)?;
         let left = suspect.trial_from.saturating_duration_since(now);
-        (suspect.record.crashes >= CRASHES_TO_HOLD && !left.is_zero()).then_some(left)
+        (suspect.is_held && !left.is_zero()).then_some(left)
     }
 
     /// Notes that a request is about to be sent. The record returned tells which crashes it was sent
@@ -108,12 +121,38 @@
         let Some(suspect) = self.requests.get_mut(&fingerprint) else {
             return CrashRecord::default();
         };
-        if suspect.record.crashes >= CRASHES_TO_HOLD {
+        if suspect.is_held {
             suspect.trial_from = suspect.trial_from.max(now + TRIAL_WITHIN);
         }
         suspect.record
     }
 
+    /// Notes that a server has ended that should be serving.
+    pub fn note_end(&mut self, server: &ServerId, now: Instant) {
+        self.ends.retain(|(_, ended)| now.saturating_duration_since(*ended) < ENDS_COUNT_FOR);
+        if self.ends.iter().any(|(ended, _)| ended == server) {
+            return;
+        }
+        if self.ends.len() == MOST_ENDS {
+            self.ends.pop_front();
+        }
+        self.ends.push_back((server.clone(), now));
+    }
+
+    /// How long a request is held from now on.
+    fn hold(&self, record: CrashRecord, now: Instant) -> Duration {
+        let lately = |ended: &Instant| now.saturating_duration_since(*ended) < ENDS_COUNT_FOR;
+        let ends = self.ends.iter().filter(|(_, ended)| lately(ended)).count();
+        let enough = match ends > record.crashes as usize {
+            true => CRASHES_AMONG_OTHERS,
+            false => CRASHES_TO_HOLD,
+        };
+        if record.crashes < enough {
+            return Duration::ZERO;
+        }
+        longest_hold(record)
+    }
+
     /// Notes that a server ended under a request that was sent with the record `sent`. Servers that ended
     /// at the same time count as one: what ended them together was not this request alone. Returns the new
     /// record, where it tells more than the one before. `draw` is from 0 to 1.
@@ -125,7 +164,8 @@
         now: Instant,
     ) -> Option<CrashRecord> {
         let record = sent.after_crash();
-        let notice = CrashNotice { fingerprint, record, held: hold(record) };
+        let held = self.hold(record, now);
+        let notice = CrashNotice { fingerprint, record, held };
         self.take(notice, NoticeOrigin::Seen, draw, now).then_some(record)
     }
 
@@ -148,7 +188,7 @@
 
     /// Takes in what another router tells. Returns whether that was new.
     pub fn take_notice(&mut self, notice: CrashNotice, draw: f64, now: Instant) -> bool {
-        let held = notice.held.min(hold(notice.record));
+        let held = notice.held.min(longest_hold(notice.record));
         self.take(CrashNotice { held, ..notice }, NoticeOrigin::Heard, draw, now)
     }
 
@@ -226,8 +266,8 @@
     }
 }
 
-/// How long a request with this record is kept from servers.
-fn hold(record: CrashRecord) -> Duration {
+/// How long a request with this record is kept from servers at most.
+fn longest_hold(record: CrashRecord) -> Duration {
     let Some(further) = record.crashes.checked_sub(CRASHES_TO_HOLD) else {
         return Duration::ZERO;
     };
--- a/crates/papayamux-coordination/tests/crash_quarantine.rs
+++ b/crates/papayamux-coordination/tests/crash_quarantine.rs
@@ -1,9 +1,11 @@
 //! Requests under which servers end are kept from the others, and only those.
+#![allow(clippy::unwrap_used, reason = "helpers of tests, which may panic")]
 
 use std::time::{Duration, Instant};
 
 use papayamux_coordination::crash_quarantine::{CrashQuarantine, NoticeOrigin};
 use papayamux_state::crash_record::{CrashNotice, CrashRecord};
+use papayamux_state::ids::ServerId;
 use papayamux_state::request_fingerprint::RequestFingerprint;
 
 const FATAL: RequestFingerprint = RequestFingerprint(1);
@@ -137,3 +139,47 @@
     quarantine.forget_old(now + seconds(700));
     assert!(quarantine.is_empty());
 }
+
+fn server(number: u32) -> ServerId {
+    format!("i-{number}").parse().unwrap()
+}
+
+/// Sends the request to a server, which ends under it.
+fn crash_at(quarantine: &mut CrashQuarantine, number: u32, now: Instant) {
+    let sent = quarantine.begin_attempt(FATAL, now);
+    quarantine.note_end(&server(number), now);
+    quarantine.note_crash(FATAL, sent, 0.0, now);
+}
+
+/// Callers of harmless requests were turned away that had been at two servers in a row which were killed,
+/// one after the other or with all of their failure domain, by something else.
+#[test]
+fn request_is_not_held_for_two_ends_where_other_servers_end_without_it() {
+    let (mut quarantine, now) = (CrashQuarantine::default(), Instant::now());
+    for number in 0..4 {
+        quarantine.note_end(&server(number), now);
+    }
+    crash_at(&mut quarantine, 0, now);
+    crash_at(&mut quarantine, 4, now + seconds(1));
+    assert_eq!(quarantine.hold_left(FATAL, now + seconds(1)), None);
+    let told = quarantine.next_untold(NoticeOrigin::Seen, 8, now + seconds(1));
+    assert_eq!(told[0].held, Duration::ZERO, "nor is any other router told to hold it");
+    crash_at(&mut quarantine, 5, now + seconds(2));
+    assert_eq!(
+        quarantine.hold_left(FATAL, now + seconds(2)),
+        Some(seconds(120)),
+        "a third is enough"
+    );
+}
+
+#[test]
+fn request_is_held_for_two_ends_that_are_all_its_own() {
+    let (mut quarantine, now) = (CrashQuarantine::default(), Instant::now());
+    quarantine.note_end(&server(9), now);
+    let now = now + seconds(30);
+    crash_at(&mut quarantine, 0, now);
+    // The same end is noticed by each request that was there.
+    quarantine.note_end(&server(0), now);
+    crash_at(&mut quarantine, 1, now);
+    assert_eq!(quarantine.hold_left(FATAL, now), Some(seconds(30)), "the end before is long ago");
+}
--- a/crates/papayamux-coordination/tests/crash_spread.rs
+++ b/crates/papayamux-coordination/tests/crash_spread.rs
@@ -1,5 +1,7 @@
-//! A fleet whose routers tell one another of crashes, in simulated time: a request that ends every server
-//! is sent again and again through any of them, datagrams are lost, routers forget all at their restarts.
+//! A fleet whose routers tell one another of crashes, in simulated time: requests that end every server are
+//! sent again and again through any of them, datagrams are lost, routers forget all at their restarts, and
+//! servers end by other causes too.
+#![allow(clippy::unwrap_used, reason = "helpers of tests, which may panic")]
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -11,7 +13,6 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-const FATAL: RequestFingerprint = RequestFingerprint(1);
 /// Time from a sending to the end of its server.
 const RUN_MS: u64 = 80;
 /// Time after the third server has ended, or after a restart, in which a router may still learn of it.
@@ -25,12 +26,16 @@
 /// Pause between the regular reports of a router, and to how many others each one goes.
 const REPORT_EVERY_MS: u64 = 250;
 const REPORTED_TO: usize = 12;
+/// Time between the first sendings of two requests.
+const FATALS_APART_MS: u64 = 130;
 
 /// What is played.
 #[derive(Debug, Clone, Copy)]
 struct Play {
     routers: usize,
-    /// Pause between two sendings of the request.
+    /// Requests that end servers.
+    fatals: usize,
+    /// Pause between two sendings of each of them.
     every_ms: u64,
     /// Servers that one call may reach.
     attempts: u32,
@@ -38,28 +43,52 @@
     restart_every_ms: Option<u64>,
     /// When all routers restart at once.
     all_restart_ms: Option<u64>,
+    /// Pause between two ends of servers that no request causes, each seen by one router.
+    ends_every_ms: Option<u64>,
     until_ms: u64,
 }
 
 const DEFAULT: Play = Play {
     routers: 6,
+    fatals: 1,
     every_ms: 250,
     attempts: 2,
     restart_every_ms: None,
     all_restart_ms: None,
+    ends_every_ms: None,
     until_ms: 90_000,
 };
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
-    Call(u32),
-    Crash { router: usize, life: u32, sent: (u32, u32), attempts_left: u32 },
-    Datagram { router: usize, notices: Vec<(u32, u32, u64)> },
+    Call(usize),
+    Crash(FatalRun),
+    Datagram { router: usize, notices: Vec<(u64, u32, u32, u64)> },
+    End,
     Report(usize),
     Restart,
     RestartAll,
 }
 
+/// A sending that is about to end its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct FatalRun {
+    fatal: usize,
+    router: usize,
+    life: u32,
+    /// The record that it was sent with.
+    sent: (u32, u32),
+    attempts_left: u32,
+}
+
+/// What one of the requests has done.
+#[derive(Debug, Clone, Copy, Default)]
+struct FatalHistory {
+    crashes: usize,
+    third_ms: Option<u64>,
+    late: usize,
+}
+
 struct Router {
     quarantine: CrashQuarantine,
     life: u32,
@@ -67,6 +96,10 @@
     told_last: usize,
 }
 
+fn fingerprint(fatal: usize) -> RequestFingerprint {
+    RequestFingerprint(fatal as u64)
+}
+
 struct Fleet {
     play: Play,
     random: StdRng,
@@ -75,9 +108,8 @@
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     scheduled: u64,
     routers: Vec<Router>,
-    crashes: usize,
-    third_ms: Option<u64>,
-    late: usize,
+    fatals: Vec<FatalHistory>,
+    ends: u32,
     news_datagrams: usize,
 }
 
@@ -86,7 +118,7 @@
 struct Outcome {
     /// Servers that ended.
     crashes: usize,
-    /// How often the request reached a server when routers should have known.
+    /// How often one of the requests reached a server when routers should have known.
     late: usize,
     /// Datagrams with news that a router sent for each record, beside its reports.
     news_per_record: f64,
@@ -107,20 +139,25 @@
         events: BinaryHeap::new(),
         scheduled: 0,
         routers: routers.collect(),
-        crashes: 0,
-        third_ms: None,
-        late: 0,
+        fatals: vec![FatalHistory::default(); play.fatals],
+        ends: 0,
         news_datagrams: 0,
     };
     fleet.run();
-    let records = fleet.crashes.max(1) * play.routers;
-    let news_per_record = fleet.news_datagrams as f64 / records as f64;
-    Outcome { crashes: fleet.crashes, late: fleet.late, news_per_record }
+    let crashes: usize = fleet.fatals.iter().map(|fatal| fatal.crashes).sum();
+    let news_per_record = fleet.news_datagrams as f64 / (crashes.max(1) * play.routers) as f64;
+    let late = fleet.fatals.iter().map(|fatal| fatal.late).max().unwrap_or_default();
+    Outcome { crashes, late, news_per_record }
 }
 
 impl Fleet {
     fn run(&mut self) {
-        self.schedule(0, Event::Call(self.play.attempts));
+        for fatal in 0..self.play.fatals {
+            self.schedule(fatal as u64 * FATALS_APART_MS, Event::Call(fatal));
+        }
+        if let Some(every) = self.play.ends_every_ms {
+            self.schedule(every, Event::End);
+        }
         for router in 0..self.play.routers {
             let first = self.random.random_range(0..REPORT_EVERY_MS);
             self.schedule(first, Event::Report(router));
@@ -151,33 +188,24 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Call(attempts) => {
+            Event::Call(fatal) => {
                 let router = self.random.random_range(0..self.play.routers);
-                self.send(router, attempts);
-                self.schedule(self.play.every_ms, Event::Call(attempts));
+                self.send(fatal, router, self.play.attempts);
+                self.schedule(self.play.every_ms, Event::Call(fatal));
             }
-            Event::Crash { router, life, sent, attempts_left } => {
-                self.crashes += 1;
-                if self.crashes == 3 {
-                    self.third_ms = Some(self.now_ms);
-                }
-                if self.routers[router].life != life {
-                    return;
-                }
-                let (draw, now) = (self.random.random(), self.now());
-                let sent = CrashRecord { cleared: sent.0, crashes: sent.1 };
-                self.routers[router].quarantine.note_crash(FATAL, sent, draw, now);
-                self.spread(router);
-                if attempts_left > 0 {
-                    self.send(router, attempts_left);
-                }
+            Event::Crash(run) => self.crash(run),
+            Event::End => {
+                let router = self.random.random_range(0..self.play.routers);
+                self.note_end(router);
+                let every = self.play.ends_every_ms.unwrap_or(u64::MAX);
+                self.schedule(every, Event::End);
             }
             Event::Datagram { router, notices } => {
                 let now = self.now();
-                for (cleared, crashes, held_ms) in notices {
+                for (fingerprint, cleared, crashes, held_ms) in notices {
                     let draw = self.random.random();
                     let notice = CrashNotice {
-                        fingerprint: FATAL,
+                        fingerprint: RequestFingerprint(fingerprint),
                         record: CrashRecord { cleared, crashes },
                         held: Duration::from_millis(held_ms),
                     };
@@ -206,23 +234,50 @@
         known.started_ms = self.now_ms;
     }
 
-    fn send(&mut self, router: usize, attempts: u32) {
+    /// Lets a router see that another server has ended.
+    fn note_end(&mut self, router: usize) {
+        self.ends += 1;
+        let (server, now) = (format!("i-{}", self.ends).parse().unwrap(), self.now());
+        self.routers[router].quarantine.note_end(&server, now);
+    }
+
+    fn crash(&mut self, run: FatalRun) {
+        let FatalRun { fatal, router, life, sent, attempts_left } = run;
+        let history = &mut self.fatals[fatal];
+        history.crashes += 1;
+        if history.crashes == 3 {
+            history.third_ms = Some(self.now_ms);
+        }
+        if self.routers[router].life != life {
+            return;
+        }
+        self.note_end(router);
+        let (draw, now) = (self.random.random(), self.now());
+        let sent = CrashRecord { cleared: sent.0, crashes: sent.1 };
+        self.routers[router].quarantine.note_crash(fingerprint(fatal), sent, draw, now);
+        self.spread(router);
+        if attempts_left > 0 {
+            self.send(fatal, router, attempts_left);
+        }
+    }
+
+    fn send(&mut self, fatal: usize, router: usize, attempts: u32) {
         let now = self.now();
         let known = &mut self.routers[router];
-        if known.quarantine.hold_left(FATAL, now).is_some() {
+        if known.quarantine.hold_left(fingerprint(fatal), now).is_some() {
             return;
         }
-        let sent = known.quarantine.begin_attempt(FATAL, now);
+        let sent = known.quarantine.begin_attempt(fingerprint(fatal), now);
         let (life, started_ms) = (known.life, known.started_ms);
-        let should_know = self.third_ms.is_some_and(|third| {
+        let should_know = self.fatals[fatal].third_ms.is_some_and(|third| {
             let has_run_for = self.now_ms - started_ms;
             let is_settled = started_ms == 0 || has_run_for > LEARNT_WITHIN_MS;
             self.now_ms > third + LEARNT_WITHIN_MS && is_settled
         });
-        self.late += usize::from(should_know);
+        self.fatals[fatal].late += usize::from(should_know);
         let sent = (sent.cleared, sent.crashes);
-        let crash = Event::Crash { router, life, sent, attempts_left: attempts - 1 };
-        self.schedule(RUN_MS, crash);
+        let run = FatalRun { fatal, router, life, sent, attempts_left: attempts - 1 };
+        self.schedule(RUN_MS, Event::Crash(run));
     }
 
     /// Passes on what a router has to tell.
@@ -264,7 +319,7 @@
         }
         let notices = notices.iter().map(|notice| {
             let CrashRecord { cleared, crashes } = notice.record;
-            (cleared, crashes, notice.held.as_millis() as u64)
+            (notice.fingerprint.0, cleared, crashes, notice.held.as_millis() as u64)
         });
         let notices = notices.collect();
         let way = self.random.random_range(1..=LONGEST_WAY_MS);
@@ -296,6 +351,27 @@
     }
 }
 
+#[test]
+fn routers_keep_several_such_requests_from_servers_that_end_by_other_causes_too() {
+    for fatals in [1, 3, 8] {
+        for ends_every_ms in [None, Some(700), Some(5_000)] {
+            for restart_every_ms in [None, Some(8_000)] {
+                let of =
+                    Play { fatals, ends_every_ms, restart_every_ms, every_ms: 1_300, ..DEFAULT };
+                check(of, 0..10);
+            }
+        }
+    }
+}
+
+#[test]
+fn routers_of_larger_fleets_that_restart_learn_it_again() {
+    for routers in [68, 300] {
+        let of = Play { routers, restart_every_ms: Some(500), every_ms: 300, ..DEFAULT };
+        check(Play { until_ms: 25_000, ..of }, 0..2);
+    }
+}
+
 #[test]
 fn fleet_that_has_forgotten_all_learns_it_again_within_the_bound() {
     for every_ms in [250, 1_300, 5_000] {
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -250,8 +250,7 @@
 
     /// Notes where an attempt was lost that its server ended under the request.
     pub(super) fn note_server_end(&self, lost: &LostAttempt) {
-        if lost.server_ended {
-            let server = self.tried.last().map_or("", ServerId::as_str);
+        if let Some(server) = self.tried.last().filter(|_| lost.server_ended) {
             self.fleet.note_crash(self.fingerprint(), self.sent_after, server);
         }
     }
--- a/crates/papayamux-router/src/direct/fleet/crash_records.rs
+++ b/crates/papayamux-router/src/direct/fleet/crash_records.rs
@@ -6,6 +6,7 @@
 use papayamux_coordination::crash_quarantine::{NoticeOrigin, HELD_PER_REPORT};
 use papayamux_coordination::mechanism::Mechanism;
 use papayamux_state::crash_record::{CrashNotice, CrashRecord};
+use papayamux_state::ids::ServerId;
 use papayamux_state::request_fingerprint::RequestFingerprint;
 
 use super::Fleet;
@@ -42,19 +43,20 @@
         &self,
         fingerprint: RequestFingerprint,
         sent: CrashRecord,
-        server: &str,
+        server: &ServerId,
     ) {
         if !self.uses(Mechanism::CrashQuarantine) {
             return;
         }
         let now = Instant::now();
         let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.note_end(server, now);
         let Some(record) = quarantine.note_crash(fingerprint, sent, rand::random(), now) else {
             return;
         };
         let held = quarantine.hold_left(fingerprint, now).unwrap_or_default();
         log::info!(
-            fingerprint:% = fingerprint, server = server, crashes = record.crashes,
+            fingerprint:% = fingerprint, server:% = server, crashes = record.crashes,
             held_ms = held.as_millis() as u64; "server ended under a request"
         );
         self.crash_noted.take().give();
