Let no caller have another caller's request held by a made-up fingerprint

A caller who knows what another one asks could write a body with the same fingerprint under which servers end, and routers would hold the other's request.

--- a/crates/papayamux-state/src/request_fingerprint.rs
+++ b/crates/papayamux-state/src/request_fingerprint.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 use std::str::FromStr;
 
+use sha2::{Digest, Sha256};
 use thiserror::Error;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::ids::OrganisationId;
 
@@ -23,7 +23,8 @@
     pub body: &'a [u8],
 }
 
-/// A request's content reduced to 64 bits. It is the same in every process, and unlike a request's id it
+/// A request's content reduced to 64 bits of its SHA-256, so that no caller can write a request that is
+/// taken for another caller's. It is the same in every process, and unlike a request's id it
 /// is the same again when a caller repeats the request.
 ///
 /// ```
@@ -45,13 +46,16 @@
             organisation.as_bytes(),
             content.body,
         ];
-        let mut hasher = Xxh3::new();
+        let mut hasher = Sha256::new();
         for field in fields {
             // The length keeps the end of one field apart from the beginning of the next.
-            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update((field.len() as u64).to_le_bytes());
             hasher.update(field);
         }
-        Self(hasher.digest())
+        let digest = hasher.finalize();
+        Self(
+            digest.iter().take(size_of::<u64>()).fold(0, |bits, byte| bits << 8 | u64::from(*byte)),
+        )
     }
 }
 
