--- a/crates/papayamux-router/src/callers/offer.rs
+++ b/crates/papayamux-router/src/callers/offer.rs
@@ -116,6 +116,7 @@
         // Each offer would end one more server, as those before it did.
         if let Some(left) = offer.hold_left(quarantine) {
             let left = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+            log::info!(fingerprint:% = offer.fingerprint(), held_ms = left; "request is held");
             refusal = RefusalNotice::new(RefusalReason::Quarantined, left);
             desk.metrics.refusals.count(refusal.reason.label());
             break;
--- a/crates/papayamux-router/src/direct/fleet/crash_records.rs
+++ b/crates/papayamux-router/src/direct/fleet/crash_records.rs
@@ -54,7 +54,12 @@
         let Some(record) = quarantine.note_crash(fingerprint, sent, rand::random(), now) else {
             return;
         };
-        let held = quarantine.hold_left(fingerprint, now).unwrap_or_default();
+        self.metrics.crash_records.count("crash");
+        let held = quarantine.hold_left(fingerprint, now);
+        if held.is_some() {
+            self.metrics.crash_records.count("held");
+        }
+        let held = held.unwrap_or_default();
         log::info!(
             fingerprint:% = fingerprint, server:% = server, crashes = record.crashes,
             held_ms = held.as_millis() as u64; "server ended under a request"
@@ -65,6 +70,7 @@
     /// Notes that a server has run a request to its end.
     pub(in crate::direct) fn note_run(&self, fingerprint: RequestFingerprint, sent: CrashRecord) {
         if self.quarantine.borrow_mut().note_run(fingerprint, sent, Instant::now()) {
+            self.metrics.crash_records.count("cleared");
             log::info!(fingerprint:% = fingerprint; "suspect request was served");
             self.crash_noted.take().give();
         }
@@ -84,6 +90,7 @@
             }
             learnt = true;
             if let Some(held) = quarantine.hold_left(notice.fingerprint, now) {
+                self.metrics.crash_records.count("told");
                 log::info!(
                     peer:% = peer, fingerprint:% = notice.fingerprint,
                     crashes = notice.record.crashes, held_ms = held.as_millis() as u64;
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -74,6 +74,9 @@
     pub part_inquiries: ReasonCounters,
     /// Servers that were looked at after a connection to them broke: `refused`, `accepted` or `unanswered`.
     pub server_checks: ReasonCounters,
+    /// What was learnt of requests under which servers end: `crash` and `cleared` by this router's own requests,
+    /// `held` where that holds a request, `told` where another router's word does.
+    pub crash_records: ReasonCounters,
     /// Seconds since what other routers told of the source was known to be newest, when they told it.
     pub news_age: Histogram,
     /// How many routers had passed that on.
@@ -97,6 +100,7 @@
             report_bytes: Counter::default(),
             part_inquiries: ReasonCounters::default(),
             server_checks: ReasonCounters::default(),
+            crash_records: ReasonCounters::default(),
             news_age: Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS)),
             news_hops: Histogram::new(HOP_BUCKETS),
             heads: latency_family(),
@@ -153,6 +157,8 @@
         registry.register("part_inquiries", "Questions about who holds a part", inquiries);
         let checks = self.server_checks.0.clone();
         registry.register("server_checks", "Servers probed after a connection broke", checks);
+        let records = self.crash_records.0.clone();
+        registry.register("crash_records", "Requests under which servers ended", records);
         let ages = self.news_age.clone();
         registry.register("source_news_age_seconds", "Age of what others tell of the source", ages);
         let hops = self.news_hops.clone();
