--- a/crates/papayamux-measure/src/soak/servers.rs
+++ b/crates/papayamux-measure/src/soak/servers.rs
@@ -87,7 +87,7 @@
 pub(super) fn start_server(id: &str, service: &str, book: &RunBook) -> ServerStandIn {
     let (book, name) = (book.clone(), service.to_string());
     let (fatal_book, fatal_name) = (book.clone(), name.clone());
-    let is_fatal = move |request: &ServerRequest| {
+    let is_fatal = move |request: &ServerRequest, _: &mut TcpStream| {
         request.is_meant_here() && fatal_book.note_fatal(request, &fatal_name)
     };
     ServerStandIn::ending_on(id, service, BACK_AFTER, is_fatal, move |request, stream| {
