Log each repeat with the budget that allowed it, and how old the list of servers was

The hypotheses on the report of repeats can't be told apart by the logs: a repeat that was allowed left no line, and its service was not named. Each one now logs what the router counts; the metric repeats_taken stands beside repeats_denied. An answer logs how old its router's list of servers was, which the configuration's age doesn't show where others vouch for it.

--- a/crates/papayamux-coordination/src/service_retry_budget.rs
+++ b/crates/papayamux-coordination/src/service_retry_budget.rs
@@ -44,6 +44,17 @@
     repeats: u32,
 }
 
+/// What a router has counted for one service, for its log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RetryAccount {
+    /// Requests in the window.
+    pub requests: u32,
+    /// Repeats in the window.
+    pub repeats: u32,
+    /// Routers that share the slack.
+    pub sharers: u32,
+}
+
 /// One router's part of the budget, for each service.
 #[derive(Debug)]
 pub struct ServiceRetryBudget {
@@ -86,6 +97,12 @@
         true
     }
 
+    /// What is counted in the window that ends now.
+    pub fn account(&self, service: &ServiceId, now: Instant) -> RetryAccount {
+        let (requests, repeats) = self.counts(service, now);
+        RetryAccount { requests, repeats, sharers: self.sharers }
+    }
+
     fn counts(&self, service: &ServiceId, now: Instant) -> (u32, u32) {
         let buckets = self.services.get(service).into_iter().flatten();
         let window = self.allowance.window + BUCKET;
--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -236,12 +236,13 @@
     metrics.note_head(plan.kind(), plan.arrived.elapsed());
     let (status, ms) = (attempt.answer.head.status.as_u16(), millis(plan.arrived.elapsed()));
     let (active, configuration) = (&attempt.active, plan.fleet.configuration_version());
+    let servers_age_ms = plan.fleet.servers_age().map_or(u64::MAX, millis);
     let prompt = &plan.call.prompt;
     if prompt.parts().is_empty() {
         log::info!(
             request:% = plan.call.id, route:% = plan.route.id, service:% = plan.service,
             server:% = active.server().id, status = status, configuration:% = configuration,
-            lost = plan.offers(), ms = ms; "answer passed on"
+            servers_age_ms = servers_age_ms, lost = plan.offers(), ms = ms; "answer passed on"
         );
         return;
     }
@@ -251,7 +252,7 @@
     log::info!(
         request:% = plan.call.id, route:% = plan.route.id, service:% = plan.service,
         server:% = active.server().id, status = status, configuration:% = configuration,
-        lost = plan.offers(), ms = ms, sent_ms = millis(active.age()),
+        servers_age_ms = servers_age_ms, lost = plan.offers(), ms = ms, sent_ms = millis(active.age()),
         shared:% = prompt.shared_part(), held = placement.held.get(),
         known = placement.known.get(), home = placement.is_home, copied_from = source,
         expected_ms = millis(chosen.expected);
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -10,6 +10,7 @@
 use papayamux_coordination::mechanism::Mechanism;
 use papayamux_coordination::return_time::return_time;
 use papayamux_coordination::service_line::{request_work, CallerTime, FlowKey, LineRequest};
+use papayamux_coordination::service_retry_budget::RetryAccount;
 use papayamux_state::crash_record::CrashRecord;
 use papayamux_state::ids::{OrganisationId, ServerId, ServiceId};
 use papayamux_state::quantities::TokenCount;
@@ -315,11 +316,20 @@
     }
 
     fn take_repeat(&self) -> bool {
-        let taken = self.fleet.budget().borrow_mut().take_repeat(&self.service, Instant::now());
-        if !taken {
+        let now = Instant::now();
+        let mut budget = self.fleet.budget().borrow_mut();
+        let taken = budget.take_repeat(&self.service, now);
+        let RetryAccount { requests, repeats, sharers } = budget.account(&self.service, now);
+        if taken {
+            self.fleet.metrics().repeats_taken.inc();
+        } else {
             self.fleet.metrics().repeats_denied.inc();
-            log::info!(request:% = self.call.id, service:% = self.service; "retry budget is used up");
         }
+        log::info!(
+            request:% = self.call.id, service:% = self.service, requests = requests,
+            repeats = repeats, sharers = sharers;
+            "{}", if taken { "request is sent again" } else { "retry budget is used up" }
+        );
         taken
     }
 
--- a/crates/papayamux-router/src/direct/fleet/beliefs.rs
+++ b/crates/papayamux-router/src/direct/fleet/beliefs.rs
@@ -114,6 +114,11 @@
         self.freshness.borrow().is_fresh(boot_now())
     }
 
+    /// How old the list of servers is, by this router's own reads or by those of the one it follows.
+    pub fn servers_age(&self) -> Option<Duration> {
+        self.confirmed_since().map(|known| boot_now().since(known))
+    }
+
     /// How old the last confirmation of the configuration is.
     pub fn configuration_age(&self) -> Option<Duration> {
         self.freshness.borrow().age(boot_now())
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -59,6 +59,8 @@
     pub outcomes: ReasonCounters,
     /// Attempts that brought no answer, by what is known of them.
     pub lost_attempts: ReasonCounters,
+    /// Repeats that were taken from the retry budget.
+    pub repeats_taken: Counter,
     /// Repeats that the retry budget did not allow.
     pub repeats_denied: Counter,
     /// Streams by how they ended: `whole`, `cut`, `left` by their callers, or `resumed` for each time one
@@ -100,6 +102,7 @@
         Self {
             outcomes: ReasonCounters::default(),
             lost_attempts: ReasonCounters::default(),
+            repeats_taken: Counter::default(),
             repeats_denied: Counter::default(),
             streams: ReasonCounters::default(),
             source_reads: ReasonCounters::default(),
@@ -154,6 +157,8 @@
         registry.register("outcomes", "Requests by outcome", self.outcomes.0.clone());
         let lost = self.lost_attempts.0.clone();
         registry.register("lost_attempts", "Attempts that brought no answer", lost);
+        let taken = self.repeats_taken.clone();
+        registry.register("repeats_taken", "Repeats within the retry budget", taken);
         let denied = self.repeats_denied.clone();
         registry.register("repeats_denied", "Repeats beyond the retry budget", denied);
         registry.register("streams", "Streams by how they ended", self.streams.0.clone());
