--- /dev/null
+++ b/crates/papayamux-coordination/tests/retry_budget_fleet.rs
@@ -0,0 +1,182 @@
+//! Fleets of routers that share a retry budget, while they restart and while the load changes.
+#![allow(clippy::unwrap_used, clippy::panic, reason = "helpers of tests, which may panic")]
+
+use std::time::{Duration, Instant};
+
+use papayamux_coordination::service_retry_budget::{RetryAllowance, ServiceRetryBudget};
+use papayamux_state::ids::ServiceId;
+
+const WINDOW: u64 = 10_000;
+const TICK: u64 = 10;
+/// How long a router that has started takes to hear of the others.
+const HEARS_AFTER: u64 = 1_000;
+
+fn service() -> ServiceId {
+    "llm".parse().unwrap()
+}
+
+/// What a fleet goes through.
+struct Play {
+    routers: usize,
+    slack: f64,
+    /// Requests a second of the whole fleet, at a moment.
+    load: fn(u64) -> u64,
+    /// Whether a request that is sent at this moment fails, again and again.
+    fails: fn(u64) -> bool,
+    /// Whether a router starts again at this moment.
+    restarts: fn(usize, u64) -> bool,
+    millis: u64,
+}
+
+struct Counts {
+    requests: Vec<u64>,
+    repeats: Vec<u64>,
+}
+
+impl Play {
+    fn allowance(&self) -> RetryAllowance {
+        let window = Duration::from_millis(WINDOW);
+        RetryAllowance { ratio: 0.2, slack: self.slack, window }
+    }
+
+    /// Requests and repeats in each tick. A request that fails is repeated while there is room, twice at
+    /// most.
+    fn run(&self) -> Counts {
+        let begun = Instant::now();
+        let at = |millis: u64| begun + Duration::from_millis(millis);
+        let start = |millis| (ServiceRetryBudget::new(self.allowance()), millis);
+        let mut routers: Vec<_> = (0..self.routers).map(|_| start(0)).collect();
+        let mut counts = Counts { requests: Vec::new(), repeats: Vec::new() };
+        let (mut due, mut next) = (0, 0);
+        for millis in (0..self.millis).step_by(TICK as usize) {
+            let (mut requests, mut repeats) = (0, 0);
+            for (index, router) in routers.iter_mut().enumerate() {
+                if (self.restarts)(index, millis) {
+                    *router = start(millis);
+                }
+                if millis == router.1 + HEARS_AFTER {
+                    router.0.note_routers(self.routers as u32);
+                }
+            }
+            due += (self.load)(millis) * TICK;
+            while due >= 1_000 {
+                due -= 1_000;
+                next = (next * 31 + 7) % 1_000_003;
+                let budget = &mut routers[next % self.routers].0;
+                budget.note_request(&service(), at(millis));
+                requests += 1;
+                for _ in 0..2 {
+                    if (self.fails)(millis) && budget.take_repeat(&service(), at(millis)) {
+                        repeats += 1;
+                    }
+                }
+            }
+            counts.requests.push(requests);
+            counts.repeats.push(repeats);
+        }
+        counts
+    }
+}
+
+impl Counts {
+    fn sum(counts: &[u64], from: i64, to: i64) -> u64 {
+        let index = |millis: i64| (millis.max(0) as usize / TICK as usize).min(counts.len());
+        counts[index(from)..index(to)].iter().sum()
+    }
+
+    /// The window in which most repeats go beyond what is allowed: where it begins, repeats and allowance.
+    fn worst(&self, slack: f64) -> (i64, u64, f64) {
+        let window = WINDOW as i64;
+        let windows = (0..self.repeats.len() as i64 * TICK as i64 - window).step_by(50);
+        let of = |from: i64| {
+            let repeats = Self::sum(&self.repeats, from, from + window);
+            // The window's own requests, those of the one before or of the one half a window before.
+            let requests = [from, from - window / 2, from - window]
+                .map(|from| Self::sum(&self.requests, from, from + window));
+            let allowed = 0.2 * requests.into_iter().max().unwrap() as f64 + slack;
+            (from, repeats, allowed)
+        };
+        let excess = |(_, repeats, allowed): &(i64, u64, f64)| *repeats as f64 - allowed;
+        windows.map(of).max_by(|left, right| excess(left).total_cmp(&excess(right))).unwrap()
+    }
+}
+
+/// A load and a slack for each size of a fleet.
+fn fleets() -> [(usize, f64, fn(u64) -> u64); 3] {
+    [(6, 58.0, |_| 115), (24, 100.0, |_| 400), (300, 1_000.0, |_| 6_000)]
+}
+
+fn check(play: &Play) {
+    let counts = play.run();
+    let (from, repeats, allowed) = counts.worst(play.slack);
+    assert!(
+        repeats as f64 <= allowed,
+        "{} routers: {repeats} repeats from {from} ms, allowed {allowed}",
+        play.routers
+    );
+    assert!(Counts::sum(&counts.repeats, 0, play.millis as i64) > 0, "some are repeated");
+}
+
+#[test]
+fn routers_that_restart_at_once_stay_within_the_budget() {
+    for (routers, slack, load) in fleets() {
+        check(&Play {
+            routers,
+            slack,
+            load,
+            fails: |millis| millis > 12_000,
+            restarts: |_, millis| matches!(millis, 14_000 | 16_500 | 19_000),
+            millis: 40_000,
+        });
+    }
+}
+
+#[test]
+fn routers_that_restart_in_series_stay_within_the_budget() {
+    for (routers, slack, load) in fleets() {
+        check(&Play {
+            routers,
+            slack,
+            load,
+            fails: |millis| millis > 12_000,
+            restarts: |index, millis| {
+                millis > 12_000 && millis % 4_000 == (index as u64 * 70) % 4_000
+            },
+            millis: 40_000,
+        });
+    }
+}
+
+#[test]
+fn repeats_fall_with_the_load_after_a_burst() {
+    let bursts: [fn(u64) -> u64; 3] = [
+        |millis| if millis % 16_000 < 2_000 { 6_000 } else { 30 },
+        |millis| if matches!(millis % 30_000, 0..1_000 | 5_600..8_000) { 6_000 } else { 10 },
+        |millis| if millis < 15_000 { 6_000 } else { 60 },
+    ];
+    for load in bursts {
+        for routers in [6, 24, 300] {
+            check(&Play {
+                routers,
+                slack: 58.0,
+                load,
+                fails: |millis| millis % 16_000 > 1_500,
+                restarts: |_, _| false,
+                millis: 45_000,
+            });
+        }
+    }
+}
+
+/// A router that has heard of few others of a large fleet takes no part of the slack by their number.
+#[test]
+fn routers_that_restart_without_hearing_others_stay_within_the_budget() {
+    check(&Play {
+        routers: 300,
+        slack: 1_000.0,
+        load: |_| 300,
+        fails: |millis| millis > 12_000,
+        restarts: |_, millis| millis > 12_000 && millis % 900 == 0,
+        millis: 40_000,
+    });
+}
