Count requests for the retry budget in the windows that they are asked for

A repeat now has to fit into every window that holds its moment. The requests that count are half of a window's own and half of those in the window before: both add up over routers and over the starts of a router, which the larger of the two would not.

--- a/crates/papayamux-coordination/src/service_retry_budget.rs
+++ b/crates/papayamux-coordination/src/service_retry_budget.rs
@@ -3,20 +3,30 @@
 //! The fleet's budget in any window is a share of the requests plus a slack. Each router spends a
 //! share of its own requests, and an equal part of the slack, so that the sum holds also while
 //! routers can't hear one another.
+//!
+//! The requests that count for a window are half of its own and half of those in the window before it, for
+//! every window that has not ended yet. Both terms add up over all routers, and over the starts of a router, so that
+//! neither a fall in load nor routers that restart can make the sum exceed the share.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use papayamux_state::ids::ServiceId;
 
-/// Width of a counting bucket: what is counted may be off by this much time at a window's edge.
-const BUCKET: Duration = Duration::from_millis(500);
+/// Counting buckets in a window. A bucket at a window's edge counts fully as repeats and not at all as
+/// requests.
+const BUCKETS: usize = 20;
+/// Buckets of two windows, and the current one.
+const KEPT_BUCKETS: usize = 2 * BUCKETS + 1;
 /// Routers that share the slack at least. Routers that are not heard of, and the ones that
 /// replaced them, spend their part too.
 const FEWEST_SHARERS: u32 = 8;
-/// Part of the ratio that is spent: the rest covers requests whose first sending fell into
-/// another window than their repeat.
+/// Part of the ratio that is spent: the rest covers requests that callers sent in another window than the one
+/// in which the router counts them.
 const RATIO_USED: f64 = 0.8;
+/// Weight of a window's own requests, and of those in the window before it. Their own alone would leave nothing for
+/// a sudden loss of servers, those before alone nothing for a router that has just started.
+const OWN_WEIGHT: f64 = 0.5;
 
 /// The fleet's budget.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -37,13 +47,6 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
-struct CountBucket {
-    begun: Instant,
-    requests: u32,
-    repeats: u32,
-}
-
 /// What a router has counted for one service, for its log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RetryAccount {
@@ -55,18 +58,26 @@
     pub sharers: u32,
 }
 
+#[derive(Debug, Clone, Copy, Default)]
+struct CountBucket {
+    number: u64,
+    requests: u32,
+    repeats: u32,
+}
+
 /// One router's part of the budget, for each service.
 #[derive(Debug)]
 pub struct ServiceRetryBudget {
     allowance: RetryAllowance,
+    started: Instant,
     sharers: u32,
     services: HashMap<ServiceId, VecDeque<CountBucket>>,
 }
 
 impl ServiceRetryBudget {
-    /// A budget that is shared by an unknown number of routers.
-    pub fn new(allowance: RetryAllowance) -> Self {
-        Self { allowance, sharers: FEWEST_SHARERS, services: HashMap::new() }
+    /// A budget that is shared by an unknown number of routers, of a router that starts at `now`.
+    pub fn new(allowance: RetryAllowance, now: Instant) -> Self {
+        Self { allowance, started: now, sharers: FEWEST_SHARERS, services: HashMap::new() }
     }
 
     /// Notes how many routers there are, this one included. The most ever seen counts, and half
@@ -80,12 +91,25 @@
         self.bucket(service, now).requests += 1;
     }
 
-    /// Whether there is room for one more repeat.
+    /// Whether there is room for one more repeat in each window that contains this moment.
     pub fn has_room(&self, service: &ServiceId, now: Instant) -> bool {
-        let (requests, repeats) = self.counts(service, now);
-        let from_requests = f64::from(requests) * self.allowance.ratio * RATIO_USED;
+        let recent = self.recent_buckets(service, now);
         let from_slack = self.allowance.slack / f64::from(self.sharers);
-        f64::from(repeats) + 1.0 <= from_requests + from_slack
+        let (mut own, mut repeats) = (0, 1);
+        let mut before = requests_in(&recent[1..BUCKETS]);
+        // The window that begins in the current bucket, then those that began earlier.
+        for first in 0..=BUCKETS {
+            repeats += recent[first].repeats;
+            let requests = OWN_WEIGHT * f64::from(own) + (1.0 - OWN_WEIGHT) * f64::from(before);
+            let from_requests = requests * self.allowance.ratio * RATIO_USED;
+            if f64::from(repeats) > from_requests + from_slack {
+                return false;
+            }
+            own += recent[first].requests;
+            before += recent[first + BUCKETS].requests;
+            before -= recent[first + 1].requests;
+        }
+        true
     }
 
     /// Takes one repeat; `false` where the budget is used up.
@@ -99,32 +123,49 @@
 
     /// What is counted in the window that ends now.
     pub fn account(&self, service: &ServiceId, now: Instant) -> RetryAccount {
-        let (requests, repeats) = self.counts(service, now);
-        RetryAccount { requests, repeats, sharers: self.sharers }
+        let recent = self.recent_buckets(service, now);
+        let window = &recent[..=BUCKETS];
+        RetryAccount {
+            requests: requests_in(window),
+            repeats: window.iter().map(|bucket| bucket.repeats).sum(),
+            sharers: self.sharers,
+        }
     }
 
-    fn counts(&self, service: &ServiceId, now: Instant) -> (u32, u32) {
-        let buckets = self.services.get(service).into_iter().flatten();
-        let window = self.allowance.window + BUCKET;
-        buckets
-            .filter(|bucket| now.saturating_duration_since(bucket.begun) < window)
-            .fold((0, 0), |(requests, repeats), bucket| {
-                (requests + bucket.requests, repeats + bucket.repeats)
-            })
+    /// The buckets of two windows, the current one first.
+    fn recent_buckets(&self, service: &ServiceId, now: Instant) -> [CountBucket; KEPT_BUCKETS] {
+        let current = self.bucket_number(now);
+        let mut recent = [CountBucket::default(); KEPT_BUCKETS];
+        for bucket in self.services.get(service).into_iter().flatten() {
+            let age = usize::try_from(current.saturating_sub(bucket.number)).unwrap_or(usize::MAX);
+            if let Some(kept) = recent.get_mut(age) {
+                *kept = *bucket;
+            }
+        }
+        recent
+    }
+
+    fn bucket_number(&self, now: Instant) -> u64 {
+        let width = (self.allowance.window.as_millis() / BUCKETS as u128).max(1);
+        let age = now.saturating_duration_since(self.started);
+        u64::try_from(age.as_millis() / width).unwrap_or(u64::MAX)
     }
 
     fn bucket(&mut self, service: &ServiceId, now: Instant) -> &mut CountBucket {
-        let window = self.allowance.window + BUCKET;
+        let number = self.bucket_number(now);
         let buckets = self.services.entry(service.clone()).or_default();
-        while buckets.front().is_some_and(|first| now - first.begun > window) {
+        let is_old = |bucket: &CountBucket| bucket.number + (KEPT_BUCKETS as u64) <= number;
+        while buckets.front().is_some_and(is_old) {
             buckets.pop_front();
         }
-        let is_current =
-            |bucket: &CountBucket| now.saturating_duration_since(bucket.begun) < BUCKET;
-        if !buckets.back().is_some_and(is_current) {
-            buckets.push_back(CountBucket { begun: now, requests: 0, repeats: 0 });
+        if buckets.back().is_none_or(|last| last.number < number) {
+            buckets.push_back(CountBucket { number, requests: 0, repeats: 0 });
         }
         let last = buckets.len() - 1;
         &mut buckets[last]
     }
 }
+
+fn requests_in(buckets: &[CountBucket]) -> u32 {
+    buckets.iter().map(|bucket| bucket.requests).sum()
+}
--- a/crates/papayamux-coordination/tests/retry_budget_fleet.rs
+++ b/crates/papayamux-coordination/tests/retry_budget_fleet.rs
@@ -44,7 +44,7 @@
     fn run(&self) -> Counts {
         let begun = Instant::now();
         let at = |millis: u64| begun + Duration::from_millis(millis);
-        let start = |millis| (ServiceRetryBudget::new(self.allowance()), millis);
+        let start = |millis| (ServiceRetryBudget::new(self.allowance(), at(millis)), millis);
         let mut routers: Vec<_> = (0..self.routers).map(|_| start(0)).collect();
         let mut counts = Counts { requests: Vec::new(), repeats: Vec::new() };
         let (mut due, mut next) = (0, 0);
--- a/crates/papayamux-coordination/tests/service_retry_budget.rs
+++ b/crates/papayamux-coordination/tests/service_retry_budget.rs
@@ -16,7 +16,8 @@
 /// Routers that don't hear one another, each with a share of the requests, all of which fail.
 fn repeats_in_window(routers: usize, requests_per_second: usize) -> (usize, usize) {
     let begun = Instant::now();
-    let mut budgets: Vec<_> = (0..routers).map(|_| ServiceRetryBudget::new(ALLOWANCE)).collect();
+    let mut budgets: Vec<_> =
+        (0..routers).map(|_| ServiceRetryBudget::new(ALLOWANCE, begun)).collect();
     let mut log = Vec::new();
     for millis in 0..30_000u64 {
         if millis % (1_000 / requests_per_second as u64) != 0 {
@@ -50,7 +51,7 @@
 #[test]
 fn every_router_that_was_seen_takes_its_part_of_the_slack() {
     let now = Instant::now();
-    let mut budget = ServiceRetryBudget::new(ALLOWANCE);
+    let mut budget = ServiceRetryBudget::new(ALLOWANCE, now);
     budget.note_routers(40);
     assert!(!budget.take_repeat(&service(), now), "56 over 60 routers is less than one");
     budget.note_routers(2);
@@ -60,7 +61,7 @@
 #[test]
 fn budget_comes_back_with_the_window() {
     let now = Instant::now();
-    let mut budget = ServiceRetryBudget::new(ALLOWANCE);
+    let mut budget = ServiceRetryBudget::new(ALLOWANCE, now);
     while budget.take_repeat(&service(), now) {}
     let later = now + ALLOWANCE.window + Duration::from_secs(1);
     assert!(budget.take_repeat(&service(), later));
--- a/crates/papayamux-router/src/direct/fleet/fleet_state.rs
+++ b/crates/papayamux-router/src/direct/fleet/fleet_state.rs
@@ -88,7 +88,7 @@
         let pool = UpstreamPool::new(settings.pool);
         Rc::new(Self {
             freshness: RefCell::new(KeyFreshness::new(settings.revoke_within)),
-            budget: RefCell::new(ServiceRetryBudget::new(settings.retries)),
+            budget: RefCell::new(ServiceRetryBudget::new(settings.retries, Instant::now())),
             round_trips: RefCell::new(RoundTrips::new(settings.domain.clone())),
             knowledge: SourceKnowledge::new(settings.address, settings.read_bounds().interval()),
             departures: RefCell::new(RecentDepartures::new(settings.departure_bounds())),
