Give no slack of the retry budget to a router that has just started

Callers of a fleet whose routers were killed or replaced while servers failed had servers flooded with repeats: each start of a router began with a whole part of the slack, which its earlier start had spent in the same window.

--- a/crates/papayamux-coordination/src/service_retry_budget.rs
+++ b/crates/papayamux-coordination/src/service_retry_budget.rs
@@ -94,7 +94,7 @@
     /// Whether there is room for one more repeat in each window that contains this moment.
     pub fn has_room(&self, service: &ServiceId, now: Instant) -> bool {
         let recent = self.recent_buckets(service, now);
-        let from_slack = self.allowance.slack / f64::from(self.sharers);
+        let from_slack = self.slack_share(now);
         let (mut own, mut repeats) = (0, 1);
         let mut before = requests_in(&recent[1..BUCKETS]);
         // The window that begins in the current bucket, then those that began earlier.
@@ -112,6 +112,15 @@
         true
     }
 
+    /// This router's part of the slack. An earlier start of the router may have spent it in any window that
+    /// began before this one's start.
+    fn slack_share(&self, now: Instant) -> f64 {
+        match self.bucket_number(now) > BUCKETS as u64 {
+            true => self.allowance.slack / f64::from(self.sharers),
+            false => 0.0,
+        }
+    }
+
     /// Takes one repeat; `false` where the budget is used up.
     pub fn take_repeat(&mut self, service: &ServiceId, now: Instant) -> bool {
         if !self.has_room(service, now) {
--- a/crates/papayamux-coordination/tests/retry_budget_fleet.rs
+++ b/crates/papayamux-coordination/tests/retry_budget_fleet.rs
@@ -15,12 +15,14 @@
     "llm".parse().unwrap()
 }
 
+/// Requests a second of a whole fleet, at a moment in milliseconds.
+type FleetLoad = fn(u64) -> u64;
+
 /// What a fleet goes through.
 struct Play {
     routers: usize,
     slack: f64,
-    /// Requests a second of the whole fleet, at a moment.
-    load: fn(u64) -> u64,
+    load: FleetLoad,
     /// Whether a request that is sent at this moment fails, again and again.
     fails: fn(u64) -> bool,
     /// Whether a router starts again at this moment.
@@ -102,7 +104,7 @@
 }
 
 /// A load and a slack for each size of a fleet.
-fn fleets() -> [(usize, f64, fn(u64) -> u64); 3] {
+fn fleets() -> [(usize, f64, FleetLoad); 3] {
     [(6, 58.0, |_| 115), (24, 100.0, |_| 400), (300, 1_000.0, |_| 6_000)]
 }
 
@@ -149,7 +151,7 @@
 
 #[test]
 fn repeats_fall_with_the_load_after_a_burst() {
-    let bursts: [fn(u64) -> u64; 3] = [
+    let bursts: [FleetLoad; 3] = [
         |millis| if millis % 16_000 < 2_000 { 6_000 } else { 30 },
         |millis| if matches!(millis % 30_000, 0..1_000 | 5_600..8_000) { 6_000 } else { 10 },
         |millis| if millis < 15_000 { 6_000 } else { 60 },
