Share the slack of the retry budget among all routers that are known, or not at all

A router that heard nobody took an eighth of the slack, and one of a large fleet shared it among those whose reports it heard at the time. 300 routers that hear nobody so spent 46,478 repeats in ten seconds where 13,000 are allowed (routers_that_hear_nobody_stay_within_the_budget, which failed before). The number now comes from the count of routers by which cold servers are shared out; until that has settled a router repeats by its own requests alone. budget_comes_back_with_the_window names its one router, and has to get a repeat before the budget is used up as well.

--- a/crates/papayamux-coordination/src/service_retry_budget.rs
+++ b/crates/papayamux-coordination/src/service_retry_budget.rs
@@ -54,8 +54,8 @@
     pub requests: u32,
     /// Repeats in the window.
     pub repeats: u32,
-    /// Routers that share the slack.
-    pub sharers: u32,
+    /// Routers that share the slack; `None` where they are not known yet.
+    pub sharers: Option<u32>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -70,20 +70,21 @@
 pub struct ServiceRetryBudget {
     allowance: RetryAllowance,
     started: Instant,
-    sharers: u32,
+    sharers: Option<u32>,
     services: HashMap<ServiceId, VecDeque<CountBucket>>,
 }
 
 impl ServiceRetryBudget {
     /// A budget that is shared by an unknown number of routers, of a router that starts at `now`.
     pub fn new(allowance: RetryAllowance, now: Instant) -> Self {
-        Self { allowance, started: now, sharers: FEWEST_SHARERS, services: HashMap::new() }
+        Self { allowance, started: now, sharers: None, services: HashMap::new() }
     }
 
-    /// Notes how many routers there are, this one included. The most ever seen counts, and half
-    /// as many again for those not heard of.
+    /// Notes that all routers are known and how many they are, this one included. The most ever seen counts,
+    /// and half as many again for those not heard of.
     pub fn note_routers(&mut self, routers: u32) {
-        self.sharers = self.sharers.max(routers + routers / 2);
+        let sharers = routers.saturating_add(routers / 2).max(FEWEST_SHARERS);
+        self.sharers = self.sharers.max(Some(sharers));
     }
 
     /// Counts the first sending of a request.
@@ -113,11 +114,13 @@
     }
 
     /// This router's part of the slack. An earlier start of the router may have spent it in any window that
-    /// began before this one's start.
+    /// began before this one's start. One that knows of no others may be cut off from very many.
     fn slack_share(&self, now: Instant) -> f64 {
-        match self.bucket_number(now) > BUCKETS as u64 {
-            true => self.allowance.slack / f64::from(self.sharers),
-            false => 0.0,
+        match self.sharers {
+            Some(sharers) if self.bucket_number(now) > BUCKETS as u64 => {
+                self.allowance.slack / f64::from(sharers)
+            }
+            _ => 0.0,
         }
     }
 
--- a/crates/papayamux-coordination/tests/retry_budget_fleet.rs
+++ b/crates/papayamux-coordination/tests/retry_budget_fleet.rs
@@ -8,8 +8,7 @@
 
 const WINDOW: u64 = 10_000;
 const TICK: u64 = 10;
-/// How long a router that has started takes to hear of the others.
-const HEARS_AFTER: u64 = 1_000;
+const HEARS_AFTER: Option<u64> = Some(1_000);
 
 fn service() -> ServiceId {
     "llm".parse().unwrap()
@@ -27,6 +26,8 @@
     fails: fn(u64) -> bool,
     /// Whether a router starts again at this moment.
     restarts: fn(usize, u64) -> bool,
+    /// How long a router that has started takes to hear of the others; `None` where it never does.
+    hears_after: Option<u64>,
     millis: u64,
 }
 
@@ -56,7 +57,7 @@
                 if (self.restarts)(index, millis) {
                     *router = start(millis);
                 }
-                if millis == router.1 + HEARS_AFTER {
+                if self.hears_after.is_some_and(|after| millis == router.1 + after) {
                     router.0.note_routers(self.routers as u32);
                 }
             }
@@ -128,6 +129,7 @@
             load,
             fails: |millis| millis > 12_000,
             restarts: |_, millis| matches!(millis, 14_000 | 16_500 | 19_000),
+            hears_after: HEARS_AFTER,
             millis: 40_000,
         });
     }
@@ -144,6 +146,7 @@
             restarts: |index, millis| {
                 millis > 12_000 && millis % 4_000 == (index as u64 * 70) % 4_000
             },
+            hears_after: HEARS_AFTER,
             millis: 40_000,
         });
     }
@@ -164,13 +167,13 @@
                 load,
                 fails: |millis| millis % 16_000 > 1_500,
                 restarts: |_, _| false,
+                hears_after: HEARS_AFTER,
                 millis: 45_000,
             });
         }
     }
 }
 
-/// A router that has heard of few others of a large fleet takes no part of the slack by their number.
 #[test]
 fn routers_that_restart_without_hearing_others_stay_within_the_budget() {
     check(&Play {
@@ -179,6 +182,20 @@
         load: |_| 300,
         fails: |millis| millis > 12_000,
         restarts: |_, millis| millis > 12_000 && millis % 900 == 0,
+        hears_after: None,
+        millis: 40_000,
+    });
+}
+
+#[test]
+fn routers_that_hear_nobody_stay_within_the_budget() {
+    check(&Play {
+        routers: 300,
+        slack: 1_000.0,
+        load: |_| 6_000,
+        fails: |millis| millis > 12_000,
+        restarts: |_, _| false,
+        hears_after: None,
         millis: 40_000,
     });
 }
--- a/crates/papayamux-coordination/tests/service_retry_budget.rs
+++ b/crates/papayamux-coordination/tests/service_retry_budget.rs
@@ -62,6 +62,9 @@
 fn budget_comes_back_with_the_window() {
     let now = Instant::now();
     let mut budget = ServiceRetryBudget::new(ALLOWANCE, now);
+    budget.note_routers(1);
+    let now = now + ALLOWANCE.window + Duration::from_secs(1);
+    assert!(budget.take_repeat(&service(), now));
     while budget.take_repeat(&service(), now) {}
     let later = now + ALLOWANCE.window + Duration::from_secs(1);
     assert!(budget.take_repeat(&service(), later));
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -327,7 +327,7 @@
         }
         log::info!(
             request:% = self.call.id, service:% = self.service, requests = requests,
-            repeats = repeats, sharers = sharers;
+            repeats = repeats, sharers = sharers.unwrap_or_default();
             "{}", if taken { "request is sent again" } else { "retry budget is used up" }
         );
         taken
--- a/crates/papayamux-router/src/direct/fleet/cold_starts.rs
+++ b/crates/papayamux-router/src/direct/fleet/cold_starts.rs
@@ -134,9 +134,17 @@
         self.census.borrow().heard()
     }
 
-    /// Counts the routers anew, and notes which servers are no longer cold.
+    /// Counts the routers anew, among which cold servers' limits and the slack for repeats are shared out.
+    pub(super) fn update_census(&self, now: Instant) {
+        let mut census = self.census.borrow_mut();
+        census.update(now);
+        if census.is_settled() {
+            self.budget.borrow_mut().note_routers(census.count());
+        }
+    }
+
+    /// Notes which servers are no longer cold.
     pub(super) fn update_cold_servers(&self, now: Instant) {
-        self.census.borrow_mut().update(now);
         let mut book = self.cold_book.borrow_mut();
         for ColdSummary { server, sent, passed_over } in book.take_warmed(now) {
             log::info!(
--- a/crates/papayamux-router/src/direct/fleet/requests.rs
+++ b/crates/papayamux-router/src/direct/fleet/requests.rs
@@ -197,6 +197,7 @@
         self.queue_reports.borrow_mut().forget_old(now);
         self.flights.borrow_mut().forget_old(now);
         self.quarantine.borrow_mut().forget_old(now);
+        self.update_census(now);
         self.update_cold_servers(now);
         for LinkChange { domain, excess } in self.links.borrow_mut().changes(now) {
             log::info!(domain:% = domain, held_up = excess; "link holds messages up");
--- a/crates/papayamux-router/src/direct/peers/exchange.rs
+++ b/crates/papayamux-router/src/direct/peers/exchange.rs
@@ -199,7 +199,6 @@
         if ledger.reporting() > before {
             log::info!(peer:% = sender, routers = routers; "router heard");
         }
-        self.fleet.budget().borrow_mut().note_routers(routers);
     }
 
     fn take_reading(&self, reported: ReportedReading, now: Instant) {
