Let a reader of the store that kept lapsed entries hear whether others lack them too

Callers' requests reached servers up to two seconds after these had left: a router whose read had failed keeps what is missing in the next one, since it may have lapsed while the store was away. A follower takes over from others that it has not; a router that reads for others follows nobody, and one lost read was enough.

--- a/crates/papayamux-coordination/src/fleet_knowledge/source_duty.rs
+++ b/crates/papayamux-coordination/src/fleet_knowledge/source_duty.rs
@@ -30,8 +30,8 @@
 pub struct DutyView<'a> {
     /// The other routers.
     pub known: &'a [IpAddr],
-    /// Whether the router's own last read of the source failed.
-    pub reads_fail: bool,
+    /// Whether the router's own last read of the source failed, or left open which servers have left.
+    pub doubts_reads: bool,
     /// Whether others follow it.
     pub has_followers: bool,
 }
@@ -101,8 +101,8 @@
         // Nobody but itself would profit from many reads of a router that is alone in its view.
         let reads_for_others = self.seeks_source || view.has_followers;
         self.interval = if reads_for_others { often } else { self.alone };
-        let followed = match self.seeks_source && view.reads_fail {
-            // A reader that can't read is told by one that can, wherever it stands.
+        let followed = match self.seeks_source && view.doubts_reads {
+            // A reader that can't read, or could not just now, is told by one that can, wherever it stands.
             true => usable.first_other(self.own),
             false => usable.followed_by(self.own),
         };
--- a/crates/papayamux-coordination/tests/fleet_knowledge/fleet.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/fleet.rs
@@ -168,7 +168,7 @@
         let router = &mut self.routers[index];
         let view = DutyView {
             known: &others,
-            reads_fail: self.cut_off.contains(&index) || self.source_is_away,
+            doubts_reads: self.cut_off.contains(&index) || self.source_is_away,
             has_followers: !router.followers.current(now).is_empty(),
         };
         router.duty.choose(view, now);
--- a/crates/papayamux-coordination/tests/fleet_knowledge/source_duty.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/source_duty.rs
@@ -46,7 +46,7 @@
 }
 
 fn view(known: &[IpAddr]) -> DutyView<'_> {
-    DutyView { known, reads_fail: false, has_followers: false }
+    DutyView { known, doubts_reads: false, has_followers: false }
 }
 
 #[test]
@@ -98,7 +98,7 @@
     let own = fleet.reader();
     let others = fleet.others(own);
     let mut duty = SourceDuty::new(own, ALONE);
-    duty.choose(DutyView { reads_fail: true, ..view(&others) }, Instant::now());
+    duty.choose(DutyView { doubts_reads: true, ..view(&others) }, Instant::now());
     assert!(matches!(duty.role(), SourceRole::Follower(_)));
     assert!(duty.seeks_source(), "it looks for the source on");
     duty.choose(view(&others), Instant::now());
--- a/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
+++ b/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
@@ -116,7 +116,7 @@
         }
         let view = DutyView {
             known,
-            reads_fail: !self.may_be_confirmed(),
+            doubts_reads: !self.may_be_confirmed() || self.awaits_renewals(),
             has_followers: !self.knowledge.followers.borrow_mut().current(now).is_empty(),
         };
         if !self.knowledge.duty.borrow_mut().choose(view, now) {
