Take the list of servers for no more recent because others vouch for the configuration

A router that hears nobody's news asks others whether its configuration is still the newest, and put off its own next read by their answer, though nobody had spoken of servers: requests could go to one that had left for up to a second longer.

--- a/crates/papayamux-coordination/src/source_pace.rs
+++ b/crates/papayamux-coordination/src/source_pace.rs
@@ -70,7 +70,8 @@
     pub awaits_renewals: bool,
     /// Time since its last read ended.
     pub since_read: Duration,
-    /// How old its last confirmation is, by its own read or by the word of others.
+    /// How old its configuration and its list of servers are, by its own read or by that of a router it follows.
+    /// Who only vouches for the version of the configuration says nothing of servers.
     pub age: Option<Duration>,
 }
 
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -148,7 +148,7 @@
             seeks_source: self.fleet.seeks_source(),
             awaits_renewals: self.fleet.awaits_renewals(),
             since_read: self.last_read.elapsed(),
-            age: self.fleet.configuration_age(),
+            age: self.fleet.servers_age(),
         }
     }
 
