Read everything where beliefs differ for as long as an own read would take

Nothing bounds what a mistake in telling others of servers does but the digest of all servers that goes with each statement. It had to differ for three seconds before everything was read, longer than a server that leaves may get requests (2.0 s): a drain that a followed router kept to itself was heard after 3.5 to 3.6 s (drain_that_the_followed_router_keeps_to_itself_is_read_in_time, which failed before). It now takes the pause of a router that reads by itself, and is not counted while lapsed entries may come back.

--- a/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
+++ b/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
@@ -23,10 +23,6 @@
 
 /// Changes told in one datagram: of up to 100 bytes each, under 13 KB. Whoever lacks more reads them.
 const MOST_CHANGES: usize = 128;
-/// How long beliefs of two routers may differ at one position of the source: entries that lapsed in an
-/// outage are given up at slightly different times.
-const DIFFER_FOR: Duration = Duration::from_secs(3);
-
 /// What is known of the source, and who tells it.
 pub(super) struct SourceKnowledge {
     view: Cell<SourceView>,
@@ -225,11 +221,16 @@
         self.adopt_grace(grace, now);
         self.replace_evacuations(span.evacuations);
         self.note_beliefs();
-        self.compare_beliefs(BeliefDigest(span.digest), now);
+        // Entries that lapsed in an outage are given up at slightly different times.
+        match grace.is_zero() {
+            true => self.compare_beliefs(BeliefDigest(span.digest), now),
+            false => self.knowledge.differs_since.set(None),
+        }
     }
 
-    /// Reads everything again where this router believes something else than the one it follows. No
-    /// way to that is known; it bounds what a mistake in either could do.
+    /// Reads everything again where this router believes something else than the one it follows for as long
+    /// as it would take to read by itself: a departure that was kept from it then has an effect as soon as without
+    /// others. No way to that is known; it bounds what a mistake in either could do.
     fn compare_beliefs(&self, told: BeliefDigest, now: Instant) {
         if self.knowledge.journal.borrow().digest() == told {
             self.knowledge.differs_since.set(None);
@@ -237,7 +238,7 @@
         }
         let since = self.knowledge.differs_since.get().unwrap_or(now);
         self.knowledge.differs_since.set(Some(since));
-        if now.saturating_duration_since(since) >= DIFFER_FOR {
+        if now.saturating_duration_since(since) >= self.settings.read_bounds().interval() {
             log::warn!("servers differ from those of the router that is followed, reading all");
             self.knowledge.differs_since.set(None);
             self.forget_position();
