Tell of servers whose lapsed entries came back

Another reader that had given the server up was told of a later position without it, dropped its own read of the entry as overtaken, and told all its followers that the server was gone; an entry that doesn't change is not read again. Followers that knew better read everything again and again. server_whose_lapsed_entry_came_back_is_told_again failed before.

--- a/crates/papayamux-coordination/src/server_presence.rs
+++ b/crates/papayamux-coordination/src/server_presence.rs
@@ -102,10 +102,11 @@
     }
 
     fn note_start(&mut self, server: BackendServer) -> PresenceChange {
-        self.lapsed.remove(&server.id);
+        let came_back = self.lapsed.remove(&server.id).is_some();
         let phase = server.phase;
         let known = self.catalog.get(&server.id);
-        if known.is_some_and(|known| **known == server) {
+        // One that came back is noted again: whoever follows this router may have given it up.
+        if known.is_some_and(|known| **known == server) && !came_back {
             return PresenceChange::Unchanged;
         }
         let previous = self.catalog.upsert(server);
--- a/crates/papayamux-coordination/tests/fleet_knowledge/beliefs.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/beliefs.rs
@@ -97,6 +97,29 @@
     assert!(reader.journal.since(at(15)).unwrap().changes.is_empty());
 }
 
+/// A follower may have given the server up meanwhile, and its own read of the entry may be overtaken by what it is
+/// told.
+#[test]
+fn server_whose_lapsed_entry_came_back_is_told_again() {
+    let mut reader = Believer::default();
+    let back = Instant::now();
+    reader.put(serving("i-1"));
+    reader.note(10);
+    let id = reader.presence.id_of(&"i-1".parse().unwrap()).unwrap();
+    reader.presence.note_contact(true, back);
+    assert_eq!(reader.presence.note_removal(&id, back), PresenceChange::Lapsed);
+    reader.note(12);
+    let mut follower = Believer::default();
+    follower.put(serving("i-1"));
+    follower.remove("i-1");
+    follower.note(13);
+    reader.put(serving("i-1"));
+    reader.note(14);
+    follower.adopt(reader.journal.since(follower.position()).unwrap());
+    assert!(follower.presence.id_of(&"i-1".parse().unwrap()).is_some());
+    assert_eq!(follower.journal.digest(), reader.journal.digest());
+}
+
 #[test]
 fn what_a_reader_no_longer_knows_or_not_yet_is_not_told() {
     let mut reader = Believer::default();
