--- a/crates/papayamux-coordination/src/server_presence.rs
+++ b/crates/papayamux-coordination/src/server_presence.rs
@@ -83,13 +83,13 @@
         let other = self.catalog.named(&server.name).filter(|known| known.id != id).cloned();
         let Some(known) = other else {
             self.outdated.remove(&server.name);
-            return vec![(id, self.note_start(server))];
+            return vec![(id, self.note_start(server, now))];
         };
         if known.start >= server.start && !self.outlasts(&server, now) {
             return vec![(id, PresenceChange::Outdated)];
         }
         self.forget(&known.id);
-        let change = self.note_start(server);
+        let change = self.note_start(server, now);
         vec![(known.id.clone(), PresenceChange::Restarted), (id, change)]
     }
 
@@ -101,16 +101,25 @@
         now.saturating_duration_since(since) >= RENEWAL_GRACE
     }
 
-    fn note_start(&mut self, server: BackendServer) -> PresenceChange {
-        let came_back = self.lapsed.remove(&server.id).is_some();
+    /// Notes an entry that was read. What is written after an outage is told again to whoever follows this
+    /// router, for whom it may have lapsed.
+    fn note_start(&mut self, server: BackendServer, now: Instant) -> PresenceChange {
+        let may_have_lapsed =
+            self.lapsed.contains_key(&server.id) || !self.grace_left(now).is_zero();
+        self.take_entry(server, may_have_lapsed)
+    }
+
+    /// Takes an entry into the catalog; where `tells_again`, as a new one also if it is as before.
+    fn take_entry(&mut self, server: BackendServer, tells_again: bool) -> PresenceChange {
+        self.lapsed.remove(&server.id);
         let phase = server.phase;
-        let known = self.catalog.get(&server.id);
-        // One that came back is noted again: whoever follows this router may have given it up.
-        if known.is_some_and(|known| **known == server) && !came_back {
+        let is_as_before = self.catalog.get(&server.id).is_some_and(|known| **known == server);
+        if is_as_before && !tells_again {
             return PresenceChange::Unchanged;
         }
         let previous = self.catalog.upsert(server);
         match (previous, phase) {
+            _ if is_as_before => PresenceChange::Unchanged,
             (_, ServerPhase::Draining) => PresenceChange::Draining,
             (Some(_), ServerPhase::Serving) => PresenceChange::Unchanged,
             (None, ServerPhase::Serving) => PresenceChange::Arrived,
@@ -169,12 +178,8 @@
         if let Some(known) = &other {
             self.forget(&known.id);
         }
-        let told_again = self.catalog.get(&id).is_some_and(|known| **known == server);
-        let change = self.note_start(server.clone());
-        if told_again {
-            // It may have changed and changed back. Whoever follows this router is told it again too.
-            self.catalog.upsert(server);
-        }
+        // It may have changed and changed back. Whoever follows this router is told it again too.
+        let change = self.take_entry(server, true);
         let restarted = other.map(|known| (known.id.clone(), PresenceChange::Restarted));
         restarted.into_iter().chain([(id, change)]).collect()
     }
--- a/crates/papayamux-coordination/tests/fleet_knowledge/beliefs.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/beliefs.rs
@@ -120,6 +120,26 @@
     assert_eq!(follower.journal.digest(), reader.journal.digest());
 }
 
+/// The reader heard of the lapse and of the return in one read, or of the return alone.
+#[test]
+fn server_that_lapsed_for_a_follower_alone_is_told_again() {
+    let back = Instant::now();
+    let mut reader = Believer::default();
+    reader.put(serving("i-1"));
+    reader.note(10);
+    reader.presence.note_contact(true, back);
+    let mut follower = Believer::default();
+    follower.put(serving("i-1"));
+    follower.presence.note_contact(true, back);
+    let id = follower.presence.id_of(&"i-1".parse().unwrap()).unwrap();
+    assert_eq!(follower.presence.note_removal(&id, back), PresenceChange::Lapsed);
+    follower.note(12);
+    reader.put(serving("i-1"));
+    reader.note(14);
+    follower.adopt(reader.journal.since(follower.position()).unwrap());
+    assert!(!follower.presence.awaits_renewals(), "it is known to be back");
+}
+
 #[test]
 fn what_a_reader_no_longer_knows_or_not_yet_is_not_told() {
     let mut reader = Believer::default();
