Read and log what servers say of themselves: that they leave, and how long they rest

Neither word was read, so that no log could show whether one had been said. Each answer of a server and each list of a cache is read for them now, whatever the status; an answer of another server at the address, or one that belongs to another request, is not. Nothing obeys them yet.

--- a/crates/papayamux-router/src/direct/active_request.rs
+++ b/crates/papayamux-router/src/direct/active_request.rs
@@ -9,7 +9,7 @@
 use papayamux_coordination::placement::ServerLoad;
 use papayamux_coordination::server_evidence::EvidenceKind;
 use papayamux_coordination::server_profile::{FirstEvent, StreamEnd};
-use papayamux_state::backend::{BackendServer, ReportedQueue};
+use papayamux_state::backend::{BackendServer, ReportedQueue, ServerNotice};
 use papayamux_state::quantities::TokenCount;
 
 use super::attempt_watch::WatchedAttempt;
@@ -211,6 +211,11 @@
         self.fleet.note_queue(&self.server, queue);
     }
 
+    /// Takes in what the server said of itself.
+    pub(super) fn take_notice(&self, notice: ServerNotice) {
+        self.fleet.take_notice(&self.server, notice);
+    }
+
     /// Notes how the server answered.
     pub(super) fn judge(&self, failed: bool) {
         self.fleet.note_answer(&self.server, failed);
--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -137,7 +137,11 @@
     if let Some(queue) = interface.reported_queue(&answer.head) {
         active.note_queue(queue);
     }
-    match interface.verdict(&plan.call, &answer.head) {
+    let verdict = interface.verdict(&plan.call, &answer.head);
+    if matches!(verdict, AnswerVerdict::Answer | AnswerVerdict::NotRun) {
+        active.take_notice(interface.server_notice(&answer.head));
+    }
+    match verdict {
         AnswerVerdict::Answer => {
             active.judge(answer.head.status.is_server_error());
             Ok(AttemptAnswer { answer, active })
--- a/crates/papayamux-router/src/direct/cache_survey.rs
+++ b/crates/papayamux-router/src/direct/cache_survey.rs
@@ -99,6 +99,9 @@
 ) -> Result<Vec<PromptPart>, SurveyError> {
     let request = interface.cache_request(&engine.name);
     let mut answer = fleet.pool().send(engine.address, request).await?;
+    if answer.head.status != StatusCode::MISDIRECTED_REQUEST {
+        fleet.take_notice(engine, interface.server_notice(&answer.head));
+    }
     if answer.head.status != StatusCode::OK {
         return Err(SurveyError::Status(answer.head.status));
     }
--- a/crates/papayamux-router/src/direct/fleet/mod.rs
+++ b/crates/papayamux-router/src/direct/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod part_waits;
 mod requests;
 mod server_checks;
+mod server_notices;
 mod source_knowledge;
 mod turns;
 
--- a/crates/papayamux-router/src/direct/interface.rs
+++ b/crates/papayamux-router/src/direct/interface.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::response::Parts as ResponseParts;
 use http::{request, Request, Response};
-use papayamux_state::backend::ReportedQueue;
+use papayamux_state::backend::{ReportedQueue, ServerNotice};
 use papayamux_state::ids::{OrganisationId, ServerName, ServerStart};
 use papayamux_state::prompt::PromptPart;
 use papayamux_transport::http::AnswerBody;
@@ -75,6 +75,8 @@
     ) -> Request<Bytes>;
     /// What a server says of its queue with an answer.
     fn reported_queue(&self, head: &ResponseParts) -> Option<ReportedQueue>;
+    /// What a server says of itself with an answer, whatever its status.
+    fn server_notice(&self, head: &ResponseParts) -> ServerNotice;
     /// The request for a list of what an engine's cache holds.
     fn cache_request(&self, server: &ServerName) -> Request<Bytes>;
     /// What such a list says.
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -83,6 +83,8 @@
     pub part_inquiries: ReasonCounters,
     /// Servers that were looked at after a connection to them broke: `refused`, `accepted` or `unanswered`.
     pub server_checks: ReasonCounters,
+    /// What servers said of themselves: `leaves`, or `rests`.
+    pub server_notices: ReasonCounters,
     /// What was learnt of requests under which servers end: `crash` and `cleared` by this router's own requests,
     /// `held` where that holds a request, `told` where another router's word does.
     pub crash_records: ReasonCounters,
@@ -113,6 +115,7 @@
             report_bytes: Counter::default(),
             part_inquiries: ReasonCounters::default(),
             server_checks: ReasonCounters::default(),
+            server_notices: ReasonCounters::default(),
             crash_records: ReasonCounters::default(),
             news_age: Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS)),
             news_hops: Histogram::new(HOP_BUCKETS),
@@ -182,6 +185,8 @@
         registry.register("part_inquiries", "Questions about who holds a part", inquiries);
         let checks = self.server_checks.0.clone();
         registry.register("server_checks", "Servers probed after a connection broke", checks);
+        let notices = self.server_notices.0.clone();
+        registry.register("server_notices", "Servers that say that they leave or rest", notices);
         let records = self.crash_records.0.clone();
         registry.register("crash_records", "Requests under which servers ended", records);
         let ages = self.news_age.clone();
--- a/crates/papayamux-state/src/backend/mod.rs
+++ b/crates/papayamux-state/src/backend/mod.rs
@@ -3,7 +3,9 @@
 mod backend_server;
 mod reported_queue;
 mod server_catalog;
+mod server_notice;
 
 pub use backend_server::{BackendServer, ServerPhase};
 pub use reported_queue::ReportedQueue;
 pub use server_catalog::ServerCatalog;
+pub use server_notice::ServerNotice;
