Give a router without others its part of the slack at once, and count each request once

Such a router shares the slack among eight, its own starts, and may take its part at once (starts_of_a_lone_router_stay_within_the_sum).

Requests of the bucket in which a window begins lie in it or in the one before, and count half either way; they were left out.

--- a/crates/papayamux-coordination/src/service_retry_budget.rs
+++ b/crates/papayamux-coordination/src/service_retry_budget.rs
@@ -6,7 +6,9 @@
 //!
 //! The requests that count for a window are half of its own and half of those in the window before it, for
 //! every window that has not ended yet. Both terms add up over all routers, and over the starts of a router, so that
-//! neither a fall in load nor routers that restart can make the sum exceed the share.
+//! neither a fall in load nor routers that restart can make the sum exceed the share. The window's own requests
+//! alone would leave nothing for a sudden loss of servers, those before alone nothing for a router that has just
+//! started.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -24,9 +26,8 @@
 /// Part of the ratio that is spent: the rest covers requests that callers sent in another window than the one
 /// in which the router counts them.
 const RATIO_USED: f64 = 0.8;
-/// Weight of a window's own requests, and of those in the window before it. Their own alone would leave nothing for
-/// a sudden loss of servers, those before alone nothing for a router that has just started.
-const OWN_WEIGHT: f64 = 0.5;
+/// Weight of the requests of a window and of the one before it.
+const REQUEST_WEIGHT: f64 = 0.5;
 
 /// The fleet's budget.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -71,13 +72,22 @@
     allowance: RetryAllowance,
     started: Instant,
     sharers: Option<u32>,
+    /// The bucket from which on the router takes its part of the slack.
+    slack_from: u64,
     services: HashMap<ServiceId, VecDeque<CountBucket>>,
 }
 
 impl ServiceRetryBudget {
     /// A budget that is shared by an unknown number of routers, of a router that starts at `now`.
     pub fn new(allowance: RetryAllowance, now: Instant) -> Self {
-        Self { allowance, started: now, sharers: None, services: HashMap::new() }
+        let slack_from = BUCKETS as u64 + 1;
+        Self { allowance, started: now, sharers: None, slack_from, services: HashMap::new() }
+    }
+
+    /// The same for a router that has no others. As the slack is shared among several all the same, the starts
+    /// of it that fall into one window leave enough for one another.
+    pub fn alone(allowance: RetryAllowance, now: Instant) -> Self {
+        Self { sharers: Some(FEWEST_SHARERS), slack_from: 0, ..Self::new(allowance, now) }
     }
 
     /// Notes that all routers are known and how many they are, this one included. The most ever seen counts,
@@ -96,19 +106,17 @@
     pub fn has_room(&self, service: &ServiceId, now: Instant) -> bool {
         let recent = self.recent_buckets(service, now);
         let from_slack = self.slack_share(now);
-        let (mut own, mut repeats) = (0, 1);
-        let mut before = requests_in(&recent[1..BUCKETS]);
+        let mut repeats = 1;
+        let mut requests = requests_in(&recent[..BUCKETS]);
         // The window that begins in the current bucket, then those that began earlier.
         for first in 0..=BUCKETS {
             repeats += recent[first].repeats;
-            let requests = OWN_WEIGHT * f64::from(own) + (1.0 - OWN_WEIGHT) * f64::from(before);
-            let from_requests = requests * self.allowance.ratio * RATIO_USED;
+            let from_requests =
+                f64::from(requests) * REQUEST_WEIGHT * self.allowance.ratio * RATIO_USED;
             if f64::from(repeats) > from_requests + from_slack {
                 return false;
             }
-            own += recent[first].requests;
-            before += recent[first + BUCKETS].requests;
-            before -= recent[first + 1].requests;
+            requests += recent[first + BUCKETS].requests;
         }
         true
     }
@@ -117,7 +125,7 @@
     /// began before this one's start. One that knows of no others may be cut off from very many.
     fn slack_share(&self, now: Instant) -> f64 {
         match self.sharers {
-            Some(sharers) if self.bucket_number(now) > BUCKETS as u64 => {
+            Some(sharers) if self.bucket_number(now) >= self.slack_from => {
                 self.allowance.slack / f64::from(sharers)
             }
             _ => 0.0,
--- a/crates/papayamux-coordination/tests/service_retry_budget.rs
+++ b/crates/papayamux-coordination/tests/service_retry_budget.rs
@@ -69,3 +69,16 @@
     let later = now + ALLOWANCE.window + Duration::from_secs(1);
     assert!(budget.take_repeat(&service(), later));
 }
+
+#[test]
+fn starts_of_a_lone_router_stay_within_the_sum() {
+    let now = Instant::now();
+    let starts = 8;
+    let taken = (0..starts).map(|start| {
+        let now = now + ALLOWANCE.window / starts * start;
+        let mut budget = ServiceRetryBudget::alone(ALLOWANCE, now);
+        std::iter::from_fn(|| budget.take_repeat(&service(), now).then_some(())).count()
+    });
+    let taken: usize = taken.sum();
+    assert!(taken > 0 && taken as f64 <= ALLOWANCE.slack, "{taken}");
+}
--- a/crates/papayamux-router/src/direct/fleet/fleet_state.rs
+++ b/crates/papayamux-router/src/direct/fleet/fleet_state.rs
@@ -82,13 +82,21 @@
     pub(super) pool: UpstreamPool,
 }
 
+fn retry_budget(settings: &FleetSettings) -> ServiceRetryBudget {
+    let now = Instant::now();
+    match settings.expects_others {
+        true => ServiceRetryBudget::new(settings.retries, now),
+        false => ServiceRetryBudget::alone(settings.retries, now),
+    }
+}
+
 impl Fleet {
     /// A router that knows nothing yet.
     pub fn new(settings: FleetSettings) -> Rc<Self> {
         let pool = UpstreamPool::new(settings.pool);
         Rc::new(Self {
             freshness: RefCell::new(KeyFreshness::new(settings.revoke_within)),
-            budget: RefCell::new(ServiceRetryBudget::new(settings.retries, Instant::now())),
+            budget: RefCell::new(retry_budget(&settings)),
             round_trips: RefCell::new(RoundTrips::new(settings.domain.clone())),
             knowledge: SourceKnowledge::new(settings.address, settings.read_bounds().interval()),
             departures: RefCell::new(RecentDepartures::new(settings.departure_bounds())),
