Leave servers alone that have asked for rest

Servers that turned requests away and asked for seconds of rest got requests all the while, and callers were told to come back before any server wanted them. Nobody read the word. A router now keeps it for the server's identifier, the longest of several, and obeys it with first attempts, repeats, streams that go on, lists of caches and whatever was chosen before it came. Where all servers rest, a request waits for the first of them if that takes no longer than a caller would stay away, and else is refused at once with the time when it is over, spread out.

--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -33,6 +33,7 @@
 mod seen_requests;
 pub mod server_evidence;
 pub mod server_liveness;
+pub mod server_notices;
 pub mod server_places;
 pub mod server_presence;
 pub mod server_profile;
--- a/crates/papayamux-router/src/direct/call.rs
+++ b/crates/papayamux-router/src/direct/call.rs
@@ -99,6 +99,9 @@
     /// Servers have just started and bear no more requests now.
     #[error("the backend servers have just started and take few requests")]
     Starting,
+    /// All servers that are open have asked for rest.
+    #[error("all backend servers have asked for rest")]
+    Resting,
     /// All places are taken.
     #[error("all backend servers are full")]
     Full,
@@ -126,6 +129,7 @@
             NotRunReason::Evacuated => "evacuated",
             NotRunReason::OutsideHomes => "outside_homes",
             NotRunReason::Starting => "starting",
+            NotRunReason::Resting => "resting",
             NotRunReason::Full => "full",
             NotRunReason::Rejected => "rejected",
             NotRunReason::Late => "late",
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -8,7 +8,7 @@
 use http::uri::PathAndQuery;
 use papayamux_coordination::attempt_plan::{AttemptHistory, AttemptLoss, NextStep};
 use papayamux_coordination::mechanism::Mechanism;
-use papayamux_coordination::return_time::return_time;
+use papayamux_coordination::return_time::{rest_patience, return_after_rest, return_time};
 use papayamux_coordination::service_line::{request_work, CallerTime, FlowKey, LineRequest};
 use papayamux_coordination::service_retry_budget::RetryAccount;
 use papayamux_state::crash_record::CrashRecord;
@@ -198,8 +198,7 @@
                 self.sent_after = self.begin_attempt();
                 Ok(chosen)
             }
-            None if self.tried.is_empty() => Err(self.failure(self.absence())),
-            None => Err(self.failure(NotRunReason::Rejected)),
+            None => Err(self.failure(self.absence())),
         }
     }
 
@@ -222,8 +221,30 @@
         }
     }
 
-    /// Why there is no server for a request that has gone nowhere yet.
+    /// Waits for the first server where all have asked for a short rest, and refuses the request at once where the
+    /// rest is long.
+    pub(super) async fn wait_for_rest(&self) -> Result<(), CallFailure> {
+        while let Some(rest) = self.rest_of_all() {
+            if rest > rest_patience(self.left()) {
+                return Err(self.failure(NotRunReason::Resting));
+            }
+            monoio::time::sleep(rest).await;
+        }
+        Ok(())
+    }
+
+    fn rest_of_all(&self) -> Option<Duration> {
+        self.fleet.rest_of_all(&self.service, self.homes(), Instant::now())
+    }
+
+    /// Why there is no server for a request, or no further one.
     fn absence(&self) -> NotRunReason {
+        if self.rest_of_all().is_some() {
+            return NotRunReason::Resting;
+        }
+        if !self.tried.is_empty() {
+            return NotRunReason::Rejected;
+        }
         let closed = self.fleet.closed_reason(&self.service, self.homes());
         closed.unwrap_or(match self.fleet.has_cold_servers(&self.service) {
             true => NotRunReason::Starting,
@@ -342,6 +363,10 @@
             };
         }
         let retry_after = match reason {
+            NotRunReason::Resting => {
+                let rest = self.rest_of_all().unwrap_or_default();
+                Some(return_after_rest(rest, rand::random()))
+            }
             NotRunReason::NoServer
             | NotRunReason::Rejected
             | NotRunReason::Full
--- a/crates/papayamux-router/src/direct/fleet/choice.rs
+++ b/crates/papayamux-router/src/direct/fleet/choice.rs
@@ -158,7 +158,7 @@
             self.note_passed_over(server);
         }
         PlacementCandidate {
-            accepts: takes && !room.is_empty(),
+            accepts: takes && !room.is_empty() && !self.rests(server, now),
             serves: server.phase == ServerPhase::Serving,
             load: self.ledger.borrow().total(&server.id, now, speed.read_tokens_per_ms),
             waiting: self.queue_reports.borrow().waiting(&server.id, now),
@@ -176,7 +176,7 @@
     }
 
     /// Whether a request with these homes may run at a server.
-    fn is_home(&self, server: &BackendServer, homes: RequestHomes<'_>) -> bool {
+    pub(super) fn is_home(&self, server: &BackendServer, homes: RequestHomes<'_>) -> bool {
         let region = self.settings.regions.get(&server.domain);
         homes.route.admit(region) && homes.organisation.is_none_or(|homes| homes.admit(region))
     }
@@ -299,10 +299,11 @@
         parts.note_listed(listing.parts.iter().copied());
     }
 
-    /// The servers that have caches of prompts and take requests.
+    /// The servers that have caches of prompts, take requests and don't rest.
     pub fn engines(&self) -> Vec<Rc<BackendServer>> {
-        let presence = self.presence.borrow();
+        let (presence, now) = (self.presence.borrow(), Instant::now());
         let servers = presence.catalog().iter().filter(|server| self.takes_requests(server));
+        let servers = servers.filter(|server| !self.rests(server, now));
         servers.filter(|server| self.engine_profile(&server.service).is_some()).cloned().collect()
     }
 }
--- a/crates/papayamux-router/src/direct/fleet/cold_starts.rs
+++ b/crates/papayamux-router/src/direct/fleet/cold_starts.rs
@@ -46,7 +46,7 @@
         let is_listed = {
             let presence = self.presence.borrow();
             let known = presence.catalog().get(&server.id);
-            known.is_some_and(|known| self.takes_requests(known))
+            known.is_some_and(|known| self.takes_requests(known) && !self.rests(known, now))
         };
         // Its own place is among those that are counted.
         let used = self.cold_book.borrow().used(&server.id, now).saturating_sub(1);
--- a/crates/papayamux-router/src/direct/fleet/fleet_state.rs
+++ b/crates/papayamux-router/src/direct/fleet/fleet_state.rs
@@ -18,6 +18,7 @@
 use papayamux_coordination::round_trips::RoundTrips;
 use papayamux_coordination::server_evidence::EvidenceBook;
 use papayamux_coordination::server_liveness::LivenessBook;
+use papayamux_coordination::server_notices::NoticeBook;
 use papayamux_coordination::server_places::QueueReports;
 use papayamux_coordination::server_presence::ServerPresence;
 use papayamux_coordination::server_profile::ProfileBook;
@@ -56,6 +57,7 @@
     pub(super) census: RefCell<RouterCensus>,
     pub(super) ledger: RefCell<LoadLedger>,
     pub(super) evidence: RefCell<EvidenceBook>,
+    pub(super) notices: RefCell<NoticeBook>,
     pub(super) liveness: RefCell<HashMap<ServiceId, LivenessBook>>,
     pub(super) budget: RefCell<ServiceRetryBudget>,
     pub(super) records: RefCell<HashMap<ServiceId, AnswerRecord>>,
@@ -116,6 +118,7 @@
             cold_book: RefCell::default(),
             ledger: RefCell::default(),
             evidence: RefCell::default(),
+            notices: RefCell::default(),
             liveness: RefCell::default(),
             records: RefCell::default(),
             profiles: RefCell::default(),
--- a/crates/papayamux-router/src/direct/fleet/server_notices.rs
+++ b/crates/papayamux-router/src/direct/fleet/server_notices.rs
@@ -1,8 +1,11 @@
 //! What servers say of themselves with their answers.
 
+use std::time::{Duration, Instant};
+
 use papayamux_state::backend::{BackendServer, ServerNotice};
+use papayamux_state::ids::ServiceId;
 
-use super::Fleet;
+use super::{Fleet, RequestHomes};
 
 impl Fleet {
     /// Takes in what a server said with an answer.
@@ -16,5 +19,27 @@
             let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
             log::info!(server:% = server.id, rest_ms = rest_ms; "server asks for rest");
         }
+        self.notices.borrow_mut().note(&server.id, notice, Instant::now());
+    }
+
+    /// Whether a server has asked for a rest that isn't over.
+    pub(in crate::direct) fn rests(&self, server: &BackendServer, now: Instant) -> bool {
+        self.notices.borrow().rest_left(&server.id, now).is_some()
+    }
+
+    /// How long until the first server of a service takes a request with these homes, where all that would take it
+    /// rest.
+    pub(in crate::direct) fn rest_of_all(
+        &self,
+        service: &ServiceId,
+        homes: RequestHomes<'_>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let (presence, notices) = (self.presence.borrow(), self.notices.borrow());
+        let servers = presence.catalog().of_service(service);
+        let open = servers.filter(|server| self.takes_requests(server));
+        let open = open.filter(|server| self.is_home(server, homes));
+        let rests = open.map(|server| notices.rest_left(&server.id, now));
+        rests.min_by_key(|rest| rest.unwrap_or_default()).flatten()
     }
 }
--- a/crates/papayamux-router/src/direct/fleet/turns.rs
+++ b/crates/papayamux-router/src/direct/fleet/turns.rs
@@ -139,8 +139,12 @@
         let presence = self.presence.borrow();
         let serving = presence.catalog().of_service(service);
         let serving = serving.filter(|server| self.takes_requests(server));
-        let (mut sound, mut held) = (None, None);
+        let (mut sound, mut held, mut resting) = (None, None, None);
         for server in serving {
+            if self.rests(server, now) {
+                resting = Some(0);
+                continue;
+            }
             let places = self.places_at(server, now);
             let sum = match self.evidence.borrow().standing(&server.id, now) {
                 ServerStanding::Held => &mut held,
@@ -148,7 +152,7 @@
             };
             *sum = Some(sum.unwrap_or(0u32).saturating_add(places));
         }
-        sound.or(held).unwrap_or(u32::MAX)
+        sound.or(held).or(resting).unwrap_or(u32::MAX)
     }
 
     /// The places that are free at one server.
