Send nothing more to servers that have said that they leave

Servers that leave say so in all their answers, and got requests until the store said so too: 10 and 13 s later where it was away. Nobody read the word.

--- a/crates/papayamux-coordination/tests/server_notices.rs
+++ b/crates/papayamux-coordination/tests/server_notices.rs
@@ -48,3 +48,19 @@
         assert!(book.rest_left(&id("long"), later).is_some(), "{number}");
     }
 }
+
+#[test]
+fn leaving_lasts_whatever_is_said_later() {
+    let (mut book, now) = (NoticeBook::default(), Instant::now());
+    let leaving = ServerNotice { leaves: true, rest: None };
+    book.note(&id("a"), leaving, now);
+    book.note(&id("a"), ServerNotice::default(), now + Duration::from_secs(60));
+    assert!(book.leaves(&id("a")));
+    assert!(!book.leaves(&id("b")), "another start stays");
+    // Those that have been leaving for longest are forgotten first.
+    for number in 0..5_000 {
+        book.note(&id(&format!("later-{number}")), leaving, now + Duration::from_secs(61));
+    }
+    assert!(!book.leaves(&id("a")));
+    assert!(book.leaves(&id("later-4999")));
+}
--- a/crates/papayamux-router/src/direct/fleet/choice.rs
+++ b/crates/papayamux-router/src/direct/fleet/choice.rs
@@ -189,7 +189,10 @@
     ) -> Option<NotRunReason> {
         let presence = self.presence.borrow();
         let servers = presence.catalog().of_service(service);
-        let mut serving = servers.filter(|server| server.phase == ServerPhase::Serving).peekable();
+        let stays = |server: &&Rc<BackendServer>| {
+            server.phase == ServerPhase::Serving && !self.leaves(server)
+        };
+        let mut serving = servers.filter(stays).peekable();
         serving.peek()?;
         let mut at_home = serving.filter(|server| self.is_home(server, homes)).peekable();
         if at_home.peek().is_none() {
@@ -201,7 +204,9 @@
 
     /// Whether new requests may be sent to a server.
     pub(in crate::direct) fn takes_requests(&self, server: &BackendServer) -> bool {
-        server.phase == ServerPhase::Serving && !self.evacuations.borrow().covers(&server.domain)
+        server.phase == ServerPhase::Serving
+            && !self.leaves(server)
+            && !self.evacuations.borrow().covers(&server.domain)
     }
 
     /// The places of servers in the order of the part by which prompts are grouped, by rendezvous
--- a/crates/papayamux-router/src/direct/fleet/server_notices.rs
+++ b/crates/papayamux-router/src/direct/fleet/server_notices.rs
@@ -10,7 +10,7 @@
 impl Fleet {
     /// Takes in what a server said with an answer.
     pub(in crate::direct) fn take_notice(&self, server: &BackendServer, notice: ServerNotice) {
-        if notice.leaves {
+        if notice.leaves && !self.leaves(server) {
             self.metrics.server_notices.count("leaves");
             log::info!(server:% = server.id; "server says that it leaves");
         }
@@ -22,6 +22,11 @@
         self.notices.borrow_mut().note(&server.id, notice, Instant::now());
     }
 
+    /// Whether a server has said with an answer that it leaves.
+    pub(in crate::direct) fn leaves(&self, server: &BackendServer) -> bool {
+        self.notices.borrow().leaves(&server.id)
+    }
+
     /// Whether a server has asked for a rest that isn't over.
     pub(in crate::direct) fn rests(&self, server: &BackendServer, now: Instant) -> bool {
         self.notices.borrow().rest_left(&server.id, now).is_some()
