List the figures of the retry budget and of servers' words

The list of figures that decisions rest on didn't name the retry budget, so that a change of it didn't show; it and the new module are in it now, as is the share of a caller's time that it waits for a rest.

--- a/crates/papayamux-coordination/tests/constants.rs
+++ b/crates/papayamux-coordination/tests/constants.rs
@@ -6,7 +6,7 @@
 use insta::assert_snapshot;
 
 /// Decisions that a request on the direct path passes through, beside those in folders.
-const FILES: [&str; 12] = [
+const FILES: [&str; 14] = [
     "link_delays.rs",
     "part_flights.rs",
     "return_time.rs",
@@ -19,6 +19,8 @@
     "part_owners.rs",
     "source_pace.rs",
     "crash_quarantine.rs",
+    "server_notices.rs",
+    "service_retry_budget.rs",
 ];
 /// Folders of such decisions.
 const FOLDERS: [&str; 5] =
