Send views of more than a kilobyte, and before there is a configuration

Cause: the connection on which a request for a view arrives limits frames to 1 KB in both directions, so that an answer with more than a few servers was not sent; and a router without a configuration had no view to hand on, while the first configuration is written when all routers have started.

Change: the limit is raised once the request has arrived; a view may lack a configuration. Failures to hand on a view are logged.

--- a/crates/papayamux-router/src/direct/fleet/view_adoption.rs
+++ b/crates/papayamux-router/src/direct/fleet/view_adoption.rs
@@ -108,7 +108,6 @@
     fn complete_view(&self) -> Option<FleetView> {
         self.journal_known_servers();
         let (position, digest) = self.knowledge.journaled()?;
-        let configuration = self.configuration()?;
         let version = self.newest_version();
         let presence = self.presence.borrow();
         let servers = presence.catalog().iter();
@@ -130,7 +129,8 @@
                 evacuations: self.evacuation_orders(),
             }),
         };
-        let configuration = (configuration.version == version).then(|| (*configuration).clone());
+        let configuration = self.configuration().filter(|known| known.version == version);
+        let configuration = configuration.map(|known| (*known).clone());
         Some(FleetView { update, configuration })
     }
 
--- a/crates/papayamux-router/src/direct/peers/view_transfer.rs
+++ b/crates/papayamux-router/src/direct/peers/view_transfer.rs
@@ -98,7 +98,7 @@
                         if !matches!(error, TransferError::Unreachable(_)) {
                             search.record_contact();
                         }
-                        log::debug!(peer:% = router, error:% = error; "no view received");
+                        log::info!(peer:% = router, error:% = error; "no view received");
                     }
                 },
             }
@@ -181,7 +181,7 @@
                     monoio::spawn(async move {
                         let serving = exchange.serve_view(stream, address.ip());
                         if let Err(error) = serving.await {
-                            log::debug!(peer:% = address, error:% = error; "no view sent");
+                            log::info!(peer:% = address, error:% = error; "no view sent");
                         }
                         drop(open);
                     });
@@ -212,6 +212,7 @@
             let _ = monoio::time::timeout(HOLD_TIME, viewed).await;
         }
         let answer = self.view_answer(request, requester, received);
+        connection.codec_mut().set_max_frame_length(MAX_ANSWER_BYTES);
         let kind = match &answer {
             ViewAnswer::View(_) => "sent",
             ViewAnswer::Referral(_) => "referred",
