Divide the cache survey among all known routers

Change: the survey is divided among all routers that are known, as the router that hands on its view names those that it knows.

--- a/crates/papayamux-coordination/tests/fleet_knowledge/view_transfer.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/view_transfer.rs
@@ -4,15 +4,19 @@
 //! router and the source of the largest deployment take.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
+use papayamux_coordination::cache_survey::{survey_share, SURVEY_DELAY};
 use papayamux_coordination::fleet_knowledge::{
     RoleSelector, RoleView, SearchStep, SourceRole, TransferVerdict, ViewDistributor, ViewOrigin,
     ViewSearch, HOLD_TIME,
 };
 
+use papayamux_coordination::router_peers::{PeerUpdate, RouterPeers};
+use papayamux_state::ids::ServerId;
+
 use super::reader_order::address;
 
 /// Period within which the routers start, in milliseconds.
@@ -38,6 +42,10 @@
 const ENTRY_TIME_US: u64 = 100;
 /// Size of a compressed view without servers, and of each server in it, in bytes.
 const VIEW_BYTES: (usize, usize) = (20_000, 16);
+/// Interval between two reports of a router, in milliseconds.
+const REPORT_INTERVAL: u64 = 250;
+/// Time at which the routers stop sending reports, in milliseconds.
+const GOSSIP_END: u64 = 2_000;
 /// Deadline for all routers to have a view after the loss of all, in milliseconds.
 const DEADLINE: u64 = 1_500;
 
@@ -76,6 +84,8 @@
         attempt: u32,
     },
     ReadEnded(usize),
+    Report(usize),
+    Survey(usize),
     Vanish(usize),
 }
 
@@ -87,7 +97,10 @@
     received_at: Option<u64>,
     /// Time at which it has applied the view.
     viewed_at: Option<u64>,
-    known: BTreeSet<IpAddr>,
+    peers: RouterPeers,
+    sequence: u64,
+    /// Number of engines that it has surveyed.
+    surveyed: usize,
     distributor: ViewDistributor,
     held: Vec<(usize, u32)>,
     link_free_at: u64,
@@ -113,6 +126,7 @@
 impl Restart {
     fn new(routers: usize, servers: usize) -> Self {
         let known: Vec<_> = (0..routers as u32).map(address).collect();
+        let seeds: Vec<_> = known.iter().copied().take(3).collect();
         let router = |index: usize| Router {
             // Spreads the starts evenly, in an order unrelated to the addresses.
             starts_at: (index as u64 * 7_919) % START_SPREAD,
@@ -120,7 +134,9 @@
             attempt: 0,
             received_at: None,
             viewed_at: None,
-            known: BTreeSet::new(),
+            peers: RouterPeers::new(address(index as u32), seeds.clone()),
+            sequence: 0,
+            surveyed: 0,
             distributor: ViewDistributor::default(),
             held: Vec::new(),
             link_free_at: 0,
@@ -133,7 +149,7 @@
             events: BinaryHeap::new(),
             routers: (0..routers).map(router).collect(),
             indexes: known.iter().enumerate().map(|(index, address)| (*address, index)).collect(),
-            seeds: known.iter().copied().take(3).collect(),
+            seeds: seeds.clone(),
             gone: HashSet::new(),
             refused: HashSet::new(),
             servers,
@@ -161,7 +177,9 @@
 
     fn run(&mut self) {
         for index in 0..self.routers.len() {
-            self.at(self.routers[index].starts_at, Event::Step(index));
+            let starts_at = self.routers[index].starts_at;
+            self.at(starts_at, Event::Report(index));
+            self.at(starts_at, Event::Step(index));
         }
         while let Some(Reverse((time, _, event))) = self.events.pop() {
             self.now = time;
@@ -175,6 +193,8 @@
             Event::Vanish(index) => {
                 self.gone.insert(index);
             }
+            Event::Report(index) if !self.gone.contains(&index) => self.report(index),
+            Event::Survey(index) if !self.gone.contains(&index) => self.survey(index),
             Event::Step(index) if !self.gone.contains(&index) => self.step(index),
             Event::Request { from, to, attempt } => self.request(from, to, attempt),
             Event::HoldEnd { holder, from, attempt } => {
@@ -186,9 +206,10 @@
                 }
             }
             Event::ViewReceived { router, from, attempt } if self.is_current(router, attempt) => {
-                let mut known = self.routers[from].known.clone();
-                known.insert(address(from as u32));
-                self.routers[router].known.extend(known);
+                let mut named = self.routers[from].peers.known();
+                named.push(address(from as u32));
+                let now = self.instant();
+                self.routers[router].peers.record_named(&named, now);
                 self.obtain(router, self.now + self.parse_time());
             }
             Event::Failed { router, attempt, is_reached } if self.is_current(router, attempt) => {
@@ -231,7 +252,7 @@
         }
         let own = address(index as u32);
         let search = router.search.get_or_insert_with(|| ViewSearch::new(own, &seeds, instant));
-        let known: Vec<_> = router.known.iter().copied().collect();
+        let known = router.peers.known();
         match search.next_step(&known, instant) {
             SearchStep::Ask(asked, left) => {
                 router.attempt += 1;
@@ -266,7 +287,7 @@
     }
 
     fn request(&mut self, from: usize, to: usize, attempt: u32) {
-        let now = self.now;
+        let (now, instant) = (self.now, self.instant());
         if self.gone.contains(&to) {
             let failed = Event::Failed { router: from, attempt, is_reached: false };
             self.at(now + CONNECT_TIMEOUT, failed);
@@ -277,7 +298,7 @@
             self.at(now + HOP, Event::Failed { router: from, attempt, is_reached: false });
             return;
         }
-        holder.known.insert(address(from as u32));
+        holder.peers.record_named(&[address(from as u32)], instant);
         if holder.received_at.is_none() {
             holder.held.push((from, attempt));
             let end = now + HOLD_TIME.as_millis() as u64;
@@ -305,7 +326,35 @@
         }
     }
 
+    /// Sends a report to some peers, which arrives at once.
+    fn report(&mut self, index: usize) {
+        let (now, instant) = (self.now, self.instant());
+        if now < GOSSIP_END {
+            self.at(now + REPORT_INTERVAL, Event::Report(index));
+        }
+        let router = &mut self.routers[index];
+        router.sequence += 1;
+        let sequence = router.sequence;
+        let known = router.peers.next_named(instant);
+        for target in router.peers.next_targets(instant) {
+            let target = &mut self.routers[self.indexes[&target]];
+            if target.starts_at <= now {
+                let update = PeerUpdate { sequence, known: &known, fresh: true };
+                target.peers.record_update(address(index as u32), update, instant);
+            }
+        }
+    }
+
+    fn survey(&mut self, index: usize) {
+        let engine = |index: usize| format!("i-{index}").parse().unwrap();
+        let engines: Vec<ServerId> = (0..self.servers).map(engine).collect();
+        let others = self.routers[index].peers.known();
+        let share = survey_share(address(index as u32), &others, &engines);
+        self.routers[index].surveyed = share.len();
+    }
+
     fn obtain(&mut self, index: usize, viewed_at: u64) {
+        self.at(viewed_at + SURVEY_DELAY.as_millis() as u64, Event::Survey(index));
         self.routers[index].received_at = Some(self.now);
         self.routers[index].viewed_at = Some(viewed_at);
         for (from, attempt) in std::mem::take(&mut self.routers[index].held) {
@@ -398,8 +447,19 @@
     }
 }
 
+/// Listing its cache delays an engine. A router that knows few others asks the engines that they ask too.
+#[test]
+fn engines_are_surveyed_about_once_after_all_routers_start() {
+    for (routers, servers) in SIZES {
+        let mut restart = Restart::new(routers, servers);
+        restart.run();
+        let surveyed: usize = restart.routers.iter().map(|router| router.surveyed).sum();
+        assert!(surveyed <= 2 * servers, "{routers}: {surveyed} of {servers} engines surveyed");
+    }
+}
+
 fn view(known: &[IpAddr]) -> RoleView<'_> {
-    RoleView { known, has_uncertain_read: false, has_followers: false }
+    RoleView { known, has_uncertain_read: false, has_followers: false, is_up_to_date: false }
 }
 
 /// A router that knows only a few others would believe itself to be a reader.
--- a/crates/papayamux-router/src/direct/peers/exchange.rs
+++ b/crates/papayamux-router/src/direct/peers/exchange.rs
@@ -120,11 +120,12 @@
         self.leaving.set(true);
     }
 
-    /// Returns the other routers that are alive if all have started recently and so know little
-    /// about caches.
+    /// Returns the other known routers if all that are in contact have started recently and so know
+    /// little about caches. In a large fleet a router is in contact with few of them by then, and the
+    /// others are named by the router that handed it its view.
     pub fn fresh_routers(&self) -> Option<Vec<IpAddr>> {
-        let (peers, now) = (self.peers.borrow(), Instant::now());
-        peers.all_are_fresh(now).then(|| peers.alive(now))
+        let peers = self.peers.borrow();
+        peers.all_are_fresh(Instant::now()).then(|| peers.known())
     }
 
     /// Returns the address by which the other routers know this one.
