Keep the assumed distance until three connections have shown another

Cause: the first connection to a failure domain moved its estimate by a step. One that opened slowly, as on a busy machine, made the domain look farther than those without a sample; all further requests went to these, the kept connection was not used again, and nothing corrected the estimate.

Change: the prior holds until three connections have been opened.

--- a/crates/papayamux-coordination/src/round_trips.rs
+++ b/crates/papayamux-coordination/src/round_trips.rs
@@ -17,6 +17,10 @@
 /// Prior for a round trip to another failure domain of the region.
 const OTHER_DOMAIN_PRIOR_MS: f64 = 2.5;
 
+/// Number of connections before which the prior holds. A single one that opens slowly would make its domain
+/// look farther than the others, which then get the requests, so that the estimate is never corrected.
+const MIN_CONNECTIONS: u32 = 3;
+
 /// The round trips that new connections have shown.
 #[derive(Debug)]
 pub struct RoundTrips {
@@ -39,7 +43,9 @@
 
     /// Returns the median round trip in milliseconds.
     pub fn median_ms(&self, domain: &FailureDomain) -> f64 {
-        self.domains.get(domain).map_or_else(|| self.prior(domain), MedianEstimate::value)
+        let known = self.domains.get(domain);
+        let known = known.filter(|estimate| estimate.samples() >= MIN_CONNECTIONS);
+        known.map_or_else(|| self.prior(domain), MedianEstimate::value)
     }
 
     fn prior(&self, domain: &FailureDomain) -> f64 {
--- a/crates/papayamux-coordination/tests/round_trips.rs
+++ b/crates/papayamux-coordination/tests/round_trips.rs
@@ -10,6 +10,17 @@
     name.parse().unwrap()
 }
 
+/// All requests go to the nearest of several idle servers, so that the others open no connection that would
+/// correct their estimate.
+#[test]
+fn single_slow_connection_moves_no_failure_domain_away() {
+    let mut trips = RoundTrips::new(domain("here"));
+    trips.record(&domain("there"), Duration::from_millis(12));
+    assert_eq!(trips.median_ms(&domain("there")), trips.median_ms(&domain("elsewhere")));
+    (0..8).for_each(|_| trips.record(&domain("there"), Duration::from_millis(12)));
+    assert!(trips.median_ms(&domain("there")) > 2.0 * trips.median_ms(&domain("elsewhere")));
+}
+
 #[test]
 fn other_region_is_distinguished_from_other_failure_domain() {
     let mut trips = RoundTrips::new(domain("here"));
