Follow a router only once it knows the source, and doubt its grace

Change: a router that is up to date goes on with the one that it follows, or reads on, until the next one has confirmed recent state. An update from a router in grace does not count for one that was in contact all the while. A router takes no grace if another one has read the source since its first failed read, and one of the readers in grace tries the others until one is sure.

--- a/crates/papayamux-coordination/src/fleet_knowledge/role_selector.rs
+++ b/crates/papayamux-coordination/src/fleet_knowledge/role_selector.rs
@@ -64,6 +64,8 @@
     pub has_uncertain_read: bool,
     /// `true` if other routers follow this one.
     pub has_followers: bool,
+    /// `true` if the router knows the source as recently as if it read the source by itself.
+    pub is_up_to_date: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -82,6 +84,8 @@
     order: ReaderOrder,
     skipped: HashMap<IpAddr, Instant>,
     followed: Option<FollowedRouter>,
+    /// The router to follow once it has shown that it knows the source.
+    candidate: Option<FollowedRouter>,
     seeks_source: bool,
     first_view: Option<FirstView>,
 }
@@ -98,6 +102,7 @@
             order: ReaderOrder::new([own]),
             skipped: HashMap::new(),
             followed: None,
+            candidate: None,
             seeks_source: true,
             first_view: None,
         }
@@ -117,6 +122,11 @@
         }
     }
 
+    /// Returns the routers that are asked for updates: the followed one, and the one to follow next.
+    pub fn asked(&self) -> impl Iterator<Item = IpAddr> {
+        [self.followed, self.candidate].into_iter().flatten().map(|asked| asked.router)
+    }
+
     /// Returns whether this router is among those that poll an unavailable source frequently. They notify
     /// the others of its recovery, as polling by all routers would overload it.
     pub fn seeks_source(&self) -> bool {
@@ -166,15 +176,43 @@
             }
             None => candidates.followed_by(self.own),
         };
-        if self.followed.map(|followed| followed.router) != followed {
-            self.followed = followed.map(|router| FollowedRouter { router, last_update: now });
-        }
+        self.follow(followed, before, view, now);
         match (before, self.role()) {
             (SourceRole::Reader(before), SourceRole::Reader(pause)) => pause < before / 2,
             (before, role) => before != role,
         }
     }
 
+    /// Follows `target`, or reads if it is `None`.
+    ///
+    /// A router that is up to date changes to another one only once that one has shown to be so too. The first
+    /// routers in the order may have just returned from a partition: they know nothing of what has changed,
+    /// and until they do, nobody would learn of it if the readers before them stopped.
+    fn follow(
+        &mut self,
+        target: Option<IpAddr>,
+        before: SourceRole,
+        view: RoleView<'_>,
+        now: Instant,
+    ) {
+        let current = self.followed.map(|followed| followed.router);
+        if target == current || target.is_none() {
+            self.candidate = None;
+            self.followed = self.followed.filter(|_| target.is_some());
+            return;
+        }
+        let is_working = match current {
+            Some(current) => self.known.contains(&current) && !self.skipped.contains_key(&current),
+            None => matches!(before, SourceRole::Reader(_)) && !view.has_uncertain_read,
+        };
+        let next = target.map(|router| FollowedRouter { router, last_update: now });
+        if !(view.is_up_to_date && is_working) {
+            (self.followed, self.candidate) = (next, None);
+        } else if self.candidate.map(|candidate| candidate.router) != target {
+            self.candidate = next;
+        }
+    }
+
     /// Records that `router` sent a newer confirmation than the known one.
     pub fn record_newer(&mut self, router: IpAddr, now: Instant) {
         if let Some(followed) = self.followed.as_mut().filter(|known| known.router == router) {
@@ -182,11 +220,34 @@
         }
     }
 
+    /// Records that `router` confirmed state that was the newest `age` ago. Returns whether this router
+    /// follows it from now on.
+    pub fn record_candidate(&mut self, router: IpAddr, age: Duration, now: Instant) -> bool {
+        if age >= self.solo_interval {
+            return false;
+        }
+        let candidate = self.candidate.take_if(|candidate| candidate.router == router);
+        if let Some(candidate) = candidate {
+            self.followed = Some(FollowedRouter { last_update: now, ..candidate });
+        }
+        candidate.is_some()
+    }
+
+    /// Records that `router` still waits for renewals. If this router does so as well after reading the
+    /// source, it tries others: one that was in contact all the while knows which servers have departed.
+    pub fn record_doubtful(&mut self, router: IpAddr, now: Instant) {
+        if self.seeks_source {
+            self.skipped.insert(router, now + SKIP_DURATION);
+        }
+    }
+
     fn skip_silent(&mut self, max_silence: Duration, now: Instant) {
         let silence =
             |followed: &FollowedRouter| now.saturating_duration_since(followed.last_update);
-        if let Some(silent) = self.followed.take_if(|followed| silence(followed) >= max_silence) {
-            self.skipped.insert(silent.router, now + SKIP_DURATION);
+        for asked in [&mut self.followed, &mut self.candidate] {
+            if let Some(silent) = asked.take_if(|asked| silence(asked) >= max_silence) {
+                self.skipped.insert(silent.router, now + SKIP_DURATION);
+            }
         }
     }
 }
--- a/crates/papayamux-coordination/src/server_presence.rs
+++ b/crates/papayamux-coordination/src/server_presence.rs
@@ -161,6 +161,17 @@
         self.grace_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
+    /// Returns whether a report counts whose sender still waits for renewals for `reported`.
+    ///
+    /// The sender had no contact to the list. If this router had, within `max_silence` as if it read the list
+    /// by itself, the list was available, and the sender keeps servers that have departed.
+    pub fn may_adopt(&self, reported: Duration, max_silence: Duration, now: Instant) -> bool {
+        let has_contact = self
+            .last_contact
+            .is_some_and(|last_contact| now.saturating_duration_since(last_contact) < max_silence);
+        reported.is_zero() || !has_contact || !self.grace_left(now).is_zero()
+    }
+
     /// Adopts the grace period of a router whose view of the list is at least as recent. Returns
     /// the expired servers that are removed by it.
     ///
--- a/crates/papayamux-coordination/tests/fleet_knowledge/fleet.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/fleet.rs
@@ -11,8 +11,11 @@
     FollowerTable, ReceivedQuery, RoleSelector, RoleView, SourceRole,
 };
 use papayamux_coordination::freshness_confirmation::FreshnessQuery;
+use papayamux_coordination::server_presence::ServerPresence;
 use papayamux_coordination::source_polling::{PollSchedule, PollView, ReadBounds};
+use papayamux_state::backend::{BackendServer, ServerPhase};
 use papayamux_state::boot_time::BootInstant;
+use papayamux_state::ids::{ServerId, ServerName};
 use papayamux_state::source::SourcePosition;
 
 use super::reader_order::address;
@@ -26,34 +29,72 @@
 /// Read interval of a solo router under the bounds below, in milliseconds.
 const SOLO_INTERVAL: u64 = 1_000;
 
-struct Router {
+pub struct Router {
     address: IpAddr,
+    /// What it believes of the only server.
+    presence: ServerPresence,
+    first_failure: Option<Instant>,
+    /// Latest time of a read that another router reported.
+    last_reported: Option<u64>,
     selector: RoleSelector,
     schedule: PollSchedule,
     followers: FollowerTable,
     /// Time at which the known state was read from the source.
     known: Option<u64>,
     read_ended: u64,
-    last_query: Option<(IpAddr, u64)>,
+    /// Times of the last queries to the routers asked.
+    queries: HashMap<IpAddr, u64>,
     paused_until: u64,
     jitter_sample: f64,
 }
 
-struct Fleet {
+/// What a router tells a follower.
+#[derive(Debug, Clone, Copy)]
+struct Update {
+    to: usize,
+    from: usize,
+    /// Time of the read.
+    known: u64,
+    grace: Duration,
+    has_departed: bool,
+}
+
+pub struct Fleet {
     begun: Instant,
-    now: u64,
-    routers: Vec<Router>,
+    pub now: u64,
+    pub routers: Vec<Router>,
     indexes: HashMap<IpAddr, usize>,
     known: Vec<IpAddr>,
-    cut_off: HashSet<usize>,
-    source_is_away: bool,
-    calls: u64,
-    /// Updates for the next step: the receiver, the sender, and the time of the read.
-    updates: Vec<(usize, usize, u64)>,
+    /// Routers that can't reach the source.
+    pub cut_off: HashSet<usize>,
+    /// Routers that can't reach one another either.
+    pub isolated: HashSet<usize>,
+    pub source_is_away: bool,
+    /// Time at which the source removes the only server's entry.
+    pub departs_at: u64,
+    pub calls: u64,
+    /// Updates for the next step.
+    updates: Vec<Update>,
+}
+
+fn server() -> BackendServer {
+    let name: ServerName = "i-1".parse().unwrap();
+    BackendServer {
+        id: ServerId::of_start(&name, None),
+        name,
+        start: None,
+        service: "llm".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        domain: "here".parse().unwrap(),
+        slots: 4,
+        phase: ServerPhase::Serving,
+        cold_left: Duration::ZERO,
+    }
 }
 
 impl Fleet {
-    fn start(routers: u32) -> Self {
+    pub fn start(routers: u32) -> Self {
+        let begun = Instant::now();
         let known: Vec<_> = (0..routers).map(address).collect();
         let bounds = ReadBounds {
             drain_within: Some(Duration::from_millis(2 * SOLO_INTERVAL)),
@@ -61,23 +102,32 @@
         };
         let router = |(index, address): (usize, &IpAddr)| Router {
             address: *address,
+            presence: {
+                let mut presence = ServerPresence::default();
+                presence.record_entry(server(), begun);
+                presence
+            },
+            first_failure: None,
+            last_reported: None,
             selector: RoleSelector::new(*address, bounds.interval()),
             schedule: PollSchedule::new(bounds),
             followers: FollowerTable::default(),
             known: None,
             read_ended: 0,
-            last_query: None,
+            queries: HashMap::new(),
             paused_until: 0,
             jitter_sample: (index as f64 * 0.618).fract(),
         };
         Self {
-            begun: Instant::now(),
+            begun,
             now: 0,
             routers: known.iter().enumerate().map(router).collect(),
             indexes: known.iter().enumerate().map(|(index, address)| (*address, index)).collect(),
             known,
             cut_off: HashSet::new(),
+            isolated: HashSet::new(),
             source_is_away: false,
+            departs_at: u64::MAX,
             calls: 0,
             updates: Vec::new(),
         }
@@ -88,12 +138,12 @@
     }
 
     /// Advances the time by `millis`. The source answers within a step.
-    fn run(&mut self, millis: u64) {
+    pub fn run(&mut self, millis: u64) {
         let end = self.now + millis;
         while self.now < end {
             self.now += TICK;
-            for (to, from, known) in std::mem::take(&mut self.updates) {
-                self.deliver(to, from, known);
+            for update in std::mem::take(&mut self.updates) {
+                self.deliver(update);
             }
             for index in 0..self.routers.len() {
                 if self.routers[index].paused_until <= self.now {
@@ -105,6 +155,7 @@
 
     fn step(&mut self, index: usize) {
         let now = self.instant();
+        self.routers[index].presence.remove_expired(now);
         if self.now % CHOICE_INTERVAL == (index as u64 * TICK) % CHOICE_INTERVAL {
             self.choose(index, now);
         }
@@ -112,7 +163,7 @@
         let view = PollView {
             role: router.selector.role(),
             seeks_source: router.selector.seeks_source(),
-            awaits_renewals: false,
+            awaits_renewals: router.presence.awaits_renewals(),
             since_read: Duration::from_millis(self.now - router.read_ended),
             age: router.known.map(|known| Duration::from_millis(self.now - known)),
         };
@@ -124,14 +175,25 @@
 
     fn read(&mut self, index: usize) {
         self.calls += 1;
-        let fails = self.source_is_away || self.cut_off.contains(&index);
+        let fails = self.source_is_away || !self.reaches_source(index);
+        let now = self.instant();
+        let has_departed = self.departs_at <= self.now;
         let router = &mut self.routers[index];
         router.read_ended = self.now;
         if fails {
-            router.schedule.record_failure();
+            if router.schedule.record_failure() {
+                router.first_failure = Some(now);
+            }
             return;
         }
         router.schedule.record_success();
+        let has_contact =
+            |failure: Instant| router.presence.last_contact().is_some_and(|last| last > failure);
+        let failed = router.first_failure.take().is_some_and(|failure| !has_contact(failure));
+        router.presence.record_contact(failed, now);
+        if has_departed {
+            router.presence.record_removal(&server().id, now);
+        }
         router.known = Some(self.now);
         self.notify_followers(index);
     }
@@ -144,19 +206,50 @@
             let offset = entry.query.offset_to(BootInstant(Duration::from_millis(known)));
             let converted = offset.on_querier_clock(entry.query.query, entry.query.received);
             assert!(converted.is_none() || offset.0 <= known as i64 - received);
-            self.updates.push((self.indexes[&follower], index, known));
+            self.updates.push(self.update(self.indexes[&follower], index, known));
         }
     }
 
-    fn deliver(&mut self, to: usize, from: usize, known: u64) {
+    fn update(&self, to: usize, from: usize, known: u64) -> Update {
+        let presence = &self.routers[from].presence;
+        let grace = presence.grace_left(self.instant());
+        Update { to, from, known, grace, has_departed: presence.catalog().is_empty() }
+    }
+
+    fn reaches_source(&self, index: usize) -> bool {
+        !self.cut_off.contains(&index) && !self.isolated.contains(&index)
+    }
+
+    fn deliver(&mut self, update: Update) {
+        let Update { to, from, known, grace, has_departed } = update;
         let now = self.instant();
+        if self.isolated.contains(&to) || self.isolated.contains(&from) {
+            return;
+        }
         let router = &mut self.routers[to];
-        if router.paused_until > self.now || router.known.is_some_and(|own| own >= known) {
+        let is_rejected =
+            !router.presence.may_adopt(grace, Duration::from_millis(SOLO_INTERVAL), now);
+        if router.paused_until > self.now || is_rejected {
             return;
         }
-        router.known = Some(known);
         let sender = address(from as u32);
-        router.selector.record_newer(sender, now);
+        if !grace.is_zero() && router.presence.awaits_renewals() {
+            router.selector.record_doubtful(sender, now);
+        }
+        if router.last_reported.is_none_or(|last| known > last) {
+            router.last_reported = Some(known);
+            router.selector.record_newer(sender, now);
+        }
+        router.selector.record_candidate(sender, Duration::from_millis(self.now - known), now);
+        if router.known.is_some_and(|own| own >= known) {
+            return;
+        }
+        router.presence.record_contact(false, now);
+        if has_departed {
+            router.presence.record_overwrite(&server().id);
+        }
+        router.presence.adopt_grace(grace, now);
+        router.known = Some(known);
         self.notify_followers(to);
     }
 
@@ -170,31 +263,46 @@
         let router = &mut self.routers[index];
         let view = RoleView {
             known: &others,
-            has_uncertain_read: self.cut_off.contains(&index) || self.source_is_away,
+            has_uncertain_read: router.first_failure.is_some() || router.presence.awaits_renewals(),
             has_followers: !router.followers.current(now).is_empty(),
+            is_up_to_date: router.known.is_some_and(|known| self.now - known < SOLO_INTERVAL),
         };
         router.selector.choose(view, now);
-        let SourceRole::Follower(followed) = router.selector.role() else { return };
-        let is_due = router
-            .last_query
-            .is_none_or(|(queried, at)| queried != followed || self.now - at >= QUERY_INTERVAL);
+        let asked: Vec<_> = router.selector.asked().collect();
+        router.queries.retain(|router, _| asked.contains(router));
+        for followed in asked {
+            self.query(index, followed, now);
+        }
+    }
+
+    fn query(&mut self, index: usize, followed: IpAddr, now: Instant) {
+        let router = &mut self.routers[index];
+        let is_due = router.queries.get(&followed).is_none_or(|at| self.now - at >= QUERY_INTERVAL);
         if !is_due || router.known.is_none() {
             return;
         }
-        router.last_query = Some((followed, self.now));
+        router.queries.insert(followed, self.now);
         let (querier, sent_at) = (router.address, BootInstant(Duration::from_millis(self.now)));
         let query =
             ReceivedQuery { query: FreshnessQuery { incarnation: 1, sent_at }, received: sent_at };
         let followed_index = self.indexes[&followed];
-        if self.routers[followed_index].paused_until > self.now {
+        let is_unreachable =
+            self.isolated.contains(&index) || self.isolated.contains(&followed_index);
+        if self.routers[followed_index].paused_until > self.now || is_unreachable {
             return;
         }
         self.routers[followed_index].followers.record(querier, query, SourcePosition(0), now);
         if let Some(known) = self.routers[followed_index].known {
-            self.updates.push((index, followed_index, known));
+            self.updates.push(self.update(index, followed_index, known));
         }
     }
 
+    /// Returns how many routers still use the server, apart from `others`.
+    pub fn users_besides(&self, others: &[usize]) -> usize {
+        let counted = (0..self.routers.len()).filter(|index| !others.contains(index));
+        counted.filter(|index| !self.routers[*index].presence.catalog().is_empty()).count()
+    }
+
     /// Returns the ages of the known state at routers that run and reach the source, in ascending order.
     fn ages(&self) -> Vec<u64> {
         let sound = (0..self.routers.len())
@@ -207,7 +315,7 @@
         ages
     }
 
-    fn readers(&self) -> Vec<usize> {
+    pub fn readers(&self) -> Vec<usize> {
         let reads = |router: &Router| matches!(router.selector.role(), SourceRole::Reader(_));
         (0..self.routers.len()).filter(|index| reads(&self.routers[*index])).collect()
     }
@@ -318,7 +426,8 @@
         // Another third has just started and makes a full read.
         for index in (0..routers as usize).filter(|index| index % 3 == 1) {
             let router = &mut fleet.routers[index];
-            (router.known, router.read_ended, router.last_query) = (None, 0, None);
+            (router.known, router.read_ended) = (None, 0);
+            router.queries.clear();
         }
         let started = time_until_most_know(&mut fleet);
         assert!(started <= 1_000, "{routers}, a third just started: {started} ms");
--- a/crates/papayamux-coordination/tests/fleet_knowledge/main.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/main.rs
@@ -6,6 +6,7 @@
 mod evacuations;
 mod fleet;
 mod reader_order;
+mod returning_readers;
 mod role_selector;
 mod server_changes;
 mod source_view;
--- a/crates/papayamux-coordination/tests/fleet_knowledge/role_selector.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/role_selector.rs
@@ -48,7 +48,7 @@
 }
 
 fn view(known: &[IpAddr]) -> RoleView<'_> {
-    RoleView { known, has_uncertain_read: false, has_followers: false }
+    RoleView { known, has_uncertain_read: false, has_followers: false, is_up_to_date: false }
 }
 
 #[test]
--- a/crates/papayamux-router/src/direct/fleet/known_servers.rs
+++ b/crates/papayamux-router/src/direct/fleet/known_servers.rs
@@ -18,6 +18,11 @@
         self.presence.borrow_mut().record_contact(failed, now);
     }
 
+    /// Returns whether the server list was read since `time`, by this router or one that it follows.
+    pub fn had_list_contact_since(&self, time: Instant) -> bool {
+        self.presence.borrow().last_contact().is_some_and(|contact| contact > time)
+    }
+
     /// Returns whether servers with expired entries may still renew them.
     pub fn awaits_renewals(&self) -> bool {
         self.presence.borrow().awaits_renewals()
--- a/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
+++ b/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
@@ -157,6 +157,7 @@
             known,
             has_uncertain_read: !self.source_is_reachable() || self.awaits_renewals(),
             has_followers: !self.knowledge.followers.borrow_mut().current(now).is_empty(),
+            is_up_to_date: self.is_up_to_date(),
         };
         if !self.knowledge.role_selection.borrow_mut().choose(view, now) {
             return;
@@ -176,13 +177,20 @@
         }
     }
 
-    /// Returns the request to the followed router; `None` if there is none, or if everything has to
-    /// be read first.
-    pub(in crate::direct) fn follow_request(&self, life: u64) -> Option<(IpAddr, FollowRequest)> {
-        let SourceRole::Follower(followed) = self.source_role() else { return None };
+    fn is_up_to_date(&self) -> bool {
+        self.servers_age().is_some_and(|age| age < self.settings.read_bounds().interval())
+    }
+
+    /// Returns the routers that are asked for updates.
+    pub(in crate::direct) fn asked_routers(&self) -> Vec<IpAddr> {
+        self.knowledge.role_selection.borrow().asked().collect()
+    }
+
+    /// Returns the request for updates; `None` if everything has to be read first.
+    pub(in crate::direct) fn follow_request(&self, life: u64) -> Option<FollowRequest> {
         let position = self.source_position()?.0;
         let asked_ms = u64::try_from(boot_now().0.as_millis()).ok()?;
-        Some((followed, FollowRequest { life, asked_ms, position }))
+        Some(FollowRequest { life, asked_ms, position })
     }
 
     /// Records that `router` follows this one; returns the update to send to it at once.
@@ -227,6 +235,15 @@
             return;
         };
         let steady = Instant::now();
+        let grace = Duration::from_millis(u64::from(update.grace_ms));
+        let max_silence = self.settings.read_bounds().interval();
+        if !self.presence.borrow().may_adopt(grace, max_silence, steady) {
+            log::debug!(peer:% = sender, grace_ms = update.grace_ms; "update from a router in doubt");
+            return;
+        }
+        if !grace.is_zero() && self.awaits_renewals() {
+            self.knowledge.role_selection.borrow_mut().record_doubtful(sender, steady);
+        }
         let span = update
             .span
             .filter(|span| span.is_complete || self.leads_to_digest(span, update.grace_ms));
@@ -243,7 +260,6 @@
             if !span.is_complete {
                 self.knowledge.record_gap(stated.position);
             }
-            let grace = Duration::from_millis(u64::from(update.grace_ms));
             self.apply_span(span, grace, steady);
         } else if self.source_position().is_some_and(|own| own < stated.position) {
             self.knowledge.refreshes_from.set(Some(sender));
@@ -263,6 +279,10 @@
         if verdict.progresses {
             self.knowledge.role_selection.borrow_mut().record_newer(sender, steady);
         }
+        let age = boot_now().since(known);
+        if self.knowledge.role_selection.borrow_mut().record_candidate(sender, age, steady) {
+            log::info!(followed:% = sender; "follows a router");
+        }
         if verdict.needs_read {
             self.request_read();
         }
--- a/crates/papayamux-router/src/direct/peers/source_updates.rs
+++ b/crates/papayamux-router/src/direct/peers/source_updates.rs
@@ -1,5 +1,6 @@
 //! Follows a router that reads the source, and sends updates to the followers of this one.
 
+use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,23 +20,23 @@
 impl PeerExchange {
     /// Repeatedly chooses the router to follow, and sends it follow requests.
     pub(super) async fn follow(self: Rc<Self>) {
-        let mut last_request: Option<(IpAddr, Instant)> = None;
+        let mut requests: HashMap<IpAddr, Instant> = HashMap::new();
         loop {
             let now = Instant::now();
             let known = self.peers.borrow().known();
             self.fleet.choose_source_role(&known, now);
-            if let Some((followed, request)) = self.fleet.follow_request(self.life) {
-                let due = last_request.is_none_or(|(router, at)| {
-                    router != followed || now.saturating_duration_since(at) >= FOLLOW_INTERVAL
-                });
-                if due {
-                    last_request = Some((followed, now));
-                    self.send_partial(
-                        RouterReport { follow: Some(request), ..RouterReport::default() },
-                        &[followed],
-                    )
-                    .await;
-                }
+            let asked = self.fleet.asked_routers();
+            requests.retain(|router, _| asked.contains(router));
+            for router in asked {
+                let is_due = requests
+                    .get(&router)
+                    .is_none_or(|sent| now.saturating_duration_since(*sent) >= FOLLOW_INTERVAL);
+                let Some(request) = self.fleet.follow_request(self.life).filter(|_| is_due) else {
+                    continue;
+                };
+                requests.insert(router, now);
+                let report = RouterReport { follow: Some(request), ..RouterReport::default() };
+                self.send_partial(report, &[router]).await;
             }
             monoio::time::sleep(ROLE_CHOICE_INTERVAL).await;
         }
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -51,8 +51,15 @@
 pub async fn follow_source(fleet: Rc<Fleet>, source: Rc<dyn FleetSource>, peers: Rc<PeerExchange>) {
     let pace = PollSchedule::new(fleet.settings().read_bounds());
     let now = Instant::now();
-    let mut follower =
-        SourceFollower { fleet, source, peers, pace, last_read: now, last_configuration_read: now };
+    let mut follower = SourceFollower {
+        fleet,
+        source,
+        peers,
+        pace,
+        last_read: now,
+        last_configuration_read: now,
+        first_failure: None,
+    };
     loop {
         if !follower.obtain_view().await && follower.read().await == ReadResult::MoreAvailable {
             follower.read_remaining().await;
@@ -70,6 +77,8 @@
     /// When the configuration alone was last read because another router had announced a newer
     /// version.
     last_configuration_read: Instant,
+    /// When the first of the failed reads since the last successful one failed.
+    first_failure: Option<Instant>,
 }
 
 impl SourceFollower {
@@ -161,6 +170,7 @@
         self.fleet.metrics().source_reads.count("failed");
         if self.pace.record_failure() {
             log::warn!(error:% = error; "source lost");
+            self.first_failure = Some(Instant::now());
         }
         self.fleet.record_source_lost();
         self.source.disconnect();
@@ -226,10 +236,14 @@
         match result {
             Ok(read) => {
                 self.fleet.metrics().source_reads.count("answered");
-                let failed = self.pace.record_success();
-                if failed {
+                if self.pace.record_success() {
                     log::info!("source regained");
                 }
+                // If another router has read the source meanwhile, it was available.
+                let failed = self
+                    .first_failure
+                    .take()
+                    .is_some_and(|failure| !self.fleet.had_list_contact_since(failure));
                 let may_have_more = read.may_have_more();
                 self.apply(read, failed);
                 if may_have_more {
