--- a/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
+++ b/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
@@ -88,6 +88,7 @@
     /// Records that everything was read, up to this position.
     pub(in crate::direct) fn record_full_read(&self, at: SourcePosition) {
         self.knowledge.journal.borrow_mut().record_gap(at);
+        self.discard_packed_view();
         self.change_view(|view| view.record_full_read(at));
         self.journal_known_servers();
     }
@@ -259,6 +260,7 @@
         if let Some(span) = span.filter(|_| verdict.takes_servers) {
             if !span.is_complete {
                 self.knowledge.record_gap(stated.position);
+                self.discard_packed_view();
             }
             self.apply_span(span, grace, steady);
         } else if self.source_position().is_some_and(|own| own < stated.position) {
--- a/crates/papayamux-router/src/direct/fleet/view_adoption.rs
+++ b/crates/papayamux-router/src/direct/fleet/view_adoption.rs
@@ -93,6 +93,11 @@
         ready.as_ref().map(|ready| (ready.view.clone(), ready.known))
     }
 
+    /// Discards the packed view, which lacks what was just read.
+    pub(super) fn discard_packed_view(&self) {
+        self.handover.ready.take();
+    }
+
     /// Returns the offset by which `known` is reported in the answer to a request.
     pub(in crate::direct) fn offset_of(
         &self,
--- a/crates/papayamux-router/src/direct/peers/view_transfer.rs
+++ b/crates/papayamux-router/src/direct/peers/view_transfer.rs
@@ -94,10 +94,12 @@
                     }
                     Ok(ViewAnswer::Referral(others)) => search.record_referral(&others),
                     Ok(ViewAnswer::Unavailable) => search.record_contact(),
+                    // Seeds may be gone, or not have started yet.
+                    Err(TransferError::Unreachable(error)) => {
+                        log::debug!(peer:% = router, error:% = error; "router is unreachable");
+                    }
                     Err(error) => {
-                        if !matches!(error, TransferError::Unreachable(_)) {
-                            search.record_contact();
-                        }
+                        search.record_contact();
                         log::info!(peer:% = router, error:% = error; "no view received");
                     }
                 },
