Hand configurations on, and views beyond what is known

Change: a request for a view names the position that it must lie beyond and the version that it must have; a router that is about to have that version holds the request. A new configuration comes from the router that is followed, and from the store where that has no capacity left. A view that can't be refreshed is asked for with the next update, until the own read is due.

--- a/crates/papayamux-coordination/src/placement/load_ledger.rs
+++ b/crates/papayamux-coordination/src/placement/load_ledger.rs
@@ -170,6 +170,12 @@
         self.reports.len()
     }
 
+    /// Returns whether all other routers report before their reports expire, so that a missing one shows that
+    /// its router is gone.
+    pub fn hears_all(&self) -> bool {
+        self.reported_fraction.0 >= 1.0
+    }
+
     /// Records the time within which every other router reports once. If it exceeds the expiry of
     /// reports, the load of the routers with unexpired reports is extrapolated to all routers.
     pub fn record_cycle(&mut self, cycle: Duration) {
--- a/crates/papayamux-protocol/src/fleet_view.rs
+++ b/crates/papayamux-protocol/src/fleet_view.rs
@@ -27,6 +27,10 @@
     pub life: u64,
     /// The time of the request, in milliseconds of the requesting router's clock.
     pub asked_ms: u64,
+    /// The source position that the view must lie beyond; 0 for any view.
+    pub position: u64,
+    /// The configuration version that the view must have; 0 for any view.
+    pub version: u64,
 }
 
 /// A complete view of the source at one position.
@@ -35,7 +39,7 @@
     /// The position, and all servers and evacuations as changes after position 0. The fields of the
     /// request that it answers are zero until [`TimedView`] sets them.
     pub update: FleetUpdate,
-    /// The configuration of the version that the update names, if the sender has it.
+    /// The configuration that the sender has in force. The update may name a newer version.
     pub configuration: Option<ConfigurationSnapshot>,
 }
 
@@ -142,6 +146,24 @@
     life: u64,
     #[prost(uint64, tag = "2")]
     asked_ms: u64,
+    #[prost(uint64, tag = "3")]
+    position: u64,
+    #[prost(uint64, tag = "4")]
+    version: u64,
+}
+
+impl From<ViewRequest> for RequestWire {
+    fn from(request: ViewRequest) -> Self {
+        let ViewRequest { life, asked_ms, position, version } = request;
+        Self { life, asked_ms, position, version }
+    }
+}
+
+impl From<RequestWire> for ViewRequest {
+    fn from(wire: RequestWire) -> Self {
+        let RequestWire { life, asked_ms, position, version } = wire;
+        Self { life, asked_ms, position, version }
+    }
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -176,13 +198,12 @@
 impl ViewRequest {
     /// Encodes the request as the contents of a frame.
     pub fn encode(&self) -> Bytes {
-        RequestWire { life: self.life, asked_ms: self.asked_ms }.encode_to_vec().into()
+        RequestWire::from(*self).encode_to_vec().into()
     }
 
     /// Decodes a request.
     pub fn decode(frame: Bytes) -> Result<Self, ViewError> {
-        let RequestWire { life, asked_ms } = RequestWire::decode(frame)?;
-        Ok(Self { life, asked_ms })
+        Ok(RequestWire::decode(frame)?.into())
     }
 }
 
@@ -192,10 +213,7 @@
         let wire = match self {
             Self::View(view) => ViewAnswerWire {
                 view: Some(TimedWire {
-                    request: Some(RequestWire {
-                        life: view.request.life,
-                        asked_ms: view.request.asked_ms,
-                    }),
+                    request: Some(view.request.into()),
                     shift_ms: view.shift_ms,
                     routers: to_wire(&view.routers),
                     view: view.view.0.clone(),
@@ -212,15 +230,12 @@
     pub fn decode(frame: Bytes) -> Result<Self, ViewError> {
         let ViewAnswerWire { view, referral } = ViewAnswerWire::decode(frame)?;
         match view {
-            Some(TimedWire { request, shift_ms, routers, view }) => {
-                let RequestWire { life, asked_ms } = request.ok_or(ViewError::Incomplete)?;
-                Ok(Self::View(TimedView {
-                    request: ViewRequest { life, asked_ms },
-                    shift_ms,
-                    routers: from_wire(&routers),
-                    view: PackedView(view),
-                }))
-            }
+            Some(TimedWire { request, shift_ms, routers, view }) => Ok(Self::View(TimedView {
+                request: request.ok_or(ViewError::Incomplete)?.into(),
+                shift_ms,
+                routers: from_wire(&routers),
+                view: PackedView(view),
+            })),
             None if referral.is_empty() => Ok(Self::Unavailable),
             None => Ok(Self::Referral(from_wire(&referral))),
         }
--- a/crates/papayamux-protocol/tests/fleet_view.rs
+++ b/crates/papayamux-protocol/tests/fleet_view.rs
@@ -116,7 +116,8 @@
 
 #[test]
 fn view_round_trips() {
-    let request = ViewRequest { life: u64::MAX, asked_ms: 86_400_000 };
+    let request =
+        ViewRequest { life: u64::MAX, asked_ms: 86_400_000, position: 4_000_000, version: 45 };
     assert_eq!(ViewRequest::decode(request.encode()).unwrap(), request);
     let routers = vec![IpAddr::V4(Ipv4Addr::new(10, 1, 64, 9)), IpAddr::V4(Ipv4Addr::LOCALHOST)];
     let packed = PackedView::pack(&view(3)).unwrap();
@@ -161,7 +162,7 @@
 
 #[test]
 fn cut_view_is_refused() {
-    let request = ViewRequest { life: 1, asked_ms: 2 };
+    let request = ViewRequest { life: 1, asked_ms: 2, position: 0, version: 0 };
     let packed = PackedView::pack(&view(40)).unwrap();
     let timed = TimedView { request, shift_ms: 0, routers: Vec::new(), view: packed };
     let frame = ViewAnswer::View(timed).encode();
--- a/crates/papayamux-router/src/direct/fleet/configuration_freshness.rs
+++ b/crates/papayamux-router/src/direct/fleet/configuration_freshness.rs
@@ -37,6 +37,8 @@
             services = snapshot.services.len(); "configuration in force"
         );
         *configuration = Some(Rc::new(snapshot));
+        drop(configuration);
+        self.configuration_applied.take().trigger();
     }
 
     /// Records that a read sent at `sent` returned the newest state.
--- a/crates/papayamux-router/src/direct/fleet/view_adoption.rs
+++ b/crates/papayamux-router/src/direct/fleet/view_adoption.rs
@@ -13,6 +13,7 @@
 use papayamux_protocol::fleet_view::{FleetView, PackedView, TimedView, ViewRequest};
 use papayamux_state::backend::BackendServer;
 use papayamux_state::boot_time::BootInstant;
+use papayamux_state::service_config::ConfigVersion;
 use papayamux_state::source::SourcePosition;
 use papayamux_transport::boot_clock::boot_now;
 use papayamux_transport::shutdown::ShutdownSignal;
@@ -25,6 +26,8 @@
 /// A view that is ready to be sent, and the time at which it was known to be current.
 struct ReadyView {
     view: PackedView,
+    /// Position and configuration version of the view; unknown if it is handed on as it was received.
+    contents: Option<(SourcePosition, ConfigVersion)>,
     known: BootInstant,
     packed_at: Instant,
 }
@@ -45,11 +48,6 @@
         self.handover.is_applied.get()
     }
 
-    /// Returns whether this router has a view to hand on, applied or not.
-    pub(in crate::direct) fn hands_on_view(&self) -> bool {
-        self.handover.obtained.is_triggered()
-    }
-
     /// Hands on the first view as it was received. A fault in it shows to each router that unpacks it.
     pub(in crate::direct) fn hand_on(&self, received: &TimedView) {
         let request = received.request;
@@ -59,13 +57,17 @@
         let Some(known) = known.filter(|_| !self.has_view()) else { return };
         let view = received.view.clone();
         *self.handover.ready.borrow_mut() =
-            Some(ReadyView { view, known, packed_at: Instant::now() });
+            Some(ReadyView { view, contents: None, known, packed_at: Instant::now() });
         self.handover.obtained.trigger();
     }
 
-    /// Waits until this router has a view of the source.
-    pub(in crate::direct) async fn view_obtained(&self) {
+    /// Waits until this router has a view to hand on, with a configuration of at least `version`.
+    pub(in crate::direct) async fn view_obtained(&self, version: ConfigVersion) {
         self.handover.obtained.clone().triggered().await;
+        while self.configuration_version() < version {
+            let applied = self.configuration_applied.borrow().clone();
+            applied.triggered().await;
+        }
     }
 
     /// Records where the router has its first view from.
@@ -76,19 +78,37 @@
         }
     }
 
-    /// Returns the packed view, with the time at which it was known to be current; `None` if nothing is
-    /// known.
-    pub(in crate::direct) fn packed_view(&self, now: Instant) -> Option<(PackedView, BootInstant)> {
+    /// Returns the packed view that a request asks for, with the time at which it was known to be current;
+    /// `None` if this router doesn't know as much.
+    pub(in crate::direct) fn packed_view(
+        &self,
+        request: ViewRequest,
+        now: Instant,
+    ) -> Option<(PackedView, BootInstant)> {
+        let suffices = |contents: Option<(SourcePosition, ConfigVersion)>| match contents {
+            Some((position, version)) => {
+                (request.position == 0 || position.0 > request.position)
+                    && version.0 >= request.version
+            }
+            None => request.position == 0 && request.version == 0,
+        };
         let mut ready = self.handover.ready.borrow_mut();
-        let is_recent =
-            |ready: &ReadyView| now.saturating_duration_since(ready.packed_at) < PACKED_VIEW_TTL;
-        if !ready.as_ref().is_some_and(is_recent) {
+        let is_usable = |ready: &ReadyView| {
+            now.saturating_duration_since(ready.packed_at) < PACKED_VIEW_TTL
+                && suffices(ready.contents)
+        };
+        if !ready.as_ref().is_some_and(is_usable) {
             let known = self.confirmed_since()?;
-            let view = PackedView::pack(&self.complete_view()?);
-            let view = view
+            let view = self.complete_view()?;
+            let position = SourcePosition(view.update.position);
+            let contents = Some((position, self.configuration_version()));
+            if !suffices(contents) {
+                return None;
+            }
+            let view = PackedView::pack(&view)
                 .inspect_err(|error| log::error!(error:% = error; "packing the view failed"))
                 .ok()?;
-            *ready = Some(ReadyView { view, known, packed_at: now });
+            *ready = Some(ReadyView { view, contents, known, packed_at: now });
         }
         ready.as_ref().map(|ready| (ready.view.clone(), ready.known))
     }
@@ -134,8 +154,7 @@
                 evacuations: self.evacuation_orders(),
             }),
         };
-        let configuration = self.configuration().filter(|known| known.version == version);
-        let configuration = configuration.map(|known| (*known).clone());
+        let configuration = self.configuration().map(|known| (*known).clone());
         Some(FleetView { update, configuration })
     }
 
@@ -159,7 +178,7 @@
         let reported = ReportedView {
             position,
             after: Some(SourcePosition::default()),
-            version: papayamux_state::service_config::ConfigVersion(update.version),
+            version: ConfigVersion(update.version),
             known,
         };
         let version = self.configuration_version();
--- a/crates/papayamux-router/src/direct/peers/exchange.rs
+++ b/crates/papayamux-router/src/direct/peers/exchange.rs
@@ -223,7 +223,7 @@
         let before = ledger.reporting();
         ledger.record_report(RouterId(sender), loads.collect(), now);
         let routers = u32::try_from(ledger.reporting() + 1).unwrap_or(u32::MAX);
-        if ledger.reporting() > before {
+        if ledger.hears_all() && ledger.reporting() > before {
             log::info!(peer:% = sender, routers = routers; "router heard");
         }
     }
@@ -301,8 +301,11 @@
     async fn report(self: Rc<Self>) {
         loop {
             let now = Instant::now();
-            for silent in self.fleet.ledger().borrow_mut().expire(now) {
-                log::info!(peer:% = silent; "router no longer heard");
+            let expired = self.fleet.ledger().borrow_mut().expire(now);
+            if self.fleet.ledger().borrow().hears_all() {
+                for silent in expired {
+                    log::info!(peer:% = silent; "router no longer heard");
+                }
             }
             let targets = self.peers.borrow_mut().next_targets(now);
             let report = self.next_report(now);
--- a/crates/papayamux-router/src/direct/peers/view_transfer.rs
+++ b/crates/papayamux-router/src/direct/peers/view_transfer.rs
@@ -15,6 +15,8 @@
 };
 use papayamux_protocol::fleet_view::{TimedView, ViewAnswer, ViewError, ViewRequest};
 use papayamux_state::boot_time::BootInstant;
+use papayamux_state::service_config::ConfigVersion;
+use papayamux_state::source::SourcePosition;
 use papayamux_transport::boot_clock::boot_now;
 use thiserror::Error;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -87,7 +89,7 @@
                     return false;
                 }
                 SearchStep::Wait(pause) => monoio::time::sleep(pause).await,
-                SearchStep::Ask(router, left) => match self.request_view(router, left).await {
+                SearchStep::Ask(router, left) => match self.request_any_view(router, left).await {
                     Ok(ViewAnswer::View(_)) => {
                         self.fleet.record_first_view(ViewOrigin::Router(router));
                         return true;
@@ -107,10 +109,30 @@
         }
     }
 
-    /// Requests the view of a router that this one follows and that no longer has all changes since this
-    /// router's position. Returns whether the view was adopted.
+    /// Requests a view beyond this router's position from a router that no longer has all changes since then.
+    /// Returns whether the view was adopted.
     pub(in crate::direct) async fn refresh_view(&self, router: IpAddr) -> bool {
-        match self.request_view(router, ANSWER_TIMEOUT).await {
+        let position = self.fleet.source_position().unwrap_or_default();
+        self.request_newer(router, position, ConfigVersion::default()).await
+    }
+
+    /// Requests a view with a configuration of at least `version`. Returns whether it is in force.
+    pub(in crate::direct) async fn request_configuration(
+        &self,
+        router: IpAddr,
+        version: ConfigVersion,
+    ) -> bool {
+        self.request_newer(router, SourcePosition::default(), version).await;
+        self.fleet.configuration_version() >= version
+    }
+
+    async fn request_newer(
+        &self,
+        router: IpAddr,
+        position: SourcePosition,
+        version: ConfigVersion,
+    ) -> bool {
+        match self.request_view(router, position, version, ANSWER_TIMEOUT).await {
             Ok(ViewAnswer::View(_)) => true,
             Ok(_) => false,
             Err(error) => {
@@ -120,16 +142,28 @@
         }
     }
 
-    /// Requests the view of `router` and adopts it.
+    async fn request_any_view(
+        &self,
+        router: IpAddr,
+        limit: Duration,
+    ) -> Result<ViewAnswer, TransferError> {
+        let (position, version) = (SourcePosition::default(), ConfigVersion::default());
+        self.request_view(router, position, version, limit).await
+    }
+
+    /// Requests the view of `router`, beyond a position and with at least a version, and adopts it.
     async fn request_view(
         &self,
         router: IpAddr,
+        position: SourcePosition,
+        version: ConfigVersion,
         limit: Duration,
     ) -> Result<ViewAnswer, TransferError> {
         let address = SocketAddr::new(router, self.own_port());
         let limit = limit.min(ANSWER_TIMEOUT);
         let asked_ms = u64::try_from(boot_now().0.as_millis()).unwrap_or(u64::MAX);
-        let request = ViewRequest { life: self.life, asked_ms };
+        let request =
+            ViewRequest { life: self.life, asked_ms, position: position.0, version: version.0 };
         let exchange = async {
             let connecting = TcpStream::connect_addr(address);
             let stream = monoio::time::timeout(CONNECT_TIMEOUT, connecting)
@@ -208,11 +242,9 @@
         let request = ViewRequest::decode(frame)?;
         // The requester is a router, which the others need to know.
         self.peers.borrow_mut().record_named(&[requester], Instant::now());
-        if !self.fleet.hands_on_view() {
-            let viewed = self.fleet.view_obtained();
-            // Without a view in time the answer says so.
-            let _ = monoio::time::timeout(HOLD_TIME, viewed).await;
-        }
+        let viewed = self.fleet.view_obtained(ConfigVersion(request.version));
+        // Without a view in time the answer says so.
+        let _ = monoio::time::timeout(HOLD_TIME, viewed).await;
         let answer = self.view_answer(request, requester, received);
         connection.codec_mut().set_max_frame_length(MAX_ANSWER_BYTES);
         let kind = match &answer {
@@ -238,7 +270,7 @@
         received: BootInstant,
     ) -> ViewAnswer {
         let now = Instant::now();
-        let Some((view, known)) = self.fleet.packed_view(now) else {
+        let Some((view, known)) = self.fleet.packed_view(request, now) else {
             return ViewAnswer::Unavailable;
         };
         let bytes = view.len();
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use futures_util::future::{select, Either};
-use papayamux_coordination::fleet_knowledge::{SourceReaders, ViewOrigin};
+use papayamux_coordination::fleet_knowledge::{SourceReaders, SourceRole, ViewOrigin};
 use papayamux_coordination::source_polling::{PollSchedule, PollView, READ_TIMEOUT};
 use papayamux_state::service_config::ConfigurationSnapshot;
 use papayamux_state::source::{
@@ -88,7 +88,9 @@
         if self.fleet.settings().readers == SourceReaders::All {
             return false;
         }
-        let is_obtained = match (self.fleet.has_view(), self.fleet.take_refresh_source()) {
+        let refresh_source = self.fleet.take_refresh_source();
+        let is_refresh = self.fleet.has_view() && refresh_source.is_some();
+        let is_obtained = match (self.fleet.has_view(), refresh_source) {
             (false, _) => self.peers.obtain_view().await,
             (true, Some(router)) => self.peers.refresh_view(router).await,
             (true, None) => false,
@@ -96,7 +98,9 @@
         if is_obtained {
             self.last_read = Instant::now();
         }
-        is_obtained
+        // The next update asks again for a view that could not be refreshed. Until its own read is due, the
+        // router knows the source as recently as if it read by itself.
+        is_obtained || (is_refresh && self.pace.wait(self.view(), 0.0).is_some())
     }
 
     /// Reads until nothing is left, at most [`MAX_CONSECUTIVE_READS`] times.
@@ -120,17 +124,25 @@
             };
             let last = self.last_read.max(self.last_configuration_read);
             let may_read = last.elapsed() >= self.pace.requested_read_spacing();
-            if read_requested && may_read && !self.read_wanted_recent().await {
+            if read_requested && may_read && !self.obtain_wanted().await {
                 return;
             }
         }
     }
 
-    /// Reads the configuration whose version another router has announced, if this is all that was
-    /// requested. A recent state suffices, since its version shows whether it is older than announced.
-    /// Returns `true` if no other read is due.
-    async fn read_wanted_recent(&mut self) -> bool {
+    /// Obtains the configuration whose version another router has announced, if this is all that was
+    /// requested: from the router that this one follows, or from the source. A recent state of the source
+    /// suffices, since its version shows whether it is older than announced. Returns `true` if no other
+    /// read is due.
+    async fn obtain_wanted(&mut self) -> bool {
         let Some(wanted) = self.fleet.wanted_version() else { return false };
+        if let SourceRole::Follower(followed) = self.fleet.source_role() {
+            if self.peers.request_configuration(followed, wanted).await {
+                self.last_configuration_read = Instant::now();
+                self.fleet.metrics().source_reads.count("handed_on");
+                return true;
+            }
+        }
         let reading = self.source.read_configuration(ReadRecency::Recent);
         let read = monoio::time::timeout(READ_TIMEOUT, reading).await;
         self.last_configuration_read = Instant::now();
