Read the source only for what no other router hands on

Change: an announced state asks the followed router; the store is read where that fails or another reason asks for it.

Result: tests of the platform's readers, updates and views pass. The model of beliefs plays partial changes and complete views.

--- a/crates/papayamux-coordination/tests/fleet_knowledge/source_view.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/source_view.rs
@@ -37,8 +37,28 @@
 /// The answer of a read, or a report, in flight.
 #[derive(Debug, Clone)]
 enum Message {
-    Changes { to: usize, sent: u64, after: u64, at: u64, configuration: Option<u64> },
-    Report { to: usize, span: ServerChangeSpan, version: u64, known: u64, has_span: bool },
+    Changes {
+        to: usize,
+        sent: u64,
+        after: u64,
+        at: u64,
+        configuration: Option<u64>,
+    },
+    Report {
+        to: usize,
+        span: ServerChangeSpan,
+        version: u64,
+        known: u64,
+        is_complete: bool,
+    },
+    /// A complete view, with the version in force at its sender.
+    View {
+        to: usize,
+        span: ServerChangeSpan,
+        version: u64,
+        in_force: u64,
+        known: u64,
+    },
 }
 
 #[derive(Default)]
@@ -133,8 +153,8 @@
         let Some(known) = sender.confirmed else { return };
         let after = self.routers[to].view.position().unwrap();
         let position = sender.change_log.position().unwrap();
-        let changes_sent = sender.change_log.since(after);
-        let has_span = changes_sent.is_some();
+        let complete = sender.change_log.since(after);
+        let is_complete = complete.is_some();
         let empty = ServerChangeSpan {
             after,
             position,
@@ -142,8 +162,23 @@
             digest: sender.change_log.digest(),
         };
         let version = sender.view.newest(ConfigVersion(sender.version)).0;
-        let span = changes_sent.unwrap_or(empty);
-        self.messages.push(Message::Report { to, span, version, known, has_span });
+        let span = complete.or_else(|| sender.change_log.known_since(after)).unwrap_or(empty);
+        self.messages.push(Message::Report { to, span, version, known, is_complete });
+    }
+
+    fn hand_view_to(&mut self, from: usize, to: usize) {
+        let sender = &self.routers[from];
+        let Some(known) = sender.confirmed else { return };
+        let servers = sender.presence.catalog().iter();
+        let span = ServerChangeSpan {
+            after: at(0),
+            position: sender.change_log.position().unwrap(),
+            changes: servers.map(|server| ServerChange::Present(server.clone())).collect(),
+            digest: sender.change_log.digest(),
+        };
+        let version = sender.view.newest(ConfigVersion(sender.version)).0;
+        let in_force = sender.version;
+        self.messages.push(Message::View { to, span, version, in_force, known });
     }
 
     fn deliver(&mut self, index: usize) {
@@ -167,11 +202,34 @@
                     router.confirmed = router.confirmed.max(Some(sent));
                 }
             }
-            Message::Report { to, span, version, known, has_span } => {
+            Message::View { to, span, version, in_force, known } => {
                 let router = &mut self.routers[to];
+                router.version = router.version.max(in_force);
                 let report = ReportedView {
                     position: span.position,
-                    after: has_span.then_some(span.after),
+                    after: None,
+                    version: ConfigVersion(version),
+                    known: instant(known),
+                };
+                let confirmed = router.confirmed.map(instant);
+                let in_force = ViewInForce { version: ConfigVersion(router.version), confirmed };
+                let verdict = router.view.evaluate_complete_view(report, in_force);
+                if verdict.takes_servers {
+                    router.replace_servers(span.changes);
+                    router.change_log.record_gap(span.position);
+                    router.record();
+                }
+                if verdict.confirms {
+                    router.confirmed = router.confirmed.max(Some(known));
+                }
+            }
+            Message::Report { to, span, version, known, is_complete } => {
+                let router = &mut self.routers[to];
+                let counts =
+                    is_complete || router.change_log.digest_after(&span.changes) == span.digest;
+                let report = ReportedView {
+                    position: span.position,
+                    after: counts.then_some(span.after),
                     version: ConfigVersion(version),
                     known: instant(known),
                 };
@@ -179,6 +237,9 @@
                 let in_force = ViewInForce { version: ConfigVersion(router.version), confirmed };
                 let verdict = router.view.evaluate_report(report, in_force);
                 if verdict.takes_servers {
+                    if !is_complete {
+                        router.change_log.record_gap(span.position);
+                    }
                     span.changes.into_iter().for_each(|change| router.adopt(change));
                     router.record();
                 }
@@ -219,7 +280,9 @@
         self.routers[index] = router;
         // Messages to its earlier incarnation are dropped.
         self.messages.retain(|message| match message {
-            Message::Changes { to, .. } | Message::Report { to, .. } => *to != index,
+            Message::Changes { to, .. } | Message::Report { to, .. } | Message::View { to, .. } => {
+                *to != index
+            }
         });
     }
 
@@ -258,6 +321,17 @@
         }
     }
 
+    fn replace_servers(&mut self, changes: Vec<ServerChange>) {
+        let mut missing = self.known_servers();
+        for change in changes {
+            if let ServerChange::Present(server) = &change {
+                missing.remove(&server.name.to_string());
+            }
+            self.adopt(change);
+        }
+        missing.keys().for_each(|name| self.remove(name));
+    }
+
     fn remove(&mut self, name: &str) {
         let name = name.parse().unwrap();
         if let Some(id) = self.presence.id_of(&name) {
@@ -290,7 +364,7 @@
             simulation.now += 1;
             let (router, choice) = (usize::from(choice % 3), usize::from(*choice));
             let name = format!("i-{}", choice % 4);
-            match kind % 16 {
+            match kind % 18 {
                 0 => simulation.write(Written::Server(serving(&name))),
                 1 => simulation.write(Written::Server(server(&name, 1, ServerPhase::Draining))),
                 2 => simulation.write(Written::Server(server(
@@ -308,6 +382,8 @@
                 }
                 14 => simulation.read_recent(router, choice as u64 % 4),
                 15 if choice % 16 == 0 => simulation.restart(router),
+                16 => simulation.hand_view_to(router, (router + 1) % ROUTERS),
+                17 => simulation.hand_view_to(router, (router + 2) % ROUTERS),
                 _ => {}
             }
             simulation.check();
--- a/crates/papayamux-router/src/direct/fleet/configuration_freshness.rs
+++ b/crates/papayamux-router/src/direct/fleet/configuration_freshness.rs
@@ -139,9 +139,21 @@
 
     /// Requests an immediate read of the source.
     pub(super) fn request_read(&self) {
+        self.needs_own_read.set(true);
         self.read_request.take().trigger();
     }
 
+    /// Announces that another router knows newer state. The source is only read if that router doesn't hand
+    /// it on.
+    pub(super) fn announce_newer_state(&self) {
+        self.read_request.take().trigger();
+    }
+
+    /// Returns whether an immediate read of the source was requested since the last call.
+    pub(in crate::direct) fn take_read_request(&self) -> bool {
+        self.needs_own_read.take()
+    }
+
     /// Waits until a read of the source is requested.
     pub async fn read_requested(&self) {
         let read_request = self.read_request.borrow().clone();
--- a/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
+++ b/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
@@ -126,6 +126,11 @@
         self.knowledge.refreshes_from.take()
     }
 
+    /// Returns whether changes are missing that the followed router no longer has, or everything.
+    pub(in crate::direct) fn lacks_changes(&self) -> bool {
+        self.knowledge.refreshes_from.get().is_some() || self.source_position().is_none()
+    }
+
     /// Returns a version of the configuration announced by another router that is newer than the
     /// one in force.
     pub(in crate::direct) fn wanted_version(&self) -> Option<ConfigVersion> {
@@ -168,9 +173,7 @@
             SourceRole::Reader(pause) => {
                 let pause_ms = pause.as_millis() as u64;
                 log::info!(routers = routers, pause_ms = pause_ms; "reads the source for others");
-                if self.servers_age().is_none_or(|age| age >= pause) {
-                    self.request_read();
-                }
+                self.request_read();
             }
             SourceRole::Follower(followed) => {
                 log::info!(routers = routers, followed:% = followed; "follows a router");
@@ -286,7 +289,7 @@
             log::info!(followed:% = sender; "follows a router");
         }
         if verdict.needs_read {
-            self.request_read();
+            self.announce_newer_state();
         }
         if verdict.confirms {
             self.knowledge.hops.set(hops);
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -124,7 +124,13 @@
             };
             let last = self.last_read.max(self.last_configuration_read);
             let may_read = last.elapsed() >= self.pace.requested_read_spacing();
-            if read_requested && may_read && !self.obtain_wanted().await {
+            // What another router announced may have been handed on meanwhile.
+            let is_missing = self.fleet.wanted_version().is_some() || self.fleet.lacks_changes();
+            if !(read_requested && may_read) {
+                continue;
+            }
+            let needs_own_read = self.fleet.take_read_request();
+            if (needs_own_read || is_missing) && !self.obtain_wanted().await {
                 return;
             }
         }
