Check that a view answers the request before it is handed on

A received view is handed on before it is applied, dated by the request in the answer. Whether that is the request that was sent was only checked when the view was applied, so that a faulty router could have dated it as it liked for others.

--- a/crates/papayamux-router/src/direct/peers/view_transfer.rs
+++ b/crates/papayamux-router/src/direct/peers/view_transfer.rs
@@ -187,23 +187,21 @@
             .await
             .unwrap_or(Err(TransferError::Timeout(limit)))?;
         if let ViewAnswer::View(view) = &answer {
+            // The view is dated by the request that it answers.
+            if view.request != request {
+                return Err(TransferError::Inapplicable);
+            }
             self.fleet.hand_on(view);
             // Routers that wait for the view receive it before it is applied here, which takes longer than
             // the transfer.
             monoio::time::sleep(HANDOVER_PAUSE).await;
-            self.adopt_view(router, request, view)?;
+            self.adopt_view(router, view)?;
         }
         Ok(answer)
     }
 
-    fn adopt_view(
-        &self,
-        sender: IpAddr,
-        request: ViewRequest,
-        timed_view: &TimedView,
-    ) -> Result<(), TransferError> {
-        let view = timed_view.unpack()?;
-        if timed_view.request != request || !self.fleet.adopt_view(sender, view) {
+    fn adopt_view(&self, sender: IpAddr, timed_view: &TimedView) -> Result<(), TransferError> {
+        if !self.fleet.adopt_view(sender, timed_view.unpack()?) {
             return Err(TransferError::Inapplicable);
         }
         let now = Instant::now();
