Log servers adopted from a router in grace, and removals that were read too late

Cause: a router that misses a removal logs no line about it, so that a removal passed with a position of another router can't be told from one that a crossing read has overtaken. Result: the hypotheses of the lost departure differ in the log. No decision changes.

--- a/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
+++ b/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
@@ -265,6 +265,12 @@
                 self.knowledge.record_gap(stated.position);
                 self.discard_packed_view();
             }
+            if !grace.is_zero() {
+                log::info!(
+                    peer:% = sender, position:% = stated.position, grace_ms = update.grace_ms;
+                    "servers of a router in grace adopted"
+                );
+            }
             self.apply_span(span, grace, steady);
         } else if self.source_position().is_some_and(|own| own < stated.position) {
             self.knowledge.refreshes_from.set(Some(sender));
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -299,6 +299,9 @@
             }
             ReadContents::Changes(changes) => {
                 let takes_servers = self.fleet.accept_changes(changes.position);
+                if !takes_servers {
+                    self.log_overtaken_read(&changes);
+                }
                 let counts = |change: &SourceChange| {
                     takes_servers || matches!(change, SourceChange::Configuration(_))
                 };
@@ -310,6 +313,19 @@
         }
     }
 
+    /// Logs the removals of a read that other routers' reports have overtaken: they must have told of them.
+    fn log_overtaken_read(&self, changes: &SourceChanges) {
+        let removed = changes.changes.iter().filter_map(|change| match change {
+            SourceChange::ServerRemoved(name) => Some(name.to_string()),
+            _ => None,
+        });
+        let removed: Vec<_> = removed.collect();
+        if !removed.is_empty() {
+            let (position, servers) = (changes.position, removed.join(" "));
+            log::info!(position:% = position, servers = servers.as_str(); "removals read too late");
+        }
+    }
+
     fn apply_change(&self, change: SourceChange, now: Instant) {
         match change {
             SourceChange::Configuration(configuration) => {
