State expired entries as such, so that a position never hides a removal

What callers saw: requests went to a server more than two seconds after it had left, a few seconds after an outage of the store, from one router alone, whose log had no line about that server. Cause: a router that keeps a removed entry in case it is renewed stated the server as present at a position behind the removal. Who adopted that position never read the removal, and learnt of the departure only if it still followed the same router when that one gave the server up. Class: a position claimed without the state that belongs to it. Change: the change log records which entries are missing, updates and views tell of them as expired (a new flag of the server's wire message), and each router that hears so keeps the server until the end of the grace by itself. The digest covers listed entries alone, so that partial changes and digests count during a grace too. A view of a router in grace brings no grace to one that was in contact. A router doesn't use again a departed server that another one still keeps.

--- a/crates/papayamux-coordination/src/fleet_knowledge/server_change_log.rs
+++ b/crates/papayamux-coordination/src/fleet_knowledge/server_change_log.rs
@@ -3,11 +3,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-use papayamux_state::backend::{BackendServer, ServerCatalog, ServerPhase};
+use papayamux_state::backend::{BackendServer, ServerPhase};
 use papayamux_state::ids::ServerName;
 use papayamux_state::source::SourcePosition;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::server_presence::ServerPresence;
+
 /// Maximum number of departures kept. A follower reports its position every second, in which far fewer
 /// servers depart.
 const MAX_DEPARTURES: usize = 4_096;
@@ -17,6 +19,8 @@
 pub enum ServerChange {
     /// The server is present, with this entry.
     Present(Rc<BackendServer>),
+    /// The entry is missing. The server is kept, since the entry may have expired for lack of the list.
+    Expired(Rc<BackendServer>),
     /// The server has departed.
     Departed {
         /// Name of the server.
@@ -26,7 +30,8 @@
     },
 }
 
-/// Digest of the known server states. Two routers with the same states have the same digest.
+/// Digest of the servers whose entries are listed. Two routers that know the same entries have the same digest,
+/// however long each of them keeps servers whose entries are missing.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ServerDigest(pub u64);
 
@@ -39,18 +44,47 @@
     pub position: SourcePosition,
     /// The changes, at most one per server.
     pub changes: Vec<ServerChange>,
-    /// Digest of the server states at `position`.
+    /// Digest of the servers listed at `position`.
     pub digest: ServerDigest,
 }
 
+/// A server that is kept, and since which position its state has been known.
+#[derive(Debug)]
+struct PresentServer {
+    server: Rc<BackendServer>,
+    /// `true` if its entry is missing at the known position.
+    is_expired: bool,
+    since: SourcePosition,
+}
+
+impl PresentServer {
+    fn change(&self) -> ServerChange {
+        match self.is_expired {
+            true => ServerChange::Expired(self.server.clone()),
+            false => ServerChange::Present(self.server.clone()),
+        }
+    }
+
+    /// Returns the server's part of the digest, to which expired entries contribute nothing.
+    fn digest(&self) -> u64 {
+        if self.is_expired {
+            return 0;
+        }
+        server_hash(&self.server)
+    }
+}
+
 /// Records for each server the position at which its current state was first known.
 ///
+/// Which entries are missing at a position belongs to the state there. Otherwise, a router that adopts the
+/// position would never learn of the removal: its later reads start behind it.
+///
 /// A reader and its followers may record the same change at different positions of the source, but never
 /// at one before it happened. The changes recorded after a position therefore include all that happened
 /// after it.
 #[derive(Debug, Default)]
 pub struct ServerChangeLog {
-    present: HashMap<ServerName, (Rc<BackendServer>, SourcePosition)>,
+    present: HashMap<ServerName, PresentServer>,
     departed: BTreeMap<(SourcePosition, ServerName), bool>,
     /// Departures received since the last call of `record`.
     departures: Vec<ServerName>,
@@ -58,7 +92,7 @@
     base: SourcePosition,
     position: Option<SourcePosition>,
     digest: ServerDigest,
-    /// The catalog's change counter at the last comparison.
+    /// The change counter of the servers at the last comparison.
     seen_changes: u64,
 }
 
@@ -74,11 +108,11 @@
         self.base = self.base.max(position);
     }
 
-    /// Records that `catalog` holds the server states known at `position`. `terminating` returns whether a
+    /// Records that `presence` holds the server states known at `position`. `terminating` returns whether a
     /// departed server keeps running for a while.
     pub fn record(
         &mut self,
-        catalog: &ServerCatalog,
+        presence: &ServerPresence,
         position: SourcePosition,
         terminating: impl Fn(&BackendServer) -> bool,
     ) {
@@ -87,22 +121,25 @@
         }
         self.position = self.position.max(Some(position));
         // Called three times a second, mostly without changes, on catalogs of up to thousands of servers.
-        if catalog.changes() == self.seen_changes && self.departures.is_empty() {
+        if presence.changes() == self.seen_changes && self.departures.is_empty() {
             return;
         }
-        self.seen_changes = catalog.changes();
-        let changed = catalog.iter().filter(|server| !self.is_recorded(server)).cloned();
-        let changed: Vec<_> = changed.collect();
+        self.seen_changes = presence.changes();
+        let catalog = presence.catalog();
+        let servers = catalog.iter().map(|server| (server, presence.is_expired(&server.id)));
+        let changed = servers.filter(|(server, is_expired)| !self.is_recorded(server, *is_expired));
+        let changed: Vec<_> = changed.map(|(server, expired)| (server.clone(), expired)).collect();
         let missing = self.present.keys().filter(|name| catalog.named(name).is_none());
         let missing: Vec<_> = missing.cloned().collect();
         let departures = std::mem::take(&mut self.departures);
-        for server in changed {
+        for (server, is_expired) in changed {
             self.departed.retain(|(_, name), _| *name != server.name);
-            self.present.insert(server.name.clone(), (server, position));
+            let known = PresentServer { server, is_expired, since: position };
+            self.present.insert(known.server.name.clone(), known);
         }
         for name in missing {
-            if let Some((server, _)) = self.present.remove(&name) {
-                self.departed.insert((position, name), terminating(&server));
+            if let Some(known) = self.present.remove(&name) {
+                self.departed.insert((position, name), terminating(&known.server));
             }
         }
         for name in departures.into_iter().filter(|name| catalog.named(name).is_none()) {
@@ -113,7 +150,8 @@
                 self.base = position;
             }
         }
-        self.digest = digest_of(self.present.values().map(|(server, _)| server));
+        let digest = self.present.values().fold(0, |digest, known| digest ^ known.digest());
+        self.digest = ServerDigest(digest);
     }
 
     /// Returns the position up to which all changes are known.
@@ -131,10 +169,10 @@
         &self,
         changes: impl IntoIterator<Item = &'a ServerChange>,
     ) -> ServerDigest {
-        let known =
-            |name: &ServerName| self.present.get(name).map_or(0, |(server, _)| server_hash(server));
+        let known = |name: &ServerName| self.present.get(name).map_or(0, PresentServer::digest);
         let digest = changes.into_iter().fold(self.digest.0, |digest, change| match change {
             ServerChange::Present(server) => digest ^ known(&server.name) ^ server_hash(server),
+            ServerChange::Expired(server) => digest ^ known(&server.name),
             ServerChange::Departed { name, .. } => digest ^ known(name),
         });
         ServerDigest(digest)
@@ -154,8 +192,8 @@
     /// only apply if they lead to the digest of the span.
     pub fn known_since(&self, after: SourcePosition) -> Option<ServerChangeSpan> {
         let position = self.position.filter(|position| *position >= after)?;
-        let present = self.present.values().filter(|(_, since)| *since > after);
-        let present = present.map(|(server, _)| ServerChange::Present(server.clone()));
+        let present = self.present.values().filter(|known| known.since > after);
+        let present = present.map(PresentServer::change);
         let departed = self.departed.iter().filter(|((since, _), _)| *since > after);
         let departed = departed.map(|((_, name), terminating)| ServerChange::Departed {
             name: name.clone(),
@@ -165,18 +203,16 @@
         Some(ServerChangeSpan { after, position, changes, digest: self.digest })
     }
 
-    /// Returns whether this very entry is the recorded one. An entry that changed and changed back since
+    /// Returns whether this very entry is the recorded one, listed or expired alike. An entry that changed and changed back since
     /// counts as new, as a follower may have received the intermediate state from another router.
-    fn is_recorded(&self, server: &Rc<BackendServer>) -> bool {
+    fn is_recorded(&self, server: &Rc<BackendServer>, is_expired: bool) -> bool {
         let known = self.present.get(&server.name);
-        known.is_some_and(|(known, _)| Rc::ptr_eq(known, server))
+        known.is_some_and(|known| {
+            Rc::ptr_eq(&known.server, server) && known.is_expired == is_expired
+        })
     }
 }
 
-fn digest_of<'a>(servers: impl Iterator<Item = &'a Rc<BackendServer>>) -> ServerDigest {
-    ServerDigest(servers.map(|server| server_hash(server)).fold(0, |sum, hash| sum ^ hash))
-}
-
 fn server_hash(server: &BackendServer) -> u64 {
     let draining = server.phase == ServerPhase::Draining;
     xxh3_64(format!("{} {} {draining}", server.id, server.address).as_bytes())
--- a/crates/papayamux-coordination/src/server_presence.rs
+++ b/crates/papayamux-coordination/src/server_presence.rs
@@ -48,6 +48,8 @@
     outdated: HashMap<ServerName, Instant>,
     last_contact: Option<Instant>,
     grace_until: Option<Instant>,
+    /// Number of times that a listed server has become expired.
+    expirations: u64,
 }
 
 impl ServerPresence {
@@ -56,6 +58,16 @@
         &self.catalog
     }
 
+    /// Returns whether the entry of a server is missing, but may still be renewed.
+    pub fn is_expired(&self, id: &ServerId) -> bool {
+        self.expired.contains_key(id)
+    }
+
+    /// Returns the number of changes so far, of servers and of entries that are missing.
+    pub fn changes(&self) -> u64 {
+        self.catalog.changes() + self.expirations
+    }
+
     /// Records that the list answered at `now`. After an outage a grace period starts. `failed` is
     /// `true` if reads have failed since the last answer.
     pub fn record_contact(&mut self, failed: bool, now: Instant) {
@@ -136,14 +148,38 @@
         let Some(known) = self.catalog.get(id) else { return PresenceChange::Unchanged };
         let grace = self.grace_until.filter(|until| now < *until);
         match grace {
-            Some(until) if known.phase == ServerPhase::Serving => {
-                self.expired.entry(id.clone()).or_insert(until);
-                PresenceChange::Expired
-            }
+            Some(until) if known.phase == ServerPhase::Serving => self.expire(id, until),
             _ => self.record_overwrite(id),
         }
     }
 
+    /// Adopts from another router that the entry of a server is missing and may be renewed for `left`. Returns
+    /// the change of the server known under its name. Another start of it has departed.
+    pub fn adopt_expiry(
+        &mut self,
+        server: &BackendServer,
+        left: Duration,
+        now: Instant,
+    ) -> Option<(ServerId, PresenceChange)> {
+        let known = self.id_of(&server.name)?;
+        let change = match known == server.id && !left.is_zero() {
+            true => self.expire(&known, now + left),
+            false => self.record_overwrite(&known),
+        };
+        Some((known, change))
+    }
+
+    /// Keeps a server whose entry is missing until `until`, or until an earlier time set before.
+    fn expire(&mut self, id: &ServerId, until: Instant) -> PresenceChange {
+        if let Some(known) = self.expired.get_mut(id) {
+            *known = until.min(*known);
+            return PresenceChange::Unchanged;
+        }
+        self.expirations += 1;
+        self.expired.insert(id.clone(), until);
+        PresenceChange::Expired
+    }
+
     /// Records that an entry no longer names a server. It was overwritten while the list was
     /// available, so it has not expired.
     pub fn record_overwrite(&mut self, id: &ServerId) -> PresenceChange {
--- a/crates/papayamux-coordination/tests/fleet_knowledge/fleet.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/fleet.rs
@@ -52,9 +52,13 @@
 }
 
 impl Router {
-    fn adopt(&mut self, change: ServerChange) {
+    fn adopt(&mut self, change: ServerChange, grace: Duration, now: Instant) {
         match change {
             ServerChange::Present(server) => drop(self.presence.adopt((*server).clone())),
+            ServerChange::Expired(server) => {
+                self.presence.adopt_expiry(&server, grace, now);
+                self.change_log.record_departure(server.name.clone());
+            }
             ServerChange::Departed { name, .. } => {
                 if let Some(id) = self.presence.id_of(&name) {
                     self.presence.record_overwrite(&id);
@@ -66,7 +70,7 @@
 
     fn record(&mut self) {
         let position = SourcePosition(self.known.unwrap_or_default());
-        self.change_log.record(self.presence.catalog(), position, |_| false);
+        self.change_log.record(&self.presence, position, |_| false);
     }
 }
 
@@ -280,7 +284,7 @@
             |span: &ServerChangeSpan| router.change_log.digest_after(&span.changes) == span.digest;
         let Some(span) = span.filter(|span| is_complete || leads_to_digest(span)) else { return };
         router.presence.record_contact(false, now);
-        span.changes.into_iter().for_each(|change| router.adopt(change));
+        span.changes.into_iter().for_each(|change| router.adopt(change, grace, now));
         router.presence.adopt_grace(grace, now);
         router.known = Some(known);
         router.record();
--- a/crates/papayamux-coordination/tests/fleet_knowledge/server_changes.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/server_changes.rs
@@ -63,13 +63,14 @@
     }
 
     fn record(&mut self, position: u64) {
-        self.change_log.record(self.presence.catalog(), at(position), |_| false);
+        self.change_log.record(&self.presence, at(position), |_| false);
     }
 
     fn adopt(&mut self, span: ServerChangeSpan) {
         for change in span.changes {
             match change {
                 ServerChange::Present(server) => drop(self.presence.adopt((*server).clone())),
+                ServerChange::Expired(server) => panic!("no entry of {} expires", server.name),
                 ServerChange::Departed { name, .. } => self.remove(&name.to_string()),
             }
         }
--- a/crates/papayamux-coordination/tests/fleet_knowledge/source_view.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/source_view.rs
@@ -2,17 +2,19 @@
 //! overtake one another.
 //!
 //! Each router has the real list of servers, change log and view. Answers and reports are created at one
-//! time and arrive later, or never. After each step, a router's servers must be those of its position, its
-//! position must be no earlier than that of the source at the router's confirmed time, and its
-//! configuration no older than the source's at that time.
+//! time and arrive later, or never. Reads are lost, after which a router keeps servers whose entries are
+//! missing for a while. After each step, the servers that a router knows to be listed must be those of its
+//! position, its position must be no earlier than that of the source at the router's confirmed time, and its
+//! configuration no older than the source's at that time. A removed server must not stay beyond the
+//! grace period.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use papayamux_coordination::fleet_knowledge::{
     ReportedView, ServerChange, ServerChangeLog, ServerChangeSpan, SourceView, ViewInForce,
 };
-use papayamux_coordination::server_presence::ServerPresence;
+use papayamux_coordination::server_presence::{ServerPresence, RENEWAL_GRACE};
 use papayamux_state::backend::{BackendServer, ServerPhase};
 use papayamux_state::boot_time::BootInstant;
 use papayamux_state::service_config::ConfigVersion;
@@ -25,6 +27,10 @@
 const GENERATED_INPUTS: usize = 4_000;
 /// Size of an input in bytes, enough for about 200 steps.
 const STEPS_BYTES: usize = 512;
+/// Maximum time without contact to the list after which a router counts as connected to it.
+const MAX_SILENCE: Duration = Duration::from_millis(1_000);
+/// Time that passes in a step without any other event, in milliseconds.
+const PAUSE: u64 = 400;
 
 /// A change written to the source.
 #[derive(Debug, Clone)]
@@ -49,6 +55,7 @@
         span: ServerChangeSpan,
         version: u64,
         known: u64,
+        grace: Duration,
         is_complete: bool,
     },
     /// A complete view, with the version in force at its sender.
@@ -58,12 +65,15 @@
         version: u64,
         in_force: u64,
         known: u64,
+        grace: Duration,
     },
 }
 
 #[derive(Default)]
 struct Router {
     presence: ServerPresence,
+    /// `true` if a read has failed since the last successful one.
+    has_failed: bool,
     change_log: ServerChangeLog,
     view: SourceView,
     version: u64,
@@ -71,8 +81,8 @@
     reads: bool,
 }
 
-#[derive(Default)]
 struct Simulation {
+    begun: Instant,
     now: u64,
     /// All changes, with the times at which they were written. A position is a number of changes.
     written: Vec<(u64, Written)>,
@@ -90,14 +100,33 @@
 
 impl Simulation {
     fn new() -> Self {
-        let mut simulation = Self::default();
+        let mut simulation = Self {
+            begun: Instant::now(),
+            now: 0,
+            written: Vec::new(),
+            routers: Default::default(),
+            messages: Vec::new(),
+        };
         for router in &mut simulation.routers {
-            router.change_log.record(router.presence.catalog(), at(0), |_| false);
+            router.change_log.record(&router.presence, at(0), |_| false);
             router.view.record_full_read(at(0));
         }
         simulation
     }
 
+    fn instant(&self) -> Instant {
+        self.begun + Duration::from_millis(self.now)
+    }
+
+    /// Lets time pass, in which servers whose entries are missing are given up.
+    fn advance(&mut self, millis: u64) {
+        self.now += millis;
+        let now = self.instant();
+        for router in &mut self.routers {
+            router.presence.remove_expired(now);
+        }
+    }
+
     fn position(&self) -> u64 {
         self.written.len() as u64
     }
@@ -163,25 +192,32 @@
         };
         let version = sender.view.newest(ConfigVersion(sender.version)).0;
         let span = complete.or_else(|| sender.change_log.known_since(after)).unwrap_or(empty);
-        self.messages.push(Message::Report { to, span, version, known, is_complete });
+        let grace = sender.presence.grace_left(self.instant());
+        self.messages.push(Message::Report { to, span, version, known, grace, is_complete });
     }
 
     fn hand_view_to(&mut self, from: usize, to: usize) {
         let sender = &self.routers[from];
         let Some(known) = sender.confirmed else { return };
         let servers = sender.presence.catalog().iter();
+        let changes = servers.map(|server| match sender.presence.is_expired(&server.id) {
+            true => ServerChange::Expired(server.clone()),
+            false => ServerChange::Present(server.clone()),
+        });
         let span = ServerChangeSpan {
             after: at(0),
             position: sender.change_log.position().unwrap(),
-            changes: servers.map(|server| ServerChange::Present(server.clone())).collect(),
+            changes: changes.collect(),
             digest: sender.change_log.digest(),
         };
         let version = sender.view.newest(ConfigVersion(sender.version)).0;
         let in_force = sender.version;
-        self.messages.push(Message::View { to, span, version, in_force, known });
+        let grace = sender.presence.grace_left(self.instant());
+        self.messages.push(Message::View { to, span, version, in_force, known, grace });
     }
 
     fn deliver(&mut self, index: usize) {
+        let now = self.instant();
         match self.messages.remove(index) {
             Message::Changes { to, sent, after, at: up_to, configuration } => {
                 let changes = self.written[after as usize..up_to as usize].to_vec();
@@ -190,19 +226,20 @@
                     changes.iter().any(|(_, change)| matches!(change, Written::Configuration));
                 let router = &mut self.routers[to];
                 router.reads = false;
+                router.presence.record_contact(std::mem::take(&mut router.has_failed), now);
                 router.version = router.version.max(configuration.unwrap_or_default());
                 if has_newest {
                     router.version = router.version.max(newest);
                 }
                 if router.view.record_changes(at(up_to)) {
-                    changes.into_iter().for_each(|(_, change)| router.take(change));
+                    changes.into_iter().for_each(|(_, change)| router.take(change, now));
                 }
                 router.record();
                 if router.view.wanted(ConfigVersion(router.version)).is_none() {
                     router.confirmed = router.confirmed.max(Some(sent));
                 }
             }
-            Message::View { to, span, version, in_force, known } => {
+            Message::View { to, span, version, in_force, known, grace } => {
                 let router = &mut self.routers[to];
                 router.version = router.version.max(in_force);
                 let report = ReportedView {
@@ -215,16 +252,23 @@
                 let in_force = ViewInForce { version: ConfigVersion(router.version), confirmed };
                 let verdict = router.view.evaluate_complete_view(report, in_force);
                 if verdict.takes_servers {
-                    router.replace_servers(span.changes);
+                    let may_adopt = router.presence.may_adopt(grace, MAX_SILENCE, now);
+                    let grace = if may_adopt { grace } else { Duration::ZERO };
+                    router.replace_servers(span.changes, grace, now);
+                    router.presence.adopt_grace(grace, now);
                     router.change_log.record_gap(span.position);
                     router.record();
                 }
                 if verdict.confirms {
+                    router.presence.record_contact(false, now);
                     router.confirmed = router.confirmed.max(Some(known));
                 }
             }
-            Message::Report { to, span, version, known, is_complete } => {
+            Message::Report { to, span, version, known, grace, is_complete } => {
                 let router = &mut self.routers[to];
+                if !router.presence.may_adopt(grace, MAX_SILENCE, now) {
+                    return;
+                }
                 let counts =
                     is_complete || router.change_log.digest_after(&span.changes) == span.digest;
                 let report = ReportedView {
@@ -240,16 +284,29 @@
                     if !is_complete {
                         router.change_log.record_gap(span.position);
                     }
-                    span.changes.into_iter().for_each(|change| router.adopt(change));
+                    span.changes.into_iter().for_each(|change| router.adopt(change, grace, now));
+                    router.presence.adopt_grace(grace, now);
                     router.record();
                 }
                 if verdict.confirms {
+                    router.presence.record_contact(false, now);
                     router.confirmed = router.confirmed.max(Some(known));
                 }
             }
         }
     }
 
+    /// Has the answer to a router's read be lost.
+    fn lose_read(&mut self, index: usize) {
+        let is_read =
+            |message: &Message| matches!(message, Message::Changes { to, .. } if *to == index);
+        if let Some(lost) = self.messages.iter().position(is_read) {
+            self.messages.remove(lost);
+            self.routers[index].reads = false;
+            self.routers[index].has_failed = true;
+        }
+    }
+
     /// Has a router read the wanted configuration from an outdated state of the source.
     fn read_recent(&mut self, index: usize, age: u64) {
         let version = self.version_at(self.position().saturating_sub(age));
@@ -265,6 +322,7 @@
             (self.position(), self.version_at(self.position()), self.now);
         let listed = self.listed_at(position);
         let mut router = Router { version, confirmed: Some(now), ..Router::default() };
+        router.presence.record_contact(false, self.instant());
         for (name, (_, draining)) in listed {
             let written = self.written.iter().rev();
             let last = written.into_iter().find_map(|(_, change)| match change {
@@ -289,7 +347,11 @@
     fn check(&self) {
         for router in &self.routers {
             let position = router.view.position().unwrap().0;
-            assert_eq!(router.known_servers(), self.listed_at(position), "at {position}");
+            assert_eq!(router.listed_servers(), self.listed_at(position), "at {position}");
+            let grace = router.presence.grace_left(self.instant());
+            assert!(grace <= RENEWAL_GRACE, "{grace:?}");
+            let is_kept = router.presence.awaits_renewals();
+            assert!(!is_kept || !grace.is_zero(), "a removed server is kept without grace");
             let Some(confirmed) = router.confirmed else { continue };
             // Changes written at the confirmed time itself may be missing.
             let then = self.position_when(confirmed.saturating_sub(1));
@@ -300,7 +362,7 @@
 }
 
 impl Router {
-    fn take(&mut self, change: Written) {
+    fn take(&mut self, change: Written, now: Instant) {
         match change {
             // A start that replaces another one is adopted at once here.
             Written::Server(server)
@@ -308,28 +370,38 @@
             {
                 self.presence.adopt(server);
             }
-            Written::Server(server) => drop(self.presence.record_entry(server, Instant::now())),
-            Written::Departed(name) => self.remove(&name),
+            Written::Server(server) => drop(self.presence.record_entry(server, now)),
+            Written::Departed(name) => {
+                let name = name.parse().unwrap();
+                if let Some(id) = self.presence.id_of(&name) {
+                    self.presence.record_removal(&id, now);
+                }
+                self.change_log.record_departure(name);
+            }
             Written::Configuration => {}
         }
     }
 
-    fn adopt(&mut self, change: ServerChange) {
+    fn adopt(&mut self, change: ServerChange, grace: Duration, now: Instant) {
         match change {
             ServerChange::Present(server) => drop(self.presence.adopt((*server).clone())),
+            ServerChange::Expired(server) => {
+                self.change_log.record_departure(server.name.clone());
+                self.presence.adopt_expiry(&server, grace, now);
+            }
             ServerChange::Departed { name, .. } => self.remove(&name.to_string()),
         }
     }
 
-    fn replace_servers(&mut self, changes: Vec<ServerChange>) {
-        let mut missing = self.known_servers();
+    fn replace_servers(&mut self, changes: Vec<ServerChange>, grace: Duration, now: Instant) {
+        let mut missing = self.used_servers();
         for change in changes {
-            if let ServerChange::Present(server) = &change {
+            if let ServerChange::Present(server) | ServerChange::Expired(server) = &change {
                 missing.remove(&server.name.to_string());
             }
-            self.adopt(change);
+            self.adopt(change, grace, now);
         }
-        missing.keys().for_each(|name| self.remove(name));
+        missing.iter().for_each(|name| self.remove(name));
     }
 
     fn remove(&mut self, name: &str) {
@@ -342,16 +414,22 @@
 
     fn record(&mut self) {
         let position = self.view.position().unwrap();
-        self.change_log.record(self.presence.catalog(), position, |_| false);
+        self.change_log.record(&self.presence, position, |_| false);
+    }
+
+    /// Returns the names of the servers that are used, listed or not.
+    fn used_servers(&self) -> BTreeSet<String> {
+        self.presence.catalog().iter().map(|server| server.name.to_string()).collect()
     }
 
-    fn known_servers(&self) -> BTreeMap<String, (String, bool)> {
+    fn listed_servers(&self) -> BTreeMap<String, (String, bool)> {
         let servers = self.presence.catalog().iter();
+        let listed = servers.filter(|server| !self.presence.is_expired(&server.id));
         let entry = |server: &std::rc::Rc<BackendServer>| {
             let draining = server.phase == ServerPhase::Draining;
             (server.name.to_string(), (server.id.to_string(), draining))
         };
-        servers.map(entry).collect()
+        listed.map(entry).collect()
     }
 }
 
@@ -361,10 +439,10 @@
     steps.with_type::<Vec<(u8, u8)>>().for_each(|steps| {
         let mut simulation = Simulation::new();
         for (kind, choice) in steps {
-            simulation.now += 1;
+            simulation.advance(1);
             let (router, choice) = (usize::from(choice % 3), usize::from(*choice));
             let name = format!("i-{}", choice % 4);
-            match kind % 18 {
+            match kind % 21 {
                 0 => simulation.write(Written::Server(serving(&name))),
                 1 => simulation.write(Written::Server(server(&name, 1, ServerPhase::Draining))),
                 2 => simulation.write(Written::Server(server(
@@ -384,6 +462,8 @@
                 15 if choice % 4 == 0 => simulation.restart(router),
                 16 => simulation.hand_view_to(router, (router + 1) % ROUTERS),
                 17 => simulation.hand_view_to(router, (router + 2) % ROUTERS),
+                18 | 19 => simulation.lose_read(router),
+                20 => simulation.advance(PAUSE),
                 _ => {}
             }
             simulation.check();
--- a/crates/papayamux-coordination/tests/server_presence.rs
+++ b/crates/papayamux-coordination/tests/server_presence.rs
@@ -89,6 +89,36 @@
     assert_eq!(presence.remove_expired(now + RENEWAL_GRACE), ["a".parse().unwrap()]);
 }
 
+#[test]
+fn adopted_expiry_ends_with_the_time_that_is_left() {
+    let now = Instant::now();
+    let mut presence = presence_of_two_servers(now);
+    let [a, b] = ["a", "b"].map(|id| server(id, ServerPhase::Serving));
+    let left = Duration::from_millis(600);
+    let change_of = |change: Option<(ServerId, PresenceChange)>| change.map(|(_, change)| change);
+    let expired = presence.adopt_expiry(&a, left, now);
+    assert_eq!(change_of(expired), Some(PresenceChange::Expired));
+    // A later end that another router reports changes nothing.
+    let extended = presence.adopt_expiry(&a, left * 2, now);
+    assert_eq!(change_of(extended), Some(PresenceChange::Unchanged));
+    assert_eq!(presence.remove_expired(now + left), ["a".parse().unwrap()]);
+    // Without any time left, the server has departed. It doesn't come back.
+    let departed = presence.adopt_expiry(&b, Duration::ZERO, now);
+    assert_eq!(change_of(departed), Some(PresenceChange::Departed));
+    assert_eq!(presence.adopt_expiry(&b, left, now), None);
+    assert!(present_servers(&presence).is_empty());
+}
+
+#[test]
+fn expiry_of_another_start_is_a_departure() {
+    let now = Instant::now();
+    let mut presence = ServerPresence::default();
+    presence.record_entry(started(5), now);
+    let change = presence.adopt_expiry(&started(9), Duration::from_secs(1), now);
+    assert_eq!(change, Some((started(5).id, PresenceChange::Departed)));
+    assert!(present_servers(&presence).is_empty());
+}
+
 #[test]
 fn draining_server_gets_no_grace() {
     let now = Instant::now();
--- a/crates/papayamux-protocol/src/fleet_update.rs
+++ b/crates/papayamux-protocol/src/fleet_update.rs
@@ -26,6 +26,8 @@
 pub enum ServerUpdate {
     /// The server is present in this state.
     Present(BackendServer),
+    /// The server's entry is missing. The sender keeps the server while the entry may still be renewed.
+    Expired(BackendServer),
     /// The server has departed.
     Departed {
         /// The name under which the server was listed.
@@ -45,7 +47,7 @@
     /// `true` if these are certainly all changes. Otherwise servers may be missing that came and went, and
     /// the changes only apply if they lead to `digest`.
     pub is_complete: bool,
-    /// Digest of all servers at the position of the update.
+    /// Digest of all servers listed at the position of the update.
     pub digest: u64,
     /// All evacuations in force at the position of the update, changed or not.
     pub evacuations: Vec<EvacuationOrder>,
@@ -108,6 +110,9 @@
     lingers: bool,
     #[prost(uint32, tag = "10")]
     cold_ms: u32,
+    /// If set, the server's entry is missing and may still be renewed.
+    #[prost(bool, tag = "11")]
+    expired: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -184,44 +189,34 @@
     }
 }
 
-impl From<&ServerUpdate> for ServerWire {
-    fn from(update: &ServerUpdate) -> Self {
-        match update {
-            ServerUpdate::Departed { name, terminating } => Self {
-                name: name.to_string(),
-                gone: true,
-                lingers: *terminating,
-                ..Self::default()
-            },
-            ServerUpdate::Present(server) => Self {
-                name: server.name.to_string(),
-                start: server.start.map(|start| start.0),
-                service: server.service.to_string(),
-                address: server.address.to_string(),
-                domain: server.domain.to_string(),
-                slots: server.slots,
-                draining: server.phase == ServerPhase::Draining,
-                gone: false,
-                lingers: false,
-                cold_ms: u32::try_from(server.cold_left.as_millis()).unwrap_or(u32::MAX),
-            },
+impl From<&BackendServer> for ServerWire {
+    fn from(server: &BackendServer) -> Self {
+        Self {
+            name: server.name.to_string(),
+            start: server.start.map(|start| start.0),
+            service: server.service.to_string(),
+            address: server.address.to_string(),
+            domain: server.domain.to_string(),
+            slots: server.slots,
+            draining: server.phase == ServerPhase::Draining,
+            gone: false,
+            lingers: false,
+            cold_ms: u32::try_from(server.cold_left.as_millis()).unwrap_or(u32::MAX),
+            expired: false,
         }
     }
 }
 
-impl TryFrom<ServerWire> for ServerUpdate {
+impl TryFrom<ServerWire> for BackendServer {
     type Error = UpdateError;
 
     fn try_from(wire: ServerWire) -> Result<Self, UpdateError> {
         let name: ServerName =
             wire.name.parse().map_err(|error| invalid_part("server name")(&error))?;
-        if wire.gone {
-            return Ok(Self::Departed { name, terminating: wire.lingers });
-        }
         let start = wire.start.map(ServerStart);
         let address: SocketAddr =
             wire.address.parse().map_err(|error| invalid_part("server address")(&error))?;
-        Ok(Self::Present(BackendServer {
+        Ok(Self {
             id: ServerId::of_start(&name, start),
             name,
             start,
@@ -240,7 +235,39 @@
                 false => ServerPhase::Serving,
             },
             cold_left: Duration::from_millis(u64::from(wire.cold_ms)),
-        }))
+        })
+    }
+}
+
+impl From<&ServerUpdate> for ServerWire {
+    fn from(update: &ServerUpdate) -> Self {
+        match update {
+            ServerUpdate::Departed { name, terminating } => Self {
+                name: name.to_string(),
+                gone: true,
+                lingers: *terminating,
+                ..Self::default()
+            },
+            ServerUpdate::Present(server) => Self::from(server),
+            ServerUpdate::Expired(server) => Self { expired: true, ..Self::from(server) },
+        }
+    }
+}
+
+impl TryFrom<ServerWire> for ServerUpdate {
+    type Error = UpdateError;
+
+    fn try_from(wire: ServerWire) -> Result<Self, UpdateError> {
+        if wire.gone {
+            let name = wire.name.parse().map_err(|error| invalid_part("server name")(&error))?;
+            return Ok(Self::Departed { name, terminating: wire.lingers });
+        }
+        let is_expired = wire.expired;
+        let server = BackendServer::try_from(wire)?;
+        Ok(match is_expired {
+            true => Self::Expired(server),
+            false => Self::Present(server),
+        })
     }
 }
 
--- a/crates/papayamux-protocol/tests/router_report.rs
+++ b/crates/papayamux-protocol/tests/router_report.rs
@@ -53,7 +53,12 @@
             expected_ms: 317,
         }],
         follow: Some(FollowRequest { life: 3, asked_ms: 70_000, position: u64::MAX }),
-        news: Some(news(vec![present(Some(1_700_000_000_000)), present(None), departed()])),
+        news: Some(news(vec![
+            present(Some(1_700_000_000_000)),
+            present(None),
+            expired(),
+            departed(),
+        ])),
         part_question: Some(PartQuery { number: 9, part: PartId(u64::MAX) }),
         part_answer: Some(PartAnswer {
             number: 8,
@@ -97,6 +102,11 @@
     })
 }
 
+fn expired() -> ServerUpdate {
+    let ServerUpdate::Present(server) = present(Some(7)) else { panic!("present") };
+    ServerUpdate::Expired(server)
+}
+
 fn departed() -> ServerUpdate {
     ServerUpdate::Departed { name: "i-409792a0e0".parse().unwrap(), terminating: true }
 }
--- a/crates/papayamux-router/src/direct/fleet/known_servers.rs
+++ b/crates/papayamux-router/src/direct/fleet/known_servers.rs
@@ -107,6 +107,16 @@
         self.record_changes(&changes);
     }
 
+    /// Adopts from such a router that a server's entry is missing and may be renewed for `grace`. A server that
+    /// isn't known here has departed already, and is not used again until its entry is back.
+    pub(super) fn adopt_expiry(&self, server: &BackendServer, grace: Duration, now: Instant) {
+        self.journal_departure(&server.name);
+        let change = self.presence.borrow_mut().adopt_expiry(server, grace, now);
+        if let Some((id, change)) = change {
+            self.record_presence(&id, change);
+        }
+    }
+
     /// Adopts a departure reported by such a router. `is_terminating` tells that the server is
     /// terminating: it still finishes its work.
     pub(super) fn adopt_departure(&self, name: &ServerName, is_terminating: bool, now: Instant) {
--- a/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
+++ b/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
@@ -248,9 +248,7 @@
         if !grace.is_zero() && self.awaits_renewals() {
             self.knowledge.role_selection.borrow_mut().record_doubtful(sender, steady);
         }
-        let span = update
-            .span
-            .filter(|span| span.is_complete || self.leads_to_digest(span, update.grace_ms));
+        let span = update.span.filter(|span| span.is_complete || self.leads_to_digest(span));
         let stated = ReportedView {
             position: SourcePosition(update.position),
             after: span.as_ref().map(|span| SourcePosition(span.behind)),
@@ -309,12 +307,11 @@
         }
     }
 
-    /// Returns whether possibly incomplete changes lead to the sender's servers. While expired entries may
-    /// still be renewed, routers differ for another reason.
-    fn leads_to_digest(&self, span: &UpdateSpan, grace_ms: u32) -> bool {
+    /// Returns whether possibly incomplete changes lead to the servers that the sender knows to be listed.
+    fn leads_to_digest(&self, span: &UpdateSpan) -> bool {
         let changes: Vec<_> = span.changes.iter().map(server_change).collect();
         let digest = self.knowledge.journal.borrow().digest_after(&changes);
-        grace_ms == 0 && digest == ServerDigest(span.digest)
+        digest == ServerDigest(span.digest)
     }
 
     /// Applies server changes, the time for which expired entries may still be renewed, and
@@ -323,6 +320,7 @@
         for change in span.changes {
             match change {
                 ServerUpdate::Present(server) => self.adopt_server(server, now),
+                ServerUpdate::Expired(server) => self.adopt_expiry(&server, grace, now),
                 ServerUpdate::Departed { name, terminating } => {
                     self.adopt_departure(&name, terminating, now)
                 }
@@ -331,11 +329,7 @@
         self.adopt_grace(grace, now);
         self.replace_evacuations(span.evacuations);
         self.journal_known_servers();
-        // Entries that expired in an outage are removed at slightly different times.
-        match grace.is_zero() {
-            true => self.compare_known_servers(ServerDigest(span.digest), now),
-            false => self.knowledge.differs_since.set(None),
-        }
+        self.compare_known_servers(ServerDigest(span.digest), now);
     }
 
     /// Reads everything again if the known servers differ from those of the followed router for as
@@ -362,7 +356,7 @@
         let Some(position) = self.source_position() else { return };
         let (presence, departures) = (self.presence.borrow(), self.departures.borrow());
         let mut journal = self.knowledge.journal.borrow_mut();
-        journal.record(presence.catalog(), position, |server| departures.is_terminating(server));
+        journal.record(&presence, position, |server| departures.is_terminating(server));
     }
 
     fn notify_followers(&self) {
@@ -400,6 +394,7 @@
 ) -> UpdateSpan {
     let changes = span.changes.into_iter().map(|change| match change {
         ServerChange::Present(server) => ServerUpdate::Present((*server).clone()),
+        ServerChange::Expired(server) => ServerUpdate::Expired((*server).clone()),
         ServerChange::Departed { name, terminating } => {
             ServerUpdate::Departed { name, terminating }
         }
@@ -416,6 +411,7 @@
 fn server_change(update: &ServerUpdate) -> ServerChange {
     match update {
         ServerUpdate::Present(server) => ServerChange::Present(Rc::new(server.clone())),
+        ServerUpdate::Expired(server) => ServerChange::Expired(Rc::new(server.clone())),
         ServerUpdate::Departed { name, terminating } => {
             ServerChange::Departed { name: name.clone(), terminating: *terminating }
         }
--- a/crates/papayamux-router/src/direct/fleet/view_adoption.rs
+++ b/crates/papayamux-router/src/direct/fleet/view_adoption.rs
@@ -136,7 +136,10 @@
         let version = self.newest_version();
         let presence = self.presence.borrow();
         let servers = presence.catalog().iter();
-        let changes = servers.map(|server| ServerUpdate::Present((**server).clone())).collect();
+        let changes = servers.map(|server| match presence.is_expired(&server.id) {
+            true => ServerUpdate::Expired((**server).clone()),
+            false => ServerUpdate::Present((**server).clone()),
+        });
         let grace = presence.grace_left(Instant::now());
         let update = FleetUpdate {
             life: 0,
@@ -148,7 +151,7 @@
             grace_ms: u32::try_from(grace.as_millis()).unwrap_or(u32::MAX),
             span: Some(UpdateSpan {
                 behind: 0,
-                changes,
+                changes: changes.collect(),
                 is_complete: true,
                 digest: digest.0,
                 evacuations: self.evacuation_orders(),
@@ -188,8 +191,8 @@
             return false;
         }
         let steady = Instant::now();
-        let grace = Duration::from_millis(u64::from(update.grace_ms));
-        self.replace_servers(span.changes, steady);
+        let grace = self.adoptable_grace(update.grace_ms, steady);
+        self.replace_servers(span.changes, grace, steady);
         self.adopt_grace(grace, steady);
         self.replace_evacuations(span.evacuations);
         // Servers that came and went before the view are unknown here, and a follower may know them.
@@ -199,26 +202,47 @@
         true
     }
 
+    /// Returns the time for which missing entries may be renewed, by a view whose sender waits for `reported_ms`.
+    /// If this router had contact to the list, they have departed.
+    fn adoptable_grace(&self, reported_ms: u32, now: Instant) -> Duration {
+        let reported = Duration::from_millis(u64::from(reported_ms));
+        let max_silence = self.settings.read_bounds().interval();
+        match self.presence.borrow().may_adopt(reported, max_silence, now) {
+            true => reported,
+            false => Duration::ZERO,
+        }
+    }
+
     /// Replaces the known servers by those of a complete view.
-    fn replace_servers(&self, updates: Vec<ServerUpdate>, now: Instant) {
-        let mut listed = HashSet::new();
+    fn replace_servers(&self, updates: Vec<ServerUpdate>, grace: Duration, now: Instant) {
+        let is_first = !self.has_view();
+        let mut kept = HashSet::new();
         for update in updates {
-            let ServerUpdate::Present(server) = update else { continue };
-            listed.insert(server.name.clone());
-            if !self.is_known(&server) {
-                self.adopt_server(server, now);
+            let (ServerUpdate::Present(server) | ServerUpdate::Expired(server)) = &update else {
+                continue;
+            };
+            kept.insert(server.name.clone());
+            // A router that has just started needs the servers whose entries expired before.
+            let is_listed = matches!(update, ServerUpdate::Present(_));
+            if (is_listed || is_first) && !self.is_known(server) {
+                self.adopt_server(server.clone(), now);
+            }
+            if !is_listed {
+                self.adopt_expiry(server, grace, now);
             }
         }
         let missing: Vec<_> = {
             let presence = self.presence.borrow();
             let names = presence.catalog().iter().map(|server| server.name.clone());
-            names.filter(|name| !listed.contains(name)).collect()
+            names.filter(|name| !kept.contains(name)).collect()
         };
         missing.iter().for_each(|name| self.adopt_departure(name, false, now));
     }
 
+    /// Returns whether this very entry is known to be listed.
     fn is_known(&self, server: &BackendServer) -> bool {
         let presence = self.presence.borrow();
-        presence.catalog().get(&server.id).is_some_and(|known| **known == *server)
+        let known = presence.catalog().get(&server.id);
+        known.is_some_and(|known| **known == *server && !presence.is_expired(&known.id))
     }
 }
