Skip the changes of a read that other routers' reports have overtaken in part

Cause: a read in flight was applied as a whole if it reached further than the reports that arrived meanwhile. Its earlier changes brought back a server that the reports had removed, and in a grace its removal only let it expire. Change: each change read carries its position; those at or before the known one are skipped, and a removal among them is logged. The shortest case is a test of its own, which failed before.

--- a/crates/papayamux-coordination/src/fleet_knowledge/source_view.rs
+++ b/crates/papayamux-coordination/src/fleet_knowledge/source_view.rs
@@ -114,14 +114,16 @@
         self.evaluate_report(ReportedView { after, ..report }, in_force)
     }
 
-    /// Records a read of the changes up to `at`. Returns whether its changes of servers must be applied.
+    /// Records a read of the changes up to `at`. Returns the position after which its changes of servers must be
+    /// applied.
     ///
-    /// Reports of other routers may have moved the view further while the read was in flight. Its changes
-    /// of servers are outdated then, and applying them would, for example, revert a reported drain.
-    pub fn record_changes(&mut self, at: SourcePosition) -> bool {
-        let is_overtaken = self.position > Some(at);
+    /// Reports of other routers may have moved the view further while the read was in flight. Its changes up to
+    /// there are outdated, and applying them would, for example, revert a reported drain, or bring a server
+    /// back that is known to have departed.
+    pub fn record_changes(&mut self, at: SourcePosition) -> SourcePosition {
+        let own = self.position.unwrap_or_default();
         self.position = self.position.max(Some(at));
-        !is_overtaken
+        own
     }
 
     /// Records a full read, up to `at`.
--- a/crates/papayamux-coordination/tests/fleet_knowledge/evacuations.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/evacuations.rs
@@ -149,8 +149,9 @@
 
     fn take_read(&mut self, to: usize, read_from: u64, at: u64, fault: InjectedFault) {
         let (mut view, mut evacuations) = self.routers[to].state();
-        if view.record_changes(SourcePosition(at)) || fault == InjectedFault::LateReads {
-            for position in read_from + 1..=at {
+        let known = view.record_changes(SourcePosition(at)).0;
+        for position in read_from + 1..=at {
+            if position > known || fault == InjectedFault::LateReads {
                 match held_at(position) {
                     true => drop(evacuations.begin(orders(true, position).remove(0))),
                     false => drop(evacuations.end(&DOMAIN.parse().unwrap())),
--- a/crates/papayamux-coordination/tests/fleet_knowledge/source_view.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/source_view.rs
@@ -5,8 +5,8 @@
 //! time and arrive later, or never. Reads are lost, after which a router keeps servers whose entries are
 //! missing for a while. After each step, the servers that a router knows to be listed must be those of its
 //! position, its position must be no earlier than that of the source at the router's confirmed time, and its
-//! configuration no older than the source's at that time. A removed server must not stay beyond the
-//! grace period.
+//! configuration no older than the source's at that time. A removed server must not come back without a write
+//! of its entry, nor stay beyond the grace period.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -74,6 +74,8 @@
     presence: ServerPresence,
     /// `true` if a read has failed since the last successful one.
     has_failed: bool,
+    /// Servers that the router used after the last step, and its position then.
+    used: Option<(BTreeSet<String>, u64)>,
     change_log: ServerChangeLog,
     view: SourceView,
     version: u64,
@@ -231,8 +233,11 @@
                 if has_newest {
                     router.version = router.version.max(newest);
                 }
-                if router.view.record_changes(at(up_to)) {
-                    changes.into_iter().for_each(|(_, change)| router.take(change, now));
+                let known = router.view.record_changes(at(up_to)).0;
+                for (position, (_, change)) in (after + 1..).zip(changes) {
+                    if position > known {
+                        router.take(change, now);
+                    }
                 }
                 router.record();
                 if router.view.wanted(ConfigVersion(router.version)).is_none() {
@@ -344,10 +349,27 @@
         });
     }
 
-    fn check(&self) {
+    /// Returns whether an entry was written after a position, up to another one.
+    fn is_written_between(&self, name: &str, after: u64, up_to: u64) -> bool {
+        let written = self.written[after as usize..up_to as usize].iter();
+        let mut servers = written.filter_map(|(_, change)| match change {
+            Written::Server(server) => Some(server.name.to_string()),
+            Written::Departed(_) | Written::Configuration => None,
+        });
+        servers.any(|written| written == name)
+    }
+
+    fn check(&mut self) {
         for router in &self.routers {
             let position = router.view.position().unwrap().0;
             assert_eq!(router.listed_servers(), self.listed_at(position), "at {position}");
+            let used = router.used_servers();
+            if let Some((before, from)) = &router.used {
+                for name in used.difference(before) {
+                    let is_written = self.is_written_between(name, *from, position);
+                    assert!(is_written, "{name} is back at {position}, was removed at {from}");
+                }
+            }
             let grace = router.presence.grace_left(self.instant());
             assert!(grace <= RENEWAL_GRACE, "{grace:?}");
             let is_kept = router.presence.awaits_renewals();
@@ -358,6 +380,9 @@
             assert!(position >= then, "the list ends at {position}, the source was at {then}");
             assert!(router.version >= self.version_at(then), "{} is too old", router.version);
         }
+        for router in &mut self.routers {
+            router.used = Some((router.used_servers(), router.view.position().unwrap().0));
+        }
     }
 }
 
@@ -471,6 +496,29 @@
     });
 }
 
+/// A report of the first router arrives while a read of the second one is in flight. The read shows a server
+/// that has come and gone before the position of the report, after a lost read, so that it might be renewed.
+#[test]
+fn read_overtaken_in_part_does_not_bring_a_server_back() {
+    let mut simulation = Simulation::new();
+    simulation.read(1);
+    simulation.lose_read(1);
+    simulation.now = 1;
+    simulation.write(Written::Server(serving("i-1")));
+    simulation.write(Written::Departed("i-1".to_string()));
+    simulation.read(0);
+    simulation.deliver(0);
+    simulation.write(Written::Configuration);
+    simulation.read(1);
+    simulation.report_to(0, 1);
+    simulation.deliver(1);
+    simulation.check();
+    assert_eq!(simulation.routers[1].view.position(), Some(at(2)));
+    simulation.deliver(0);
+    simulation.check();
+    assert!(simulation.routers[1].used_servers().is_empty());
+}
+
 /// The first router reads everything after a server has come and gone, which only the third one knows.
 #[test]
 fn partial_changes_are_relayed_as_partial_ones() {
--- a/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
+++ b/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
@@ -93,8 +93,9 @@
         self.journal_known_servers();
     }
 
-    /// Returns whether the server changes of a read up to `at` are to be applied.
-    pub(in crate::direct) fn accept_changes(&self, at: SourcePosition) -> bool {
+    /// Records a read of the changes up to `at`. Returns the position after which its changes of servers are to be
+    /// applied.
+    pub(in crate::direct) fn accept_changes(&self, at: SourcePosition) -> SourcePosition {
         self.change_view(|view| view.record_changes(at))
     }
 
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -10,7 +10,7 @@
 use papayamux_coordination::source_polling::{PollSchedule, PollView, READ_TIMEOUT};
 use papayamux_state::service_config::ConfigurationSnapshot;
 use papayamux_state::source::{
-    SourceChange, SourceChanges, SourceContents, SourceError, SourcePosition,
+    PositionedChange, SourceChange, SourceChanges, SourceContents, SourceError, SourcePosition,
 };
 use papayamux_transport::boot_clock::boot_now;
 
@@ -227,7 +227,7 @@
             let newer = self.source.read_changes(full_read.position).await?;
             is_newest = !newer.may_have_more;
             full_read.position = newer.position;
-            full_read.changes.extend(newer.changes);
+            full_read.changes.extend(newer.changes.into_iter().map(|newer| newer.change));
         }
         Err(SourceError::Unavailable("the changes after a full read do not end".to_string()))
     }
@@ -298,34 +298,19 @@
                 self.fleet.record_full_read(position);
             }
             ReadContents::Changes(changes) => {
-                let takes_servers = self.fleet.accept_changes(changes.position);
-                if !takes_servers {
-                    self.log_overtaken_read(&changes);
-                }
-                let counts = |change: &SourceChange| {
-                    takes_servers || matches!(change, SourceChange::Configuration(_))
-                };
-                for change in changes.changes.into_iter().filter(counts) {
-                    self.apply_change(change, now);
+                let known = self.fleet.accept_changes(changes.position);
+                for PositionedChange { position, change } in changes.changes {
+                    if position > known || matches!(change, SourceChange::Configuration(_)) {
+                        self.apply_change(change, now);
+                    } else if let SourceChange::ServerRemoved(name) = change {
+                        log::info!(server:% = name, position:% = position; "removal read too late");
+                    }
                 }
                 self.fleet.journal_known_servers();
             }
         }
     }
 
-    /// Logs the removals of a read that other routers' reports have overtaken: they must have told of them.
-    fn log_overtaken_read(&self, changes: &SourceChanges) {
-        let removed = changes.changes.iter().filter_map(|change| match change {
-            SourceChange::ServerRemoved(name) => Some(name.to_string()),
-            _ => None,
-        });
-        let removed: Vec<_> = removed.collect();
-        if !removed.is_empty() {
-            let (position, servers) = (changes.position, removed.join(" "));
-            log::info!(position:% = position, servers = servers.as_str(); "removals read too late");
-        }
-    }
-
     fn apply_change(&self, change: SourceChange, now: Instant) {
         match change {
             SourceChange::Configuration(configuration) => {
--- a/crates/papayamux-state/src/source.rs
+++ b/crates/papayamux-state/src/source.rs
@@ -92,11 +92,20 @@
     pub cause: String,
 }
 
+/// A change together with the position at which it was made.
+#[derive(Debug)]
+pub struct PositionedChange {
+    /// The position up to which the source includes the change.
+    pub position: SourcePosition,
+    /// The change.
+    pub change: SourceChange,
+}
+
 /// A sequence of changes read from a source.
 #[derive(Debug)]
 pub struct SourceChanges {
     /// The changes in order.
-    pub changes: Vec<SourceChange>,
+    pub changes: Vec<PositionedChange>,
     /// The position up to which the changes reach.
     pub position: SourcePosition,
     /// Whether there may be more changes after these, in which case they don't show the latest state.
