Compare positions of the source by era first

What callers saw: requests reached servers more than two seconds after they had left, some seconds after the store came back from a copy. Cause: revisions were compared as if they could only rise, in what is read, asked for, stated, adopted and handed on. Who had read the new history stood at lower revisions than the others, took their state for newer and lost it again; a router whose revision the store had given out again read on from there, and never saw what had changed below. Class: an offset was taken for a position without the history that it belongs to. Change: a position is an era and a revision; the era comes from each answer of the store and travels with requests, updates, views and evacuations (new fields on the wire). An answer of a later era than the position asked from leads to a full read, after which entries that the copy lacks are kept as after an outage.

--- a/crates/papayamux-coordination/tests/domain_evacuations.rs
+++ b/crates/papayamux-coordination/tests/domain_evacuations.rs
@@ -3,10 +3,13 @@
 
 use papayamux_coordination::domain_evacuations::{DomainEvacuations, EvacuationChange};
 use papayamux_state::evacuation::EvacuationOrder;
-use papayamux_state::source::SourcePosition;
+use papayamux_state::source::{SourceEra, SourcePosition};
 
 fn order(domain: &str, position: u64) -> EvacuationOrder {
-    EvacuationOrder { domain: domain.parse().unwrap(), position: SourcePosition(position) }
+    EvacuationOrder {
+        domain: domain.parse().unwrap(),
+        position: SourcePosition::new(SourceEra::default(), position),
+    }
 }
 
 fn begun(domain: &str, position: u64) -> EvacuationChange {
--- a/crates/papayamux-coordination/tests/fleet_knowledge/evacuations.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/evacuations.rs
@@ -11,7 +11,7 @@
 use papayamux_state::boot_time::BootInstant;
 use papayamux_state::evacuation::EvacuationOrder;
 use papayamux_state::service_config::ConfigVersion;
-use papayamux_state::source::SourcePosition;
+use papayamux_state::source::{SourceEra, SourcePosition};
 
 const DOMAIN: &str = "hall";
 /// Writes of the operator: the start, the end and a new start of an evacuation in quick succession.
@@ -23,6 +23,10 @@
 /// Maximum number of messages in flight. More would only repeat what fewer show.
 const MAX_MESSAGES: usize = 2;
 
+fn position_at(revision: u64) -> SourcePosition {
+    SourcePosition::new(SourceEra::default(), revision)
+}
+
 /// A rule that a run violates.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum InjectedFault {
@@ -71,7 +75,7 @@
 
 fn orders(evacuated: bool, position: u64) -> Vec<EvacuationOrder> {
     let order =
-        EvacuationOrder { domain: DOMAIN.parse().unwrap(), position: SourcePosition(position) };
+        EvacuationOrder { domain: DOMAIN.parse().unwrap(), position: position_at(position) };
     evacuated.then_some(order).into_iter().collect()
 }
 
@@ -79,13 +83,13 @@
     /// Returns the real types in the state of this router.
     fn state(&self) -> (SourceView, DomainEvacuations) {
         let (mut view, mut evacuations) = (SourceView::default(), DomainEvacuations::default());
-        view.record_full_read(SourcePosition(self.position));
+        view.record_full_read(position_at(self.position));
         evacuations.replace(orders(self.evacuated, self.position));
         (view, evacuations)
     }
 
     fn take(&mut self, view: SourceView, evacuations: &DomainEvacuations) {
-        self.position = view.position().unwrap().0;
+        self.position = view.position().unwrap().revision;
         self.evacuated = evacuations.covers(&DOMAIN.parse().unwrap());
     }
 }
@@ -149,7 +153,7 @@
 
     fn take_read(&mut self, to: usize, read_from: u64, at: u64, fault: InjectedFault) {
         let (mut view, mut evacuations) = self.routers[to].state();
-        let known = view.record_changes(SourcePosition(at)).0;
+        let known = view.record_changes(position_at(at)).revision;
         for position in read_from + 1..=at {
             if position > known || fault == InjectedFault::LateReads {
                 match held_at(position) {
@@ -164,8 +168,8 @@
     fn take_report(&mut self, to: usize, position: u64, evacuated: bool, fault: InjectedFault) {
         let (mut view, mut evacuations) = self.routers[to].state();
         let report = ReportedView {
-            position: SourcePosition(position),
-            after: Some(SourcePosition(0)),
+            position: position_at(position),
+            after: Some(position_at(0)),
             version: ConfigVersion(1),
             known: BootInstant(std::time::Duration::ZERO),
         };
--- a/crates/papayamux-coordination/tests/fleet_knowledge/fleet.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/fleet.rs
@@ -17,7 +17,7 @@
 use papayamux_state::backend::{BackendServer, ServerPhase};
 use papayamux_state::boot_time::BootInstant;
 use papayamux_state::ids::{ServerId, ServerName};
-use papayamux_state::source::SourcePosition;
+use papayamux_state::source::{SourceEra, SourcePosition};
 
 use super::reader_order::address;
 
@@ -41,9 +41,10 @@
     selector: RoleSelector,
     schedule: PollSchedule,
     followers: FollowerTable,
-    /// Time at which the known state was read from the source. It is the position as well, since servers renew
-    /// their entries all the time.
+    /// Time at which the known state was read from the source.
     known: Option<u64>,
+    /// Position up to which it knows the source.
+    position: SourcePosition,
     read_ended: u64,
     /// Times of the last queries to the routers asked.
     queries: HashMap<IpAddr, u64>,
@@ -69,8 +70,7 @@
     }
 
     fn record(&mut self) {
-        let position = SourcePosition(self.known.unwrap_or_default());
-        self.change_log.record(&self.presence, position, |_| false);
+        self.change_log.record(&self.presence, self.position, |_| false);
     }
 }
 
@@ -81,6 +81,7 @@
     from: usize,
     /// Time of the read.
     known: u64,
+    position: SourcePosition,
     grace: Duration,
     span: Option<ServerChangeSpan>,
     /// `false` if changes may be missing from the span.
@@ -98,6 +99,9 @@
     /// Routers that can't reach one another either.
     pub isolated: HashSet<usize>,
     pub source_is_away: bool,
+    era: SourceEra,
+    /// Total time by which restores have set the revisions back, in milliseconds.
+    lost: u64,
     /// Time at which the source removes the only server's entry.
     pub departs_at: u64,
     pub calls: u64,
@@ -142,6 +146,7 @@
             schedule: PollSchedule::new(bounds),
             followers: FollowerTable::default(),
             known: None,
+            position: SourcePosition::default(),
             read_ended: 0,
             queries: HashMap::new(),
             paused_until: 0,
@@ -156,6 +161,8 @@
             cut_off: HashSet::new(),
             isolated: HashSet::new(),
             source_is_away: false,
+            era: SourceEra::default(),
+            lost: 0,
             departs_at: u64::MAX,
             calls: 0,
             updates: Vec::new(),
@@ -166,6 +173,18 @@
         self.begun + Duration::from_millis(self.now)
     }
 
+    /// Returns the source's position at a time within its era. The revision rises all the time, as servers renew
+    /// their entries.
+    fn position_at(&self, time: u64) -> SourcePosition {
+        SourcePosition::new(self.era, time.saturating_sub(self.lost))
+    }
+
+    /// Restores the source from a copy that is `age` milliseconds old.
+    pub fn restore_source(&mut self, age: u64) {
+        self.era = SourceEra(self.era.0 + 1);
+        self.lost += age;
+    }
+
     /// Advances the time by `millis`. The source answers within a step.
     pub fn run(&mut self, millis: u64) {
         let end = self.now + millis;
@@ -207,6 +226,8 @@
         let fails = self.source_is_away || !self.reaches_source(index);
         let now = self.instant();
         let has_departed = self.departs_at <= self.now;
+        let (position, removed_at) =
+            (self.position_at(self.now), self.position_at(self.departs_at));
         let router = &mut self.routers[index];
         router.read_ended = self.now;
         if fails {
@@ -219,13 +240,17 @@
         let has_contact =
             |failure: Instant| router.presence.last_contact().is_some_and(|last| last > failure);
         let failed = router.first_failure.take().is_some_and(|failure| !has_contact(failure));
-        router.presence.record_contact(failed, now);
+        let is_restored = router.position.era != position.era;
+        router.presence.record_contact(failed || is_restored, now);
         // A removal at or before the known position is not among the changes that are read.
-        if has_departed && router.known.is_none_or(|known| known < self.departs_at) {
+        if has_departed && (router.known.is_none() || router.position < removed_at) {
             router.presence.record_removal(&server().id, now);
             router.change_log.record_departure(server().name);
         }
-        router.known = Some(self.now);
+        (router.known, router.position) = (Some(self.now), position);
+        if is_restored {
+            router.change_log.record_gap(position);
+        }
         router.record();
         self.notify_followers(index);
     }
@@ -244,12 +269,12 @@
 
     /// Returns the update about all changes after a position.
     fn update(&self, to: usize, from: usize, known: u64, after: SourcePosition) -> Update {
-        let Router { presence, change_log, .. } = &self.routers[from];
+        let Router { presence, change_log, position, .. } = &self.routers[from];
         let grace = presence.grace_left(self.instant());
         let complete = change_log.since(after);
         let is_complete = complete.is_some();
         let span = complete.or_else(|| change_log.known_since(after));
-        Update { to, from, known, grace, span, is_complete }
+        Update { to, from, known, position: *position, grace, span, is_complete }
     }
 
     fn reaches_source(&self, index: usize) -> bool {
@@ -257,7 +282,7 @@
     }
 
     fn deliver(&mut self, update: Update) {
-        let Update { to, from, known, grace, span, is_complete } = update;
+        let Update { to, from, known, position, grace, span, is_complete } = update;
         let now = self.instant();
         if self.isolated.contains(&to) || self.isolated.contains(&from) {
             return;
@@ -277,7 +302,7 @@
             router.selector.record_newer(sender, now);
         }
         router.selector.record_candidate(sender, Duration::from_millis(self.now - known), now);
-        if router.known.is_some_and(|own| own >= known) {
+        if router.known.is_some_and(|own| own >= known) || position < router.position {
             return;
         }
         let leads_to_digest =
@@ -286,7 +311,10 @@
         router.presence.record_contact(false, now);
         span.changes.into_iter().for_each(|change| router.adopt(change, grace, now));
         router.presence.adopt_grace(grace, now);
-        router.known = Some(known);
+        if !is_complete {
+            router.change_log.record_gap(position);
+        }
+        (router.known, router.position) = (Some(known), position);
         router.record();
         self.notify_followers(to);
     }
@@ -329,7 +357,7 @@
         if self.routers[followed_index].paused_until > self.now || is_unreachable {
             return;
         }
-        let position = SourcePosition(self.routers[index].known.unwrap_or_default());
+        let position = self.routers[index].position;
         self.routers[followed_index].followers.record(querier, query, position, now);
         if let Some(known) = self.routers[followed_index].known {
             self.updates.push(self.update(index, followed_index, known, position));
--- a/crates/papayamux-coordination/tests/fleet_knowledge/lapsed_departures.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/lapsed_departures.rs
@@ -1,4 +1,5 @@
-//! Servers that leave after an outage of the source, while routers still keep entries that may be renewed.
+//! Servers that leave after an outage of the source, while routers still keep entries that may be renewed. The
+//! source may come back from a copy, at lower revisions.
 
 use super::fleet::Fleet;
 
@@ -10,10 +11,13 @@
 /// Duration of the outage, in milliseconds.
 const OUTAGE: u64 = 4_000;
 
-/// The source is away for all. A third of the routers are turned away for longer, and learn from the others
-/// what these have read since. Some of the others still keep the server that leaves then.
-#[test]
-fn departure_is_known_to_all_after_outages_that_overlap() {
+/// Age of the copy from which the source is restored, in milliseconds.
+const COPY_AGE: u64 = 6_000;
+
+/// Plays outages that end while a server leaves: at 0 to 3.5 s after the return for small fleets, in between for
+/// large ones. A third of the routers are turned away for longer, and learn from the others what these have read
+/// since. Some of the others still keep the server.
+fn play_overlapping_outages(end_outage: impl Fn(&mut Fleet)) {
     let all_offsets = [0, 400, 800, 1_200, 1_600, 2_000, 2_600, 3_500];
     for (routers, offsets) in [
         (6, &all_offsets[..]),
@@ -27,6 +31,7 @@
                 fleet.run(5_000);
                 fleet.source_is_away = true;
                 fleet.run(OUTAGE);
+                end_outage(&mut fleet);
                 fleet.source_is_away = false;
                 let ended = fleet.now + turned_away;
                 fleet.cut_off = (0..routers as usize).filter(|index| index % 3 == 0).collect();
@@ -41,3 +46,15 @@
         }
     }
 }
+
+#[test]
+fn departure_is_known_to_all_after_outages_that_overlap() {
+    play_overlapping_outages(|_| {});
+}
+
+/// Routers that have not read the source since stand at revisions that it doesn't have any more, or gives out
+/// again.
+#[test]
+fn departure_is_known_to_all_after_a_restore_from_a_copy() {
+    play_overlapping_outages(|fleet| fleet.restore_source(COPY_AGE));
+}
--- a/crates/papayamux-coordination/tests/fleet_knowledge/server_changes.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/server_changes.rs
@@ -7,7 +7,7 @@
 use papayamux_coordination::server_presence::{PresenceChange, ServerPresence};
 use papayamux_state::backend::{BackendServer, ServerPhase};
 use papayamux_state::ids::{ServerId, ServerName, ServerStart};
-use papayamux_state::source::SourcePosition;
+use papayamux_state::source::{SourceEra, SourcePosition};
 
 /// Number of inputs.
 const GENERATED_INPUTS: usize = 4_000;
@@ -35,7 +35,7 @@
 }
 
 fn at(position: u64) -> SourcePosition {
-    SourcePosition(position)
+    SourcePosition::new(SourceEra::default(), position)
 }
 
 /// A router's servers, with its change log.
@@ -74,7 +74,7 @@
                 ServerChange::Departed { name, .. } => self.remove(&name.to_string()),
             }
         }
-        self.record(span.position.0);
+        self.record(span.position.revision);
     }
 
     fn position(&self) -> SourcePosition {
--- a/crates/papayamux-coordination/tests/fleet_knowledge/source_view.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/source_view.rs
@@ -3,10 +3,10 @@
 //!
 //! Each router has the real list of servers, change log and view. Answers and reports are created at one
 //! time and arrive later, or never. Reads are lost, after which a router keeps servers whose entries are
-//! missing for a while. After each step, the servers that a router knows to be listed must be those of its
-//! position, its position must be no earlier than that of the source at the router's confirmed time, and its
-//! configuration no older than the source's at that time. A removed server must not come back without a write
-//! of its entry, nor stay beyond the grace period.
+//! missing for a while, and the source is restored from copies. After each step, the servers that a router
+//! knows to be listed must be those of its position, its position must be no earlier than that of the source
+//! at the router's confirmed time, and its configuration no older than the source's at that time. A removed
+//! server must not come back without a write of its entry, nor stay beyond the grace period.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -18,7 +18,7 @@
 use papayamux_state::backend::{BackendServer, ServerPhase};
 use papayamux_state::boot_time::BootInstant;
 use papayamux_state::service_config::ConfigVersion;
-use papayamux_state::source::SourcePosition;
+use papayamux_state::source::{SourceEra, SourcePosition};
 
 use super::server_changes::{server, serving};
 
@@ -37,7 +37,8 @@
 enum Written {
     Server(BackendServer),
     Departed(String),
-    Configuration,
+    /// A configuration of this version.
+    Configuration(u64),
 }
 
 /// The answer of a read, or a report, in flight.
@@ -46,10 +47,12 @@
     Changes {
         to: usize,
         sent: u64,
-        after: u64,
-        at: u64,
+        after: SourcePosition,
+        at: SourcePosition,
         configuration: Option<u64>,
     },
+    /// The source was restored from a copy since the router's position.
+    Restored { to: usize },
     Report {
         to: usize,
         span: ServerChangeSpan,
@@ -75,7 +78,7 @@
     /// `true` if a read has failed since the last successful one.
     has_failed: bool,
     /// Servers that the router used after the last step, and its position then.
-    used: Option<(BTreeSet<String>, u64)>,
+    used: Option<(BTreeSet<String>, SourcePosition)>,
     change_log: ServerChangeLog,
     view: SourceView,
     version: u64,
@@ -86,8 +89,12 @@
 struct Simulation {
     begun: Instant,
     now: u64,
-    /// All changes, with the times at which they were written. A position is a number of changes.
-    written: Vec<(u64, Written)>,
+    /// All changes of each era. A revision is a number of changes. An era begins with those of the copy from which
+    /// the source was restored.
+    written: Vec<Vec<Written>>,
+    /// The source's positions, with the times at which it reached them.
+    reached: Vec<(u64, SourcePosition)>,
+    newest_version: u64,
     routers: [Router; ROUTERS],
     messages: Vec<Message>,
 }
@@ -97,7 +104,7 @@
 }
 
 fn at(position: u64) -> SourcePosition {
-    SourcePosition(position)
+    SourcePosition::new(SourceEra::default(), position)
 }
 
 impl Simulation {
@@ -105,7 +112,9 @@
         let mut simulation = Self {
             begun: Instant::now(),
             now: 0,
-            written: Vec::new(),
+            written: vec![Vec::new()],
+            reached: vec![(0, at(0))],
+            newest_version: 0,
             routers: Default::default(),
             messages: Vec::new(),
         };
@@ -129,38 +138,65 @@
         }
     }
 
-    fn position(&self) -> u64 {
-        self.written.len() as u64
+    fn position(&self) -> SourcePosition {
+        self.reached.last().unwrap().1
+    }
+
+    /// Returns all changes up to a position, those of the copy included.
+    fn written_up_to(&self, position: SourcePosition) -> &[Written] {
+        &self.written[position.era.0 as usize][..position.revision as usize]
     }
 
     /// Returns the newest configuration version up to a position.
-    fn version_at(&self, position: u64) -> u64 {
-        let written = self.written[..position as usize].iter();
-        written.filter(|(_, change)| matches!(change, Written::Configuration)).count() as u64
+    fn version_at(&self, position: SourcePosition) -> u64 {
+        let versions = self.written_up_to(position).iter().map(|change| match change {
+            Written::Configuration(version) => *version,
+            Written::Server(_) | Written::Departed(_) => 0,
+        });
+        versions.max().unwrap_or_default()
     }
 
-    fn position_when(&self, moment: u64) -> u64 {
-        self.written.iter().take_while(|(when, _)| *when <= moment).count() as u64
+    fn position_when(&self, moment: u64) -> SourcePosition {
+        let reached = self.reached.iter().rfind(|(when, _)| *when <= moment);
+        reached.map_or(at(0), |(_, position)| *position)
     }
 
     /// Returns the servers that the source listed at a position.
-    fn listed_at(&self, position: u64) -> BTreeMap<String, (String, bool)> {
+    fn servers_at(&self, position: SourcePosition) -> Vec<BackendServer> {
         let mut listed = BTreeMap::new();
-        for (_, change) in &self.written[..position as usize] {
+        for change in self.written_up_to(position) {
             match change {
-                Written::Server(server) => {
-                    let draining = server.phase == ServerPhase::Draining;
-                    listed.insert(server.name.to_string(), (server.id.to_string(), draining));
-                }
+                Written::Server(server) => drop(listed.insert(server.name.to_string(), server)),
                 Written::Departed(name) => drop(listed.remove(name)),
-                Written::Configuration => {}
+                Written::Configuration(_) => {}
             }
         }
-        listed
+        listed.into_values().cloned().collect()
+    }
+
+    fn listed_at(&self, position: SourcePosition) -> BTreeMap<String, (String, bool)> {
+        self.servers_at(position).iter().map(listed_entry).collect()
     }
 
     fn write(&mut self, change: Written) {
-        self.written.push((self.now, change));
+        let SourcePosition { era, revision } = self.position();
+        self.written[era.0 as usize].push(change);
+        self.reached.push((self.now, SourcePosition::new(era, revision + 1)));
+    }
+
+    fn write_configuration(&mut self) {
+        self.newest_version += 1;
+        self.write(Written::Configuration(self.newest_version));
+    }
+
+    /// Restores the source from a copy that lacks the last changes.
+    fn restore(&mut self, lost: u64) {
+        let SourcePosition { era, revision } = self.position();
+        let copy = SourcePosition::new(era, revision.saturating_sub(lost));
+        let kept = self.written_up_to(copy).to_vec();
+        self.written.push(kept);
+        let restored = SourcePosition::new(SourceEra(era.0 + 1), copy.revision);
+        self.reached.push((self.now, restored));
     }
 
     /// Sends a read, whose answer is then in flight. If another router reported a newer configuration, that
@@ -171,12 +207,14 @@
             return;
         }
         let wanted = router.view.wanted(ConfigVersion(router.version));
-        let after = router.view.position().unwrap().0;
-        let newest = self.version_at(self.position());
-        let configuration = wanted.map(|_| newest);
-        let read =
-            Message::Changes { to, sent: self.now, after, at: self.position(), configuration };
-        self.messages.push(read);
+        let after = router.view.position().unwrap();
+        let at = self.position();
+        if after.era != at.era {
+            self.messages.push(Message::Restored { to });
+            return;
+        }
+        let configuration = wanted.map(|_| self.version_at(at));
+        self.messages.push(Message::Changes { to, sent: self.now, after, at, configuration });
     }
 
     fn report_to(&mut self, from: usize, to: usize) {
@@ -221,21 +259,21 @@
     fn deliver(&mut self, index: usize) {
         let now = self.instant();
         match self.messages.remove(index) {
+            Message::Restored { to } => {
+                self.routers[to].reads = false;
+                self.read_all(to);
+            }
             Message::Changes { to, sent, after, at: up_to, configuration } => {
-                let changes = self.written[after as usize..up_to as usize].to_vec();
-                let newest = self.version_at(up_to);
-                let has_newest =
-                    changes.iter().any(|(_, change)| matches!(change, Written::Configuration));
+                let changes = self.written_up_to(up_to)[after.revision as usize..].to_vec();
                 let router = &mut self.routers[to];
                 router.reads = false;
                 router.presence.record_contact(std::mem::take(&mut router.has_failed), now);
                 router.version = router.version.max(configuration.unwrap_or_default());
-                if has_newest {
-                    router.version = router.version.max(newest);
-                }
-                let known = router.view.record_changes(at(up_to)).0;
-                for (position, (_, change)) in (after + 1..).zip(changes) {
-                    if position > known {
+                let known = router.view.record_changes(up_to);
+                for (revision, change) in (after.revision + 1..).zip(changes) {
+                    if let Written::Configuration(version) = change {
+                        router.version = router.version.max(version);
+                    } else if SourcePosition::new(after.era, revision) > known {
                         router.take(change, now);
                     }
                 }
@@ -314,57 +352,79 @@
 
     /// Has a router read the wanted configuration from an outdated state of the source.
     fn read_recent(&mut self, index: usize, age: u64) {
-        let version = self.version_at(self.position().saturating_sub(age));
+        let SourcePosition { era, revision } = self.position();
+        let recent = SourcePosition::new(era, revision.saturating_sub(age));
+        let version = self.version_at(recent);
         let router = &mut self.routers[index];
         if router.view.wanted(ConfigVersion(router.version)).is_some() {
             router.version = router.version.max(version);
         }
     }
 
+    /// Has a router read everything from a source that was restored. Entries may be missing from the copy.
+    fn read_all(&mut self, index: usize) {
+        let (position, now) = (self.position(), self.instant());
+        let (servers, version) = (self.servers_at(position), self.version_at(position));
+        let router = &mut self.routers[index];
+        router.presence.record_contact(true, now);
+        let mut missing = router.used_servers();
+        for server in servers {
+            missing.remove(&server.name.to_string());
+            router.take(Written::Server(server), now);
+        }
+        for name in missing {
+            let id = router.presence.id_of(&name.parse().unwrap());
+            id.map(|id| router.presence.record_removal(&id, now));
+        }
+        router.version = router.version.max(version);
+        router.view.record_full_read(position);
+        router.change_log.record_gap(position);
+        router.record();
+        if router.view.wanted(ConfigVersion(router.version)).is_none() {
+            router.confirmed = router.confirmed.max(Some(self.now));
+        }
+    }
+
     /// Restarts a router, which makes a full read.
     fn restart(&mut self, index: usize) {
-        let (position, version, now) =
-            (self.position(), self.version_at(self.position()), self.now);
-        let listed = self.listed_at(position);
-        let mut router = Router { version, confirmed: Some(now), ..Router::default() };
+        let position = self.position();
+        let version = self.version_at(position);
+        let mut router = Router { version, confirmed: Some(self.now), ..Router::default() };
         router.presence.record_contact(false, self.instant());
-        for (name, (_, draining)) in listed {
-            let written = self.written.iter().rev();
-            let last = written.into_iter().find_map(|(_, change)| match change {
-                Written::Server(server) if server.name.to_string() == name => Some(server.clone()),
-                _ => None,
-            });
-            assert_eq!(last.as_ref().unwrap().phase == ServerPhase::Draining, draining);
-            router.presence.adopt(last.unwrap());
+        for server in self.servers_at(position) {
+            router.presence.adopt(server);
         }
-        router.change_log.record_gap(at(position));
-        router.view.record_full_read(at(position));
+        router.change_log.record_gap(position);
+        router.view.record_full_read(position);
         router.record();
         self.routers[index] = router;
         // Messages to its earlier incarnation are dropped.
         self.messages.retain(|message| match message {
-            Message::Changes { to, .. } | Message::Report { to, .. } | Message::View { to, .. } => {
-                *to != index
-            }
+            Message::Changes { to, .. }
+            | Message::Restored { to }
+            | Message::Report { to, .. }
+            | Message::View { to, .. } => *to != index,
         });
     }
 
     /// Returns whether an entry was written after a position, up to another one.
-    fn is_written_between(&self, name: &str, after: u64, up_to: u64) -> bool {
-        let written = self.written[after as usize..up_to as usize].iter();
-        let mut servers = written.filter_map(|(_, change)| match change {
+    fn is_written_between(&self, name: &str, after: SourcePosition, up_to: SourcePosition) -> bool {
+        let written = self.written_up_to(up_to)[after.revision as usize..].iter();
+        let mut servers = written.filter_map(|change| match change {
             Written::Server(server) => Some(server.name.to_string()),
-            Written::Departed(_) | Written::Configuration => None,
+            Written::Departed(_) | Written::Configuration(_) => None,
         });
         servers.any(|written| written == name)
     }
 
     fn check(&mut self) {
         for router in &self.routers {
-            let position = router.view.position().unwrap().0;
+            let position = router.view.position().unwrap();
             assert_eq!(router.listed_servers(), self.listed_at(position), "at {position}");
             let used = router.used_servers();
-            if let Some((before, from)) = &router.used {
+            // The copy of a new era may list servers that have been removed since.
+            let in_same_era = router.used.as_ref().filter(|(_, from)| from.era == position.era);
+            if let Some((before, from)) = in_same_era {
                 for name in used.difference(before) {
                     let is_written = self.is_written_between(name, *from, position);
                     assert!(is_written, "{name} is back at {position}, was removed at {from}");
@@ -381,7 +441,7 @@
             assert!(router.version >= self.version_at(then), "{} is too old", router.version);
         }
         for router in &mut self.routers {
-            router.used = Some((router.used_servers(), router.view.position().unwrap().0));
+            router.used = Some((router.used_servers(), router.view.position().unwrap()));
         }
     }
 }
@@ -403,7 +463,7 @@
                 }
                 self.change_log.record_departure(name);
             }
-            Written::Configuration => {}
+            Written::Configuration(_) => {}
         }
     }
 
@@ -450,14 +510,16 @@
     fn listed_servers(&self) -> BTreeMap<String, (String, bool)> {
         let servers = self.presence.catalog().iter();
         let listed = servers.filter(|server| !self.presence.is_expired(&server.id));
-        let entry = |server: &std::rc::Rc<BackendServer>| {
-            let draining = server.phase == ServerPhase::Draining;
-            (server.name.to_string(), (server.id.to_string(), draining))
-        };
-        listed.map(entry).collect()
+        listed.map(|server| listed_entry(server)).collect()
     }
 }
 
+/// Returns the name of a listed server, its start, and whether it drains.
+fn listed_entry(server: &BackendServer) -> (String, (String, bool)) {
+    let draining = server.phase == ServerPhase::Draining;
+    (server.name.to_string(), (server.id.to_string(), draining))
+}
+
 #[test]
 fn known_servers_match_the_source_at_each_position() {
     let steps = bolero::check!().with_iterations(GENERATED_INPUTS).with_max_len(STEPS_BYTES);
@@ -467,7 +529,7 @@
             simulation.advance(1);
             let (router, choice) = (usize::from(choice % 3), usize::from(*choice));
             let name = format!("i-{}", choice % 4);
-            match kind % 21 {
+            match kind % 22 {
                 0 => simulation.write(Written::Server(serving(&name))),
                 1 => simulation.write(Written::Server(server(&name, 1, ServerPhase::Draining))),
                 2 => simulation.write(Written::Server(server(
@@ -476,7 +538,7 @@
                     ServerPhase::Serving,
                 ))),
                 3 => simulation.write(Written::Departed(name)),
-                4 => simulation.write(Written::Configuration),
+                4 => simulation.write_configuration(),
                 5 | 6 => simulation.read(router),
                 7 => simulation.report_to(router, (router + 1) % ROUTERS),
                 8 => simulation.report_to(router, (router + 2) % ROUTERS),
@@ -489,6 +551,7 @@
                 17 => simulation.hand_view_to(router, (router + 2) % ROUTERS),
                 18 | 19 => simulation.lose_read(router),
                 20 => simulation.advance(PAUSE),
+                21 if choice % 3 == 0 => simulation.restore(choice as u64 % 8),
                 _ => {}
             }
             simulation.check();
@@ -508,7 +571,7 @@
     simulation.write(Written::Departed("i-1".to_string()));
     simulation.read(0);
     simulation.deliver(0);
-    simulation.write(Written::Configuration);
+    simulation.write_configuration();
     simulation.read(1);
     simulation.report_to(0, 1);
     simulation.deliver(1);
--- a/crates/papayamux-protocol/src/fleet_update.rs
+++ b/crates/papayamux-protocol/src/fleet_update.rs
@@ -6,7 +6,7 @@
 use papayamux_state::backend::{BackendServer, ServerPhase};
 use papayamux_state::evacuation::EvacuationOrder;
 use papayamux_state::ids::{ServerId, ServerName, ServerStart};
-use papayamux_state::source::SourcePosition;
+use papayamux_state::source::{SourceEra, SourcePosition};
 use prost::Message;
 use thiserror::Error;
 
@@ -18,7 +18,7 @@
     /// The time of the query, in milliseconds of the querying router's clock.
     pub asked_ms: u64,
     /// The source position up to which the querying router knows all changes.
-    pub position: u64,
+    pub position: SourcePosition,
 }
 
 /// A change of one server.
@@ -41,7 +41,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpdateSpan {
     /// The position after which the changes begin.
-    pub behind: u64,
+    pub behind: SourcePosition,
     /// The changes, at most one per server.
     pub changes: Vec<ServerUpdate>,
     /// `true` if these are certainly all changes. Otherwise servers may be missing that came and went, and
@@ -64,7 +64,7 @@
     /// last known to be current; negative if that time was earlier.
     pub shift_ms: i64,
     /// The source position up to which the sender knows all changes.
-    pub position: u64,
+    pub position: SourcePosition,
     /// The newest configuration version up to that position.
     pub version: u64,
     /// The number of routers that have sent the update on, including the one that read the source;
@@ -84,7 +84,9 @@
     #[prost(uint64, tag = "2")]
     asked_ms: u64,
     #[prost(uint64, tag = "3")]
-    position: u64,
+    revision: u64,
+    #[prost(uint64, tag = "4")]
+    era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -120,11 +122,14 @@
     #[prost(string, tag = "1")]
     domain: String,
     #[prost(uint64, tag = "2")]
-    position: u64,
+    revision: u64,
+    #[prost(uint64, tag = "3")]
+    era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
 struct SpanWire {
+    /// Revision after which the changes begin.
     #[prost(uint64, tag = "1")]
     behind: u64,
     #[prost(message, repeated, tag = "2")]
@@ -133,6 +138,9 @@
     digest: u64,
     #[prost(message, repeated, tag = "4")]
     evacuations: Vec<EvacuationWire>,
+    /// Era of `behind`.
+    #[prost(uint64, tag = "5")]
+    behind_era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -144,7 +152,7 @@
     #[prost(sint64, tag = "3")]
     shift_ms: i64,
     #[prost(uint64, tag = "4")]
-    position: u64,
+    revision: u64,
     #[prost(uint64, tag = "5")]
     version: u64,
     #[prost(uint32, tag = "6")]
@@ -156,6 +164,8 @@
     /// Set instead of `span` if changes may be missing.
     #[prost(message, optional, tag = "9")]
     partial_span: Option<SpanWire>,
+    #[prost(uint64, tag = "10")]
+    era: u64,
 }
 
 /// The error of decoding an update.
@@ -178,14 +188,14 @@
 impl From<FollowRequest> for FollowWire {
     fn from(request: FollowRequest) -> Self {
         let FollowRequest { life, asked_ms, position } = request;
-        Self { life, asked_ms, position }
+        Self { life, asked_ms, revision: position.revision, era: position.era.0 }
     }
 }
 
 impl From<FollowWire> for FollowRequest {
     fn from(wire: FollowWire) -> Self {
-        let FollowWire { life, asked_ms, position } = wire;
-        Self { life, asked_ms, position }
+        let FollowWire { life, asked_ms, revision, era } = wire;
+        Self { life, asked_ms, position: SourcePosition::new(SourceEra(era), revision) }
     }
 }
 
@@ -273,7 +283,8 @@
 
 impl From<&EvacuationOrder> for EvacuationWire {
     fn from(order: &EvacuationOrder) -> Self {
-        Self { domain: order.domain.to_string(), position: order.position.0 }
+        let SourcePosition { era, revision } = order.position;
+        Self { domain: order.domain.to_string(), revision, era: era.0 }
     }
 }
 
@@ -283,14 +294,15 @@
     fn try_from(wire: EvacuationWire) -> Result<Self, UpdateError> {
         let domain =
             wire.domain.parse().map_err(|error| invalid_part("evacuated domain")(&error))?;
-        Ok(Self { domain, position: SourcePosition(wire.position) })
+        Ok(Self { domain, position: SourcePosition::new(SourceEra(wire.era), wire.revision) })
     }
 }
 
 impl From<&UpdateSpan> for SpanWire {
     fn from(span: &UpdateSpan) -> Self {
         Self {
-            behind: span.behind,
+            behind: span.behind.revision,
+            behind_era: span.behind.era.0,
             changes: span.changes.iter().map(ServerWire::from).collect(),
             digest: span.digest,
             evacuations: span.evacuations.iter().map(EvacuationWire::from).collect(),
@@ -307,7 +319,7 @@
         let evacuations: Result<_, UpdateError> =
             wire.evacuations.into_iter().map(EvacuationOrder::try_from).collect();
         Ok(Self {
-            behind: wire.behind,
+            behind: SourcePosition::new(SourceEra(wire.behind_era), wire.behind),
             changes: changes?,
             digest: wire.digest,
             evacuations: evacuations?,
@@ -322,7 +334,8 @@
             life: update.life,
             asked_ms: update.asked_ms,
             shift_ms: update.shift_ms,
-            position: update.position,
+            revision: update.position.revision,
+            era: update.position.era.0,
             version: update.version,
             hops: update.hops,
             grace_ms: update.grace_ms,
@@ -340,7 +353,7 @@
             life: wire.life,
             asked_ms: wire.asked_ms,
             shift_ms: wire.shift_ms,
-            position: wire.position,
+            position: SourcePosition::new(SourceEra(wire.era), wire.revision),
             version: wire.version,
             hops: wire.hops,
             grace_ms: wire.grace_ms,
--- a/crates/papayamux-protocol/src/fleet_view.rs
+++ b/crates/papayamux-protocol/src/fleet_view.rs
@@ -10,6 +10,7 @@
 use flate2::read::{DeflateDecoder, DeflateEncoder};
 use flate2::Compression;
 use papayamux_state::service_config::ConfigurationSnapshot;
+use papayamux_state::source::{SourceEra, SourcePosition};
 use prost::Message;
 use thiserror::Error;
 
@@ -27,8 +28,8 @@
     pub life: u64,
     /// The time of the request, in milliseconds of the requesting router's clock.
     pub asked_ms: u64,
-    /// The source position that the view must lie beyond; 0 for any view.
-    pub position: u64,
+    /// The source position that the view must lie beyond; the default one for any view.
+    pub position: SourcePosition,
     /// The configuration version that the view must have; 0 for any view.
     pub version: u64,
 }
@@ -147,21 +148,25 @@
     #[prost(uint64, tag = "2")]
     asked_ms: u64,
     #[prost(uint64, tag = "3")]
-    position: u64,
+    revision: u64,
     #[prost(uint64, tag = "4")]
     version: u64,
+    #[prost(uint64, tag = "5")]
+    era: u64,
 }
 
 impl From<ViewRequest> for RequestWire {
     fn from(request: ViewRequest) -> Self {
         let ViewRequest { life, asked_ms, position, version } = request;
-        Self { life, asked_ms, position, version }
+        let SourcePosition { era, revision } = position;
+        Self { life, asked_ms, revision, version, era: era.0 }
     }
 }
 
 impl From<RequestWire> for ViewRequest {
     fn from(wire: RequestWire) -> Self {
-        let RequestWire { life, asked_ms, position, version } = wire;
+        let RequestWire { life, asked_ms, revision, version, era } = wire;
+        let position = SourcePosition::new(SourceEra(era), revision);
         Self { life, asked_ms, position, version }
     }
 }
--- a/crates/papayamux-protocol/tests/fleet_view.rs
+++ b/crates/papayamux-protocol/tests/fleet_view.rs
@@ -15,7 +15,11 @@
     CallerLimits, ColdStart, ConfigVersion, ConfigurationSnapshot, EngineProfile, HomeRegions,
     KeyHolder, OrganisationKeys, RequestKind, Route, RouteTable, Service, ServiceShare,
 };
-use papayamux_state::source::SourcePosition;
+use papayamux_state::source::{SourceEra, SourcePosition};
+
+fn position(revision: u64) -> SourcePosition {
+    SourcePosition::new(SourceEra(1), revision)
+}
 
 fn homes(names: &[&str]) -> HomeRegions {
     names.iter().map(|name| name.parse().unwrap()).collect()
@@ -91,19 +95,18 @@
 
 fn view(servers: u32) -> FleetView {
     let changes = (0..servers).map(|index| ServerUpdate::Present(server(index))).collect();
-    let evacuation =
-        EvacuationOrder { domain: "hall-1".parse().unwrap(), position: SourcePosition(80) };
+    let evacuation = EvacuationOrder { domain: "hall-1".parse().unwrap(), position: position(80) };
     FleetView {
         update: FleetUpdate {
             life: 0,
             asked_ms: 0,
             shift_ms: 0,
-            position: 4_000_117,
+            position: position(4_000_117),
             version: 45,
             hops: 2,
             grace_ms: 1_750,
             span: Some(UpdateSpan {
-                behind: 0,
+                behind: SourcePosition::default(),
                 changes,
                 is_complete: true,
                 digest: u64::MAX,
@@ -116,8 +119,12 @@
 
 #[test]
 fn view_round_trips() {
-    let request =
-        ViewRequest { life: u64::MAX, asked_ms: 86_400_000, position: 4_000_000, version: 45 };
+    let request = ViewRequest {
+        life: u64::MAX,
+        asked_ms: 86_400_000,
+        position: position(4_000_000),
+        version: 45,
+    };
     assert_eq!(ViewRequest::decode(request.encode()).unwrap(), request);
     let routers = vec![IpAddr::V4(Ipv4Addr::new(10, 1, 64, 9)), IpAddr::V4(Ipv4Addr::LOCALHOST)];
     let packed = PackedView::pack(&view(3)).unwrap();
@@ -162,7 +169,8 @@
 
 #[test]
 fn cut_view_is_refused() {
-    let request = ViewRequest { life: 1, asked_ms: 2, position: 0, version: 0 };
+    let request =
+        ViewRequest { life: 1, asked_ms: 2, position: SourcePosition::default(), version: 0 };
     let packed = PackedView::pack(&view(40)).unwrap();
     let timed = TimedView { request, shift_ms: 0, routers: Vec::new(), view: packed };
     let frame = ViewAnswer::View(timed).encode();
--- a/crates/papayamux-protocol/tests/router_report.rs
+++ b/crates/papayamux-protocol/tests/router_report.rs
@@ -17,6 +17,7 @@
 use papayamux_state::prompt::{PartId, PromptPart};
 use papayamux_state::quantities::TokenCount;
 use papayamux_state::request_fingerprint::RequestFingerprint;
+use papayamux_state::source::{SourceEra, SourcePosition};
 
 /// The number of inputs per property, at least as many as a debug build handles in one second.
 const GENERATED_INPUTS: usize = 250_000;
@@ -52,7 +53,7 @@
             cold: TokenCount::new(9_200),
             expected_ms: 317,
         }],
-        follow: Some(FollowRequest { life: 3, asked_ms: 70_000, position: u64::MAX }),
+        follow: Some(FollowRequest { life: 3, asked_ms: 70_000, position: position(u64::MAX) }),
         news: Some(news(vec![
             present(Some(1_700_000_000_000)),
             present(None),
@@ -86,6 +87,10 @@
     assert_eq!(RouterReport::decode(report.encode().into()).unwrap(), report);
 }
 
+fn position(revision: u64) -> SourcePosition {
+    SourcePosition::new(SourceEra(1), revision)
+}
+
 fn present(start: Option<u64>) -> ServerUpdate {
     let name: ServerName = "i-7f3a91c2".parse().unwrap();
     let start = start.map(ServerStart);
@@ -113,7 +118,7 @@
 
 fn news(changes: Vec<ServerUpdate>) -> FleetUpdate {
     let span = UpdateSpan {
-        behind: 4_000_000,
+        behind: position(4_000_000),
         changes,
         is_complete: true,
         digest: u64::MAX,
@@ -123,7 +128,7 @@
         life: u64::MAX,
         asked_ms: 86_400_000,
         shift_ms: -612,
-        position: 4_000_117,
+        position: position(4_000_117),
         version: 45,
         hops: 2,
         grace_ms: 1_750,
--- a/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
+++ b/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
@@ -193,7 +193,7 @@
 
     /// Returns the request for updates; `None` if everything has to be read first.
     pub(in crate::direct) fn follow_request(&self, life: u64) -> Option<FollowRequest> {
-        let position = self.source_position()?.0;
+        let position = self.source_position()?;
         let asked_ms = u64::try_from(boot_now().0.as_millis()).ok()?;
         Some(FollowRequest { life, asked_ms, position })
     }
@@ -208,9 +208,8 @@
         let sent_at = BootInstant(Duration::from_millis(request.asked_ms));
         let query = FreshnessQuery { incarnation: request.life, sent_at };
         let query = ReceivedQuery { query, received: boot_now() };
-        let position = SourcePosition(request.position);
         let mut followers = self.knowledge.followers.borrow_mut();
-        if !followers.record(router, query, position, now) {
+        if !followers.record(router, query, request.position, now) {
             return None;
         }
         let entry = followers.current(now).into_iter().find(|(follower, _)| *follower == router);
@@ -251,8 +250,8 @@
         }
         let span = update.span.filter(|span| span.is_complete || self.leads_to_digest(span));
         let stated = ReportedView {
-            position: SourcePosition(update.position),
-            after: span.as_ref().map(|span| SourcePosition(span.behind)),
+            position: update.position,
+            after: span.as_ref().map(|span| span.behind),
             version: ConfigVersion(update.version),
             known,
         };
@@ -377,7 +376,7 @@
             life: query.incarnation,
             asked_ms: u64::try_from(query.sent_at.0.as_millis()).ok()?,
             shift_ms: entry.query.offset_to(known).0,
-            position: position.0,
+            position,
             version: self.knowledge.view.get().newest(self.configuration_version()).0,
             hops: self.knowledge.hops.get() + 1,
             grace_ms: u32::try_from(grace.as_millis()).unwrap_or(u32::MAX),
@@ -401,7 +400,7 @@
         }
     });
     UpdateSpan {
-        behind: span.after.0,
+        behind: span.after,
         changes: changes.collect(),
         is_complete,
         digest: span.digest.0,
--- a/crates/papayamux-router/src/direct/fleet/view_adoption.rs
+++ b/crates/papayamux-router/src/direct/fleet/view_adoption.rs
@@ -85,12 +85,12 @@
         request: ViewRequest,
         now: Instant,
     ) -> Option<(PackedView, BootInstant)> {
+        let accepts_any = request.position == SourcePosition::default();
         let suffices = |contents: Option<(SourcePosition, ConfigVersion)>| match contents {
             Some((position, version)) => {
-                (request.position == 0 || position.0 > request.position)
-                    && version.0 >= request.version
+                (accepts_any || position > request.position) && version.0 >= request.version
             }
-            None => request.position == 0 && request.version == 0,
+            None => accepts_any && request.version == 0,
         };
         let mut ready = self.handover.ready.borrow_mut();
         let is_usable = |ready: &ReadyView| {
@@ -100,8 +100,7 @@
         if !ready.as_ref().is_some_and(is_usable) {
             let known = self.confirmed_since()?;
             let view = self.complete_view()?;
-            let position = SourcePosition(view.update.position);
-            let contents = Some((position, self.configuration_version()));
+            let contents = Some((view.update.position, self.configuration_version()));
             if !suffices(contents) {
                 return None;
             }
@@ -145,12 +144,12 @@
             life: 0,
             asked_ms: 0,
             shift_ms: 0,
-            position: position.0,
+            position,
             version: version.0,
             hops: self.knowledge.next_hops(),
             grace_ms: u32::try_from(grace.as_millis()).unwrap_or(u32::MAX),
             span: Some(UpdateSpan {
-                behind: 0,
+                behind: SourcePosition::default(),
                 changes: changes.collect(),
                 is_complete: true,
                 digest: digest.0,
@@ -177,7 +176,7 @@
         if let Some(configuration) = configuration {
             self.apply_configuration(configuration);
         }
-        let position = SourcePosition(update.position);
+        let position = update.position;
         let reported = ReportedView {
             position,
             after: Some(SourcePosition::default()),
--- a/crates/papayamux-router/src/direct/peers/view_transfer.rs
+++ b/crates/papayamux-router/src/direct/peers/view_transfer.rs
@@ -171,8 +171,7 @@
         let address = SocketAddr::new(router, self.own_port());
         let limit = limit.min(ANSWER_TIMEOUT);
         let asked_ms = u64::try_from(boot_now().0.as_millis()).unwrap_or(u64::MAX);
-        let request =
-            ViewRequest { life: self.life, asked_ms, position: position.0, version: version.0 };
+        let request = ViewRequest { life: self.life, asked_ms, position, version: version.0 };
         let exchange = async {
             let connecting = TcpStream::connect_addr(address);
             let stream = monoio::time::timeout(CONNECT_TIMEOUT, connecting)
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -59,6 +59,7 @@
         last_read: now,
         last_configuration_read: now,
         first_failure: None,
+        is_restored: false,
     };
     loop {
         if !follower.obtain_view().await && follower.read().await == ReadResult::MoreAvailable {
@@ -79,6 +80,8 @@
     last_configuration_read: Instant,
     /// When the first of the failed reads since the last successful one failed.
     first_failure: Option<Instant>,
+    /// `true` until everything has been read from a source that was restored from a copy.
+    is_restored: bool,
 }
 
 impl SourceFollower {
@@ -258,8 +261,10 @@
                     .first_failure
                     .take()
                     .is_some_and(|failure| !self.fleet.had_list_contact_since(failure));
+                // Entries that the copy lacks are written again, as after an outage.
+                let may_lack_entries = failed || std::mem::take(&mut self.is_restored);
                 let may_have_more = read.may_have_more();
-                self.apply(read, failed);
+                self.apply(read, may_lack_entries);
                 if may_have_more {
                     return ReadResult::MoreAvailable;
                 }
@@ -269,6 +274,13 @@
                 self.fleet.record_own_read();
                 self.fleet.record_first_view(ViewOrigin::OwnRead);
             }
+            Err(SourceError::Restored) => {
+                self.fleet.metrics().source_reads.count("restored");
+                log::warn!("source was restored from a copy, reading everything");
+                self.is_restored = true;
+                self.fleet.forget_position();
+                return ReadResult::MoreAvailable;
+            }
             Err(SourceError::HistoryLost) => {
                 self.fleet.metrics().source_reads.count("history_lost");
                 log::info!("source has dropped its history, reading everything");
@@ -282,9 +294,9 @@
         ReadResult::Done
     }
 
-    fn apply(&mut self, read: ReadContents, failed: bool) {
+    fn apply(&mut self, read: ReadContents, may_lack_entries: bool) {
         let now = Instant::now();
-        self.fleet.record_list_contact(failed, now);
+        self.fleet.record_list_contact(may_lack_entries, now);
         match read {
             ReadContents::All(full_read) => {
                 let FullRead { contents, changes, position } = *full_read;
--- a/crates/papayamux-state/src/source.rs
+++ b/crates/papayamux-state/src/source.rs
@@ -9,13 +9,38 @@
 use crate::ids::{FailureDomain, ServerName};
 use crate::service_config::ConfigurationSnapshot;
 
+/// An era of a source's history. A new one begins each time the source is restored from a copy.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SourceEra(pub u64);
+
+impl fmt::Display for SourceEra {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
 /// A position in a source's history.
+///
+/// A source that is restored from a copy has lost the changes since, and gives their revisions out again. Every
+/// position of a later era is therefore later than all positions of the eras before it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct SourcePosition(pub u64);
+pub struct SourcePosition {
+    /// The era, which is compared first.
+    pub era: SourceEra,
+    /// The revision within the era.
+    pub revision: u64,
+}
+
+impl SourcePosition {
+    /// Creates the position of a revision within an era.
+    pub fn new(era: SourceEra, revision: u64) -> Self {
+        Self { era, revision }
+    }
+}
 
 impl fmt::Display for SourcePosition {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}", self.0)
+        write!(formatter, "{}:{}", self.era, self.revision)
     }
 }
 
@@ -119,6 +144,10 @@
     /// read again.
     #[error("the source no longer has the history after the last read")]
     HistoryLost,
+    /// The source was restored from a copy, which may lack changes that were read before. Its complete contents
+    /// have to be read again.
+    #[error("the source was restored from a copy after the last read")]
+    Restored,
     /// The source is unreachable, refuses the request, or sends an unexpected answer.
     #[error("the source is unavailable: {0}")]
     Unavailable(String),
