Keep departures and drains that a copy of the store's list lacks

What callers saw: none reported; a server that had left in the seconds that the copy lacks was used again after the store's return, as the copy lists it. Cause: the list of a restored store was taken for newer in each entry, though it may be older. Class: as with positions, what the copy holds was compared as if the store could only go forward. Change: in the first full read of an era, entries of servers that have departed or drain are passed over; a write of the entry in that era, which a read of the changes shows, counts as before.

--- a/crates/papayamux-coordination/src/server_presence.rs
+++ b/crates/papayamux-coordination/src/server_presence.rs
@@ -4,7 +4,7 @@
 //! unavailable no server can renew, so that entries of healthy servers expire too. Such an expiry
 //! counts as a departure only once the list has been back for long enough to renew them.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use papayamux_state::backend::{BackendServer, ServerCatalog, ServerPhase};
@@ -19,6 +19,9 @@
 /// read has failed, as after a pause of this process. It exceeds the longest interval between two
 /// reads.
 pub const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2_500);
+/// Maximum number of departed servers that are remembered. Far fewer depart in the seconds that a copy of the
+/// list may lack.
+const MAX_DEPARTED: usize = 1_024;
 
 /// The change of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,6 +53,8 @@
     grace_until: Option<Instant>,
     /// Number of times that a listed server has become expired.
     expirations: u64,
+    /// Servers that departed last, in this order.
+    departed: VecDeque<ServerId>,
 }
 
 impl ServerPresence {
@@ -129,6 +134,7 @@
     /// write.
     fn apply_entry(&mut self, server: BackendServer, announces_again: bool) -> PresenceChange {
         self.expired.remove(&server.id);
+        self.departed.retain(|departed| *departed != server.id);
         let phase = server.phase;
         let is_as_before = self.catalog.get(&server.id).is_some_and(|known| **known == server);
         if is_as_before && !announces_again {
@@ -266,6 +272,24 @@
         changes
     }
 
+    /// Records the whole list of a source that was restored from a copy. Returns the changes.
+    ///
+    /// The copy may show a server as it was before it drained or departed. That it has done so stays in force until
+    /// its entry is written again, which a read of the changes shows.
+    pub fn record_restored_list(
+        &mut self,
+        servers: Vec<BackendServer>,
+        now: Instant,
+    ) -> Vec<(ServerId, PresenceChange)> {
+        let servers = servers.into_iter().filter(|server| !self.departed.contains(&server.id));
+        let servers = servers.map(|server| match self.catalog.get(&server.id) {
+            Some(known) if known.phase == ServerPhase::Draining => (**known).clone(),
+            _ => server,
+        });
+        let servers = servers.collect();
+        self.record_list(servers, now)
+    }
+
     /// Returns whether expired entries may still be renewed.
     pub fn awaits_renewals(&self) -> bool {
         !self.expired.is_empty()
@@ -283,6 +307,10 @@
         self.expired.remove(id);
         if let Some(server) = self.catalog.remove(id) {
             self.outdated.remove(&server.name);
+            self.departed.push_back(id.clone());
+            if self.departed.len() > MAX_DEPARTED {
+                self.departed.pop_front();
+            }
         }
     }
 }
--- a/crates/papayamux-coordination/tests/server_presence.rs
+++ b/crates/papayamux-coordination/tests/server_presence.rs
@@ -119,6 +119,28 @@
     assert!(present_servers(&presence).is_empty());
 }
 
+#[test]
+fn copy_of_the_list_undoes_no_departure() {
+    let now = Instant::now();
+    let mut presence = presence_of_two_servers(now);
+    let listed = ["a", "b", "c"].map(|id| server(id, ServerPhase::Serving));
+    presence.record_removal(&"a".parse().unwrap(), now);
+    presence.record_entry(server("b", ServerPhase::Draining), now);
+    presence.record_contact(true, now);
+    let changes = presence.record_restored_list(listed.to_vec(), now);
+    assert_eq!(changes, [("c".parse().unwrap(), PresenceChange::Arrived)]);
+    let phase = |presence: &ServerPresence, id: &str| {
+        presence.catalog().get(&id.parse().unwrap()).map(|server| server.phase)
+    };
+    assert_eq!(phase(&presence, "a"), None);
+    assert_eq!(phase(&presence, "b"), Some(ServerPhase::Draining));
+    // A server that writes its entry again is there after all, also in a later copy.
+    let renewed = presence.record_entry(server("a", ServerPhase::Serving), now);
+    assert_eq!(renewed, [("a".parse().unwrap(), PresenceChange::Arrived)]);
+    assert!(presence.record_restored_list(listed.to_vec(), now).is_empty());
+    assert_eq!(present_servers(&presence), ["a", "b", "c"]);
+}
+
 #[test]
 fn draining_server_gets_no_grace() {
     let now = Instant::now();
--- a/crates/papayamux-router/src/direct/fleet/known_servers.rs
+++ b/crates/papayamux-router/src/direct/fleet/known_servers.rs
@@ -147,11 +147,17 @@
         }
     }
 
-    /// Records the complete list.
-    pub fn record_server_list(&self, servers: Vec<BackendServer>, now: Instant) {
+    /// Records the complete list, which may be that of a source restored from a copy.
+    pub fn record_server_list(&self, servers: Vec<BackendServer>, is_restored: bool, now: Instant) {
         let listed = servers.iter().map(|server| (server.id.clone(), server.cold_left));
         let listed: Vec<_> = listed.collect();
-        let changes = self.presence.borrow_mut().record_list(servers, now);
+        let changes = {
+            let mut presence = self.presence.borrow_mut();
+            match is_restored {
+                true => presence.record_restored_list(servers, now),
+                false => presence.record_list(servers, now),
+            }
+        };
         for (id, cold_left) in listed {
             self.record_entry_renewal(&id, now);
             self.record_coldness(&id, cold_left, now);
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -261,10 +261,9 @@
                     .first_failure
                     .take()
                     .is_some_and(|failure| !self.fleet.had_list_contact_since(failure));
-                // Entries that the copy lacks are written again, as after an outage.
-                let may_lack_entries = failed || std::mem::take(&mut self.is_restored);
+
                 let may_have_more = read.may_have_more();
-                self.apply(read, may_lack_entries);
+                self.apply(read, failed);
                 if may_have_more {
                     return ReadResult::MoreAvailable;
                 }
@@ -294,9 +293,11 @@
         ReadResult::Done
     }
 
-    fn apply(&mut self, read: ReadContents, may_lack_entries: bool) {
+    fn apply(&mut self, read: ReadContents, failed: bool) {
         let now = Instant::now();
-        self.fleet.record_list_contact(may_lack_entries, now);
+        let is_restored = std::mem::take(&mut self.is_restored);
+        // Entries that the copy lacks are written again, as after an outage.
+        self.fleet.record_list_contact(failed || is_restored, now);
         match read {
             ReadContents::All(full_read) => {
                 let FullRead { contents, changes, position } = *full_read;
@@ -304,7 +305,7 @@
                     self.fleet.apply_configuration(configuration);
                 }
                 contents.faults.iter().for_each(|fault| self.fleet.record_entry_fault(fault, now));
-                self.fleet.record_server_list(contents.servers, now);
+                self.fleet.record_server_list(contents.servers, is_restored, now);
                 self.fleet.replace_evacuations(contents.evacuations);
                 changes.into_iter().for_each(|change| self.apply_change(change, now));
                 self.fleet.record_full_read(position);
