Keep evacuations that a copy of the store lacks until they are written again

What callers saw: none reported; requests went to an evacuated failure domain after the store's return from a copy that lacks the order, until the operator had written it again. Cause: a missing order was taken for one that had ended. Class: as with positions and entries, an older state for a newer. Change: orders that the first state of a new era lacks stay in force for three seconds, at each router by itself; they are not reported to others, nor ended by their reports. Without the change the evacuation ends with the full read.

--- a/crates/papayamux-coordination/src/domain_evacuations.rs
+++ b/crates/papayamux-coordination/src/domain_evacuations.rs
@@ -5,11 +5,16 @@
 //! complete again with the next.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
 
 use papayamux_state::evacuation::EvacuationOrder;
 use papayamux_state::ids::FailureDomain;
 use papayamux_state::source::SourcePosition;
 
+/// Time for which an order stays in force that a copy of the source lacks. The operator writes it again shortly
+/// after the source is back.
+pub const REWRITE_GRACE: Duration = Duration::from_millis(3_000);
+
 /// A change of a failure domain's evacuation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EvacuationChange {
@@ -23,6 +28,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct DomainEvacuations {
     orders: BTreeMap<FailureDomain, SourcePosition>,
+    /// Orders that a copy of the source lacks, with the times at which they end unless they are written again.
+    unconfirmed: BTreeMap<FailureDomain, Instant>,
 }
 
 impl DomainEvacuations {
@@ -31,9 +38,11 @@
         self.orders.contains_key(domain)
     }
 
-    /// Returns all orders in force, sorted by failure domain.
+    /// Returns the orders that the source holds, sorted by failure domain. Orders that only a copy of it lacks are
+    /// not among them: each router keeps those by itself.
     pub fn orders(&self) -> Vec<EvacuationOrder> {
         let orders = self.orders.iter();
+        let orders = orders.filter(|(domain, _)| !self.unconfirmed.contains_key(*domain));
         let order = |(domain, position): (&FailureDomain, &SourcePosition)| EvacuationOrder {
             domain: domain.clone(),
             position: *position,
@@ -55,21 +64,49 @@
     /// evacuation.
     pub fn begin(&mut self, order: EvacuationOrder) -> Option<EvacuationChange> {
         let EvacuationOrder { domain, position } = order;
+        self.unconfirmed.remove(&domain);
         let known = self.orders.insert(domain.clone(), position);
         known.is_none().then_some(EvacuationChange::Begun(EvacuationOrder { domain, position }))
     }
 
     /// Applies the withdrawal of an order and returns the change.
     pub fn end(&mut self, domain: &FailureDomain) -> Option<EvacuationChange> {
+        self.unconfirmed.remove(domain);
         self.orders.remove(domain).map(|_| EvacuationChange::Ended(domain.clone()))
     }
 
-    /// Replaces all orders in force and returns the changes. An order at a later position than the known
-    /// one indicates an end and a new start, of which the end was missed; it yields no change.
+    /// Replaces the orders by those of a source that was restored from a copy, and returns the changes. Orders that
+    /// the copy lacks stay in force for [`REWRITE_GRACE`].
+    pub fn replace_restored(
+        &mut self,
+        orders: Vec<EvacuationOrder>,
+        now: Instant,
+    ) -> Vec<EvacuationChange> {
+        let missing = self.orders.keys().filter(|domain| {
+            let is_listed = |order: &EvacuationOrder| order.domain == **domain;
+            !orders.iter().any(is_listed)
+        });
+        for domain in missing {
+            self.unconfirmed.entry(domain.clone()).or_insert(now + REWRITE_GRACE);
+        }
+        orders.into_iter().filter_map(|order| self.begin(order)).collect()
+    }
+
+    /// Ends the orders that have not been written again in time, and returns the changes.
+    pub fn expire(&mut self, now: Instant) -> Vec<EvacuationChange> {
+        let due = self.unconfirmed.iter().filter(|(_, until)| **until <= now);
+        let due: Vec<_> = due.map(|(domain, _)| domain.clone()).collect();
+        due.iter().filter_map(|domain| self.end(domain)).collect()
+    }
+
+    /// Replaces the orders that the source holds and returns the changes. An order at a later position than the
+    /// known one indicates an end and a new start, of which the end was missed; it yields no change.
     pub fn replace(&mut self, orders: Vec<EvacuationOrder>) -> Vec<EvacuationChange> {
         let ordered: BTreeSet<_> = orders.iter().map(|order| order.domain.clone()).collect();
-        let ended: Vec<_> =
-            self.orders.keys().filter(|domain| !ordered.contains(*domain)).cloned().collect();
+        let is_ended = |domain: &&FailureDomain| {
+            !ordered.contains(*domain) && !self.unconfirmed.contains_key(*domain)
+        };
+        let ended: Vec<_> = self.orders.keys().filter(is_ended).cloned().collect();
         let ended: Vec<_> = ended.iter().filter_map(|domain| self.end(domain)).collect();
         ended.into_iter().chain(orders.into_iter().filter_map(|order| self.begin(order))).collect()
     }
--- a/crates/papayamux-coordination/tests/domain_evacuations.rs
+++ b/crates/papayamux-coordination/tests/domain_evacuations.rs
@@ -1,7 +1,11 @@
 //! Evacuation orders, applied one by one and all at once.
 #![allow(clippy::unwrap_used, reason = "helpers of tests, which may panic")]
 
-use papayamux_coordination::domain_evacuations::{DomainEvacuations, EvacuationChange};
+use std::time::Instant;
+
+use papayamux_coordination::domain_evacuations::{
+    DomainEvacuations, EvacuationChange, REWRITE_GRACE,
+};
 use papayamux_state::evacuation::EvacuationOrder;
 use papayamux_state::source::{SourceEra, SourcePosition};
 
@@ -49,3 +53,20 @@
     assert_eq!(evacuations.replace(evacuations.clone().orders()), []);
     assert_eq!(evacuations.replace(Vec::new()).len(), 2);
 }
+
+/// A copy of the source may lack an order that is still in force. Only one that isn't written again has ended.
+#[test]
+fn order_that_a_copy_lacks_stays_in_force_until_it_is_written_again() {
+    let now = Instant::now();
+    let mut evacuations = DomainEvacuations::default();
+    evacuations.begin(order("hall", 4));
+    evacuations.begin(order("desk", 5));
+    assert_eq!(evacuations.replace_restored(vec![order("cellar", 2)], now), [begun("cellar", 2)]);
+    assert!(evacuations.covers(&"hall".parse().unwrap()));
+    // It isn't reported to others as an order that the source holds, nor ended by what these report.
+    assert_eq!(evacuations.orders(), [order("cellar", 2)]);
+    assert_eq!(evacuations.replace(vec![order("cellar", 2)]), []);
+    assert_eq!(evacuations.begin(order("hall", 3)), None);
+    assert_eq!(evacuations.expire(now + REWRITE_GRACE), [ended("desk")]);
+    assert_eq!(evacuations.orders(), [order("cellar", 2), order("hall", 3)]);
+}
--- a/crates/papayamux-router/src/direct/attempt_watch.rs
+++ b/crates/papayamux-router/src/direct/attempt_watch.rs
@@ -114,6 +114,7 @@
     let mut ticks = timer.every(WATCH_INTERVAL);
     while ticks.tick().await.is_some() {
         fleet.expire_servers();
+        fleet.expire_evacuations();
         fleet.update_queues();
         fleet.watch().check(&fleet);
     }
--- a/crates/papayamux-router/src/direct/fleet/evacuations.rs
+++ b/crates/papayamux-router/src/direct/fleet/evacuations.rs
@@ -22,13 +22,30 @@
         change.iter().for_each(|change| self.record_evacuation(change));
     }
 
-    /// Replaces the evacuations in force.
-    pub(in crate::direct) fn replace_evacuations(&self, orders: Vec<EvacuationOrder>) {
-        let changes = self.evacuations.borrow_mut().replace(orders);
+    /// Replaces the evacuations by those that the source holds. One that was restored from a copy may lack some.
+    pub(in crate::direct) fn replace_evacuations(
+        &self,
+        orders: Vec<EvacuationOrder>,
+        is_restored: bool,
+        now: Instant,
+    ) {
+        let changes = {
+            let mut evacuations = self.evacuations.borrow_mut();
+            match is_restored {
+                true => evacuations.replace_restored(orders, now),
+                false => evacuations.replace(orders),
+            }
+        };
+        changes.iter().for_each(|change| self.record_evacuation(change));
+    }
+
+    /// Ends the evacuations that a copy of the source lacked, and that have not been written again.
+    pub(in crate::direct) fn expire_evacuations(&self) {
+        let changes = self.evacuations.borrow_mut().expire(Instant::now());
         changes.iter().for_each(|change| self.record_evacuation(change));
     }
 
-    /// Returns the evacuations in force.
+    /// Returns the evacuations that the source holds.
     pub(in crate::direct) fn evacuation_orders(&self) -> Vec<EvacuationOrder> {
         self.evacuations.borrow().orders()
     }
--- a/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
+++ b/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
@@ -257,6 +257,7 @@
         };
         let version = self.configuration_version();
         let in_force = ViewInForce { version, confirmed: self.confirmed_since() };
+        let is_restored = self.precedes_era_of(stated.position);
         let verdict = self.change_view(|view| view.evaluate_report(stated, in_force));
         if let Some(span) = span.filter(|_| verdict.takes_servers) {
             if !span.is_complete {
@@ -269,6 +270,7 @@
                     "servers of a router in grace adopted"
                 );
             }
+            self.replace_evacuations(span.evacuations.clone(), is_restored, steady);
             self.apply_span(span, grace, steady);
         } else if self.source_position().is_some_and(|own| own < stated.position) {
             self.knowledge.refreshes_from.set(Some(sender));
@@ -314,8 +316,12 @@
         digest == ServerDigest(span.digest)
     }
 
-    /// Applies server changes, the time for which expired entries may still be renewed, and
-    /// evacuations.
+    /// Returns whether the source was restored from a copy between this router's position and `position`.
+    pub(super) fn precedes_era_of(&self, position: SourcePosition) -> bool {
+        self.source_position().is_some_and(|own| own.era < position.era)
+    }
+
+    /// Applies server changes, and the time for which expired entries may still be renewed.
     fn apply_span(&self, span: UpdateSpan, grace: Duration, now: Instant) {
         for change in span.changes {
             match change {
@@ -327,7 +333,6 @@
             }
         }
         self.adopt_grace(grace, now);
-        self.replace_evacuations(span.evacuations);
         self.journal_known_servers();
         self.compare_known_servers(ServerDigest(span.digest), now);
     }
--- a/crates/papayamux-router/src/direct/fleet/view_adoption.rs
+++ b/crates/papayamux-router/src/direct/fleet/view_adoption.rs
@@ -185,6 +185,7 @@
         };
         let version = self.configuration_version();
         let in_force = ViewInForce { version, confirmed: self.confirmed_since() };
+        let is_restored = self.precedes_era_of(position);
         let verdict = self.change_view(|view| view.evaluate_complete_view(reported, in_force));
         if !verdict.takes_servers {
             return false;
@@ -193,7 +194,7 @@
         let grace = self.adoptable_grace(update.grace_ms, steady);
         self.replace_servers(span.changes, grace, steady);
         self.adopt_grace(grace, steady);
-        self.replace_evacuations(span.evacuations);
+        self.replace_evacuations(span.evacuations, is_restored, steady);
         // Servers that came and went before the view are unknown here, and a follower may know them.
         self.knowledge.record_gap(position);
         self.journal_known_servers();
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -306,7 +306,7 @@
                 }
                 contents.faults.iter().for_each(|fault| self.fleet.record_entry_fault(fault, now));
                 self.fleet.record_server_list(contents.servers, is_restored, now);
-                self.fleet.replace_evacuations(contents.evacuations);
+                self.fleet.replace_evacuations(contents.evacuations, is_restored, now);
                 changes.into_iter().for_each(|change| self.apply_change(change, now));
                 self.fleet.record_full_read(position);
             }
