--- a/crates/papayamux-measure/src/soak/fault_kind.rs
+++ b/crates/papayamux-measure/src/soak/fault_kind.rs
@@ -46,11 +46,14 @@
     RestartServer,
     /// Writes entries that describe no valid server, one of them over a server's own entry.
     WriteEntries,
+    /// Restores the store from a copy taken when the fault begins, and has everything written again that the copy
+    /// lacks.
+    RestoreStore,
 }
 
 impl FaultKind {
-    /// The kinds that every soak samples from. [`FaultKind::OF_ENTRIES`] is kept apart so that
-    /// seeds from before those kinds existed still give the same faults.
+    /// The kinds that every soak samples from. [`FaultKind::OF_ENTRIES`] and [`FaultKind::OF_RESTORES`] are kept
+    /// apart so that seeds from before those kinds existed still give the same faults.
     pub const ALL: [FaultKind; 17] = [
         FaultKind::KillRouter,
         FaultKind::PauseRouter,
@@ -74,6 +77,10 @@
     /// Faults of server entries, scheduled in addition to the others on request.
     pub const OF_ENTRIES: [FaultKind; 2] = [FaultKind::RestartServer, FaultKind::WriteEntries];
 
+    /// A store that comes back from a copy, and servers that leave about that time; scheduled in addition to the
+    /// others on request.
+    pub const OF_RESTORES: [FaultKind; 2] = [FaultKind::RestoreStore, FaultKind::DrainServer];
+
     /// Returns whether the fault is planned work by the operator, which has no duration.
     pub fn is_order(self) -> bool {
         matches!(
@@ -118,11 +125,27 @@
 /// Separates the random sequence of entry faults from that of the other faults.
 const ENTRY_SERIES: u64 = 0x656e_7472_6965_7300;
 
+/// Separates the random sequence of restores from that of the other faults.
+const RESTORE_SERIES: u64 = 0x7265_7374_6f72_6573;
+
 /// Returns the faults of [`draw_faults`] together with faults of server entries, ordered by start
 /// time.
 pub fn draw_with_entries(seed: u64, length: Duration) -> Vec<PlannedFault> {
-    let mut faults = draw_faults(seed, length);
-    faults.extend(draw_series(seed ^ ENTRY_SERIES, length, &FaultKind::OF_ENTRIES));
+    merge(draw_faults(seed, length), seed ^ ENTRY_SERIES, length, &FaultKind::OF_ENTRIES)
+}
+
+/// Adds restores of the store from copies, and servers that leave about that time, to the faults of a seed.
+pub fn add_restores(faults: Vec<PlannedFault>, seed: u64, length: Duration) -> Vec<PlannedFault> {
+    merge(faults, seed ^ RESTORE_SERIES, length, &FaultKind::OF_RESTORES)
+}
+
+fn merge(
+    mut faults: Vec<PlannedFault>,
+    seed: u64,
+    length: Duration,
+    kinds: &[FaultKind],
+) -> Vec<PlannedFault> {
+    faults.extend(draw_series(seed, length, kinds));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
--- a/crates/papayamux-measure/src/soak/injector.rs
+++ b/crates/papayamux-measure/src/soak/injector.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use papayamux_platform_standins::{ConfigurationDraft, StoreMode};
+use papayamux_platform_standins::{ConfigurationDraft, StoreCopy, StoreMode};
 use papayamux_standins::fault_proxy::{FaultyWays, LinkFaults};
 use papayamux_testbed::TestbedError;
 
@@ -28,6 +28,8 @@
     disturbance: usize,
     /// Process identifier of the affected router when the fault began.
     process: Option<u32>,
+    /// Copy from which the store is restored when the fault ends.
+    copy: Option<StoreCopy>,
 }
 
 /// Injects faults into a fleet.
@@ -67,8 +69,10 @@
         });
         let disturbance = self.history.disturbances.len() - 1;
         let process = self.process_id(self.router(planned));
+        let copy = (planned.kind == FaultKind::RestoreStore).then(|| self.fleet.store.copy());
         self.apply(planned).await?;
-        self.open.push(OpenFault { planned, until: now + planned.length, disturbance, process });
+        let until = now + planned.length;
+        self.open.push(OpenFault { planned, until, disturbance, process, copy });
         Ok(())
     }
 
@@ -104,9 +108,10 @@
             | FaultKind::SilenceStoreLink
             | FaultKind::MuteStoreLink
             | FaultKind::RefuseStoreLink => Subject::Router(self.router(planned)),
-            FaultKind::SilenceStore | FaultKind::RefuseStore | FaultKind::CompactStore => {
-                Subject::Store
-            }
+            FaultKind::SilenceStore
+            | FaultKind::RefuseStore
+            | FaultKind::CompactStore
+            | FaultKind::RestoreStore => Subject::Store,
             FaultKind::DelayServerLink
             | FaultKind::CutServerLink
             | FaultKind::HoldServerLink
@@ -168,6 +173,8 @@
                 self.fleet.servers[server].restart(&self.fleet.store).await?;
             }
             FaultKind::WriteEntries => self.fleet.write_foreign_entries(server),
+            // The store is restored when the fault ends.
+            FaultKind::RestoreStore => {}
         }
         Ok(())
     }
@@ -203,6 +210,7 @@
                 let server = planned.target % self.fleet.servers.len();
                 self.fleet.servers[server].list(&self.fleet.store, false)?;
             }
+            FaultKind::RestoreStore => self.restore_store(fault.copy)?,
             FaultKind::ReloadRouter
             | FaultKind::RestartServer
             | FaultKind::DrainServer
@@ -213,6 +221,24 @@
         Ok(())
     }
 
+    /// Restores the store from a copy. The operator and the servers then write again what it lacks.
+    fn restore_store(&mut self, copy: Option<StoreCopy>) -> Result<(), TestbedError> {
+        let Some(copy) = copy else { return Ok(()) };
+        let store = &self.fleet.store;
+        store.restore(copy);
+        store.put_configuration(&self.draft);
+        for server in &self.fleet.servers {
+            server.list(store, false)?;
+        }
+        for (server, until) in &self.draining_servers {
+            match *until == Duration::MAX {
+                true => server.server.unlist(store),
+                false => server.list(store, true)?,
+            }
+        }
+        Ok(())
+    }
+
     /// Sends a signal to a router unless another fault has already ended its process.
     fn signal_router(
         &mut self,
--- a/crates/papayamux-measure/src/soak/mod.rs
+++ b/crates/papayamux-measure/src/soak/mod.rs
@@ -12,7 +12,7 @@
 mod workload;
 
 pub use checks::{check_history, Promise, Violation};
-pub use fault_kind::{draw_faults, draw_with_entries, FaultKind, PlannedFault};
+pub use fault_kind::{add_restores, draw_faults, draw_with_entries, FaultKind, PlannedFault};
 pub use history::{
     CallKind, CallRecord, CallResult, ConfigurationRecord, DisturbanceRecord, RunRecord,
     SoakHistory, Subject,
--- a/crates/papayamux-measure/src/soak/options.rs
+++ b/crates/papayamux-measure/src/soak/options.rs
@@ -23,6 +23,9 @@
     /// would.
     #[builder(default)]
     pub entries: bool,
+    /// `true` to also restore the store from copies.
+    #[builder(default)]
+    pub restores: bool,
     /// `true` to keep sending a request that crashes every engine.
     #[builder(default)]
     pub fatal: bool,
--- a/crates/papayamux-measure/src/soak/run.rs
+++ b/crates/papayamux-measure/src/soak/run.rs
@@ -8,7 +8,7 @@
 
 use super::checks::{check_history, Violation};
 use super::fatal_requests::run_fatal_caller;
-use super::fault_kind::{draw_faults, draw_with_entries};
+use super::fault_kind::{add_restores, draw_faults, draw_with_entries};
 use super::fleet::{SoakFleet, SoakServer};
 use super::history::{CallResult, SoakHistory};
 use super::injector::FaultInjector;
@@ -59,6 +59,10 @@
         true => draw_with_entries(options.seed, options.length),
         false => draw_faults(options.seed, options.length),
     };
+    let faults = match options.restores {
+        true => add_restores(faults, options.seed, options.length),
+        false => faults,
+    };
     for fault in faults {
         println!(
             "{:>6.2} s {:?} for {:.1} s, target {}",
--- a/crates/papayamux-measure/src/tasks/soak.rs
+++ b/crates/papayamux-measure/src/tasks/soak.rs
@@ -20,6 +20,7 @@
     options.optopt("", "routers", "router processes (3)", "COUNT");
     options.optopt("", "servers", "servers of each of three services (3)", "COUNT");
     options.optflag("", "entries", "servers start again and others write entries as well");
+    options.optflag("", "restores", "the store comes back from copies as well");
     options.optflag("", "fatal", "a request is repeated under which every engine ends");
     options.optopt("", "callers", "callers, each with one request at a time (12)", "COUNT");
 }
@@ -32,6 +33,7 @@
         .maybe_routers(matches.opt_get("routers")?)
         .maybe_servers(matches.opt_get("servers")?)
         .entries(matches.opt_present("entries"))
+        .restores(matches.opt_present("restores"))
         .fatal(matches.opt_present("fatal"))
         .maybe_callers(matches.opt_get("callers")?)
         .build())
--- a/crates/papayamux-measure/tests/soak_checks.rs
+++ b/crates/papayamux-measure/tests/soak_checks.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use papayamux_measure::soak::{
-    check_history, draw_faults, draw_with_entries, CallKind, CallRecord, CallResult,
-    ConfigurationRecord, DisturbanceRecord, Promise, RunRecord, SoakHistory, Subject,
+    add_restores, check_history, draw_faults, draw_with_entries, CallKind, CallRecord, CallResult,
+    ConfigurationRecord, DisturbanceRecord, FaultKind, Promise, RunRecord, SoakHistory, Subject,
 };
 
 fn at(millis: u64) -> Duration {
@@ -216,6 +216,17 @@
     assert!(!further.is_empty());
 }
 
+#[test]
+fn restores_leave_the_other_faults_of_a_seed_unchanged() {
+    let length = Duration::from_secs(60);
+    let faults = draw_faults(7, length);
+    let mut drawn = add_restores(faults.clone(), 7, length);
+    let restores = drawn.iter().filter(|fault| fault.kind == FaultKind::RestoreStore).count();
+    assert!(restores > 0);
+    drawn.retain(|fault| faults.contains(fault));
+    assert_eq!(drawn, faults);
+}
+
 #[test]
 fn request_at_a_server_of_a_foreign_entry_is_found() {
     let mut history = correct_history();
--- a/crates/papayamux-measure/tests/soak_short.rs
+++ b/crates/papayamux-measure/tests/soak_short.rs
@@ -24,3 +24,10 @@
     let options = SoakOptions::builder().seed(6).length(length).fatal(true).build();
     run_soak(&options).unwrap();
 }
+
+#[test]
+fn no_promise_is_broken_while_the_store_comes_back_from_copies() {
+    let length = Duration::from_secs(10);
+    let options = SoakOptions::builder().seed(7).length(length).restores(true).build();
+    run_soak(&options).unwrap();
+}
