Keep the simulated source of the generated histories in a file of its own

Cause: the test of views had grown beyond 600 lines with graces and eras. Change: the source with its eras stands apart from the routers; no check changes.

--- a/crates/papayamux-coordination/tests/fleet_knowledge/main.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/main.rs
@@ -10,5 +10,6 @@
 mod returning_readers;
 mod role_selector;
 mod server_changes;
+mod simulated_source;
 mod source_view;
 mod view_transfer;
--- a/crates/papayamux-coordination/tests/fleet_knowledge/source_view.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/source_view.rs
@@ -15,12 +15,13 @@
     ReportedView, ServerChange, ServerChangeLog, ServerChangeSpan, SourceView, ViewInForce,
 };
 use papayamux_coordination::server_presence::{ServerPresence, RENEWAL_GRACE};
-use papayamux_state::backend::{BackendServer, ServerPhase};
+use papayamux_state::backend::ServerPhase;
 use papayamux_state::boot_time::BootInstant;
 use papayamux_state::service_config::ConfigVersion;
-use papayamux_state::source::{SourceEra, SourcePosition};
+use papayamux_state::source::SourcePosition;
 
 use super::server_changes::{server, serving};
+use super::simulated_source::{at, listed_entry, SimulatedSource, Written};
 
 const ROUTERS: usize = 3;
 /// Number of inputs. They suffice to detect each of eight manually injected faults.
@@ -32,15 +33,6 @@
 /// Time that passes in a step without any other event, in milliseconds.
 const PAUSE: u64 = 400;
 
-/// A change written to the source.
-#[derive(Debug, Clone)]
-enum Written {
-    Server(BackendServer),
-    Departed(String),
-    /// A configuration of this version.
-    Configuration(u64),
-}
-
 /// The answer of a read, or a report, in flight.
 #[derive(Debug, Clone)]
 enum Message {
@@ -89,12 +81,7 @@
 struct Simulation {
     begun: Instant,
     now: u64,
-    /// All changes of each era. A revision is a number of changes. An era begins with those of the copy from which
-    /// the source was restored.
-    written: Vec<Vec<Written>>,
-    /// The source's positions, with the times at which it reached them.
-    reached: Vec<(u64, SourcePosition)>,
-    newest_version: u64,
+    source: SimulatedSource,
     routers: [Router; ROUTERS],
     messages: Vec<Message>,
 }
@@ -103,18 +90,12 @@
     BootInstant(Duration::from_millis(moment))
 }
 
-fn at(position: u64) -> SourcePosition {
-    SourcePosition::new(SourceEra::default(), position)
-}
-
 impl Simulation {
     fn new() -> Self {
         let mut simulation = Self {
             begun: Instant::now(),
             now: 0,
-            written: vec![Vec::new()],
-            reached: vec![(0, at(0))],
-            newest_version: 0,
+            source: SimulatedSource::new(),
             routers: Default::default(),
             messages: Vec::new(),
         };
@@ -138,65 +119,8 @@
         }
     }
 
-    fn position(&self) -> SourcePosition {
-        self.reached.last().unwrap().1
-    }
-
-    /// Returns all changes up to a position, those of the copy included.
-    fn written_up_to(&self, position: SourcePosition) -> &[Written] {
-        &self.written[position.era.0 as usize][..position.revision as usize]
-    }
-
-    /// Returns the newest configuration version up to a position.
-    fn version_at(&self, position: SourcePosition) -> u64 {
-        let versions = self.written_up_to(position).iter().map(|change| match change {
-            Written::Configuration(version) => *version,
-            Written::Server(_) | Written::Departed(_) => 0,
-        });
-        versions.max().unwrap_or_default()
-    }
-
-    fn position_when(&self, moment: u64) -> SourcePosition {
-        let reached = self.reached.iter().rfind(|(when, _)| *when <= moment);
-        reached.map_or(at(0), |(_, position)| *position)
-    }
-
-    /// Returns the servers that the source listed at a position.
-    fn servers_at(&self, position: SourcePosition) -> Vec<BackendServer> {
-        let mut listed = BTreeMap::new();
-        for change in self.written_up_to(position) {
-            match change {
-                Written::Server(server) => drop(listed.insert(server.name.to_string(), server)),
-                Written::Departed(name) => drop(listed.remove(name)),
-                Written::Configuration(_) => {}
-            }
-        }
-        listed.into_values().cloned().collect()
-    }
-
-    fn listed_at(&self, position: SourcePosition) -> BTreeMap<String, (String, bool)> {
-        self.servers_at(position).iter().map(listed_entry).collect()
-    }
-
     fn write(&mut self, change: Written) {
-        let SourcePosition { era, revision } = self.position();
-        self.written[era.0 as usize].push(change);
-        self.reached.push((self.now, SourcePosition::new(era, revision + 1)));
-    }
-
-    fn write_configuration(&mut self) {
-        self.newest_version += 1;
-        self.write(Written::Configuration(self.newest_version));
-    }
-
-    /// Restores the source from a copy that lacks the last changes.
-    fn restore(&mut self, lost: u64) {
-        let SourcePosition { era, revision } = self.position();
-        let copy = SourcePosition::new(era, revision.saturating_sub(lost));
-        let kept = self.written_up_to(copy).to_vec();
-        self.written.push(kept);
-        let restored = SourcePosition::new(SourceEra(era.0 + 1), copy.revision);
-        self.reached.push((self.now, restored));
+        self.source.write(change, self.now);
     }
 
     /// Sends a read, whose answer is then in flight. If another router reported a newer configuration, that
@@ -208,12 +132,12 @@
         }
         let wanted = router.view.wanted(ConfigVersion(router.version));
         let after = router.view.position().unwrap();
-        let at = self.position();
+        let at = self.source.position();
         if after.era != at.era {
             self.messages.push(Message::Restored { to });
             return;
         }
-        let configuration = wanted.map(|_| self.version_at(at));
+        let configuration = wanted.map(|_| self.source.version_at(at));
         self.messages.push(Message::Changes { to, sent: self.now, after, at, configuration });
     }
 
@@ -264,7 +188,7 @@
                 self.read_all(to);
             }
             Message::Changes { to, sent, after, at: up_to, configuration } => {
-                let changes = self.written_up_to(up_to)[after.revision as usize..].to_vec();
+                let changes = self.source.written_up_to(up_to)[after.revision as usize..].to_vec();
                 let router = &mut self.routers[to];
                 router.reads = false;
                 router.presence.record_contact(std::mem::take(&mut router.has_failed), now);
@@ -352,9 +276,9 @@
 
     /// Has a router read the wanted configuration from an outdated state of the source.
     fn read_recent(&mut self, index: usize, age: u64) {
-        let SourcePosition { era, revision } = self.position();
+        let SourcePosition { era, revision } = self.source.position();
         let recent = SourcePosition::new(era, revision.saturating_sub(age));
-        let version = self.version_at(recent);
+        let version = self.source.version_at(recent);
         let router = &mut self.routers[index];
         if router.view.wanted(ConfigVersion(router.version)).is_some() {
             router.version = router.version.max(version);
@@ -363,8 +287,9 @@
 
     /// Has a router read everything from a source that was restored. Entries may be missing from the copy.
     fn read_all(&mut self, index: usize) {
-        let (position, now) = (self.position(), self.instant());
-        let (servers, version) = (self.servers_at(position), self.version_at(position));
+        let (position, now) = (self.source.position(), self.instant());
+        let (servers, version) =
+            (self.source.servers_at(position), self.source.version_at(position));
         let router = &mut self.routers[index];
         router.presence.record_contact(true, now);
         let mut missing = router.used_servers();
@@ -387,11 +312,11 @@
 
     /// Restarts a router, which makes a full read.
     fn restart(&mut self, index: usize) {
-        let position = self.position();
-        let version = self.version_at(position);
+        let position = self.source.position();
+        let version = self.source.version_at(position);
         let mut router = Router { version, confirmed: Some(self.now), ..Router::default() };
         router.presence.record_contact(false, self.instant());
-        for server in self.servers_at(position) {
+        for server in self.source.servers_at(position) {
             router.presence.adopt(server);
         }
         router.change_log.record_gap(position);
@@ -407,26 +332,16 @@
         });
     }
 
-    /// Returns whether an entry was written after a position, up to another one.
-    fn is_written_between(&self, name: &str, after: SourcePosition, up_to: SourcePosition) -> bool {
-        let written = self.written_up_to(up_to)[after.revision as usize..].iter();
-        let mut servers = written.filter_map(|change| match change {
-            Written::Server(server) => Some(server.name.to_string()),
-            Written::Departed(_) | Written::Configuration(_) => None,
-        });
-        servers.any(|written| written == name)
-    }
-
     fn check(&mut self) {
         for router in &self.routers {
             let position = router.view.position().unwrap();
-            assert_eq!(router.listed_servers(), self.listed_at(position), "at {position}");
+            assert_eq!(router.listed_servers(), self.source.listed_at(position), "at {position}");
             let used = router.used_servers();
             // The copy of a new era may list servers that have been removed since.
             let in_same_era = router.used.as_ref().filter(|(_, from)| from.era == position.era);
             if let Some((before, from)) = in_same_era {
                 for name in used.difference(before) {
-                    let is_written = self.is_written_between(name, *from, position);
+                    let is_written = self.source.is_written_between(name, *from, position);
                     assert!(is_written, "{name} is back at {position}, was removed at {from}");
                 }
             }
@@ -436,9 +351,13 @@
             assert!(!is_kept || !grace.is_zero(), "a removed server is kept without grace");
             let Some(confirmed) = router.confirmed else { continue };
             // Changes written at the confirmed time itself may be missing.
-            let then = self.position_when(confirmed.saturating_sub(1));
+            let then = self.source.position_when(confirmed.saturating_sub(1));
             assert!(position >= then, "the list ends at {position}, the source was at {then}");
-            assert!(router.version >= self.version_at(then), "{} is too old", router.version);
+            assert!(
+                router.version >= self.source.version_at(then),
+                "{} is too old",
+                router.version
+            );
         }
         for router in &mut self.routers {
             router.used = Some((router.used_servers(), router.view.position().unwrap()));
@@ -514,12 +433,6 @@
     }
 }
 
-/// Returns the name of a listed server, its start, and whether it drains.
-fn listed_entry(server: &BackendServer) -> (String, (String, bool)) {
-    let draining = server.phase == ServerPhase::Draining;
-    (server.name.to_string(), (server.id.to_string(), draining))
-}
-
 #[test]
 fn known_servers_match_the_source_at_each_position() {
     let steps = bolero::check!().with_iterations(GENERATED_INPUTS).with_max_len(STEPS_BYTES);
@@ -538,7 +451,7 @@
                     ServerPhase::Serving,
                 ))),
                 3 => simulation.write(Written::Departed(name)),
-                4 => simulation.write_configuration(),
+                4 => simulation.source.write_configuration(simulation.now),
                 5 | 6 => simulation.read(router),
                 7 => simulation.report_to(router, (router + 1) % ROUTERS),
                 8 => simulation.report_to(router, (router + 2) % ROUTERS),
@@ -551,7 +464,9 @@
                 17 => simulation.hand_view_to(router, (router + 2) % ROUTERS),
                 18 | 19 => simulation.lose_read(router),
                 20 => simulation.advance(PAUSE),
-                21 if choice % 3 == 0 => simulation.restore(choice as u64 % 8),
+                21 if choice % 3 == 0 => {
+                    simulation.source.restore(choice as u64 % 8, simulation.now)
+                }
                 _ => {}
             }
             simulation.check();
@@ -571,7 +486,7 @@
     simulation.write(Written::Departed("i-1".to_string()));
     simulation.read(0);
     simulation.deliver(0);
-    simulation.write_configuration();
+    simulation.source.write_configuration(simulation.now);
     simulation.read(1);
     simulation.report_to(0, 1);
     simulation.deliver(1);
