Report evacuations in force on the status page whether the source holds them or not

Cause: orders that a restored source lacks are in force for a while, and were left out of the status page. Change: all orders in force are shown; only those that the source holds are reported to other routers.

--- a/crates/papayamux-coordination/src/domain_evacuations.rs
+++ b/crates/papayamux-coordination/src/domain_evacuations.rs
@@ -11,8 +11,8 @@
 use papayamux_state::ids::FailureDomain;
 use papayamux_state::source::SourcePosition;
 
-/// Time for which an order stays in force that a copy of the source lacks. The operator writes it again shortly
-/// after the source is back.
+/// Time for which an order stays in force that a restored source lacks. The operator writes it again shortly after
+/// the source is back.
 pub const REWRITE_GRACE: Duration = Duration::from_millis(3_000);
 
 /// A change of a failure domain's evacuation.
@@ -28,7 +28,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct DomainEvacuations {
     orders: BTreeMap<FailureDomain, SourcePosition>,
-    /// Orders that a copy of the source lacks, with the times at which they end unless they are written again.
+    /// Orders that a restored source lacks, with the times at which they end unless they are written again.
     unconfirmed: BTreeMap<FailureDomain, Instant>,
 }
 
@@ -38,11 +38,16 @@
         self.orders.contains_key(domain)
     }
 
-    /// Returns the orders that the source holds, sorted by failure domain. Orders that only a copy of it lacks are
+    /// Returns the orders that the source holds, sorted by failure domain. Orders that a restored source lacks are
     /// not among them: each router keeps those by itself.
     pub fn orders(&self) -> Vec<EvacuationOrder> {
+        let orders = self.in_force().into_iter();
+        orders.filter(|order| !self.unconfirmed.contains_key(&order.domain)).collect()
+    }
+
+    /// Returns all orders in force, sorted by failure domain.
+    pub fn in_force(&self) -> Vec<EvacuationOrder> {
         let orders = self.orders.iter();
-        let orders = orders.filter(|(domain, _)| !self.unconfirmed.contains_key(*domain));
         let order = |(domain, position): (&FailureDomain, &SourcePosition)| EvacuationOrder {
             domain: domain.clone(),
             position: *position,
@@ -75,8 +80,8 @@
         self.orders.remove(domain).map(|_| EvacuationChange::Ended(domain.clone()))
     }
 
-    /// Replaces the orders by those of a source that was restored from a copy, and returns the changes. Orders that
-    /// the copy lacks stay in force for [`REWRITE_GRACE`].
+    /// Replaces the orders by those of a restored source and returns the changes. Orders that its copy lacks stay in
+    /// force for [`REWRITE_GRACE`].
     pub fn replace_restored(
         &mut self,
         orders: Vec<EvacuationOrder>,
--- a/crates/papayamux-coordination/src/fleet_knowledge/server_change_log.rs
+++ b/crates/papayamux-coordination/src/fleet_knowledge/server_change_log.rs
@@ -203,8 +203,9 @@
         Some(ServerChangeSpan { after, position, changes, digest: self.digest })
     }
 
-    /// Returns whether this very entry is the recorded one, listed or expired alike. An entry that changed and changed back since
-    /// counts as new, as a follower may have received the intermediate state from another router.
+    /// Returns whether this very entry is the recorded one, listed or expired alike. An entry that changed and
+    /// changed back since counts as new, as a follower may have received the intermediate state from another
+    /// router.
     fn is_recorded(&self, server: &Rc<BackendServer>, is_expired: bool) -> bool {
         let known = self.present.get(&server.name);
         known.is_some_and(|known| {
--- a/crates/papayamux-router/src/direct/fleet/evacuations.rs
+++ b/crates/papayamux-router/src/direct/fleet/evacuations.rs
@@ -52,7 +52,7 @@
 
     /// Returns the evacuated failure domains, each with the source position of its order.
     pub(in crate::direct) fn evacuated_revisions(&self) -> BTreeMap<String, u64> {
-        let orders = self.evacuation_orders().into_iter();
+        let orders = self.evacuations.borrow().in_force().into_iter();
         orders.map(|order| (order.domain.to_string(), order.position.revision)).collect()
     }
 
