--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -162,7 +162,8 @@
         self.plan.fleet.metrics().streams.count("whole");
         log::info!(
             request:% = self.plan.call.id, server:% = attempt.active.server().id,
-            last_event = self.last_event.unwrap_or_default(),
+            last_event = self.last_event.unwrap_or_default(), framing:% = attempt.answer.framing(),
+            partial_event_bytes = remainder.len(),
             ms = self.plan.arrived.elapsed().as_millis() as u64; "stream ended"
         );
         attempt.answer.finish();
--- a/crates/papayamux-transport/src/http/upstream/exchange.rs
+++ b/crates/papayamux-transport/src/http/upstream/exchange.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Body, Incoming};
 
 use super::connection::UpstreamConnection;
-use super::UpstreamPool;
+use super::{AnswerFraming, UpstreamPool};
 
 /// Margin by which an idle connection is closed before the timeout that the server announces, so
 /// that no request is sent while the server closes the connection.
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Returns how the end of the body is marked.
+    pub fn framing(&self) -> AnswerFraming {
+        AnswerFraming::of(&self.head)
+    }
+
     /// Returns whether the body has been read to its end.
     pub fn is_complete(&self) -> bool {
         self.body.is_end_stream()
--- a/crates/papayamux-transport/src/http/upstream/mod.rs
+++ b/crates/papayamux-transport/src/http/upstream/mod.rs
@@ -6,9 +6,11 @@
 mod connection;
 mod connection_pool;
 mod exchange;
+mod framing;
 mod probe;
 
 pub use connection::UpstreamError;
 pub use connection_pool::{PoolLimits, UpstreamPool};
 pub use exchange::UpstreamAnswer;
+pub use framing::AnswerFraming;
 pub use probe::{probe_listener, ProbeResult};
