--- a/crates/papayamux-transport/tests/answer_framing.rs
+++ b/crates/papayamux-transport/tests/answer_framing.rs
@@ -4,7 +4,9 @@
 use http::Response;
 use papayamux_transport::http::upstream::AnswerFraming;
 
-fn framing(status: u16, headers: &[(&str, &str)]) -> AnswerFraming {
+type HeaderLines = [(&'static str, &'static str)];
+
+fn framing(status: u16, headers: &HeaderLines) -> AnswerFraming {
     let mut builder = Response::builder().status(status);
     for (name, value) in headers {
         builder = builder.header(*name, *value);
@@ -15,7 +17,7 @@
 #[test]
 fn framing_follows_from_the_head() {
     use AnswerFraming::{Chunks, CloseDelimited, Length};
-    let cases: [(u16, &[(&str, &str)], AnswerFraming); 9] = [
+    let cases: [(u16, &HeaderLines, AnswerFraming); 9] = [
         (200, &[("content-length", "11")], Length),
         (200, &[("transfer-encoding", "chunked")], Chunks),
         (200, &[("transfer-encoding", "gzip, Chunked")], Chunks),
