--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod admission_ticket;
+pub mod answer_end;
 pub mod attempt_plan;
 pub mod cache_survey;
 pub mod claims;
--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -4,10 +4,11 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, TRANSFER_ENCODING};
+use http::header::{CONNECTION, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::response::Parts;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use hyper::body::Incoming;
+use papayamux_coordination::answer_end::AnswerEnd;
 use papayamux_transport::http::AnswerBody;
 
 use super::active_request::ActiveRequest;
@@ -20,6 +21,9 @@
 use super::stream_relay::{InFlight, StreamRelay};
 use super::{CallFailure, CallHead, Fleet, NotRunReason};
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Connection-specific headers, which must not be forwarded.
 const CONNECTION_HEADERS: [&str; 5] =
     ["keep-alive", "proxy-connection", "te", "trailer", "upgrade"];
@@ -114,7 +118,7 @@
                     Err(failure) => return fallback.ok_or(failure),
                 },
             };
-            if plan.kind().is_stream() && attempt.answer.head.status.is_success() {
+            if plan.kind().is_stream() && is_event_stream(&attempt.answer.head) {
                 return Ok(self.pass_stream(plan, attempt, in_flight));
             }
             let body = match collect_body(&plan, &mut attempt).await {
@@ -166,6 +170,8 @@
         let mut head = answer_head(&attempt.answer.head);
         head.headers.remove(http::header::CONTENT_LENGTH);
         log_answer(plan, &attempt);
+        let end = AnswerEnd::of_body(attempt.answer.framing());
+        plan.fleet.metrics().answer_ends.count(end.label());
         plan.record_completion();
         if !plan.kind().is_stream() {
             attempt.active.record_call_end();
@@ -225,6 +231,17 @@
     answer
 }
 
+/// Returns whether the answer to a streaming request is a stream of events. One without a media
+/// type is taken for a stream.
+fn is_event_stream(head: &Parts) -> bool {
+    let media_type = head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+    head.status.is_success()
+        && media_type.is_none_or(|text| {
+            text.get(..EVENT_STREAM.len())
+                .is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
+        })
+}
+
 fn remove_connection_headers(headers: &mut HeaderMap) {
     headers.remove(CONNECTION);
     headers.remove(TRANSFER_ENCODING);
--- a/crates/papayamux-router/src/direct/event_splitter.rs
+++ b/crates/papayamux-router/src/direct/event_splitter.rs
@@ -5,6 +5,9 @@
 /// Maximum size of an event; a longer one is forwarded in pieces, and its stream can't be resumed
 /// after it.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Bytes of a longer event that stay buffered, so that a blank line at its end is found even if it
+/// arrives in two pieces.
+const MAX_BLANK_LINE_BYTES: usize = 4;
 
 /// A sequence of complete events.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -19,6 +22,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// `true` if the beginning of an event that exceeds the size limit was forwarded.
+    has_begun_long_event: bool,
 }
 
 impl EventSplitter {
@@ -26,8 +31,14 @@
     pub fn push(&mut self, piece: &[u8]) -> Option<CompleteEvents> {
         self.buffer.extend_from_slice(piece);
         let end = match last_event_end(&self.buffer) {
-            Some(end) => end,
-            None if self.buffer.len() > MAX_EVENT_BYTES => self.buffer.len(),
+            Some(end) => {
+                self.has_begun_long_event = false;
+                end
+            }
+            None if self.buffer.len() > MAX_EVENT_BYTES => {
+                self.has_begun_long_event = true;
+                self.buffer.len() - MAX_BLANK_LINE_BYTES
+            }
             None => return None,
         };
         let bytes = self.buffer.split_to(end).freeze();
@@ -35,9 +46,9 @@
         Some(CompleteEvents { bytes, ids })
     }
 
-    /// Returns the buffered part of an incomplete event.
-    pub fn remainder(&mut self) -> Bytes {
-        self.buffer.split().freeze()
+    /// Returns whether the bytes so far end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.has_begun_long_event || !self.buffer.is_empty()
     }
 }
 
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -67,6 +67,8 @@
     /// Streams by how they ended: `whole`, `cut`, `left` by their callers, or `resumed` for each
     /// continuation at another server.
     pub streams: ReasonCounters,
+    /// Answers whose last byte was read, by how they ended.
+    pub answer_ends: ReasonCounters,
     /// Reads of the source by result.
     pub source_reads: ReasonCounters,
     /// Requests of other routers for a complete view of the source, by answer.
@@ -117,6 +119,7 @@
             repeats_taken: Counter::default(),
             repeats_denied: Counter::default(),
             streams: ReasonCounters::default(),
+            answer_ends: ReasonCounters::default(),
             source_reads: ReasonCounters::default(),
             view_requests: ReasonCounters::default(),
             view_bytes: Counter::default(),
@@ -177,6 +180,8 @@
         let denied = self.repeats_denied.clone();
         registry.register("repeats_denied", "Repeats beyond the retry budget", denied);
         registry.register("streams", "Streams by how they ended", self.streams.0.clone());
+        let ends = self.answer_ends.0.clone();
+        registry.register("answer_ends", "Answers by what shows that they are complete", ends);
         let reads = self.source_reads.0.clone();
         registry.register("source_reads", "Reads of the configuration's source", reads);
         let requests = self.view_requests.0.clone();
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
+use papayamux_coordination::answer_end::{AnswerEnd, StreamTail};
 use papayamux_coordination::server_evidence::EvidenceKind;
 use papayamux_transport::http::{AnswerBody, BodyError};
 
@@ -21,6 +22,8 @@
     collected: Option<Bytes>,
     splitter: Option<EventSplitter>,
     last_event: Option<u64>,
+    /// `true` if the caller has at least one event.
+    has_events: bool,
     in_flight: InFlight,
 }
 
@@ -71,6 +74,7 @@
             collected: None,
             splitter: Some(EventSplitter::default()),
             last_event,
+            has_events: last_event.is_some(),
             in_flight,
         }
     }
@@ -113,13 +117,18 @@
                         Err(lost) => lost,
                     }
                 }
-                WaitResult::Done(None) => return self.end(),
-                WaitResult::Done(Some(Err(error))) => {
-                    attempt.active.record_answer_outcome(true);
-                    attempt.active.record_failure_evidence(EvidenceKind::Unreachable);
-                    LostAttempt::broken(&attempt.active, format!("the stream broke off: {error}"))
-                        .await
+                WaitResult::Done(None) => {
+                    let end = stream_end(attempt, self.splitter.as_ref(), self.has_events);
+                    self.plan.fleet.metrics().answer_ends.count(end.label());
+                    match end {
+                        AnswerEnd::Complete | AnswerEnd::Unmarked => return self.finish(),
+                        AnswerEnd::Truncated => {
+                            let cause = format!("truncated ({})", attempt.answer.framing());
+                            lost_stream(attempt, cause).await
+                        }
+                    }
                 }
+                WaitResult::Done(Some(Err(error))) => lost_stream(attempt, error.to_string()).await,
                 WaitResult::Silent(cause) => {
                     attempt.active.record_failure_evidence(EvidenceKind::Unreachable);
                     LostAttempt::silent(&attempt.active, format!("{cause} during its stream"))
@@ -143,6 +152,7 @@
             }
             self.last_event = Some(last);
         }
+        self.has_events = true;
         if let Some(attempt) = &mut self.attempt {
             attempt
                 .active
@@ -151,9 +161,8 @@
         Ok(Some(bytes))
     }
 
-    /// Completes a stream that the server has ended.
-    fn end(&mut self) -> Option<Result<Bytes, BodyError>> {
-        let remainder = self.splitter.as_mut().map(EventSplitter::remainder).unwrap_or_default();
+    /// Completes an answer that the server has ended.
+    fn finish(&mut self) -> Option<Result<Bytes, BodyError>> {
         let mut attempt = self.attempt.take()?;
         if self.splitter.is_some() {
             attempt.active.record_stream_end(Some(self.plan.call.answer_tokens));
@@ -163,11 +172,10 @@
         log::info!(
             request:% = self.plan.call.id, server:% = attempt.active.server().id,
             last_event = self.last_event.unwrap_or_default(), framing:% = attempt.answer.framing(),
-            partial_event_bytes = remainder.len(),
             ms = self.plan.arrived.elapsed().as_millis() as u64; "stream ended"
         );
         attempt.answer.finish();
-        (!remainder.is_empty()).then_some(Ok(remainder))
+        None
     }
 
     /// Breaks the answer off, so that the caller notices that it is incomplete.
@@ -227,3 +235,22 @@
         }
     }
 }
+
+/// Returns how an answer ended whose last byte was read.
+fn stream_end(
+    attempt: &AttemptAnswer,
+    splitter: Option<&EventSplitter>,
+    has_events: bool,
+) -> AnswerEnd {
+    let framing = attempt.answer.framing();
+    let Some(splitter) = splitter else { return AnswerEnd::of_body(framing) };
+    let has_partial_event = splitter.is_inside_event();
+    AnswerEnd::of_stream(framing, StreamTail { has_events, has_partial_event })
+}
+
+/// Records that a server broke off its stream.
+async fn lost_stream(attempt: &AttemptAnswer, cause: String) -> LostAttempt {
+    attempt.active.record_answer_outcome(true);
+    attempt.active.record_failure_evidence(EvidenceKind::Unreachable);
+    LostAttempt::broken(&attempt.active, format!("the stream broke off: {cause}")).await
+}
--- a/crates/papayamux-state/src/lib.rs
+++ b/crates/papayamux-state/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here touches a socket or a clock: callers hand in the time.
 
 pub mod address_range;
+pub mod answer_framing;
 pub mod backend;
 pub mod boot_time;
 pub mod cache_index;
--- a/crates/papayamux-transport/src/http/upstream/exchange.rs
+++ b/crates/papayamux-transport/src/http/upstream/exchange.rs
@@ -9,9 +9,10 @@
 use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use papayamux_state::answer_framing::AnswerFraming;
 
 use super::connection::UpstreamConnection;
-use super::{AnswerFraming, UpstreamPool};
+use super::{answer_framing, UpstreamPool};
 
 /// Margin by which an idle connection is closed before the timeout that the server announces, so
 /// that no request is sent while the server closes the connection.
@@ -60,7 +61,7 @@
 
     /// Returns how the end of the body is marked.
     pub fn framing(&self) -> AnswerFraming {
-        AnswerFraming::of(&self.head)
+        answer_framing(&self.head)
     }
 
     /// Returns whether the body has been read to its end.
--- a/crates/papayamux-transport/src/http/upstream/mod.rs
+++ b/crates/papayamux-transport/src/http/upstream/mod.rs
@@ -12,5 +12,5 @@
 pub use connection::UpstreamError;
 pub use connection_pool::{PoolLimits, UpstreamPool};
 pub use exchange::UpstreamAnswer;
-pub use framing::AnswerFraming;
+pub use framing::answer_framing;
 pub use probe::{probe_listener, ProbeResult};
--- a/crates/papayamux-transport/tests/answer_framing.rs
+++ b/crates/papayamux-transport/tests/answer_framing.rs
@@ -2,7 +2,8 @@
 #![allow(clippy::unwrap_used, reason = "helpers of tests, which may panic")]
 
 use http::Response;
-use papayamux_transport::http::upstream::AnswerFraming;
+use papayamux_state::answer_framing::AnswerFraming;
+use papayamux_transport::http::upstream::answer_framing;
 
 type HeaderLines = [(&'static str, &'static str)];
 
@@ -11,7 +12,7 @@
     for (name, value) in headers {
         builder = builder.header(*name, *value);
     }
-    AnswerFraming::of(&builder.body(()).unwrap().into_parts().0)
+    answer_framing(&builder.body(()).unwrap().into_parts().0)
 }
 
 #[test]
