--- a/crates/papayamux-agent/src/answers/event_tagger.rs
+++ b/crates/papayamux-agent/src/answers/event_tagger.rs
@@ -29,6 +29,8 @@
     id_prefix: String,
     number: u64,
     is_complete: bool,
+    /// `true` if the beginning of an event that exceeds the size limit was passed on.
+    has_begun_long_event: bool,
     pending: Vec<u8>,
 }
 
@@ -45,7 +47,13 @@
     pub fn new(server: ServerId, request: RequestId) -> Self {
         let id = EventId { server, request, number: 0 }.to_string();
         let id_prefix = format!("id: {}", id.trim_end_matches('0'));
-        Self { id_prefix, number: 0, is_complete: false, pending: Vec::new() }
+        Self {
+            id_prefix,
+            number: 0,
+            is_complete: false,
+            has_begun_long_event: false,
+            pending: Vec::new(),
+        }
     }
 
     /// Returns the number of events that have got an id so far.
@@ -58,6 +66,11 @@
         self.is_complete
     }
 
+    /// Returns whether the bytes so far end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.has_begun_long_event || !self.pending.is_empty()
+    }
+
     /// Discards the bytes of an incomplete event. A resumed stream sends the event again.
     pub fn drop_partial(&mut self) {
         self.pending.clear();
@@ -79,13 +92,17 @@
         let mut event_ends = Vec::new();
         while let Some(span) = first_event(bytes) {
             let (event, rest) = bytes.split_at(span.end);
+            self.has_begun_long_event = false;
             if self.write_event(event, span.blank, &mut output) {
                 event_ends.push(output.len());
             }
             bytes = rest;
         }
         match bytes.len() > MAX_EVENT_BYTES {
-            true => output.extend_from_slice(bytes),
+            true => {
+                self.has_begun_long_event = true;
+                output.extend_from_slice(bytes);
+            }
             false => self.pending.extend_from_slice(bytes),
         }
         TaggedPiece { bytes: output.freeze(), event_ends }
--- a/crates/papayamux-agent/src/run.rs
+++ b/crates/papayamux-agent/src/run.rs
@@ -4,6 +4,7 @@
 use futures_util::future::{select, Either};
 use http::header::CONTENT_TYPE;
 use http::{HeaderName, HeaderValue, Request, StatusCode};
+use papayamux_coordination::body_end::{BodyEnd, ChatTail};
 use papayamux_protocol::chat::ChatRequest;
 use papayamux_protocol::headers::{HOP_BY_HOP, PRIORITY, REQUEST_ID};
 use papayamux_protocol::link::{
@@ -251,10 +252,22 @@
             }
         }
     }
+    check_unmarked_end(core, &answer).await?;
     answer.finish();
     Ok(())
 }
 
+/// Checks an answer whose end nothing marks: it is incomplete if the server has crashed.
+async fn check_unmarked_end(core: &AgentCore, answer: &ClientAnswer) -> Result<(), ServerError> {
+    if BodyEnd::of_body(answer.framing()) != BodyEnd::Unmarked {
+        return Ok(());
+    }
+    match broken_connection(core, HttpClientError::Truncated).await {
+        crashed @ ServerError::Crashed(_) => Err(crashed),
+        _ => Ok(()),
+    }
+}
+
 async fn relay_events(
     core: &AgentCore,
     mut answer: ClientAnswer,
@@ -270,7 +283,12 @@
                 record.append(tagged.bytes, &tagged.event_ends).await;
                 continue;
             }
-            ServerStep::Ready(None) => break,
+            ServerStep::Ready(None) => match chat_end(&answer, &tagger) {
+                BodyEnd::Complete | BodyEnd::Unmarked => break,
+                BodyEnd::Truncated => {
+                    resume_after_error(core, target, HttpClientError::Truncated).await?
+                }
+            },
             ServerStep::Ready(Some(Err(_))) if tagger.is_complete() => break,
             ServerStep::Ready(Some(Err(error))) => resume_after_error(core, target, error).await?,
             ServerStep::Replaced(answer) => answer,
@@ -285,6 +303,11 @@
     Ok(())
 }
 
+fn chat_end(answer: &ClientAnswer, tagger: &EventTagger) -> BodyEnd {
+    let (has_last_event, has_partial_event) = (tagger.is_complete(), tagger.is_inside_event());
+    BodyEnd::of_chat(answer.framing(), ChatTail { has_last_event, has_partial_event })
+}
+
 /// Resumes a stream whose connection broke with `error`, unless the server has crashed.
 async fn resume_after_error(
     core: &AgentCore,
--- a/crates/papayamux-coordination/src/answer_end.rs
+++ b/crates/papayamux-coordination/src/body_end.rs
@@ -8,7 +8,7 @@
 
 /// How an answer ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AnswerEnd {
+pub enum BodyEnd {
     /// The answer is complete.
     Complete,
     /// The answer ended with its connection, and its contents don't show whether more was to
@@ -27,7 +27,16 @@
     pub has_partial_event: bool,
 }
 
-impl AnswerEnd {
+/// What was read of a chat's stream when it ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ChatTail {
+    /// `true` if the event that completes a chat was read.
+    pub has_last_event: bool,
+    /// `true` if the stream ended inside an event.
+    pub has_partial_event: bool,
+}
+
+impl BodyEnd {
     /// Returns how an answer ended whose contents are opaque.
     pub fn of_body(framing: AnswerFraming) -> Self {
         match framing {
@@ -45,6 +54,16 @@
         }
     }
 
+    /// Returns how a chat ended whose complete streams end with an event of their own.
+    pub fn of_chat(framing: AnswerFraming, tail: ChatTail) -> Self {
+        match Self::of_body(framing) {
+            _ if tail.has_last_event => Self::Complete,
+            _ if tail.has_partial_event => Self::Truncated,
+            Self::Unmarked => Self::Truncated,
+            end => end,
+        }
+    }
+
     /// Returns the stable name for logs and metrics.
     pub fn label(self) -> &'static str {
         match self {
--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -4,8 +4,9 @@
 
 pub mod admission;
 pub mod admission_ticket;
-pub mod answer_end;
+
 pub mod attempt_plan;
+pub mod body_end;
 pub mod cache_survey;
 pub mod claims;
 pub mod cold_servers;
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use papayamux_coordination::answer_end::{AnswerEnd, StreamTail};
+use papayamux_coordination::body_end::{BodyEnd, StreamTail};
 use papayamux_coordination::server_evidence::EvidenceKind;
 use papayamux_transport::http::{AnswerBody, BodyError};
 
@@ -121,8 +121,8 @@
                     let end = stream_end(attempt, self.splitter.as_ref(), self.has_events);
                     self.plan.fleet.metrics().answer_ends.count(end.label());
                     match end {
-                        AnswerEnd::Complete | AnswerEnd::Unmarked => return self.finish(),
-                        AnswerEnd::Truncated => {
+                        BodyEnd::Complete | BodyEnd::Unmarked => return self.finish(),
+                        BodyEnd::Truncated => {
                             let cause = format!("truncated ({})", attempt.answer.framing());
                             lost_stream(attempt, cause).await
                         }
@@ -241,11 +241,11 @@
     attempt: &AttemptAnswer,
     splitter: Option<&EventSplitter>,
     has_events: bool,
-) -> AnswerEnd {
+) -> BodyEnd {
     let framing = attempt.answer.framing();
-    let Some(splitter) = splitter else { return AnswerEnd::of_body(framing) };
+    let Some(splitter) = splitter else { return BodyEnd::of_body(framing) };
     let has_partial_event = splitter.is_inside_event();
-    AnswerEnd::of_stream(framing, StreamTail { has_events, has_partial_event })
+    BodyEnd::of_stream(framing, StreamTail { has_events, has_partial_event })
 }
 
 /// Records that a server broke off its stream.
--- a/crates/papayamux-standins/src/engine/chat_interface.rs
+++ b/crates/papayamux-standins/src/engine/chat_interface.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use futures_util::{stream, StreamExt};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
 use papayamux_protocol::chat::{
     ChatChunk, ChatCompletion, ChatMessage, ChatRequest, ChunkChoice, ChunkDelta, CompletionChoice,
@@ -52,19 +52,30 @@
     let reader =
         reader.ok_or_else(|| engine_error(EngineErrorCode::QueueFull, "too many requests wait"))?;
     match chat.stream {
-        true => Ok(stream_answer(id, reader)),
+        true => Ok(framed_stream(server, id, reader)),
         false => complete_answer(id, reader).await,
     }
 }
 
 /// Resumes the answer stream of a request from the token in the `from` query parameter.
-pub fn resume_stream(batch: &EngineBatch, id: &str, request: &Request<Incoming>) -> EngineResult {
+pub fn resume_stream(server: &EngineServer, id: &str, request: &Request<Incoming>) -> EngineResult {
+    let batch = &server.batch;
     let from = query_number(request.uri(), "from").unwrap_or(0);
     if batch.end_of(id) == Some(AnswerEnd::Cancelled) {
         return Err(engine_error(EngineErrorCode::Cancelled, CANCELLED));
     }
     let reader = batch.resume(id, from).ok_or_else(|| unknown_request(id))?;
-    Ok(stream_answer(id.to_string(), reader))
+    Ok(framed_stream(server, id.to_string(), reader))
+}
+
+/// Streams the answer with the framing that the options ask for. An answer of HTTP/1.0 has neither
+/// a length nor chunks.
+fn framed_stream(server: &EngineServer, id: String, reader: AnswerReader) -> Response<AnswerBody> {
+    let mut response = stream_answer(id, reader);
+    if server.options.close_delimited {
+        *response.version_mut() = Version::HTTP_10;
+    }
+    response
 }
 
 /// Cancels a request.
--- a/crates/papayamux-standins/src/engine/http_interface.rs
+++ b/crates/papayamux-standins/src/engine/http_interface.rs
@@ -77,7 +77,7 @@
     let (id, act) = below.and_then(|path| path.rsplit_once('/')).unwrap_or_default();
     match (request.method(), act) {
         (&Method::POST, "cancel") => cancel_request(&server.batch, id),
-        (&Method::GET, "stream") => resume_stream(&server.batch, id, request),
+        (&Method::GET, "stream") => resume_stream(server, id, request),
         _ => Err(engine_error(EngineErrorCode::UnknownPath, format!("nothing at {path}"))),
     }
 }
--- a/crates/papayamux-standins/src/engine/options.rs
+++ b/crates/papayamux-standins/src/engine/options.rs
@@ -61,4 +61,7 @@
     pub kv_block_bytes: usize,
     /// Text that makes the process exit when a prompt contains it.
     pub crash_on: Option<String>,
+    /// Ends streams with their connection, with neither a length nor chunks.
+    #[builder(default)]
+    pub close_delimited: bool,
 }
--- a/crates/papayamux-testbed/tests/streams_go_on.rs
+++ b/crates/papayamux-testbed/tests/streams_go_on.rs
@@ -208,6 +208,20 @@
     })
 }
 
+#[test]
+fn a_stream_that_ends_with_its_connection_is_whole_only_after_its_last_event() -> TestResult {
+    let plan = || short_progress_plan(&["--cancel-grace-ms", "0", "--close-delimited"], &[]);
+    with_fleet(plan(), async |fleet| {
+        let stream = begin_chat(fleet).await?;
+        assert_whole_after_one_run(fleet, stream).await
+    })?;
+    with_fleet(plan(), async |fleet| {
+        let stream = begin_chat(fleet).await?;
+        fleet.servers[0].standin.kill()?;
+        assert_error_event(stream, FailureOutcome::Failed).await
+    })
+}
+
 #[test]
 fn a_slow_but_living_server_is_not_given_up() -> TestResult {
     with_fleet(
--- a/crates/papayamux-transport/src/http/client.rs
+++ b/crates/papayamux-transport/src/http/client.rs
@@ -1,82 +1,76 @@
-//! HTTP/1.1 client for backend servers and the platform.
+//! HTTP/1.1 client for a single server.
 
-use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::rc::Rc;
-use std::time::{Duration, Instant};
-
-use ::http::response::Parts;
-use ::http::Request;
-use bytes::Bytes;
-use monoio::io::sink::SinkExt;
-use monoio::io::stream::Stream;
-use monoio::net::TcpStream;
-use monoio_http::common::body::{FixedBody, HttpBody};
-use monoio_http::common::error::HttpError;
-use monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, FixedBodyDecoder, PayloadDecoder};
-use monoio_http::h1::codec::ClientCodec;
-use monoio_http::h1::BorrowFramedRead;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::response::Parts;
+use http::Request;
+use papayamux_state::answer_framing::AnswerFraming;
 use thiserror::Error;
 
-use crate::keepalive::set_stream_options;
-use crate::link::{connect, LinkError};
+use super::upstream::{PoolLimits, UpstreamAnswer, UpstreamError, UpstreamPool};
 
+/// Timeout of connecting.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which an idle connection is kept for the next request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of idle connections.
 const MAX_IDLE_CONNECTIONS: usize = 256;
-/// Maximum size in bytes of a body with an announced length, which arrives in one piece.
-const MAX_FIXED_BODY_BYTES: u64 = 16 * 1024 * 1024;
 
 /// The error of sending a request or receiving its answer.
 #[derive(Debug, Error)]
 pub enum HttpClientError {
-    /// No connection could be opened; nothing was sent.
+    /// The request got no answer.
     #[error(transparent)]
-    Connect(#[from] LinkError),
+    Upstream(#[from] UpstreamError),
     /// The request was no longer allowed when the connection was open; nothing was sent.
     #[error("the request was given up before it was sent")]
     NotAllowed,
-    /// The connection failed after sending had begun.
-    #[error("the connection failed: {0}")]
-    Broken(#[from] HttpError),
-    /// The server closed the connection without an answer.
-    #[error("the server closed the connection before its answer")]
-    Closed,
+    /// The connection failed during the answer.
+    #[error("the connection failed during the answer: {0}")]
+    Broken(#[from] hyper::Error),
+    /// The connection ended in order, but the answer's contents show that its end is missing.
+    #[error("the answer ended with its connection before its end")]
+    Truncated,
     /// The answer's body exceeds its limit.
-    #[error("the answer has {length} bytes, the bound is {MAX_FIXED_BODY_BYTES}")]
+    #[error("the answer has {length} bytes or more, the limit is {limit}")]
     TooLong {
-        /// Announced or received size in bytes.
+        /// Received size in bytes.
         length: u64,
+        /// Maximum size in bytes.
+        limit: u64,
     },
 }
 
 impl HttpClientError {
     /// Returns whether the request can't have reached the server, not even partially.
     pub fn nothing_was_sent(&self) -> bool {
-        matches!(self, HttpClientError::Connect(_) | HttpClientError::NotAllowed)
+        match self {
+            Self::Upstream(error) => error.nothing_was_sent(),
+            Self::NotAllowed => true,
+            Self::Broken(_) | Self::Truncated | Self::TooLong { .. } => false,
+        }
     }
 }
 
-type Codec = ClientCodec<TcpStream>;
-type BodyDecoder = PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>;
-
-struct IdleConnection {
-    codec: Codec,
-    idle_since: Instant,
-}
-
 /// A client for one server. Clones share its idle connections.
 #[derive(Clone)]
 pub struct HttpClient {
     address: SocketAddr,
-    idle: Rc<RefCell<Vec<IdleConnection>>>,
+    pool: UpstreamPool,
 }
 
 impl HttpClient {
     /// Creates a client for the server at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: Rc::default() }
+        let limits = PoolLimits {
+            connect_timeout: CONNECT_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+            reuse_delay: Duration::ZERO,
+            max_idle_per_server: MAX_IDLE_CONNECTIONS,
+        };
+        Self { address, pool: UpstreamPool::new(limits) }
     }
 
     /// Returns the server's address.
@@ -90,15 +84,17 @@
         &self,
         request: Request<Bytes>,
     ) -> Result<ClientAnswer, HttpClientError> {
-        let Some(codec) = self.take_idle() else { return self.send_once(request).await };
-        let lost = match self.exchange(codec, request.clone()).await {
-            Err(lost @ (HttpClientError::Closed | HttpClientError::Broken(_))) => lost,
-            outcome => return outcome,
+        let lost = match self.pool.send_over_idle(self.address, request.clone()).await {
+            None | Some(Err(UpstreamError::NotSent { .. })) => {
+                return self.send_once(request).await
+            }
+            Some(Ok(answer)) => return Ok(ClientAnswer::from(answer)),
+            Some(Err(lost)) => lost,
         };
         match self.send_once(request).await {
             // The server may have run the request that it received on the lost connection, and
             // crashed because of it.
-            Err(error) if error.nothing_was_sent() => Err(lost),
+            Err(error) if error.nothing_was_sent() => Err(lost.into()),
             outcome => outcome,
         }
     }
@@ -119,101 +115,48 @@
         request: Request<Bytes>,
         may_send: impl FnOnce() -> bool,
     ) -> Result<ClientAnswer, HttpClientError> {
-        let stream = connect(self.address).await?;
+        let connection = self.pool.connect(self.address).await?;
         if !may_send() {
             return Err(HttpClientError::NotAllowed);
         }
-        let _ = set_stream_options(&stream);
-        self.exchange(ClientCodec::new(stream), request).await
-    }
-
-    async fn exchange(
-        &self,
-        mut codec: Codec,
-        request: Request<Bytes>,
-    ) -> Result<ClientAnswer, HttpClientError> {
-        let body = request.body().clone();
-        let request = request.map(|_| HttpBody::fixed_body(Some(body)));
-        codec.send_and_flush(request).await?;
-        let response = codec.next().await.ok_or(HttpClientError::Closed)??;
-        let (head, decoder) = response.into_parts();
-        let length = announced_length(&head);
-        if length > MAX_FIXED_BODY_BYTES {
-            return Err(HttpClientError::TooLong { length });
-        }
-        Ok(ClientAnswer { client: self.clone(), head, codec, decoder, ended: false })
-    }
-
-    fn take_idle(&self) -> Option<Codec> {
-        let mut idle = self.idle.borrow_mut();
-        idle.retain(|connection| connection.idle_since.elapsed() < IDLE_TIMEOUT);
-        idle.pop().map(|connection| connection.codec)
-    }
-
-    fn keep_idle(&self, codec: Codec) {
-        let mut idle = self.idle.borrow_mut();
-        if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(IdleConnection { codec, idle_since: Instant::now() });
-        }
+        let answer = self.pool.send_over(connection, request).await?;
+        Ok(ClientAnswer::from(answer))
     }
 }
 
-fn announced_length(head: &Parts) -> u64 {
-    head.headers
-        .get(::http::header::CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok()?.parse().ok())
-        .unwrap_or(0)
-}
-
 /// An answer whose body has not been read yet.
 pub struct ClientAnswer {
-    client: HttpClient,
     /// Status and headers.
     pub head: Parts,
-    codec: Codec,
-    decoder: BodyDecoder,
-    ended: bool,
+    answer: UpstreamAnswer,
+}
+
+impl From<UpstreamAnswer> for ClientAnswer {
+    fn from(answer: UpstreamAnswer) -> Self {
+        Self { head: answer.head.clone(), answer }
+    }
 }
 
 impl ClientAnswer {
-    /// Returns the next piece of the body, or `None` after the last one. A body with an announced
-    /// length is a single piece, and `None` follows it also if reading it failed.
+    /// Returns how the end of the body is marked.
+    pub fn framing(&self) -> AnswerFraming {
+        self.answer.framing()
+    }
+
+    /// Returns the next piece of the body, or `None` after the last one.
     pub async fn next_piece(&mut self) -> Option<Result<Bytes, HttpClientError>> {
-        if self.ended {
-            return None;
-        }
-        let framed = self.codec.framed_mut();
-        match &mut self.decoder {
-            PayloadDecoder::None => {
-                self.ended = true;
-                None
-            }
-            PayloadDecoder::Fixed(decoder) => {
-                let piece = framed.next_with(decoder).await;
-                self.ended = true;
-                Some(piece.map_or(Err(HttpClientError::Closed), |result| {
-                    result.map_err(broken_connection)
-                }))
-            }
-            PayloadDecoder::Streamed(decoder) => match framed.next_with(decoder).await {
-                None => Some(Err(HttpClientError::Closed)),
-                Some(Ok(Some(piece))) => Some(Ok(piece)),
-                Some(Ok(None)) => {
-                    self.ended = true;
-                    None
-                }
-                Some(Err(error)) => Some(Err(broken_connection(error))),
-            },
-        }
+        let piece = self.answer.next_piece().await?;
+        Some(piece.map_err(HttpClientError::from))
     }
 
     /// Reads the complete body, up to `limit` bytes.
     pub async fn read_body(mut self, limit: u64) -> Result<Bytes, HttpClientError> {
-        let mut body = bytes::BytesMut::new();
+        let mut body = BytesMut::new();
         while let Some(piece) = self.next_piece().await {
             body.extend_from_slice(&piece?);
-            if body.len() as u64 > limit {
-                return Err(HttpClientError::TooLong { length: body.len() as u64 });
+            let length = body.len() as u64;
+            if length > limit {
+                return Err(HttpClientError::TooLong { length, limit });
             }
         }
         self.finish();
@@ -223,17 +166,6 @@
     /// Keeps the connection for the next request if the body was read completely and the server
     /// doesn't close the connection. Dropping the answer closes the connection instead.
     pub fn finish(self) {
-        let close = self
-            .head
-            .headers
-            .get(::http::header::CONNECTION)
-            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        if self.ended && !close {
-            self.client.keep_idle(self.codec);
-        }
+        self.answer.finish();
     }
 }
-
-fn broken_connection(error: impl Into<HttpError>) -> HttpClientError {
-    HttpClientError::Broken(error.into())
-}
--- a/crates/papayamux-transport/src/http/upstream/connection.rs
+++ b/crates/papayamux-transport/src/http/upstream/connection.rs
@@ -52,7 +52,7 @@
 }
 
 /// An open connection. Dropping it closes the socket immediately, even during an answer.
-pub(super) struct UpstreamConnection {
+pub(in crate::http) struct UpstreamConnection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     _open: oneshot::Sender<()>,
@@ -103,6 +103,11 @@
         })
     }
 
+    /// Returns the address of the server.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns the time that connecting took on the first call, then `None`.
     pub(super) fn take_connect_time(&mut self) -> Option<Duration> {
         self.connect_time.take()
--- a/crates/papayamux-transport/src/http/upstream/connection_pool.rs
+++ b/crates/papayamux-transport/src/http/upstream/connection_pool.rs
@@ -64,16 +64,40 @@
         address: SocketAddr,
         request: Request<Bytes>,
     ) -> Result<UpstreamAnswer, UpstreamError> {
-        if let Some(mut connection) = self.take(address) {
-            match connection.send(request.clone()).await {
-                Err(UpstreamError::NotSent { .. }) => {}
-                Err(error) => return Err(error),
-                Ok(response) => return Ok(self.answer(address, connection, response)),
-            }
+        match self.send_over_idle(address, request.clone()).await {
+            None | Some(Err(UpstreamError::NotSent { .. })) => {}
+            Some(outcome) => return outcome,
         }
-        let mut connection = UpstreamConnection::open(address, self.limits.connect_timeout).await?;
+        let connection = self.connect(address).await?;
+        self.send_over(connection, request).await
+    }
+
+    /// Sends a request once over a usable idle connection; `None` if there is none.
+    pub(in crate::http) async fn send_over_idle(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+    ) -> Option<Result<UpstreamAnswer, UpstreamError>> {
+        let connection = self.take(address)?;
+        Some(self.send_over(connection, request).await)
+    }
+
+    /// Opens a connection.
+    pub(in crate::http) async fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> Result<UpstreamConnection, UpstreamError> {
+        UpstreamConnection::open(address, self.limits.connect_timeout).await
+    }
+
+    /// Sends a request once over this connection.
+    pub(in crate::http) async fn send_over(
+        &self,
+        mut connection: UpstreamConnection,
+        request: Request<Bytes>,
+    ) -> Result<UpstreamAnswer, UpstreamError> {
         let response = connection.send(request).await?;
-        Ok(self.answer(address, connection, response))
+        Ok(UpstreamAnswer::new(self.clone(), connection, response))
     }
 
     /// Closes the idle connections to a server.
@@ -91,15 +115,6 @@
         });
     }
 
-    fn answer(
-        &self,
-        address: SocketAddr,
-        connection: UpstreamConnection,
-        response: http::Response<hyper::body::Incoming>,
-    ) -> UpstreamAnswer {
-        UpstreamAnswer::new(self.clone(), address, connection, response)
-    }
-
     fn take(&self, address: SocketAddr) -> Option<UpstreamConnection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
@@ -113,16 +128,11 @@
         Some(connections.remove(index))
     }
 
-    pub(super) fn put(
-        &self,
-        address: SocketAddr,
-        mut connection: UpstreamConnection,
-        announced: Option<Duration>,
-    ) {
+    pub(super) fn put(&self, mut connection: UpstreamConnection, announced: Option<Duration>) {
         connection.idle_since = Instant::now();
         connection.idle_timeout = announced.unwrap_or(self.limits.idle_timeout);
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.by_server.entry(address).or_default();
+        let connections = idle.by_server.entry(connection.address()).or_default();
         if connections.len() < self.limits.max_idle_per_server {
             connections.push(connection);
         }
--- a/crates/papayamux-transport/src/http/upstream/exchange.rs
+++ b/crates/papayamux-transport/src/http/upstream/exchange.rs
@@ -1,6 +1,5 @@
 //! An answer of a server whose body has not been read yet.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,24 +20,24 @@
 /// An answer. Dropping it before its end closes the connection, which tells the server to stop.
 pub struct UpstreamAnswer {
     pool: UpstreamPool,
-    address: SocketAddr,
     /// Status and headers.
     pub head: Parts,
     body: Incoming,
     connection: Option<UpstreamConnection>,
     connect_time: Option<Duration>,
+    /// `true` after the last piece was read without an error.
+    is_read: bool,
 }
 
 impl UpstreamAnswer {
     pub(super) fn new(
         pool: UpstreamPool,
-        address: SocketAddr,
         mut connection: UpstreamConnection,
         response: http::Response<Incoming>,
     ) -> Self {
         let (head, body) = response.into_parts();
         let connect_time = connection.take_connect_time();
-        Self { pool, address, head, body, connection: Some(connection), connect_time }
+        Self { pool, head, body, connection: Some(connection), connect_time, is_read: false }
     }
 
     /// Returns the time that connecting took, if a new connection was opened for this answer.
@@ -49,7 +48,11 @@
     /// Returns the next piece of the body, or `None` after the complete body.
     pub async fn next_piece(&mut self) -> Option<Result<Bytes, hyper::Error>> {
         loop {
-            let frame = match self.body.frame().await? {
+            let Some(frame) = self.body.frame().await else {
+                self.is_read = true;
+                return None;
+            };
+            let frame = match frame {
                 Ok(frame) => frame,
                 Err(error) => return Some(Err(error)),
             };
@@ -69,16 +72,19 @@
         self.body.is_end_stream()
     }
 
-    /// Returns the connection to the pool after the complete body was read. A connection that the
-    /// server wants to close is dropped.
+    /// Returns the connection to the pool if the complete body was read. A connection that the
+    /// server closes or wants to close is dropped.
     pub fn finish(mut self) {
         let Some(connection) = self.connection.take() else { return };
+        if !self.is_read || self.framing() == AnswerFraming::CloseDelimited {
+            return;
+        }
         let idle_timeout = match idle_time(&self.head.headers) {
             IdleTime::Close => return,
             IdleTime::Announced(time) => Some(time),
             IdleTime::Unspecified => None,
         };
-        self.pool.put(self.address, connection, idle_timeout);
+        self.pool.put(connection, idle_timeout);
     }
 }
 
