--- a/crates/papayamux-coordination/src/fleet_knowledge/server_change_log.rs
+++ b/crates/papayamux-coordination/src/fleet_knowledge/server_change_log.rs
@@ -216,5 +216,6 @@
 
 fn server_hash(server: &BackendServer) -> u64 {
     let draining = server.phase == ServerPhase::Draining;
-    xxh3_64(format!("{} {} {draining}", server.id, server.address).as_bytes())
+    let version = server.version_text();
+    xxh3_64(format!("{} {} {draining} {version}", server.id, server.address).as_bytes())
 }
--- a/crates/papayamux-coordination/tests/backend_servers/mod.rs
+++ b/crates/papayamux-coordination/tests/backend_servers/mod.rs
@@ -30,6 +30,7 @@
         domain: "here".parse().unwrap(),
         slots: 8,
         phase,
+        software: "v1".parse().ok(),
         cold_left: std::time::Duration::ZERO,
     }
 }
--- a/crates/papayamux-coordination/tests/fleet_knowledge/fleet.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/fleet.rs
@@ -120,6 +120,7 @@
         domain: "here".parse().unwrap(),
         slots: 4,
         phase: ServerPhase::Serving,
+        software: "v1".parse().ok(),
         cold_left: Duration::ZERO,
     }
 }
--- a/crates/papayamux-coordination/tests/fleet_knowledge/server_changes.rs
+++ b/crates/papayamux-coordination/tests/fleet_knowledge/server_changes.rs
@@ -26,6 +26,7 @@
         domain: "here".parse().unwrap(),
         slots: 16,
         phase,
+        software: "v1".parse().ok(),
         cold_left: std::time::Duration::ZERO,
     }
 }
--- a/crates/papayamux-protocol/src/fleet_update.rs
+++ b/crates/papayamux-protocol/src/fleet_update.rs
@@ -115,6 +115,9 @@
     /// If set, the server's entry is missing and may still be renewed.
     #[prost(bool, tag = "11")]
     expired: bool,
+    /// Version of the server's software; empty if unknown.
+    #[prost(string, tag = "12")]
+    software: String,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -213,6 +216,7 @@
             lingers: false,
             cold_ms: u32::try_from(server.cold_left.as_millis()).unwrap_or(u32::MAX),
             expired: false,
+            software: server.software.as_ref().map(ToString::to_string).unwrap_or_default(),
         }
     }
 }
@@ -234,6 +238,13 @@
                 .service
                 .parse()
                 .map_err(|error| invalid_part("service of a server")(&error))?,
+            software: match wire.software.as_str() {
+                "" => None,
+                text => Some(
+                    text.parse()
+                        .map_err(|error| invalid_part("software version of a server")(&error))?,
+                ),
+            },
             address,
             domain: wire
                 .domain
--- a/crates/papayamux-protocol/tests/fleet_view.rs
+++ b/crates/papayamux-protocol/tests/fleet_view.rs
@@ -89,6 +89,7 @@
         domain: format!("hall-{}", index % 5).parse().unwrap(),
         slots: 24,
         phase: ServerPhase::Serving,
+        software: "v1".parse().ok(),
         cold_left: Duration::ZERO,
     }
 }
--- a/crates/papayamux-protocol/tests/router_report.rs
+++ b/crates/papayamux-protocol/tests/router_report.rs
@@ -103,6 +103,7 @@
         domain: "hall-1".parse().unwrap(),
         slots: 16,
         phase: ServerPhase::Draining,
+        software: "v1".parse().ok(),
         cold_left: std::time::Duration::ZERO,
     })
 }
--- a/crates/papayamux-router/src/direct/call.rs
+++ b/crates/papayamux-router/src/direct/call.rs
@@ -46,6 +46,8 @@
     pub answer_tokens: TokenCount,
     /// The last event that the caller has received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The caller's attempt that brought the first event of the stream, if the caller resumes one.
+    pub resumes: Option<CallId>,
 }
 
 /// The reason that a request gets no answer of a backend server.
--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -269,9 +269,12 @@
     let chosen = active.chosen();
     let placement = chosen.placement;
     let source = chosen.fetch_from.as_ref().map_or("", |source| source.id.as_str());
+    let resumes = plan.call.resumes.as_ref().map_or("", |id| id.0.as_str());
     log::info!(
         request:% = plan.call.id, route:% = plan.route.id, service:% = plan.service,
-        server:% = active.server().id, status = status, configuration:% = configuration,
+        server:% = active.server().id, version = active.server().version_text(),
+        resumes = resumes, last_event = plan.call.last_event.unwrap_or_default(),
+        status = status, configuration:% = configuration,
         servers_age_ms = servers_age_ms, lost = plan.offers(), ms = ms, sent_ms = millis(active.age()),
         shared:% = prompt.shared_part(), held = placement.held.get(),
         known = placement.known.get(), home = placement.is_home, copied_from = source,
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -207,6 +207,7 @@
                     self.plan.fleet.metrics().streams.count("resumed");
                     log::info!(
                         request:% = self.plan.call.id, server:% = attempt.active.server().id,
+                        version = attempt.active.server().version_text(),
                         last_event = self.last_event.unwrap_or_default(); "stream goes on elsewhere"
                     );
                     self.splitter = Some(EventSplitter::default());
--- a/crates/papayamux-state/src/backend/backend_server.rs
+++ b/crates/papayamux-state/src/backend/backend_server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::ids::{FailureDomain, ServerId, ServerName, ServerStart, ServiceId};
+use crate::ids::{FailureDomain, ServerId, ServerName, ServerStart, ServiceId, SoftwareVersion};
 
 /// The lifecycle phase of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,6 +26,9 @@
     pub start: Option<ServerStart>,
     /// The service that the server belongs to.
     pub service: ServiceId,
+    /// The version of the server's software, if known. What servers of two versions write doesn't
+    /// fit together in one stream.
+    pub software: Option<SoftwareVersion>,
     /// The address on which the server listens. Another server may use it later.
     pub address: SocketAddr,
     /// The server's failure domain.
@@ -38,3 +41,10 @@
     /// the last renewal of its entry; zero if it is warm.
     pub cold_left: Duration,
 }
+
+impl BackendServer {
+    /// Returns the version of the server's software for logs; empty if unknown.
+    pub fn version_text(&self) -> &str {
+        self.software.as_ref().map_or("", SoftwareVersion::as_str)
+    }
+}
--- a/crates/papayamux-state/src/ids/mod.rs
+++ b/crates/papayamux-state/src/ids/mod.rs
@@ -12,7 +12,7 @@
 pub use server_start::ServerStart;
 pub use text::{
     AdapterId, ChatKey, FailureDomain, IdempotencyKey, ModelId, OrganisationId, Region, RouteId,
-    ServerId, ServerName, ServiceId,
+    ServerId, ServerName, ServiceId, SoftwareVersion,
 };
 
 use thiserror::Error;
