--- a/crates/papayamux-router/src/direct/call.rs
+++ b/crates/papayamux-router/src/direct/call.rs
@@ -99,6 +99,12 @@
     /// No server of the service is in a region where the request may run.
     #[error("no backend server is in a region where the request may run")]
     OutsideHomes,
+    /// No server of the service has the software version that began the stream to resume.
+    #[error("no backend server has the software version that began the stream")]
+    NoServerOfVersion,
+    /// The software version that began the stream to resume is unknown.
+    #[error("it is not known which software version began the stream")]
+    UnknownOrigin,
     /// Servers have just started and take no further requests for now.
     #[error("the backend servers have just started and take few requests")]
     Starting,
@@ -131,6 +137,8 @@
             NotRunReason::NoServer => "no_server",
             NotRunReason::Evacuated => "evacuated",
             NotRunReason::OutsideHomes => "outside_homes",
+            NotRunReason::NoServerOfVersion => "no_server_of_version",
+            NotRunReason::UnknownOrigin => "unknown_origin",
             NotRunReason::Starting => "starting",
             NotRunReason::Resting => "resting",
             NotRunReason::Full => "full",
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -14,6 +14,7 @@
 };
 use papayamux_coordination::service_queue::{request_work, CallerTime, FlowKey, QueuedRequest};
 use papayamux_coordination::service_retry_budget::RetryUsage;
+use papayamux_state::backend::BackendServer;
 use papayamux_state::crash_record::CrashRecord;
 use papayamux_state::ids::{OrganisationId, ServerId, ServiceId};
 use papayamux_state::quantities::TokenCount;
@@ -21,7 +22,7 @@
 use papayamux_state::service_config::{KeyHolder, RequestKind, Route};
 
 use super::attempt::LostAttempt;
-use super::fleet::{ChosenServer, RequestHomes};
+use super::fleet::{ChosenServer, ServerFilter, VersionRule};
 use super::interface::Dispatch;
 use super::{CallFailure, CallHead, Fleet, NotRunReason};
 
@@ -46,6 +47,7 @@
     tried: Vec<ServerId>,
     /// `true` if no server holds the shared part of the prompt.
     nobody_holds: bool,
+    versions: VersionRule,
 }
 
 impl CallPlan {
@@ -73,6 +75,7 @@
             history: AttemptHistory::default(),
             tried: Vec::new(),
             nobody_holds: false,
+            versions: VersionRule::Any,
         }
     }
 
@@ -187,8 +190,8 @@
         }
         self.check_quarantine()?;
         let call = &self.call;
-        let homes = self.homes();
-        match self.fleet.choose(&self.service, call, &self.tried, self.nobody_holds, homes) {
+        let filter = self.server_filter();
+        match self.fleet.choose(&self.service, call, &self.tried, self.nobody_holds, filter) {
             Some(chosen) if self.is_too_late(&chosen) => {
                 log::info!(
                     request:% = self.call.id, service:% = self.service,
@@ -211,15 +214,23 @@
         self.tried.pop();
     }
 
-    /// Returns the regions to which the request is restricted.
-    fn homes(&self) -> RequestHomes<'_> {
-        let organisation = self.holder.as_ref().map(|holder| &holder.homes);
-        RequestHomes { route: &self.route.homes, organisation }
+    /// Restricts further attempts to the version of the server whose events reach the caller.
+    pub(super) fn keep_version(&mut self, server: &BackendServer) {
+        self.versions = VersionRule::Began(server.software.clone());
+    }
+
+    /// Returns the servers to which the request is restricted.
+    fn server_filter(&self) -> ServerFilter<'_> {
+        ServerFilter {
+            route_homes: &self.route.homes,
+            organisation_homes: self.holder.as_ref().map(|holder| &holder.homes),
+            versions: &self.versions,
+        }
     }
 
     /// Refuses a request that no server accepts, regardless of how long it waits.
     pub(super) fn check_open(&self) -> Result<(), CallFailure> {
-        match self.fleet.closed_reason(&self.service, self.homes()) {
+        match self.fleet.closed_reason(&self.service, self.server_filter()) {
             Some(reason) => Err(self.failure(reason)),
             None => Ok(()),
         }
@@ -238,7 +249,7 @@
     }
 
     fn backoff_of_all(&self) -> Option<Duration> {
-        self.fleet.backoff_of_all(&self.service, self.homes(), Instant::now())
+        self.fleet.backoff_of_all(&self.service, self.server_filter(), Instant::now())
     }
 
     /// Returns the reason that no server, or no further one, is available for the request.
@@ -249,7 +260,7 @@
         if !self.tried.is_empty() {
             return NotRunReason::Rejected;
         }
-        let closed = self.fleet.closed_reason(&self.service, self.homes());
+        let closed = self.fleet.closed_reason(&self.service, self.server_filter());
         closed.unwrap_or(match self.fleet.has_cold_servers(&self.service) {
             true => NotRunReason::Starting,
             false => NotRunReason::NoServer,
@@ -378,6 +389,8 @@
             | NotRunReason::Full
             | NotRunReason::Evacuated
             | NotRunReason::OutsideHomes
+            | NotRunReason::NoServerOfVersion
+            | NotRunReason::UnknownOrigin
             | NotRunReason::Starting => Some(retry_delay(self.left(), rand::random())),
             _ => None,
         };
--- a/crates/papayamux-router/src/direct/fleet/choice.rs
+++ b/crates/papayamux-router/src/direct/fleet/choice.rs
@@ -12,7 +12,7 @@
 use papayamux_coordination::server_evidence::ServerStanding;
 use papayamux_coordination::server_profile::ServerSpeed;
 use papayamux_state::backend::{BackendServer, ServerPhase};
-use papayamux_state::ids::{ServerId, ServiceId};
+use papayamux_state::ids::{ServerId, ServiceId, SoftwareVersion};
 use papayamux_state::prompt::{PromptChain, WarmParts};
 use papayamux_state::quantities::TokenCount;
 use papayamux_state::service_config::{EngineProfile, HomeRegions};
@@ -25,13 +25,34 @@
 /// has a bound of its own.
 const UNKNOWN_CACHE_CAPACITY: TokenCount = TokenCount::new(u64::MAX);
 
-/// The regions to which a request is restricted, by its route and by its organisation.
+/// The software versions at which a request may run.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum VersionRule {
+    /// Any version: no event of the stream has reached the caller.
+    #[default]
+    Any,
+    /// The version that began the stream; `None` if it is unknown, so that no server qualifies.
+    Began(Option<SoftwareVersion>),
+}
+
+impl VersionRule {
+    fn admits(&self, server: &BackendServer) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Began(version) => version.is_some() && server.software == *version,
+        }
+    }
+}
+
+/// The servers to which a request is restricted.
 #[derive(Debug, Clone, Copy)]
-pub struct RequestHomes<'a> {
+pub struct ServerFilter<'a> {
     /// The home regions of the route.
-    pub route: &'a HomeRegions,
+    pub route_homes: &'a HomeRegions,
     /// The home regions of the organisation, if the request has a key.
-    pub organisation: Option<&'a HomeRegions>,
+    pub organisation_homes: Option<&'a HomeRegions>,
+    /// The software versions at which the request may run.
+    pub versions: &'a VersionRule,
 }
 
 /// The result of a server choice.
@@ -64,12 +85,12 @@
         call: &CallHead,
         tried: &[ServerId],
         nobody_holds: bool,
-        homes: RequestHomes<'_>,
+        filter: ServerFilter<'_>,
     ) -> Option<ChosenServer> {
         let now = Instant::now();
         let prompt = &call.prompt;
         let mut servers = self.candidate_servers(service, tried, now);
-        servers.retain(|server| self.is_home(server, homes));
+        servers.retain(|server| self.is_admitted(server, filter));
         let ranks = self.group_ranks(prompt, &servers, now);
         let candidates: Vec<_> = servers
             .iter()
@@ -177,17 +198,22 @@
     }
 
     /// Returns whether a request with these home regions may run at a server.
-    pub(super) fn is_home(&self, server: &BackendServer, homes: RequestHomes<'_>) -> bool {
+    pub(super) fn is_home(&self, server: &BackendServer, filter: ServerFilter<'_>) -> bool {
         let region = self.settings.regions.get(&server.domain);
-        homes.route.admit(region) && homes.organisation.is_none_or(|homes| homes.admit(region))
+        filter.route_homes.admit(region)
+            && filter.organisation_homes.is_none_or(|homes| homes.admit(region))
+    }
+
+    /// Returns whether a request may run at a server, if the server accepts requests.
+    pub(super) fn is_admitted(&self, server: &BackendServer, filter: ServerFilter<'_>) -> bool {
+        self.is_home(server, filter) && filter.versions.admits(server)
     }
 
-    /// Returns the reason that no server of a service takes a request with these home regions;
-    /// `None` if one may.
+    /// Returns the reason that no server of a service takes a request; `None` if one may.
     pub(in crate::direct) fn closed_reason(
         &self,
         service: &ServiceId,
-        homes: RequestHomes<'_>,
+        filter: ServerFilter<'_>,
     ) -> Option<NotRunReason> {
         let presence = self.presence.borrow();
         let servers = presence.catalog().of_service(service);
@@ -196,11 +222,15 @@
         };
         let mut serving = servers.filter(stays).peekable();
         serving.peek()?;
-        let mut at_home = serving.filter(|server| self.is_home(server, homes)).peekable();
+        let mut at_home = serving.filter(|server| self.is_home(server, filter)).peekable();
         if at_home.peek().is_none() {
             return Some(NotRunReason::OutsideHomes);
         }
-        let is_closed = at_home.all(|server| !self.takes_requests(server));
+        let mut admitted = at_home.filter(|server| filter.versions.admits(server)).peekable();
+        if admitted.peek().is_none() {
+            return Some(NotRunReason::NoServerOfVersion);
+        }
+        let is_closed = admitted.all(|server| !self.takes_requests(server));
         is_closed.then_some(NotRunReason::Evacuated)
     }
 
--- a/crates/papayamux-router/src/direct/fleet/mod.rs
+++ b/crates/papayamux-router/src/direct/fleet/mod.rs
@@ -17,7 +17,7 @@
 mod source_knowledge;
 mod view_adoption;
 
-pub use choice::{ChosenServer, RequestHomes};
+pub use choice::{ChosenServer, ServerFilter, VersionRule};
 pub(in crate::direct) use crash_records::CrashUpdate;
 pub use fleet_state::Fleet;
 pub(in crate::direct) use part_inquiries::PartInquiry;
--- a/crates/papayamux-router/src/direct/fleet/server_notices.rs
+++ b/crates/papayamux-router/src/direct/fleet/server_notices.rs
@@ -5,7 +5,7 @@
 use papayamux_state::backend::{BackendServer, ServerNotice};
 use papayamux_state::ids::ServiceId;
 
-use super::{Fleet, RequestHomes};
+use super::{Fleet, ServerFilter};
 
 impl Fleet {
     /// Records the notice in an answer of a server.
@@ -37,13 +37,13 @@
     pub(in crate::direct) fn backoff_of_all(
         &self,
         service: &ServiceId,
-        homes: RequestHomes<'_>,
+        filter: ServerFilter<'_>,
         now: Instant,
     ) -> Option<Duration> {
         let (presence, notices) = (self.presence.borrow(), self.notices.borrow());
         let servers = presence.catalog().of_service(service);
         let open = servers.filter(|server| self.takes_requests(server));
-        let open = open.filter(|server| self.is_home(server, homes));
+        let open = open.filter(|server| self.is_admitted(server, filter));
         let backoffs = open.map(|server| notices.backoff_left(&server.id, now));
         backoffs.min_by_key(|backoff| backoff.unwrap_or_default()).flatten()
     }
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -62,11 +62,12 @@
     /// Forwards a stream of events.
     pub(super) fn events(
         interface: Rc<dyn CallInterface>,
-        plan: CallPlan,
+        mut plan: CallPlan,
         attempt: AttemptAnswer,
         in_flight: InFlight,
     ) -> Self {
         let last_event = plan.call.last_event;
+        plan.keep_version(attempt.active.server());
         Self {
             interface,
             plan,
