--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -43,4 +43,5 @@
 pub mod service_queue;
 pub mod service_retry_budget;
 pub mod source_polling;
+pub mod stream_origins;
 pub mod usual_deadline;
--- a/crates/papayamux-daemon/src/metrics.rs
+++ b/crates/papayamux-daemon/src/metrics.rs
@@ -22,6 +22,11 @@
         self.0.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Adds `count` to the counter of `reason`.
+    pub fn count_many(&self, reason: &'static str, count: u64) {
+        self.0.get_or_create(&ReasonLabel { reason }).inc_by(count);
+    }
+
     /// Returns the count of `reason`.
     pub fn get(&self, reason: &'static str) -> u64 {
         self.0.get_or_create(&ReasonLabel { reason }).get()
--- a/crates/papayamux-protocol/src/fleet_update.rs
+++ b/crates/papayamux-protocol/src/fleet_update.rs
@@ -115,9 +115,9 @@
     /// If set, the server's entry is missing and may still be renewed.
     #[prost(bool, tag = "11")]
     expired: bool,
-    /// Version of the server's software; empty if unknown.
-    #[prost(string, tag = "12")]
-    software: String,
+    /// Version of the server's software.
+    #[prost(string, optional, tag = "12")]
+    software: Option<String>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -216,7 +216,7 @@
             lingers: false,
             cold_ms: u32::try_from(server.cold_left.as_millis()).unwrap_or(u32::MAX),
             expired: false,
-            software: server.software.as_ref().map(ToString::to_string).unwrap_or_default(),
+            software: server.software.as_ref().map(ToString::to_string),
         }
     }
 }
@@ -238,13 +238,11 @@
                 .service
                 .parse()
                 .map_err(|error| invalid_part("service of a server")(&error))?,
-            software: match wire.software.as_str() {
-                "" => None,
-                text => Some(
-                    text.parse()
-                        .map_err(|error| invalid_part("software version of a server")(&error))?,
-                ),
-            },
+            software: wire
+                .software
+                .map(|text| text.parse())
+                .transpose()
+                .map_err(|error| invalid_part("software version of a server")(&error))?,
             address,
             domain: wire
                 .domain
--- a/crates/papayamux-protocol/src/lib.rs
+++ b/crates/papayamux-protocol/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet_view;
 pub mod headers;
 pub mod link;
+pub mod origin_notices;
 pub mod part_inquiry;
 pub mod peer;
 pub mod platform;
--- a/crates/papayamux-protocol/src/router_report.rs
+++ b/crates/papayamux-protocol/src/router_report.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use papayamux_state::crash_record::CrashNotice;
-use papayamux_state::ids::ServerKey;
+use papayamux_state::ids::{IdError, ServerKey};
 use papayamux_state::prompt::{PartId, PromptPart};
 use papayamux_state::quantities::TokenCount;
 use prost::Message;
@@ -13,6 +13,10 @@
 
 use crate::crash_notices::CrashNoticesWire;
 use crate::fleet_update::{FleetUpdate, FollowRequest, FollowWire, NewsWire, UpdateError};
+use crate::origin_notices::{
+    group_notices, ungroup_notices, OriginAnswer, OriginAnswerWire, OriginNotice,
+    OriginNoticesWire, OriginQuery, OriginQueryWire,
+};
 use crate::part_inquiry::{PartAnswer, PartAnswerWire, PartQuery, PartQuestionWire};
 
 /// The load of one router's requests on a server.
@@ -111,6 +115,12 @@
     pub part_answer: Option<PartAnswer>,
     /// Records of requests under which servers crashed.
     pub crashes: Vec<CrashNotice>,
+    /// Streams that have begun, sent to the owners of their keys.
+    pub origins: Vec<OriginNotice>,
+    /// A query for the origin of a stream.
+    pub origin_query: Option<OriginQuery>,
+    /// The answer to such a query.
+    pub origin_answer: Option<OriginAnswer>,
     /// The number of routers that the sender knew of recently, including itself; 0 if not reported.
     pub counted: u32,
     /// `true` if the report carries no loads because it is sent ahead of the next complete report.
@@ -126,6 +136,9 @@
     /// The update from the source is malformed.
     #[error(transparent)]
     News(#[from] UpdateError),
+    /// The origin of a stream is malformed.
+    #[error("malformed origin of a stream: {0}")]
+    Origin(#[from] IdError),
 }
 
 /// Loads in columns, which take 7 bytes per server instead of 12 as separate messages.
@@ -222,6 +235,12 @@
     crashes: Option<CrashNoticesWire>,
     #[prost(uint32, tag = "20")]
     counted: u32,
+    #[prost(message, repeated, tag = "21")]
+    origins: Vec<OriginNoticesWire>,
+    #[prost(message, optional, tag = "22")]
+    origin_query: Option<OriginQueryWire>,
+    #[prost(message, optional, tag = "23")]
+    origin_answer: Option<OriginAnswerWire>,
 }
 
 impl From<&[ReportedLoad]> for LoadsWire {
@@ -372,6 +391,9 @@
             part_question: report.part_question.map(PartQuestionWire::from),
             part_answer: report.part_answer.as_ref().map(PartAnswerWire::from),
             crashes: (!crashes.is_empty()).then(|| CrashNoticesWire::from(crashes)),
+            origins: group_notices(&report.origins),
+            origin_query: report.origin_query.map(OriginQueryWire::from),
+            origin_answer: report.origin_answer.as_ref().map(OriginAnswerWire::from),
         }
     }
 }
@@ -398,6 +420,9 @@
             part_question: wire.part_question.map(PartQuery::from),
             part_answer: wire.part_answer.map(PartAnswer::from),
             crashes: wire.crashes.map(Vec::from).unwrap_or_default(),
+            origins: ungroup_notices(wire.origins)?,
+            origin_query: wire.origin_query.map(OriginQuery::from),
+            origin_answer: wire.origin_answer.map(OriginAnswer::try_from).transpose()?,
         })
     }
 }
--- a/crates/papayamux-protocol/tests/router_report.rs
+++ b/crates/papayamux-protocol/tests/router_report.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use papayamux_protocol::fleet_update::{FleetUpdate, FollowRequest, ServerUpdate, UpdateSpan};
+use papayamux_protocol::origin_notices::{OriginAnswer, OriginNotice, OriginQuery};
 use papayamux_protocol::part_inquiry::{PartAnswer, PartHolder, PartQuery};
 use papayamux_protocol::router_report::{
     ReportedConfiguration, ReportedHolder, ReportedListing, ReportedLoad, ReportedPrefill,
@@ -18,10 +19,36 @@
 use papayamux_state::quantities::TokenCount;
 use papayamux_state::request_fingerprint::RequestFingerprint;
 use papayamux_state::source::{SourceEra, SourcePosition};
+use papayamux_state::stream_origin::{StreamKey, StreamOrigin};
 
 /// The number of inputs per property, at least as many as a debug build handles in one second.
 const GENERATED_INPUTS: usize = 250_000;
 
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin { service: "chat".parse().unwrap(), version: version.parse().unwrap() }
+}
+
+fn notice(key: u64, version: &str) -> OriginNotice {
+    OriginNotice { key: StreamKey(key), origin: origin(version) }
+}
+
+/// Two routers are notified of each stream.
+#[test]
+fn origin_notices_are_short() {
+    let bytes = |streams: u64| {
+        let origins = (0..streams).map(|key| notice(u64::MAX - key, "2026.11.4-rc1")).collect();
+        let report = RouterReport {
+            sequence: 100_000,
+            origins,
+            is_partial: true,
+            ..RouterReport::default()
+        };
+        report.encode().len()
+    };
+    assert!(bytes(1) <= 48, "{}", bytes(1));
+    assert_eq!(bytes(11) - bytes(1), 80);
+}
+
 #[test]
 fn report_round_trips() {
     let report = RouterReport {
@@ -69,6 +96,9 @@
             ],
             is_sure: true,
         }),
+        origins: vec![notice(u64::MAX, "v1"), notice(0, "v1"), notice(1, "v1.1")],
+        origin_query: Some(OriginQuery { number: 10, key: StreamKey(u64::MAX) }),
+        origin_answer: Some(OriginAnswer { number: 11, origin: Some(origin("")) }),
         crashes: vec![
             CrashNotice {
                 fingerprint: RequestFingerprint(u64::MAX),
--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -91,6 +91,7 @@
             CallPlan::new(fleet, call, admitted.route, service, admitted.holder, arrived);
         plan.body = read_body(body, admitted.max_body_bytes, plan.left()).await?;
         plan.check_quarantine()?;
+        plan.keep_origin().await?;
         plan.check_open()?;
         let in_flight = InFlight::begin(&self.fleet);
         self.fleet.budget().borrow_mut().record_request(&plan.service, Instant::now());
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -20,11 +20,12 @@
 use papayamux_state::quantities::TokenCount;
 use papayamux_state::request_fingerprint::{RequestContent, RequestFingerprint};
 use papayamux_state::service_config::{KeyHolder, RequestKind, Route};
+use papayamux_state::stream_origin::{StreamKey, StreamOrigin};
 
 use super::attempt::LostAttempt;
 use super::fleet::{ChosenServer, ServerFilter, VersionRule};
 use super::interface::Dispatch;
-use super::{CallFailure, CallHead, Fleet, NotRunReason};
+use super::{CallFailure, CallHead, CallId, Fleet, NotRunReason};
 
 /// Remaining time below which a further attempt is pointless: a round trip to the server.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(4);
@@ -214,6 +215,44 @@
         self.tried.pop();
     }
 
+    /// Restricts a request that resumes a stream to the service and the software version that began
+    /// it. Refuses the request if they are unknown.
+    pub(super) async fn keep_origin(&mut self) -> Result<(), CallFailure> {
+        if self.call.last_event.is_none() || !self.kind().is_stream() {
+            return Ok(());
+        }
+        let origin = match &self.call.resumes {
+            Some(id) => self.find_origin(id).await,
+            None => self.fleet.sole_origin(&self.service),
+        };
+        let Some(origin) = origin.filter(|origin| self.route.has_service(&origin.service)) else {
+            return Err(self.failure(NotRunReason::UnknownOrigin));
+        };
+        self.service = origin.service;
+        self.versions = VersionRule::Began(Some(origin.version));
+        Ok(())
+    }
+
+    async fn find_origin(&self, began_by: &CallId) -> Option<StreamOrigin> {
+        let found = self.fleet.find_origin(self.stream_key(began_by), self.left()).await;
+        let has_one_service = self.route.shares.len() == 1;
+        found.or_else(|| has_one_service.then(|| self.fleet.certain_origin(&self.service))?)
+    }
+
+    fn stream_key(&self, began_by: &CallId) -> StreamKey {
+        StreamKey::of_attempt(self.organisation(), &began_by.0)
+    }
+
+    /// Records that the first event of the stream is about to reach the caller, who may resume the
+    /// stream from then on.
+    pub(super) fn record_stream_begin(&self, server: &BackendServer) {
+        let resumable = RequestKind::Stream { resumable: true };
+        let begins = self.kind() == resumable && self.call.last_event.is_none();
+        if begins && !self.call.id.0.is_empty() {
+            self.fleet.record_stream_begin(self.stream_key(&self.call.id), server);
+        }
+    }
+
     /// Restricts further attempts to the version of the server whose events reach the caller.
     pub(super) fn keep_version(&mut self, server: &BackendServer) {
         self.versions = VersionRule::Began(server.software.clone());
--- a/crates/papayamux-router/src/direct/fleet/fleet_state.rs
+++ b/crates/papayamux-router/src/direct/fleet/fleet_state.rs
@@ -37,6 +37,7 @@
 use super::queued_requests::QueueTicket;
 use super::server_checks::ServerChecks;
 use super::source_knowledge::SourceKnowledge;
+use super::stream_origins::StreamOrigins;
 use super::view_adoption::ViewHandover;
 use crate::direct::attempt_watch::AttemptWatch;
 use crate::direct::{DirectMetrics, FleetSettings};
@@ -81,6 +82,7 @@
     pub(super) prefills: RefCell<Vec<PrefillUpdate>>,
     pub(super) prefill_begun: RefCell<ShutdownSignal>,
     pub(super) outbox: OwnerOutbox,
+    pub(super) origins: StreamOrigins,
     pub(super) checks: ServerChecks,
     pub(super) quarantine: RefCell<CrashQuarantine>,
     pub(super) crash_recorded: RefCell<ShutdownSignal>,
@@ -143,6 +145,7 @@
             prefills: RefCell::default(),
             prefill_begun: RefCell::default(),
             outbox: OwnerOutbox::default(),
+            origins: StreamOrigins::new(Instant::now()),
             checks: ServerChecks::default(),
             quarantine: RefCell::default(),
             crash_recorded: RefCell::default(),
--- a/crates/papayamux-router/src/direct/fleet/known_servers.rs
+++ b/crates/papayamux-router/src/direct/fleet/known_servers.rs
@@ -191,9 +191,11 @@
             }
             PresenceChange::Arrived => {
                 self.close_idle_connections(id);
-                let server = self.presence.borrow().catalog().get(id).cloned();
-                let version = server.as_ref().map_or("", |server| server.version_text());
-                log::info!(server:% = id, version = version; "server is there");
+                let Some(server) = self.presence.borrow().catalog().get(id).cloned() else {
+                    return;
+                };
+                self.record_version(&server);
+                log::info!(server:% = id, version = server.version_text(); "server is there");
             }
             PresenceChange::Draining => log::info!(server:% = id; "server is draining"),
             PresenceChange::Expired => log::info!(server:% = id; "server's entry has lapsed"),
--- a/crates/papayamux-router/src/direct/fleet/mod.rs
+++ b/crates/papayamux-router/src/direct/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod server_checks;
 mod server_notices;
 mod source_knowledge;
+mod stream_origins;
 mod view_adoption;
 
 pub use choice::{ChosenServer, ServerFilter, VersionRule};
@@ -23,3 +24,4 @@
 pub(in crate::direct) use part_inquiries::PartInquiry;
 pub(in crate::direct) use part_prefills::{OwnPrefill, PrefillUpdate};
 pub(in crate::direct) use requests::EndedRequest;
+pub(in crate::direct) use stream_origins::OriginInquiry;
--- a/crates/papayamux-router/src/direct/fleet/requests.rs
+++ b/crates/papayamux-router/src/direct/fleet/requests.rs
@@ -204,6 +204,7 @@
         self.quarantine.borrow_mut().forget_old(now);
         self.update_router_count(now);
         self.update_cold_servers(now);
+        self.update_origins(now);
         for LinkChange { domain, excess } in self.links.borrow_mut().changes(now) {
             log::info!(domain:% = domain, held_up = excess; "link holds messages up");
         }
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -89,6 +89,10 @@
     /// Queries to the owners of shared parts by result: `found`, `nobody`, `unknown` or
     /// `unanswered`.
     pub part_inquiries: ReasonCounters,
+    /// Origins of streams that callers resume: `known` here, `found` at an owner, `sole_version` where
+    /// only one version has served, `unknown` or `unanswered`; besides `evicted` origins and notices
+    /// that were not sent (`notice_dropped`).
+    pub stream_origins: ReasonCounters,
     /// Probes of servers after a connection to them broke, by result: `refused`, `accepted` or
     /// `unanswered`.
     pub server_checks: ReasonCounters,
@@ -129,6 +133,7 @@
             cold_requests: ReasonCounters::default(),
             report_bytes: Counter::default(),
             part_inquiries: ReasonCounters::default(),
+            stream_origins: ReasonCounters::default(),
             server_checks: ReasonCounters::default(),
             server_notices: ReasonCounters::default(),
             crash_records: ReasonCounters::default(),
@@ -204,6 +209,8 @@
         registry.register("report_bytes", "Bytes of reports to other routers", bytes);
         let inquiries = self.part_inquiries.0.clone();
         registry.register("part_inquiries", "Questions about who holds a part", inquiries);
+        let origins = self.stream_origins.0.clone();
+        registry.register("stream_origins", "Origins of streams that callers resume", origins);
         let checks = self.server_checks.0.clone();
         registry.register("server_checks", "Servers probed after a connection broke", checks);
         let notices = self.server_notices.0.clone();
--- a/crates/papayamux-router/src/direct/peers/exchange.rs
+++ b/crates/papayamux-router/src/direct/peers/exchange.rs
@@ -27,6 +27,7 @@
 use papayamux_state::service_config::ConfigVersion;
 use papayamux_transport::boot_clock::boot_now;
 
+use super::origin_exchange::OriginExchange;
 use super::owner_queries::OpenQuery;
 use crate::direct::fleet::PrefillUpdate;
 use crate::direct::Fleet;
@@ -68,6 +69,7 @@
     pub(super) last_query_number: Cell<u64>,
     pub(super) open_queries: RefCell<HashMap<u64, OpenQuery>>,
     pub(super) silent_owners: RefCell<SilentOwners>,
+    pub(super) origins: OriginExchange,
 }
 
 impl PeerExchange {
@@ -91,6 +93,7 @@
             last_query_number: Cell::new(0),
             open_queries: RefCell::default(),
             silent_owners: RefCell::default(),
+            origins: OriginExchange::default(),
         });
         monoio::spawn(exchange.clone().receive());
         monoio::spawn(exchange.clone().report());
@@ -99,6 +102,8 @@
         monoio::spawn(exchange.clone().send_updates());
         monoio::spawn(exchange.clone().send_to_owners());
         monoio::spawn(exchange.clone().announce_crashes());
+        monoio::spawn(exchange.clone().notify_origin_owners());
+        monoio::spawn(exchange.clone().search_origins());
         match papayamux_transport::listen::listen(listen) {
             Ok(listener) => {
                 monoio::spawn(exchange.clone().serve_views(listener));
@@ -169,6 +174,14 @@
             }
         };
         let now = Instant::now();
+        // Reports that overtake one another on the way don't outdate these.
+        self.fleet.record_origin_notices(&report.origins, now);
+        if let Some(query) = report.origin_query {
+            self.answer_origin_query(sender, query);
+        }
+        if let Some(answer) = report.origin_answer {
+            self.receive_origin_answer(sender, answer);
+        }
         let update =
             PeerUpdate { sequence: report.sequence, known: &report.known, fresh: report.fresh };
         let newer = self.peers.borrow_mut().record_update(sender, update, now);
@@ -351,14 +364,9 @@
             fresh: now.saturating_duration_since(self.started) < FRESH_DURATION,
             question,
             configuration: self.next_answers(now),
-            readings: Vec::new(),
-            follow: None,
-            news: None,
-            part_question: None,
-            part_answer: None,
             crashes: self.fleet.next_held_requests(now),
             counted: self.fleet.counted_routers(),
-            is_partial: false,
+            ..RouterReport::default()
         }
     }
 
--- a/crates/papayamux-router/src/direct/peers/mod.rs
+++ b/crates/papayamux-router/src/direct/peers/mod.rs
@@ -2,6 +2,7 @@
 
 mod crash_updates;
 mod exchange;
+mod origin_exchange;
 mod owner_queries;
 mod source_updates;
 mod view_transfer;
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -153,8 +153,11 @@
             }
             self.last_event = Some(last);
         }
-        self.has_events = true;
+        let is_first = !std::mem::replace(&mut self.has_events, true);
         if let Some(attempt) = &mut self.attempt {
+            if is_first {
+                self.plan.record_stream_begin(attempt.active.server());
+            }
             attempt
                 .active
                 .record_events(ids.map_or(1, |(first, last)| last.saturating_sub(first) + 1));
--- a/crates/papayamux-state/src/ids/text.rs
+++ b/crates/papayamux-state/src/ids/text.rs
@@ -50,14 +50,13 @@
 
 fn validate_version(text: &str) -> Result<String, IdError> {
     match text.len() {
-        0 => Err(IdError::Empty),
         length if length > MAX_ID_BYTES => Err(IdError::TooLong { length, limit: MAX_ID_BYTES }),
         _ => Ok(text.to_string()),
     }
 }
 
 crate::text_newtype!(
-    /// The version of a server's software. Versions are compared for equality only: they have no order.
+    /// The version of a server's software, any text. Versions are compared for equality only: they have no order.
     SoftwareVersion,
     IdError,
     validate_version
--- a/crates/papayamux-state/src/lib.rs
+++ b/crates/papayamux-state/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod request_fingerprint;
 pub mod service_config;
 pub mod source;
+pub mod stream_origin;
 pub mod text_newtype;
 pub mod weights;
--- a/crates/papayamux-state/src/service_config/route.rs
+++ b/crates/papayamux-state/src/service_config/route.rs
@@ -40,6 +40,11 @@
 }
 
 impl Route {
+    /// Returns whether requests may go to a service.
+    pub fn has_service(&self, service: &ServiceId) -> bool {
+        self.shares.iter().any(|share| share.service == *service)
+    }
+
     /// Returns the service for a request, chosen by weight with the random number `sample` in the
     /// range 0 (inclusive) to 1 (exclusive).
     pub fn pick_service(&self, sample: f64) -> Option<&ServiceId> {
