--- a/crates/papayamux-coordination/tests/stream_origins.rs
+++ b/crates/papayamux-coordination/tests/stream_origins.rs
@@ -57,7 +57,10 @@
     for key in 0..40_000 {
         table.record(StreamKey(key), &origin(key % 3), now);
     }
-    assert_eq!((table.len(), table.take_evicted(), table.take_evicted()), (32_768, 7_232, 0));
+    assert_eq!(
+        (table.len() as u64, table.take_evicted(), table.take_evicted()),
+        (MAX_ORIGINS, 7_232, 0)
+    );
     assert_eq!((begun(&table, 7_231), begun(&table, 7_232)), (None, Some(origin(7_232 % 3))));
 }
 
@@ -121,6 +124,8 @@
 const NOTICE_DELAY_MS: u64 = 20;
 /// Share of the datagrams that are lost.
 const LOSS: f64 = 0.01;
+/// Maximum number of origins that a router keeps.
+const MAX_ORIGINS: u64 = 32_768;
 /// Budget of a router for all control traffic.
 const MAX_CONTROL_BYTES_PER_SECOND: u64 = 20_000;
 /// Size of a datagram with one notice, a query or an answer, with its UDP and IP headers.
@@ -343,6 +348,8 @@
     let result = Replay::new(count, restarting, count as u64).run();
     println!("{count} routers, {restarting} restart: {result:?}");
     assert!(result.p99_ms < 15, "{result:?}");
+    let per_lifetime = result.most_origins as u64 * ORIGIN_TTL.as_millis() as u64 / RESTART_MS;
+    assert!(per_lifetime <= MAX_ORIGINS, "{result:?}");
     assert!(result.bytes_per_second < MAX_CONTROL_BYTES_PER_SECOND, "{result:?}");
     result
 }
