--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -226,6 +226,12 @@
             None => self.fleet.sole_origin(&self.service),
         };
         let Some(origin) = origin.filter(|origin| self.route.has_service(&origin.service)) else {
+            log::info!(
+                request:% = self.call.id, service:% = self.service,
+                resumes = self.call.resumes.as_ref().map_or("", |id| id.0.as_str()),
+                last_event = self.call.last_event.unwrap_or_default();
+                "origin of the stream is unknown"
+            );
             return Err(self.failure(NotRunReason::UnknownOrigin));
         };
         self.service = origin.service;
