--- a/crates/papayamux-measure/src/soak/checks.rs
+++ b/crates/papayamux-measure/src/soak/checks.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use super::history::{CallRecord, CallResult, RunRecord, SoakHistory, Subject};
+use super::history::{CallRecord, CallResult, RunRecord, SoakHistory, StreamRecord, Subject};
 use super::servers::FOREIGN_SERVICE;
 
 /// Bounds written into the routers' settings.
@@ -32,6 +32,8 @@
 /// request may then reach servers at most `MAX_LATE_RUNS` more times.
 const CRASH_REPORT_TIMEOUT: Duration = Duration::from_secs(3);
 const MAX_LATE_RUNS: usize = 3;
+/// Fewer resumed streams show nothing about the share that goes on.
+const MIN_RESUMED: usize = 12;
 /// Every request must be served from this long after the last disturbance.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -62,6 +64,10 @@
     Recovery,
     /// A request that crashes servers is kept away from the remaining ones.
     CrashesEnd,
+    /// No stream holds events of two software versions.
+    OneVersion,
+    /// Most streams that callers resume go on.
+    StreamsGoOn,
     /// Entries that other writers put into the server list receive no requests.
     ForeignUnused,
 }
@@ -116,9 +122,19 @@
     violations.extend(checked.check_stuck());
     violations.extend(checked.check_budget());
     violations.extend(checked.check_rising());
+    violations.extend(history.streams.iter().filter_map(check_versions));
+    violations.extend(checked.check_resumed());
     violations
 }
 
+fn check_versions(stream: &StreamRecord) -> Option<Violation> {
+    if stream.versions.len() <= 1 {
+        return None;
+    }
+    let seen = format!("stream {} holds events of {:?}", stream.began_by, stream.versions);
+    broken(Promise::OneVersion, seen)
+}
+
 fn broken(promise: Promise, seen: String) -> Option<Violation> {
     Some(Violation { promise, seen })
 }
@@ -342,6 +358,31 @@
         violations.collect()
     }
 
+    /// Checks that at least half of the streams go on that are resumed at calm routers while two
+    /// servers of their version are listed.
+    fn check_resumed(&self) -> Option<Violation> {
+        let may_go_on = |stream: &&StreamRecord| {
+            let CallRecord { router, sent, ended, .. } = stream.resumed;
+            let listed = self.history.listings.iter().filter(|listing| {
+                stream.versions.contains(&listing.version)
+                    && listing.from <= sent
+                    && listing.until.is_none_or(|until| until >= ended)
+            });
+            let before = sent.saturating_sub(UNDISTURBED_BEFORE);
+            listed.count() >= 2
+                && self.knows_the_store(router, sent, ended)
+                && self.history.is_calm(Subject::Servers, before, ended)
+        };
+        let resumed: Vec<_> = self.history.streams.iter().filter(may_go_on).collect();
+        let went_on = |stream: &&&StreamRecord| stream.resumed.result == CallResult::Served;
+        let went_on = resumed.iter().filter(went_on).count();
+        if resumed.len() < MIN_RESUMED || went_on * 2 >= resumed.len() {
+            return None;
+        }
+        let seen = format!("{went_on} of {} resumed streams went on", resumed.len());
+        broken(Promise::StreamsGoOn, seen)
+    }
+
     fn check_budget(&self) -> Option<Violation> {
         let mut repeats = Vec::new();
         for runs in self.runs.values() {
--- a/crates/papayamux-measure/src/soak/fault_kind.rs
+++ b/crates/papayamux-measure/src/soak/fault_kind.rs
@@ -81,6 +81,10 @@
     /// others on request.
     pub const OF_RESTORES: [FaultKind; 2] = [FaultKind::RestoreStore, FaultKind::DrainServer];
 
+    /// Rollouts, and routers whose streams callers then resume elsewhere; scheduled in addition to the others on
+    /// request.
+    pub const OF_ROLLOUTS: [FaultKind; 2] = [FaultKind::DrainServer, FaultKind::KillRouter];
+
     /// Returns whether the fault is planned work by the operator, which has no duration.
     pub fn is_order(self) -> bool {
         matches!(
@@ -139,6 +143,14 @@
     merge(faults, seed ^ RESTORE_SERIES, length, &FaultKind::OF_RESTORES)
 }
 
+/// Separates the random sequence of rollouts from that of the other faults.
+const ROLLOUT_SERIES: u64 = 0x726f_6c6c_6f75_7473;
+
+/// Adds rollouts, and routers that are killed about that time, to the faults of a seed.
+pub fn add_rollouts(faults: Vec<PlannedFault>, seed: u64, length: Duration) -> Vec<PlannedFault> {
+    merge(faults, seed ^ ROLLOUT_SERIES, length, &FaultKind::OF_ROLLOUTS)
+}
+
 fn merge(
     mut faults: Vec<PlannedFault>,
     seed: u64,
--- a/crates/papayamux-measure/src/soak/fleet.rs
+++ b/crates/papayamux-measure/src/soak/fleet.rs
@@ -42,9 +42,10 @@
         store: &StoreStandIn,
         run_log: &RunLog,
         service: &str,
+        version: &str,
         id: &str,
     ) -> Result<Self, TestbedError> {
-        let server = start_server(id, service, run_log);
+        let server = start_server(id, service, version, run_log);
         let link = LinkControl::start(server.address)?;
         let started = Self { server, link, starts: 1, is_direct: run_log.may_crash(service) };
         started.list(store, false)?;
--- a/crates/papayamux-measure/src/soak/history.rs
+++ b/crates/papayamux-measure/src/soak/history.rs
@@ -1,5 +1,6 @@
 //! Observations of callers, servers and the operator on one shared clock.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// How often a request may run and the form of its answer.
@@ -82,6 +83,28 @@
     pub at: Duration,
 }
 
+/// A stream as its caller received it, over all attempts.
+#[derive(Debug, Clone)]
+pub struct StreamRecord {
+    /// Identifier of the attempt that began it.
+    pub began_by: String,
+    /// Software versions of the servers that wrote its events.
+    pub versions: BTreeSet<String>,
+    /// The attempt that resumed it.
+    pub resumed: CallRecord,
+}
+
+/// A time span in which an engine was listed as accepting requests.
+#[derive(Debug, Clone)]
+pub struct ListingRecord {
+    /// The engine's software version.
+    pub version: String,
+    /// Start of the span.
+    pub from: Duration,
+    /// End of the span; `None` if it lasted to the end of the soak.
+    pub until: Option<Duration>,
+}
+
 /// A configuration that the operator wrote.
 #[derive(Debug, Clone)]
 pub struct ConfigurationRecord {
@@ -141,6 +164,10 @@
     pub fatal_calls: Vec<CallRecord>,
     /// Runs of that request, each of which crashed an engine.
     pub fatal_runs: Vec<RunRecord>,
+    /// Streams that callers resumed.
+    pub streams: Vec<StreamRecord>,
+    /// Listings of engines.
+    pub listings: Vec<ListingRecord>,
     /// Time when the last disturbance was over.
     pub calm_from: Duration,
 }
--- a/crates/papayamux-measure/src/soak/injector.rs
+++ b/crates/papayamux-measure/src/soak/injector.rs
@@ -8,7 +8,7 @@
 
 use super::fault_kind::{FaultKind, PlannedFault};
 use super::fleet::{SoakFleet, SoakServer};
-use super::history::{ConfigurationRecord, DisturbanceRecord, SoakHistory, Subject};
+use super::history::{ConfigurationRecord, DisturbanceRecord, ListingRecord, SoakHistory, Subject};
 
 /// Delay of a slow link: longer than a retransmission, shorter than the silence that connections
 /// tolerate.
@@ -40,12 +40,35 @@
     open: Vec<OpenFault>,
     draining_servers: Vec<(SoakServer, Duration)>,
     replaced: u32,
+    /// `true` if a replacement has another software version than the server before it.
+    versions: bool,
+}
+
+/// Number of software versions that replacements take in turn.
+const VERSIONS: usize = 3;
+
+/// Returns the name of a software version.
+pub(super) fn version_name(index: usize) -> String {
+    format!("v{index}")
+}
+
+/// Returns the version that follows `version` in a rollout.
+fn next_version(version: &str) -> String {
+    let names = (0..VERSIONS).map(version_name);
+    let index = names.into_iter().position(|name| name == version).unwrap_or_default();
+    version_name((index + 1) % VERSIONS)
 }
 
 impl FaultInjector {
     /// Creates an injector and writes the first configuration into the store.
-    pub(super) fn new(fleet: SoakFleet, draft: ConfigurationDraft) -> Self {
-        let history = SoakHistory::default();
+    pub(super) fn new(fleet: SoakFleet, draft: ConfigurationDraft, versions: bool) -> Self {
+        let engines = fleet.servers.iter().filter(|server| server.server.service() == "llm");
+        let listings = engines.map(|engine| ListingRecord {
+            version: engine.server.version().to_string(),
+            from: Duration::ZERO,
+            until: None,
+        });
+        let history = SoakHistory { listings: listings.collect(), ..SoakHistory::default() };
         let mut injector = Self {
             fleet,
             history,
@@ -53,6 +76,7 @@
             open: Vec::new(),
             draining_servers: Vec::new(),
             replaced: 0,
+            versions,
         };
         injector.write_configuration();
         injector
@@ -291,15 +315,31 @@
         self.replaced += 1;
         let old = self.fleet.servers[index].server.clone();
         let id = format!("s-{}", self.replaced);
-        let fresh = SoakServer::start(&self.fleet.store, &self.fleet.run_log, old.service(), &id)?;
+        let version = match self.versions {
+            true => next_version(old.version()),
+            false => old.version().to_string(),
+        };
+        let (store, run_log) = (&self.fleet.store, &self.fleet.run_log);
+        let fresh = SoakServer::start(store, run_log, old.service(), &version, &id)?;
         let draining = std::mem::replace(&mut self.fleet.servers[index], fresh);
         draining.list(&self.fleet.store, true)?;
         let now = self.fleet.caller_state.now();
         self.history.drains.push((draining.server.id.clone(), now));
+        if old.service() == "llm" {
+            self.record_replacement(old.version(), version, now);
+        }
         self.draining_servers.push((draining, now + DRAINING_ENTRY_DURATION));
         Ok(())
     }
 
+    fn record_replacement(&mut self, old: &str, version: String, now: Duration) {
+        let mut open = self.history.listings.iter_mut().filter(|listing| listing.until.is_none());
+        if let Some(listing) = open.find(|listing| listing.version == old) {
+            listing.until = Some(now);
+        }
+        self.history.listings.push(ListingRecord { version, from: now, until: None });
+    }
+
     /// Removes drained servers from the list; they go on serving their requests in flight.
     fn remove_drained(&mut self, now: Duration) {
         for (server, until) in &mut self.draining_servers {
--- a/crates/papayamux-measure/src/soak/mod.rs
+++ b/crates/papayamux-measure/src/soak/mod.rs
@@ -12,10 +12,12 @@
 mod workload;
 
 pub use checks::{check_history, Promise, Violation};
-pub use fault_kind::{add_restores, draw_faults, draw_with_entries, FaultKind, PlannedFault};
+pub use fault_kind::{
+    add_restores, add_rollouts, draw_faults, draw_with_entries, FaultKind, PlannedFault,
+};
 pub use history::{
-    CallKind, CallRecord, CallResult, ConfigurationRecord, DisturbanceRecord, RunRecord,
-    SoakHistory, Subject,
+    CallKind, CallRecord, CallResult, ConfigurationRecord, DisturbanceRecord, ListingRecord,
+    RunRecord, SoakHistory, StreamRecord, Subject,
 };
 pub use options::SoakOptions;
 pub use run::run_soak;
--- a/crates/papayamux-measure/src/soak/options.rs
+++ b/crates/papayamux-measure/src/soak/options.rs
@@ -26,6 +26,9 @@
     /// `true` to also restore the store from copies.
     #[builder(default)]
     pub restores: bool,
+    /// `true` to also run servers of several software versions, whose streams callers resume.
+    #[builder(default)]
+    pub versions: bool,
     /// `true` to keep sending a request that crashes every engine.
     #[builder(default)]
     pub fatal: bool,
--- a/crates/papayamux-measure/src/soak/run.rs
+++ b/crates/papayamux-measure/src/soak/run.rs
@@ -8,10 +8,10 @@
 
 use super::checks::{check_history, Violation};
 use super::fatal_requests::run_fatal_caller;
-use super::fault_kind::{add_restores, draw_faults, draw_with_entries};
+use super::fault_kind::{add_restores, add_rollouts, draw_faults, draw_with_entries};
 use super::fleet::{SoakFleet, SoakServer};
 use super::history::{CallResult, SoakHistory};
-use super::injector::FaultInjector;
+use super::injector::{version_name, FaultInjector};
 use super::options::SoakOptions;
 use super::servers::{start_foreign_server, RunLog};
 use super::workload::{run_caller, CallerState};
@@ -24,6 +24,8 @@
 const RECOVERY_DURATION: Duration = Duration::from_secs(12);
 /// Time for the fleet to start up before callers connect.
 const STARTUP_DURATION: Duration = Duration::from_secs(2);
+/// Number of software versions with which a soak of several versions starts.
+const FIRST_VERSIONS: usize = 2;
 /// The services; `llm` is the one of engines.
 const SERVICES: [&str; 3] = ["plain", "other", "llm"];
 
@@ -59,6 +61,10 @@
         true => draw_with_entries(options.seed, options.length),
         false => draw_faults(options.seed, options.length),
     };
+    let faults = match options.versions {
+        true => add_rollouts(faults, options.seed, options.length),
+        false => faults,
+    };
     let faults = match options.restores {
         true => add_restores(faults, options.seed, options.length),
         false => faults,
@@ -94,6 +100,7 @@
     }
     let mut history = injector.history;
     history.calls = injector.fleet.caller_state.take_calls();
+    history.streams = injector.fleet.caller_state.take_streams();
     history.runs = injector.fleet.run_log.take();
     history.fatal_runs = injector.fleet.run_log.take_fatal();
     Ok(history)
@@ -102,17 +109,19 @@
 fn start(options: &SoakOptions, begun: Instant) -> Result<FaultInjector, TaskError> {
     let store = StoreStandIn::start();
     let run_log = RunLog::new(begun, options.fatal);
-    let caller_state = CallerState::new(begun, options.routers, KEY);
+    let caller_state = CallerState::new(begun, options.routers, KEY, options.versions);
     let mut servers = Vec::new();
     for service in SERVICES {
         for number in 0..options.servers {
             let id = format!("{service}-{number}");
-            servers.push(SoakServer::start(&store, &run_log, service, &id)?);
+            let version = if options.versions { number % FIRST_VERSIONS } else { 0 };
+            let version = version_name(version);
+            servers.push(SoakServer::start(&store, &run_log, service, &version, &id)?);
         }
     }
     let foreign = start_foreign_server(&run_log);
     let fleet = SoakFleet { store, run_log, caller_state, routers: Vec::new(), servers, foreign };
-    let mut injector = FaultInjector::new(fleet, ConfigurationDraft::default());
+    let mut injector = FaultInjector::new(fleet, ConfigurationDraft::default(), options.versions);
     injector.fleet.start_routers(options.routers)?;
     Ok(injector)
 }
@@ -148,6 +157,11 @@
             history.fatal_runs.len()
         );
     }
+    if options.versions {
+        let resumed = history.streams.iter();
+        let went_on = resumed.filter(|stream| stream.resumed.result == CallResult::Served).count();
+        println!("  resumed streams: {}, {went_on} went on", history.streams.len());
+    }
     for violation in violations {
         println!("  {violation}");
     }
--- a/crates/papayamux-measure/src/soak/servers.rs
+++ b/crates/papayamux-measure/src/soak/servers.rs
@@ -1,5 +1,6 @@
 //! The backend servers of a soak, which record the requests that they run.
 
+use std::collections::BTreeSet;
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -85,23 +86,31 @@
     })
 }
 
-/// Starts a server of `service`.
-pub(super) fn start_server(id: &str, service: &str, run_log: &RunLog) -> ServerStandIn {
+/// Starts a server of `service` with this software version.
+pub(super) fn start_server(
+    id: &str,
+    service: &str,
+    version: &str,
+    run_log: &RunLog,
+) -> ServerStandIn {
+    let own_version = version.to_string();
     let (run_log, name) = (run_log.clone(), service.to_string());
     let (fatal_log, fatal_name) = (run_log.clone(), name.clone());
     let is_fatal = move |request: &ServerRequest, _: &mut TcpStream| {
         request.is_addressed_here() && fatal_log.record_if_fatal(request, &fatal_name)
     };
-    ServerStandIn::crashing_on(id, service, RESTART_DELAY, is_fatal, move |request, stream| {
+    let behaviour = move |request: &ServerRequest, stream: &mut TcpStream| {
         if !request.is_addressed_here() {
             return stream.write_all(request.misdirected_answer().as_bytes()).is_ok();
         }
         run_log.record_run(request, &name);
         match name.as_str() {
-            "llm" => answer_stream(request, stream),
+            "llm" => answer_stream(request, &own_version, stream),
             _ => answer_plain(request, stream),
         }
-    })
+    };
+    let server = ServerStandIn::crashing_on(id, service, RESTART_DELAY, is_fatal, behaviour);
+    server.with_version(version)
 }
 
 fn answer_plain(request: &ServerRequest, stream: &mut TcpStream) -> bool {
@@ -114,13 +123,14 @@
     format!("answer to {id}")
 }
 
-fn answer_stream(request: &ServerRequest, stream: &mut TcpStream) -> bool {
+fn answer_stream(request: &ServerRequest, version: &str, stream: &mut TcpStream) -> bool {
+    let began_by = request.header("resumes").unwrap_or(request.id());
     if stream.write_all(request.stream_head(None).as_bytes()).is_err() {
         return false;
     }
     for number in request.last_event() + 1..=EVENTS {
         std::thread::sleep(EVENT_EVERY);
-        let event = chunk(&stream_event(request.id(), number));
+        let event = chunk(&stream_event(began_by, version, number));
         if stream.write_all(event.as_bytes()).is_err() {
             return false;
         }
@@ -128,7 +138,30 @@
     stream.write_all(LAST_CHUNK.as_bytes()).is_ok()
 }
 
-/// Returns one event of a request's stream.
-pub(super) fn stream_event(id: &str, number: u64) -> String {
-    format!("id: {number}\ndata: {id}\n\n")
+/// Returns one event of the stream that the attempt `began_by` began.
+fn stream_event(began_by: &str, version: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {began_by} {version}\n\n")
+}
+
+/// The events that a caller received of a stream.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) struct ReceivedEvents {
+    /// Number of the last complete event; 0 if there is none.
+    pub(super) last: u64,
+    /// Versions of the servers that wrote the events.
+    pub(super) versions: BTreeSet<String>,
+    /// `true` if the text holds nothing but events of this stream in their order.
+    pub(super) is_sound: bool,
+}
+
+/// Reads the complete events of the stream that `began_by` began, which follow the event `after`.
+pub(super) fn read_events(text: &str, began_by: &str, after: u64) -> ReceivedEvents {
+    let mut received = ReceivedEvents { last: after, is_sound: true, ..ReceivedEvents::default() };
+    for event in text.split_inclusive("\n\n").filter(|event| event.ends_with("\n\n")) {
+        let version = event.trim_end().rsplit(' ').next().unwrap_or_default();
+        received.last += 1;
+        received.is_sound &= event == stream_event(began_by, version, received.last);
+        received.versions.insert(version.to_string());
+    }
+    received
 }
--- a/crates/papayamux-measure/src/soak/workload.rs
+++ b/crates/papayamux-measure/src/soak/workload.rs
@@ -6,15 +6,15 @@
 use std::time::{Duration, Instant};
 
 use papayamux_platform_standins::{
-    Answer, CallPart, CallPrompt, CallRoute, CallerConnection, CallerRequest,
+    Answer, CallPart, CallPrompt, CallRoute, CallerConnection, CallerRequest, ResumedStream,
 };
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
 use super::checks::DEADLINE;
-use super::history::{CallKind, CallRecord, CallResult};
-use super::servers::{plain_body, stream_event, EVENTS};
+use super::history::{CallKind, CallRecord, CallResult, StreamRecord};
+use super::servers::{plain_body, read_events, EVENTS};
 
 /// Time that a caller waits for more of an answer. It exceeds the request's deadline so that a
 /// request which is never answered is detected.
@@ -26,6 +26,9 @@
 /// Maximum number of requests on one connection.
 const CALLS_PER_CONNECTION: u32 = 40;
 
+/// Maximum number of connections that a caller tries to resume a stream.
+const MAX_CONNECTS: usize = 3;
+
 /// Prompt of every stream: a shared part and one of its own. No check depends on their sizes.
 const PROMPT_PARTS: [CallPart; 2] =
     [CallPart { id: 0x5c1e, tokens: 800 }, CallPart { id: 0x91bd, tokens: 660 }];
@@ -41,17 +44,22 @@
     routers: Mutex<Vec<Option<SocketAddr>>>,
     keys: Mutex<Vec<String>>,
     calls: Mutex<Vec<CallRecord>>,
+    streams: Mutex<Vec<StreamRecord>>,
+    /// `true` if callers resume streams that break off.
+    resumes: bool,
     faults_over: AtomicBool,
     ended: AtomicBool,
 }
 
 impl CallerState {
-    pub(super) fn new(begun: Instant, routers: usize, key: &str) -> Arc<Self> {
+    pub(super) fn new(begun: Instant, routers: usize, key: &str, resumes: bool) -> Arc<Self> {
         Arc::new(Self {
             begun,
             routers: Mutex::new(vec![None; routers]),
             keys: Mutex::new(vec![key.to_string()]),
             calls: Mutex::default(),
+            streams: Mutex::default(),
+            resumes,
             faults_over: AtomicBool::new(false),
             ended: AtomicBool::new(false),
         })
@@ -94,6 +102,10 @@
         self.ended.store(true, Ordering::Relaxed);
     }
 
+    pub(super) fn take_streams(&self) -> Vec<StreamRecord> {
+        std::mem::take(&mut *self.streams.lock())
+    }
+
     pub(super) fn take_calls(&self) -> Vec<CallRecord> {
         std::mem::take(&mut *self.calls.lock())
     }
@@ -118,6 +130,9 @@
         let answer = connection.connection.exchange(&call.text());
         let ends = answer.as_ref().is_none_or(Answer::ends_connection);
         let record = call.record(sent, caller_state.now(), answer.as_ref());
+        if caller_state.resumes {
+            resume_if_broken(caller_state, &mut random, &record, answer.as_ref());
+        }
         caller_state.calls.lock().push(record);
         if ends {
             kept = None;
@@ -125,6 +140,46 @@
     }
 }
 
+/// Resumes a stream that broke off after its first event, at any router that accepts a connection.
+fn resume_if_broken(
+    caller_state: &CallerState,
+    random: &mut StdRng,
+    begun: &CallRecord,
+    answer: Option<&Answer>,
+) {
+    let Some(answer) = answer.filter(|answer| answer.status == 200 && !answer.whole) else {
+        return;
+    };
+    let received = read_events(&answer.text(), &begun.id, 0);
+    if begun.kind != CallKind::ResumableStream || received.last == 0 {
+        return;
+    }
+    let id = format!("{}-again", begun.id);
+    let resumed = ResumedStream { began_by: begun.id.clone(), last_event: received.last };
+    for _ in 0..MAX_CONNECTS {
+        let Some(mut kept) = connect(caller_state, random, id.clone()) else { continue };
+        let call = DraftCall {
+            id,
+            kind: begun.kind,
+            router: kept.router,
+            key: begun.key.clone(),
+            resumed: Some(resumed),
+        };
+        let sent = caller_state.now();
+        let answer = kept.connection.exchange(&call.text());
+        let text = answer.as_ref().filter(|answer| answer.status == 200).map(Answer::text);
+        let rest = read_events(&text.unwrap_or_default(), &begun.id, received.last);
+        let record = call.record(sent, caller_state.now(), answer.as_ref());
+        caller_state.calls.lock().push(record.clone());
+        caller_state.streams.lock().push(StreamRecord {
+            began_by: begun.id.clone(),
+            versions: received.versions.union(&rest.versions).cloned().collect(),
+            resumed: record,
+        });
+        return;
+    }
+}
+
 /// A connection reused for several requests.
 struct KeptConnection {
     router: usize,
@@ -152,6 +207,7 @@
     kind: CallKind,
     router: usize,
     key: String,
+    resumed: Option<ResumedStream>,
 }
 
 impl DraftCall {
@@ -161,7 +217,7 @@
         let old = random.random_ratio(1, OLD_KEY_EVERY);
         let key = keys[newest.saturating_sub(usize::from(old))].clone();
         let kind = CallKind::ALL[random.random_range(0..CallKind::ALL.len())];
-        Self { id, kind, router, key }
+        Self { id, kind, router, key, resumed: None }
     }
 
     fn text(&self) -> String {
@@ -181,6 +237,7 @@
             .key(self.key.clone())
             .left(DEADLINE)
             .maybe_prompt(prompt)
+            .maybe_resumed(self.resumed.clone())
             .build();
         request.text()
     }
@@ -210,13 +267,20 @@
     }
 
     fn whole_answer(&self, answer: &Answer) -> CallResult {
-        let expected = match self.kind.is_stream() {
-            true => (1..=EVENTS).map(|number| stream_event(&self.id, number)).collect(),
-            false => plain_body(&self.id),
+        let is_expected = match self.kind.is_stream() {
+            true => self.is_whole_stream(&answer.text()),
+            false => answer.text() == plain_body(&self.id),
         };
-        match answer.text() == expected && answer.is_signed() {
+        match is_expected && answer.is_signed() {
             true => CallResult::Served,
             false => CallResult::Wrong(format!("{:?}", answer.text())),
         }
     }
+
+    fn is_whole_stream(&self, text: &str) -> bool {
+        let began_by = self.resumed.as_ref().map_or(&self.id, |resumed| &resumed.began_by);
+        let after = self.resumed.as_ref().map_or(0, |resumed| resumed.last_event);
+        let received = read_events(text, began_by, after);
+        received.is_sound && received.last == EVENTS && text.ends_with("\n\n")
+    }
 }
--- a/crates/papayamux-measure/src/tasks/soak.rs
+++ b/crates/papayamux-measure/src/tasks/soak.rs
@@ -21,6 +21,7 @@
     options.optopt("", "servers", "servers of each of three services (3)", "COUNT");
     options.optflag("", "entries", "servers start again and others write entries as well");
     options.optflag("", "restores", "the store comes back from copies as well");
+    options.optflag("", "versions", "several software versions serve, and callers resume streams");
     options.optflag("", "fatal", "a request is repeated under which every engine ends");
     options.optopt("", "callers", "callers, each with one request at a time (12)", "COUNT");
 }
@@ -34,6 +35,7 @@
         .maybe_servers(matches.opt_get("servers")?)
         .entries(matches.opt_present("entries"))
         .restores(matches.opt_present("restores"))
+        .versions(matches.opt_present("versions"))
         .fatal(matches.opt_present("fatal"))
         .maybe_callers(matches.opt_get("callers")?)
         .build())
--- a/crates/papayamux-measure/tests/soak_checks.rs
+++ b/crates/papayamux-measure/tests/soak_checks.rs
@@ -5,7 +5,8 @@
 
 use papayamux_measure::soak::{
     add_restores, check_history, draw_faults, draw_with_entries, CallKind, CallRecord, CallResult,
-    ConfigurationRecord, DisturbanceRecord, FaultKind, Promise, RunRecord, SoakHistory, Subject,
+    ConfigurationRecord, DisturbanceRecord, FaultKind, ListingRecord, Promise, RunRecord,
+    SoakHistory, StreamRecord, Subject,
 };
 
 fn at(millis: u64) -> Duration {
@@ -235,6 +236,43 @@
 }
 
 /// Calls and runs of the fatal request, one per second, starting at 1 s; each run crashes a server.
+fn resumed(number: u64, versions: &[&str], result: CallResult) -> StreamRecord {
+    StreamRecord {
+        began_by: format!("s{number}"),
+        versions: versions.iter().map(ToString::to_string).collect(),
+        resumed: call(&format!("s{number}-again"), CallKind::ResumableStream, 20_000, result),
+    }
+}
+
+fn listing(version: &str, until: Option<u64>) -> ListingRecord {
+    ListingRecord { version: version.to_string(), from: at(0), until: until.map(at) }
+}
+
+#[test]
+fn stream_of_two_software_versions_is_found() {
+    let mut history = correct_history();
+    history.streams = vec![resumed(1, &["v0"], CallResult::Served)];
+    assert_eq!(broken(&history), []);
+    history.streams.push(resumed(2, &["v0", "v1"], CallResult::Nothing));
+    assert_eq!(broken(&history), [Promise::OneVersion]);
+}
+
+#[test]
+fn resumed_streams_that_do_not_go_on_are_found_if_their_version_serves() {
+    let mut history = correct_history();
+    let streams = (0..12).map(|number| match number < 7 {
+        true => resumed(number, &["v0"], CallResult::NotRun),
+        false => resumed(number, &["v0"], CallResult::Served),
+    });
+    history.streams = streams.collect();
+    history.listings = vec![listing("v0", None), listing("v0", Some(19_000)), listing("v1", None)];
+    assert_eq!(broken(&history), []);
+    history.listings.push(listing("v0", None));
+    assert_eq!(broken(&history), [Promise::StreamsGoOn]);
+    history.disturbances = vec![disturbance(Subject::Router(0), 18_000, 19_000)];
+    assert_eq!(broken(&history), []);
+}
+
 fn fatal_history(runs: u64) -> SoakHistory {
     let id = |number: u64| format!("fatal-{number}");
     let kind = CallKind::ResumableStream;
--- a/crates/papayamux-measure/tests/soak_short.rs
+++ b/crates/papayamux-measure/tests/soak_short.rs
@@ -25,6 +25,13 @@
     run_soak(&options).unwrap();
 }
 
+#[test]
+fn no_promise_is_broken_during_rollouts_of_three_software_versions() {
+    let length = Duration::from_secs(10);
+    let options = SoakOptions::builder().seed(8).length(length).servers(6).versions(true).build();
+    run_soak(&options).unwrap();
+}
+
 #[test]
 fn no_promise_is_broken_while_the_store_comes_back_from_copies() {
     let length = Duration::from_secs(10);
