--- a/crates/papayamux-coordination/src/stream_origins/mod.rs
+++ b/crates/papayamux-coordination/src/stream_origins/mod.rs
@@ -9,8 +9,10 @@
 mod origin_search;
 mod origin_table;
 mod version_history;
+mod version_rule;
 
 pub use origin_owners::{notified_owners, queried_owners};
 pub use origin_search::{OriginSearch, SearchState, QUERY_INTERVAL, SEARCH_TIMEOUT};
 pub use origin_table::{KnownOrigin, OriginTable, ORIGIN_TTL};
 pub use version_history::VersionHistory;
+pub use version_rule::VersionRule;
--- a/crates/papayamux-coordination/tests/stream_origins.rs
+++ b/crates/papayamux-coordination/tests/stream_origins.rs
@@ -8,7 +8,7 @@
 
 use papayamux_coordination::stream_origins::{
     notified_owners, queried_owners, KnownOrigin, OriginSearch, OriginTable, SearchState,
-    VersionHistory, ORIGIN_TTL, QUERY_INTERVAL, SEARCH_TIMEOUT,
+    VersionHistory, VersionRule, ORIGIN_TTL, QUERY_INTERVAL, SEARCH_TIMEOUT,
 };
 use papayamux_state::backend::ServerPhase;
 use papayamux_state::stream_origin::{StreamKey, StreamOrigin};
@@ -108,6 +108,21 @@
     assert_eq!(history.sole_version(&server.service), None);
 }
 
+#[test]
+fn server_of_unknown_version_continues_no_stream() {
+    let server = |version: Option<&str>| papayamux_state::backend::BackendServer {
+        software: version.map(|version| version.parse().unwrap()),
+        ..backend_servers::server("i-1", ServerPhase::Serving)
+    };
+    let rules = ["v1", "v1.1"].map(|version| VersionRule::Began(version.parse().ok()));
+    let admitted = |rule: &VersionRule| {
+        [Some("v1"), Some("v1.1"), None].map(|version| rule.admits(&server(version)))
+    };
+    assert_eq!(rules.each_ref().map(admitted), [[true, false, false], [false, true, false]]);
+    assert_eq!(admitted(&VersionRule::Began(None)), [false; 3]);
+    assert_eq!(admitted(&VersionRule::Any), [true; 3]);
+}
+
 fn addresses(count: u32) -> Vec<IpAddr> {
     (0..count).map(|index| Ipv4Addr::from(0x0a01_0000 + index).into()).collect()
 }
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -14,6 +14,7 @@
 };
 use papayamux_coordination::service_queue::{request_work, CallerTime, FlowKey, QueuedRequest};
 use papayamux_coordination::service_retry_budget::RetryUsage;
+use papayamux_coordination::stream_origins::VersionRule;
 use papayamux_state::backend::BackendServer;
 use papayamux_state::crash_record::CrashRecord;
 use papayamux_state::ids::{OrganisationId, ServerId, ServiceId};
@@ -23,7 +24,7 @@
 use papayamux_state::stream_origin::{StreamKey, StreamOrigin};
 
 use super::attempt::LostAttempt;
-use super::fleet::{ChosenServer, ServerFilter, VersionRule};
+use super::fleet::{ChosenServer, ServerFilter};
 use super::interface::Dispatch;
 use super::{CallFailure, CallHead, CallId, Fleet, NotRunReason};
 
--- a/crates/papayamux-router/src/direct/event_splitter.rs
+++ b/crates/papayamux-router/src/direct/event_splitter.rs
@@ -22,8 +22,6 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
-    /// `true` if the beginning of an event that exceeds the size limit was forwarded.
-    has_begun_long_event: bool,
 }
 
 impl EventSplitter {
@@ -31,14 +29,8 @@
     pub fn push(&mut self, piece: &[u8]) -> Option<CompleteEvents> {
         self.buffer.extend_from_slice(piece);
         let end = match last_event_end(&self.buffer) {
-            Some(end) => {
-                self.has_begun_long_event = false;
-                end
-            }
-            None if self.buffer.len() > MAX_EVENT_BYTES => {
-                self.has_begun_long_event = true;
-                self.buffer.len() - MAX_BLANK_LINE_BYTES
-            }
+            Some(end) => end,
+            None if self.buffer.len() > MAX_EVENT_BYTES => self.buffer.len() - MAX_BLANK_LINE_BYTES,
             None => return None,
         };
         let bytes = self.buffer.split_to(end).freeze();
@@ -48,7 +40,7 @@
 
     /// Returns whether the bytes so far end inside an event.
     pub fn is_inside_event(&self) -> bool {
-        self.has_begun_long_event || !self.buffer.is_empty()
+        !self.buffer.is_empty()
     }
 }
 
--- a/crates/papayamux-router/src/direct/fleet/choice.rs
+++ b/crates/papayamux-router/src/direct/fleet/choice.rs
@@ -11,8 +11,9 @@
 };
 use papayamux_coordination::server_evidence::ServerStanding;
 use papayamux_coordination::server_profile::ServerSpeed;
+use papayamux_coordination::stream_origins::VersionRule;
 use papayamux_state::backend::{BackendServer, ServerPhase};
-use papayamux_state::ids::{ServerId, ServiceId, SoftwareVersion};
+use papayamux_state::ids::{ServerId, ServiceId};
 use papayamux_state::prompt::{PromptChain, WarmParts};
 use papayamux_state::quantities::TokenCount;
 use papayamux_state::service_config::{EngineProfile, HomeRegions};
@@ -25,25 +26,6 @@
 /// has a bound of its own.
 const UNKNOWN_CACHE_CAPACITY: TokenCount = TokenCount::new(u64::MAX);
 
-/// The software versions at which a request may run.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub enum VersionRule {
-    /// Any version: no event of the stream has reached the caller.
-    #[default]
-    Any,
-    /// The version that began the stream; `None` if it is unknown, so that no server qualifies.
-    Began(Option<SoftwareVersion>),
-}
-
-impl VersionRule {
-    fn admits(&self, server: &BackendServer) -> bool {
-        match self {
-            Self::Any => true,
-            Self::Began(version) => version.is_some() && server.software == *version,
-        }
-    }
-}
-
 /// The servers to which a request is restricted.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerFilter<'a> {
--- a/crates/papayamux-router/src/direct/fleet/mod.rs
+++ b/crates/papayamux-router/src/direct/fleet/mod.rs
@@ -18,7 +18,7 @@
 mod stream_origins;
 mod view_adoption;
 
-pub use choice::{ChosenServer, ServerFilter, VersionRule};
+pub use choice::{ChosenServer, ServerFilter};
 pub(in crate::direct) use crash_records::CrashUpdate;
 pub use fleet_state::Fleet;
 pub(in crate::direct) use part_inquiries::PartInquiry;
