--- a/crates/papayamux-coordination/src/stream_origins/version_history.rs
+++ b/crates/papayamux-coordination/src/stream_origins/version_history.rs
@@ -2,17 +2,21 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use papayamux_state::backend::BackendServer;
 use papayamux_state::ids::{ServiceId, SoftwareVersion};
 
 use super::ORIGIN_TTL;
 
+/// Age of the known servers beyond which a version may have come and gone unseen.
+const MAX_SERVERS_AGE: Duration = Duration::from_secs(2);
+
 /// The versions of each service, with the time at which a server of the version was last known.
 #[derive(Debug)]
 pub struct VersionHistory {
-    started: Instant,
+    /// Since when no version can have been missed.
+    complete_since: Instant,
     versions: HashMap<ServiceId, Vec<VersionSighting>>,
 }
 
@@ -25,7 +29,7 @@
 impl VersionHistory {
     /// Creates the history of a router that starts.
     pub fn new(now: Instant) -> Self {
-        Self { started: now, versions: HashMap::new() }
+        Self { complete_since: now, versions: HashMap::new() }
     }
 
     /// Records that a server is known.
@@ -39,12 +43,17 @@
         }
     }
 
-    /// Records all known servers, and forgets versions that no stream can have begun at.
+    /// Records all known servers and for how long they have not been confirmed, and forgets versions
+    /// that no stream can have begun at.
     pub fn update<'a>(
         &mut self,
         servers: impl Iterator<Item = &'a Rc<BackendServer>>,
+        servers_age: Option<Duration>,
         now: Instant,
     ) {
+        if servers_age.is_none_or(|age| age > MAX_SERVERS_AGE) {
+            self.complete_since = now;
+        }
         servers.for_each(|server| self.record(server, now));
         self.versions.retain(|_, sightings| {
             sightings
@@ -61,8 +70,13 @@
         }
     }
 
-    /// Returns whether the history covers the life of every stream.
-    pub fn covers_all_streams(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.started) >= ORIGIN_TTL
+    /// Returns the version at which every stream of a service must have begun that is alive at
+    /// `now`: the only one known for as long as a stream may live.
+    ///
+    /// The known servers must have been confirmed after the stream's caller came back. Otherwise,
+    /// a server that is not known yet may have begun the stream.
+    pub fn certain_version(&self, service: &ServiceId, now: Instant) -> Option<&SoftwareVersion> {
+        let covers_all_streams = now.saturating_duration_since(self.complete_since) >= ORIGIN_TTL;
+        self.sole_version(service).filter(|_| covers_all_streams)
     }
 }
--- a/crates/papayamux-coordination/tests/stream_origins.rs
+++ b/crates/papayamux-coordination/tests/stream_origins.rs
@@ -17,6 +17,9 @@
 
 mod backend_servers;
 
+/// Age of servers that were confirmed a moment ago.
+const FRESH: Option<Duration> = Some(Duration::from_millis(300));
+
 fn origin(version: u64) -> StreamOrigin {
     StreamOrigin {
         service: "llm".parse().unwrap(),
@@ -88,12 +91,26 @@
     history.record(&old, now);
     assert_eq!(history.sole_version(&old.service), old.software.as_ref());
     let almost = now + ORIGIN_TTL - Duration::from_millis(1);
-    history.update([&new].into_iter(), almost);
+    history.update([&new].into_iter(), FRESH, almost);
     assert_eq!(history.sole_version(&old.service), None);
-    assert!(!history.covers_all_streams(almost));
-    history.update([&new].into_iter(), now + ORIGIN_TTL);
+    assert_eq!(history.certain_version(&old.service, almost), None);
+    history.update([&new].into_iter(), FRESH, now + ORIGIN_TTL);
     assert_eq!(history.sole_version(&old.service), new.software.as_ref());
-    assert!(history.covers_all_streams(now + ORIGIN_TTL));
+    let certain = history.certain_version(&old.service, now + ORIGIN_TTL);
+    assert_eq!(certain, new.software.as_ref());
+}
+
+#[test]
+fn history_with_a_gap_covers_no_stream_from_before() {
+    let now = Instant::now();
+    let server = std::rc::Rc::new(backend_servers::server("i-1", ServerPhase::Serving));
+    let mut history = VersionHistory::new(now);
+    let healed_at = now + ORIGIN_TTL;
+    history.update([&server].into_iter(), Some(Duration::from_secs(3)), healed_at);
+    assert_eq!(history.certain_version(&server.service, healed_at), None);
+    let later = healed_at + ORIGIN_TTL;
+    history.update([&server].into_iter(), FRESH, later);
+    assert_eq!(history.certain_version(&server.service, later), server.software.as_ref());
 }
 
 #[test]
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -242,8 +242,10 @@
 
     async fn find_origin(&self, began_by: &CallId) -> Option<StreamOrigin> {
         let found = self.fleet.find_origin(self.stream_key(began_by), self.left()).await;
-        let has_one_service = self.route.shares.len() == 1;
-        found.or_else(|| has_one_service.then(|| self.fleet.certain_origin(&self.service))?)
+        if found.is_some() || self.route.shares.len() > 1 {
+            return found;
+        }
+        self.fleet.certain_origin(&self.service, self.arrived).await
     }
 
     fn stream_key(&self, began_by: &CallId) -> StreamKey {
--- a/crates/papayamux-router/src/direct/fleet/stream_origins.rs
+++ b/crates/papayamux-router/src/direct/fleet/stream_origins.rs
@@ -9,7 +9,7 @@
 };
 use papayamux_protocol::origin_notices::OriginNotice;
 use papayamux_state::backend::BackendServer;
-use papayamux_state::ids::ServiceId;
+use papayamux_state::ids::{ServiceId, SoftwareVersion};
 use papayamux_state::stream_origin::{StreamKey, StreamOrigin};
 use papayamux_transport::shutdown::ShutdownSignal;
 
@@ -17,9 +17,8 @@
 
 /// Maximum number of notices that wait to be sent. More are not sent, and counted.
 const MAX_WAITING_NOTICES: usize = 8_192;
-/// Age of the known servers up to which a server of another version can't have begun streams
-/// without being known.
-const MAX_SERVERS_AGE: Duration = Duration::from_secs(1);
+/// Time to wait until the known servers are confirmed, a few round trips to the source.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// A request to search for the origin of a stream.
 pub(in crate::direct) struct OriginInquiry {
@@ -104,19 +103,26 @@
         origin
     }
 
-    /// Returns the origin of a stream that no router knows, if every stream of the service must
-    /// have begun at the only version that has served for the life of a stream.
-    pub(in crate::direct) fn certain_origin(&self, service: &ServiceId) -> Option<StreamOrigin> {
-        let versions = self.origins.versions.borrow();
-        let is_current = self.servers_age().is_some_and(|age| age <= MAX_SERVERS_AGE);
-        if !is_current || !versions.covers_all_streams(Instant::now()) {
-            return None;
-        }
-        let origin = self.sole_origin(service);
-        if origin.is_some() {
-            self.metrics.stream_origins.count("sole_version");
+    /// Returns the origin of a stream that no router knows, if the service has had a single version
+    /// for the life of a stream. Has the known servers confirmed if that was before the request
+    /// arrived.
+    pub(in crate::direct) async fn certain_origin(
+        &self,
+        service: &ServiceId,
+        arrived: Instant,
+    ) -> Option<StreamOrigin> {
+        self.certain_version(service)?;
+        let is_confirmed = || self.servers_age().is_some_and(|age| age <= arrived.elapsed());
+        if !is_confirmed() {
+            self.refresh_configuration(CONFIRMATION_TIMEOUT).await;
         }
-        origin
+        let version = self.certain_version(service).filter(|_| is_confirmed())?;
+        self.metrics.stream_origins.count("sole_version");
+        Some(StreamOrigin { service: service.clone(), version })
+    }
+
+    fn certain_version(&self, service: &ServiceId) -> Option<SoftwareVersion> {
+        self.origins.versions.borrow().certain_version(service, Instant::now()).cloned()
     }
 
     /// Returns the only version of a service that this router has known lately as an origin.
@@ -134,7 +140,8 @@
     /// Removes outdated origins and versions.
     pub(super) fn update_origins(&self, now: Instant) {
         let presence = self.presence.borrow();
-        self.origins.versions.borrow_mut().update(presence.catalog().iter(), now);
+        let servers = presence.catalog().iter();
+        self.origins.versions.borrow_mut().update(servers, self.servers_age(), now);
         let mut table = self.origins.table.borrow_mut();
         table.expire(now);
         let evicted = table.take_evicted();
