--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -4,10 +4,14 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::future::{select, Either};
+use http::header::CONTENT_TYPE;
 use http::request::Request;
+use http::response::Parts;
 use papayamux_coordination::attempt_plan::AttemptLoss;
+use papayamux_coordination::body_end::BodyEnd;
 use papayamux_coordination::server_evidence::EvidenceKind;
 use papayamux_transport::http::upstream::{UpstreamAnswer, UpstreamError};
+use serde::de::IgnoredAny;
 
 use super::active_request::ActiveRequest;
 use super::attempt_watch::AttemptAlarm;
@@ -190,6 +194,26 @@
     let _ = monoio::time::timeout(REJECTION_TIMEOUT, remainder).await;
 }
 
+/// Returns how an answer ended whose whole body was buffered. A JSON document shows whether its end
+/// is missing.
+fn body_end(answer: &UpstreamAnswer, body: &[u8]) -> BodyEnd {
+    match BodyEnd::of_body(answer.framing()) {
+        BodyEnd::Unmarked if is_json(&answer.head) => {
+            match serde_json::from_slice::<IgnoredAny>(body) {
+                Ok(_) => BodyEnd::Complete,
+                Err(_) => BodyEnd::Truncated,
+            }
+        }
+        end => end,
+    }
+}
+
+fn is_json(head: &Parts) -> bool {
+    let media_type = head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let essence = media_type.and_then(|text| text.split(';').next()).unwrap_or_default();
+    essence.trim().eq_ignore_ascii_case("application/json")
+}
+
 /// Reads the body of an answer up to the buffer limit.
 pub(super) async fn collect_body(
     plan: &CallPlan,
@@ -199,7 +223,16 @@
     loop {
         let piece = wait_for(plan, &attempt.active, attempt.answer.next_piece()).await;
         match piece {
-            WaitResult::Done(None) => return Ok(CollectedBody::Complete(body.freeze())),
+            WaitResult::Done(None) => {
+                let end = body_end(&attempt.answer, &body);
+                plan.fleet.metrics().answer_ends.count(end.label());
+                if end == BodyEnd::Truncated {
+                    attempt.active.record_answer_outcome(true);
+                    let cause = "the answer broke off: truncated JSON".to_string();
+                    return Err(LostAttempt::broken(&attempt.active, cause).await);
+                }
+                return Ok(CollectedBody::Complete(body.freeze()));
+            }
             WaitResult::Done(Some(Ok(piece))) => {
                 attempt.active.record_contact();
                 body.extend_from_slice(&piece);
--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -8,7 +8,6 @@
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response};
 use hyper::body::Incoming;
-use papayamux_coordination::body_end::BodyEnd;
 use papayamux_transport::http::AnswerBody;
 
 use super::active_request::ActiveRequest;
@@ -171,8 +170,6 @@
         let mut head = answer_head(&attempt.answer.head);
         head.headers.remove(http::header::CONTENT_LENGTH);
         log_answer(plan, &attempt);
-        let end = BodyEnd::of_body(attempt.answer.framing());
-        plan.fleet.metrics().answer_ends.count(end.label());
         plan.record_completion();
         if !plan.kind().is_stream() {
             attempt.active.record_call_end();
