--- a/crates/papayamux-measure/src/soak/fault_kind.rs
+++ b/crates/papayamux-measure/src/soak/fault_kind.rs
@@ -85,6 +85,16 @@
     /// request.
     pub const OF_ROLLOUTS: [FaultKind; 2] = [FaultKind::DrainServer, FaultKind::KillRouter];
 
+    /// Outages of the store for all routers beside others for some, and servers that leave about their ends;
+    /// scheduled in addition to the others on request.
+    pub const OF_OUTAGES: [FaultKind; 5] = [
+        FaultKind::RefuseStore,
+        FaultKind::RefuseStoreLink,
+        FaultKind::MuteStoreLink,
+        FaultKind::CompactStore,
+        FaultKind::DrainServer,
+    ];
+
     /// Returns whether the fault is planned work by the operator, which has no duration.
     pub fn is_order(self) -> bool {
         matches!(
@@ -151,6 +161,15 @@
     merge(faults, seed ^ ROLLOUT_SERIES, length, &FaultKind::OF_ROLLOUTS)
 }
 
+/// Separates the random sequence of outages from that of the other faults.
+const OUTAGE_SERIES: u64 = 0x6f75_7461_6765_7300;
+
+/// Adds outages of the store for all and for some routers, and servers that leave about that time, to the
+/// faults of a seed.
+pub fn add_outages(faults: Vec<PlannedFault>, seed: u64, length: Duration) -> Vec<PlannedFault> {
+    merge(faults, seed ^ OUTAGE_SERIES, length, &FaultKind::OF_OUTAGES)
+}
+
 fn merge(
     mut faults: Vec<PlannedFault>,
     seed: u64,
--- a/crates/papayamux-measure/src/soak/mod.rs
+++ b/crates/papayamux-measure/src/soak/mod.rs
@@ -13,7 +13,8 @@
 
 pub use checks::{check_history, Promise, Violation};
 pub use fault_kind::{
-    add_restores, add_rollouts, draw_faults, draw_with_entries, FaultKind, PlannedFault,
+    add_outages, add_restores, add_rollouts, draw_faults, draw_with_entries, FaultKind,
+    PlannedFault,
 };
 pub use history::{
     CallKind, CallRecord, CallResult, ConfigurationRecord, DisturbanceRecord, ListingRecord,
--- a/crates/papayamux-measure/src/soak/options.rs
+++ b/crates/papayamux-measure/src/soak/options.rs
@@ -23,6 +23,9 @@
     /// would.
     #[builder(default)]
     pub entries: bool,
+    /// `true` to also have outages of the store for all and for some routers overlap.
+    #[builder(default)]
+    pub outages: bool,
     /// `true` to also restore the store from copies.
     #[builder(default)]
     pub restores: bool,
--- a/crates/papayamux-measure/src/soak/run.rs
+++ b/crates/papayamux-measure/src/soak/run.rs
@@ -8,7 +8,7 @@
 
 use super::checks::{check_history, Violation};
 use super::fatal_requests::run_fatal_caller;
-use super::fault_kind::{add_restores, add_rollouts, draw_faults, draw_with_entries};
+use super::fault_kind::{add_outages, add_restores, add_rollouts, draw_faults, draw_with_entries};
 use super::fleet::{SoakFleet, SoakServer};
 use super::history::{CallResult, SoakHistory};
 use super::injector::{version_name, FaultInjector};
@@ -65,6 +65,10 @@
         true => add_rollouts(faults, options.seed, options.length),
         false => faults,
     };
+    let faults = match options.outages {
+        true => add_outages(faults, options.seed, options.length),
+        false => faults,
+    };
     let faults = match options.restores {
         true => add_restores(faults, options.seed, options.length),
         false => faults,
--- a/crates/papayamux-measure/src/tasks/soak.rs
+++ b/crates/papayamux-measure/src/tasks/soak.rs
@@ -20,6 +20,7 @@
     options.optopt("", "routers", "router processes (3)", "COUNT");
     options.optopt("", "servers", "servers of each of three services (3)", "COUNT");
     options.optflag("", "entries", "servers start again and others write entries as well");
+    options.optflag("", "outages", "outages of the store for all and for some overlap as well");
     options.optflag("", "restores", "the store comes back from copies as well");
     options.optflag("", "versions", "several software versions serve, and callers resume streams");
     options.optflag("", "fatal", "a request is repeated under which every engine ends");
@@ -34,6 +35,7 @@
         .maybe_routers(matches.opt_get("routers")?)
         .maybe_servers(matches.opt_get("servers")?)
         .entries(matches.opt_present("entries"))
+        .outages(matches.opt_present("outages"))
         .restores(matches.opt_present("restores"))
         .versions(matches.opt_present("versions"))
         .fatal(matches.opt_present("fatal"))
--- a/crates/papayamux-measure/tests/soak_checks.rs
+++ b/crates/papayamux-measure/tests/soak_checks.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use papayamux_measure::soak::{
-    add_restores, check_history, draw_faults, draw_with_entries, CallKind, CallRecord, CallResult,
-    ConfigurationRecord, DisturbanceRecord, FaultKind, ListingRecord, Promise, RunRecord,
-    SoakHistory, StreamRecord, Subject,
+    add_outages, add_restores, add_rollouts, check_history, draw_faults, draw_with_entries,
+    CallKind, CallRecord, CallResult, ConfigurationRecord, DisturbanceRecord, FaultKind,
+    ListingRecord, Promise, RunRecord, SoakHistory, StreamRecord, Subject,
 };
 
 fn at(millis: u64) -> Duration {
@@ -228,6 +228,18 @@
     assert_eq!(drawn, faults);
 }
 
+#[test]
+fn rollouts_and_outages_leave_the_other_faults_of_a_seed_unchanged() {
+    let length = Duration::from_secs(60);
+    let faults = draw_faults(7, length);
+    for add in [add_rollouts, add_outages] {
+        let mut drawn = add(faults.clone(), 7, length);
+        assert!(drawn.len() > faults.len());
+        drawn.retain(|fault| faults.contains(fault));
+        assert_eq!(drawn, faults);
+    }
+}
+
 #[test]
 fn request_at_a_server_of_a_foreign_entry_is_found() {
     let mut history = correct_history();
--- a/crates/papayamux-measure/tests/soak_short.rs
+++ b/crates/papayamux-measure/tests/soak_short.rs
@@ -32,6 +32,13 @@
     run_soak(&options).unwrap();
 }
 
+#[test]
+fn no_promise_is_broken_while_outages_of_the_store_overlap() {
+    let length = Duration::from_secs(10);
+    let options = SoakOptions::builder().seed(9).length(length).outages(true).build();
+    run_soak(&options).unwrap();
+}
+
 #[test]
 fn no_promise_is_broken_while_the_store_comes_back_from_copies() {
     let length = Duration::from_secs(10);
