--- a/crates/papayamux-coordination/src/stream_origins/origin_table.rs
+++ b/crates/papayamux-coordination/src/stream_origins/origin_table.rs
@@ -21,6 +21,24 @@
     Ambiguous,
 }
 
+impl KnownOrigin {
+    /// Returns the origin unless it is ambiguous.
+    pub fn origin(&self) -> Option<&StreamOrigin> {
+        match self {
+            Self::Began(origin) => Some(origin),
+            Self::Ambiguous => None,
+        }
+    }
+
+    /// Returns the stable name for metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Began(_) => "known",
+            Self::Ambiguous => "ambiguous",
+        }
+    }
+}
+
 /// Origins by stream, the oldest first to go.
 #[derive(Debug, Default)]
 pub struct OriginTable {
--- a/crates/papayamux-coordination/tests/origin_replay.rs
+++ b/crates/papayamux-coordination/tests/origin_replay.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use papayamux_coordination::stream_origins::{
-    notified_owners, queried_owners, KnownOrigin, OriginSearch, OriginTable, SearchState,
-    ORIGIN_TTL, QUERY_INTERVAL, SEARCH_TIMEOUT,
+    notified_owners, queried_owners, OriginSearch, OriginTable, SearchState, ORIGIN_TTL,
+    QUERY_INTERVAL, SEARCH_TIMEOUT,
 };
 use papayamux_state::stream_origin::{StreamKey, StreamOrigin};
 use rand::rngs::SmallRng;
@@ -23,10 +23,7 @@
 }
 
 fn begun(table: &OriginTable, key: u64) -> Option<StreamOrigin> {
-    match table.get(StreamKey(key))? {
-        KnownOrigin::Began(origin) => Some(StreamOrigin::clone(origin)),
-        KnownOrigin::Ambiguous => None,
-    }
+    table.get(StreamKey(key))?.origin().cloned()
 }
 
 fn addresses(count: u32) -> Vec<IpAddr> {
--- a/crates/papayamux-coordination/tests/stream_histories.rs
+++ b/crates/papayamux-coordination/tests/stream_histories.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use papayamux_coordination::stream_origins::{
-    notified_owners, queried_owners, KnownOrigin, OriginSearch, OriginTable, SearchState,
-    VersionHistory, VersionRule,
+    notified_owners, queried_owners, OriginSearch, OriginTable, SearchState, VersionHistory,
+    VersionRule,
 };
 use papayamux_state::backend::{BackendServer, ServerPhase};
 use papayamux_state::ids::SoftwareVersion;
@@ -183,10 +183,7 @@
     }
 
     fn known(&self, router: usize, key: StreamKey) -> Option<StreamOrigin> {
-        match self.routers[router].origins.get(key)? {
-            KnownOrigin::Began(origin) => Some(StreamOrigin::clone(origin)),
-            KnownOrigin::Ambiguous => None,
-        }
+        self.routers[router].origins.get(key)?.origin().cloned()
     }
 
     fn find(&self, router: usize, key: StreamKey) -> Option<StreamOrigin> {
--- a/crates/papayamux-coordination/tests/stream_origins.rs
+++ b/crates/papayamux-coordination/tests/stream_origins.rs
@@ -25,10 +25,7 @@
 }
 
 fn begun(table: &OriginTable, key: u64) -> Option<StreamOrigin> {
-    match table.get(StreamKey(key))? {
-        KnownOrigin::Began(origin) => Some(StreamOrigin::clone(origin)),
-        KnownOrigin::Ambiguous => None,
-    }
+    table.get(StreamKey(key))?.origin().cloned()
 }
 
 #[test]
--- a/crates/papayamux-router/src/direct/fleet/stream_origins.rs
+++ b/crates/papayamux-router/src/direct/fleet/stream_origins.rs
@@ -4,9 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
-use papayamux_coordination::stream_origins::{
-    KnownOrigin, OriginTable, VersionHistory, SEARCH_TIMEOUT,
-};
+use papayamux_coordination::stream_origins::{OriginTable, VersionHistory, SEARCH_TIMEOUT};
 use papayamux_protocol::origin_notices::OriginNotice;
 use papayamux_state::backend::BackendServer;
 use papayamux_state::ids::{ServiceId, SoftwareVersion};
@@ -74,10 +72,7 @@
 
     /// Returns the origin of a stream if this router knows it.
     pub(in crate::direct) fn known_origin(&self, key: StreamKey) -> Option<StreamOrigin> {
-        match self.origins.table.borrow().get(key)? {
-            KnownOrigin::Began(origin) => Some(StreamOrigin::clone(origin)),
-            KnownOrigin::Ambiguous => None,
-        }
+        self.origins.table.borrow().get(key)?.origin().cloned()
     }
 
     /// Returns the origin of a stream, known here or by an owner of its key. Waits for the owners'
@@ -87,9 +82,9 @@
         key: StreamKey,
         limit: Duration,
     ) -> Option<StreamOrigin> {
-        if let Some(origin) = self.known_origin(key) {
-            self.metrics.stream_origins.count("known");
-            return Some(origin);
+        if let Some(known) = self.origins.table.borrow().get(key) {
+            self.metrics.stream_origins.count(known.label());
+            return known.origin().cloned();
         }
         let (reply, result) = oneshot::channel();
         self.origins.inquiries.borrow_mut().push(OriginInquiry { key, reply });
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -89,7 +89,7 @@
     /// Queries to the owners of shared parts by result: `found`, `nobody`, `unknown` or
     /// `unanswered`.
     pub part_inquiries: ReasonCounters,
-    /// Origins of streams that callers resume: `known` here, `found` at an owner, `sole_version` where
+    /// Origins of streams that callers resume: `known` or `ambiguous` here, `found` at an owner, `sole_version` where
     /// only one version has served, `unknown` or `unanswered`; besides `evicted` origins and notices
     /// that were not sent (`notice_dropped`).
     pub stream_origins: ReasonCounters,
