--- a/crates/papayamux-coordination/src/body_end.rs
+++ b/crates/papayamux-coordination/src/body_end.rs
@@ -21,6 +21,8 @@
 /// What was read of a stream when it ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StreamTail {
+    /// `true` if the answer's media type is that of streams of events.
+    pub is_declared: bool,
     /// `true` if the caller has at least one event of the stream.
     pub has_events: bool,
     /// `true` if the stream ended inside an event.
@@ -45,9 +47,11 @@
         }
     }
 
-    /// Returns how a stream of events ended.
+    /// Returns how a stream of events ended. An answer without a media type that holds no event is
+    /// not taken for a stream.
     pub fn of_stream(framing: AnswerFraming, tail: StreamTail) -> Self {
         match Self::of_body(framing) {
+            Self::Complete if !tail.is_declared && !tail.has_events => Self::Complete,
             _ if tail.has_partial_event => Self::Truncated,
             Self::Unmarked if !tail.has_events => Self::Truncated,
             end => end,
--- a/crates/papayamux-coordination/tests/body_end.rs
+++ b/crates/papayamux-coordination/tests/body_end.rs
@@ -7,7 +7,8 @@
     [AnswerFraming::Length, AnswerFraming::Chunks, AnswerFraming::CloseDelimited];
 
 fn stream_end(framing: AnswerFraming, has_events: bool, has_partial_event: bool) -> BodyEnd {
-    BodyEnd::of_stream(framing, StreamTail { has_events, has_partial_event })
+    let is_declared = true;
+    BodyEnd::of_stream(framing, StreamTail { is_declared, has_events, has_partial_event })
 }
 
 #[test]
@@ -24,6 +25,19 @@
     assert_eq!(ends, [BodyEnd::Truncated; 3]);
 }
 
+#[test]
+fn answer_without_a_media_type_is_a_stream_only_if_it_holds_events() {
+    let end = |framing, has_events| {
+        let tail = StreamTail { is_declared: false, has_events, has_partial_event: true };
+        BodyEnd::of_stream(framing, tail)
+    };
+    assert_eq!(
+        FRAMINGS.map(|framing| end(framing, false)),
+        [BodyEnd::Complete, BodyEnd::Complete, BodyEnd::Truncated]
+    );
+    assert_eq!(FRAMINGS.map(|framing| end(framing, true)), [BodyEnd::Truncated; 3]);
+}
+
 #[test]
 fn stream_without_events_is_complete_only_if_its_framing_shows_it() {
     let ends = FRAMINGS.map(|framing| stream_end(framing, false, false));
--- a/crates/papayamux-router/src/direct/event_splitter.rs
+++ b/crates/papayamux-router/src/direct/event_splitter.rs
@@ -38,6 +38,11 @@
         Some(CompleteEvents { bytes, ids })
     }
 
+    /// Takes the buffered bytes of an incomplete event.
+    pub fn take_partial(&mut self) -> Bytes {
+        self.buffer.split().freeze()
+    }
+
     /// Returns whether the bytes so far end inside an event.
     pub fn is_inside_event(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
+use http::header::CONTENT_TYPE;
 use papayamux_coordination::body_end::{BodyEnd, StreamTail};
 use papayamux_coordination::server_evidence::EvidenceKind;
 use papayamux_transport::http::{AnswerBody, BodyError};
@@ -179,7 +180,9 @@
             ms = self.plan.arrived.elapsed().as_millis() as u64; "stream ended"
         );
         attempt.answer.finish();
-        None
+        // Only an answer that turned out to be no stream ends inside an event here.
+        let opaque = self.splitter.as_mut().map(EventSplitter::take_partial).unwrap_or_default();
+        (!opaque.is_empty()).then_some(Ok(opaque))
     }
 
     /// Breaks the answer off, so that the caller notices that it is incomplete.
@@ -249,8 +252,9 @@
 ) -> BodyEnd {
     let framing = attempt.answer.framing();
     let Some(splitter) = splitter else { return BodyEnd::of_body(framing) };
+    let is_declared = attempt.answer.head.headers.contains_key(CONTENT_TYPE);
     let has_partial_event = splitter.is_inside_event();
-    BodyEnd::of_stream(framing, StreamTail { has_events, has_partial_event })
+    BodyEnd::of_stream(framing, StreamTail { is_declared, has_events, has_partial_event })
 }
 
 /// Records that a server broke off its stream.
