--- a/crates/papayamux-measure/src/soak/servers.rs
+++ b/crates/papayamux-measure/src/soak/servers.rs
@@ -124,13 +124,12 @@
 }
 
 fn answer_stream(request: &ServerRequest, version: &str, stream: &mut TcpStream) -> bool {
-    let began_by = request.header("resumes").unwrap_or(request.id());
     if stream.write_all(request.stream_head(None).as_bytes()).is_err() {
         return false;
     }
     for number in request.last_event() + 1..=EVENTS {
         std::thread::sleep(EVENT_EVERY);
-        let event = chunk(&stream_event(began_by, version, number));
+        let event = chunk(&stream_event(request.began_by(), version, number));
         if stream.write_all(event.as_bytes()).is_err() {
             return false;
         }
--- a/crates/papayamux-transport/src/http/upstream/exchange.rs
+++ b/crates/papayamux-transport/src/http/upstream/exchange.rs
@@ -7,7 +7,7 @@
 use http::response::Parts;
 use http::HeaderMap;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use papayamux_state::answer_framing::AnswerFraming;
 
 use super::connection::UpstreamConnection;
@@ -67,11 +67,6 @@
         answer_framing(&self.head)
     }
 
-    /// Returns whether the body has been read to its end.
-    pub fn is_complete(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
     /// Returns the connection to the pool if the complete body was read. A connection that the
     /// server closes or wants to close is dropped.
     pub fn finish(mut self) {
