Log the prompt of requests under which servers crash, and what cleared a suspect

Cause: the log names a fingerprint of a request's whole content; whether different requests share a part can't be seen, nor whether a run cleared a suspect by an error or by an answer that ended with its connection. Change: lost attempts whose server crashed log the parts of their prompt; a cleared request logs its status, the end of its answer and its prompt.

--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -65,8 +65,8 @@
 
 /// The part of an answer's body that was buffered.
 pub(super) enum CollectedBody {
-    /// The complete body.
-    Complete(Bytes),
+    /// The complete body, and how it ended.
+    Complete(Bytes, BodyEnd),
     /// The beginning of a body that exceeds the buffer limit.
     Partial(Bytes),
 }
@@ -231,7 +231,7 @@
                     let cause = "the answer broke off: truncated JSON".to_string();
                     return Err(LostAttempt::broken(&attempt.active, cause).await);
                 }
-                return Ok(CollectedBody::Complete(body.freeze()));
+                return Ok(CollectedBody::Complete(body.freeze(), end));
             }
             WaitResult::Done(Some(Ok(piece))) => {
                 attempt.active.record_contact();
--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -8,6 +8,7 @@
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response};
 use hyper::body::Incoming;
+use papayamux_coordination::body_end::BodyEnd;
 use papayamux_transport::http::AnswerBody;
 
 use super::active_request::ActiveRequest;
@@ -121,8 +122,8 @@
             if plan.kind().is_stream() && is_event_stream(&attempt.answer.head) {
                 return Ok(self.pass_stream(plan, attempt, in_flight));
             }
-            let body = match collect_body(&plan, &mut attempt).await {
-                Ok(CollectedBody::Complete(body)) => body,
+            let (body, end) = match collect_body(&plan, &mut attempt).await {
+                Ok(CollectedBody::Complete(body, end)) => (body, end),
                 Ok(CollectedBody::Partial(collected)) => {
                     return Ok(self.pass_remainder(plan, attempt, collected, in_flight));
                 }
@@ -131,7 +132,7 @@
                     Err(failure) => return fallback.ok_or(failure),
                 },
             };
-            let response = self.complete_answer(&plan, attempt, body);
+            let response = self.complete_answer(&plan, attempt, body, end);
             let failed = response.status().is_server_error();
             if !failed || !plan.kind().may_retry() {
                 return Ok(response);
@@ -166,11 +167,12 @@
         plan: &CallPlan,
         attempt: AttemptAnswer,
         body: Bytes,
+        end: BodyEnd,
     ) -> Response<AnswerBody> {
         let mut head = answer_head(&attempt.answer.head);
         head.headers.remove(http::header::CONTENT_LENGTH);
         log_answer(plan, &attempt);
-        plan.record_completion();
+        plan.record_completion(head.status, end);
         if !plan.kind().is_stream() {
             attempt.active.record_call_end();
         }
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -7,7 +7,9 @@
 
 use bytes::Bytes;
 use http::uri::PathAndQuery;
+use http::StatusCode;
 use papayamux_coordination::attempt_plan::{AttemptHistory, AttemptLoss, NextStep};
+use papayamux_coordination::body_end::BodyEnd;
 use papayamux_coordination::mechanism::Mechanism;
 use papayamux_coordination::retry_delay::{
     max_backoff_wait, retry_delay, retry_delay_after_backoff,
@@ -350,7 +352,8 @@
         log::info!(
             request:% = self.call.id, fingerprint:% = self.fingerprint(), loss:? = loss,
             cause = lost.cause.as_str(), next:? = step, server_ended = lost.server_crashed,
-            server:% = self.tried.last().map_or("", ServerId::as_str);
+            server:% = self.tried.last().map_or("", ServerId::as_str),
+            prompt = self.prompt_of_crash(lost);
             "attempt brought no answer"
         );
         self.record_server_crash(lost);
@@ -362,6 +365,14 @@
         }
     }
 
+    /// Returns the parts of the prompt for the log if the server crashed, or else nothing.
+    fn prompt_of_crash(&self, lost: &LostAttempt) -> String {
+        match lost.server_crashed {
+            true => self.call.prompt.to_string(),
+            false => String::new(),
+        }
+    }
+
     /// Records a crash if the server of a lost attempt crashed while it ran the request.
     pub(super) fn record_server_crash(&self, lost: &LostAttempt) {
         if let Some(server) = self.tried.last().filter(|_| lost.server_crashed) {
@@ -393,10 +404,17 @@
         }
     }
 
-    /// Records that a server has run the request to completion.
-    pub(super) fn record_completion(&self) {
-        if self.fleet.has_suspects() {
-            self.fleet.record_completion(self.fingerprint(), self.sent_after);
+    /// Records that a server has run the request to completion, with this status and end of the
+    /// answer.
+    pub(super) fn record_completion(&self, status: StatusCode, end: BodyEnd) {
+        if self.fleet.has_suspects()
+            && self.fleet.record_completion(self.fingerprint(), self.sent_after)
+        {
+            log::info!(
+                request:% = self.call.id, fingerprint:% = self.fingerprint(),
+                status = status.as_u16(), end = end.label(), prompt:% = self.call.prompt;
+                "suspect request was served"
+            );
         }
     }
 
--- a/crates/papayamux-router/src/direct/fleet/crash_records.rs
+++ b/crates/papayamux-router/src/direct/fleet/crash_records.rs
@@ -71,17 +71,20 @@
         self.crash_recorded.take().trigger();
     }
 
-    /// Records that a server has run a request to completion.
+    /// Records that a server has run a request to completion. Returns whether the request was
+    /// suspect.
     pub(in crate::direct) fn record_completion(
         &self,
         fingerprint: RequestFingerprint,
         sent: CrashRecord,
-    ) {
-        if self.quarantine.borrow_mut().record_run(fingerprint, sent, Instant::now()) {
+    ) -> bool {
+        let was_suspect =
+            self.quarantine.borrow_mut().record_run(fingerprint, sent, Instant::now());
+        if was_suspect {
             self.metrics.crash_records.count("cleared");
-            log::info!(fingerprint:% = fingerprint; "suspect request was served");
             self.crash_recorded.take().trigger();
         }
+        was_suspect
     }
 
     /// Applies the crash records of another router.
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -123,7 +123,7 @@
                     let end = stream_end(attempt, self.splitter.as_ref(), self.has_events);
                     self.plan.fleet.metrics().answer_ends.count(end.label());
                     match end {
-                        BodyEnd::Complete | BodyEnd::Unmarked => return self.finish(),
+                        BodyEnd::Complete | BodyEnd::Unmarked => return self.finish(end),
                         BodyEnd::Truncated => {
                             let cause = format!("truncated ({})", attempt.answer.framing());
                             lost_stream(attempt, cause).await
@@ -167,12 +167,12 @@
     }
 
     /// Completes an answer that the server has ended.
-    fn finish(&mut self) -> Option<Result<Bytes, BodyError>> {
+    fn finish(&mut self, end: BodyEnd) -> Option<Result<Bytes, BodyError>> {
         let mut attempt = self.attempt.take()?;
         if self.splitter.is_some() {
             attempt.active.record_stream_end(Some(self.plan.call.answer_tokens));
         }
-        self.plan.record_completion();
+        self.plan.record_completion(attempt.answer.head.status, end);
         self.plan.fleet.metrics().streams.count("whole");
         log::info!(
             request:% = self.plan.call.id, server:% = attempt.active.server().id,
