Quarantine the parts of prompts that servers crash on

Seen: callers lost up to a tenth of their requests for half a minute, as servers crashed one after the other under requests that shared one part; 60 and 43 of them reached servers after the part should have been known. Cause: crashes were counted for a request's whole content only. Each request was new, so that no count grew beyond a call and its retries. Change: crashes are counted by suspect: the content, and each shared part of the prompt at its service. A part is quarantined after three consecutive crashes, or after five if servers are known to have served it: what crashing requests share with sound ones is served elsewhere meanwhile, which clears it. Routers that have served a part answer a notice that lacks this. Only a success clears; an answer that ended with its connection clears only if the server still listens. A request that waited for another one's prefill is checked again. crash_quarantine becomes a folder; the attribution of crashes leaves call_plan for a file of its own.

--- a/crates/papayamux-agent/src/crash_notifier.rs
+++ b/crates/papayamux-agent/src/crash_notifier.rs
@@ -56,7 +56,7 @@
         let RunningContent { fingerprint, sent_after } = content;
         let mut quarantine = self.quarantine.borrow_mut();
         quarantine.forget_old(Instant::now());
-        if quarantine.record_crash(fingerprint, sent_after, 0.0, Instant::now()).is_some() {
+        if quarantine.record_crash(&fingerprint.into(), sent_after, 0.0, Instant::now()).is_some() {
             let crashes = sent_after.crashes + 1;
             log::warn!(fingerprint:% = fingerprint, crashes = crashes; "server ended under a request");
         }
@@ -67,7 +67,7 @@
     pub fn note_run(&self, content: RunningContent) {
         let RunningContent { fingerprint, sent_after } = content;
         let mut quarantine = self.quarantine.borrow_mut();
-        if quarantine.record_run(fingerprint, sent_after, Instant::now()) {
+        if quarantine.record_run(&fingerprint.into(), sent_after, Instant::now()) {
             log::info!(fingerprint:% = fingerprint; "suspect request was served");
         }
         self.announce(&mut quarantine);
--- /dev/null
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
@@ -0,0 +1,219 @@
+//! The suspects and their quarantine, as one router knows them.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use papayamux_state::crash_record::{CrashNotice, CrashRecord};
+use papayamux_state::crash_suspect::CrashSuspect;
+use papayamux_state::ids::{ServerId, ServiceId};
+use papayamux_state::prompt::PartId;
+
+use super::quarantine_rule::QuarantineRule;
+use super::served_parts::ServedParts;
+use super::server_crashes::{is_recent, ServerCrashes};
+use super::suspect_record::SuspectRecord;
+use super::NoticeOrigin;
+
+/// Maximum number of records. Those with the fewest crashes are evicted first.
+const MAX_RECORDS: usize = 4_096;
+/// Number of quarantined suspects that a regular report repeats.
+pub const QUARANTINED_PER_REPORT: usize = 4;
+
+/// What servers have crashed on, as one router knows it.
+#[derive(Debug, Default)]
+pub struct CrashQuarantine {
+    suspects: BTreeMap<CrashSuspect, SuspectRecord>,
+    server_crashes: ServerCrashes,
+    served_parts: ServedParts,
+    last_crash: Option<Instant>,
+    last_repeated: Option<CrashSuspect>,
+}
+
+impl CrashQuarantine {
+    /// Returns whether nothing is suspect.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Returns whether a server has crashed recently, by this router's observation or a notice.
+    pub fn has_recent_crashes(&self, now: Instant) -> bool {
+        self.last_crash.is_some_and(|crashed| is_recent(crashed, now))
+    }
+
+    /// Returns the remaining quarantine of a suspect, or `None` if requests with it may be sent.
+    pub fn quarantine_left(&self, suspect: &CrashSuspect, now: Instant) -> Option<Duration> {
+        self.suspects.get(suspect)?.quarantine_left(now)
+    }
+
+    /// Records that a request with the suspect is about to be sent. Returns the record of the
+    /// crashes before this attempt.
+    pub fn begin_attempt(&mut self, suspect: &CrashSuspect, now: Instant) -> CrashRecord {
+        let Some(known) = self.suspects.get_mut(suspect) else {
+            return CrashRecord::default();
+        };
+        known.begin_attempt(now);
+        known.record
+    }
+
+    /// Records the crash of a server that should be serving.
+    pub fn record_server_crash(&mut self, server: &ServerId, now: Instant) {
+        self.server_crashes.record(server, now);
+    }
+
+    /// Records that a server crashed under a request that was sent with the record `sent` of the
+    /// suspect. Simultaneous crashes count as one, since the suspect alone did not cause them
+    /// together. Returns the new record if it adds to the known one. `jitter` is in the range 0 to
+    /// 1.
+    pub fn record_crash(
+        &mut self,
+        suspect: &CrashSuspect,
+        sent: CrashRecord,
+        jitter: f64,
+        now: Instant,
+    ) -> Option<CrashRecord> {
+        let sent = match self.suspects.contains_key(suspect) {
+            true => sent,
+            false => sent.max(self.record_before_crashes(suspect)),
+        };
+        let record = sent.after_crash();
+        let rule = QuarantineRule::of(suspect, record);
+        let quarantine_left = rule.duration(record, self.server_crashes.count(now));
+        let notice = CrashNotice { suspect: suspect.clone(), record, quarantine_left };
+        self.apply(notice, NoticeOrigin::Observed, jitter, now).then_some(record)
+    }
+
+    /// Returns the record of a suspect that no server has crashed on.
+    fn record_before_crashes(&self, suspect: &CrashSuspect) -> CrashRecord {
+        match suspect {
+            CrashSuspect::Part(part) if self.served_parts.contains(part) => {
+                CrashRecord::default().after_run()
+            }
+            _ => CrashRecord::default(),
+        }
+    }
+
+    /// Records that a server has completed a request that was sent with the record `sent` of the
+    /// suspect. Returns whether there was anything to clear.
+    pub fn record_run(&mut self, suspect: &CrashSuspect, sent: CrashRecord, now: Instant) -> bool {
+        let known = self.suspects.get(suspect).map(|known| known.record);
+        let record = known.unwrap_or_default().max(sent);
+        if record.crashes == 0 {
+            return false;
+        }
+        let notice = CrashNotice {
+            suspect: suspect.clone(),
+            record: record.after_run(),
+            quarantine_left: Duration::ZERO,
+        };
+        self.apply(notice, NoticeOrigin::Observed, 0.0, now)
+    }
+
+    /// Records that a server has served a request whose prompt has these parts.
+    pub fn record_served_parts(
+        &mut self,
+        service: &ServiceId,
+        parts: impl Iterator<Item = PartId>,
+        now: Instant,
+    ) {
+        self.served_parts.record(service, parts, now);
+    }
+
+    /// Applies a notice of another router. Returns whether it was new. A part that this router
+    /// knows to be served is cleared if the other router doesn't know that.
+    pub fn receive_notice(&mut self, notice: CrashNotice, jitter: f64, now: Instant) -> bool {
+        let rule = QuarantineRule::of(&notice.suspect, notice.record);
+        let quarantine_left = notice.quarantine_left.min(rule.max_duration(notice.record));
+        let before = self.record_before_crashes(&notice.suspect);
+        if before > notice.record && notice.record.crashes > 0 {
+            let cleared = CrashNotice { record: before, quarantine_left: Duration::ZERO, ..notice };
+            return self.apply(cleared, NoticeOrigin::Received, jitter, now);
+        }
+        self.apply(CrashNotice { quarantine_left, ..notice }, NoticeOrigin::Received, jitter, now)
+    }
+
+    fn apply(
+        &mut self,
+        notice: CrashNotice,
+        origin: NoticeOrigin,
+        jitter: f64,
+        now: Instant,
+    ) -> bool {
+        let CrashNotice { suspect, record, quarantine_left } = notice;
+        let known = self.suspects.get(&suspect).map(|known| known.record);
+        if known.unwrap_or_default() >= record {
+            return false;
+        }
+        if record.crashes > 0 {
+            self.last_crash = Some(now);
+        }
+        self.make_room(now);
+        let known = SuspectRecord::new(record, origin, quarantine_left, jitter, now);
+        self.suspects.insert(suspect, known);
+        true
+    }
+
+    /// Returns at most `limit` records that are not yet announced, those with the most crashes
+    /// first, and marks them as announced.
+    pub fn next_unannounced(
+        &mut self,
+        origin: NoticeOrigin,
+        limit: usize,
+        now: Instant,
+    ) -> Vec<CrashNotice> {
+        let mut unannounced: Vec<_> = self
+            .suspects
+            .iter_mut()
+            .filter(|(_, known)| known.unannounced == Some(origin))
+            .collect();
+        unannounced.sort_by_key(|(_, known)| Reverse(known.record.crashes));
+        unannounced.truncate(limit);
+        let notices = unannounced.into_iter().map(|(suspect, known)| {
+            known.unannounced = None;
+            known.notice(suspect, now)
+        });
+        notices.collect()
+    }
+
+    /// Returns at most `limit` of the quarantined suspects, in rotation: a router that has just
+    /// started knows none of them.
+    pub fn next_quarantined(&mut self, limit: usize, now: Instant) -> Vec<CrashNotice> {
+        let quarantined: Vec<_> = self
+            .suspects
+            .iter()
+            .filter(|(_, known)| known.is_quarantined(now))
+            .map(|(suspect, known)| known.notice(suspect, now))
+            .collect();
+        let start = self
+            .last_repeated
+            .as_ref()
+            .map_or(0, |last| quarantined.partition_point(|notice| notice.suspect <= *last));
+        let count = limit.min(quarantined.len());
+        let batch: Vec<_> = quarantined.iter().cycle().skip(start).take(count).cloned().collect();
+        self.last_repeated = batch.last().map(|notice| notice.suspect.clone());
+        batch
+    }
+
+    /// Removes expired records.
+    pub fn forget_old(&mut self, now: Instant) {
+        self.suspects.retain(|_, known| !known.is_expired(now));
+    }
+
+    fn make_room(&mut self, now: Instant) {
+        if self.suspects.len() < MAX_RECORDS {
+            return;
+        }
+        self.forget_old(now);
+        if self.suspects.len() < MAX_RECORDS {
+            return;
+        }
+        let least_crashes = self
+            .suspects
+            .iter()
+            .min_by_key(|(_, known)| (known.record.crashes, known.changed))
+            .map(|(suspect, _)| suspect.clone());
+        if let Some(suspect) = least_crashes {
+            self.suspects.remove(&suspect);
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayamux-coordination/src/crash_quarantine/suspect_record.rs
@@ -0,0 +1,81 @@
+//! What one router knows of one suspect.
+
+use std::time::{Duration, Instant};
+
+use papayamux_state::crash_record::{CrashNotice, CrashRecord};
+use papayamux_state::crash_suspect::CrashSuspect;
+
+use super::NoticeOrigin;
+
+/// Time that the trial request after a quarantine has before another one may try.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for which a record is kept after its quarantine or its last change.
+const RECORD_RETENTION: Duration = Duration::from_secs(600);
+
+/// The crash record of a suspect and its quarantine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SuspectRecord {
+    pub(super) record: CrashRecord,
+    pub(super) changed: Instant,
+    /// When the quarantine ends that all routers apply.
+    quarantined_until: Instant,
+    /// When this router lets a request with the suspect try a server.
+    trial_from: Instant,
+    /// `true` if the suspect is quarantined, or was until its trial.
+    is_quarantined: bool,
+    /// The origin of a record that is not yet announced to other routers.
+    pub(super) unannounced: Option<NoticeOrigin>,
+}
+
+impl SuspectRecord {
+    /// Creates a record that is yet to be announced.
+    pub(super) fn new(
+        record: CrashRecord,
+        origin: NoticeOrigin,
+        quarantine_left: Duration,
+        jitter: f64,
+        now: Instant,
+    ) -> Self {
+        // Routers allow a trial at different times, so that the first of them finds out for all.
+        let trial_from = now + quarantine_left.mul_f64(1.0 + jitter);
+        let (quarantined_until, is_quarantined) =
+            (now + quarantine_left, !quarantine_left.is_zero());
+        Self {
+            record,
+            changed: now,
+            quarantined_until,
+            trial_from,
+            is_quarantined,
+            unannounced: Some(origin),
+        }
+    }
+
+    /// Returns the remaining quarantine, or `None` if a request may be sent.
+    pub(super) fn quarantine_left(&self, now: Instant) -> Option<Duration> {
+        let left = self.trial_from.saturating_duration_since(now);
+        (self.is_quarantined && !left.is_zero()).then_some(left)
+    }
+
+    /// Returns whether the quarantine is in force that all routers apply.
+    pub(super) fn is_quarantined(&self, now: Instant) -> bool {
+        now < self.quarantined_until
+    }
+
+    /// Records that a request with the suspect is about to be sent.
+    pub(super) fn begin_attempt(&mut self, now: Instant) {
+        if self.is_quarantined {
+            self.trial_from = self.trial_from.max(now + TRIAL_TIMEOUT);
+        }
+    }
+
+    /// Returns the notice for other routers.
+    pub(super) fn notice(&self, suspect: &CrashSuspect, now: Instant) -> CrashNotice {
+        let quarantine_left = self.quarantined_until.saturating_duration_since(now);
+        CrashNotice { suspect: suspect.clone(), record: self.record, quarantine_left }
+    }
+
+    /// Returns whether the record is no longer needed.
+    pub(super) fn is_expired(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.changed.max(self.quarantined_until)) >= RECORD_RETENTION
+    }
+}
--- a/crates/papayamux-coordination/tests/constants.rs
+++ b/crates/papayamux-coordination/tests/constants.rs
@@ -7,7 +7,7 @@
 use insta::assert_snapshot;
 
 /// Files with decisions on the direct path, besides those in folders.
-const FILES: [&str; 14] = [
+const FILES: [&str; 13] = [
     "link_delays.rs",
     "part_prefills.rs",
     "retry_delay.rs",
@@ -19,13 +19,18 @@
     "cache_survey.rs",
     "part_owners.rs",
     "source_polling.rs",
-    "crash_quarantine.rs",
     "server_notices.rs",
     "service_retry_budget.rs",
 ];
 /// Folders with decisions on the direct path.
-const FOLDERS: [&str; 5] =
-    ["placement", "server_profile", "service_queue", "fleet_knowledge", "cold_servers"];
+const FOLDERS: [&str; 6] = [
+    "placement",
+    "server_profile",
+    "service_queue",
+    "fleet_knowledge",
+    "cold_servers",
+    "crash_quarantine",
+];
 
 fn sources() -> Vec<PathBuf> {
     let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
--- a/crates/papayamux-coordination/tests/crash_spread.rs
+++ b/crates/papayamux-coordination/tests/crash_spread.rs
@@ -1,7 +1,7 @@
 //! Simulates a fleet whose routers notify each other of crashes. Requests that crash every server
 //! are sent again and again through any router, datagrams are lost, routers lose all records when
 //! they restart, and servers also crash from other causes.
-#![allow(clippy::unwrap_used, reason = "helpers of tests, which may panic")]
+#![allow(clippy::unwrap_used, clippy::panic, reason = "helpers of tests, which may panic")]
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -11,6 +11,7 @@
     CrashQuarantine, NoticeOrigin, QUARANTINED_PER_REPORT,
 };
 use papayamux_state::crash_record::{CrashNotice, CrashRecord};
+use papayamux_state::crash_suspect::CrashSuspect;
 use papayamux_state::request_fingerprint::RequestFingerprint;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -100,8 +101,16 @@
     last_report_target: usize,
 }
 
-fn fingerprint(fatal: usize) -> RequestFingerprint {
-    RequestFingerprint(fatal as u64)
+fn suspect(fatal: usize) -> CrashSuspect {
+    RequestFingerprint(fatal as u64).into()
+}
+
+/// Returns the number of a suspected content.
+fn content(suspect: &CrashSuspect) -> u64 {
+    match suspect {
+        CrashSuspect::Content(fingerprint) => fingerprint.0,
+        CrashSuspect::Part(part) => panic!("{part:?} is no content"),
+    }
 }
 
 struct Fleet {
@@ -212,7 +221,7 @@
                 for (fingerprint, cleared, crashes, held_ms) in notices {
                     let jitter = self.random.random();
                     let notice = CrashNotice {
-                        fingerprint: RequestFingerprint(fingerprint),
+                        suspect: RequestFingerprint(fingerprint).into(),
                         record: CrashRecord { cleared, crashes },
                         quarantine_left: Duration::from_millis(held_ms),
                     };
@@ -261,7 +270,7 @@
         self.record_server_crash(router);
         let (jitter, now) = (self.random.random(), self.now());
         let sent = CrashRecord { cleared: sent.0, crashes: sent.1 };
-        self.routers[router].quarantine.record_crash(fingerprint(fatal), sent, jitter, now);
+        self.routers[router].quarantine.record_crash(&suspect(fatal), sent, jitter, now);
         self.announce(router);
         if attempts_left > 0 {
             self.send(fatal, router, attempts_left);
@@ -271,10 +280,10 @@
     fn send(&mut self, fatal: usize, router: usize, attempts: u32) {
         let now = self.now();
         let known = &mut self.routers[router];
-        if known.quarantine.quarantine_left(fingerprint(fatal), now).is_some() {
+        if known.quarantine.quarantine_left(&suspect(fatal), now).is_some() {
             return;
         }
-        let sent = known.quarantine.begin_attempt(fingerprint(fatal), now);
+        let sent = known.quarantine.begin_attempt(&suspect(fatal), now);
         let (incarnation, started_ms) = (known.incarnation, known.started_ms);
         let should_know = self.fatals[fatal].third_crash_ms.is_some_and(|third| {
             let has_run_for = self.now_ms - started_ms;
@@ -326,7 +335,7 @@
         }
         let notices = notices.iter().map(|notice| {
             let CrashRecord { cleared, crashes } = notice.record;
-            (notice.fingerprint.0, cleared, crashes, notice.quarantine_left.as_millis() as u64)
+            (content(&notice.suspect), cleared, crashes, notice.quarantine_left.as_millis() as u64)
         });
         let notices = notices.collect();
         let delay_ms = self.random.random_range(1..=MAX_DATAGRAM_DELAY_MS);
--- a/crates/papayamux-protocol/src/crash_notices.rs
+++ b/crates/papayamux-protocol/src/crash_notices.rs
@@ -1,12 +1,15 @@
-//! The wire form of crash notices: records of requests under which servers crashed.
+//! The wire form of crash notices: records of what servers crashed on.
 
 use std::time::Duration;
 
 use papayamux_state::crash_record::{CrashNotice, CrashRecord};
+use papayamux_state::crash_suspect::{CrashSuspect, ServicePart};
+use papayamux_state::ids::IdError;
+use papayamux_state::prompt::PartId;
 use papayamux_state::request_fingerprint::RequestFingerprint;
 use prost::Message;
 
-/// Crash notices in columns, matched by index.
+/// Crash notices. Those of contents are in columns, matched by index.
 #[derive(Clone, PartialEq, Message)]
 pub struct CrashNoticesWire {
     #[prost(fixed64, repeated, tag = "1")]
@@ -17,31 +20,76 @@
     crashes: Vec<u32>,
     #[prost(uint32, repeated, tag = "4")]
     held_ms: Vec<u32>,
+    /// Notices of parts, which routers of earlier versions ignore.
+    #[prost(message, repeated, tag = "5")]
+    parts: Vec<PartNoticeWire>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct PartNoticeWire {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(fixed64, tag = "2")]
+    part: u64,
+    #[prost(uint32, tag = "3")]
+    cleared: u32,
+    #[prost(uint32, tag = "4")]
+    crashes: u32,
+    #[prost(uint32, tag = "5")]
+    held_ms: u32,
 }
 
 impl From<&[CrashNotice]> for CrashNoticesWire {
     fn from(notices: &[CrashNotice]) -> Self {
-        let held_ms = |notice: &CrashNotice| {
-            u32::try_from(notice.quarantine_left.as_millis()).unwrap_or(u32::MAX)
-        };
-        Self {
-            fingerprints: notices.iter().map(|notice| notice.fingerprint.0).collect(),
-            cleared: notices.iter().map(|notice| notice.record.cleared).collect(),
-            crashes: notices.iter().map(|notice| notice.record.crashes).collect(),
-            held_ms: notices.iter().map(held_ms).collect(),
+        let mut wire = Self::default();
+        for notice in notices {
+            let CrashRecord { cleared, crashes } = notice.record;
+            let held_ms = u32::try_from(notice.quarantine_left.as_millis()).unwrap_or(u32::MAX);
+            match &notice.suspect {
+                CrashSuspect::Content(fingerprint) => {
+                    wire.fingerprints.push(fingerprint.0);
+                    wire.cleared.push(cleared);
+                    wire.crashes.push(crashes);
+                    wire.held_ms.push(held_ms);
+                }
+                CrashSuspect::Part(ServicePart { service, part }) => {
+                    let service = service.to_string();
+                    let notice =
+                        PartNoticeWire { service, part: part.0, cleared, crashes, held_ms };
+                    wire.parts.push(notice);
+                }
+            }
         }
+        wire
     }
 }
 
-impl From<CrashNoticesWire> for Vec<CrashNotice> {
-    fn from(wire: CrashNoticesWire) -> Self {
+impl TryFrom<CrashNoticesWire> for Vec<CrashNotice> {
+    type Error = IdError;
+
+    fn try_from(wire: CrashNoticesWire) -> Result<Self, IdError> {
         let records = wire.cleared.into_iter().zip(wire.crashes);
         let columns = wire.fingerprints.into_iter().zip(records).zip(wire.held_ms);
-        let notices = columns.map(|((fingerprint, (cleared, crashes)), held_ms)| CrashNotice {
-            fingerprint: RequestFingerprint(fingerprint),
-            record: CrashRecord { cleared, crashes },
-            quarantine_left: Duration::from_millis(u64::from(held_ms)),
+        let contents = columns.map(|((fingerprint, (cleared, crashes)), held_ms)| {
+            Ok(CrashNotice {
+                suspect: RequestFingerprint(fingerprint).into(),
+                record: CrashRecord { cleared, crashes },
+                quarantine_left: Duration::from_millis(u64::from(held_ms)),
+            })
         });
-        notices.collect()
+        contents.chain(wire.parts.into_iter().map(CrashNotice::try_from)).collect()
+    }
+}
+
+impl TryFrom<PartNoticeWire> for CrashNotice {
+    type Error = IdError;
+
+    fn try_from(wire: PartNoticeWire) -> Result<Self, IdError> {
+        let part = ServicePart { service: wire.service.parse()?, part: PartId(wire.part) };
+        Ok(Self {
+            suspect: CrashSuspect::Part(part),
+            record: CrashRecord { cleared: wire.cleared, crashes: wire.crashes },
+            quarantine_left: Duration::from_millis(u64::from(wire.held_ms)),
+        })
     }
 }
--- a/crates/papayamux-protocol/src/router_report.rs
+++ b/crates/papayamux-protocol/src/router_report.rs
@@ -113,7 +113,7 @@
     pub part_question: Option<PartQuery>,
     /// The answer to such a query.
     pub part_answer: Option<PartAnswer>,
-    /// Records of requests under which servers crashed.
+    /// Records of what servers crashed on.
     pub crashes: Vec<CrashNotice>,
     /// Streams that have begun, sent to the owners of their keys.
     pub origins: Vec<OriginNotice>,
@@ -139,6 +139,9 @@
     /// The origin of a stream is malformed.
     #[error("malformed origin of a stream: {0}")]
     Origin(#[from] IdError),
+    /// The suspect of a crash notice is malformed.
+    #[error("malformed suspect of a crash notice: {0}")]
+    Suspect(IdError),
 }
 
 /// Loads in columns, which take 7 bytes per server instead of 12 as separate messages.
@@ -402,6 +405,7 @@
     type Error = ReportError;
 
     fn try_from(wire: ReportWire) -> Result<Self, ReportError> {
+        let crashes = Vec::try_from(wire.crashes.unwrap_or_default());
         Ok(Self {
             sequence: wire.sequence,
             known: wire.known.into_iter().map(|bits| Ipv4Addr::from(bits).into()).collect(),
@@ -419,7 +423,7 @@
             news: wire.news.map(FleetUpdate::try_from).transpose()?,
             part_question: wire.part_question.map(PartQuery::from),
             part_answer: wire.part_answer.map(PartAnswer::from),
-            crashes: wire.crashes.map(Vec::from).unwrap_or_default(),
+            crashes: crashes.map_err(ReportError::Suspect)?,
             origins: ungroup_notices(wire.origins)?,
             origin_query: wire.origin_query.map(OriginQuery::from),
             origin_answer: wire.origin_answer.map(OriginAnswer::try_from).transpose()?,
--- a/crates/papayamux-protocol/src/wire/convert_agent.rs
+++ b/crates/papayamux-protocol/src/wire/convert_agent.rs
@@ -63,7 +63,13 @@
             AgentBody::Load(load) => AgentMessage::Load(load.into()),
             AgentBody::Probed(reply) => AgentMessage::Probed(reply.try_into()?),
             AgentBody::Serving(answer) => AgentMessage::Serving(answer.try_into()?),
-            AgentBody::Crashes(notices) => AgentMessage::Crashes(notices.into()),
+            AgentBody::Crashes(notices) => {
+                let notices = notices.try_into();
+                AgentMessage::Crashes(
+                    notices
+                        .map_err(|source| WireError::Identifier { part: "crash notice", source })?,
+                )
+            }
         };
         Ok(Addressed { stream: self.stream, message })
     }
--- a/crates/papayamux-protocol/tests/router_report.rs
+++ b/crates/papayamux-protocol/tests/router_report.rs
@@ -14,6 +14,7 @@
 };
 use papayamux_state::backend::{BackendServer, ServerPhase};
 use papayamux_state::crash_record::{CrashNotice, CrashRecord};
+use papayamux_state::crash_suspect::{CrashSuspect, ServicePart};
 use papayamux_state::ids::{ServerId, ServerKey, ServerName, ServerStart};
 use papayamux_state::prompt::{PartId, PromptPart};
 use papayamux_state::quantities::TokenCount;
@@ -101,15 +102,23 @@
         origin_answer: Some(OriginAnswer { number: 11, origin: Some(origin("")) }),
         crashes: vec![
             CrashNotice {
-                fingerprint: RequestFingerprint(u64::MAX),
+                suspect: RequestFingerprint(u64::MAX).into(),
                 record: CrashRecord { cleared: 1, crashes: 2 },
                 quarantine_left: Duration::from_millis(29_500),
             },
             CrashNotice {
-                fingerprint: RequestFingerprint(1),
+                suspect: RequestFingerprint(1).into(),
                 record: CrashRecord { cleared: 0, crashes: 1 },
                 quarantine_left: Duration::ZERO,
             },
+            CrashNotice {
+                suspect: CrashSuspect::Part(ServicePart {
+                    service: "llm".parse().unwrap(),
+                    part: PartId(u64::MAX),
+                }),
+                record: CrashRecord { cleared: 1, crashes: 5 },
+                quarantine_left: Duration::from_millis(30_000),
+            },
         ],
         counted: 24,
         is_partial: true,
--- a/crates/papayamux-router/src/agents/agent_updates.rs
+++ b/crates/papayamux-router/src/agents/agent_updates.rs
@@ -29,12 +29,12 @@
         let (mut quarantine, now) = (self.0.borrow_mut(), Instant::now());
         quarantine.forget_old(now);
         for notice in notices {
-            let is_new = quarantine.receive_notice(*notice, rand::random(), now);
+            let is_new = quarantine.receive_notice(notice.clone(), rand::random(), now);
             let quarantine_left =
-                quarantine.quarantine_left(notice.fingerprint, now).filter(|_| is_new);
+                quarantine.quarantine_left(&notice.suspect, now).filter(|_| is_new);
             if let Some(quarantine_left) = quarantine_left {
                 log::info!(
-                    fingerprint:% = notice.fingerprint, crashes = notice.record.crashes,
+                    suspect:% = notice.suspect, crashes = notice.record.crashes,
                     held_ms = quarantine_left.as_millis() as u64; "request is held by an agent's word"
                 );
             }
@@ -48,11 +48,11 @@
 
     /// Returns the time for which a request stays quarantined, or `None` if it isn't.
     pub fn quarantine_left(&self, fingerprint: RequestFingerprint) -> Option<Duration> {
-        self.0.borrow().quarantine_left(fingerprint, Instant::now())
+        self.0.borrow().quarantine_left(&fingerprint.into(), Instant::now())
     }
 
     /// Records that a request is about to be sent, and returns the crashes under it so far.
     pub fn begin_attempt(&self, fingerprint: RequestFingerprint) -> CrashRecord {
-        self.0.borrow_mut().begin_attempt(fingerprint, Instant::now())
+        self.0.borrow_mut().begin_attempt(&fingerprint.into(), Instant::now())
     }
 }
--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -150,8 +150,11 @@
             let chosen = plan.choose().map_err(AttemptFailure::NotMade)?;
             let mut active = ActiveRequest::begin(plan, &chosen);
             active.wait_for_parts(plan).await;
+            // A suspect of the request may have been quarantined meanwhile.
+            plan.check_quarantine().map_err(AttemptFailure::NotMade)?;
             // The server may have departed while the request waited.
             if active.may_be_sent() {
+                plan.begin_attempt();
                 active.begin_sending(plan);
                 break (chosen, active);
             }
@@ -172,7 +175,7 @@
         let mut head = answer_head(&attempt.answer.head);
         head.headers.remove(http::header::CONTENT_LENGTH);
         log_answer(plan, &attempt);
-        plan.record_completion(head.status, end);
+        plan.record_completion(attempt.active.server(), head.status, end);
         if !plan.kind().is_stream() {
             attempt.active.record_call_end();
         }
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -7,9 +7,7 @@
 
 use bytes::Bytes;
 use http::uri::PathAndQuery;
-use http::StatusCode;
 use papayamux_coordination::attempt_plan::{AttemptHistory, AttemptLoss, NextStep};
-use papayamux_coordination::body_end::BodyEnd;
 use papayamux_coordination::mechanism::Mechanism;
 use papayamux_coordination::retry_delay::{
     max_backoff_wait, retry_delay, retry_delay_after_backoff,
@@ -18,7 +16,6 @@
 use papayamux_coordination::service_retry_budget::RetryUsage;
 use papayamux_coordination::stream_origins::VersionRule;
 use papayamux_state::backend::BackendServer;
-use papayamux_state::crash_record::CrashRecord;
 use papayamux_state::ids::{OrganisationId, ServerId, ServiceId};
 use papayamux_state::quantities::TokenCount;
 use papayamux_state::request_fingerprint::{RequestContent, RequestFingerprint};
@@ -26,7 +23,7 @@
 use papayamux_state::stream_origin::{StreamKey, StreamOrigin};
 
 use super::attempt::LostAttempt;
-use super::fleet::{ChosenServer, ServerFilter};
+use super::fleet::{ChosenServer, SentSuspect, ServerFilter};
 use super::interface::Dispatch;
 use super::{CallFailure, CallHead, CallId, Fleet, NotRunReason};
 
@@ -45,10 +42,11 @@
     /// The earlier deadline of the caller's and the route's.
     pub(super) give_up_at: Instant,
     fingerprint: OnceCell<RequestFingerprint>,
-    /// The crashes that were known when the current attempt was sent.
-    sent_after: CrashRecord,
-    history: AttemptHistory,
-    tried: Vec<ServerId>,
+    /// The suspects with the crashes that were known when the current attempt was sent; empty if
+    /// there were none.
+    pub(super) sent: Vec<SentSuspect>,
+    pub(super) history: AttemptHistory,
+    pub(super) tried: Vec<ServerId>,
     /// `true` if no server holds the shared part of the prompt.
     nobody_holds: bool,
     versions: VersionRule,
@@ -75,7 +73,7 @@
             arrived,
             give_up_at: arrived + longest,
             fingerprint: OnceCell::new(),
-            sent_after: CrashRecord::default(),
+            sent: Vec::new(),
             history: AttemptHistory::default(),
             tried: Vec::new(),
             nobody_holds: false,
@@ -206,7 +204,6 @@
             }
             Some(chosen) => {
                 self.tried.push(chosen.server.id.clone());
-                self.sent_after = self.begin_attempt();
                 Ok(chosen)
             }
             None => Err(self.failure(self.unavailable_reason())),
@@ -365,59 +362,6 @@
         }
     }
 
-    /// Returns the parts of the prompt for the log if the server crashed, or else nothing.
-    fn prompt_of_crash(&self, lost: &LostAttempt) -> String {
-        match lost.server_crashed {
-            true => self.call.prompt.to_string(),
-            false => String::new(),
-        }
-    }
-
-    /// Records a crash if the server of a lost attempt crashed while it ran the request.
-    pub(super) fn record_server_crash(&self, lost: &LostAttempt) {
-        if let Some(server) = self.tried.last().filter(|_| lost.server_crashed) {
-            self.fleet.record_request_crash(self.fingerprint(), self.sent_after, server);
-        }
-    }
-
-    /// Refuses a request that is in quarantine. Otherwise each call with it would crash as many
-    /// servers as its route allows attempts, at any router.
-    pub(super) fn check_quarantine(&self) -> Result<(), CallFailure> {
-        if !self.fleet.has_suspects() {
-            return Ok(());
-        }
-        let Some(left) = self.fleet.quarantine_left(self.fingerprint()) else { return Ok(()) };
-        log::info!(
-            request:% = self.call.id, fingerprint:% = self.fingerprint(),
-            held_ms = left.as_millis() as u64; "request is held"
-        );
-        if self.history.may_have_run() {
-            return Err(self.failure(NotRunReason::Quarantined));
-        }
-        Err(CallFailure::NotRun { reason: NotRunReason::Quarantined, retry_after: Some(left) })
-    }
-
-    fn begin_attempt(&self) -> CrashRecord {
-        match self.fleet.has_suspects() {
-            true => self.fleet.begin_attempt(self.fingerprint()),
-            false => CrashRecord::default(),
-        }
-    }
-
-    /// Records that a server has run the request to completion, with this status and end of the
-    /// answer.
-    pub(super) fn record_completion(&self, status: StatusCode, end: BodyEnd) {
-        if self.fleet.has_suspects()
-            && self.fleet.record_completion(self.fingerprint(), self.sent_after)
-        {
-            log::info!(
-                request:% = self.call.id, fingerprint:% = self.fingerprint(),
-                status = status.as_u16(), end = end.label(), prompt:% = self.call.prompt;
-                "suspect request was served"
-            );
-        }
-    }
-
     fn claim_retry(&self) -> bool {
         let now = Instant::now();
         let mut budget = self.fleet.budget().borrow_mut();
--- a/crates/papayamux-router/src/direct/fleet/crash_records.rs
+++ b/crates/papayamux-router/src/direct/fleet/crash_records.rs
@@ -1,14 +1,18 @@
-//! Requests under which servers have crashed.
+//! What servers have crashed on.
 
 use std::net::IpAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use papayamux_coordination::crash_quarantine::{NoticeOrigin, QUARANTINED_PER_REPORT};
 use papayamux_coordination::mechanism::Mechanism;
+use papayamux_state::backend::BackendServer;
 use papayamux_state::crash_record::{CrashNotice, CrashRecord};
-use papayamux_state::ids::ServerId;
-use papayamux_state::request_fingerprint::RequestFingerprint;
+use papayamux_state::crash_suspect::CrashSuspect;
+use papayamux_state::ids::{ServerId, ServiceId};
+use papayamux_state::prompt::PromptChain;
 
+use super::server_checks::ServerState;
 use super::Fleet;
 
 /// Maximum number of records in one datagram.
@@ -22,69 +26,131 @@
     pub received: Vec<CrashNotice>,
 }
 
+/// A suspect of a request, with its record when the request was sent.
+#[derive(Debug, Clone)]
+pub(in crate::direct) struct SentSuspect {
+    pub suspect: CrashSuspect,
+    pub record: CrashRecord,
+}
+
+/// A suspect that keeps a request from being sent.
+#[derive(Debug, Clone)]
+pub(in crate::direct) struct HeldSuspect {
+    pub suspect: CrashSuspect,
+    /// The remaining time of the quarantine.
+    pub left: Duration,
+}
+
 impl Fleet {
-    /// Returns whether any request is suspected of crashing servers. If none is, no request needs a
-    /// fingerprint.
+    /// Returns whether servers are suspected of crashing on anything. If not, no request needs its
+    /// suspects.
     pub(in crate::direct) fn has_suspects(&self) -> bool {
         !self.quarantine.borrow().is_empty()
     }
 
-    /// Returns the remaining quarantine of a request; `None` if it may be sent.
-    pub(in crate::direct) fn quarantine_left(
+    /// Returns the suspect that is quarantined longest; `None` if a request with all of them may be
+    /// sent.
+    pub(in crate::direct) fn longest_quarantine(
         &self,
-        fingerprint: RequestFingerprint,
-    ) -> Option<Duration> {
-        self.quarantine.borrow().quarantine_left(fingerprint, Instant::now())
+        suspects: Vec<CrashSuspect>,
+    ) -> Option<HeldSuspect> {
+        let (quarantine, now) = (self.quarantine.borrow(), Instant::now());
+        let held = suspects.into_iter().filter_map(|suspect| {
+            let left = quarantine.quarantine_left(&suspect, now)?;
+            Some(HeldSuspect { suspect, left })
+        });
+        held.max_by_key(|held| held.left)
     }
 
-    /// Records that a request is about to be sent; returns the crashes known before.
-    pub(in crate::direct) fn begin_attempt(&self, fingerprint: RequestFingerprint) -> CrashRecord {
-        self.quarantine.borrow_mut().begin_attempt(fingerprint, Instant::now())
+    /// Records that a request with these suspects is about to be sent; returns the crashes known
+    /// before.
+    pub(in crate::direct) fn begin_attempt(&self, suspects: Vec<CrashSuspect>) -> Vec<SentSuspect> {
+        let (mut quarantine, now) = (self.quarantine.borrow_mut(), Instant::now());
+        let sent = suspects.into_iter().map(|suspect| {
+            let record = quarantine.begin_attempt(&suspect, now);
+            SentSuspect { suspect, record }
+        });
+        sent.collect()
     }
 
-    /// Records that a server crashed under a request that was sent with this record.
-    pub(in crate::direct) fn record_request_crash(
-        &self,
-        fingerprint: RequestFingerprint,
-        sent: CrashRecord,
-        server: &ServerId,
-    ) {
+    /// Records that a server crashed under a request with these suspects.
+    pub(in crate::direct) fn record_request_crash(&self, sent: &[SentSuspect], server: &ServerId) {
         if !self.uses(Mechanism::CrashQuarantine) {
             return;
         }
         let now = Instant::now();
         let mut quarantine = self.quarantine.borrow_mut();
         quarantine.record_server_crash(server, now);
-        let Some(record) = quarantine.record_crash(fingerprint, sent, rand::random(), now) else {
-            return;
-        };
-        self.metrics.crash_records.count("crash");
-        let quarantine_left = quarantine.quarantine_left(fingerprint, now);
-        if quarantine_left.is_some() {
-            self.metrics.crash_records.count("held");
+        let mut is_new = false;
+        for SentSuspect { suspect, record } in sent {
+            let Some(record) = quarantine.record_crash(suspect, *record, rand::random(), now)
+            else {
+                continue;
+            };
+            is_new = true;
+            self.metrics.crash_records.count("crash");
+            let quarantine_left = quarantine.quarantine_left(suspect, now);
+            if quarantine_left.is_some() {
+                self.metrics.crash_records.count("held");
+            }
+            let quarantine_left = quarantine_left.unwrap_or_default();
+            log::info!(
+                suspect:% = suspect, kind = suspect.kind(), server:% = server,
+                crashes = record.crashes, cleared = record.cleared,
+                held_ms = quarantine_left.as_millis() as u64; "server ended under a request"
+            );
+        }
+        if is_new {
+            self.crash_recorded.take().trigger();
         }
-        let quarantine_left = quarantine_left.unwrap_or_default();
-        log::info!(
-            fingerprint:% = fingerprint, server:% = server, crashes = record.crashes,
-            held_ms = quarantine_left.as_millis() as u64; "server ended under a request"
-        );
-        self.crash_recorded.take().trigger();
     }
 
-    /// Records that a server has run a request to completion. Returns whether the request was
-    /// suspect.
-    pub(in crate::direct) fn record_completion(
-        &self,
-        fingerprint: RequestFingerprint,
-        sent: CrashRecord,
-    ) -> bool {
-        let was_suspect =
-            self.quarantine.borrow_mut().record_run(fingerprint, sent, Instant::now());
-        if was_suspect {
+    /// Records that a server has run a request with these suspects to completion. Returns those that
+    /// this has cleared.
+    pub(in crate::direct) fn record_completion(&self, sent: &[SentSuspect]) -> Vec<CrashSuspect> {
+        let (mut quarantine, now) = (self.quarantine.borrow_mut(), Instant::now());
+        let cleared = sent
+            .iter()
+            .filter(|SentSuspect { suspect, record }| quarantine.record_run(suspect, *record, now));
+        let cleared: Vec<_> = cleared.map(|sent| sent.suspect.clone()).collect();
+        if !cleared.is_empty() {
             self.metrics.crash_records.count("cleared");
             self.crash_recorded.take().trigger();
         }
-        was_suspect
+        cleared
+    }
+
+    /// Records that a server has served the shared parts of a prompt.
+    pub(in crate::direct) fn record_served_parts(&self, service: &ServiceId, prompt: &PromptChain) {
+        if self.uses(Mechanism::CrashQuarantine) {
+            let parts = prompt.suspect_parts();
+            self.quarantine.borrow_mut().record_served_parts(service, parts, Instant::now());
+        }
+    }
+
+    /// Returns whether a server has crashed recently. The end of a connection is then no sign that
+    /// an answer is complete.
+    pub(in crate::direct) fn has_recent_crashes(&self) -> bool {
+        self.quarantine.borrow().has_recent_crashes(Instant::now())
+    }
+
+    /// Finds out whether a server crashed when it ended an answer with its connection, and records
+    /// the crash or the completion.
+    pub(in crate::direct) fn check_unmarked_end(
+        self: &Rc<Self>,
+        server: Rc<BackendServer>,
+        sent: Vec<SentSuspect>,
+    ) {
+        let fleet = self.clone();
+        monoio::spawn(async move {
+            match fleet.server_state(&server).await {
+                ServerState::Crashed => fleet.record_request_crash(&sent, &server.id),
+                ServerState::Listening => {
+                    fleet.record_completion(&sent);
+                }
+                ServerState::Unknown => {}
+            }
+        });
     }
 
     /// Applies the crash records of another router.
@@ -96,14 +162,14 @@
         let mut quarantine = self.quarantine.borrow_mut();
         let mut learnt = false;
         for notice in notices {
-            if !quarantine.receive_notice(*notice, rand::random(), now) {
+            if !quarantine.receive_notice(notice.clone(), rand::random(), now) {
                 continue;
             }
             learnt = true;
-            if let Some(quarantine_left) = quarantine.quarantine_left(notice.fingerprint, now) {
+            if let Some(quarantine_left) = quarantine.quarantine_left(&notice.suspect, now) {
                 self.metrics.crash_records.count("told");
                 log::info!(
-                    peer:% = peer, fingerprint:% = notice.fingerprint,
+                    peer:% = peer, suspect:% = notice.suspect, kind = notice.suspect.kind(),
                     crashes = notice.record.crashes, held_ms = quarantine_left.as_millis() as u64;
                     "request is held by another router's word"
                 );
@@ -142,8 +208,8 @@
         }
     }
 
-    /// Returns some of the quarantined requests, for the next regular report.
-    pub(in crate::direct) fn next_held_requests(&self, now: Instant) -> Vec<CrashNotice> {
+    /// Returns some of the quarantined suspects, for the next regular report.
+    pub(in crate::direct) fn next_held_suspects(&self, now: Instant) -> Vec<CrashNotice> {
         self.quarantine.borrow_mut().next_quarantined(QUARANTINED_PER_REPORT, now)
     }
 }
--- a/crates/papayamux-router/src/direct/fleet/server_checks.rs
+++ b/crates/papayamux-router/src/direct/fleet/server_checks.rs
@@ -22,14 +22,30 @@
 #[derive(Default)]
 pub(super) struct ServerChecks(RefCell<HashMap<ServerId, PendingProbe>>);
 
+/// What is known of a server after a connection to it ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ServerState {
+    /// It has crashed.
+    Crashed,
+    /// It accepts connections.
+    Listening,
+    /// It leaves as planned, or can't be asked.
+    Unknown,
+}
+
 impl Fleet {
     /// Returns whether a server that should be serving has crashed, after a connection to it broke.
+    pub(in crate::direct) async fn has_crashed(self: &Rc<Self>, server: &BackendServer) -> bool {
+        self.server_state(server).await == ServerState::Crashed
+    }
+
+    /// Returns the state of a server that should be serving, after a connection to it ended.
     ///
     /// A server that is draining or no longer listed ends as planned, and no request has caused its
     /// end.
-    pub(in crate::direct) async fn has_crashed(self: &Rc<Self>, server: &BackendServer) -> bool {
+    pub(super) async fn server_state(self: &Rc<Self>, server: &BackendServer) -> ServerState {
         if self.has_restarted(server) {
-            return true;
+            return ServerState::Crashed;
         }
         let is_serving = {
             let presence = self.presence.borrow();
@@ -38,7 +54,14 @@
                 known.phase == ServerPhase::Serving && !self.is_draining(known)
             })
         };
-        is_serving && self.pending_probe(server).await == ProbeResult::Refused
+        if !is_serving {
+            return ServerState::Unknown;
+        }
+        match self.pending_probe(server).await {
+            ProbeResult::Refused => ServerState::Crashed,
+            ProbeResult::Accepted => ServerState::Listening,
+            ProbeResult::Unanswered => ServerState::Unknown,
+        }
     }
 
     fn pending_probe(self: &Rc<Self>, server: &BackendServer) -> PendingProbe {
--- a/crates/papayamux-router/src/direct/mod.rs
+++ b/crates/papayamux-router/src/direct/mod.rs
@@ -8,6 +8,7 @@
 mod call;
 mod call_handler;
 mod call_plan;
+mod crash_attribution;
 mod daemon;
 mod event_splitter;
 mod fleet;
--- a/crates/papayamux-router/src/direct/peers/exchange.rs
+++ b/crates/papayamux-router/src/direct/peers/exchange.rs
@@ -364,7 +364,7 @@
             fresh: now.saturating_duration_since(self.started) < FRESH_DURATION,
             question,
             configuration: self.next_answers(now),
-            crashes: self.fleet.next_held_requests(now),
+            crashes: self.fleet.next_held_suspects(now),
             counted: self.fleet.counted_routers(),
             ..RouterReport::default()
         }
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -172,7 +172,7 @@
         if self.splitter.is_some() {
             attempt.active.record_stream_end(Some(self.plan.call.answer_tokens));
         }
-        self.plan.record_completion(attempt.answer.head.status, end);
+        self.plan.record_completion(attempt.active.server(), attempt.answer.head.status, end);
         self.plan.fleet.metrics().streams.count("whole");
         log::info!(
             request:% = self.plan.call.id, server:% = attempt.active.server().id,
@@ -232,6 +232,7 @@
             Err(failure) => return Err(LostAttempt::unknown(failure.to_string())),
         };
         let mut active = ActiveRequest::begin(&self.plan, &chosen);
+        self.plan.begin_attempt();
         active.begin_sending(&self.plan);
         let dispatch = self.plan.dispatch(&chosen, self.last_event);
         let body = self.plan.body.clone();
--- a/crates/papayamux-state/src/crash_record.rs
+++ b/crates/papayamux-state/src/crash_record.rs
@@ -1,17 +1,17 @@
-//! Records of servers that crashed under a request, which routers send to one another.
+//! Records of servers that crashed under a suspect, which routers send to one another.
 
 use std::time::Duration;
 
-use crate::request_fingerprint::RequestFingerprint;
+use crate::crash_suspect::CrashSuspect;
 
-/// How often servers completed one request or crashed under it. Of two records of a request the
-/// greater one includes more events: a completed run outweighs all crashes before it.
+/// How often servers completed requests with a suspect or crashed under them. Of two records of a
+/// suspect the greater one includes more events: a completed run outweighs all crashes before it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CrashRecord {
-    /// The number of times a completed run has cleared the request.
+    /// The number of times a completed run has cleared the suspect.
     pub cleared: u32,
-    /// The number of servers that crashed under the request since it was last cleared. Each received
-    /// the request after the previous one had crashed.
+    /// The number of servers that crashed under the suspect since it was last cleared. Each received
+    /// its request after the previous one had crashed.
     pub crashes: u32,
 }
 
@@ -21,19 +21,19 @@
         Self { crashes: self.crashes.saturating_add(1), ..self }
     }
 
-    /// Returns the record after a server has completed the request.
+    /// Returns the record after a server has completed a request with the suspect.
     pub fn after_run(self) -> Self {
         Self { cleared: self.cleared.saturating_add(1), crashes: 0 }
     }
 }
 
-/// The crash record of one request as sent between routers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// The crash record of one suspect as sent between routers.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashNotice {
-    /// The fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
-    /// The crash record of the request.
+    /// The suspect.
+    pub suspect: CrashSuspect,
+    /// The crash record of the suspect.
     pub record: CrashRecord,
-    /// The remaining time for which the request is quarantined.
+    /// The remaining time for which requests with the suspect are quarantined.
     pub quarantine_left: Duration,
 }
--- a/crates/papayamux-state/src/lib.rs
+++ b/crates/papayamux-state/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod chat_key;
 pub mod claims;
 pub mod crash_record;
+pub mod crash_suspect;
 pub mod evacuation;
 pub mod hash_ring;
 pub mod ids;
--- a/crates/papayamux-state/src/prompt/prompt_chain.rs
+++ b/crates/papayamux-state/src/prompt/prompt_chain.rs
@@ -9,6 +9,9 @@
 
 /// Maximum number of parts in a prompt.
 const MAX_PARTS: usize = 256;
+/// Maximum number of parts of a prompt that are suspected if a server crashes, so that one prompt
+/// can't fill the table of suspects.
+const MAX_SUSPECT_PARTS: usize = 64;
 
 /// Identifies a part of a prompt. Parts with equal ids have equal text.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -110,6 +113,13 @@
         self.prefixes().take(end + 1).collect()
     }
 
+    /// Returns the parts that servers may crash on, whatever else the prompt holds: all but the last,
+    /// which only one session has.
+    pub fn suspect_parts(&self) -> impl Iterator<Item = PartId> + '_ {
+        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().take(MAX_SUSPECT_PARTS).map(|part| part.id)
+    }
+
     /// Returns the ids of all prefixes, each with the length of its last part. A prefix id
     /// identifies a part together with all parts before it.
     pub fn prefixes(&self) -> impl Iterator<Item = (PartId, TokenCount)> + '_ {
