Tell parts that crash servers from those that are on crashed servers by chance

Change: six crashes for a part, eight for one that was served, while over three quarters of the recent crashes were of other servers; a router that has just started takes no part for new; the quarantine of a part that was never served clears the served ones, since it explains their crashes. A failed trial extends the quarantine that was in force, whatever the count of crashes.

--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
@@ -36,6 +36,11 @@
         self.suspects.is_empty()
     }
 
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
     /// Returns whether a server has crashed recently, by this router's observation or a notice.
     pub fn has_recent_crashes(&self, now: Instant) -> bool {
         self.last_crash.is_some_and(|crashed| is_recent(crashed, now))
@@ -72,13 +77,18 @@
         jitter: f64,
         now: Instant,
     ) -> Option<CrashRecord> {
-        let sent = match self.suspects.contains_key(suspect) {
-            true => sent,
-            false => sent.max(self.record_before_crashes(suspect)),
+        let known = self.suspects.get(suspect);
+        let sent = match known {
+            Some(_) => sent,
+            None => sent.max(self.record_before_crashes(suspect)),
         };
         let record = sent.after_crash();
-        let rule = QuarantineRule::of(suspect, record);
-        let quarantine_left = rule.duration(record, self.server_crashes.count(now));
+        let is_unserved = record.cleared == 0 && self.served_parts.are_representative(now);
+        let rule = QuarantineRule::of(suspect, is_unserved);
+        let quarantine_left = match known.and_then(SuspectRecord::quarantine) {
+            Some(last) => rule.next_duration(last),
+            None => rule.first_duration(record, self.server_crashes.count(now)),
+        };
         let notice = CrashNotice { suspect: suspect.clone(), record, quarantine_left };
         self.apply(notice, NoticeOrigin::Observed, jitter, now).then_some(record)
     }
@@ -122,7 +132,7 @@
     /// Applies a notice of another router. Returns whether it was new. A part that this router
     /// knows to be served is cleared if the other router doesn't know that.
     pub fn receive_notice(&mut self, notice: CrashNotice, jitter: f64, now: Instant) -> bool {
-        let rule = QuarantineRule::of(&notice.suspect, notice.record);
+        let rule = QuarantineRule::of(&notice.suspect, notice.record.cleared == 0);
         let quarantine_left = notice.quarantine_left.min(rule.max_duration(notice.record));
         let before = self.record_before_crashes(&notice.suspect);
         if before > notice.record && notice.record.crashes > 0 {
@@ -148,11 +158,26 @@
             self.last_crash = Some(now);
         }
         self.make_room(now);
+        let explains_crashes = is_unserved_part(&suspect, record) && !quarantine_left.is_zero();
         let known = SuspectRecord::new(record, origin, quarantine_left, jitter, now);
         self.suspects.insert(suspect, known);
+        if explains_crashes {
+            self.clear_served_parts(now);
+        }
         true
     }
 
+    /// Clears the parts that servers have served, once their crashes have another explanation. Each
+    /// router does so when it learns of that.
+    fn clear_served_parts(&mut self, now: Instant) {
+        for (suspect, known) in &mut self.suspects {
+            let is_part = matches!(suspect, CrashSuspect::Part(_));
+            if is_part && !is_unserved_part(suspect, known.record) && known.record.crashes > 0 {
+                *known = SuspectRecord::announced(known.record.after_run(), now);
+            }
+        }
+    }
+
     /// Returns at most `limit` records that are not yet announced, those with the most crashes
     /// first, and marks them as announced.
     pub fn next_unannounced(
@@ -217,3 +242,8 @@
         }
     }
 }
+
+/// Returns whether the suspect is a part that no server is known to have served.
+fn is_unserved_part(suspect: &CrashSuspect, record: CrashRecord) -> bool {
+    matches!(suspect, CrashSuspect::Part(_)) && record.cleared == 0
+}
--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine_rule.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine_rule.rs
@@ -14,9 +14,17 @@
 /// Consecutive crashes after which a part is quarantined that no server is known to have served.
 /// More requests depend on a part than on a content.
 const PART_CRASHES: u32 = 3;
+/// The same while most crashes of servers are of others. Rarely used parts are then on several crashed
+/// servers in a row by chance.
+const PART_CRASHES_AMONG_OTHERS: u32 = 6;
 /// Consecutive crashes after which a part is quarantined that servers have served. Each request that
 /// crashes servers has such parts too, and is recognised by another part first.
 const SERVED_PART_CRASHES: u32 = 5;
+/// The same while most crashes of servers are of others.
+const SERVED_PART_CRASHES_AMONG_OTHERS: u32 = 8;
+/// Ratio of recent crashes to those under a part above which most crashes are of others. Requests
+/// with a part that are sent at the same time crash several servers, which count as one.
+const PART_OTHERS_RATIO: usize = 4;
 /// Duration of the first quarantine.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
 /// Factor by which each further crash extends the quarantine of a content.
@@ -34,38 +42,69 @@
 pub(super) struct QuarantineRule {
     /// Consecutive crashes after which the suspect is quarantined.
     crashes: u32,
-    /// The same while other servers crash without the suspect.
+    /// The same among crashes of other servers.
     crashes_among_others: u32,
+    /// Ratio of recent crashes to those under the suspect above which other servers crash.
+    others_ratio: usize,
+    /// Factor by which each crash beyond `crashes` extends the first quarantine.
+    first_growth: u32,
+    /// Factor by which each failed trial extends the quarantine.
     growth: u32,
     max: Duration,
 }
 
 impl QuarantineRule {
-    /// Returns the rule for a suspect with this record.
-    pub(super) fn of(suspect: &CrashSuspect, record: CrashRecord) -> Self {
+    /// Returns the rule for a suspect. `is_unserved` is `true` if no server can be expected to have
+    /// served it.
+    pub(super) fn of(suspect: &CrashSuspect, is_unserved: bool) -> Self {
         let (crashes, crashes_among_others) = match suspect {
             CrashSuspect::Content(_) => (CONTENT_CRASHES, CONTENT_CRASHES_AMONG_OTHERS),
-            CrashSuspect::Part(_) if record.cleared == 0 => (PART_CRASHES, PART_CRASHES),
-            CrashSuspect::Part(_) => (SERVED_PART_CRASHES, SERVED_PART_CRASHES),
+            CrashSuspect::Part(_) if is_unserved => (PART_CRASHES, PART_CRASHES_AMONG_OTHERS),
+            CrashSuspect::Part(_) => (SERVED_PART_CRASHES, SERVED_PART_CRASHES_AMONG_OTHERS),
         };
-        let (growth, max) = match suspect {
-            CrashSuspect::Content(_) => (CONTENT_GROWTH, MAX_CONTENT_QUARANTINE),
-            CrashSuspect::Part(_) => (PART_GROWTH, MAX_PART_QUARANTINE),
-        };
-        Self { crashes, crashes_among_others, growth, max }
+        match suspect {
+            CrashSuspect::Content(_) => Self {
+                crashes,
+                crashes_among_others,
+                others_ratio: 1,
+                first_growth: CONTENT_GROWTH,
+                growth: CONTENT_GROWTH,
+                max: MAX_CONTENT_QUARANTINE,
+            },
+            CrashSuspect::Part(_) => Self {
+                crashes,
+                crashes_among_others,
+                others_ratio: PART_OTHERS_RATIO,
+                first_growth: 1,
+                growth: PART_GROWTH,
+                max: MAX_PART_QUARANTINE,
+            },
+        }
     }
 
-    /// Returns the duration of the quarantine after the last crash of `record`; zero if there is
-    /// none. `server_crashes` is the number of recent crashes of servers, for whatever cause.
-    pub(super) fn duration(self, record: CrashRecord, server_crashes: usize) -> Duration {
-        let enough = match server_crashes > record.crashes as usize {
+    /// Returns the duration of the first quarantine after the last crash of `record`; zero if there
+    /// is none. `server_crashes` is the number of recent crashes of servers, for whatever cause.
+    pub(super) fn first_duration(self, record: CrashRecord, server_crashes: usize) -> Duration {
+        let among_others = server_crashes > record.crashes as usize * self.others_ratio;
+        let enough = match among_others {
             true => self.crashes_among_others,
             false => self.crashes,
         };
-        match record.crashes < enough {
-            true => Duration::ZERO,
-            false => self.max_duration(record),
+        if record.crashes < enough {
+            return Duration::ZERO;
+        }
+        let factor = self.first_growth.saturating_pow(record.crashes - self.crashes);
+        FIRST_QUARANTINE.saturating_mul(factor).min(self.max)
+    }
+
+    /// Returns the duration of the quarantine after a trial has crashed its server too. `last` is
+    /// what was left of the quarantine before when this router learnt of it.
+    pub(super) fn next_duration(self, last: Duration) -> Duration {
+        let mut duration = FIRST_QUARANTINE;
+        while duration < last {
+            duration *= self.growth;
         }
+        (duration * self.growth).min(self.max)
     }
 
     /// Returns the maximum quarantine of a suspect with this record.
--- a/crates/papayamux-coordination/src/crash_quarantine/served_parts.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/served_parts.rs
@@ -12,6 +12,9 @@
 /// Time after which a new generation begins.
 const GENERATION_TIME: Duration = Duration::from_secs(600);
 
+/// Time from the first served part until a part that isn't known is probably new.
+const LEARNING_TIME: Duration = Duration::from_secs(5);
+
 /// Parts of prompts that servers have served, in two generations: a part is forgotten one to two
 /// generations after its last use.
 #[derive(Debug, Default)]
@@ -19,7 +22,9 @@
     recent: HashMap<ServiceId, HashSet<PartId>>,
     earlier: HashMap<ServiceId, HashSet<PartId>>,
     recent_count: usize,
+    /// When the recent generation and the first one have begun.
     begun: Option<Instant>,
+    first_begun: Option<Instant>,
 }
 
 impl ServedParts {
@@ -30,6 +35,7 @@
         parts: impl Iterator<Item = PartId>,
         now: Instant,
     ) {
+        self.first_begun.get_or_insert(now);
         let age = now.saturating_duration_since(*self.begun.get_or_insert(now));
         if self.recent_count >= MAX_PARTS || age >= GENERATION_TIME {
             self.earlier = std::mem::take(&mut self.recent);
@@ -45,6 +51,11 @@
         }
     }
 
+    /// Returns whether the router has run long enough to know the parts in use.
+    pub(super) fn are_representative(&self, now: Instant) -> bool {
+        self.first_begun.is_some_and(|begun| now.saturating_duration_since(begun) >= LEARNING_TIME)
+    }
+
     /// Returns whether a server has served the part.
     pub(super) fn contains(&self, part: &ServicePart) -> bool {
         let ServicePart { service, part } = part;
--- a/crates/papayamux-coordination/src/crash_quarantine/suspect_record.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/suspect_record.rs
@@ -17,12 +17,12 @@
 pub(super) struct SuspectRecord {
     pub(super) record: CrashRecord,
     pub(super) changed: Instant,
+    /// What was left of the quarantine when this router learnt of it; zero if there is none.
+    quarantine: Duration,
     /// When the quarantine ends that all routers apply.
     quarantined_until: Instant,
     /// When this router lets a request with the suspect try a server.
     trial_from: Instant,
-    /// `true` if the suspect is quarantined, or was until its trial.
-    is_quarantined: bool,
     /// The origin of a record that is not yet announced to other routers.
     pub(super) unannounced: Option<NoticeOrigin>,
 }
@@ -38,22 +38,32 @@
     ) -> Self {
         // Routers allow a trial at different times, so that the first of them finds out for all.
         let trial_from = now + quarantine_left.mul_f64(1.0 + jitter);
-        let (quarantined_until, is_quarantined) =
-            (now + quarantine_left, !quarantine_left.is_zero());
         Self {
             record,
             changed: now,
-            quarantined_until,
+            quarantine: quarantine_left,
+            quarantined_until: now + quarantine_left,
             trial_from,
-            is_quarantined,
             unannounced: Some(origin),
         }
     }
 
+    /// Creates a record without a quarantine that other routers need not be notified of.
+    pub(super) fn announced(record: CrashRecord, now: Instant) -> Self {
+        let known = Self::new(record, NoticeOrigin::Received, Duration::ZERO, 0.0, now);
+        Self { unannounced: None, ..known }
+    }
+
     /// Returns the remaining quarantine, or `None` if a request may be sent.
     pub(super) fn quarantine_left(&self, now: Instant) -> Option<Duration> {
         let left = self.trial_from.saturating_duration_since(now);
-        (self.is_quarantined && !left.is_zero()).then_some(left)
+        (self.quarantine().is_some() && !left.is_zero()).then_some(left)
+    }
+
+    /// Returns what was left of the quarantine when this router learnt of it, also after its end;
+    /// `None` if there was none.
+    pub(super) fn quarantine(&self) -> Option<Duration> {
+        (!self.quarantine.is_zero()).then_some(self.quarantine)
     }
 
     /// Returns whether the quarantine is in force that all routers apply.
@@ -63,7 +73,7 @@
 
     /// Records that a request with the suspect is about to be sent.
     pub(super) fn begin_attempt(&mut self, now: Instant) {
-        if self.is_quarantined {
+        if self.quarantine().is_some() {
             self.trial_from = self.trial_from.max(now + TRIAL_TIMEOUT);
         }
     }
--- /dev/null
+++ b/crates/papayamux-coordination/tests/part_suspects.rs
@@ -0,0 +1,167 @@
+//! Tests that parts of prompts that crash servers are quarantined, and that what their requests share with
+//! sound ones is not.
+#![allow(clippy::unwrap_used, reason = "helpers of tests, which may panic")]
+
+use std::time::{Duration, Instant};
+
+use papayamux_coordination::crash_quarantine::{CrashQuarantine, NoticeOrigin};
+use papayamux_state::crash_record::{CrashNotice, CrashRecord};
+use papayamux_state::crash_suspect::{CrashSuspect, ServicePart};
+use papayamux_state::prompt::PartId;
+
+/// A part that crashes servers, and one that all requests have.
+const CRASHING: u64 = 0xbad;
+const SHARED: u64 = 0xa;
+
+fn part(number: u64) -> CrashSuspect {
+    CrashSuspect::Part(ServicePart { service: "llm".parse().unwrap(), part: PartId(number) })
+}
+
+fn seconds(number: u64) -> Duration {
+    Duration::from_secs(number)
+}
+
+/// Returns the quarantine of a router that has served requests with the shared part for a while.
+fn running_router(start: Instant) -> CrashQuarantine {
+    let mut quarantine = CrashQuarantine::default();
+    serve(&mut quarantine, SHARED, start);
+    quarantine
+}
+
+fn serve(quarantine: &mut CrashQuarantine, number: u64, now: Instant) {
+    let sent = quarantine.begin_attempt(&part(number), now);
+    quarantine.record_served_parts(&"llm".parse().unwrap(), [PartId(number)].into_iter(), now);
+    quarantine.record_run(&part(number), sent, now);
+}
+
+/// Crashes a server under a request with these parts.
+fn crash(quarantine: &mut CrashQuarantine, parts: &[u64], now: Instant) {
+    let sent: Vec<_> = parts.iter().map(|id| quarantine.begin_attempt(&part(*id), now)).collect();
+    for (number, record) in parts.iter().zip(sent) {
+        quarantine.record_crash(&part(*number), record, 0.0, now);
+    }
+}
+
+fn left(quarantine: &CrashQuarantine, number: u64, now: Instant) -> Option<Duration> {
+    quarantine.quarantine_left(&part(number), now)
+}
+
+fn notice(number: u64, cleared: u32, crashes: u32, quarantine_left: Duration) -> CrashNotice {
+    let record = CrashRecord { cleared, crashes };
+    CrashNotice { suspect: part(number), record, quarantine_left }
+}
+
+#[test]
+fn third_crash_quarantines_a_part_that_no_server_has_served() {
+    let start = Instant::now();
+    let (mut quarantine, now) = (running_router(start), start + seconds(10));
+    for _ in 0..2 {
+        crash(&mut quarantine, &[SHARED, CRASHING], now);
+        assert_eq!(left(&quarantine, CRASHING, now), None);
+    }
+    crash(&mut quarantine, &[SHARED, CRASHING], now);
+    assert_eq!(left(&quarantine, CRASHING, now), Some(seconds(30)));
+    assert_eq!(left(&quarantine, SHARED, now), None, "servers have served it");
+}
+
+#[test]
+fn part_that_servers_have_served_takes_more_crashes() {
+    let start = Instant::now();
+    let (mut quarantine, now) = (running_router(start), start + seconds(10));
+    for _ in 0..4 {
+        crash(&mut quarantine, &[SHARED], now);
+        assert_eq!(left(&quarantine, SHARED, now), None);
+    }
+    crash(&mut quarantine, &[SHARED], now);
+    assert_eq!(left(&quarantine, SHARED, now), Some(seconds(30)));
+    serve(&mut quarantine, SHARED, now);
+    assert_eq!(left(&quarantine, SHARED, now), None, "a completed run clears it");
+}
+
+/// A router that has just started takes each part for one that no server has served.
+#[test]
+fn router_that_has_just_started_takes_more_crashes_to_quarantine_a_part() {
+    let start = Instant::now();
+    let mut quarantine = running_router(start);
+    for _ in 0..4 {
+        crash(&mut quarantine, &[CRASHING], start + seconds(1));
+    }
+    assert_eq!(left(&quarantine, CRASHING, start + seconds(1)), None);
+    crash(&mut quarantine, &[CRASHING], start + seconds(1));
+    assert_eq!(left(&quarantine, CRASHING, start + seconds(1)), Some(seconds(30)));
+}
+
+#[test]
+fn most_crashes_of_other_servers_double_the_crashes_to_quarantine_a_part() {
+    let start = Instant::now();
+    let (mut quarantine, now) = (running_router(start), start + seconds(10));
+    for number in 0..30 {
+        quarantine.record_server_crash(&format!("i-{number}").parse().unwrap(), now);
+    }
+    for _ in 0..5 {
+        crash(&mut quarantine, &[CRASHING], now);
+        assert_eq!(left(&quarantine, CRASHING, now), None);
+    }
+    crash(&mut quarantine, &[CRASHING], now);
+    assert_eq!(left(&quarantine, CRASHING, now), Some(seconds(30)));
+}
+
+#[test]
+fn notice_of_a_served_part_is_answered_with_its_runs() {
+    let start = Instant::now();
+    let (mut quarantine, now) = (running_router(start), start + seconds(10));
+    assert!(quarantine.receive_notice(notice(SHARED, 0, 3, seconds(30)), 0.0, now));
+    assert_eq!(left(&quarantine, SHARED, now), None);
+    let answer = quarantine.next_unannounced(NoticeOrigin::Received, 8, now);
+    assert_eq!(answer, [notice(SHARED, 1, 0, Duration::ZERO)]);
+    assert!(!quarantine.receive_notice(notice(SHARED, 0, 4, seconds(240)), 0.0, now));
+    assert!(quarantine.receive_notice(notice(CRASHING, 0, 3, seconds(30)), 0.0, now));
+    assert_eq!(left(&quarantine, CRASHING, now), Some(seconds(30)));
+}
+
+/// Guards against refusing all requests of a route where a part that crashes servers leaves none that
+/// could complete a run with the parts that its requests share.
+#[test]
+fn quarantine_of_a_part_clears_the_served_parts_of_its_requests() {
+    let start = Instant::now();
+    let (mut quarantine, now) = (running_router(start), start + seconds(10));
+    assert!(quarantine.receive_notice(notice(SHARED, 1, 5, seconds(30)), 0.0, now));
+    assert_eq!(left(&quarantine, SHARED, now), Some(seconds(30)));
+    for _ in 0..3 {
+        crash(&mut quarantine, &[CRASHING], now);
+    }
+    assert_eq!(left(&quarantine, CRASHING, now), Some(seconds(30)));
+    assert_eq!(left(&quarantine, SHARED, now), None);
+    assert!(!quarantine.receive_notice(notice(SHARED, 1, 5, seconds(30)), 0.0, now), "outdated");
+}
+
+#[test]
+fn failed_trials_extend_the_quarantine_of_a_part() {
+    let start = Instant::now();
+    let (mut quarantine, mut now) = (running_router(start), start + seconds(10));
+    for _ in 0..3 {
+        crash(&mut quarantine, &[CRASHING], now);
+    }
+    for quarantine_left in [30, 240, 1_920, 15_360, 86_400, 86_400] {
+        assert_eq!(left(&quarantine, CRASHING, now), Some(seconds(quarantine_left)));
+        now += seconds(quarantine_left);
+        assert_eq!(left(&quarantine, CRASHING, now), None);
+        crash(&mut quarantine, &[CRASHING], now);
+    }
+}
+
+/// A caller that makes up parts can't push out the record of a part that crashes servers.
+#[test]
+fn made_up_parts_do_not_evict_a_crashing_part() {
+    let start = Instant::now();
+    let (mut quarantine, now) = (running_router(start), start + seconds(10));
+    for _ in 0..2 {
+        crash(&mut quarantine, &[CRASHING], now);
+    }
+    for number in 0..5_000 {
+        crash(&mut quarantine, &[1_000_000 + number], now);
+    }
+    crash(&mut quarantine, &[CRASHING], now);
+    assert_eq!(left(&quarantine, CRASHING, now), Some(seconds(30)));
+    assert!(quarantine.len() <= 4_096);
+}
