Adopt a quarantine from a router with the same crash record

Cause: whether a record quarantines depends on the crashes of other servers that a router has seen. A router with as many crashes of the suspect and more of others ignored the quarantine of another one as nothing new, and let requests through until the next crash. Change: of equal records, one with a quarantine adds to one that never had any.

--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
@@ -150,8 +150,7 @@
         now: Instant,
     ) -> bool {
         let CrashNotice { suspect, record, quarantine_left } = notice;
-        let known = self.suspects.get(&suspect).map(|known| known.record);
-        if known.unwrap_or_default() >= record {
+        if !self.is_news(&suspect, record, quarantine_left) {
             return false;
         }
         if record.crashes > 0 {
@@ -178,6 +177,23 @@
         }
     }
 
+    /// Returns whether a record adds to the known one. Of two routers with the same record, only one
+    /// may have seen enough for a quarantine.
+    fn is_news(
+        &self,
+        suspect: &CrashSuspect,
+        record: CrashRecord,
+        quarantine_left: Duration,
+    ) -> bool {
+        match self.suspects.get(suspect) {
+            Some(known) if known.record == record => {
+                known.quarantine().is_none() && !quarantine_left.is_zero()
+            }
+            Some(known) => known.record < record,
+            None => record > CrashRecord::default(),
+        }
+    }
+
     /// Returns at most `limit` records that are not yet announced, those with the most crashes
     /// first, and marks them as announced.
     pub fn next_unannounced(
--- a/crates/papayamux-coordination/tests/part_suspects.rs
+++ b/crates/papayamux-coordination/tests/part_suspects.rs
@@ -135,6 +135,24 @@
     assert!(!quarantine.receive_notice(notice(SHARED, 1, 5, seconds(30)), 0.0, now), "outdated");
 }
 
+/// Guards against a router that never holds a part since it counted as many crashes itself, among more
+/// crashes of other servers.
+#[test]
+fn quarantine_is_adopted_from_a_router_with_the_same_record() {
+    let start = Instant::now();
+    let (mut quarantine, now) = (running_router(start), start + seconds(10));
+    for number in 0..30 {
+        quarantine.record_server_crash(&format!("i-{number}").parse().unwrap(), now);
+    }
+    for _ in 0..3 {
+        crash(&mut quarantine, &[CRASHING], now);
+    }
+    assert_eq!(left(&quarantine, CRASHING, now), None);
+    assert!(quarantine.receive_notice(notice(CRASHING, 0, 3, seconds(20)), 0.0, now));
+    assert_eq!(left(&quarantine, CRASHING, now), Some(seconds(20)));
+    assert!(!quarantine.receive_notice(notice(CRASHING, 0, 3, seconds(30)), 0.0, now));
+}
+
 #[test]
 fn failed_trials_extend_the_quarantine_of_a_part() {
     let start = Instant::now();
