Notice crashes that pass for the end of an answer

Cause: an answer with neither a length nor chunks ends with its connection. A crash between two events passes for its end, and was taken for a completed run: the part that crashed the server counted as served, and nothing was held. Change: such an answer is no evidence by itself. While servers crash or are down, a probe tells whether the server still listens: it has crashed under the request, or it has completed it. A connection that can't be made counts as a server that is down.

--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
@@ -26,6 +26,7 @@
     suspects: BTreeMap<CrashSuspect, SuspectRecord>,
     server_crashes: ServerCrashes,
     served_parts: ServedParts,
+    /// When a server last crashed or was found to be down.
     last_crash: Option<Instant>,
     last_repeated: Option<CrashSuspect>,
 }
@@ -41,7 +42,8 @@
         self.suspects.len()
     }
 
-    /// Returns whether a server has crashed recently, by this router's observation or a notice.
+    /// Returns whether a server has crashed recently or was found to be down, by this router's
+    /// observation or a notice.
     pub fn has_recent_crashes(&self, now: Instant) -> bool {
         self.last_crash.is_some_and(|crashed| is_recent(crashed, now))
     }
@@ -66,6 +68,12 @@
         self.server_crashes.record(server, now);
     }
 
+    /// Records that a server that should be serving is down. Its crash may have passed for the end of
+    /// an answer.
+    pub fn record_server_down(&mut self, now: Instant) {
+        self.last_crash = Some(now);
+    }
+
     /// Records that a server crashed under a request that was sent with the record `sent` of the
     /// suspect. Simultaneous crashes count as one, since the suspect alone did not cause them
     /// together. Returns the new record if it adds to the known one. `jitter` is in the range 0 to
--- a/crates/papayamux-router/src/direct/active_request.rs
+++ b/crates/papayamux-router/src/direct/active_request.rs
@@ -234,6 +234,11 @@
         self.fleet.has_restarted(&self.server)
     }
 
+    /// Records that no connection to the server could be made.
+    pub(super) fn record_server_down(&self) {
+        self.fleet.record_server_down();
+    }
+
     /// Records failure evidence against the server.
     pub(super) fn record_failure_evidence(&self, kind: EvidenceKind) {
         self.fleet.record_evidence(&self.server, kind);
--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -173,6 +173,7 @@
     active.record_answer_outcome(true);
     let cause = error.to_string();
     if error.nothing_was_sent() {
+        active.record_server_down();
         return LostAttempt { loss: AttemptLoss::NotSent, cause, server_crashed: false };
     }
     LostAttempt::broken(active, cause).await
--- a/crates/papayamux-router/src/direct/crash_attribution.rs
+++ b/crates/papayamux-router/src/direct/crash_attribution.rs
@@ -76,7 +76,8 @@
     }
 
     /// Records that a server has answered the request, with this status and end of the answer. Only
-    /// a success shows that the server ran the whole request.
+    /// a success shows that the server ran the whole request. An answer that ended with its
+    /// connection shows it only if the server still listens, which is checked while servers crash.
     pub(super) fn record_completion(
         &self,
         server: &Rc<BackendServer>,
@@ -86,8 +87,10 @@
         if !status.is_success() {
             return;
         }
-        if end == BodyEnd::Unmarked && self.fleet.has_recent_crashes() {
-            self.fleet.check_unmarked_end(server.clone(), self.sent_suspects());
+        if end == BodyEnd::Unmarked {
+            if self.fleet.has_recent_crashes() {
+                self.fleet.check_unmarked_end(server.clone(), self.sent_suspects());
+            }
             return;
         }
         self.fleet.record_served_parts(&self.service, &self.call.prompt);
--- a/crates/papayamux-router/src/direct/fleet/crash_records.rs
+++ b/crates/papayamux-router/src/direct/fleet/crash_records.rs
@@ -134,6 +134,11 @@
         self.quarantine.borrow().has_recent_crashes(Instant::now())
     }
 
+    /// Records that nothing listens at a server that should be serving.
+    pub(in crate::direct) fn record_server_down(&self) {
+        self.quarantine.borrow_mut().record_server_down(Instant::now());
+    }
+
     /// Finds out whether a server crashed when it ended an answer with its connection, and records
     /// the crash or the completion.
     pub(in crate::direct) fn check_unmarked_end(
