Crash engines on a part of prompts in the soak

Cause: the soak repeats one request under which engines end; requests that only share a part had no kind.

--- a/crates/papayamux-measure/src/soak/checks.rs
+++ b/crates/papayamux-measure/src/soak/checks.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use super::history::{CallRecord, CallResult, RunRecord, SoakHistory, StreamRecord, Subject};
+use super::options::FatalKind;
 use super::servers::FOREIGN_SERVICE;
 
 /// Bounds written into the routers' settings.
@@ -32,6 +33,10 @@
 /// request may then reach servers at most `MAX_LATE_RUNS` more times.
 const CRASH_REPORT_TIMEOUT: Duration = Duration::from_secs(3);
 const MAX_LATE_RUNS: usize = 3;
+/// Number of servers that may crash under a request before its routers must know.
+const MAX_CONTENT_CRASHES: usize = 3;
+/// The same for requests that share a part.
+const MAX_PART_CRASHES: usize = 5;
 /// Fewer resumed streams show nothing about the share that goes on.
 const MIN_RESUMED: usize = 12;
 /// Every request must be served from this long after the last disturbance.
@@ -310,7 +315,7 @@
         starts.filter(|(router, at)| *router == call.router && *at <= call.sent).count()
     }
 
-    /// Returns a violation for each call of the fatal request that was reported as not run but did
+    /// Returns a violation for each call of a fatal request that was reported as not run but did
     /// run.
     fn check_fatal_answers(&self) -> Vec<Violation> {
         let not_run =
@@ -322,11 +327,15 @@
         false_ones.collect()
     }
 
-    /// Checks how often the fatal request ran after its third server had crashed, at routers that
-    /// could know of the crashes.
+    /// Checks how often fatal requests ran after enough servers had crashed, at routers that could
+    /// know of the crashes.
     fn check_fatal_runs(&self) -> Option<Violation> {
-        let third = self.history.fatal_runs.get(2)?.at;
-        let known = third + CRASH_REPORT_TIMEOUT + MACHINE_SLACK;
+        let enough = match self.history.fatal {
+            FatalKind::Part => MAX_PART_CRASHES,
+            FatalKind::Content | FatalKind::Absent => MAX_CONTENT_CRASHES,
+        };
+        let last = self.history.fatal_runs.get(enough - 1)?.at;
+        let known = last + CRASH_REPORT_TIMEOUT + MACHINE_SLACK;
         let late = self.history.fatal_runs.iter().filter(|run| {
             let call = self.history.fatal_calls.iter().find(|call| call.id == run.id);
             run.at > known
@@ -339,7 +348,7 @@
         if late <= MAX_LATE_RUNS {
             return None;
         }
-        broken(Promise::CrashesEnd, format!("{late} runs after the third server had ended"))
+        broken(Promise::CrashesEnd, format!("{late} runs after {enough} servers had ended"))
     }
 
     /// Checks for routers that did not exit within their grace period although no other fault
--- a/crates/papayamux-measure/src/soak/fatal_requests.rs
+++ b/crates/papayamux-measure/src/soak/fatal_requests.rs
@@ -1,4 +1,4 @@
-//! A client that keeps sending a request which crashes every engine, to any router.
+//! A client that keeps sending requests which crash every engine, to any router.
 
 use std::time::Duration;
 
@@ -10,16 +10,21 @@
 
 use super::checks::DEADLINE;
 use super::history::{CallKind, CallRecord, CallResult};
-use super::servers::FATAL_BODY;
-use super::workload::CallerState;
+use super::options::FatalKind;
+use super::servers::{FATAL_BODY, FATAL_PART};
+use super::workload::{CallerState, SHARED_PART};
 
 /// Pause between two attempts, in milliseconds.
 const PAUSE_MILLIS: std::ops::Range<u64> = 50..600;
 /// Separates this client's random sequence from that of the faults.
 const SERIES: u64 = 0x6661_7461_6c00;
 
-/// Sends the request again and again until fault injection is over.
-pub(super) fn run_fatal_caller(caller_state: &CallerState, seed: u64) -> Vec<CallRecord> {
+/// Sends requests that crash engines until fault injection is over.
+pub(super) fn run_fatal_caller(
+    caller_state: &CallerState,
+    fatal: FatalKind,
+    seed: u64,
+) -> Vec<CallRecord> {
     let mut random = StdRng::seed_from_u64(seed ^ SERIES);
     let mut calls = Vec::new();
     while !caller_state.faults_are_over() {
@@ -30,7 +35,7 @@
         let (id, key) = (format!("fatal-{:x}", calls.len()), caller_state.newest_key());
         let sent = caller_state.now();
         let connection = CallerConnection::open(address, DEADLINE);
-        let text = text(&id, &key);
+        let text = text(&id, &key, fatal);
         let answer = connection.and_then(|mut connection| connection.exchange(&text));
         let result = match answer {
             Some(answer) if answer.whole && answer.promises_not_run() => CallResult::NotRun,
@@ -43,15 +48,22 @@
     calls
 }
 
-fn text(id: &str, key: &str) -> String {
-    let prompt = CallPrompt { parts: vec![CallPart { id: 0x5c1e, tokens: 800 }], answer_tokens: 8 };
+fn text(id: &str, key: &str, fatal: FatalKind) -> String {
+    let last = CallPart { id: 0x1a57, tokens: 50 };
+    let (parts, body) = match fatal {
+        FatalKind::Part => {
+            let part = CallPart { id: FATAL_PART, tokens: 400 };
+            (vec![SHARED_PART, part, last], format!("{FATAL_BODY} {id}"))
+        }
+        FatalKind::Content | FatalKind::Absent => (vec![SHARED_PART], FATAL_BODY.to_string()),
+    };
     let request = CallerRequest::builder()
         .route(CallRoute::ResumableStream)
         .id(id.to_string())
         .key(key.to_string())
         .left(DEADLINE)
-        .prompt(prompt)
-        .body(FATAL_BODY.to_string())
+        .prompt(CallPrompt { parts, answer_tokens: 8 })
+        .body(body)
         .build();
     request.text()
 }
--- a/crates/papayamux-measure/src/soak/history.rs
+++ b/crates/papayamux-measure/src/soak/history.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use super::options::FatalKind;
+
 /// How often a request may run and the form of its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum CallKind {
@@ -160,9 +162,11 @@
     pub stuck_ends: Vec<(usize, Duration)>,
     /// Restarts of routers and their times.
     pub starts: Vec<(usize, Duration)>,
-    /// Calls with the request that crashes engines.
+    /// What crashed engines.
+    pub fatal: FatalKind,
+    /// Calls with requests that crash engines.
     pub fatal_calls: Vec<CallRecord>,
-    /// Runs of that request, each of which crashed an engine.
+    /// Runs of these requests, each of which crashed an engine.
     pub fatal_runs: Vec<RunRecord>,
     /// Streams that callers resumed.
     pub streams: Vec<StreamRecord>,
--- a/crates/papayamux-measure/src/soak/mod.rs
+++ b/crates/papayamux-measure/src/soak/mod.rs
@@ -20,5 +20,5 @@
     CallKind, CallRecord, CallResult, ConfigurationRecord, DisturbanceRecord, ListingRecord,
     RunRecord, SoakHistory, StreamRecord, Subject,
 };
-pub use options::SoakOptions;
+pub use options::{FatalKind, SoakOptions};
 pub use run::run_soak;
--- a/crates/papayamux-measure/src/soak/options.rs
+++ b/crates/papayamux-measure/src/soak/options.rs
@@ -4,6 +4,18 @@
 
 use bon::Builder;
 
+/// What requests that crash every engine have in common.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum FatalKind {
+    /// There are none.
+    #[default]
+    Absent,
+    /// All of their content: one request is sent again and again.
+    Content,
+    /// One part of their prompts.
+    Part,
+}
+
 /// Options of one soak.
 #[derive(Debug, Clone, Builder)]
 pub struct SoakOptions {
@@ -32,9 +44,9 @@
     /// `true` to also run servers of several software versions, whose streams callers resume.
     #[builder(default)]
     pub versions: bool,
-    /// `true` to keep sending a request that crashes every engine.
+    /// What crashes every engine that runs it.
     #[builder(default)]
-    pub fatal: bool,
+    pub fatal: FatalKind,
     /// Number of callers, each with one request at a time.
     #[builder(default = 12)]
     pub callers: usize,
--- a/crates/papayamux-measure/src/soak/run.rs
+++ b/crates/papayamux-measure/src/soak/run.rs
@@ -12,7 +12,7 @@
 use super::fleet::{SoakFleet, SoakServer};
 use super::history::{CallResult, SoakHistory};
 use super::injector::{version_name, FaultInjector};
-use super::options::SoakOptions;
+use super::options::{FatalKind, SoakOptions};
 use super::servers::{start_foreign_server, RunLog};
 use super::workload::{run_caller, CallerState};
 use crate::tasks::TaskError;
@@ -52,9 +52,10 @@
             std::thread::spawn(move || run_caller(&caller_state, number, seed))
         })
         .collect();
-    let fatal = options.fatal.then(|| {
+    let fatal = (options.fatal != FatalKind::Absent).then(|| {
         let (caller_state, seed) = (injector.fleet.caller_state.clone(), options.seed);
-        std::thread::spawn(move || run_fatal_caller(&caller_state, seed))
+        let fatal = options.fatal;
+        std::thread::spawn(move || run_fatal_caller(&caller_state, fatal, seed))
     });
     let offset = injector.fleet.caller_state.now();
     let faults = match options.entries {
@@ -103,6 +104,7 @@
         caller.join().map_err(|_| "a caller panicked")?;
     }
     let mut history = injector.history;
+    history.fatal = options.fatal;
     history.calls = injector.fleet.caller_state.take_calls();
     history.streams = injector.fleet.caller_state.take_streams();
     history.runs = injector.fleet.run_log.take();
@@ -154,7 +156,7 @@
         history.configurations.len(),
         violations.len()
     );
-    if options.fatal {
+    if options.fatal != FatalKind::Absent {
         println!(
             "  the fatal request: {} calls, {} runs",
             history.fatal_calls.len(),
--- a/crates/papayamux-measure/src/soak/servers.rs
+++ b/crates/papayamux-measure/src/soak/servers.rs
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 
 use super::history::RunRecord;
+use super::options::FatalKind;
 
 /// Number of events of a stream.
 pub(super) const EVENTS: u64 = 12;
@@ -20,6 +21,8 @@
 
 /// Body of the request that crashes servers.
 pub(super) const FATAL_BODY: &str = "fatal";
+/// Part of prompts that crashes servers.
+pub(super) const FATAL_PART: u64 = 0xfa7a1;
 /// Time that a crashed server stays down.
 const RESTART_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -29,13 +32,13 @@
     begun: Instant,
     runs: Arc<Mutex<Vec<RunRecord>>>,
     fatal_runs: Arc<Mutex<Vec<RunRecord>>>,
-    /// `true` if the soak sends the request that crashes engines.
-    is_fatal: bool,
+    /// What crashes engines.
+    fatal: FatalKind,
 }
 
 impl RunLog {
-    pub(super) fn new(begun: Instant, is_fatal: bool) -> Self {
-        Self { begun, runs: Arc::default(), fatal_runs: Arc::default(), is_fatal }
+    pub(super) fn new(begun: Instant, fatal: FatalKind) -> Self {
+        Self { begun, runs: Arc::default(), fatal_runs: Arc::default(), fatal }
     }
 
     /// Returns whether the servers of a service may crash under a request.
@@ -43,7 +46,7 @@
     /// They run without a fault proxy, which would go on accepting connections while its server is
     /// down.
     pub(super) fn may_crash(&self, service: &str) -> bool {
-        self.is_fatal && service == "llm"
+        self.fatal != FatalKind::Absent && service == "llm"
     }
 
     fn record(&self, request: &ServerRequest, service: &str) -> RunRecord {
@@ -56,9 +59,13 @@
         self.runs.lock().push(self.record(request, service));
     }
 
-    /// Records the request if it is the one that crashes servers, and returns whether it is.
+    /// Records the request if it is one that crashes servers, and returns whether it is.
     fn record_if_fatal(&self, request: &ServerRequest, service: &str) -> bool {
-        let is_fatal = request.message.body == FATAL_BODY.as_bytes();
+        let is_fatal = match self.fatal {
+            FatalKind::Absent => false,
+            FatalKind::Content => request.message.body == FATAL_BODY.as_bytes(),
+            FatalKind::Part => request.has_part(FATAL_PART),
+        };
         if is_fatal {
             self.fatal_runs.lock().push(self.record(request, service));
         }
--- a/crates/papayamux-measure/src/soak/workload.rs
+++ b/crates/papayamux-measure/src/soak/workload.rs
@@ -30,8 +30,9 @@
 const MAX_CONNECTS: usize = 3;
 
 /// Prompt of every stream: a shared part and one of its own. No check depends on their sizes.
-const PROMPT_PARTS: [CallPart; 2] =
-    [CallPart { id: 0x5c1e, tokens: 800 }, CallPart { id: 0x91bd, tokens: 660 }];
+const PROMPT_PARTS: [CallPart; 2] = [SHARED_PART, CallPart { id: 0x91bd, tokens: 660 }];
+/// The first part of every prompt.
+pub(super) const SHARED_PART: CallPart = CallPart { id: 0x5c1e, tokens: 800 };
 /// Maximum number of tokens in the answer of a stream.
 const ANSWER_TOKENS: u64 = 80;
 /// Derives a distinct seed for each caller (the golden ratio in 64 bits).
--- a/crates/papayamux-measure/src/tasks/soak.rs
+++ b/crates/papayamux-measure/src/tasks/soak.rs
@@ -5,7 +5,7 @@
 use getopts::{Matches, Options};
 
 use super::{MeasureTask, TaskError};
-use crate::soak::{run_soak, SoakOptions};
+use crate::soak::{run_soak, FatalKind, SoakOptions};
 
 pub(super) const TASK: MeasureTask = MeasureTask {
     name: "soak",
@@ -24,11 +24,17 @@
     options.optflag("", "restores", "the store comes back from copies as well");
     options.optflag("", "versions", "several software versions serve, and callers resume streams");
     options.optflag("", "fatal", "a request is repeated under which every engine ends");
+    options.optflag("", "fatal-part", "a part of prompts is sent under which every engine ends");
     options.optopt("", "callers", "callers, each with one request at a time (12)", "COUNT");
 }
 
 fn soak_options(matches: &Matches) -> Result<SoakOptions, TaskError> {
     let length = matches.opt_get("seconds")?.map(Duration::from_secs);
+    let fatal = match (matches.opt_present("fatal"), matches.opt_present("fatal-part")) {
+        (_, true) => FatalKind::Part,
+        (true, false) => FatalKind::Content,
+        (false, false) => FatalKind::Absent,
+    };
     Ok(SoakOptions::builder()
         .maybe_seed(matches.opt_get("seed")?)
         .maybe_length(length)
@@ -38,7 +44,7 @@
         .outages(matches.opt_present("outages"))
         .restores(matches.opt_present("restores"))
         .versions(matches.opt_present("versions"))
-        .fatal(matches.opt_present("fatal"))
+        .fatal(fatal)
         .maybe_callers(matches.opt_get("callers")?)
         .build())
 }
--- a/crates/papayamux-measure/tests/soak_checks.rs
+++ b/crates/papayamux-measure/tests/soak_checks.rs
@@ -5,7 +5,7 @@
 
 use papayamux_measure::soak::{
     add_outages, add_restores, add_rollouts, check_history, draw_faults, draw_with_entries,
-    CallKind, CallRecord, CallResult, ConfigurationRecord, DisturbanceRecord, FaultKind,
+    CallKind, CallRecord, CallResult, ConfigurationRecord, DisturbanceRecord, FatalKind, FaultKind,
     ListingRecord, Promise, RunRecord, SoakHistory, StreamRecord, Subject,
 };
 
@@ -306,6 +306,13 @@
     assert_eq!(broken(&excused), [], "its router had just been disturbed");
 }
 
+#[test]
+fn part_that_keeps_crashing_servers_is_found() {
+    let history = |runs| SoakHistory { fatal: FatalKind::Part, ..fatal_history(runs) };
+    assert_eq!(broken(&history(11)), [], "five crashes show the part");
+    assert_eq!(broken(&history(12)), [Promise::CrashesEnd]);
+}
+
 #[test]
 fn run_of_a_fatal_request_after_a_not_run_report_is_found() {
     let mut history = fatal_history(3);
--- a/crates/papayamux-measure/tests/soak_short.rs
+++ b/crates/papayamux-measure/tests/soak_short.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use papayamux_measure::soak::{run_soak, SoakOptions};
+use papayamux_measure::soak::{run_soak, FatalKind, SoakOptions};
 
 #[test]
 fn no_promise_is_broken_in_a_short_soak() {
@@ -21,7 +21,14 @@
 #[test]
 fn no_promise_is_broken_while_a_request_crashes_engines() {
     let length = Duration::from_secs(10);
-    let options = SoakOptions::builder().seed(6).length(length).fatal(true).build();
+    let options = SoakOptions::builder().seed(6).length(length).fatal(FatalKind::Content).build();
+    run_soak(&options).unwrap();
+}
+
+#[test]
+fn no_promise_is_broken_while_a_part_of_prompts_crashes_engines() {
+    let length = Duration::from_secs(10);
+    let options = SoakOptions::builder().seed(10).length(length).fatal(FatalKind::Part).build();
     run_soak(&options).unwrap();
 }
 
