Take more crashes for a content that servers have served

Change: a suspect of either kind that a run has cleared is quarantined after five crashes, eight among others; the quarantine of one that was never served clears all that were. One rule for contents and parts.

--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
@@ -91,8 +91,7 @@
             None => sent.max(self.record_before_crashes(suspect)),
         };
         let record = sent.after_crash();
-        let is_unserved = record.cleared == 0 && self.served_parts.are_representative(now);
-        let rule = QuarantineRule::of(suspect, is_unserved);
+        let rule = QuarantineRule::of(suspect, self.is_unserved(suspect, record, now));
         let quarantine_left = match known.and_then(SuspectRecord::quarantine) {
             Some(last) => rule.next_duration(last),
             None => rule.first_duration(record, self.server_crashes.count(now)),
@@ -111,6 +110,15 @@
         }
     }
 
+    /// Returns whether no server can be expected to have served the suspect.
+    fn is_unserved(&self, suspect: &CrashSuspect, record: CrashRecord, now: Instant) -> bool {
+        let is_known = match suspect {
+            CrashSuspect::Content(_) => true,
+            CrashSuspect::Part(_) => self.served_parts.are_representative(now),
+        };
+        record.cleared == 0 && is_known
+    }
+
     /// Records that a server has completed a request that was sent with the record `sent` of the
     /// suspect. Returns whether there was anything to clear.
     pub fn record_run(&mut self, suspect: &CrashSuspect, sent: CrashRecord, now: Instant) -> bool {
@@ -165,21 +173,20 @@
             self.last_crash = Some(now);
         }
         self.make_room(now);
-        let explains_crashes = is_unserved_part(&suspect, record) && !quarantine_left.is_zero();
+        let explains_crashes = record.cleared == 0 && !quarantine_left.is_zero();
         let known = SuspectRecord::new(record, origin, quarantine_left, jitter, now);
         self.suspects.insert(suspect, known);
         if explains_crashes {
-            self.clear_served_parts(now);
+            self.clear_served(now);
         }
         true
     }
 
-    /// Clears the parts that servers have served, once their crashes have another explanation. Each
-    /// router does so when it learns of that.
-    fn clear_served_parts(&mut self, now: Instant) {
-        for (suspect, known) in &mut self.suspects {
-            let is_part = matches!(suspect, CrashSuspect::Part(_));
-            if is_part && !is_unserved_part(suspect, known.record) && known.record.crashes > 0 {
+    /// Clears what servers have served, once its crashes have another explanation. Each router does
+    /// so when it learns of that.
+    fn clear_served(&mut self, now: Instant) {
+        for known in self.suspects.values_mut() {
+            if known.record.cleared > 0 && known.record.crashes > 0 {
                 *known = SuspectRecord::announced(known.record.after_run(), now);
             }
         }
@@ -266,8 +273,3 @@
         }
     }
 }
-
-/// Returns whether the suspect is a part that no server is known to have served.
-fn is_unserved_part(suspect: &CrashSuspect, record: CrashRecord) -> bool {
-    matches!(suspect, CrashSuspect::Part(_)) && record.cleared == 0
-}
--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine_rule.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine_rule.rs
@@ -17,14 +17,14 @@
 /// The same while most crashes of servers are of others. Rarely used parts are then on several crashed
 /// servers in a row by chance.
 const PART_CRASHES_AMONG_OTHERS: u32 = 6;
-/// Consecutive crashes after which a part is quarantined that servers have served. Each request that
-/// crashes servers has such parts too, and is recognised by another part first.
-const SERVED_PART_CRASHES: u32 = 5;
+/// Consecutive crashes after which a suspect is quarantined that servers have served. It is on
+/// servers that crash on something else, as each request that crashes them has such parts too.
+const SERVED_CRASHES: u32 = 5;
 /// The same while most crashes of servers are of others.
-const SERVED_PART_CRASHES_AMONG_OTHERS: u32 = 8;
-/// Ratio of recent crashes to those under a part above which most crashes are of others. Requests
-/// with a part that are sent at the same time crash several servers, which count as one.
-const PART_OTHERS_RATIO: usize = 4;
+const SERVED_CRASHES_AMONG_OTHERS: u32 = 8;
+/// Ratio of recent crashes to those under a suspect above which most crashes are of others. Requests
+/// with a suspect that are sent at the same time crash several servers, which count as one.
+const OTHERS_RATIO: usize = 4;
 /// Duration of the first quarantine.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
 /// Factor by which each further crash extends the quarantine of a content.
@@ -57,24 +57,33 @@
     /// Returns the rule for a suspect. `is_unserved` is `true` if no server can be expected to have
     /// served it.
     pub(super) fn of(suspect: &CrashSuspect, is_unserved: bool) -> Self {
-        let (crashes, crashes_among_others) = match suspect {
-            CrashSuspect::Content(_) => (CONTENT_CRASHES, CONTENT_CRASHES_AMONG_OTHERS),
-            CrashSuspect::Part(_) if is_unserved => (PART_CRASHES, PART_CRASHES_AMONG_OTHERS),
-            CrashSuspect::Part(_) => (SERVED_PART_CRASHES, SERVED_PART_CRASHES_AMONG_OTHERS),
-        };
+        let kind_rule = Self::of_unserved(suspect);
+        match is_unserved {
+            true => kind_rule,
+            false => Self {
+                crashes: SERVED_CRASHES,
+                crashes_among_others: SERVED_CRASHES_AMONG_OTHERS,
+                others_ratio: OTHERS_RATIO,
+                first_growth: 1,
+                ..kind_rule
+            },
+        }
+    }
+
+    fn of_unserved(suspect: &CrashSuspect) -> Self {
         match suspect {
             CrashSuspect::Content(_) => Self {
-                crashes,
-                crashes_among_others,
+                crashes: CONTENT_CRASHES,
+                crashes_among_others: CONTENT_CRASHES_AMONG_OTHERS,
                 others_ratio: 1,
                 first_growth: CONTENT_GROWTH,
                 growth: CONTENT_GROWTH,
                 max: MAX_CONTENT_QUARANTINE,
             },
             CrashSuspect::Part(_) => Self {
-                crashes,
-                crashes_among_others,
-                others_ratio: PART_OTHERS_RATIO,
+                crashes: PART_CRASHES,
+                crashes_among_others: PART_CRASHES_AMONG_OTHERS,
+                others_ratio: OTHERS_RATIO,
                 first_growth: 1,
                 growth: PART_GROWTH,
                 max: MAX_PART_QUARANTINE,
--- a/crates/papayamux-coordination/tests/part_suspects.rs
+++ b/crates/papayamux-coordination/tests/part_suspects.rs
@@ -8,6 +8,7 @@
 use papayamux_state::crash_record::{CrashNotice, CrashRecord};
 use papayamux_state::crash_suspect::{CrashSuspect, ServicePart};
 use papayamux_state::prompt::PartId;
+use papayamux_state::request_fingerprint::RequestFingerprint;
 
 /// A part that crashes servers, and one that all requests have.
 const CRASHING: u64 = 0xbad;
@@ -183,3 +184,27 @@
     assert_eq!(left(&quarantine, CRASHING, now), Some(seconds(30)));
     assert!(quarantine.len() <= 4_096);
 }
+
+/// Guards against refusing requests with the same content for half a minute, because they were beside a
+/// crashing part on two servers in a row.
+#[test]
+fn content_that_servers_have_served_takes_more_crashes() {
+    let start = Instant::now();
+    let (mut quarantine, now) = (running_router(start), start + seconds(10));
+    let content = CrashSuspect::Content(RequestFingerprint(1));
+    let crash_content = |quarantine: &mut CrashQuarantine| {
+        let sent = quarantine.begin_attempt(&content, now);
+        quarantine.record_crash(&content, sent, 0.0, now);
+        quarantine.quarantine_left(&content, now)
+    };
+    assert_eq!(crash_content(&mut quarantine), None);
+    assert!(quarantine.record_run(&content, CrashRecord::default(), now));
+    for _ in 0..4 {
+        assert_eq!(crash_content(&mut quarantine), None);
+    }
+    assert_eq!(crash_content(&mut quarantine), Some(seconds(30)));
+    for _ in 0..3 {
+        crash(&mut quarantine, &[CRASHING], now);
+    }
+    assert_eq!(quarantine.quarantine_left(&content, now), None, "the part explains its crashes");
+}
