Forget expired crash records at routers

Cause: only a full table forgot records on the direct path, so that after one crash each request was fingerprinted and looked up for good. Change: the regular report of quarantined suspects removes expired records. Result: a test that failed before.

--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
@@ -232,8 +232,9 @@
     }
 
     /// Returns at most `limit` of the quarantined suspects, in rotation: a router that has just
-    /// started knows none of them.
+    /// started knows none of them. Removes expired records.
     pub fn next_quarantined(&mut self, limit: usize, now: Instant) -> Vec<CrashNotice> {
+        self.forget_old(now);
         let quarantined: Vec<_> = self
             .suspects
             .iter()
--- a/crates/papayamux-coordination/tests/part_suspects.rs
+++ b/crates/papayamux-coordination/tests/part_suspects.rs
@@ -169,6 +169,18 @@
     }
 }
 
+/// Guards against fingerprinting each request for good once a server has crashed.
+#[test]
+fn records_expire_with_the_regular_reports() {
+    let start = Instant::now();
+    let (mut quarantine, now) = (running_router(start), start + seconds(10));
+    crash(&mut quarantine, &[CRASHING], now);
+    assert_eq!(quarantine.next_quarantined(4, now + seconds(599)), []);
+    assert!(!quarantine.is_empty());
+    assert_eq!(quarantine.next_quarantined(4, now + seconds(600)), []);
+    assert!(quarantine.is_empty());
+}
+
 /// A caller that makes up parts can't push out the record of a part that crashes servers.
 #[test]
 fn made_up_parts_do_not_evict_a_crashing_part() {
