Don't take the quarantine of a content for an explanation of its parts' crashes

Cause: read in the code: each request with a part that crashes servers has a content of its own, which is held after two crashes and then cleared what servers had served, the part among it. A part that was served until servers had another software version was never held. Change: a quarantined part explains the crashes of all that was served, a quarantined content only those of contents.

--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
@@ -173,20 +173,23 @@
             self.last_crash = Some(now);
         }
         self.make_room(now);
-        let explains_crashes = record.cleared == 0 && !quarantine_left.is_zero();
         let known = SuspectRecord::new(record, origin, quarantine_left, jitter, now);
-        self.suspects.insert(suspect, known);
+        let explains_crashes = record.cleared == 0 && !quarantine_left.is_zero();
         if explains_crashes {
-            self.clear_served(now);
+            self.clear_served(&suspect, now);
         }
+        self.suspects.insert(suspect, known);
         true
     }
 
-    /// Clears what servers have served, once its crashes have another explanation. Each router does
-    /// so when it learns of that.
-    fn clear_served(&mut self, now: Instant) {
-        for known in self.suspects.values_mut() {
-            if known.record.cleared > 0 && known.record.crashes > 0 {
+    /// Clears what servers have served, once its crashes are explained by another suspect. Each
+    /// router does so when it learns of that. A content doesn't explain the crashes of parts: each
+    /// request with a part that crashes servers has a content of its own.
+    fn clear_served(&mut self, explanation: &CrashSuspect, now: Instant) {
+        let explains_parts = matches!(explanation, CrashSuspect::Part(_));
+        for (suspect, known) in &mut self.suspects {
+            let is_explained = explains_parts || matches!(suspect, CrashSuspect::Content(_));
+            if is_explained && known.record.cleared > 0 && known.record.crashes > 0 {
                 *known = SuspectRecord::announced(known.record.after_run(), now);
             }
         }
--- a/crates/papayamux-coordination/tests/part_quarantine.rs
+++ b/crates/papayamux-coordination/tests/part_quarantine.rs
@@ -67,6 +67,8 @@
     servers: usize,
     /// Number of crashing parts.
     parts: u64,
+    /// `true` if servers have served the parts before they began to crash on them.
+    were_served: bool,
     /// Interval between two requests with a crashing part.
     interval_ms: u64,
     /// Maximum time that a request with a crashing part waits at its server before the crash.
@@ -82,6 +84,7 @@
     routers: 6,
     servers: 18,
     parts: 1,
+    were_served: false,
     interval_ms: 200,
     max_wait_ms: 300,
     datagram_loss: 0.0,
@@ -253,6 +256,13 @@
             let first = self.random.random_range(0..REPORT_INTERVAL_MS);
             self.schedule(first, Event::Report { router });
         }
+        if self.scenario.were_served {
+            let (service, now) = ("llm".parse().unwrap(), self.now());
+            for router in &mut self.routers {
+                let parts = (0..self.scenario.parts).map(|part| PartId(CRASHING_PART + part));
+                router.quarantine.record_served_parts(&service, parts, now);
+            }
+        }
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at > self.scenario.until_ms {
                 return;
@@ -636,6 +646,17 @@
     }
 }
 
+/// Guards against a part that is served until servers have another software version.
+#[test]
+fn part_that_servers_have_served_before_is_held_too() {
+    for routers in [6, 30] {
+        for max_wait_ms in [0, 300] {
+            let scenario = Scenario { were_served: true, max_wait_ms, ..fleet_of(routers) };
+            check(scenario, 0..5);
+        }
+    }
+}
+
 #[test]
 fn persistent_part_reaches_servers_ever_more_rarely() {
     check(Scenario { interval_ms: 400, until_ms: 900_000, ..DEFAULT }, 0..3);
--- a/crates/papayamux-coordination/tests/part_suspects.rs
+++ b/crates/papayamux-coordination/tests/part_suspects.rs
@@ -220,3 +220,21 @@
     }
     assert_eq!(quarantine.quarantine_left(&content, now), None, "the part explains its crashes");
 }
+
+/// Guards against a part that servers no longer serve and that is never held, since each of its requests
+/// is held by its content first.
+#[test]
+fn quarantine_of_contents_does_not_explain_the_crashes_of_their_parts() {
+    let start = Instant::now();
+    let (mut quarantine, now) = (running_router(start), start + seconds(10));
+    for number in 0..3 {
+        let content = CrashSuspect::Content(RequestFingerprint(number));
+        for _ in 0..2 {
+            let sent = quarantine.begin_attempt(&content, now);
+            crash(&mut quarantine, &[SHARED], now);
+            quarantine.record_crash(&content, sent, 0.0, now);
+        }
+        assert!(quarantine.quarantine_left(&content, now).is_some());
+    }
+    assert_eq!(left(&quarantine, SHARED, now), Some(seconds(30)));
+}
