Let what a crashing part may have got quarantined try again soon

Change: a newly quarantined part explains crashes of what was quarantined in the ten seconds before: that may be tried again within three seconds, at a different time for each router. A quarantine that a trial has extended neither explains nor is explained.

--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
@@ -174,23 +174,30 @@
         }
         self.make_room(now);
         let known = SuspectRecord::new(record, origin, quarantine_left, jitter, now);
-        let explains_crashes = record.cleared == 0 && !quarantine_left.is_zero();
-        if explains_crashes {
-            self.clear_served(&suspect, now);
+        if record.cleared == 0 && known.is_newly_quarantined(now) {
+            self.explain_crashes(&suspect, jitter, now);
         }
         self.suspects.insert(suspect, known);
         true
     }
 
-    /// Clears what servers have served, once its crashes are explained by another suspect. Each
-    /// router does so when it learns of that. A content doesn't explain the crashes of parts: each
-    /// request with a part that crashes servers has a content of its own.
-    fn clear_served(&mut self, explanation: &CrashSuspect, now: Instant) {
+    /// Reconsiders the crashes of others that a newly quarantined suspect may explain. What servers
+    /// have served is cleared, what they have not is tried again soon. Each router does so when it
+    /// learns of the quarantine.
+    ///
+    /// A content explains no crashes of parts: each request with a part that crashes servers has a
+    /// content of its own.
+    fn explain_crashes(&mut self, explanation: &CrashSuspect, jitter: f64, now: Instant) {
         let explains_parts = matches!(explanation, CrashSuspect::Part(_));
-        for (suspect, known) in &mut self.suspects {
-            let is_explained = explains_parts || matches!(suspect, CrashSuspect::Content(_));
-            if is_explained && known.record.cleared > 0 && known.record.crashes > 0 {
+        let explained = self
+            .suspects
+            .iter_mut()
+            .filter(|(suspect, _)| explains_parts || matches!(suspect, CrashSuspect::Content(_)));
+        for (_, known) in explained {
+            if known.record.cleared > 0 && known.record.crashes > 0 {
                 *known = SuspectRecord::announced(known.record.after_run(), now);
+            } else if explains_parts && known.is_newly_quarantined(now) {
+                known.try_soon(jitter, now);
             }
         }
     }
--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine_rule.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine_rule.rs
@@ -26,7 +26,7 @@
 /// with a suspect that are sent at the same time crash several servers, which count as one.
 const OTHERS_RATIO: usize = 4;
 /// Duration of the first quarantine.
-const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
+pub(super) const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
 /// Factor by which each further crash extends the quarantine of a content.
 const CONTENT_GROWTH: u32 = 4;
 /// Factor by which each further crash extends the quarantine of a part. Requests with it keep
--- a/crates/papayamux-coordination/src/crash_quarantine/suspect_record.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/suspect_record.rs
@@ -5,6 +5,7 @@
 use papayamux_state::crash_record::{CrashNotice, CrashRecord};
 use papayamux_state::crash_suspect::CrashSuspect;
 
+use super::quarantine_rule::FIRST_QUARANTINE;
 use super::NoticeOrigin;
 
 /// Time that the trial request after a quarantine has before another one may try.
@@ -12,6 +13,12 @@
 /// Time for which a record is kept after its quarantine or its last change.
 const RECORD_RETENTION: Duration = Duration::from_secs(600);
 
+/// Time within which one quarantine may explain the crashes that led to another.
+const EXPLANATION_TIME: Duration = Duration::from_secs(10);
+/// Time within which routers let a request try whose crashes may be explained. Long enough for the
+/// first router that does so to notify the others of a further crash.
+const EARLY_TRIAL_WINDOW: Duration = Duration::from_secs(3);
+
 /// The crash record of a suspect and its quarantine.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct SuspectRecord {
@@ -66,6 +73,19 @@
         (!self.quarantine.is_zero()).then_some(self.quarantine)
     }
 
+    /// Returns whether the suspect was quarantined for the first time, within [`EXPLANATION_TIME`].
+    pub(super) fn is_newly_quarantined(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.changed);
+        self.quarantine > FIRST_QUARANTINE - EXPLANATION_TIME
+            && self.quarantine <= FIRST_QUARANTINE
+            && age < EXPLANATION_TIME
+    }
+
+    /// Lets a request with the suspect try a server soon, at different times for each router.
+    pub(super) fn try_soon(&mut self, jitter: f64, now: Instant) {
+        self.trial_from = self.trial_from.min(now + EARLY_TRIAL_WINDOW.mul_f64(jitter));
+    }
+
     /// Returns whether the quarantine is in force that all routers apply.
     pub(super) fn is_quarantined(&self, now: Instant) -> bool {
         now < self.quarantined_until
--- a/crates/papayamux-coordination/tests/part_suspects.rs
+++ b/crates/papayamux-coordination/tests/part_suspects.rs
@@ -221,6 +221,31 @@
     assert_eq!(quarantine.quarantine_left(&content, now), None, "the part explains its crashes");
 }
 
+/// Guards against refusing a sound request for half a minute that was beside a crashing part twice, before
+/// the part was known.
+#[test]
+fn quarantine_of_a_part_lets_other_suspects_try_soon() {
+    let start = Instant::now();
+    let (mut quarantine, now) = (running_router(start), start + seconds(10));
+    let content = CrashSuspect::Content(RequestFingerprint(1));
+    for _ in 0..2 {
+        let sent = quarantine.begin_attempt(&content, now);
+        quarantine.record_crash(&content, sent, 0.0, now);
+    }
+    assert_eq!(quarantine.quarantine_left(&content, now), Some(seconds(30)));
+    assert!(quarantine.receive_notice(notice(CRASHING, 0, 3, seconds(30)), 0.5, now));
+    assert_eq!(quarantine.quarantine_left(&content, now), Some(Duration::from_millis(1_500)));
+    let trial = now + seconds(2);
+    let sent = quarantine.begin_attempt(&content, trial);
+    assert_eq!(quarantine.quarantine_left(&content, trial), Some(seconds(30)), "one at a time");
+    quarantine.record_crash(&content, sent, 0.0, trial);
+    assert_eq!(quarantine.quarantine_left(&content, trial), Some(seconds(120)));
+    // A quarantine that a trial has extended explains no crashes, nor do others explain its crashes.
+    assert!(quarantine.receive_notice(notice(CRASHING, 0, 4, seconds(240)), 0.5, trial));
+    assert!(quarantine.receive_notice(notice(SHARED + 1, 0, 3, seconds(30)), 0.5, trial));
+    assert_eq!(quarantine.quarantine_left(&content, trial), Some(seconds(120)));
+}
+
 /// Guards against a part that servers no longer serve and that is never held, since each of its requests
 /// is held by its content first.
 #[test]
