Let contents try again soon that were quarantined among other crashes

Cause: a content's first quarantine lasts four times as long among crashes of other servers, and was then not reconsidered. Change: the record says whether a trial has extended the quarantine, instead of its duration.

--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
@@ -173,7 +173,12 @@
             self.last_crash = Some(now);
         }
         self.make_room(now);
-        let known = SuspectRecord::new(record, origin, quarantine_left, jitter, now);
+        let last = self.suspects.get(&suspect).and_then(SuspectRecord::quarantine);
+        let mut known = SuspectRecord::new(record, origin, quarantine_left, jitter, now);
+        if last.is_none() {
+            let rule = QuarantineRule::of(&suspect, record.cleared == 0);
+            known.mark_first(rule.full_first_duration(record));
+        }
         if record.cleared == 0 && known.is_newly_quarantined(now) {
             self.explain_crashes(&suspect, jitter, now);
         }
--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine_rule.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine_rule.rs
@@ -26,7 +26,7 @@
 /// with a suspect that are sent at the same time crash several servers, which count as one.
 const OTHERS_RATIO: usize = 4;
 /// Duration of the first quarantine.
-pub(super) const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
+const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
 /// Factor by which each further crash extends the quarantine of a content.
 const CONTENT_GROWTH: u32 = 4;
 /// Factor by which each further crash extends the quarantine of a part. Requests with it keep
@@ -99,10 +99,16 @@
             true => self.crashes_among_others,
             false => self.crashes,
         };
-        if record.crashes < enough {
-            return Duration::ZERO;
+        match record.crashes < enough {
+            true => Duration::ZERO,
+            false => self.full_first_duration(record),
         }
-        let factor = self.first_growth.saturating_pow(record.crashes - self.crashes);
+    }
+
+    /// Returns the duration of a first quarantine after the last crash of `record`.
+    pub(super) fn full_first_duration(self, record: CrashRecord) -> Duration {
+        let further = record.crashes.saturating_sub(self.crashes);
+        let factor = self.first_growth.saturating_pow(further);
         FIRST_QUARANTINE.saturating_mul(factor).min(self.max)
     }
 
--- a/crates/papayamux-coordination/src/crash_quarantine/suspect_record.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/suspect_record.rs
@@ -5,7 +5,6 @@
 use papayamux_state::crash_record::{CrashNotice, CrashRecord};
 use papayamux_state::crash_suspect::CrashSuspect;
 
-use super::quarantine_rule::FIRST_QUARANTINE;
 use super::NoticeOrigin;
 
 /// Time that the trial request after a quarantine has before another one may try.
@@ -26,6 +25,8 @@
     pub(super) changed: Instant,
     /// What was left of the quarantine when this router learnt of it; zero if there is none.
     quarantine: Duration,
+    /// `true` if no trial has extended the quarantine and the router learnt of it at its beginning.
+    is_first: bool,
     /// When the quarantine ends that all routers apply.
     quarantined_until: Instant,
     /// When this router lets a request with the suspect try a server.
@@ -49,6 +50,7 @@
             record,
             changed: now,
             quarantine: quarantine_left,
+            is_first: false,
             quarantined_until: now + quarantine_left,
             trial_from,
             unannounced: Some(origin),
@@ -73,12 +75,15 @@
         (!self.quarantine.is_zero()).then_some(self.quarantine)
     }
 
+    /// Marks a quarantine that no trial has extended yet. `full` is its duration.
+    pub(super) fn mark_first(&mut self, full: Duration) {
+        let is_complete = self.quarantine <= full && self.quarantine + EXPLANATION_TIME > full;
+        self.is_first = !self.quarantine.is_zero() && is_complete;
+    }
+
     /// Returns whether the suspect was quarantined for the first time, within [`EXPLANATION_TIME`].
     pub(super) fn is_newly_quarantined(&self, now: Instant) -> bool {
-        let age = now.saturating_duration_since(self.changed);
-        self.quarantine > FIRST_QUARANTINE - EXPLANATION_TIME
-            && self.quarantine <= FIRST_QUARANTINE
-            && age < EXPLANATION_TIME
+        self.is_first && now.saturating_duration_since(self.changed) < EXPLANATION_TIME
     }
 
     /// Lets a request with the suspect try a server soon, at different times for each router.
