Learn the parts in use from requests that have shared parts

Cause: calls to plain services began the time after which a router takes an unknown part for new. Change: the first shared part that is served begins it. Result: a test that failed before.

--- a/crates/papayamux-coordination/src/crash_quarantine/served_parts.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/served_parts.rs
@@ -35,7 +35,6 @@
         parts: impl Iterator<Item = PartId>,
         now: Instant,
     ) {
-        self.first_begun.get_or_insert(now);
         let age = now.saturating_duration_since(*self.begun.get_or_insert(now));
         if self.recent_count >= MAX_PARTS || age >= GENERATION_TIME {
             self.earlier = std::mem::take(&mut self.recent);
@@ -47,6 +46,7 @@
             None => self.recent.entry(service.clone()).or_default(),
         };
         for part in parts {
+            self.first_begun.get_or_insert(now);
             self.recent_count += usize::from(known.insert(part));
         }
     }
--- a/crates/papayamux-coordination/tests/part_suspects.rs
+++ b/crates/papayamux-coordination/tests/part_suspects.rs
@@ -264,3 +264,14 @@
     crash(&mut quarantine, &[SHARED], now);
     assert_eq!(left(&quarantine, SHARED, now), Some(seconds(30)));
 }
+
+#[test]
+fn requests_without_shared_parts_show_no_parts_in_use() {
+    let (mut quarantine, start) = (CrashQuarantine::default(), Instant::now());
+    quarantine.record_served_parts(&"llm".parse().unwrap(), std::iter::empty(), start);
+    let now = start + seconds(10);
+    for _ in 0..4 {
+        crash(&mut quarantine, &[CRASHING], now);
+    }
+    assert_eq!(left(&quarantine, CRASHING, now), None, "the router doesn't know which part is new");
+}
