Test which parts of a prompt are suspects

Cause: a mutant that suspected the last part of prompts too made no test fail. Change: a test of the parts and of their bound. Result: it fails with the mutant and passes without.

--- a/crates/papayamux-state/tests/prompts_and_routes.rs
+++ b/crates/papayamux-state/tests/prompts_and_routes.rs
@@ -32,6 +32,15 @@
     assert_eq!(vec!["1:1"; 300].join(",").parse::<PromptChain>(), Err(ChainError::TooMany));
 }
 
+#[test]
+fn all_parts_but_the_last_are_suspects() {
+    let suspects = |text| chain(text).suspect_parts().map(|part| part.0).collect::<Vec<_>>();
+    assert_eq!(suspects("a:800,b:410,c:250"), [0xa, 0xb]);
+    assert_eq!(suspects("a:800"), [0; 0]);
+    let long: Vec<_> = (0..200).map(|id| format!("{id:x}:1")).collect();
+    assert_eq!(suspects(&long.join(",")).len(), 64, "one prompt can't fill a table of suspects");
+}
+
 fn part(id: u64, tokens: u64) -> PromptPart {
     PromptPart { id: PartId(id), tokens: TokenCount::new(tokens) }
 }
