--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -350,7 +350,7 @@
             request:% = self.call.id, fingerprint:% = self.fingerprint(), loss:? = loss,
             cause = lost.cause.as_str(), next:? = step, server_ended = lost.server_crashed,
             server:% = self.tried.last().map_or("", ServerId::as_str),
-            prompt = self.prompt_of_crash(lost);
+            crashed_prompt = self.prompt_of_crash(lost);
             "attempt brought no answer"
         );
         self.record_server_crash(lost);
