Count events whose end is split between two pieces of a body

Change: EventCounter counts across pieces, by the same rule (each line end behind another one). The measurement of streams made the same mistake and uses it too. Result: the check asks for the same number of events as before.

--- a/crates/papayamux-measure/src/path/streams.rs
+++ b/crates/papayamux-measure/src/path/streams.rs
@@ -8,7 +8,7 @@
 use http::Method;
 use papayamux_protocol::chat::ChatMessage;
 use papayamux_protocol::engine::CHAT_PATH;
-use papayamux_testbed::{chat_request, Caller, Fleet, ProcessHandle, FLEET_MODEL};
+use papayamux_testbed::{chat_request, Caller, EventCounter, Fleet, ProcessHandle, FLEET_MODEL};
 use serde_json::json;
 
 use super::throughput::CpuMeter;
@@ -33,9 +33,10 @@
     let request = chat_request(FLEET_MODEL, vec![message], TOKENS);
     let body = serde_json::to_vec(&request).ok()?;
     let mut answer = caller.send(Method::POST, CHAT_PATH, &[], body.into()).await.ok()?;
+    let mut counter = EventCounter::default();
     while let Some(Ok(piece)) = answer.next_piece().await {
-        let ends = piece.windows(2).filter(|pair| *pair == b"\n\n").count();
-        events.set(events.get() + ends as u64);
+        let ended = counter.read(&piece);
+        events.set(events.get() + ended as u64);
     }
     Some(())
 }
--- a/crates/papayamux-testbed/src/lib.rs
+++ b/crates/papayamux-testbed/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod caller;
 mod chat_stream;
+mod event_counter;
 mod fleet;
 mod http_reader;
 mod link_control;
@@ -18,6 +19,7 @@
 
 pub use caller::{chat_request, Caller, CallerAnswer, CallerError};
 pub use chat_stream::{ChatStream, StreamEvent};
+pub use event_counter::EventCounter;
 pub use fleet::{Fleet, FleetPlan, FLEET_MODEL, FLEET_PATH};
 pub use link_control::LinkControl;
 pub use order_fleet::{has_models, OrderFleet, OrderPlan};
--- a/crates/papayamux-testbed/tests/whole_path.rs
+++ b/crates/papayamux-testbed/tests/whole_path.rs
@@ -10,7 +10,7 @@
 use papayamux_protocol::failure::{FailureCode, FailureEnvelope, FailureOutcome};
 use papayamux_standins::engine::expected_answer;
 use papayamux_standins::service::ServiceAnswer;
-use papayamux_testbed::{chat_request, Caller, Fleet, FleetPlan, FLEET_MODEL};
+use papayamux_testbed::{chat_request, Caller, EventCounter, Fleet, FleetPlan, FLEET_MODEL};
 use papayamux_transport::runtime;
 
 /// Number of tokens of an answer that exceeds all windows and socket buffers on its path.
@@ -122,11 +122,11 @@
         let messages = user_says("Is the gate open?");
         let expected = expected_answer(FLEET_MODEL, &render_prompt(&messages), Some(200));
         assert_eq!(caller.chat(&chat_request(FLEET_MODEL, messages, 200)).await?.text, expected);
-        let mut events = 0;
+        let mut counter = EventCounter::default();
         while let Some(piece) = unread.next_piece().await {
-            events += piece?.windows(2).filter(|pair| *pair == b"\n\n").count();
+            counter.read(&piece?);
         }
-        assert_eq!(events, TOKENS_BEYOND_BUFFERS as usize + EVENTS_AT_THE_END);
+        assert_eq!(counter.events(), TOKENS_BEYOND_BUFFERS as usize + EVENTS_AT_THE_END);
         Ok(())
     })
 }
