Tell other routers when a quarantined suspect is tried

Cause: after a quarantine each router drew when it lets a request try a server, and learnt of another one's trial only by the crash that followed. With frequent requests and servers that take their time to crash, several routers tried at once. Change: a notice says that a trial has begun; routers that receive it wait for the outcome, 30 to 60 s at most. A request whose server refused the connection is no trial, and the same call may go on.

--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
@@ -63,6 +63,18 @@
         known.record
     }
 
+    /// Records that a request with the suspect that was about to be sent did not reach a server.
+    pub fn withdraw_attempt(&mut self, suspect: &CrashSuspect, now: Instant) {
+        if let Some(known) = self.suspects.get_mut(suspect) {
+            known.withdraw_attempt(now);
+        }
+    }
+
+    /// Returns whether a request with a quarantined suspect is on trial, at this router or another one.
+    pub fn is_on_trial(&self, suspect: &CrashSuspect, now: Instant) -> bool {
+        self.suspects.get(suspect).is_some_and(|known| known.is_on_trial(now))
+    }
+
     /// Records the crash of a server that should be serving.
     pub fn record_server_crash(&mut self, server: &ServerId, now: Instant) {
         self.server_crashes.record(server, now);
@@ -96,7 +108,8 @@
             Some(last) => rule.next_duration(last),
             None => rule.first_duration(record, self.server_crashes.count(now)),
         };
-        let notice = CrashNotice { suspect: suspect.clone(), record, quarantine_left };
+        let notice =
+            CrashNotice { suspect: suspect.clone(), record, quarantine_left, is_on_trial: false };
         self.apply(notice, NoticeOrigin::Observed, jitter, now).then_some(record)
     }
 
@@ -131,6 +144,7 @@
             suspect: suspect.clone(),
             record: record.after_run(),
             quarantine_left: Duration::ZERO,
+            is_on_trial: false,
         };
         self.apply(notice, NoticeOrigin::Observed, 0.0, now)
     }
@@ -155,7 +169,13 @@
             let cleared = CrashNotice { record: before, quarantine_left: Duration::ZERO, ..notice };
             return self.apply(cleared, NoticeOrigin::Received, jitter, now);
         }
-        self.apply(CrashNotice { quarantine_left, ..notice }, NoticeOrigin::Received, jitter, now)
+        let trial = notice.is_on_trial.then(|| (notice.suspect.clone(), notice.record));
+        let notice = CrashNotice { quarantine_left, ..notice };
+        let is_new = self.apply(notice, NoticeOrigin::Received, jitter, now);
+        let known = trial.and_then(|(suspect, record)| {
+            self.suspects.get_mut(&suspect).filter(|known| known.record == record)
+        });
+        is_new | known.is_some_and(|known| known.record_trial(jitter, now))
     }
 
     fn apply(
@@ -165,7 +185,7 @@
         jitter: f64,
         now: Instant,
     ) -> bool {
-        let CrashNotice { suspect, record, quarantine_left } = notice;
+        let CrashNotice { suspect, record, quarantine_left, .. } = notice;
         if !self.is_news(&suspect, record, quarantine_left) {
             return false;
         }
--- a/crates/papayamux-coordination/src/crash_quarantine/suspect_record.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/suspect_record.rs
@@ -34,6 +34,8 @@
     quarantined_until: Instant,
     /// When this router lets a request with the suspect try a server.
     trial_from: Instant,
+    /// When a trial ends that is in progress, at this router or another one.
+    trial_until: Option<Instant>,
     /// The origin of a record that is not yet announced to other routers.
     pub(super) unannounced: Option<NoticeOrigin>,
 }
@@ -56,6 +58,7 @@
             is_first: false,
             quarantined_until: now + quarantine_left,
             trial_from,
+            trial_until: None,
             unannounced: Some(origin),
         }
     }
@@ -99,17 +102,50 @@
         now < self.quarantined_until
     }
 
-    /// Records that a request with the suspect is about to be sent.
+    /// Records that a request with the suspect is about to be sent. If the suspect was quarantined, this
+    /// is a trial, which other routers wait for.
     pub(super) fn begin_attempt(&mut self, now: Instant) {
         if self.quarantine().is_some() {
             self.trial_from = self.trial_from.max(now + TRIAL_TIMEOUT);
+            self.trial_until = Some(now + TRIAL_TIMEOUT);
+            self.unannounced = Some(NoticeOrigin::Observed);
         }
     }
 
+    /// Records that a request that was about to be sent did not reach a server, so that the next one is
+    /// the trial.
+    pub(super) fn withdraw_attempt(&mut self, now: Instant) {
+        if self.is_on_trial(now) {
+            self.trial_from = now;
+            self.trial_until = None;
+        }
+    }
+
+    /// Records that another router has begun a trial. Returns whether that was unknown.
+    pub(super) fn record_trial(&mut self, jitter: f64, now: Instant) -> bool {
+        if self.quarantine().is_none() || self.is_on_trial(now) {
+            return false;
+        }
+        self.trial_from = self.trial_from.max(now + TRIAL_TIMEOUT.mul_f64(1.0 + jitter));
+        self.trial_until = Some(now + TRIAL_TIMEOUT);
+        self.unannounced = Some(NoticeOrigin::Received);
+        true
+    }
+
+    /// Returns whether a trial is in progress.
+    pub(super) fn is_on_trial(&self, now: Instant) -> bool {
+        self.trial_until.is_some_and(|until| now < until)
+    }
+
     /// Returns the notice for other routers.
     pub(super) fn notice(&self, suspect: &CrashSuspect, now: Instant) -> CrashNotice {
         let quarantine_left = self.quarantined_until.saturating_duration_since(now);
-        CrashNotice { suspect: suspect.clone(), record: self.record, quarantine_left }
+        CrashNotice {
+            suspect: suspect.clone(),
+            record: self.record,
+            quarantine_left,
+            is_on_trial: self.is_on_trial(now),
+        }
     }
 
     /// Returns how urgent the record is for other routers. Completed runs keep them from a quarantine by
--- a/crates/papayamux-coordination/tests/crash_quarantine.rs
+++ b/crates/papayamux-coordination/tests/crash_quarantine.rs
@@ -65,7 +65,8 @@
         "it was sent before the clearing run"
     );
     let record = CrashRecord { cleared: 0, crashes: 2 };
-    let stale = CrashNotice { suspect: FATAL, record, quarantine_left: seconds(30) };
+    let stale =
+        CrashNotice { suspect: FATAL, record, quarantine_left: seconds(30), is_on_trial: false };
     assert!(!quarantine.receive_notice(stale, 0.0, now));
     assert_eq!(quarantine.quarantine_left(&FATAL, now), None);
 }
@@ -111,6 +112,7 @@
         suspect: FATAL,
         record,
         quarantine_left: seconds(quarantine_left),
+        is_on_trial: false,
     };
     assert!(quarantine.receive_notice(notice(20), 0.5, now));
     assert!(!quarantine.receive_notice(notice(30), 0.0, now), "already known");
@@ -131,7 +133,7 @@
     let record = CrashRecord { cleared: 0, crashes: 2 };
     let quarantine_left = Duration::from_millis(u64::from(u32::MAX));
     assert!(quarantine.receive_notice(
-        CrashNotice { suspect: FATAL, record, quarantine_left },
+        CrashNotice { suspect: FATAL, record, quarantine_left, is_on_trial: false },
         0.0,
         now
     ));
--- a/crates/papayamux-coordination/tests/crash_spread.rs
+++ b/crates/papayamux-coordination/tests/crash_spread.rs
@@ -224,6 +224,7 @@
                         suspect: RequestFingerprint(fingerprint).into(),
                         record: CrashRecord { cleared, crashes },
                         quarantine_left: Duration::from_millis(held_ms),
+                        is_on_trial: false,
                     };
                     self.routers[router].quarantine.receive_notice(notice, jitter, now);
                 }
--- a/crates/papayamux-coordination/tests/part_quarantine.rs
+++ b/crates/papayamux-coordination/tests/part_quarantine.rs
@@ -22,7 +22,7 @@
 
 /// Time after the fifth crash, a restart or a cut in which a router may still learn of the part.
 const STABLE_WINDOW_MS: u64 = 3_000;
-/// Maximum number of requests with the part that reach servers after that, at all routers in contact.
+/// Maximum number of requests with a part that reach servers after that, at all routers in contact.
 const MAX_LATE_ARRIVALS: usize = 3;
 /// Maximum share of the sound requests that are refused, two windows after the fifth crash.
 const MAX_REFUSED: f64 = 0.05;
@@ -102,8 +102,8 @@
 struct Outcome {
     scenario: Scenario,
     crashes: usize,
-    /// Requests with crashing parts that reached servers after routers should have held them.
-    late_arrivals: usize,
+    /// Requests with each crashing part that reached servers after routers should have held them.
+    late_arrivals: Vec<usize>,
     /// Time from the first request with the part until a router held it.
     held_after_ms: Option<u64>,
     sound_sent: usize,
@@ -124,7 +124,7 @@
             self.scenario.datagram_loss,
             self.scenario.disturbance,
             self.crashes,
-            self.late_arrivals,
+            self.late_arrivals.iter().sum::<usize>(),
             self.held_after_ms.unwrap_or_default(),
             self.sound_refused,
             self.sound_sent,
@@ -209,7 +209,7 @@
     let outcome = Outcome {
         scenario,
         crashes: 0,
-        late_arrivals: 0,
+        late_arrivals: vec![0; scenario.parts as usize],
         held_after_ms: None,
         sound_sent: 0,
         sound_refused: 0,
@@ -367,7 +367,8 @@
         let stable_from_ms = self.routers[router].stable_from_ms;
         let is_stable = stable_from_ms == 0 || self.now_ms > stable_from_ms + STABLE_WINDOW_MS;
         let is_cut = self.is_cut(router, self.now_ms);
-        self.outcome.late_arrivals += usize::from(is_late && is_stable && !is_cut);
+        let late_arrivals = &mut self.outcome.late_arrivals[crashing as usize];
+        *late_arrivals += usize::from(is_late && is_stable && !is_cut);
         self.begin(router, suspects, Some(crashing), attempts - 1);
     }
 
@@ -400,7 +401,11 @@
             let record = known.quarantine.begin_attempt(&suspect, now);
             (suspect, record)
         });
-        let sent = sent.collect();
+        let sent: Vec<_> = sent.collect();
+        if sent.iter().any(|(suspect, _)| known.quarantine.is_on_trial(suspect, now)) {
+            self.begin_announcing(router);
+        }
+        let known = &self.routers[router];
         let (incarnation, start) = (known.incarnation, self.servers[server].start);
         let run = self.runs.len();
         self.runs.push(Run { router, incarnation, server, start, crashing, sent, attempts_left });
@@ -581,8 +586,8 @@
 fn check(scenario: Scenario, seeds: std::ops::Range<u64>) -> Outcome {
     let outcomes: Vec<_> = seeds.map(|seed| (seed, simulate(scenario, seed))).collect();
     for (seed, outcome) in &outcomes {
-        let bound = MAX_LATE_ARRIVALS * scenario.parts as usize;
-        assert!(outcome.late_arrivals <= bound, "seed {seed}: {outcome}");
+        let late_arrivals = outcome.late_arrivals.iter().max().copied().unwrap_or_default();
+        assert!(late_arrivals <= MAX_LATE_ARRIVALS, "seed {seed}: {outcome}");
         let refused = outcome.sound_refused as f64;
         assert!(refused <= MAX_REFUSED * outcome.sound_sent as f64, "seed {seed}: {outcome}");
         assert!(outcome.busiest_router <= MAX_ROUTER_BYTES, "seed {seed}: {outcome}");
@@ -637,6 +642,13 @@
     }
 }
 
+/// Guards against trials of a quarantined part by several routers, before the first one crashes its server.
+#[test]
+fn part_of_frequent_requests_is_tried_by_one_router_at_a_time() {
+    let scenario = Scenario { servers: 100, interval_ms: 50, max_wait_ms: 1_500, ..fleet_of(30) };
+    check(Scenario { until_ms: 100_000, ..scenario }, 2..4);
+}
+
 #[test]
 fn sound_parts_are_not_held_while_servers_crash_by_themselves() {
     for other_crash_interval_ms in [500, 2_000] {
--- a/crates/papayamux-coordination/tests/part_suspects.rs
+++ b/crates/papayamux-coordination/tests/part_suspects.rs
@@ -49,7 +49,7 @@
 
 fn notice(number: u64, cleared: u32, crashes: u32, quarantine_left: Duration) -> CrashNotice {
     let record = CrashRecord { cleared, crashes };
-    CrashNotice { suspect: part(number), record, quarantine_left }
+    CrashNotice { suspect: part(number), record, quarantine_left, is_on_trial: false }
 }
 
 #[test]
@@ -265,6 +265,48 @@
     assert_eq!(left(&quarantine, SHARED, now), Some(seconds(30)));
 }
 
+/// Guards against trials by several routers at once, each of which may crash a server.
+#[test]
+fn trial_of_another_router_is_waited_for() {
+    let start = Instant::now();
+    let (mut tester, now) = (running_router(start), start + seconds(10));
+    let mut other = running_router(start);
+    for _ in 0..3 {
+        crash(&mut tester, &[CRASHING], now);
+    }
+    assert!(other.receive_notice(notice(CRASHING, 0, 3, seconds(30)), 0.0, now));
+    tester.next_unannounced(NoticeOrigin::Observed, 8, now);
+    other.next_unannounced(NoticeOrigin::Received, 8, now);
+    let trial = now + seconds(30);
+    assert_eq!(left(&other, CRASHING, trial), None);
+    tester.begin_attempt(&part(CRASHING), trial);
+    let notices = tester.next_unannounced(NoticeOrigin::Observed, 8, trial);
+    let is_on_trial = CrashNotice { is_on_trial: true, ..notice(CRASHING, 0, 3, Duration::ZERO) };
+    assert_eq!(notices, [is_on_trial.clone()]);
+    assert!(other.receive_notice(is_on_trial.clone(), 0.5, trial));
+    assert_eq!(left(&other, CRASHING, trial), Some(seconds(45)), "30 s plus half of it as jitter");
+    assert_eq!(other.next_unannounced(NoticeOrigin::Received, 8, trial), [is_on_trial.clone()]);
+    assert!(!other.receive_notice(is_on_trial, 0.0, trial), "already known");
+    assert!(other.receive_notice(notice(CRASHING, 0, 4, seconds(240)), 0.0, trial));
+    assert_eq!(left(&other, CRASHING, trial), Some(seconds(240)));
+}
+
+/// Guards against spending the trial on a server that refuses the connection.
+#[test]
+fn request_that_was_not_sent_is_no_trial() {
+    let start = Instant::now();
+    let (mut quarantine, now) = (running_router(start), start + seconds(10));
+    for _ in 0..3 {
+        crash(&mut quarantine, &[CRASHING], now);
+    }
+    let trial = now + seconds(30);
+    quarantine.begin_attempt(&part(CRASHING), trial);
+    assert_eq!(left(&quarantine, CRASHING, trial), Some(seconds(30)));
+    quarantine.withdraw_attempt(&part(CRASHING), trial);
+    assert_eq!(left(&quarantine, CRASHING, trial), None);
+    assert!(!quarantine.is_on_trial(&part(CRASHING), trial));
+}
+
 /// Guards against quarantines by chance while there are more notices than a router may send at once.
 #[test]
 fn completed_runs_are_announced_before_records_of_few_crashes() {
--- a/crates/papayamux-protocol/src/crash_notices.rs
+++ b/crates/papayamux-protocol/src/crash_notices.rs
@@ -23,6 +23,9 @@
     /// Notices of parts, which routers of earlier versions ignore.
     #[prost(message, repeated, tag = "5")]
     parts: Vec<PartNoticeWire>,
+    /// Column of contents; empty from routers of earlier versions.
+    #[prost(bool, repeated, tag = "6")]
+    on_trial: Vec<bool>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -37,6 +40,8 @@
     crashes: u32,
     #[prost(uint32, tag = "5")]
     held_ms: u32,
+    #[prost(bool, tag = "6")]
+    on_trial: bool,
 }
 
 impl From<&[CrashNotice]> for CrashNoticesWire {
@@ -44,6 +49,7 @@
         let mut wire = Self::default();
         for notice in notices {
             let CrashRecord { cleared, crashes } = notice.record;
+            let on_trial = notice.is_on_trial;
             let held_ms = u32::try_from(notice.quarantine_left.as_millis()).unwrap_or(u32::MAX);
             match &notice.suspect {
                 CrashSuspect::Content(fingerprint) => {
@@ -51,12 +57,18 @@
                     wire.cleared.push(cleared);
                     wire.crashes.push(crashes);
                     wire.held_ms.push(held_ms);
+                    wire.on_trial.push(on_trial);
                 }
                 CrashSuspect::Part(ServicePart { service, part }) => {
                     let service = service.to_string();
-                    let notice =
-                        PartNoticeWire { service, part: part.0, cleared, crashes, held_ms };
-                    wire.parts.push(notice);
+                    wire.parts.push(PartNoticeWire {
+                        service,
+                        part: part.0,
+                        cleared,
+                        crashes,
+                        held_ms,
+                        on_trial,
+                    });
                 }
             }
         }
@@ -69,14 +81,18 @@
 
     fn try_from(wire: CrashNoticesWire) -> Result<Self, IdError> {
         let records = wire.cleared.into_iter().zip(wire.crashes);
-        let columns = wire.fingerprints.into_iter().zip(records).zip(wire.held_ms);
-        let contents = columns.map(|((fingerprint, (cleared, crashes)), held_ms)| {
-            Ok(CrashNotice {
-                suspect: RequestFingerprint(fingerprint).into(),
-                record: CrashRecord { cleared, crashes },
-                quarantine_left: Duration::from_millis(u64::from(held_ms)),
-            })
-        });
+        let on_trial = wire.on_trial.into_iter().chain(std::iter::repeat(false));
+        let columns =
+            wire.fingerprints.into_iter().zip(records).zip(wire.held_ms.into_iter().zip(on_trial));
+        let contents =
+            columns.map(|((fingerprint, (cleared, crashes)), (held_ms, is_on_trial))| {
+                Ok(CrashNotice {
+                    suspect: RequestFingerprint(fingerprint).into(),
+                    record: CrashRecord { cleared, crashes },
+                    quarantine_left: Duration::from_millis(u64::from(held_ms)),
+                    is_on_trial,
+                })
+            });
         contents.chain(wire.parts.into_iter().map(CrashNotice::try_from)).collect()
     }
 }
@@ -90,6 +106,7 @@
             suspect: CrashSuspect::Part(part),
             record: CrashRecord { cleared: wire.cleared, crashes: wire.crashes },
             quarantine_left: Duration::from_millis(u64::from(wire.held_ms)),
+            is_on_trial: wire.on_trial,
         })
     }
 }
--- a/crates/papayamux-protocol/tests/router_report.rs
+++ b/crates/papayamux-protocol/tests/router_report.rs
@@ -105,11 +105,13 @@
                 suspect: RequestFingerprint(u64::MAX).into(),
                 record: CrashRecord { cleared: 1, crashes: 2 },
                 quarantine_left: Duration::from_millis(29_500),
+                is_on_trial: false,
             },
             CrashNotice {
                 suspect: RequestFingerprint(1).into(),
                 record: CrashRecord { cleared: 0, crashes: 1 },
                 quarantine_left: Duration::ZERO,
+                is_on_trial: false,
             },
             CrashNotice {
                 suspect: CrashSuspect::Part(ServicePart {
@@ -118,6 +120,7 @@
                 }),
                 record: CrashRecord { cleared: 1, crashes: 5 },
                 quarantine_left: Duration::from_millis(30_000),
+                is_on_trial: true,
             },
         ],
         counted: 24,
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -354,6 +354,9 @@
             "attempt brought no answer"
         );
         self.record_server_crash(lost);
+        if loss == AttemptLoss::NotSent {
+            self.fleet.withdraw_attempt(&self.sent);
+        }
         self.check_quarantine()?;
         match step {
             NextStep::Again { counts: false } => Ok(()),
--- a/crates/papayamux-router/src/direct/fleet/crash_records.rs
+++ b/crates/papayamux-router/src/direct/fleet/crash_records.rs
@@ -70,7 +70,21 @@
             let record = quarantine.begin_attempt(&suspect, now);
             SentSuspect { suspect, record }
         });
-        sent.collect()
+        let sent: Vec<_> = sent.collect();
+        let trials = sent.iter().filter(|sent| quarantine.is_on_trial(&sent.suspect, now)).count();
+        if trials > 0 {
+            self.metrics.crash_records.count("trial");
+            self.crash_recorded.take().trigger();
+        }
+        sent
+    }
+
+    /// Records that a request with these suspects that was about to be sent did not reach a server.
+    pub(in crate::direct) fn withdraw_attempt(&self, sent: &[SentSuspect]) {
+        let (mut quarantine, now) = (self.quarantine.borrow_mut(), Instant::now());
+        for SentSuspect { suspect, .. } in sent {
+            quarantine.withdraw_attempt(suspect, now);
+        }
     }
 
     /// Records that a server crashed under a request with these suspects.
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -101,7 +101,7 @@
     pub server_notices: ReasonCounters,
     /// Updates of the records of requests under which servers crash: `crash` and `cleared` for this
     /// router's own requests, `held` if its own record puts a request in quarantine, `told` if
-    /// another router's record does.
+    /// another router's record does, `trial` if a request may try a server after its quarantine.
     pub crash_records: ReasonCounters,
     /// Age of the source state in updates from other routers, in seconds since it was known to be
     /// the newest.
--- a/crates/papayamux-state/src/crash_record.rs
+++ b/crates/papayamux-state/src/crash_record.rs
@@ -36,4 +36,7 @@
     pub record: CrashRecord,
     /// The remaining time for which requests with the suspect are quarantined.
     pub quarantine_left: Duration,
+    /// `true` if a router has just sent a request with the quarantined suspect, to find out whether
+    /// servers still crash on it.
+    pub is_on_trial: bool,
 }
