Hold what servers have served for a short time, and try it by clean requests

Cause: what crashing requests share with sound ones crashes servers with them. While three parts crash servers, the first part of their route is on more crashed servers than any of them, was held for 30 to 60 s after five, and with it all requests of the route, the crashing ones included, so that nothing showed the cause. Change: what servers have served takes eight crashes while a part that none has served is the likely cause; it is held for three seconds at first; and for half a minute more it is tried only by requests without other suspects that have crashed servers. A part of which a router doesn't know whether it was served keeps its 30 s. The decision which suspect holds a request moved from the router to the quarantine.

--- a/crates/papayamux-coordination/src/crash_quarantine/mod.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/mod.rs
@@ -6,6 +6,7 @@
 //! all routers share the count. A suspect that was merely on a server that crashed is cleared by
 //! the next completed run of a request with it.
 
+mod held_suspect;
 mod notice_origin;
 mod quarantine;
 mod quarantine_rule;
@@ -13,5 +14,6 @@
 mod server_crashes;
 mod suspect_record;
 
+pub use held_suspect::HeldSuspect;
 pub use notice_origin::NoticeOrigin;
 pub use quarantine::{CrashQuarantine, QUARANTINED_PER_REPORT};
--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine.rs
@@ -9,11 +9,11 @@
 use papayamux_state::ids::{ServerId, ServiceId};
 use papayamux_state::prompt::PartId;
 
-use super::quarantine_rule::QuarantineRule;
+use super::quarantine_rule::{QuarantineRule, SuspectHistory};
 use super::served_parts::ServedParts;
 use super::server_crashes::{is_recent, ServerCrashes};
 use super::suspect_record::SuspectRecord;
-use super::NoticeOrigin;
+use super::{HeldSuspect, NoticeOrigin};
 
 /// Maximum number of records. Those with the fewest crashes are evicted first.
 const MAX_RECORDS: usize = 4_096;
@@ -53,6 +53,32 @@
         self.suspects.get(suspect)?.quarantine_left(now)
     }
 
+    /// Returns the suspect that is quarantined longest, or `None` if a request with these suspects may
+    /// be sent.
+    pub fn held_suspect(&self, suspects: &[CrashSuspect], now: Instant) -> Option<HeldSuspect> {
+        let held = suspects.iter().filter_map(|suspect| {
+            let left = self
+                .quarantine_left(suspect, now)
+                .or_else(|| self.clean_trial_left(suspect, suspects, now))?;
+            Some(HeldSuspect { suspect: suspect.clone(), left })
+        });
+        held.max_by_key(|held| held.left)
+    }
+
+    /// Returns the time for which a request can't try a suspect that servers have served, since
+    /// another one of its suspects may crash the server too.
+    fn clean_trial_left(
+        &self,
+        suspect: &CrashSuspect,
+        suspects: &[CrashSuspect],
+        now: Instant,
+    ) -> Option<Duration> {
+        let left = self.suspects.get(suspect)?.clean_trial_left(now)?;
+        let others = suspects.iter().filter(|other| *other != suspect);
+        let mut others = others.filter_map(|other| self.suspects.get(other));
+        others.any(|other| other.record.crashes > 0).then_some(left)
+    }
+
     /// Records that a request with the suspect is about to be sent. Returns the record of the
     /// crashes before this attempt.
     pub fn begin_attempt(&mut self, suspect: &CrashSuspect, now: Instant) -> CrashRecord {
@@ -103,10 +129,12 @@
             None => sent.max(self.record_before_crashes(suspect)),
         };
         let record = sent.after_crash();
-        let rule = QuarantineRule::of(suspect, self.is_unserved(suspect, record, now));
+        let rule = QuarantineRule::of(suspect, self.history(suspect, record, now));
+        let has_other_cause = rule.is_among_others(record, self.server_crashes.count(now))
+            || record.cleared > 0 && self.has_likely_cause(now);
         let quarantine_left = match known.and_then(SuspectRecord::quarantine) {
             Some(last) => rule.next_duration(last),
-            None => rule.first_duration(record, self.server_crashes.count(now)),
+            None => rule.first_duration(record, has_other_cause),
         };
         let notice =
             CrashNotice { suspect: suspect.clone(), record, quarantine_left, is_on_trial: false };
@@ -123,13 +151,25 @@
         }
     }
 
-    /// Returns whether no server can be expected to have served the suspect.
-    fn is_unserved(&self, suspect: &CrashSuspect, record: CrashRecord, now: Instant) -> bool {
+    /// Returns whether servers have served a suspect with this record.
+    fn history(&self, suspect: &CrashSuspect, record: CrashRecord, now: Instant) -> SuspectHistory {
         let is_known = match suspect {
             CrashSuspect::Content(_) => true,
             CrashSuspect::Part(_) => self.served_parts.are_representative(now),
         };
-        record.cleared == 0 && is_known
+        match SuspectHistory::from(record) {
+            SuspectHistory::Unserved if !is_known => SuspectHistory::Unknown,
+            history => history,
+        }
+    }
+
+    /// Returns whether servers crash on a part that none has served, though not often enough yet for
+    /// its quarantine. Its requests have other parts too, which servers have served.
+    fn has_likely_cause(&self, now: Instant) -> bool {
+        let mut suspects = self.suspects.iter();
+        suspects.any(|(suspect, known)| {
+            matches!(suspect, CrashSuspect::Part(_)) && known.is_likely_cause(now)
+        })
     }
 
     /// Records that a server has completed a request that was sent with the record `sent` of the
@@ -162,7 +202,7 @@
     /// Applies a notice of another router. Returns whether it was new. A part that this router
     /// knows to be served is cleared if the other router doesn't know that.
     pub fn receive_notice(&mut self, notice: CrashNotice, jitter: f64, now: Instant) -> bool {
-        let rule = QuarantineRule::of(&notice.suspect, notice.record.cleared == 0);
+        let rule = QuarantineRule::of(&notice.suspect, notice.record.into());
         let quarantine_left = notice.quarantine_left.min(rule.max_duration(notice.record));
         let before = self.record_before_crashes(&notice.suspect);
         if before > notice.record && notice.record.crashes > 0 {
@@ -196,7 +236,7 @@
         let last = self.suspects.get(&suspect).and_then(SuspectRecord::quarantine);
         let mut known = SuspectRecord::new(record, origin, quarantine_left, jitter, now);
         if last.is_none() {
-            let rule = QuarantineRule::of(&suspect, record.cleared == 0);
+            let rule = QuarantineRule::of(&suspect, record.into());
             known.mark_first(rule.full_first_duration(record));
         }
         if record.cleared == 0 && known.is_newly_quarantined(now) {
--- a/crates/papayamux-coordination/src/crash_quarantine/quarantine_rule.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/quarantine_rule.rs
@@ -20,13 +20,16 @@
 /// Consecutive crashes after which a suspect is quarantined that servers have served. It is on
 /// servers that crash on something else, as each request that crashes them has such parts too.
 const SERVED_CRASHES: u32 = 5;
-/// The same while most crashes of servers are of others.
+/// The same while most crashes of servers are of others, or under a part that no server has served.
 const SERVED_CRASHES_AMONG_OTHERS: u32 = 8;
 /// Ratio of recent crashes to those under a suspect above which most crashes are of others. Requests
 /// with a suspect that are sent at the same time crash several servers, which count as one.
 const OTHERS_RATIO: usize = 4;
 /// Duration of the first quarantine.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
+/// Duration of the first quarantine of a suspect that servers have served. Many requests depend on
+/// it, and something else on the same servers is the more likely cause, so that a trial follows soon.
+const FIRST_SERVED_QUARANTINE: Duration = Duration::from_secs(3);
 /// Factor by which each further crash extends the quarantine of a content.
 const CONTENT_GROWTH: u32 = 4;
 /// Factor by which each further crash extends the quarantine of a part. Requests with it keep
@@ -37,15 +40,38 @@
 /// Maximum duration of a part's quarantine.
 const MAX_PART_QUARANTINE: Duration = Duration::from_secs(24 * 3_600);
 
+/// Whether servers have served a suspect, as far as a router knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SuspectHistory {
+    /// They have.
+    Served,
+    /// They may have, before this router started.
+    Unknown,
+    /// They have not.
+    Unserved,
+}
+
+impl From<CrashRecord> for SuspectHistory {
+    /// Returns the history that a record shows.
+    fn from(record: CrashRecord) -> Self {
+        match record.cleared {
+            0 => Self::Unserved,
+            _ => Self::Served,
+        }
+    }
+}
+
 /// The rule that a kind of suspect is quarantined by.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct QuarantineRule {
     /// Consecutive crashes after which the suspect is quarantined.
     crashes: u32,
-    /// The same among crashes of other servers.
+    /// The same while something else crashes servers too.
     crashes_among_others: u32,
     /// Ratio of recent crashes to those under the suspect above which other servers crash.
     others_ratio: usize,
+    /// Duration of the first quarantine.
+    first: Duration,
     /// Factor by which each crash beyond `crashes` extends the first quarantine.
     first_growth: u32,
     /// Factor by which each failed trial extends the quarantine.
@@ -54,19 +80,23 @@
 }
 
 impl QuarantineRule {
-    /// Returns the rule for a suspect. `is_unserved` is `true` if no server can be expected to have
-    /// served it.
-    pub(super) fn of(suspect: &CrashSuspect, is_unserved: bool) -> Self {
-        let kind_rule = Self::of_unserved(suspect);
-        match is_unserved {
-            true => kind_rule,
-            false => Self {
-                crashes: SERVED_CRASHES,
-                crashes_among_others: SERVED_CRASHES_AMONG_OTHERS,
-                others_ratio: OTHERS_RATIO,
-                first_growth: 1,
-                ..kind_rule
-            },
+    /// Returns the rule for a suspect.
+    pub(super) fn of(suspect: &CrashSuspect, history: SuspectHistory) -> Self {
+        let unserved_rule = Self::of_unserved(suspect);
+        if history == SuspectHistory::Unserved {
+            return unserved_rule;
+        }
+        let first = match history {
+            SuspectHistory::Served => FIRST_SERVED_QUARANTINE,
+            SuspectHistory::Unknown | SuspectHistory::Unserved => FIRST_QUARANTINE,
+        };
+        Self {
+            crashes: SERVED_CRASHES,
+            crashes_among_others: SERVED_CRASHES_AMONG_OTHERS,
+            others_ratio: OTHERS_RATIO,
+            first,
+            first_growth: 1,
+            ..unserved_rule
         }
     }
 
@@ -76,6 +106,7 @@
                 crashes: CONTENT_CRASHES,
                 crashes_among_others: CONTENT_CRASHES_AMONG_OTHERS,
                 others_ratio: 1,
+                first: FIRST_QUARANTINE,
                 first_growth: CONTENT_GROWTH,
                 growth: CONTENT_GROWTH,
                 max: MAX_CONTENT_QUARANTINE,
@@ -84,6 +115,7 @@
                 crashes: PART_CRASHES,
                 crashes_among_others: PART_CRASHES_AMONG_OTHERS,
                 others_ratio: OTHERS_RATIO,
+                first: FIRST_QUARANTINE,
                 first_growth: 1,
                 growth: PART_GROWTH,
                 max: MAX_PART_QUARANTINE,
@@ -92,10 +124,9 @@
     }
 
     /// Returns the duration of the first quarantine after the last crash of `record`; zero if there
-    /// is none. `server_crashes` is the number of recent crashes of servers, for whatever cause.
-    pub(super) fn first_duration(self, record: CrashRecord, server_crashes: usize) -> Duration {
-        let among_others = server_crashes > record.crashes as usize * self.others_ratio;
-        let enough = match among_others {
+    /// is none. `has_other_cause` is `true` if something else crashes servers too.
+    pub(super) fn first_duration(self, record: CrashRecord, has_other_cause: bool) -> Duration {
+        let enough = match has_other_cause {
             true => self.crashes_among_others,
             false => self.crashes,
         };
@@ -105,17 +136,23 @@
         }
     }
 
+    /// Returns whether most of the recent crashes of servers, for whatever cause, were of others than
+    /// those of `record`.
+    pub(super) fn is_among_others(self, record: CrashRecord, server_crashes: usize) -> bool {
+        server_crashes > record.crashes as usize * self.others_ratio
+    }
+
     /// Returns the duration of a first quarantine after the last crash of `record`.
     pub(super) fn full_first_duration(self, record: CrashRecord) -> Duration {
         let further = record.crashes.saturating_sub(self.crashes);
         let factor = self.first_growth.saturating_pow(further);
-        FIRST_QUARANTINE.saturating_mul(factor).min(self.max)
+        self.first.saturating_mul(factor).min(self.max)
     }
 
     /// Returns the duration of the quarantine after a trial has crashed its server too. `last` is
     /// what was left of the quarantine before when this router learnt of it.
     pub(super) fn next_duration(self, last: Duration) -> Duration {
-        let mut duration = FIRST_QUARANTINE;
+        let mut duration = self.first;
         while duration < last {
             duration *= self.growth;
         }
@@ -128,6 +165,6 @@
             return Duration::ZERO;
         };
         let factor = self.growth.saturating_pow(further);
-        FIRST_QUARANTINE.saturating_mul(factor).min(self.max)
+        self.first.saturating_mul(factor).min(self.max)
     }
 }
--- a/crates/papayamux-coordination/src/crash_quarantine/suspect_record.rs
+++ b/crates/papayamux-coordination/src/crash_quarantine/suspect_record.rs
@@ -5,6 +5,7 @@
 use papayamux_state::crash_record::{CrashNotice, CrashRecord};
 use papayamux_state::crash_suspect::CrashSuspect;
 
+use super::server_crashes::is_recent;
 use super::NoticeOrigin;
 
 /// Time that the trial request after a quarantine has before another one may try.
@@ -12,6 +13,8 @@
 /// Time for which a record is kept after its quarantine or its last change.
 const RECORD_RETENTION: Duration = Duration::from_secs(600);
 
+/// Consecutive crashes after which a suspect that no server has served is the likely cause of others'.
+const LIKELY_CAUSE_CRASHES: u32 = 2;
 /// Number of crashes from which a record is as urgent for other routers as a completed run. Below it,
 /// crashes quarantine hardly anything.
 const URGENT_CRASHES: u32 = 3;
@@ -75,6 +78,21 @@
         (self.quarantine().is_some() && !left.is_zero()).then_some(left)
     }
 
+    /// Returns the remaining time for which a request may be sent only if nothing else in it may have
+    /// crashed servers, or `None` if any may. What servers have served is tried by such a request
+    /// first.
+    pub(super) fn clean_trial_left(&self, now: Instant) -> Option<Duration> {
+        let left = (self.trial_from + TRIAL_TIMEOUT).saturating_duration_since(now);
+        let is_served = self.record.cleared > 0;
+        (self.quarantine().is_some() && is_served && !left.is_zero()).then_some(left)
+    }
+
+    /// Returns whether servers lately crashed on the suspect again and again, and none ever served it.
+    pub(super) fn is_likely_cause(&self, now: Instant) -> bool {
+        let CrashRecord { cleared, crashes } = self.record;
+        cleared == 0 && crashes >= LIKELY_CAUSE_CRASHES && is_recent(self.changed, now)
+    }
+
     /// Returns what was left of the quarantine when this router learnt of it, also after its end;
     /// `None` if there was none.
     pub(super) fn quarantine(&self) -> Option<Duration> {
--- a/crates/papayamux-router/src/direct/crash_attribution.rs
+++ b/crates/papayamux-router/src/direct/crash_attribution.rs
@@ -4,13 +4,14 @@
 
 use http::StatusCode;
 use papayamux_coordination::body_end::BodyEnd;
+use papayamux_coordination::crash_quarantine::HeldSuspect;
 use papayamux_state::backend::BackendServer;
 use papayamux_state::crash_record::CrashRecord;
 use papayamux_state::crash_suspect::{CrashSuspect, ServicePart};
 
 use super::attempt::LostAttempt;
 use super::call_plan::CallPlan;
-use super::fleet::{HeldSuspect, SentSuspect};
+use super::fleet::SentSuspect;
 use super::{CallFailure, NotRunReason};
 
 impl CallPlan {
@@ -29,8 +30,7 @@
         if !self.fleet.has_suspects() {
             return Ok(());
         }
-        let Some(HeldSuspect { suspect, left }) = self.fleet.longest_quarantine(self.suspects())
-        else {
+        let Some(HeldSuspect { suspect, left }) = self.fleet.held_suspect(&self.suspects()) else {
             return Ok(());
         };
         log::info!(
--- a/crates/papayamux-router/src/direct/fleet/crash_records.rs
+++ b/crates/papayamux-router/src/direct/fleet/crash_records.rs
@@ -2,9 +2,9 @@
 
 use std::net::IpAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use papayamux_coordination::crash_quarantine::{NoticeOrigin, QUARANTINED_PER_REPORT};
+use papayamux_coordination::crash_quarantine::{HeldSuspect, NoticeOrigin, QUARANTINED_PER_REPORT};
 use papayamux_coordination::mechanism::Mechanism;
 use papayamux_state::backend::BackendServer;
 use papayamux_state::crash_record::{CrashNotice, CrashRecord};
@@ -33,14 +33,6 @@
     pub record: CrashRecord,
 }
 
-/// A suspect that keeps a request from being sent.
-#[derive(Debug, Clone)]
-pub(in crate::direct) struct HeldSuspect {
-    pub suspect: CrashSuspect,
-    /// The remaining time of the quarantine.
-    pub left: Duration,
-}
-
 impl Fleet {
     /// Returns whether servers are suspected of crashing on anything. If not, no request needs its
     /// suspects.
@@ -50,16 +42,8 @@
 
     /// Returns the suspect that is quarantined longest; `None` if a request with all of them may be
     /// sent.
-    pub(in crate::direct) fn longest_quarantine(
-        &self,
-        suspects: Vec<CrashSuspect>,
-    ) -> Option<HeldSuspect> {
-        let (quarantine, now) = (self.quarantine.borrow(), Instant::now());
-        let held = suspects.into_iter().filter_map(|suspect| {
-            let left = quarantine.quarantine_left(&suspect, now)?;
-            Some(HeldSuspect { suspect, left })
-        });
-        held.max_by_key(|held| held.left)
+    pub(in crate::direct) fn held_suspect(&self, suspects: &[CrashSuspect]) -> Option<HeldSuspect> {
+        self.quarantine.borrow().held_suspect(suspects, Instant::now())
     }
 
     /// Records that a request with these suspects is about to be sent; returns the crashes known
--- a/crates/papayamux-router/src/direct/fleet/mod.rs
+++ b/crates/papayamux-router/src/direct/fleet/mod.rs
@@ -19,7 +19,7 @@
 mod view_adoption;
 
 pub use choice::{ChosenServer, ServerFilter};
-pub(in crate::direct) use crash_records::{CrashUpdate, HeldSuspect, SentSuspect};
+pub(in crate::direct) use crash_records::{CrashUpdate, SentSuspect};
 pub use fleet_state::Fleet;
 pub(in crate::direct) use part_inquiries::PartInquiry;
 pub(in crate::direct) use part_prefills::{OwnPrefill, PrefillUpdate};
