Don't take the crash of a server for the graceful end of its router

Cause: the soak blamed the end of a router for each answer that broke off while it ended, although servers crash on purpose in `--fatal` and `--fatal-part`. Result: the planted faults of soak_checks tell apart a crash of another server, before the run, and after the call's end, which still break the promise.

--- a/crates/papayamux-measure/tests/soak_checks.rs
+++ b/crates/papayamux-measure/tests/soak_checks.rs
@@ -154,18 +154,38 @@
     );
 }
 
-#[test]
-fn answer_truncated_by_a_graceful_shutdown_is_found() {
+/// A history in which a graceful shutdown of its router truncates an answer.
+fn history_with_shutdown() -> SoakHistory {
     let mut history = correct_history();
     history.calls[3].result = CallResult::Nothing;
     let graceful =
         DisturbanceRecord { graceful: true, ..disturbance(Subject::Router(0), 10_010, 14_000) };
     history.disturbances.push(graceful);
+    history
+}
+
+#[test]
+fn answer_truncated_by_a_graceful_shutdown_is_found() {
+    let mut history = history_with_shutdown();
     assert_eq!(broken(&history), [Promise::GracefulShutdown]);
     history.disturbances.push(disturbance(Subject::Servers, 9_000, 10_005));
     assert_eq!(broken(&history), [], "the server's link was cut as well");
 }
 
+#[test]
+fn answer_truncated_by_a_crash_of_its_server_is_not_the_shutdown_of_its_router() {
+    let mut history = history_with_shutdown();
+    let crash = |server: &str, millis| RunRecord {
+        server: server.to_string(),
+        ..run("fatal-0", "llm", millis)
+    };
+    history.fatal_runs = vec![crash("llm-1", 10_020), crash("llm-0", 10_005)];
+    history.fatal_runs.push(crash("llm-0", 10_031));
+    assert_eq!(broken(&history), [Promise::GracefulShutdown], "its server did not crash under it");
+    history.fatal_runs.push(crash("llm-0", 10_020));
+    assert_eq!(broken(&history), []);
+}
+
 #[test]
 fn router_that_does_not_exit_is_found() {
     let mut history = correct_history();
