Show that a runner that has left is used on after connections go silent

The routers take a read that failed on a silent connection for an outage of the store and keep a removed entry for two seconds.

--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::http::{Connection, Message};
+use crate::proxy::Proxy;
 use crate::router::{free_ports, Router};
 use crate::store::Store;
 
@@ -26,6 +27,8 @@
 /// The platform's part of a deployment, and its routers.
 pub struct Deployment {
     pub store: Store,
+    /// The routers' way to the store.
+    pub proxy: Proxy,
     pub routers: Vec<Router>,
     /// Address of the runners' machine.
     pub runner_ip: String,
@@ -38,8 +41,9 @@
         let folder = format!("{}/review-{}", std::env::temp_dir().display(), std::process::id());
         std::fs::create_dir_all(&folder)?;
         let store = Store::start("127.0.0.1")?;
+        let proxy = Proxy::start("127.0.0.1", store.address)?;
         store.put("op/config", &CONFIGURATION.replace('\n', ""));
-        Ok(Self { store, routers: Vec::new(), runner_ip: "127.0.0.1".to_string(), folder })
+        Ok(Self { store, proxy, routers: Vec::new(), runner_ip: "127.0.0.1".to_string(), folder })
     }
 
     /// Starts `count` routers and waits until they are ready.
@@ -50,7 +54,7 @@
         let seeds: Vec<_> = ips.iter().map(|ip| format!("{ip}:{}", ports[3])).collect();
         for ip in &ips {
             let router =
-                Router::start(&self.folder, ip, ports, &seeds.join(","), self.store.address)?;
+                Router::start(&self.folder, ip, ports, &seeds.join(","), self.proxy.address)?;
             self.routers.push(router);
         }
         Ok(self.routers.iter().all(Router::wait_ready))
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,9 +3,11 @@
 
 mod deployment;
 mod http;
+mod proxy;
 mod record;
 mod router;
 mod runner;
+mod silent_connections;
 mod spliced_stream;
 mod store;
 mod stray_answer;
@@ -32,6 +34,7 @@
     let record = Record::new();
     let outcome = match case.as_str() {
         "stray-answer" => stray_answer::run(&record, has_trouble),
+        "silent-connections" => silent_connections::run(&record, has_trouble),
         "spliced-stream" => spliced_stream::run(&record, has_trouble),
         _ => Err(std::io::Error::other(format!("no case {case}"))),
     };
--- a/review/standins/runner.rs
+++ b/review/standins/runner.rs
@@ -23,6 +23,8 @@
 
 struct State {
     crashed: AtomicBool,
+    /// `true` once the entry was removed; locked while the entry is written.
+    left: Mutex<bool>,
     running: AtomicU64,
     streams: Mutex<Vec<TcpStream>>,
 }
@@ -48,6 +50,7 @@
         let listener = TcpListener::bind((ip, 0))?;
         let state = State {
             crashed: AtomicBool::new(false),
+            left: Mutex::new(false),
             running: AtomicU64::new(0),
             streams: Mutex::default(),
         };
@@ -76,7 +79,7 @@
             let mut sequence = 0;
             while !beating.has_crashed() {
                 sequence += 1;
-                store.put(&format!("servers/{}", beating.id), &beating.entry(sequence));
+                beating.renew(&store, sequence);
                 std::thread::sleep(HEARTBEAT);
             }
             // The entry lapses after three intervals of silence.
@@ -154,6 +157,21 @@
         self.state.crashed.load(Ordering::SeqCst)
     }
 
+    /// Writes the entry, unless the runner has left.
+    fn renew(&self, store: &Store, sequence: u64) {
+        let left = self.state.left.lock().unwrap();
+        if !*left {
+            store.put(&format!("servers/{}", self.id), &self.entry(sequence));
+        }
+    }
+
+    /// Removes the entry without a notice, as some runners do before they end. The runner serves on.
+    pub fn leave(&self, store: &Store) {
+        let mut left = self.state.left.lock().unwrap();
+        *left = true;
+        store.delete(&format!("servers/{}", self.id));
+    }
+
     /// Ends the runner as a crash of its process does: its listener and all of its connections close, and
     /// it renews its entry no more.
     pub fn crash(&self) {
