--- a/review/standins/runner.rs
+++ b/review/standins/runner.rs
@@ -91,7 +91,9 @@
 
     fn entry(&self, sequence: u64) -> String {
         let engine = match self.kind.is_engine {
-            true => "\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],",
+            true => {
+                "\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
+            }
             false => "",
         };
         format!(
--- a/review/standins/spliced_stream.rs
+++ b/review/standins/spliced_stream.rs
@@ -83,8 +83,7 @@
     let events: Vec<_> = (after + 1..=EVENTS)
         .map(|event| {
             let count = 3 + draw(&mut seed) % 6;
-            let words: Vec<_> =
-                (0..count).map(|_| WORDS[draw(&mut seed) % WORDS.len()]).collect();
+            let words: Vec<_> = (0..count).map(|_| WORDS[draw(&mut seed) % WORDS.len()]).collect();
             format!("id: {event}\ndata: {{\"text\":\"{}\"}}\n\n", words.join(" "))
         })
         .collect();
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -105,7 +105,9 @@
                     .map(|(revision, key, value)| match value {
                         Some(value) => format!("{{{}}}", item(key, *revision, value)),
                         None => {
-                            format!("{{\"key\":\"{key}\",\"revision\":{revision},\"deleted\":true}}")
+                            format!(
+                                "{{\"key\":\"{key}\",\"revision\":{revision},\"deleted\":true}}"
+                            )
                         }
                     })
                     .collect();
