--- a/review/standins/stray_answer.rs
+++ b/review/standins/stray_answer.rs
@@ -28,6 +28,8 @@
 #[derive(Default)]
 struct FaultyRunner {
     is_active: AtomicBool,
+    /// `true` once stray bytes were sent.
+    has_sent: AtomicBool,
     answers: Mutex<u64>,
     /// Connections on which stray bytes come where the next answer is expected.
     due: Mutex<HashSet<SocketAddr>>,
@@ -84,7 +86,11 @@
     // Runs that are still at work end.
     std::thread::sleep(Duration::from_millis(300));
     let (runs, answers) = (runs.lock().unwrap().clone(), answers.lock().unwrap().clone());
-    Ok(judge(&runs, &answers))
+    let mut outcome = judge(&runs, &answers);
+    if has_trouble && !fault.has_sent.load(Ordering::SeqCst) {
+        outcome.void = Some("no stray bytes were sent".to_string());
+    }
+    Ok(outcome)
 }
 
 fn judge(runs: &HashMap<String, Vec<String>>, answers: &HashMap<String, u16>) -> Outcome {
@@ -111,7 +117,9 @@
     let id = request.header("attempt-id").unwrap_or_default().to_string();
     let peer = connection.stream().peer_addr().ok();
     if let (Some(fault), Some(peer)) = (fault, peer) {
-        if fault.due.lock().unwrap().remove(&peer) {
+        let is_due = fault.due.lock().unwrap().remove(&peer);
+        if is_due && fault.is_active.load(Ordering::SeqCst) {
+            fault.has_sent.store(true, Ordering::SeqCst);
             record.add(format!("{} sends stray bytes on the connection from {peer}", runner.id));
             if !connection.send(STRAY) {
                 return false;
