Log what a relayed stream's caller was sent beside the declared length

The report of a stream that ends as complete before its last event could not be told apart in the logs from a caller that leaves: both read "caller left its stream". What a relay has handed over (bytes), what the first server declared (declared_bytes), and the framing of the answer that goes on elsewhere are logged now; the counter relayed_framings says how often servers declare a length for what is relayed.

--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -93,6 +93,8 @@
     pub streams: ReasonCounters,
     /// Answers whose last byte was read, by how they ended.
     pub answer_ends: ReasonCounters,
+    /// Answers that are relayed as they arrive, by how their first server marks the end of the body.
+    pub relayed_framings: ReasonCounters,
     /// Reads of the source by result.
     pub source_reads: ReasonCounters,
     /// Requests of other routers for a complete view of the source, by answer.
@@ -164,6 +166,7 @@
             displaced_requests: Counter::default(),
             streams: ReasonCounters::default(),
             answer_ends: ReasonCounters::default(),
+            relayed_framings: ReasonCounters::default(),
             source_reads: ReasonCounters::default(),
             view_requests: ReasonCounters::default(),
             view_bytes: Counter::default(),
@@ -247,6 +250,12 @@
         registry.register("streams", "Streams by how they ended", self.streams.0.clone());
         let ends = self.answer_ends.0.clone();
         registry.register("answer_ends", "Answers by what shows that they are complete", ends);
+        let framings = self.relayed_framings.0.clone();
+        registry.register(
+            "relayed_framings",
+            "Relayed answers by the framing of their server",
+            framings,
+        );
         let reads = self.source_reads.0.clone();
         registry.register("source_reads", "Reads of the configuration's source", reads);
         let requests = self.view_requests.0.clone();
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use http::response::Parts;
 use papayamux_coordination::body_end::{BodyEnd, StreamTail};
 use papayamux_coordination::server_evidence::EvidenceKind;
 use papayamux_transport::http::{AnswerBody, BodyError};
@@ -25,6 +26,10 @@
     last_event: Option<u64>,
     /// `true` if the caller has at least one event.
     has_events: bool,
+    /// Bytes handed over for the caller so far.
+    relayed_bytes: u64,
+    /// The length that the first server declared for its answer.
+    declared_bytes: Option<u64>,
     in_flight: InFlight,
 }
 
@@ -54,6 +59,7 @@
         log::info!(
             request:% = self.plan.call.id, server:% = attempt.active.server().id,
             last_event = self.last_event.unwrap_or_default(),
+            bytes = self.relayed_bytes, declared_bytes = self.declared_bytes,
             ms = self.plan.arrived.elapsed().as_millis() as u64; "caller left its stream"
         );
     }
@@ -69,6 +75,9 @@
     ) -> Self {
         let last_event = plan.call.last_event;
         plan.keep_version(attempt.active.server());
+        let declared_bytes = declared_length(&attempt.answer.head);
+        let framing = attempt.answer.framing().label();
+        plan.fleet.metrics().relayed_framings.count(framing);
         Self {
             interface,
             plan,
@@ -77,6 +86,8 @@
             splitter: Some(EventSplitter::default()),
             last_event,
             has_events: last_event.is_some(),
+            relayed_bytes: 0,
+            declared_bytes,
             in_flight,
         }
     }
@@ -99,6 +110,7 @@
     pub(super) fn into_body(self) -> AnswerBody {
         AnswerBody::Stream(Box::pin(unfold(self, |mut relay| async move {
             let piece = relay.next().await?;
+            relay.relayed_bytes += piece.as_ref().map_or(0, |bytes| bytes.len() as u64);
             Some((piece, relay))
         })))
     }
@@ -177,6 +189,7 @@
         log::info!(
             request:% = self.plan.call.id, server:% = attempt.active.server().id,
             last_event = self.last_event.unwrap_or_default(), framing:% = attempt.answer.framing(),
+            bytes = self.relayed_bytes, declared_bytes = self.declared_bytes,
             ms = self.plan.arrived.elapsed().as_millis() as u64; "stream ended"
         );
         attempt.answer.finish();
@@ -192,6 +205,7 @@
         log::warn!(
             request:% = self.plan.call.id, cause = cause,
             last_event = self.last_event.unwrap_or_default(),
+            bytes = self.relayed_bytes, declared_bytes = self.declared_bytes,
             in_flight = self.in_flight.0.in_flight(),
             ms = self.plan.arrived.elapsed().as_millis() as u64; "stream cut off"
         );
@@ -215,6 +229,8 @@
                     log::info!(
                         request:% = self.plan.call.id, server:% = attempt.active.server().id,
                         version = attempt.active.server().version_text(),
+                        framing:% = attempt.answer.framing(), bytes = self.relayed_bytes,
+                        declared_bytes = self.declared_bytes,
                         last_event = self.last_event.unwrap_or_default(); "stream goes on elsewhere"
                     );
                     self.splitter = Some(EventSplitter::default());
@@ -258,6 +274,11 @@
     BodyEnd::of_stream(framing, StreamTail { is_declared, has_events, has_partial_event })
 }
 
+/// Returns the length that a server declares for its answer.
+fn declared_length(head: &Parts) -> Option<u64> {
+    head.headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 /// Records that a server broke off its stream.
 async fn lost_stream(attempt: &AttemptAnswer, cause: String) -> LostAttempt {
     attempt.active.record_answer_outcome(true);
--- a/crates/papayamux-state/src/answer_framing.rs
+++ b/crates/papayamux-state/src/answer_framing.rs
@@ -14,13 +14,20 @@
     CloseDelimited,
 }
 
-/// Formats the framing as its stable name in logs and metrics.
-impl fmt::Display for AnswerFraming {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
+impl AnswerFraming {
+    /// Returns the stable name for logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
             Self::Length => "length",
             Self::Chunks => "chunks",
             Self::CloseDelimited => "close_delimited",
-        })
+        }
+    }
+}
+
+/// Formats the framing as its stable name in logs and metrics.
+impl fmt::Display for AnswerFraming {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.label())
     }
 }
