Frame a relayed stream anew, as its bytes may come from several servers

Cause: the head of the caller's answer kept the first server's Content-Length, and the body went on with a run of another length. hyper's encoder stops at the declared length, drops the rest of the body and keeps the connection; where the body is shorter it closes the connection. As it drops a body at its length, even without a crash no stream with a declared length reached the relay's end: each counted as left by its caller, its completion was not recorded and its connection to the server was closed.

Why the fix works: without the header the listener sends chunks, which end only when the relay ends the body, whoever sent its bytes; a truncated stream still lacks its last chunk. Weighed and left: to keep the length and break the stream off where the next run's differs (most resumed streams would be lost).

--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response};
 use hyper::body::Incoming;
@@ -177,7 +177,7 @@
         end: BodyEnd,
     ) -> Response<AnswerBody> {
         let mut head = answer_head(&attempt.answer.head);
-        head.headers.remove(http::header::CONTENT_LENGTH);
+        head.headers.remove(CONTENT_LENGTH);
         log_answer(plan, &attempt);
         plan.record_completion(attempt.active.server(), head.status, end);
         if !plan.kind().is_stream() {
@@ -193,7 +193,9 @@
         attempt: AttemptAnswer,
         in_flight: InFlight,
     ) -> Response<AnswerBody> {
-        let head = answer_head(&attempt.answer.head);
+        let mut head = answer_head(&attempt.answer.head);
+        // Another server may continue the stream, with another length than the first one declared.
+        head.headers.remove(CONTENT_LENGTH);
         log_answer(&plan, &attempt);
         let relay = StreamRelay::events(self.interface.clone(), plan, attempt, in_flight);
         Response::from_parts(head, relay.into_body())
