Pass a declared length on only where it frames the server's answer

What callers saw: of an answer with both chunks and a Content-Length, which RFC 9112 frames by its chunks, only as many bytes as the other header says, as complete: 200,000 of 307,200 in the test.

The router reads the chunks, drops Transfer-Encoding as a header of the connection, and passed Content-Length on as if it were one of the answer.

Why the fix works: the caller's head never takes over the server's framing. Only a long answer that is forwarded from one server, and whose length is its framing, gets that length again.

--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -19,7 +19,7 @@
 use super::call_plan::CallPlan;
 use super::interface::CallInterface;
 use super::request_body::read_body;
-use super::stream_relay::{InFlight, StreamRelay};
+use super::stream_relay::{declared_length, InFlight, StreamRelay};
 use super::{CallFailure, CallHead, Fleet, NotRunReason};
 
 /// Media type of a stream of events.
@@ -176,8 +176,7 @@
         body: Bytes,
         end: BodyEnd,
     ) -> Response<AnswerBody> {
-        let mut head = answer_head(&attempt.answer.head);
-        head.headers.remove(CONTENT_LENGTH);
+        let head = answer_head(&attempt.answer.head);
         log_answer(plan, &attempt);
         plan.record_completion(attempt.active.server(), head.status, end);
         if !plan.kind().is_stream() {
@@ -193,9 +192,7 @@
         attempt: AttemptAnswer,
         in_flight: InFlight,
     ) -> Response<AnswerBody> {
-        let mut head = answer_head(&attempt.answer.head);
-        // Another server may continue the stream, with another length than the first one declared.
-        head.headers.remove(CONTENT_LENGTH);
+        let head = answer_head(&attempt.answer.head);
         log_answer(&plan, &attempt);
         let relay = StreamRelay::events(self.interface.clone(), plan, attempt, in_flight);
         Response::from_parts(head, relay.into_body())
@@ -208,7 +205,10 @@
         collected: Bytes,
         in_flight: InFlight,
     ) -> Response<AnswerBody> {
-        let head = answer_head(&attempt.answer.head);
+        let mut head = answer_head(&attempt.answer.head);
+        if let Some(length) = declared_length(&attempt.answer) {
+            head.headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+        }
         log_answer(&plan, &attempt);
         let relay =
             StreamRelay::remainder(self.interface.clone(), plan, attempt, collected, in_flight);
@@ -231,12 +231,15 @@
     }
 }
 
-/// Returns the head of the caller's answer: the server's head without connection-specific headers.
+/// Returns the head of the caller's answer: the server's head without connection-specific headers and
+/// without its framing. Another server may continue a stream, with another length than the first one
+/// declared.
 fn answer_head(head: &Parts) -> Parts {
     let (mut answer, ()) = Response::new(()).into_parts();
     answer.status = head.status;
     answer.headers = head.headers.clone();
     remove_connection_headers(&mut answer.headers);
+    answer.headers.remove(CONTENT_LENGTH);
     answer
 }
 
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
-use http::response::Parts;
 use papayamux_coordination::body_end::{BodyEnd, StreamTail};
 use papayamux_coordination::server_evidence::EvidenceKind;
+use papayamux_state::answer_framing::AnswerFraming;
+use papayamux_transport::http::upstream::UpstreamAnswer;
 use papayamux_transport::http::{AnswerBody, BodyError};
 
 use super::active_request::ActiveRequest;
@@ -75,7 +76,7 @@
     ) -> Self {
         let last_event = plan.call.last_event;
         plan.keep_version(attempt.active.server());
-        let declared_bytes = declared_length(&attempt.answer.head);
+        let declared_bytes = declared_length(&attempt.answer);
         let framing = attempt.answer.framing().label();
         plan.fleet.metrics().relayed_framings.count(framing);
         Self {
@@ -274,9 +275,12 @@
     BodyEnd::of_stream(framing, StreamTail { is_declared, has_events, has_partial_event })
 }
 
-/// Returns the length that a server declares for its answer.
-fn declared_length(head: &Parts) -> Option<u64> {
-    head.headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+/// Returns the length that a server declares for its answer. A length beside chunks doesn't count.
+pub(super) fn declared_length(answer: &UpstreamAnswer) -> Option<u64> {
+    if answer.framing() != AnswerFraming::Length {
+        return None;
+    }
+    answer.head.headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
 /// Records that a server broke off its stream.
