Complete a long answer once its declared length was read

What operators saw: each plain answer over 128 KiB with a declared length was logged and counted as left by its caller; its completion wasn't recorded, and the connection to its server was closed instead of kept. Callers got their answers.

Cause: the same as of streams with a declared length. hyper drops a body when as many bytes are written as the head declares, and doesn't poll it for its end, so that the relay was dropped before it saw the end.

Why the fix works: hyper's client knows with the last piece that a declared length was read; the relay completes the answer before it hands that piece over.

--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -111,14 +111,13 @@
     pub(super) fn into_body(self) -> AnswerBody {
         AnswerBody::Stream(Box::pin(unfold(self, |mut relay| async move {
             let piece = relay.next().await?;
-            relay.relayed_bytes += piece.as_ref().map_or(0, |bytes| bytes.len() as u64);
             Some((piece, relay))
         })))
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         if let Some(collected) = self.collected.take() {
-            return Some(Ok(collected));
+            return self.hand_over(collected);
         }
         loop {
             let attempt = self.attempt.as_mut()?;
@@ -127,7 +126,7 @@
                 WaitResult::Done(Some(Ok(piece))) => {
                     attempt.active.record_contact();
                     match self.take_piece(piece) {
-                        Ok(Some(bytes)) => return Some(Ok(bytes)),
+                        Ok(Some(bytes)) => return self.hand_over(bytes),
                         Ok(None) => continue,
                         Err(lost) => lost,
                     }
@@ -179,6 +178,18 @@
         Ok(Some(bytes))
     }
 
+    /// Hands bytes over for the caller. Completes an opaque answer whose declared length was read: the
+    /// listener drops the body once it has written that length, without polling for an end.
+    fn hand_over(&mut self, bytes: Bytes) -> Option<Result<Bytes, BodyError>> {
+        self.relayed_bytes += bytes.len() as u64;
+        let is_read = self.attempt.as_ref().is_some_and(|attempt| attempt.answer.is_read());
+        if is_read && self.splitter.is_none() {
+            self.plan.fleet.metrics().answer_ends.count(BodyEnd::Complete.label());
+            self.finish(BodyEnd::Complete);
+        }
+        Some(Ok(bytes))
+    }
+
     /// Completes an answer that the server has ended.
     fn finish(&mut self, end: BodyEnd) -> Option<Result<Bytes, BodyError>> {
         let mut attempt = self.attempt.take()?;
--- a/crates/papayamux-transport/src/http/upstream/exchange.rs
+++ b/crates/papayamux-transport/src/http/upstream/exchange.rs
@@ -7,7 +7,7 @@
 use http::response::Parts;
 use http::HeaderMap;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use papayamux_state::answer_framing::AnswerFraming;
 
 use super::connection::UpstreamConnection;
@@ -25,7 +25,7 @@
     body: Incoming,
     connection: Option<UpstreamConnection>,
     connect_time: Option<Duration>,
-    /// `true` after the last piece was read without an error.
+    /// `true` if the body has ended without an error.
     is_read: bool,
 }
 
@@ -57,11 +57,18 @@
                 Err(error) => return Some(Err(error)),
             };
             if let Ok(piece) = frame.into_data() {
+                self.is_read = self.body.is_end_stream();
                 return Some(Ok(piece));
             }
         }
     }
 
+    /// Returns whether the complete body was read. Only a declared length shows this together with the
+    /// last piece.
+    pub fn is_read(&self) -> bool {
+        self.is_read
+    }
+
     /// Returns how the end of the body is marked.
     pub fn framing(&self) -> AnswerFraming {
         answer_framing(&self.head)
