Give up a server that sends without progress on an answer

What callers saw: while one server sent interim answers (1xx) or the size of a chunk without end, the whole router stood still for as long as the bytes came: no call at any server was answered for 10 s and more, deadlines passed unnoticed, and sound servers stood by.

Cause: hyper's client reads interim answers, and the digits of a chunk's size, within one poll of the connection's task for as long as the socket has bytes. A head has a limit, interim answers before it and zeros before a size have none. The task never returns, so that no timer and no other task of the router's thread gets its turn.

Evidence: endless_answers.rs of the transport fails on the code before at these two ("another task waited 10.03 s", "10.36 s"), with the pool of the router and the store and with the client of agents, spread and status; endless_answers.rs of the platform fails at the same two with a router process ("a call at another server: None in 10.2 s"). Heads, lines, chunk extensions and trailers without end were given up before.

Why the fix works: the connection counts what it reads and fails a read once 512 KiB came without a head or a piece of a body that the answer's reader has taken. A head has at most 64 KiB now (408 KiB before) and what is read of a body at once as much, so that what is read ahead for a slow reader stays below the bound (long_answer_is_whole_for_a_slow_reader). A task that yields after a number of reads was left: monoio runs a task that wakes itself before all others. The attempt is lost as if its connection had broken, counted as unusable_answers{no_progress}.

--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -24,6 +24,9 @@
 /// can be retried if the answer breaks off.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 128 * 1024;
 
+/// The reason in metrics for an answer with too many bytes without progress.
+const NO_PROGRESS: &str = "no_progress";
+
 /// The cause of an attempt that was stopped by the deadline of its request.
 pub(super) const DEADLINE_PASSED: &str = "the deadline has passed";
 
@@ -35,6 +38,15 @@
     pub(super) error_cause: Option<FailureCause>,
 }
 
+impl AttemptAnswer {
+    /// Counts the answer if it broke off because its server sent too much without progress.
+    pub(super) fn count_without_progress(&self, plan: &CallPlan) {
+        if self.answer.is_without_progress() {
+            plan.fleet.metrics().unusable_answers.count(NO_PROGRESS);
+        }
+    }
+}
+
 /// The failure of an attempt that brought no answer.
 pub(super) struct LostAttempt {
     pub(super) loss: AttemptLoss,
@@ -144,7 +156,7 @@
     let sending = plan.fleet.pool().send(active.server().address, request);
     let answer = match wait_for(plan, &active, sending).await {
         WaitResult::Done(Ok(answer)) => answer,
-        WaitResult::Done(Err(error)) => return Err(lost_by_error(&active, &error).await),
+        WaitResult::Done(Err(error)) => return Err(lost_by_error(plan, &active, &error).await),
         WaitResult::Silent(cause) => {
             active.record_failure_evidence(EvidenceKind::Unreachable);
             return Err(LostAttempt::silent(&active, cause.to_string()));
@@ -201,7 +213,14 @@
     notice == ServerNotice::default() && is_busy
 }
 
-async fn lost_by_error(active: &ActiveRequest, error: &UpstreamError) -> LostAttempt {
+async fn lost_by_error(
+    plan: &CallPlan,
+    active: &ActiveRequest,
+    error: &UpstreamError,
+) -> LostAttempt {
+    if matches!(error, UpstreamError::NoAnswer { .. }) {
+        plan.fleet.metrics().unusable_answers.count(NO_PROGRESS);
+    }
     active.record_failure_evidence(EvidenceKind::Unreachable);
     active.record_answer_outcome(true);
     let cause = error.to_string();
@@ -275,6 +294,7 @@
                 }
             }
             WaitResult::Done(Some(Err(error))) => {
+                attempt.count_without_progress(plan);
                 attempt.active.record_answer_outcome(true);
                 let cause = format!("the answer broke off: {error}");
                 return Err(LostAttempt::broken(&attempt.active, cause).await);
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -93,6 +93,9 @@
     pub streams: ReasonCounters,
     /// Answers whose last byte was read, by how they ended.
     pub answer_ends: ReasonCounters,
+    /// Answers that were given up for what their servers sent: `no_progress` for too many bytes without
+    /// a head or a piece of a body.
+    pub unusable_answers: ReasonCounters,
     /// Answers that are relayed as they arrive, by how their first server marks the end of the body.
     pub relayed_framings: ReasonCounters,
     /// Reads of the source by result.
@@ -166,6 +169,7 @@
             displaced_requests: Counter::default(),
             streams: ReasonCounters::default(),
             answer_ends: ReasonCounters::default(),
+            unusable_answers: ReasonCounters::default(),
             relayed_framings: ReasonCounters::default(),
             source_reads: ReasonCounters::default(),
             view_requests: ReasonCounters::default(),
@@ -250,6 +254,8 @@
         registry.register("streams", "Streams by how they ended", self.streams.0.clone());
         let ends = self.answer_ends.0.clone();
         registry.register("answer_ends", "Answers by what shows that they are complete", ends);
+        let unusable = self.unusable_answers.0.clone();
+        registry.register("unusable_answers", "Answers given up for what servers sent", unusable);
         let framings = self.relayed_framings.0.clone();
         registry.register(
             "relayed_framings",
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -142,7 +142,10 @@
                         }
                     }
                 }
-                WaitResult::Done(Some(Err(error))) => lost_stream(attempt, error.to_string()).await,
+                WaitResult::Done(Some(Err(error))) => {
+                    attempt.count_without_progress(&self.plan);
+                    lost_stream(attempt, error.to_string()).await
+                }
                 WaitResult::Silent(cause) => {
                     attempt.active.record_failure_evidence(EvidenceKind::Unreachable);
                     LostAttempt::silent(&attempt.active, format!("{cause} during its stream"))
--- a/crates/papayamux-transport/src/http/upstream/connection.rs
+++ b/crates/papayamux-transport/src/http/upstream/connection.rs
@@ -9,14 +9,18 @@
 use http::Request;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use monoio::io::IntoPollIo;
 use monoio::net::TcpStream;
 use monoio_compat::hyper::MonoioIo;
 use thiserror::Error;
 
+use super::read_guard::{ReadGuard, ReadProgress};
 use crate::keepalive::set_stream_options;
 
+/// Maximum size of the head of an answer, and of what is read of a body at once.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// The error of sending a request or receiving its answer.
 #[derive(Debug, Error)]
 pub enum UpstreamError {
@@ -42,12 +46,18 @@
         /// Cause of the failure.
         source: hyper::Error,
     },
+    /// The server sent too many bytes that are no head of an answer.
+    #[error("{address} sends bytes that are no answer")]
+    NoAnswer {
+        /// Address of the server.
+        address: SocketAddr,
+    },
 }
 
 impl UpstreamError {
     /// Returns whether the request can't have reached the server, not even partially.
     pub fn nothing_was_sent(&self) -> bool {
-        !matches!(self, UpstreamError::Broken { .. })
+        !matches!(self, UpstreamError::Broken { .. } | UpstreamError::NoAnswer { .. })
     }
 }
 
@@ -56,6 +66,7 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     _open: oneshot::Sender<()>,
+    progress: ReadProgress,
     /// Time that connecting took, until it is taken.
     connect_time: Option<Duration>,
     /// Time at which it was last returned to the pool.
@@ -80,9 +91,12 @@
         };
         let connect_time = Some(started_at.elapsed());
         set_stream_options(&stream).map_err(connect_error)?;
-        let io = MonoioIo::new(stream.into_poll_io().map_err(connect_error)?);
+        let progress = ReadProgress::default();
+        let stream = stream.into_poll_io().map_err(connect_error)?;
+        let io = MonoioIo::new(ReadGuard::new(stream, progress.clone()));
+        let handshake = Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(io);
         let (sender, connection) =
-            handshake(io).await.map_err(|source| UpstreamError::Broken { address, source })?;
+            handshake.await.map_err(|source| UpstreamError::Broken { address, source })?;
         let (open, dropped) = oneshot::channel::<()>();
         monoio::spawn(async move {
             match select(connection, dropped).await {
@@ -97,6 +111,7 @@
             address,
             sender,
             _open: open,
+            progress,
             connect_time,
             idle_since: now,
             idle_timeout: Duration::ZERO,
@@ -124,6 +139,16 @@
         self.sender.is_closed()
     }
 
+    /// Records that a piece of an answer's body was received.
+    pub(super) fn record_progress(&self) {
+        self.progress.record();
+    }
+
+    /// Returns whether the connection failed because the server sent too much without progress.
+    pub(super) fn is_without_progress(&self) -> bool {
+        self.progress.is_exceeded()
+    }
+
     /// Sends a request and waits for the head of its answer.
     pub(super) async fn send(
         &mut self,
@@ -133,10 +158,15 @@
         // A new connection accepts its first request immediately, and the pool hands out others
         // only when they are ready. Waiting for readiness here would wake this task at each poll if
         // the compiler has made two copies of its waker's vtable, and would starve all other tasks.
+        self.progress.record();
         match self.sender.try_send_request(request.map(Full::new)).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.progress.record();
+                Ok(response)
+            }
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(UpstreamError::NotSent { address }),
+                None if self.is_without_progress() => Err(UpstreamError::NoAnswer { address }),
                 None => Err(UpstreamError::Broken { address, source: error.into_error() }),
             },
         }
--- a/crates/papayamux-transport/src/http/upstream/exchange.rs
+++ b/crates/papayamux-transport/src/http/upstream/exchange.rs
@@ -57,12 +57,20 @@
                 Err(error) => return Some(Err(error)),
             };
             if let Ok(piece) = frame.into_data() {
+                if let Some(connection) = &self.connection {
+                    connection.record_progress();
+                }
                 self.is_read = self.body.is_end_stream();
                 return Some(Ok(piece));
             }
         }
     }
 
+    /// Returns whether reading failed because the server sent too much without a piece of the body.
+    pub fn is_without_progress(&self) -> bool {
+        self.connection.as_ref().is_some_and(UpstreamConnection::is_without_progress)
+    }
+
     /// Returns whether the complete body was read. Only a declared length shows this together with the
     /// last piece.
     pub fn is_read(&self) -> bool {
--- a/crates/papayamux-transport/src/http/upstream/mod.rs
+++ b/crates/papayamux-transport/src/http/upstream/mod.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod framing;
 mod probe;
+mod read_guard;
 
 pub use connection::UpstreamError;
 pub use connection_pool::{PoolLimits, UpstreamPool};
