End an answer at its deadline though its server always has bytes ready

Cause: the wait for a piece polls the connection before the alarm of the deadline. Where a piece is ready at each poll the alarm is never seen.

To look at the alarm first was left: an answer that is ready when its router wakes from a pause is delivered, also late. A declared length ends an answer by itself and is not bounded here, for callers who read slowly.

--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod fleet_knowledge;
 pub mod freshness_confirmation;
 pub mod key_freshness;
+pub mod late_delivery;
 pub mod link_delays;
 pub mod load_bound;
 pub mod log_limit;
--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -9,9 +9,11 @@
 use http::response::Parts;
 use papayamux_coordination::attempt_plan::AttemptLoss;
 use papayamux_coordination::body_end::BodyEnd;
+use papayamux_coordination::late_delivery::LateDelivery;
 use papayamux_coordination::retry_benefit::FailureCause;
 use papayamux_coordination::server_evidence::EvidenceKind;
 use papayamux_state::backend::{ReportedQueue, ServerNotice};
+use papayamux_state::quantities::ByteCount;
 use papayamux_transport::http::upstream::{UpstreamAnswer, UpstreamError};
 use serde::de::IgnoredAny;
 
@@ -36,9 +38,27 @@
     pub(super) active: ActiveRequest,
     /// Set if the answer is an error of the server.
     pub(super) error_cause: Option<FailureCause>,
+    late_delivery: LateDelivery,
 }
 
 impl AttemptAnswer {
+    /// Waits for the next piece of the body. After the deadline, what is ready is still returned, up to a
+    /// bound.
+    pub(super) async fn next_piece(
+        &mut self,
+        plan: &CallPlan,
+    ) -> WaitResult<Option<Result<Bytes, hyper::Error>>> {
+        let result = wait_for(plan, &self.active, self.answer.next_piece()).await;
+        if let WaitResult::Done(Some(Ok(piece))) = &result {
+            let bytes = ByteCount::new(piece.len() as u64);
+            if !self.late_delivery.allows(bytes, plan.left(), self.answer.framing()) {
+                return WaitResult::DeadlinePassed;
+            }
+            self.active.record_contact();
+        }
+        result
+    }
+
     /// Counts the answer if it broke off because its server sent too much without progress.
     pub(super) fn count_without_progress(&self, plan: &CallPlan) {
         if self.answer.is_without_progress() {
@@ -189,7 +209,12 @@
             // worse than the others.
             let error_cause = is_error.then(|| plan.fleet.error_cause(active.server()));
             active.record_answer_outcome(is_error);
-            Ok(AttemptAnswer { answer, active, error_cause })
+            Ok(AttemptAnswer {
+                answer,
+                active,
+                error_cause,
+                late_delivery: LateDelivery::default(),
+            })
         }
         AnswerVerdict::NotRun => {
             active.record_answer_outcome(true);
@@ -274,8 +299,7 @@
 ) -> Result<CollectedBody, LostAttempt> {
     let mut body = BytesMut::new();
     loop {
-        let piece = wait_for(plan, &attempt.active, attempt.answer.next_piece()).await;
-        match piece {
+        match attempt.next_piece(plan).await {
             WaitResult::Done(None) => {
                 let end = body_end(&attempt.answer, &body);
                 plan.fleet.metrics().answer_ends.count(end.label());
@@ -287,7 +311,6 @@
                 return Ok(CollectedBody::Complete(body.freeze(), end));
             }
             WaitResult::Done(Some(Ok(piece))) => {
-                attempt.active.record_contact();
                 body.extend_from_slice(&piece);
                 if body.len() > MAX_BUFFERED_ANSWER_BYTES {
                     return Ok(CollectedBody::Partial(body.freeze()));
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -12,7 +12,7 @@
 use papayamux_transport::http::{AnswerBody, BodyError};
 
 use super::active_request::ActiveRequest;
-use super::attempt::{send_attempt, wait_for, AttemptAnswer, LostAttempt, WaitResult};
+use super::attempt::{send_attempt, AttemptAnswer, LostAttempt, WaitResult};
 use super::call_plan::CallPlan;
 use super::event_splitter::{CompleteEvents, EventSplitter};
 use super::interface::CallInterface;
@@ -121,16 +121,12 @@
         }
         loop {
             let attempt = self.attempt.as_mut()?;
-            let piece = attempt.answer.next_piece();
-            let lost = match wait_for(&self.plan, &attempt.active, piece).await {
-                WaitResult::Done(Some(Ok(piece))) => {
-                    attempt.active.record_contact();
-                    match self.take_piece(piece) {
-                        Ok(Some(bytes)) => return self.hand_over(bytes),
-                        Ok(None) => continue,
-                        Err(lost) => lost,
-                    }
-                }
+            let lost = match attempt.next_piece(&self.plan).await {
+                WaitResult::Done(Some(Ok(piece))) => match self.take_piece(piece) {
+                    Ok(Some(bytes)) => return self.hand_over(bytes),
+                    Ok(None) => continue,
+                    Err(lost) => lost,
+                },
                 WaitResult::Done(None) => {
                     let end = stream_end(attempt, self.splitter.as_ref(), self.has_events);
                     self.plan.fleet.metrics().answer_ends.count(end.label());
