Resume a stream elsewhere when its bytes form no event

What callers saw: where a server sent bytes that are no events, unframed or in chunks, their streams consisted of them: up to 530 MB in 20 s of lines that are no fields in the test, though the route may be resumed and a sound server stood by.

Cause: an event over 1 MiB was forwarded in pieces, so that anything without an empty line passed as the beginning of a long event; and an empty line alone ended an event, so that noise with line breaks passed as events. The search for the last event went over the whole buffer at each piece, which took quadratic time for chunks of one byte.

Why the fix works: an event has a field or a comment. Bytes without one stay in the buffer, and 1 MiB of them, or 16,384 pieces, lose the attempt like a connection that broke: it is resumed where that is allowed, counted as unusable_answers{long_event}. Lines are scanned once.

Whether a stream ends inside an event is checked at each byte as before.

--- a/crates/papayamux-router/src/direct/event_splitter.rs
+++ b/crates/papayamux-router/src/direct/event_splitter.rs
@@ -1,13 +1,19 @@
 //! Splits a stream of server-sent events at event boundaries.
 
 use bytes::{Bytes, BytesMut};
+use thiserror::Error;
 
-/// Maximum size of an event; a longer one is forwarded in pieces, and its stream can't be resumed
-/// after it.
+/// Maximum size of an event, with everything before it that is no event.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
-/// Bytes of a longer event that stay buffered, so that a blank line at its end is found even if it
-/// arrives in two pieces.
-const MAX_BLANK_LINE_BYTES: usize = 4;
+/// Maximum number of pieces in which an event may arrive.
+const MAX_EVENT_PIECES: usize = 16 * 1024;
+/// The names of an event's fields. A line that begins with a colon is a comment.
+const FIELD_NAMES: [&[u8]; 4] = [b"data", b"id", b"event", b"retry"];
+
+/// The error of a stream whose bytes don't form events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("{MAX_EVENT_BYTES} bytes or {MAX_EVENT_PIECES} pieces without an event")]
+pub struct EventTooLong;
 
 /// A sequence of complete events.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,46 +28,72 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Pieces since the last complete event.
+    pieces: usize,
+    /// Start of the first line that was not complete at the last call.
+    line_start: usize,
+    /// Bytes from `line_start` on that hold no line break.
+    scanned: usize,
+    /// `true` if the event that `line_start` is in has a field or a comment.
+    has_field: bool,
 }
 
 impl EventSplitter {
     /// Adds a piece and returns the events that are complete now.
-    pub fn push(&mut self, piece: &[u8]) -> Option<CompleteEvents> {
+    pub fn push(&mut self, piece: &[u8]) -> Result<Option<CompleteEvents>, EventTooLong> {
         self.buffer.extend_from_slice(piece);
-        let end = match last_event_end(&self.buffer) {
-            Some(end) => end,
-            None if self.buffer.len() > MAX_EVENT_BYTES => self.buffer.len() - MAX_BLANK_LINE_BYTES,
-            None => return None,
+        self.pieces += 1;
+        let Some(end) = self.last_event_end() else {
+            let is_too_long = self.buffer.len() > MAX_EVENT_BYTES || self.pieces > MAX_EVENT_PIECES;
+            return if is_too_long { Err(EventTooLong) } else { Ok(None) };
         };
+        self.pieces = 0;
         let bytes = self.buffer.split_to(end).freeze();
+        self.line_start -= end;
         let ids = event_ids(&bytes);
-        Some(CompleteEvents { bytes, ids })
+        Ok(Some(CompleteEvents { bytes, ids }))
     }
 
-    /// Takes the buffered bytes of an incomplete event.
+    /// Takes the buffered bytes after the last event.
     pub fn take_partial(&mut self) -> Bytes {
+        (self.line_start, self.scanned, self.has_field) = (0, 0, false);
         self.buffer.split().freeze()
     }
 
     /// Returns whether the bytes so far end inside an event.
     pub fn is_inside_event(&self) -> bool {
-        !self.buffer.is_empty()
+        self.has_field || self.line_start < self.buffer.len()
     }
-}
 
-/// Returns the end of the last complete event, which an empty line terminates.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let mut end = bytes.len();
-    while end > 0 {
-        let newline = bytes[..end].iter().rposition(|byte| *byte == b'\n')?;
-        let line = &bytes[..newline];
-        let line = line.strip_suffix(b"\r").unwrap_or(line);
-        if line.last() == Some(&b'\n') {
-            return Some(newline + 1);
+    /// Scans the lines that are complete now. Returns the end of the last complete event, which an empty
+    /// line terminates. Empty lines and unknown fields alone are no event.
+    fn last_event_end(&mut self) -> Option<usize> {
+        let mut event_end = None;
+        while let Some(length) = find_line_break(&self.buffer[self.line_start + self.scanned..]) {
+            let line_end = self.line_start + self.scanned + length;
+            let line = &self.buffer[self.line_start..line_end];
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            self.line_start = line_end + 1;
+            self.scanned = 0;
+            if line.is_empty() && self.has_field {
+                self.has_field = false;
+                event_end = Some(self.line_start);
+            } else if !line.is_empty() {
+                self.has_field |= is_field(line);
+            }
         }
-        end = newline;
+        self.scanned = self.buffer.len() - self.line_start;
+        event_end
     }
-    None
+}
+
+fn find_line_break(bytes: &[u8]) -> Option<usize> {
+    bytes.iter().position(|byte| *byte == b'\n')
+}
+
+fn is_field(line: &[u8]) -> bool {
+    let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+    FIELD_NAMES.contains(&name) || line.starts_with(b":")
 }
 
 fn event_ids(bytes: &[u8]) -> Option<(u64, u64)> {
--- a/crates/papayamux-router/src/direct/mod.rs
+++ b/crates/papayamux-router/src/direct/mod.rs
@@ -24,7 +24,7 @@
 pub use call::{CallFailure, CallHead, CallId, NotRunReason};
 pub use call_handler::CallHandler;
 pub use daemon::run_direct_router;
-pub use event_splitter::{CompleteEvents, EventSplitter};
+pub use event_splitter::{CompleteEvents, EventSplitter, EventTooLong};
 pub use fleet::Fleet;
 pub use interface::{AnswerVerdict, CacheList, CacheListError, CallInterface, Dispatch};
 pub use metrics::DirectMetrics;
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -14,7 +14,7 @@
 use super::active_request::ActiveRequest;
 use super::attempt::{send_attempt, AttemptAnswer, LostAttempt, WaitResult};
 use super::call_plan::CallPlan;
-use super::event_splitter::{CompleteEvents, EventSplitter};
+use super::event_splitter::{CompleteEvents, EventSplitter, EventTooLong};
 use super::interface::CallInterface;
 
 /// An answer that is being forwarded to its caller.
@@ -157,7 +157,8 @@
     /// Returns the bytes of a piece that can be forwarded now.
     fn take_piece(&mut self, piece: Bytes) -> Result<Option<Bytes>, LostAttempt> {
         let Some(splitter) = &mut self.splitter else { return Ok(Some(piece)) };
-        let Some(CompleteEvents { bytes, ids }) = splitter.push(&piece) else { return Ok(None) };
+        let events = splitter.push(&piece).map_err(|error| self.lost_by_long_event(error))?;
+        let Some(CompleteEvents { bytes, ids }) = events else { return Ok(None) };
         if let Some((first, last)) = ids {
             let expected = self.last_event.map(|event| event + 1);
             if expected.is_some_and(|expected| expected != first) {
@@ -177,6 +178,15 @@
         Ok(Some(bytes))
     }
 
+    fn lost_by_long_event(&self, error: EventTooLong) -> LostAttempt {
+        self.plan.fleet.metrics().unusable_answers.count("long_event");
+        if let Some(attempt) = &self.attempt {
+            attempt.active.record_answer_outcome(true);
+            attempt.active.record_failure_evidence(EvidenceKind::Unreachable);
+        }
+        LostAttempt::unknown(error.to_string())
+    }
+
     /// Hands bytes over for the caller. Completes an opaque answer whose declared length was read: the
     /// listener drops the body once it has written that length, without polling for an end.
     fn hand_over(&mut self, bytes: Bytes) -> Option<Result<Bytes, BodyError>> {
@@ -204,7 +214,7 @@
             ms = self.plan.arrived.elapsed().as_millis() as u64; "stream ended"
         );
         attempt.answer.finish();
-        // Only an answer that turned out to be no stream ends inside an event here.
+        // Empty lines and unknown fields, or an answer that turned out to be no stream.
         let opaque = self.splitter.as_mut().map(EventSplitter::take_partial).unwrap_or_default();
         (!opaque.is_empty()).then_some(Ok(opaque))
     }
