Bound the size of an answer that is no stream of events

What callers saw: a plain answer without end was passed on up to the deadline at whatever rate its server sent, and one that declared a terabyte too: 6.5 GB in the test, for a request that another server could answer.

Cause: the router buffers 128 KiB of an answer and forwards what follows as it arrives; nothing bounded that, nor the length that a server may declare.

Why the fix works: a length over longest_answer (16 MiB, [bounds]) loses the attempt at the head, before any byte has gone on, so that another server is asked where that is allowed; a body that becomes longer is cut off without its last chunk. Both count as unusable_answers{long_body}. Up to the limit nothing tells an endless body from a long one.

--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::future::{select, Either};
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use http::request::Request;
 use http::response::Parts;
 use papayamux_coordination::attempt_plan::AttemptLoss;
@@ -12,6 +12,7 @@
 use papayamux_coordination::late_delivery::LateDelivery;
 use papayamux_coordination::retry_benefit::FailureCause;
 use papayamux_coordination::server_evidence::EvidenceKind;
+use papayamux_state::answer_framing::AnswerFraming;
 use papayamux_state::backend::{ReportedQueue, ServerNotice};
 use papayamux_state::quantities::ByteCount;
 use papayamux_transport::http::upstream::{UpstreamAnswer, UpstreamError};
@@ -28,6 +29,8 @@
 
 /// The reason in metrics for an answer with too many bytes without progress.
 const NO_PROGRESS: &str = "no_progress";
+/// The reason in metrics for an answer over the size limit.
+const LONG_BODY: &str = "long_body";
 
 /// The cause of an attempt that was stopped by the deadline of its request.
 pub(super) const DEADLINE_PASSED: &str = "the deadline has passed";
@@ -203,6 +206,10 @@
         }
     }
     match verdict {
+        AnswerVerdict::Answer if exceeds_limit(plan, declared_length(&answer)) => {
+            active.record_answer_outcome(true);
+            Err(lost_by_long_body(plan, &active))
+        }
         AnswerVerdict::Answer => {
             let is_error = answer.head.status.is_server_error();
             // The error itself must not count: one among few answers would make any server look
@@ -231,6 +238,27 @@
     }
 }
 
+/// Returns whether a body of `bytes` exceeds the size limit of answers.
+pub(super) fn exceeds_limit(plan: &CallPlan, bytes: Option<u64>) -> bool {
+    bytes.is_some_and(|bytes| bytes > plan.fleet.settings().longest_answer.get())
+}
+
+/// Records the loss of an attempt whose answer exceeds the size limit.
+pub(super) fn lost_by_long_body(plan: &CallPlan, active: &ActiveRequest) -> LostAttempt {
+    plan.fleet.metrics().unusable_answers.count(LONG_BODY);
+    active.record_failure_evidence(EvidenceKind::Unreachable);
+    let limit = plan.fleet.settings().longest_answer;
+    LostAttempt::unknown(format!("the answer is longer than {limit} bytes"))
+}
+
+/// Returns the length that a server declares for its answer. A length beside chunks doesn't count.
+pub(super) fn declared_length(answer: &UpstreamAnswer) -> Option<u64> {
+    if answer.framing() != AnswerFraming::Length {
+        return None;
+    }
+    answer.head.headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 /// Returns whether a server that has not run a request refused it for want of room, as far as it
 /// says. One that reports no queue and asks for no rest is taken to be full.
 fn is_full(notice: ServerNotice, queue: Option<ReportedQueue>) -> bool {
--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -14,12 +14,13 @@
 
 use super::active_request::ActiveRequest;
 use super::attempt::{
-    collect_body, send_attempt, AttemptAnswer, CollectedBody, LostAttempt, DEADLINE_PASSED,
+    collect_body, declared_length, send_attempt, AttemptAnswer, CollectedBody, LostAttempt,
+    DEADLINE_PASSED,
 };
 use super::call_plan::CallPlan;
 use super::interface::CallInterface;
 use super::request_body::read_body;
-use super::stream_relay::{declared_length, InFlight, StreamRelay};
+use super::stream_relay::{InFlight, StreamRelay};
 use super::{CallFailure, CallHead, Fleet, NotRunReason};
 
 /// Media type of a stream of events.
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -94,7 +94,8 @@
     /// Answers whose last byte was read, by how they ended.
     pub answer_ends: ReasonCounters,
     /// Answers that were given up for what their servers sent: `no_progress` for too many bytes without
-    /// a head or a piece of a body, `long_event` for a stream with too many bytes without an event.
+    /// a head or a piece of a body, `long_event` for a stream with too many bytes without an
+    /// event, `long_body` for another answer over the size limit.
     pub unusable_answers: ReasonCounters,
     /// Answers that are relayed as they arrive, by how their first server marks the end of the body.
     pub relayed_framings: ReasonCounters,
--- a/crates/papayamux-router/src/direct/settings.rs
+++ b/crates/papayamux-router/src/direct/settings.rs
@@ -16,6 +16,7 @@
 use papayamux_settings::{DurationSetting, Findings, IniFile};
 use papayamux_state::capacity_class::{CapacityClass, ProcessorShare};
 use papayamux_state::ids::{FailureDomain, Region};
+use papayamux_state::quantities::ByteCount;
 use papayamux_transport::http::upstream::PoolLimits;
 
 /// Bounds and policies of the router's decisions.
@@ -52,6 +53,9 @@
     /// Maximum number of requests at a server, as a multiple of the mean.
     #[builder(default = 2.0)]
     pub load_factor: f64,
+    /// Maximum size of an answer that is no stream of events.
+    #[builder(default = DEFAULT_LONGEST_ANSWER)]
+    pub longest_answer: ByteCount,
     /// The policy that places prompts on servers.
     #[builder(default)]
     pub policy: PlacementPolicy,
@@ -96,6 +100,8 @@
 
 /// Default interval between two renewals: a common heartbeat interval.
 const DEFAULT_RENEWAL: Duration = Duration::from_millis(1_200);
+/// Default maximum size of an answer.
+const DEFAULT_LONGEST_ANSWER: ByteCount = ByteCount::new(16 * 1024 * 1024);
 /// Maximum age of a configuration by which a request is refused, as a fraction of the bound within
 /// which a new configuration is in force.
 const NEGATIVE_AGE_RATIO: f64 = 0.75;
@@ -252,6 +258,7 @@
     let disabled = experiment.list("disable").into_iter().collect();
     experiment.report_unknown_keys();
     let load_factor = bounds.or("load_factor", 2.0);
+    let longest_answer = bounds.or("longest_answer", DEFAULT_LONGEST_ANSWER);
     let grace = bounds.or("grace", DEFAULT_GRACE).0;
     bounds.report_unknown_keys();
     let fleet = FleetSettings::builder()
@@ -264,6 +271,7 @@
         .maybe_cold_allowance(cold_allowance)
         .renewal_every(renewal_every)
         .load_factor(load_factor)
+        .longest_answer(longest_answer)
         .policy(policy)
         .disabled(disabled)
         .retries(retries)
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -4,15 +4,16 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use http::header::CONTENT_TYPE;
 use papayamux_coordination::body_end::{BodyEnd, StreamTail};
 use papayamux_coordination::server_evidence::EvidenceKind;
-use papayamux_state::answer_framing::AnswerFraming;
-use papayamux_transport::http::upstream::UpstreamAnswer;
 use papayamux_transport::http::{AnswerBody, BodyError};
 
 use super::active_request::ActiveRequest;
-use super::attempt::{send_attempt, AttemptAnswer, LostAttempt, WaitResult};
+use super::attempt::{
+    declared_length, exceeds_limit, lost_by_long_body, send_attempt, AttemptAnswer, LostAttempt,
+    WaitResult,
+};
 use super::call_plan::CallPlan;
 use super::event_splitter::{CompleteEvents, EventSplitter, EventTooLong};
 use super::interface::CallInterface;
@@ -156,7 +157,7 @@
 
     /// Returns the bytes of a piece that can be forwarded now.
     fn take_piece(&mut self, piece: Bytes) -> Result<Option<Bytes>, LostAttempt> {
-        let Some(splitter) = &mut self.splitter else { return Ok(Some(piece)) };
+        let Some(splitter) = &mut self.splitter else { return self.take_opaque(piece) };
         let events = splitter.push(&piece).map_err(|error| self.lost_by_long_event(error))?;
         let Some(CompleteEvents { bytes, ids }) = events else { return Ok(None) };
         if let Some((first, last)) = ids {
@@ -178,6 +179,17 @@
         Ok(Some(bytes))
     }
 
+    fn take_opaque(&self, piece: Bytes) -> Result<Option<Bytes>, LostAttempt> {
+        let length = self.relayed_bytes + piece.len() as u64;
+        match &self.attempt {
+            Some(attempt) if exceeds_limit(&self.plan, Some(length)) => {
+                attempt.active.record_answer_outcome(true);
+                Err(lost_by_long_body(&self.plan, &attempt.active))
+            }
+            _ => Ok(Some(piece)),
+        }
+    }
+
     fn lost_by_long_event(&self, error: EventTooLong) -> LostAttempt {
         self.plan.fleet.metrics().unusable_answers.count("long_event");
         if let Some(attempt) = &self.attempt {
@@ -295,14 +307,6 @@
     BodyEnd::of_stream(framing, StreamTail { is_declared, has_events, has_partial_event })
 }
 
-/// Returns the length that a server declares for its answer. A length beside chunks doesn't count.
-pub(super) fn declared_length(answer: &UpstreamAnswer) -> Option<u64> {
-    if answer.framing() != AnswerFraming::Length {
-        return None;
-    }
-    answer.head.headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
-
 /// Records that a server broke off its stream.
 async fn lost_stream(attempt: &AttemptAnswer, cause: String) -> LostAttempt {
     attempt.active.record_answer_outcome(true);
