Cut off endless answers of servers beside agents

Memory was bounded by the window between agent and router.

Cause: the same two as on the direct path. The agent forwarded an event over 1 MiB in pieces without an id, and blank lines and comments without a bound; nothing bounded the size of another answer.

Why the fix works: 1 MiB or 16,384 pieces without an event with data end a chat as failed; its caller gets the event that says so. Another answer ends at longest_answer (16 MiB, [agent]), or before its head where it declares more. The buffer of an incomplete event is scanned once, not again for each piece.

--- a/crates/papayamux-agent/src/agent_core.rs
+++ b/crates/papayamux-agent/src/agent_core.rs
@@ -9,6 +9,7 @@
 use papayamux_protocol::serving::{ServingAnswer, ServingQuery, ServingRefusal};
 use papayamux_state::ids::{FailureDomain, Incarnation, ServerId};
 use papayamux_state::load::{GroupId, LoadReport};
+use papayamux_state::quantities::ByteCount;
 use papayamux_transport::http::HttpClient;
 use papayamux_transport::shutdown::ShutdownSignal;
 
@@ -54,6 +55,8 @@
     pub answers: Rc<AnswerStore>,
     /// The rules for which routers may connect.
     pub trust: RouterTrust,
+    /// Maximum size of an answer that is no stream of events.
+    pub longest_answer: ByteCount,
     /// The time without progress after which the server is checked.
     pub progress_within: Duration,
     /// The number that the next connection gets.
--- a/crates/papayamux-agent/src/answers/event_tagger.rs
+++ b/crates/papayamux-agent/src/answers/event_tagger.rs
@@ -5,15 +5,22 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use papayamux_protocol::event_id::EventId;
 use papayamux_state::ids::{RequestId, ServerId};
+use thiserror::Error;
 
-/// Maximum number of buffered bytes of an incomplete event. If an event exceeds it, its bytes so
-/// far are passed on without an id.
+/// Maximum number of bytes from one event with data to the next.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Maximum number of pieces from one event with data to the next.
+const MAX_EVENT_PIECES: usize = 16 * 1024;
 /// The end of the event that completes a chat.
 const LAST_FIELD: &[u8] = b"[DONE]\n";
 /// Maximum number of bytes that the number of an id line and its line break need.
 const MAX_NUMBER_BYTES: usize = 24;
 
+/// The error of a stream whose bytes don't form events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("{MAX_EVENT_BYTES} bytes or {MAX_EVENT_PIECES} pieces without an event")]
+pub struct EventTooLong;
+
 /// Complete events with their ids.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TaggedPiece {
@@ -29,17 +36,16 @@
     id_prefix: String,
     number: u64,
     is_complete: bool,
-    /// `true` if the beginning of an event that exceeds the size limit was passed on.
-    has_begun_long_event: bool,
-    pending: Vec<u8>,
-}
-
-/// The span of a complete event at the start of a byte slice.
-struct EventSpan {
-    /// The offset at which the blank line of the event starts.
-    blank: usize,
-    /// The offset at which the event ends.
-    end: usize,
+    /// Bytes of the incomplete event.
+    pending: BytesMut,
+    /// Start in `pending` of the line that is not complete.
+    line_start: usize,
+    /// Bytes from `line_start` on that hold no line break.
+    scanned: usize,
+    /// Bytes since the last event with data.
+    bytes_without_data: usize,
+    /// Pieces since the last event with data.
+    pieces_without_data: usize,
 }
 
 impl EventTagger {
@@ -51,8 +57,11 @@
             id_prefix,
             number: 0,
             is_complete: false,
-            has_begun_long_event: false,
-            pending: Vec::new(),
+            pending: BytesMut::new(),
+            line_start: 0,
+            scanned: 0,
+            bytes_without_data: 0,
+            pieces_without_data: 0,
         }
     }
 
@@ -68,49 +77,59 @@
 
     /// Returns whether the bytes so far end inside an event.
     pub fn is_inside_event(&self) -> bool {
-        self.has_begun_long_event || !self.pending.is_empty()
+        !self.pending.is_empty()
     }
 
     /// Discards the bytes of an incomplete event. A resumed stream sends the event again.
     pub fn drop_partial(&mut self) {
-        self.pending.clear();
+        self.rest();
     }
 
     /// Adds `bytes` of the answer and returns the events that are complete now.
-    pub fn take(&mut self, bytes: &[u8]) -> TaggedPiece {
-        if self.pending.is_empty() {
-            return self.take_all(bytes);
-        }
-        let mut joined = std::mem::take(&mut self.pending);
-        joined.extend_from_slice(bytes);
-        self.take_all(&joined)
-    }
-
-    fn take_all(&mut self, mut bytes: &[u8]) -> TaggedPiece {
+    pub fn take(&mut self, bytes: &[u8]) -> Result<TaggedPiece, EventTooLong> {
+        self.pending.extend_from_slice(bytes);
+        self.bytes_without_data += bytes.len();
+        self.pieces_without_data += 1;
         let mut output =
             BytesMut::with_capacity(bytes.len() + self.id_prefix.len() + MAX_NUMBER_BYTES);
         let mut event_ends = Vec::new();
-        while let Some(span) = first_event(bytes) {
-            let (event, rest) = bytes.split_at(span.end);
-            self.has_begun_long_event = false;
-            if self.write_event(event, span.blank, &mut output) {
+        while let Some((event, blank)) = self.next_event() {
+            if self.write_event(&event, blank, &mut output) {
                 event_ends.push(output.len());
+                (self.bytes_without_data, self.pieces_without_data) = (self.pending.len(), 0);
             }
-            bytes = rest;
         }
-        match bytes.len() > MAX_EVENT_BYTES {
-            true => {
-                self.has_begun_long_event = true;
-                output.extend_from_slice(bytes);
+        let is_too_long = self.bytes_without_data > MAX_EVENT_BYTES
+            || self.pieces_without_data > MAX_EVENT_PIECES;
+        match is_too_long {
+            true => Err(EventTooLong),
+            false => Ok(TaggedPiece { bytes: output.freeze(), event_ends }),
+        }
+    }
+
+    /// Takes the first event if it is complete, with the offset at which its blank line starts.
+    fn next_event(&mut self) -> Option<(BytesMut, usize)> {
+        loop {
+            let unscanned = self.line_start + self.scanned;
+            let line_break = self.pending[unscanned..].iter().position(|byte| *byte == b'\n');
+            let Some(length) = line_break else {
+                self.scanned = self.pending.len() - self.line_start;
+                return None;
+            };
+            let (blank, end) = (self.line_start, unscanned + length + 1);
+            self.scanned = 0;
+            if matches!(&self.pending[blank..end], b"\n" | b"\r\n") {
+                self.line_start = 0;
+                return Some((self.pending.split_to(end), blank));
             }
-            false => self.pending.extend_from_slice(bytes),
+            self.line_start = end;
         }
-        TaggedPiece { bytes: output.freeze(), event_ends }
     }
 
     /// Returns the bytes of an incomplete event that are left at the end of the answer.
     pub fn rest(&mut self) -> Bytes {
-        std::mem::take(&mut self.pending).into()
+        (self.line_start, self.scanned) = (0, 0);
+        self.pending.split().freeze()
     }
 
     /// Writes an event whose blank line starts at `blank`. Returns `true` if the event got an id.
@@ -129,16 +148,3 @@
         has_data
     }
 }
-
-/// Returns the span of the first event of `bytes` if that event is complete.
-fn first_event(bytes: &[u8]) -> Option<EventSpan> {
-    let mut line_start = 0;
-    loop {
-        let length = bytes[line_start..].iter().position(|byte| *byte == b'\n')?;
-        let end = line_start + length + 1;
-        if matches!(&bytes[line_start..end], b"\n" | b"\r\n") {
-            return Some(EventSpan { blank: line_start, end });
-        }
-        line_start = end;
-    }
-}
--- a/crates/papayamux-agent/src/answers/mod.rs
+++ b/crates/papayamux-agent/src/answers/mod.rs
@@ -7,4 +7,4 @@
 
 pub use answer_record::{AnswerRecord, Attachment, AttachmentKey};
 pub use answer_store::{sweep_answers, AnswerStore, StoreLimits};
-pub use event_tagger::{EventTagger, TaggedPiece};
+pub use event_tagger::{EventTagger, EventTooLong, TaggedPiece};
--- a/crates/papayamux-agent/src/daemon.rs
+++ b/crates/papayamux-agent/src/daemon.rs
@@ -211,6 +211,7 @@
         closing: ShutdownSignal::new(),
         answers: AnswerStore::new(store_limits(settings)),
         trust: RouterTrust { secret: settings.secret.clone(), allow: settings.allow.clone() },
+        longest_answer: settings.longest_answer,
         progress_within: settings.progress_within,
         next_link: Cell::new(0),
         orders,
--- a/crates/papayamux-agent/src/run.rs
+++ b/crates/papayamux-agent/src/run.rs
@@ -212,6 +212,9 @@
     recorder: Option<&RunRecorder>,
 ) -> Result<RunOutcome, ServerError> {
     let is_stream = is_chat && is_event_stream(&answer);
+    if !is_stream && answer.declared_length().is_some_and(|length| length > core.longest_answer) {
+        return Err(ServerError::TooLong { limit: core.longest_answer });
+    }
     let head = answer_head(&answer);
     if let Some(recorder) = recorder {
         recorder.head(&head);
@@ -241,6 +244,10 @@
                     Ok(piece) => piece,
                     Err(error) => return Err(broken_connection(core, error).await),
                 };
+                let length = record.length() + piece.len() as u64;
+                if length > core.longest_answer.get() {
+                    return Err(ServerError::TooLong { limit: core.longest_answer });
+                }
                 if let Some(recorder) = recorder {
                     recorder.data(&piece);
                 }
@@ -279,7 +286,7 @@
         let target = ResumeTarget { id: record.id(), events: tagger.numbered() };
         let replacement = match watch.wait_for(|| Some(target), answer.next_piece()).await {
             ServerStep::Ready(Some(Ok(piece))) => {
-                let tagged = tagger.take(&piece);
+                let tagged = tagger.take(&piece)?;
                 record.append(tagged.bytes, &tagged.event_ends).await;
                 continue;
             }
--- a/crates/papayamux-agent/src/server_exchange.rs
+++ b/crates/papayamux-agent/src/server_exchange.rs
@@ -14,11 +14,13 @@
 use monoio::time::Sleep;
 use papayamux_protocol::engine::{resume_path, LOAD_PATH};
 use papayamux_state::ids::RequestId;
+use papayamux_state::quantities::ByteCount;
 use papayamux_transport::http::upstream::{probe_listener, ProbeResult};
 use papayamux_transport::http::{ClientAnswer, HttpClientError};
 use thiserror::Error;
 
 use crate::agent_core::AgentCore;
+use crate::answers::EventTooLong;
 
 /// The time within which the server must answer a check.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(2);
@@ -40,6 +42,15 @@
     /// The connection failed, and nothing listens at the server's address any more.
     #[error("the server has ended: {0}")]
     Crashed(HttpClientError),
+    /// The server's stream holds no events.
+    #[error(transparent)]
+    NoEvents(#[from] EventTooLong),
+    /// The answer exceeds the size limit.
+    #[error("the answer is longer than {limit} bytes")]
+    TooLong {
+        /// Maximum size of an answer.
+        limit: ByteCount,
+    },
     /// The server answered neither on this connection nor on another one.
     #[error("the server is silent on every connection")]
     Silent,
--- a/crates/papayamux-agent/src/settings.rs
+++ b/crates/papayamux-agent/src/settings.rs
@@ -60,6 +60,9 @@
     /// answers may exceed it.
     #[builder(default = ByteCount::new(8 * 1024 * 1024))]
     pub keep_answer_bytes: ByteCount,
+    /// Maximum size of an answer that is no stream of events.
+    #[builder(default = ByteCount::new(16 * 1024 * 1024))]
+    pub longest_answer: ByteCount,
     /// The time without progress after which the server is checked.
     #[builder(default = Duration::from_secs(10))]
     pub progress_within: Duration,
@@ -110,6 +113,7 @@
     let cancel_grace = section.optional("cancel_grace");
     let keep_answers_for = section.optional("keep_answers_for");
     let keep_answer_bytes = section.optional("keep_answer_bytes");
+    let longest_answer = section.optional("longest_answer");
     let secret = section.optional_secret("secret");
     let allow = section.list("allow");
     section.report_unknown_keys();
@@ -142,6 +146,7 @@
         .maybe_cancel_grace(cancel_grace.map(|grace: DurationSetting| grace.0))
         .maybe_keep_answers_for(keep_answers_for.map(|time: DurationSetting| time.0))
         .maybe_keep_answer_bytes(keep_answer_bytes)
+        .maybe_longest_answer(longest_answer)
         .maybe_progress_within(progress_within.map(|within: DurationSetting| within.0))
         .maybe_secret(secret)
         .allow(allow)
--- a/crates/papayamux-agent/tests/event_ids.rs
+++ b/crates/papayamux-agent/tests/event_ids.rs
@@ -1,7 +1,7 @@
 //! Events keep their bytes and get the same ids, however the stream is split into pieces.
 #![allow(clippy::unwrap_used, reason = "a test, which may panic")]
 
-use papayamux_agent::answers::EventTagger;
+use papayamux_agent::answers::{EventTagger, EventTooLong, TaggedPiece};
 
 /// Number of inputs generated for each property, which take at least a second in a debug build.
 const GENERATED_INPUT_COUNT: usize = 150_000;
@@ -20,7 +20,7 @@
     let mut tagger = tagger();
     let mut output = Vec::new();
     for piece in pieces {
-        let tagged = tagger.take(piece);
+        let tagged = tagger.take(piece).unwrap();
         for end in &tagged.event_ends {
             let event = &tagged.bytes[..*end];
             assert!(event.ends_with(b"\n\n") || event.ends_with(b"\n\r\n"));
@@ -58,9 +58,37 @@
 #[test]
 fn a_resent_partial_event_is_numbered_once() {
     let mut tagger = tagger();
-    tagger.take(b"data: one\n\ndata: tw");
+    tagger.take(b"data: one\n\ndata: tw").unwrap();
     tagger.drop_partial();
-    let tagged = tagger.take(b"data: two\n\n");
+    let tagged = tagger.take(b"data: two\n\n").unwrap();
     assert_eq!(&tagged.bytes[..], b"data: two\nid: engine-0/0000000000000007-9/2\n\n");
     assert!(!tagger.is_complete());
 }
+
+/// Guards against bytes without end that are buffered, or passed on as events.
+#[test]
+fn too_many_bytes_without_an_event_with_data_are_an_error() {
+    for noise in ["x", "\n", ":\n\n", "x\n\n", "x\n"] {
+        let block = noise.repeat(16 * 1024 / noise.len());
+        let mut tagger = tagger();
+        let pieces = (0..1_000).take_while(|_| tagger.take(block.as_bytes()).is_ok()).count();
+        assert!((64..70).contains(&pieces), "{noise:?}: {pieces} pieces");
+    }
+}
+
+#[test]
+fn too_many_pieces_without_an_event_with_data_are_an_error() {
+    let mut tagger = tagger();
+    let event = tagger.take(b"data: one\n\n");
+    assert!(event.is_ok_and(|event| event.event_ends.len() == 1));
+    assert!((0..16 * 1024).all(|_| tagger.take(b"x") == Ok(TaggedPiece::default())));
+    assert_eq!(tagger.take(b"x"), Err(EventTooLong));
+}
+
+#[test]
+fn events_with_data_may_follow_without_end() {
+    let mut tagger = tagger();
+    let event = format!("data: {}\n\n", "x".repeat(16 * 1024));
+    assert!((0..1_000).all(|_| tagger.take(event.as_bytes()).is_ok()));
+    assert_eq!(tagger.numbered(), 1_000);
+}
--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::future::{select, Either};
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use http::header::CONTENT_TYPE;
 use http::request::Request;
 use http::response::Parts;
 use papayamux_coordination::attempt_plan::AttemptLoss;
@@ -12,7 +12,6 @@
 use papayamux_coordination::late_delivery::LateDelivery;
 use papayamux_coordination::retry_benefit::FailureCause;
 use papayamux_coordination::server_evidence::EvidenceKind;
-use papayamux_state::answer_framing::AnswerFraming;
 use papayamux_state::backend::{ReportedQueue, ServerNotice};
 use papayamux_state::quantities::ByteCount;
 use papayamux_transport::http::upstream::{UpstreamAnswer, UpstreamError};
@@ -206,7 +205,7 @@
         }
     }
     match verdict {
-        AnswerVerdict::Answer if exceeds_limit(plan, declared_length(&answer)) => {
+        AnswerVerdict::Answer if exceeds_limit(plan, answer.declared_length()) => {
             active.record_answer_outcome(true);
             Err(lost_by_long_body(plan, &active))
         }
@@ -239,8 +238,8 @@
 }
 
 /// Returns whether a body of `bytes` exceeds the size limit of answers.
-pub(super) fn exceeds_limit(plan: &CallPlan, bytes: Option<u64>) -> bool {
-    bytes.is_some_and(|bytes| bytes > plan.fleet.settings().longest_answer.get())
+pub(super) fn exceeds_limit(plan: &CallPlan, bytes: Option<ByteCount>) -> bool {
+    bytes.is_some_and(|bytes| bytes > plan.fleet.settings().longest_answer)
 }
 
 /// Records the loss of an attempt whose answer exceeds the size limit.
@@ -251,14 +250,6 @@
     LostAttempt::unknown(format!("the answer is longer than {limit} bytes"))
 }
 
-/// Returns the length that a server declares for its answer. A length beside chunks doesn't count.
-pub(super) fn declared_length(answer: &UpstreamAnswer) -> Option<u64> {
-    if answer.framing() != AnswerFraming::Length {
-        return None;
-    }
-    answer.head.headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
-
 /// Returns whether a server that has not run a request refused it for want of room, as far as it
 /// says. One that reports no queue and asks for no rest is taken to be full.
 fn is_full(notice: ServerNotice, queue: Option<ReportedQueue>) -> bool {
--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -14,8 +14,7 @@
 
 use super::active_request::ActiveRequest;
 use super::attempt::{
-    collect_body, declared_length, send_attempt, AttemptAnswer, CollectedBody, LostAttempt,
-    DEADLINE_PASSED,
+    collect_body, send_attempt, AttemptAnswer, CollectedBody, LostAttempt, DEADLINE_PASSED,
 };
 use super::call_plan::CallPlan;
 use super::interface::CallInterface;
@@ -207,8 +206,8 @@
         in_flight: InFlight,
     ) -> Response<AnswerBody> {
         let mut head = answer_head(&attempt.answer.head);
-        if let Some(length) = declared_length(&attempt.answer) {
-            head.headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+        if let Some(length) = attempt.answer.declared_length() {
+            head.headers.insert(CONTENT_LENGTH, HeaderValue::from(length.get()));
         }
         log_answer(&plan, &attempt);
         let relay =
--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -7,12 +7,12 @@
 use http::header::CONTENT_TYPE;
 use papayamux_coordination::body_end::{BodyEnd, StreamTail};
 use papayamux_coordination::server_evidence::EvidenceKind;
+use papayamux_state::quantities::ByteCount;
 use papayamux_transport::http::{AnswerBody, BodyError};
 
 use super::active_request::ActiveRequest;
 use super::attempt::{
-    declared_length, exceeds_limit, lost_by_long_body, send_attempt, AttemptAnswer, LostAttempt,
-    WaitResult,
+    exceeds_limit, lost_by_long_body, send_attempt, AttemptAnswer, LostAttempt, WaitResult,
 };
 use super::call_plan::CallPlan;
 use super::event_splitter::{CompleteEvents, EventSplitter, EventTooLong};
@@ -77,7 +77,7 @@
     ) -> Self {
         let last_event = plan.call.last_event;
         plan.keep_version(attempt.active.server());
-        let declared_bytes = declared_length(&attempt.answer);
+        let declared_bytes = attempt.answer.declared_length().map(ByteCount::get);
         let framing = attempt.answer.framing().label();
         plan.fleet.metrics().relayed_framings.count(framing);
         Self {
@@ -180,7 +180,7 @@
     }
 
     fn take_opaque(&self, piece: Bytes) -> Result<Option<Bytes>, LostAttempt> {
-        let length = self.relayed_bytes + piece.len() as u64;
+        let length = ByteCount::new(self.relayed_bytes + piece.len() as u64);
         match &self.attempt {
             Some(attempt) if exceeds_limit(&self.plan, Some(length)) => {
                 attempt.active.record_answer_outcome(true);
--- a/crates/papayamux-standins/src/engine/chat_interface.rs
+++ b/crates/papayamux-standins/src/engine/chat_interface.rs
@@ -28,6 +28,7 @@
 
 /// Exit code of an engine that crashes on a prompt, as configured with `--ends-on`.
 const CRASH_EXIT_CODE: i32 = 70;
+const EVENT_STREAM: &str = "text/event-stream";
 const CANCELLED: &str = "the request was cancelled";
 
 /// Answers a chat request, as a stream or as a single JSON response.
@@ -51,6 +52,9 @@
     let reader = server.batch.submit(request);
     let reader =
         reader.ok_or_else(|| engine_error(EngineErrorCode::QueueFull, "too many requests wait"))?;
+    if server.options.is_endless {
+        return Ok(respond::endless(EVENT_STREAM));
+    }
     match chat.stream {
         true => Ok(framed_stream(server, id, reader)),
         false => complete_answer(id, reader).await,
--- a/crates/papayamux-standins/src/engine/options.rs
+++ b/crates/papayamux-standins/src/engine/options.rs
@@ -64,4 +64,7 @@
     /// Ends streams with their connection, with neither a length nor chunks.
     #[builder(default)]
     pub close_delimited: bool,
+    /// Answers chats with bytes without end that are no events.
+    #[builder(default)]
+    pub is_endless: bool,
 }
--- a/crates/papayamux-standins/src/kinds/engine.rs
+++ b/crates/papayamux-standins/src/kinds/engine.rs
@@ -45,6 +45,7 @@
     options.optopt("", "kv-import-us", "time to import one block", "MICROSECONDS");
     options.optopt("", "kv-block-bytes", "bytes of one block in a KV blob", "COUNT");
     options.optflag("", "close-delimited", "end streams with their connection");
+    options.optflag("", "endless", "answer chats with bytes without end");
     options.optopt("", "ends-on", "exit the process on a chat with this text", "TEXT");
 }
 
@@ -93,6 +94,7 @@
     engine.kv_import_time = micros_or(matches, "kv-import-us", engine.kv_import_time)?;
     engine.crash_on = matches.opt_str("ends-on");
     engine.close_delimited = matches.opt_present("close-delimited");
+    engine.is_endless = matches.opt_present("endless");
     engine.kv_block_bytes = value_or(matches, "kv-block-bytes", engine.kv_block_bytes)?;
     Ok(())
 }
--- a/crates/papayamux-standins/src/kinds/service.rs
+++ b/crates/papayamux-standins/src/kinds/service.rs
@@ -26,10 +26,12 @@
 fn declare(options: &mut Options) {
     options.optopt("", "name", "the service's name", "NAME");
     options.optopt("", "call-ms", "time of one call", "MILLISECONDS");
+    options.optflag("", "endless", "answer calls with bytes without end");
 }
 
 fn service_options(matches: &Matches) -> Result<ServiceOptions, StandinError> {
     let name = value_or(matches, "name", "service".to_string())?;
     let call_time = millis_or(matches, "call-ms", CALL_TIME)?;
-    Ok(ServiceOptions { name, call_time })
+    let is_endless = matches.opt_present("endless");
+    Ok(ServiceOptions { name, call_time, is_endless })
 }
--- a/crates/papayamux-standins/src/respond.rs
+++ b/crates/papayamux-standins/src/respond.rs
@@ -1,5 +1,7 @@
 //! HTTP responses shared by all stand-ins.
 
+use bytes::Bytes;
+use futures_util::StreamExt;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 use papayamux_transport::http::AnswerBody;
@@ -34,3 +36,15 @@
     response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
     response
 }
+
+/// Size of the pieces of an endless answer.
+const ENDLESS_PIECE_BYTES: usize = 16 * 1024;
+
+/// Returns an answer whose body never ends.
+pub fn endless(media_type: &'static str) -> Response<AnswerBody> {
+    let piece = Bytes::from(vec![b'x'; ENDLESS_PIECE_BYTES]);
+    let pieces = futures_util::stream::repeat(piece).map(Ok);
+    let mut response = Response::new(AnswerBody::Stream(Box::pin(pieces)));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(media_type));
+    response
+}
--- a/crates/papayamux-standins/src/service.rs
+++ b/crates/papayamux-standins/src/service.rs
@@ -27,6 +27,8 @@
     pub name: String,
     /// Processing time of a call.
     pub call_time: Duration,
+    /// Answers calls with bytes without end.
+    pub is_endless: bool,
 }
 
 /// Run counts, as tests read them over HTTP.
@@ -86,6 +88,9 @@
     if !options.call_time.is_zero() {
         monoio::time::sleep(options.call_time).await;
     }
+    if options.is_endless {
+        return respond::endless("text/plain");
+    }
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_string();
     let body = String::from_utf8_lossy(&body).into_owned();
     let method = head.method.to_string();
--- a/crates/papayamux-transport/src/http/client.rs
+++ b/crates/papayamux-transport/src/http/client.rs
@@ -7,6 +7,7 @@
 use http::response::Parts;
 use http::Request;
 use papayamux_state::answer_framing::AnswerFraming;
+use papayamux_state::quantities::ByteCount;
 use thiserror::Error;
 
 use super::upstream::{PoolLimits, UpstreamAnswer, UpstreamError, UpstreamPool};
@@ -143,6 +144,11 @@
         self.answer.framing()
     }
 
+    /// Returns the length that the server declares for the body. A length beside chunks doesn't count.
+    pub fn declared_length(&self) -> Option<ByteCount> {
+        self.answer.declared_length()
+    }
+
     /// Returns the next piece of the body, or `None` after the last one.
     pub async fn next_piece(&mut self) -> Option<Result<Bytes, HttpClientError>> {
         let piece = self.answer.next_piece().await?;
--- a/crates/papayamux-transport/src/http/upstream/exchange.rs
+++ b/crates/papayamux-transport/src/http/upstream/exchange.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::CONNECTION;
+use http::header::{CONNECTION, CONTENT_LENGTH};
 use http::response::Parts;
 use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use papayamux_state::answer_framing::AnswerFraming;
+use papayamux_state::quantities::ByteCount;
 
 use super::connection::UpstreamConnection;
 use super::{answer_framing, UpstreamPool};
@@ -82,6 +83,14 @@
         answer_framing(&self.head)
     }
 
+    /// Returns the length that the server declares for the body. A length beside chunks doesn't count.
+    pub fn declared_length(&self) -> Option<ByteCount> {
+        if self.framing() != AnswerFraming::Length {
+            return None;
+        }
+        self.head.headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+    }
+
     /// Returns the connection to the pool if the complete body was read. A connection that the
     /// server closes or wants to close is dropped.
     pub fn finish(mut self) {
