Let timers fire while an answer arrives in pieces of one byte

What operators saw: a store that answered with chunks of one byte without end was read for 17 s and more, at a read timeout of 1.5 s, and the router didn't notice that the store was back. On the direct path such an answer held its deadline up; all timers of the process stood still meanwhile.

Cause: monoio fires timers when it parks, which it does only when no task is ready. The task of the connection and the one that reads the answer wake each other at each piece, so that one of them is always ready. Sockets are still polled in between, which is why other calls were answered.

Why the fix works: every 256 pieces the reader sleeps for a millisecond. The connection's task then stops at its full channel, no task is ready, and the runtime parks. It costs a body in pieces of 64 KiB a millisecond for 16 MiB, and a stream as much for 256 events.

--- a/crates/papayamux-transport/src/http/upstream/exchange.rs
+++ b/crates/papayamux-transport/src/http/upstream/exchange.rs
@@ -18,6 +18,12 @@
 /// that no request is sent while the server closes the connection.
 const CLOSE_MARGIN: Duration = Duration::from_millis(1_000);
 
+/// Pieces of a body after which its reader pauses. The runtime fires timers only when no task is ready,
+/// and a connection with many small pieces would keep two tasks ready by turns.
+const PIECES_PER_PAUSE: u32 = 256;
+/// Duration of such a pause: the resolution of timers.
+const READ_PAUSE: Duration = Duration::from_millis(1);
+
 /// An answer. Dropping it before its end closes the connection, which tells the server to stop.
 pub struct UpstreamAnswer {
     pool: UpstreamPool,
@@ -28,6 +34,8 @@
     connect_time: Option<Duration>,
     /// `true` if the body has ended without an error.
     is_read: bool,
+    /// Pieces read since the last pause.
+    pieces_since_pause: u32,
 }
 
 impl UpstreamAnswer {
@@ -38,7 +46,15 @@
     ) -> Self {
         let (head, body) = response.into_parts();
         let connect_time = connection.take_connect_time();
-        Self { pool, head, body, connection: Some(connection), connect_time, is_read: false }
+        Self {
+            pool,
+            head,
+            body,
+            connection: Some(connection),
+            connect_time,
+            is_read: false,
+            pieces_since_pause: 0,
+        }
     }
 
     /// Returns the time that connecting took, if a new connection was opened for this answer.
@@ -48,6 +64,11 @@
 
     /// Returns the next piece of the body, or `None` after the complete body.
     pub async fn next_piece(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+        if self.pieces_since_pause >= PIECES_PER_PAUSE {
+            monoio::time::sleep(READ_PAUSE).await;
+            self.pieces_since_pause = 0;
+        }
+        self.pieces_since_pause += 1;
         loop {
             let Some(frame) = self.body.frame().await else {
                 self.is_read = true;
--- a/crates/papayamux-transport/tests/endless_answers.rs
+++ b/crates/papayamux-transport/tests/endless_answers.rs
@@ -131,6 +131,21 @@
     check(CHUNKED, &FRAMINGS, read_with_client);
 }
 
+/// Guards against timers that don't fire while the tasks of a connection and its reader are ready by turns.
+#[test]
+fn timeout_ends_an_answer_in_pieces_of_one_byte() {
+    const TIMEOUT: Duration = Duration::from_millis(200);
+    let server = serve(CHUNKED, ("", "1\r\nx\r\n"));
+    runtime::run(async move {
+        let client = HttpClient::new(server.address);
+        let answer = client.send_once(request()).await.unwrap();
+        let started_at = Instant::now();
+        let body = monoio::time::timeout(TIMEOUT, answer.read_body(u64::MAX)).await;
+        assert!(body.is_err() && started_at.elapsed() < MAX_TICK, "{:?}", started_at.elapsed());
+    })
+    .unwrap();
+}
+
 /// A reader's own pauses are no lack of progress.
 #[test]
 fn long_answer_is_whole_for_a_slow_reader() {
