Give callers of HTTP/1.0 only answers whose end is marked

What a caller of HTTP/1.0 saw: a relayed answer that broke off looked like a complete one, since both end with the connection.

HTTP/1.0 has no chunks, so that the listener marks the end of a relayed body by closing the connection, as it does when the body fails.

Why the fix works: the listener collects such a body, up to 4 MiB, and sends it with its length; one that breaks off or is longer closes the connection without an answer, which promises nothing. Weighed and left: to reset the connection, since a reset discards what the caller has not read yet.

--- a/crates/papayamux-transport/src/http/server.rs
+++ b/crates/papayamux-transport/src/http/server.rs
@@ -1,7 +1,6 @@
 //! HTTP/1.1 server with one task per connection.
 
 use std::cell::Cell;
-use std::convert::Infallible;
 use std::fmt;
 use std::future::Future;
 use std::io;
@@ -9,9 +8,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
 use futures_util::future::{select, Either};
-use http::header::CONNECTION;
-use http::HeaderValue;
+use futures_util::{Stream, StreamExt};
+use http::header::{CONNECTION, CONTENT_LENGTH};
+use http::{HeaderValue, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -21,7 +22,7 @@
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 
 use super::stall_guard::StallGuard;
-use super::AnswerBody;
+use super::{AnswerBody, BodyError};
 use crate::keepalive::set_stream_options;
 use crate::shutdown::ShutdownSignal;
 
@@ -69,6 +70,9 @@
 /// its first.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum size of an answer that is buffered to send it with a length.
+const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
+
 /// Share of the connection limit above which each answer asks its caller to close the connection.
 /// This frees idle connections before new callers have to wait in the kernel's backlog.
 const CROWDED_SHARE: f64 = 0.75;
@@ -183,11 +187,15 @@
         mark_seen.set(true);
         let (handler, open) = (handler.clone(), open.clone());
         async move {
+            let needs_length = request.version() == Version::HTTP_10;
             let mut response = handler(request).await;
+            if needs_length {
+                response = with_length(response).await?;
+            }
             if open.is_crowded() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, BodyError>(response)
         }
     });
     let guarded = StallGuard::new(MonoioIo::new(stream.into_poll_io()?), limits.write_timeout);
@@ -213,6 +221,33 @@
     Ok(())
 }
 
+/// Buffers a stream without a length for a caller of HTTP/1.0, which has no chunks: ended by its connection,
+/// a truncated answer would look complete. An error closes the connection without an answer.
+async fn with_length(response: Response<AnswerBody>) -> Result<Response<AnswerBody>, BodyError> {
+    let (head, body) = response.into_parts();
+    let body = match body {
+        AnswerBody::Stream(stream) if !head.headers.contains_key(CONTENT_LENGTH) => {
+            AnswerBody::Whole(collect(stream).await?)
+        }
+        body => body,
+    };
+    Ok(Response::from_parts(head, body))
+}
+
+async fn collect(
+    mut stream: impl Stream<Item = Result<Bytes, BodyError>> + Unpin,
+) -> Result<Bytes, BodyError> {
+    let mut body = BytesMut::new();
+    while let Some(piece) = stream.next().await {
+        body.extend_from_slice(&piece?);
+        if body.len() > MAX_BUFFERED_BYTES {
+            let message = format!("longer than {MAX_BUFFERED_BYTES} bytes, for HTTP/1.0");
+            return Err(BodyError(message));
+        }
+    }
+    Ok(body.freeze())
+}
+
 /// Returns whether a connection has sent a request, now or within `FIRST_REQUEST_TIMEOUT`. `hyper`
 /// closes a connection that is idle between two requests, but waits for the first request for its
 /// full head timeout, which would delay a shutdown.
