--- a/crates/papayamux-router/src/direct/stream_relay.rs
+++ b/crates/papayamux-router/src/direct/stream_relay.rs
@@ -18,6 +18,9 @@
 use super::event_splitter::{CompleteEvents, EventSplitter, EventTooLong};
 use super::interface::CallInterface;
 
+/// The reason in metrics for a stream with too many bytes without an event.
+const LONG_EVENT: &str = "long_event";
+
 /// An answer that is being forwarded to its caller.
 pub(super) struct StreamRelay {
     interface: Rc<dyn CallInterface>,
@@ -191,7 +194,7 @@
     }
 
     fn lost_by_long_event(&self, error: EventTooLong) -> LostAttempt {
-        self.plan.fleet.metrics().unusable_answers.count("long_event");
+        self.plan.fleet.metrics().unusable_answers.count(LONG_EVENT);
         if let Some(attempt) = &self.attempt {
             attempt.active.record_answer_outcome(true);
             attempt.active.record_failure_evidence(EvidenceKind::Unreachable);
