Take an answer at its word only if it names the request

Cause: a faulty server sent a 503 with Not-Executed and without an Attempt-Id on a kept connection, after the request had been sent there. The identifier was asked for in a 2xx only; a refusal, a 421 or an error without one was taken for the request's own.

The cause in "attempt brought no answer" and unusable_answers{foreign, unidentified} now tell it from a connection that failed.

--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -28,6 +28,10 @@
 
 /// The reason in metrics for an answer with too many bytes without progress.
 const NO_PROGRESS: &str = "no_progress";
+/// The reason in metrics for an answer to another request.
+const FOREIGN: &str = "foreign";
+/// The reason in metrics for an answer that names no request.
+const UNIDENTIFIED: &str = "unidentified";
 /// The reason in metrics for an answer over the size limit.
 const LONG_BODY: &str = "long_body";
 
@@ -232,8 +236,14 @@
             Err(LostAttempt::rejected("another server has the address"))
         }
         AnswerVerdict::Foreign => {
+            plan.fleet.metrics().unusable_answers.count(FOREIGN);
             Err(LostAttempt::unknown("the answer belongs to another request"))
         }
+        AnswerVerdict::Unidentified => {
+            plan.fleet.metrics().unusable_answers.count(UNIDENTIFIED);
+            let status = answer.head.status.as_u16();
+            Err(LostAttempt::unknown(format!("an answer with status {status} names no request")))
+        }
     }
 }
 
--- a/crates/papayamux-router/src/direct/interface.rs
+++ b/crates/papayamux-router/src/direct/interface.rs
@@ -45,6 +45,8 @@
     OtherServer,
     /// The answer doesn't belong to the request, or can't be attributed to it.
     Foreign,
+    /// The answer names no request, so that nothing it says can be attributed.
+    Unidentified,
 }
 
 /// An engine's list of its cache.
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -95,7 +95,8 @@
     pub answer_ends: ReasonCounters,
     /// Answers that were given up for what their servers sent: `no_progress` for too many bytes without
     /// a head or a piece of a body, `long_event` for a stream with too many bytes without an
-    /// event, `long_body` for another answer over the size limit.
+    /// event, `long_body` for another answer over the size limit, `foreign` for the answer to another
+    /// request, `unidentified` for one that names no request.
     pub unusable_answers: ReasonCounters,
     /// Answers that are relayed as they arrive, by how their first server marks the end of the body.
     pub relayed_framings: ReasonCounters,
