Repeat a read of the store over a new connection when the open one is silent

Cause: the read on the silent connection ended by its timeout of 1.5 s and counted as an outage of the store, so that the next read began the grace of two seconds in which entries that expired during an outage may come back. The pause before the read, its timeout and the grace come to 4.6 s.

Why the fix works: a read without an answer after 600 ms is sent once more over a new connection, and the first answer counts. The gap between two answers stays at 1.6 s, below the 2.5 s after which the list counts as unavailable; no entry of a living server expires in so short an outage.

--- a/crates/papayamux-coordination/src/source_polling.rs
+++ b/crates/papayamux-coordination/src/source_polling.rs
@@ -35,6 +35,10 @@
 /// Timeout of one read. A source under heavy load answers in hundreds of milliseconds; a connection
 /// that is silent for longer is closed.
 pub const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without an answer after which a read is also sent over a new connection, since the open one may
+/// have gone silent while the source serves others. Together with the longest pause between two reads it
+/// stays below the time after which the source counts as unavailable.
+pub const HEDGE_DELAY: Duration = Duration::from_millis(600);
 
 /// Times within which changes at the source must take effect.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -7,7 +7,7 @@
 
 use futures_util::future::{select, Either};
 use papayamux_coordination::fleet_knowledge::{SourceReaders, SourceRole, ViewOrigin};
-use papayamux_coordination::source_polling::{PollSchedule, PollView, READ_TIMEOUT};
+use papayamux_coordination::source_polling::{PollSchedule, PollView, HEDGE_DELAY, READ_TIMEOUT};
 use papayamux_state::service_config::ConfigurationSnapshot;
 use papayamux_state::source::{
     PositionedChange, SourceChange, SourceChanges, SourceContents, SourceError, SourcePosition,
@@ -148,7 +148,7 @@
                 return true;
             }
         }
-        let reading = self.source.read_configuration(ReadRecency::Recent);
+        let reading = self.hedge(|| self.source.read_configuration(ReadRecency::Recent));
         let read = monoio::time::timeout(READ_TIMEOUT, reading).await;
         self.last_configuration_read = Instant::now();
         match read.unwrap_or_else(|_| Err(timeout_error())) {
@@ -178,7 +178,8 @@
         if self.fleet.wanted_version().is_none() {
             return Ok(());
         }
-        let configuration = self.source.read_configuration(ReadRecency::Newest).await?;
+        let read = || self.source.read_configuration(ReadRecency::Newest);
+        let configuration = self.hedge(read).await?;
         configuration.into_iter().for_each(|newest| self.fleet.apply_configuration(newest));
         Ok(())
     }
@@ -235,6 +236,26 @@
         Err(SourceError::Unavailable("the changes after a full read do not end".to_string()))
     }
 
+    /// Runs a read, and runs it once more over a new connection if there is no answer for
+    /// [`HEDGE_DELAY`]. The first answer counts.
+    ///
+    /// A connection that has gone silent is no outage of the source: entries are renewed meanwhile, so
+    /// that a server that is missing has departed.
+    async fn hedge<'a, T>(
+        &'a self,
+        read: impl Fn() -> SourceRead<'a, T>,
+    ) -> Result<T, SourceError> {
+        let first = match select(read(), std::pin::pin!(monoio::time::sleep(HEDGE_DELAY))).await {
+            Either::Left((result, _)) => return result,
+            Either::Right(((), first)) => first,
+        };
+        self.fleet.metrics().source_reads.count("hedged");
+        match select(first, read()).await {
+            Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => Ok(answer),
+            Either::Left((Err(_), other)) | Either::Right((Err(_), other)) => other.await,
+        }
+    }
+
     /// Reads the changes, or everything if nothing is known yet.
     async fn read(&mut self) -> ReadResult {
         let sent = boot_now();
@@ -243,7 +264,9 @@
                 None => self.read_first().await.map(Box::new).map(ReadContents::All),
                 Some(position) => {
                     self.read_wanted().await?;
-                    self.source.read_changes(position).await.map(ReadContents::Changes)
+                    self.hedge(|| self.source.read_changes(position))
+                        .await
+                        .map(ReadContents::Changes)
                 }
             }
         };
