--- a/crates/papayamux-coordination/tests/constants.rs
+++ b/crates/papayamux-coordination/tests/constants.rs
@@ -7,7 +7,8 @@
 use insta::assert_snapshot;
 
 /// Files with decisions on the direct path, besides those in folders.
-const FILES: [&str; 13] = [
+const FILES: [&str; 14] = [
+    "late_delivery.rs",
     "link_delays.rs",
     "part_prefills.rs",
     "retry_delay.rs",
