--- a/review/standins-2/foreign_entry.rs
+++ b/review/standins-2/foreign_entry.rs
@@ -29,7 +29,7 @@
 /// An entry of another writer: its service is none of the configuration.
 const ENTRY: &str =
     "{\"service\":\"stock-index\",\"address\":\"127.0.0.1:9\",\"zone\":\"qigu-hall\",\
-    \"version\":\"4\",\"slots\":1,\"state\":\"ready\",\"cold_remaining_ms\":1e22,\"sequence\":1}";
+    \"version\":\"4\",\"slots\":1,\"state\":\"ready\",\"cold_remaining_ms\":12345678901234567890123,\"sequence\":1}";
 
 /// A request on a kept connection that ended without an answer.
 struct Unanswered {
