--- a/review/standins-2/router.rs
+++ b/review/standins-2/router.rs
@@ -62,13 +62,8 @@
             .stdout(log)
             .stderr(Stdio::inherit())
             .spawn();
-        let child = match child {
-            Ok(child) => child,
-            Err(error) => {
-                eprintln!("{PROGRAM}: {error}");
-                std::process::exit(2);
-            }
-        };
+        // A panic ends the case as one that can't run, after the other routers have been ended.
+        let child = child.unwrap_or_else(|error| panic!("{PROGRAM}: {error}"));
         Self { front, ready, name, child, folder: folder.to_path_buf() }
     }
 
