--- a/crates/papayamux-coordination/src/cold_servers/cold_tracker.rs
+++ b/crates/papayamux-coordination/src/cold_servers/cold_tracker.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use papayamux_state::durations::saturating_after;
 use papayamux_state::ids::ServerId;
 
 /// Window in which requests are counted: a second, plus a margin for late timers.
@@ -64,7 +65,7 @@
     /// ends too early.
     pub fn record_listed(&mut self, server: &ServerId, left: Duration, now: Instant) -> bool {
         match left.is_zero() {
-            false => self.extend(server, now + left),
+            false => self.extend(server, saturating_after(now, left)),
             true => {
                 if let Some(cold) =
                     self.servers.get_mut(server).and_then(|sends| sends.cold.as_mut())
@@ -80,7 +81,7 @@
     /// start.
     pub fn assume_cold(&mut self, server: &ServerId, max_duration: Duration, now: Instant) {
         if !max_duration.is_zero() {
-            self.extend(server, now + max_duration);
+            self.extend(server, saturating_after(now, max_duration));
         }
     }
 
--- a/crates/papayamux-coordination/tests/cold_servers.rs
+++ b/crates/papayamux-coordination/tests/cold_servers.rs
@@ -11,6 +11,7 @@
 use papayamux_coordination::cold_servers::{
     send_quota, ColdAllowance, ColdLimit, ColdTracker, ColdView, KnownRouters, SendQuota,
 };
+use papayamux_state::durations::MAX_DURATION;
 use papayamux_state::ids::ServerId;
 
 const ALLOWANCE: ColdAllowance = ColdAllowance { overshoot: 1.5, slack: 5.0 };
@@ -794,3 +795,18 @@
         }
     }
 }
+
+/// Guards against cold times of any source that end the router when it adds them to its clock.
+#[test]
+fn cold_times_of_any_length_are_tracked() {
+    let (server, now) = ("i-1".parse::<ServerId>().unwrap(), Instant::now());
+    for duration in [Duration::MAX, Duration::from_millis(u64::MAX), MAX_DURATION] {
+        let mut tracker = ColdTracker::default();
+        assert!(tracker.record_listed(&server, duration, now));
+        assert!(tracker.is_cold(&server, now + Duration::from_secs(3_600)));
+        tracker.assume_cold(&server, duration, now);
+        assert_eq!(tracker.cold_count(now), 1);
+        assert!(!tracker.record_listed(&server, Duration::ZERO, now));
+        assert_eq!(tracker.take_warmed(now).len(), 1);
+    }
+}
--- a/crates/papayamux-state/src/lib.rs
+++ b/crates/papayamux-state/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod claims;
 pub mod crash_record;
 pub mod crash_suspect;
+pub mod durations;
 pub mod evacuation;
 pub mod hash_ring;
 pub mod ids;
