Keep sums and times of figures from outside within their limits

A valid configuration with a time-out of 1e22 ms ended every router at the first request without a deadline; one with weights that add up to more than u32 sent all requests of a route to one service; loads that add up to more than u32 at one server made it look idle.

Figures of the configuration, of callers and of other routers became times and sums without a limit: Instant + Duration, Duration + Duration, mul_f64 and monoio's timers panic on overflow, and sums of integers wrap in a release build.

Why the fix works: durations that are computed from such figures saturate at a century (papayamux_state::durations), so that every sum of a few of them fits a clock and a timer. Sums of loads and tokens saturate, and weights are added as f64. Looked through for it: all additions to Instant, from_secs_f64, mul_f64, sum(), casts and indices of the direct path, of the decisions and of the messages between routers; columns of these have their lengths checked.

--- a/crates/papayamux-coordination/src/admission.rs
+++ b/crates/papayamux-coordination/src/admission.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use papayamux_protocol::link::{AgentClock, OpenRequest};
+use papayamux_state::durations::saturating_millis;
 use papayamux_state::ids::{Incarnation, RequestId};
 use papayamux_state::load::{GroupId, GroupLoad, LoadFactor, LoadReport};
 use papayamux_state::quantities::RequestCount;
@@ -187,7 +188,7 @@
         let excess = (self.running.get() + ahead + 1).saturating_sub(slots.get());
         let rate = self.running.get().max(1) as f64 / self.mean_run_ms.get().max(f64::MIN_POSITIVE);
         let wait_ms = (excess as f64 / rate).min(MAX_WAIT_ESTIMATE.as_millis() as f64);
-        Duration::from_secs_f64(wait_ms / 1_000.0)
+        saturating_millis(wait_ms)
     }
 
     /// Decides on a request that arrives at `now`.
--- a/crates/papayamux-coordination/src/part_owners.rs
+++ b/crates/papayamux-coordination/src/part_owners.rs
@@ -11,6 +11,7 @@
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
+use papayamux_state::durations::saturating_millis;
 use papayamux_state::prompt::PartId;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -73,7 +74,7 @@
     /// the part is not worth a query.
     pub fn wait_budget(&self, prefill_time: Duration) -> Option<Duration> {
         let max_wait = prefill_time.mul_f64(MAX_WAIT_FRACTION);
-        let usual = Duration::from_secs_f64(self.0.mean_ms() / 1_000.0);
+        let usual = saturating_millis(self.0.mean_ms());
         (usual <= max_wait).then(|| self.0.longer_than_usual(LATE_DEVIATIONS).min(max_wait))
     }
 }
--- a/crates/papayamux-coordination/src/part_prefills.rs
+++ b/crates/papayamux-coordination/src/part_prefills.rs
@@ -10,6 +10,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use papayamux_state::durations::saturating_after;
 use papayamux_state::ids::ServerId;
 use papayamux_state::prompt::PartId;
 use papayamux_state::quantities::TokenCount;
@@ -104,7 +105,8 @@
         prefixes: &[(PartId, TokenCount)],
         prefill: PromptPrefill,
     ) -> PrefillTicket {
-        let until = prefill.started_at + prefill.expected.mul_f64(MAX_OVERRUN_FACTOR);
+        let until =
+            saturating_after(prefill.started_at, prefill.expected.mul_f64(MAX_OVERRUN_FACTOR));
         let cold = prefill.cold;
         self.readers += 1;
         let reader = self.readers;
@@ -202,7 +204,7 @@
             Some((tokens.get(), part_prefill))
         });
         let covered: Vec<_> = covered.collect();
-        let saved: u64 = covered.iter().map(|(tokens, _)| tokens).sum();
+        let saved = covered.iter().fold(0u64, |sum, (tokens, _)| sum.saturating_add(*tokens));
         let longest = covered.iter().map(|(_, part_prefill)| part_prefill.cold.get()).max()?;
         let pays =
             saved >= MIN_AWAITED_TOKENS && saved as f64 >= longest as f64 * MIN_SHARED_FRACTION;
--- a/crates/papayamux-coordination/src/placement/load_ledger.rs
+++ b/crates/papayamux-coordination/src/placement/load_ledger.rs
@@ -32,8 +32,8 @@
 
 impl ServerLoad {
     fn add(&mut self, other: ServerLoad) {
-        self.requests += other.requests;
-        self.backlog += other.backlog;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.backlog = self.backlog.saturating_add(other.backlog);
     }
 
     /// Estimates the whole load, given that this is the load of a `fraction` of the routers.
@@ -86,7 +86,7 @@
         at = Some(backlog.received_at);
     }
     left.saturating_sub(at.map_or(0, |at| prefilled_between(at, now)))
-        .saturating_add(repeated.sum())
+        .saturating_add(repeated.fold(0, u64::saturating_add))
 }
 
 /// The load of this router's own requests, counted exactly, and that of other routers by their last
@@ -95,7 +95,7 @@
 pub struct LoadLedger {
     own: HashMap<ServerId, ServerLoad>,
     reports: HashMap<RouterId, RouterReport>,
-    reported: HashMap<ServerId, u32>,
+    reported: HashMap<ServerId, u64>,
     backlogs: HashMap<ServerId, Vec<ReportedBacklog>>,
     reported_fraction: ReportedFraction,
 }
@@ -143,7 +143,7 @@
             before.iter().any(|(known, load)| known == server && load.backlog > 0)
         };
         for (server, load) in &loads {
-            *self.reported.entry(server.clone()).or_default() += load.requests;
+            *self.reported.entry(server.clone()).or_default() += u64::from(load.requests);
             if load.backlog > 0 {
                 let is_repeated = had_backlog(server);
                 let backlog =
@@ -191,8 +191,9 @@
     /// prompts to other engines needlessly.
     pub fn total(&self, server: &ServerId, now: Instant, tokens_per_ms: f64) -> ServerLoad {
         let backlogs = self.backlogs.get(server).map(Vec::as_slice).unwrap_or_default();
+        let requests = self.reported.get(server).copied().unwrap_or_default();
         let reported = ServerLoad {
-            requests: self.reported.get(server).copied().unwrap_or_default(),
+            requests: u32::try_from(requests).unwrap_or(u32::MAX),
             backlog: remaining_backlog(backlogs, now, tokens_per_ms),
         };
         let mut total = self.own.get(server).copied().unwrap_or_default();
@@ -205,7 +206,7 @@
         let Some(report) = self.reports.remove(&router) else { return Vec::new() };
         for (server, load) in &report.loads {
             if let Some(reported) = self.reported.get_mut(server) {
-                *reported = reported.saturating_sub(load.requests);
+                *reported = reported.saturating_sub(u64::from(load.requests));
                 if *reported == 0 {
                     self.reported.remove(server);
                 }
--- a/crates/papayamux-coordination/src/prefill_backlog.rs
+++ b/crates/papayamux-coordination/src/prefill_backlog.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use papayamux_protocol::link::AgentClock;
+use papayamux_state::durations::{saturating_millis, saturating_secs};
 use papayamux_state::quantities::TokenCount;
 
 /// Backlog of one engine, computed from its prefill rate and the prompts that its agent gave it.
@@ -28,7 +29,7 @@
 
     /// Returns the prefill time of a prompt of which `tokens` are not cached.
     pub fn time_for(&self, tokens: TokenCount) -> Duration {
-        Duration::from_secs_f64(tokens.get() as f64 / self.tokens_per_second)
+        saturating_secs(tokens.get() as f64 / self.tokens_per_second)
     }
 
     /// Adds a prompt that the engine is given at `now`.
@@ -40,6 +41,6 @@
     /// Returns the time for which the engine is still busy at `now`.
     pub fn left(&self, now: AgentClock) -> Duration {
         let left_ms = (self.busy_until_ms.get() - now.0 as f64).max(0.0);
-        Duration::from_secs_f64(left_ms / 1_000.0)
+        saturating_millis(left_ms)
     }
 }
--- a/crates/papayamux-coordination/src/route_cost.rs
+++ b/crates/papayamux-coordination/src/route_cost.rs
@@ -6,6 +6,7 @@
 use papayamux_protocol::link::ProbeReply;
 use papayamux_protocol::wire::MAX_CHECKPOINTS;
 use papayamux_state::cache_index::short_hash;
+use papayamux_state::durations::saturating_secs;
 use papayamux_state::quantities::{RequestCount, TokenCount};
 
 /// Maximum number of blocks of a prompt that a probe names.
@@ -70,10 +71,10 @@
     let cold = cold_cost(reply.prefill_rate, checkpoints.cold_tokens(reply.warm));
     let requests = (reply.load.running + reply.load.waiting).get();
     let concurrency = TIME_PER_REQUEST.saturating_mul(u32::try_from(requests).unwrap_or(u32::MAX));
-    Some(reply.load.backlog + cold + concurrency)
+    Some(reply.load.backlog.saturating_add(cold).saturating_add(concurrency))
 }
 
 fn cold_cost(rate: TokenCount, tokens: TokenCount) -> Duration {
     let seconds = tokens.get() as f64 / rate.get().max(1) as f64;
-    Duration::from_secs_f64(seconds * COLD_WEIGHT)
+    saturating_secs(seconds * COLD_WEIGHT)
 }
--- a/crates/papayamux-coordination/src/server_presence.rs
+++ b/crates/papayamux-coordination/src/server_presence.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use papayamux_state::backend::{BackendServer, ServerCatalog, ServerPhase};
+use papayamux_state::durations::saturating_after;
 use papayamux_state::ids::{ServerId, ServerName};
 
 /// Time after the list is back in which an expired entry may still be renewed. Servers renew within
@@ -169,7 +170,7 @@
     ) -> Option<(ServerId, PresenceChange)> {
         let known = self.id_of(&server.name)?;
         let change = match known == server.id && !left.is_zero() {
-            true => self.expire(&known, now + left),
+            true => self.expire(&known, saturating_after(now, left)),
             false => self.record_overwrite(&known),
         };
         Some((known, change))
@@ -221,7 +222,7 @@
     /// router that reached it knows that missing servers have departed. By its own grace period,
     /// this router would use such a server for two seconds after its first read behind a partition.
     pub fn adopt_grace(&mut self, left: Duration, now: Instant) -> Vec<ServerId> {
-        let until = now + left;
+        let until = saturating_after(now, left);
         self.grace_until = (!left.is_zero()).then_some(until);
         self.expired.values_mut().for_each(|expired| *expired = (*expired).min(until));
         self.remove_expired(now)
--- a/crates/papayamux-coordination/src/server_profile/estimates.rs
+++ b/crates/papayamux-coordination/src/server_profile/estimates.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use papayamux_state::durations::saturating_millis;
+
 /// Step of a new estimate, in units of the natural logarithm: the second sample may differ from the
 /// prior by a factor of e.
 const FIRST_STEP: f64 = 1.0;
@@ -192,6 +194,6 @@
     /// Returns the mean plus `deviations` times the mean deviation.
     pub fn longer_than_usual(&self, deviations: f64) -> Duration {
         let span = self.mean_ms + deviations * self.deviation_ms;
-        Duration::try_from_secs_f64(span / 1_000.0).unwrap_or(Duration::MAX)
+        saturating_millis(span)
     }
 }
--- a/crates/papayamux-coordination/src/server_profile/server_speed.rs
+++ b/crates/papayamux-coordination/src/server_profile/server_speed.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use papayamux_state::durations::{saturating_millis, saturating_secs};
 use papayamux_state::quantities::TokenCount;
 
 /// Fraction of the event gap by which one more request on an engine delays the next one: its share
@@ -163,7 +164,7 @@
     /// given the `requests` already there. Each of them is taken to keep its slot for as long as
     /// this answer takes. Without this wait prompts would stay at full homes.
     pub fn slot_wait(&self, slots: u32, requests: u32, answer: TokenCount) -> Duration {
-        let before = (requests + 1).saturating_sub(slots);
+        let before = requests.saturating_add(1).saturating_sub(slots);
         if slots == 0 || before == 0 {
             return Duration::ZERO;
         }
@@ -209,9 +210,9 @@
     if factor == 1.0 {
         return span;
     }
-    Duration::try_from_secs_f64(span.as_secs_f64() * factor).unwrap_or(Duration::MAX)
+    saturating_secs(span.as_secs_f64() * factor)
 }
 
 fn millis(span: f64) -> Duration {
-    Duration::try_from_secs_f64(span / 1_000.0).unwrap_or(Duration::MAX)
+    saturating_millis(span)
 }
--- a/crates/papayamux-coordination/src/service_queue/caller_time.rs
+++ b/crates/papayamux-coordination/src/service_queue/caller_time.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use papayamux_state::durations::saturating_after;
+
 /// Share of the slack that a request may spend in the queue. The rest is left for the server's own
 /// queue and for estimation errors.
 const SLACK_SHARE: f64 = 0.6;
@@ -35,7 +37,7 @@
     pub fn answer_deadline(&self) -> Instant {
         let first_attempt =
             self.arrived.checked_sub(self.since_first_attempt).unwrap_or(self.arrived);
-        first_attempt + self.objective
+        saturating_after(first_attempt, self.objective)
     }
 
     /// Returns whether the request can no longer be answered within its objective.
--- a/crates/papayamux-coordination/src/shared_queue/slot_server.rs
+++ b/crates/papayamux-coordination/src/shared_queue/slot_server.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use papayamux_state::durations::saturating_secs;
 use papayamux_state::ids::ServerKey;
 
 /// Number of slots for each of which one request more is granted than there are slots, so that a
@@ -54,7 +55,7 @@
     /// Returns the time that a call takes at the moment.
     pub(super) fn current_call_time(&self) -> Duration {
         let factor = if self.slowdown.is_finite() { self.slowdown.max(0.0) } else { 1.0 };
-        Duration::try_from_secs_f64(self.call_time.as_secs_f64() * factor).unwrap_or(Duration::MAX)
+        saturating_secs(self.call_time.as_secs_f64() * factor)
     }
 
     /// Returns the number of further requests that are granted while `taken` are there.
--- a/crates/papayamux-coordination/tests/placement.rs
+++ b/crates/papayamux-coordination/tests/placement.rs
@@ -383,3 +383,21 @@
     assert_eq!(placed(plain, &[slowed, candidate(8)]), 1, "a full server is faster still");
     assert_eq!(placed(plain, &[slowed, candidate(16)]), 0, "a long queue is slower");
 }
+
+/// Guards against sums of reported loads that overflow, so that an overloaded server looks idle.
+#[test]
+fn reported_loads_of_any_size_add_up() {
+    let (server, now): (ServerId, _) = ("i-1".parse().unwrap(), Instant::now());
+    let most = ServerLoad { requests: u32::MAX, backlog: u64::MAX };
+    let mut ledger = LoadLedger::default();
+    ledger.begin(&server, most);
+    ledger.begin(&server, most);
+    let routers = ["10.0.0.1", "10.0.0.2"].map(|address| RouterId(address.parse().unwrap()));
+    for router in routers.iter().chain(&routers) {
+        ledger.record_report(*router, vec![(server.clone(), most)], now);
+    }
+    assert_eq!(ledger.total(&server, now, PREFILL_RATE), most);
+    ledger.record_report(routers[0], Vec::new(), now);
+    ledger.end(&server, most);
+    assert_eq!(ledger.total(&server, now, PREFILL_RATE), most);
+}
--- a/crates/papayamux-coordination/tests/service_queue.rs
+++ b/crates/papayamux-coordination/tests/service_queue.rs
@@ -6,6 +6,7 @@
 use papayamux_coordination::service_queue::{
     request_work, CallerTime, EnqueueOutcome, FlowKey, QueuedRequest, ServiceQueue,
 };
+use papayamux_state::durations::MAX_DURATION;
 use papayamux_state::quantities::TokenCount;
 
 /// Slots of the simulated service. Each request takes [`SERVICE_TIME`], so 160 requests complete
@@ -523,3 +524,20 @@
     let half = dispatched.len() / 4 / 2;
     assert!(batch >= half, "{batch} of {}", dispatched.len());
 }
+
+/// Guards against objectives that end the router when it adds them to its clock.
+#[test]
+fn objectives_of_any_length_have_a_deadline() {
+    let now = Instant::now();
+    let time = CallerTime {
+        arrived: now,
+        since_first_attempt: Duration::ZERO,
+        objective: Duration::MAX,
+        time_left: MAX_DURATION,
+        service_time: Duration::MAX,
+    };
+    assert_eq!(time.answer_deadline(), now + MAX_DURATION);
+    let time = CallerTime { objective: MAX_DURATION, ..time };
+    assert!(time.is_late());
+    assert!(time.wait_budget() <= MAX_DURATION);
+}
--- a/crates/papayamux-protocol/src/service_configuration.rs
+++ b/crates/papayamux-protocol/src/service_configuration.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use papayamux_state::durations::MAX_DURATION;
 use papayamux_state::ids::{IdError, Region};
 use papayamux_state::quantities::{ByteCount, TokenCount};
 use papayamux_state::service_config::{
@@ -225,9 +226,9 @@
             id: wire.id.parse().map_err(invalid("route"))?,
             shares: shares.collect::<Result<_, ConfigurationError>>()?,
             kind,
-            timeout: Duration::from_micros(wire.timeout_us),
-            objective: Duration::from_micros(wire.objective_us),
-            gap_objective: wire.gap_objective_us.map(Duration::from_micros),
+            timeout: from_micros(wire.timeout_us),
+            objective: from_micros(wire.objective_us),
+            gap_objective: wire.gap_objective_us.map(from_micros),
             attempts: wire.attempts,
             priority: wire.priority,
             anonymous: wire.anonymous,
@@ -290,7 +291,7 @@
                 transfer_tokens_per_ms: engine.transfer_tokens_per_ms,
             }),
             cold_start: wire.cold_start.map(|cold_start| ColdStart {
-                duration: Duration::from_micros(cold_start.duration_us),
+                duration: from_micros(cold_start.duration_us),
                 per_second: cold_start.per_second,
             }),
         }
@@ -313,8 +314,8 @@
         Self {
             head_bytes: ByteCount::new(wire.head_bytes),
             body_bytes: ByteCount::new(wire.body_bytes),
-            head_timeout: Duration::from_micros(wire.head_timeout_us),
-            idle_timeout: Duration::from_micros(wire.idle_timeout_us),
+            head_timeout: from_micros(wire.head_timeout_us),
+            idle_timeout: from_micros(wire.idle_timeout_us),
         }
     }
 }
@@ -364,6 +365,10 @@
     regions.map_err(invalid("home region"))
 }
 
+fn from_micros(micros: u64) -> Duration {
+    Duration::from_micros(micros).min(MAX_DURATION)
+}
+
 fn whole_micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -17,6 +17,7 @@
 use papayamux_coordination::service_retry_budget::RetryUsage;
 use papayamux_coordination::stream_origins::VersionRule;
 use papayamux_state::backend::BackendServer;
+use papayamux_state::durations::saturating_after;
 use papayamux_state::ids::{OrganisationId, ServerId, ServiceId};
 use papayamux_state::quantities::TokenCount;
 use papayamux_state::request_fingerprint::{RequestContent, RequestFingerprint};
@@ -76,7 +77,7 @@
             service,
             holder,
             arrived,
-            give_up_at: arrived + longest,
+            give_up_at: saturating_after(arrived, longest),
             fingerprint: OnceCell::new(),
             sent: Vec::new(),
             history: AttemptHistory::default(),
--- a/crates/papayamux-router/src/direct/fleet/choice.rs
+++ b/crates/papayamux-router/src/direct/fleet/choice.rs
@@ -13,6 +13,7 @@
 use papayamux_coordination::server_profile::ServerSpeed;
 use papayamux_coordination::stream_origins::VersionRule;
 use papayamux_state::backend::{BackendServer, ServerPhase};
+use papayamux_state::durations::duration_from_millis;
 use papayamux_state::ids::{ServerId, ServerKey, ServiceId};
 use papayamux_state::prompt::{PromptChain, WarmParts};
 use papayamux_state::quantities::TokenCount;
@@ -357,7 +358,7 @@
     placement.fetch_from?;
     let copied = request.prompt.saturating_sub(placement.held).saturating_sub(placement.cold);
     let span_ms = copied.get() as f64 / request.transfer_tokens_per_ms?;
-    Duration::try_from_secs_f64(span_ms / 1_000.0).ok()
+    duration_from_millis(span_ms).ok()
 }
 
 fn server_is_engine(prompt: &PromptChain) -> bool {
--- a/crates/papayamux-state/src/service_config/route.rs
+++ b/crates/papayamux-state/src/service_config/route.rs
@@ -48,8 +48,8 @@
     /// Returns the service for a request, chosen by weight with the random number `sample` in the
     /// range 0 (inclusive) to 1 (exclusive).
     pub fn pick_service(&self, sample: f64) -> Option<&ServiceId> {
-        let total: u32 = self.shares.iter().map(|share| share.weight).sum();
-        let mut left = sample * f64::from(total);
+        let total: f64 = self.shares.iter().map(|share| f64::from(share.weight)).sum();
+        let mut left = sample * total;
         let chosen = self.shares.iter().find(|share| {
             left -= f64::from(share.weight);
             left < 0.0
