Read bounds that are fractions, and none that no clock can represent

Cause: a duration in the settings was read as a whole number, while DEPLOY.md lists bounds as "whole numbers, fractions, or true or false". In the other direction, durations up to u64 were read, beyond what timers can represent, and factors that are no finite number, such as a retry ratio of NaN, which compares with nothing and so allowed every retry.

Evidence: bounds_may_be_fractions and figures_out_of_range_are_findings fail on the code before ("a duration is a whole number with ms, s or m behind it"; NaN was accepted).

Why the fix works: durations are read as any number up to a century, and factors as finite numbers of at least 0. What is out of range is a finding with its line, as other values that don't fit.

--- a/crates/papayamux-agent/src/claims/claim_settings.rs
+++ b/crates/papayamux-agent/src/claims/claim_settings.rs
@@ -66,7 +66,8 @@
     /// than the clock margin, has to wait only until then: no earlier incarnation can have granted
     /// any.
     pub fn ready_in(&self, now: SystemTime) -> Duration {
-        let opens_at = self.opens_at.map(|seconds| UNIX_EPOCH + Duration::from_secs(seconds));
+        let opens_at =
+            self.opens_at.and_then(|seconds| UNIX_EPOCH.checked_add(Duration::from_secs(seconds)));
         let opens_in = opens_at.and_then(|opens_at| opens_at.duration_since(now).ok());
         match opens_in {
             Some(opens_in) if opens_in > CLOCK_MARGIN => opens_in.min(self.retention),
--- a/crates/papayamux-router/src/direct/settings.rs
+++ b/crates/papayamux-router/src/direct/settings.rs
@@ -13,7 +13,7 @@
 use papayamux_coordination::recent_departures::DepartureBounds;
 use papayamux_coordination::service_retry_budget::RetryAllowance;
 use papayamux_coordination::source_polling::ReadBounds;
-use papayamux_settings::{DurationSetting, Findings, IniFile};
+use papayamux_settings::{DurationSetting, FactorSetting, Findings, IniFile};
 use papayamux_state::capacity_class::{CapacityClass, ProcessorShare};
 use papayamux_state::ids::{FailureDomain, Region};
 use papayamux_state::quantities::ByteCount;
@@ -51,7 +51,7 @@
     #[builder(default = DEFAULT_RENEWAL)]
     pub renewal_every: Duration,
     /// Maximum number of requests at a server, as a multiple of the mean.
-    #[builder(default = 2.0)]
+    #[builder(default = DEFAULT_LOAD_FACTOR)]
     pub load_factor: f64,
     /// Maximum size of an answer that is no stream of events.
     #[builder(default = DEFAULT_LONGEST_ANSWER)]
@@ -98,6 +98,8 @@
     }
 }
 
+/// Default maximum number of requests at a server, as a multiple of the mean.
+const DEFAULT_LOAD_FACTOR: f64 = 2.0;
 /// Default interval between two renewals: a common heartbeat interval.
 const DEFAULT_RENEWAL: Duration = Duration::from_millis(1_200);
 /// Default maximum size of an answer.
@@ -239,17 +241,18 @@
     let bounds = file.section("bounds");
     let defaults = RetryAllowance::default();
     let retries = RetryAllowance {
-        ratio: bounds.or("retry_ratio", defaults.ratio),
-        slack: bounds.or("retry_slack", defaults.slack),
+        ratio: bounds.or("retry_ratio", FactorSetting(defaults.ratio)).0,
+        slack: bounds.or("retry_slack", FactorSetting(defaults.slack)).0,
         window: bounds.or("retry_window", DurationSetting(defaults.window)).0,
     };
     let revoke_within = bounds.optional::<DurationSetting>("revoke_within").map(|millis| millis.0);
     let millis = |key: &str| bounds.optional::<DurationSetting>(key).map(|millis| millis.0);
     let (apply_within, drain_within) = (millis("apply_within"), millis("drain_within"));
     let evacuate_within = millis("evacuate_within");
-    let overshoot: Option<f64> = bounds.optional("cold_overshoot");
-    let slack = bounds.or("cold_slack", 0.0);
-    let cold_allowance = overshoot.map(|overshoot| ColdAllowance { overshoot, slack });
+    let overshoot: Option<FactorSetting> = bounds.optional("cold_overshoot");
+    let slack = bounds.or("cold_slack", FactorSetting(0.0)).0;
+    let cold_allowance =
+        overshoot.map(|FactorSetting(overshoot)| ColdAllowance { overshoot, slack });
     let renewal_every = bounds.or("renewal_every", DurationSetting(DEFAULT_RENEWAL)).0;
     let placement = file.optional_section("placement");
     let policy = placement.or("policy", PlacementPolicy::default());
@@ -257,7 +260,7 @@
     let experiment = file.optional_section("experiment");
     let disabled = experiment.list("disable").into_iter().collect();
     experiment.report_unknown_keys();
-    let load_factor = bounds.or("load_factor", 2.0);
+    let load_factor = bounds.or("load_factor", FactorSetting(DEFAULT_LOAD_FACTOR)).0;
     let longest_answer = bounds.or("longest_answer", DEFAULT_LONGEST_ANSWER);
     let grace = bounds.or("grace", DEFAULT_GRACE).0;
     bounds.report_unknown_keys();
--- a/crates/papayamux-router/tests/direct_settings.rs
+++ b/crates/papayamux-router/tests/direct_settings.rs
@@ -44,6 +44,43 @@
     assert_eq!(settings.fleet.departure_bounds().renewal_interval, Duration::from_millis(1_500));
 }
 
+/// Guards against routers that don't start because a bound is a fraction.
+#[test]
+fn bounds_may_be_fractions() {
+    let read =
+        |from: &str, to: &str| DirectSettings::read("front.ini", &COMPLETE.replace(from, to));
+    let settings = read("grace = 8s", "grace = 7.5s").unwrap();
+    assert_eq!(settings.grace, Duration::from_millis(7_500));
+    let settings = read("retry_window = 10s", "retry_window = 1e1s").unwrap();
+    assert_eq!(settings.fleet.retries.window, Duration::from_secs(10));
+    let settings = read("apply_within = 2000ms", "apply_within = 2000.5ms").unwrap();
+    assert_eq!(settings.fleet.apply_within, Some(Duration::from_micros(2_000_500)));
+    let settings = read("retry_slack = 56", "retry_slack = 5.6e1").unwrap();
+    assert_eq!(settings.fleet.retries.slack, 56.0);
+}
+
+/// Guards against bounds that no clock can represent, and against factors that switch their limit off.
+#[test]
+fn figures_out_of_range_are_findings() {
+    for (key, value) in [
+        ("grace", "-1s"),
+        ("grace", "18446744073709551615s"),
+        ("revoke_within", "1e22ms"),
+        ("revoke_within", "NaNms"),
+        ("retry_ratio", "NaN"),
+        ("retry_slack", "inf"),
+        ("load_factor", "-2"),
+        ("load_factor", "1e999"),
+    ] {
+        let lines = COMPLETE.lines().map(|line| match line.split_once(" = ") {
+            Some((name, _)) if name == key => format!("{key} = {value}\n"),
+            _ => format!("{line}\n"),
+        });
+        let findings = DirectSettings::read("front.ini", &lines.collect::<String>()).unwrap_err();
+        assert!(findings.to_string().contains(key), "{key} = {value}: {findings}");
+    }
+}
+
 #[test]
 fn operators_may_let_each_router_read_by_itself() {
     let read = |text: &str| DirectSettings::read("front.ini", text);
--- a/crates/papayamux-settings/src/section.rs
+++ b/crates/papayamux-settings/src/section.rs
@@ -4,44 +4,11 @@
 use std::collections::HashSet;
 use std::fmt;
 use std::str::FromStr;
-use std::time::Duration;
 
 use ini::Properties;
-use thiserror::Error;
 
 use crate::ini_file::IniFile;
 
-/// A duration written in milliseconds (`250ms`), seconds (`2s`) or minutes (`5m`).
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct DurationSetting(pub Duration);
-
-/// The error of parsing a [`DurationSetting`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
-#[error("a duration is a whole number with ms, s or m behind it")]
-pub struct DurationSettingError;
-
-impl FromStr for DurationSetting {
-    type Err = DurationSettingError;
-
-    fn from_str(text: &str) -> Result<Self, DurationSettingError> {
-        let digits = text.trim_end_matches(|character: char| character.is_ascii_alphabetic());
-        let count: u64 = digits.parse().map_err(|_| DurationSettingError)?;
-        let millis = match &text[digits.len()..] {
-            "ms" => Some(count),
-            "s" => count.checked_mul(1_000),
-            "m" => count.checked_mul(60_000),
-            _ => None,
-        };
-        millis.map(|millis| Self(Duration::from_millis(millis))).ok_or(DurationSettingError)
-    }
-}
-
-impl fmt::Display for DurationSetting {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}ms", self.0.as_millis())
-    }
-}
-
 /// Reads the keys of a section and reports those that are missing, malformed or unknown.
 #[derive(Debug)]
 pub struct SectionReader<'a> {
