Don't take a configuration for the newest while a later one can't be read

What callers saw: a key that the operator had revoked ran on at every router for as long as the processes ran, which said that they were ready.

Cause: a configuration that couldn't be read became no change at all (StoreSource), and the read that brought it confirmed the one before as the newest. Followers took that confirmation over, routers that started took over the view, and each router vouched for it to others.

Evidence: "the configuration can't be read" stood in the logs once, while configuration_age_ms stayed below 0.5 s in every line after it: the confirmation, not the store's outage or another router's word. What was missing to tell this from outside is there now: the metrics configuration_faults and unreadable_configuration, the status field configuration_readable and the reason unreadable_configuration.

Why the fix works: a source returns the fault with its position, and ConfigurationReadability keeps the latest verdict by position. While the newest configuration is unreadable, a read confirms servers and evacuations, but no keys; updates and views say so, so that followers and routers that start don't confirm them either, and none of them reads the store for it. Keys are refused from the bound on, by 503 and at once; 401 and 404 are given out by a newest configuration only.

--- a/crates/papayamux-coordination/src/key_freshness.rs
+++ b/crates/papayamux-coordination/src/key_freshness.rs
@@ -59,11 +59,6 @@
         self.confirmed.max(self.peer_confirmed).map(|known| now.since(known))
     }
 
-    /// Returns the time at which configuration and servers were last known to be the newest.
-    pub fn confirmed(&self) -> Option<BootInstant> {
-        self.confirmed
-    }
-
     /// Returns whether keys may be accepted.
     pub fn is_fresh(&self, now: BootInstant) -> bool {
         self.is_within(self.age(now))
--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cache_survey;
 pub mod claims;
 pub mod cold_servers;
+pub mod configuration_readability;
 pub mod crash_quarantine;
 pub mod domain_evacuations;
 pub mod failure_rates;
--- a/crates/papayamux-protocol/src/fleet_update.rs
+++ b/crates/papayamux-protocol/src/fleet_update.rs
@@ -67,6 +67,9 @@
     pub position: SourcePosition,
     /// The newest configuration version up to that position.
     pub version: u64,
+    /// `true` if the sender could read the newest configuration up to that position; `None` from a router
+    /// that doesn't report it.
+    pub configuration_readable: Option<bool>,
     /// The number of routers that have sent the update on, including the one that read the source;
     /// 1 if it comes directly from that router.
     pub hops: u32,
@@ -169,6 +172,8 @@
     partial_span: Option<SpanWire>,
     #[prost(uint64, tag = "10")]
     era: u64,
+    #[prost(bool, optional, tag = "11")]
+    configuration_readable: Option<bool>,
 }
 
 /// The error of decoding an update.
@@ -346,6 +351,7 @@
             revision: update.position.revision,
             era: update.position.era.0,
             version: update.version,
+            configuration_readable: update.configuration_readable,
             hops: update.hops,
             grace_ms: update.grace_ms,
             span: update.span.as_ref().filter(|span| span.is_complete).map(SpanWire::from),
@@ -364,6 +370,7 @@
             shift_ms: wire.shift_ms,
             position: SourcePosition::new(SourceEra(wire.era), wire.revision),
             version: wire.version,
+            configuration_readable: wire.configuration_readable,
             hops: wire.hops,
             grace_ms: wire.grace_ms,
             span: match (wire.span, wire.partial_span) {
--- a/crates/papayamux-protocol/tests/fleet_view.rs
+++ b/crates/papayamux-protocol/tests/fleet_view.rs
@@ -104,6 +104,7 @@
             shift_ms: 0,
             position: position(4_000_117),
             version: 45,
+            configuration_readable: Some(true),
             hops: 2,
             grace_ms: 1_750,
             span: Some(UpdateSpan {
--- a/crates/papayamux-protocol/tests/router_report.rs
+++ b/crates/papayamux-protocol/tests/router_report.rs
@@ -178,6 +178,7 @@
         shift_ms: -612,
         position: position(4_000_117),
         version: 45,
+        configuration_readable: Some(true),
         hops: 2,
         grace_ms: 1_750,
         span: Some(span),
--- a/crates/papayamux-router/src/direct/admission.rs
+++ b/crates/papayamux-router/src/direct/admission.rs
@@ -13,6 +13,8 @@
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(60);
 /// Retry delay for a caller whose key could not be confirmed: another router can serve it at once.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Retry delay for a caller while no router can read the newest configuration.
+const UNREADABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Retry delay for a caller while the router has no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -31,25 +33,35 @@
                 return Ok(admitted);
             }
             Err(failure) if self.is_conclusive(&failure) => return Err(failure),
-            // Requests neither wait for a source that is known to be unreachable nor add reads to
-            // it.
-            _ if self.source_is_reachable() => self.refresh_configuration(CONFIRM_TIMEOUT).await,
+            // Requests wait for no source that is known to be unreachable, nor for a configuration that
+            // can't be read, and add no reads.
+            _ if self.may_be_confirmed() => self.refresh_configuration(CONFIRM_TIMEOUT).await,
             _ => {}
         }
-        let stale = CallFailure::NotRun {
-            reason: NotRunReason::StaleConfiguration,
-            retry_after: Some(STALE_RETRY_AFTER),
-        };
         match self.look_up(call) {
             Ok((admitted, needs_key)) if !needs_key || self.keys_are_fresh() => Ok(admitted),
             Err(failure) if self.is_conclusive(&failure) => Err(failure),
-            _ => Err(stale),
+            _ => Err(self.unconfirmed()),
         }
     }
 
+    /// Returns the failure of a request for which the configuration in force may not be the newest.
+    fn unconfirmed(&self) -> CallFailure {
+        let (reason, retry_after) = match self.configuration_is_readable() {
+            true => (NotRunReason::StaleConfiguration, STALE_RETRY_AFTER),
+            false => (NotRunReason::UnreadableConfiguration, UNREADABLE_RETRY_AFTER),
+        };
+        CallFailure::NotRun { reason, retry_after: Some(retry_after) }
+    }
+
     /// Returns whether the configuration is recent enough to refuse a request by it.
     fn is_conclusive(&self, failure: &CallFailure) -> bool {
         match failure {
+            CallFailure::UnknownRoute | CallFailure::UnknownKey
+                if !self.configuration_is_readable() =>
+            {
+                false
+            }
             CallFailure::UnknownRoute | CallFailure::UnknownKey => {
                 let longest = self.settings().negative_age();
                 self.configuration_age().is_some_and(|age| age < longest)
--- a/crates/papayamux-router/src/direct/call.rs
+++ b/crates/papayamux-router/src/direct/call.rs
@@ -90,6 +90,9 @@
     /// The router can't confirm that its configuration is still in force.
     #[error("the configuration could not be confirmed")]
     StaleConfiguration,
+    /// The newest configuration can't be read.
+    #[error("the newest configuration can't be read")]
+    UnreadableConfiguration,
     /// The service has no server.
     #[error("no backend server is there")]
     NoServer,
@@ -134,6 +137,7 @@
         match self {
             NotRunReason::NoConfiguration => "no_configuration",
             NotRunReason::StaleConfiguration => "stale_configuration",
+            NotRunReason::UnreadableConfiguration => "unreadable_configuration",
             NotRunReason::NoServer => "no_server",
             NotRunReason::Evacuated => "evacuated",
             NotRunReason::OutsideHomes => "outside_homes",
--- a/crates/papayamux-router/src/direct/daemon.rs
+++ b/crates/papayamux-router/src/direct/daemon.rs
@@ -65,6 +65,7 @@
             "ready": self.is_ready(),
             "draining": self.draining.get(),
             "configuration": version,
+            "configuration_readable": self.fleet.configuration_is_readable(),
             "servers": self.fleet.server_count(),
             "cold_servers": self.fleet.cold_server_count(),
             "evacuated": self.fleet.evacuated_revisions(),
--- a/crates/papayamux-router/src/direct/fleet/configuration_freshness.rs
+++ b/crates/papayamux-router/src/direct/fleet/configuration_freshness.rs
@@ -10,6 +10,7 @@
 use papayamux_coordination::mechanism::Mechanism;
 use papayamux_state::boot_time::BootInstant;
 use papayamux_state::service_config::{ConfigVersion, ConfigurationSnapshot};
+use papayamux_state::source::{ConfigurationFault, ListedConfiguration, SourcePosition};
 use papayamux_transport::boot_clock::boot_now;
 
 use super::Fleet;
@@ -41,23 +42,78 @@
         self.configuration_applied.take().trigger();
     }
 
+    /// Puts a configuration that was read from the source in force, or records that the newest one can't be
+    /// read.
+    pub fn record_configuration(&self, listed: ListedConfiguration) {
+        let ListedConfiguration { position, contents } = listed;
+        self.record_readability(position, contents.is_ok());
+        match contents {
+            Ok(snapshot) => self.apply_configuration(snapshot),
+            Err(fault) => {
+                self.metrics.configuration_faults.inc();
+                log::error!(
+                    position:% = position, cause:% = fault,
+                    in_force:% = self.configuration_version(); "the configuration can't be read"
+                );
+            }
+        }
+    }
+
+    /// Records that the source lists no configuration at `position`.
+    pub(in crate::direct) fn record_missing_configuration(&self, position: SourcePosition) {
+        if self.configuration().is_some() {
+            let contents = Err(ConfigurationFault("the source lists none".to_string()));
+            self.record_configuration(ListedConfiguration { position, contents });
+        }
+    }
+
+    /// Records whether the newest configuration at `position` can be read, as this router or another one
+    /// found.
+    pub(super) fn record_readability(&self, position: SourcePosition, is_readable: bool) {
+        let mut readability = self.readability.get();
+        let is_changed = readability.record(position, is_readable);
+        self.readability.set(readability);
+        if !is_changed {
+            return;
+        }
+        self.metrics.unreadable_configuration.set(i64::from(!is_readable));
+        let in_force = self.configuration_version();
+        match is_readable {
+            true => log::info!(position:% = position; "the newest configuration can be read again"),
+            false => log::error!(
+                position:% = position, in_force:% = in_force;
+                "the newest configuration is unknown, keys will be refused"
+            ),
+        }
+    }
+
+    /// Returns whether the newest known configuration could be read. Otherwise an older one is in force, and
+    /// nothing confirms it.
+    pub(in crate::direct) fn configuration_is_readable(&self) -> bool {
+        self.readability.get().is_readable()
+    }
+
     /// Records that a read sent at `sent` returned the newest state.
     pub fn confirm_configuration(&self, sent: BootInstant) {
         self.source_lost.set(false);
         self.record_confirmation(sent);
     }
 
-    /// Records that configuration and servers were the newest at `known`.
+    /// Records that servers, and a configuration that can be read, were the newest at `known`.
     pub(super) fn record_confirmation(&self, known: BootInstant) {
+        self.view_confirmed.set(self.view_confirmed.get().max(Some(known)));
+        if !self.configuration_is_readable() {
+            return;
+        }
         self.freshness.borrow_mut().confirm(known);
         self.confirmed_by_peers.set(false);
         self.confirmed.take().trigger();
     }
 
-    /// Returns when configuration and servers were last known to be the newest, by a read of this
-    /// router or of the one it follows.
+    /// Returns when the view of the source was last known to be the newest, by a read of this router or of
+    /// the one it follows.
     pub(super) fn confirmed_since(&self) -> Option<BootInstant> {
-        self.freshness.borrow().confirmed()
+        self.view_confirmed.get()
     }
 
     /// Records that a read was not answered.
@@ -65,15 +121,21 @@
         self.source_lost.set(true);
     }
 
-    /// Returns whether a confirmation may arrive at once, since the last read was answered.
+    /// Returns whether the last read was answered.
     pub(in crate::direct) fn source_is_reachable(&self) -> bool {
         !self.source_lost.get()
     }
 
+    /// Returns whether the configuration may be confirmed at once.
+    pub(in crate::direct) fn may_be_confirmed(&self) -> bool {
+        self.source_is_reachable() && self.configuration_is_readable()
+    }
+
     /// Returns whether other routers should be queried if the configuration is still the newest.
     pub(in crate::direct) fn needs_freshness_confirmation(&self) -> bool {
         let freshness = self.freshness.borrow();
         self.uses(Mechanism::PeerVouching)
+            && self.configuration_is_readable()
             && should_query(freshness.age(boot_now()), freshness.max_age())
     }
 
--- a/crates/papayamux-router/src/direct/fleet/fleet_state.rs
+++ b/crates/papayamux-router/src/direct/fleet/fleet_state.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use papayamux_coordination::cold_servers::{ColdTracker, KnownRouters};
+use papayamux_coordination::configuration_readability::ConfigurationReadability;
 use papayamux_coordination::crash_quarantine::CrashQuarantine;
 use papayamux_coordination::domain_evacuations::DomainEvacuations;
 use papayamux_coordination::failure_rates::FailureRates;
@@ -28,6 +29,7 @@
 use papayamux_coordination::service_queue::ServiceQueue;
 use papayamux_coordination::service_retry_budget::ServiceRetryBudget;
 use papayamux_coordination::usual_deadline::UsualDeadline;
+use papayamux_state::boot_time::BootInstant;
 use papayamux_state::ids::{RouteId, ServerId, ServiceId};
 use papayamux_state::prompt::WarmParts;
 use papayamux_state::service_config::ConfigurationSnapshot;
@@ -50,7 +52,10 @@
 pub struct Fleet {
     pub(super) settings: FleetSettings,
     pub(super) configuration: RefCell<Option<Rc<ConfigurationSnapshot>>>,
+    pub(super) readability: Cell<ConfigurationReadability>,
     pub(super) freshness: RefCell<KeyFreshness>,
+    /// When servers, evacuations and the existence of configurations were last known to be the newest.
+    pub(super) view_confirmed: Cell<Option<BootInstant>>,
     pub(super) confirmed: RefCell<ShutdownSignal>,
     pub(super) configuration_applied: RefCell<ShutdownSignal>,
     pub(super) confirmed_by_peers: Cell<bool>,
@@ -124,6 +129,8 @@
             )),
             settings,
             configuration: RefCell::default(),
+            readability: Cell::default(),
+            view_confirmed: Cell::new(None),
             handover: ViewHandover::default(),
             confirmed: RefCell::default(),
             configuration_applied: RefCell::default(),
--- a/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
+++ b/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
@@ -248,6 +248,9 @@
         if !grace.is_zero() && self.awaits_renewals() {
             self.knowledge.role_selection.borrow_mut().record_doubtful(sender, steady);
         }
+        if let Some(is_readable) = update.configuration_readable {
+            self.record_readability(update.position, is_readable);
+        }
         let span = update.span.filter(|span| span.is_complete || self.leads_to_digest(span));
         let stated = ReportedView {
             position: update.position,
@@ -383,6 +386,7 @@
             shift_ms: entry.query.offset_to(known).0,
             position,
             version: self.knowledge.view.get().newest(self.configuration_version()).0,
+            configuration_readable: Some(self.configuration_is_readable()),
             hops: self.knowledge.hops.get() + 1,
             grace_ms: u32::try_from(grace.as_millis()).unwrap_or(u32::MAX),
             span: span
--- a/crates/papayamux-router/src/direct/fleet/view_adoption.rs
+++ b/crates/papayamux-router/src/direct/fleet/view_adoption.rs
@@ -146,6 +146,7 @@
             shift_ms: 0,
             position,
             version: version.0,
+            configuration_readable: Some(self.configuration_is_readable()),
             hops: self.knowledge.next_hops(),
             grace_ms: u32::try_from(grace.as_millis()).unwrap_or(u32::MAX),
             span: Some(UpdateSpan {
@@ -176,6 +177,9 @@
         if let Some(configuration) = configuration {
             self.apply_configuration(configuration);
         }
+        if let Some(is_readable) = update.configuration_readable {
+            self.record_readability(update.position, is_readable);
+        }
         let position = update.position;
         let reported = ReportedView {
             position,
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -108,6 +108,10 @@
     pub view_bytes: Counter,
     /// Entries of the source that name no server, by fault.
     pub entry_faults: ReasonCounters,
+    /// Reads of the configuration that returned one that can't be read.
+    pub configuration_faults: Counter,
+    /// 1 while the newest configuration can't be read, else 0.
+    pub unreadable_configuration: Gauge,
     /// Number of evacuated failure domains.
     pub evacuated_domains: Gauge,
     /// Number of cold servers.
@@ -177,6 +181,8 @@
             view_requests: ReasonCounters::default(),
             view_bytes: Counter::default(),
             entry_faults: ReasonCounters::default(),
+            configuration_faults: Counter::default(),
+            unreadable_configuration: Gauge::default(),
             evacuated_domains: Gauge::default(),
             cold_servers: Gauge::default(),
             cold_requests: ReasonCounters::default(),
@@ -272,6 +278,14 @@
         registry.register("view_bytes", "Bytes of views sent to other routers", bytes);
         let faults = self.entry_faults.0.clone();
         registry.register("entry_faults", "Entries that name no server", faults);
+        let faults = self.configuration_faults.clone();
+        registry.register("configuration_faults", "Reads of an unreadable configuration", faults);
+        let unreadable = self.unreadable_configuration.clone();
+        registry.register(
+            "unreadable_configuration",
+            "1 while the newest configuration can't be read",
+            unreadable,
+        );
         let evacuated = self.evacuated_domains.clone();
         registry.register("evacuated_domains", "Failure domains that get nothing", evacuated);
         let cold = self.cold_servers.clone();
--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -8,9 +8,9 @@
 use futures_util::future::{select, Either};
 use papayamux_coordination::fleet_knowledge::{SourceReaders, SourceRole, ViewOrigin};
 use papayamux_coordination::source_polling::{PollSchedule, PollView, HEDGE_DELAY, READ_TIMEOUT};
-use papayamux_state::service_config::ConfigurationSnapshot;
 use papayamux_state::source::{
-    PositionedChange, SourceChange, SourceChanges, SourceContents, SourceError, SourcePosition,
+    ListedConfiguration, PositionedChange, SourceChange, SourceChanges, SourceContents,
+    SourceError, SourcePosition,
 };
 use papayamux_transport::boot_clock::boot_now;
 
@@ -38,11 +38,11 @@
     fn read_all(&self, recency: ReadRecency) -> SourceRead<'_, SourceContents>;
     /// Reads the changes after `position`; returns at once, even if there are none.
     fn read_changes(&self, position: SourcePosition) -> SourceRead<'_, SourceChanges>;
-    /// Reads the configuration alone.
+    /// Reads the configuration alone; `None` if there is none.
     fn read_configuration(
         &self,
         recency: ReadRecency,
-    ) -> SourceRead<'_, Option<ConfigurationSnapshot>>;
+    ) -> SourceRead<'_, Option<ListedConfiguration>>;
     /// Closes the connection, so that the next read uses a new one.
     fn disconnect(&self);
 }
@@ -152,15 +152,15 @@
         let read = monoio::time::timeout(READ_TIMEOUT, reading).await;
         self.last_configuration_read = Instant::now();
         match read.unwrap_or_else(|_| Err(timeout_error())) {
-            Ok(Some(configuration)) => {
-                let version = configuration.version;
-                let is_new = version >= wanted;
-                if !is_new {
+            Ok(Some(listed)) => {
+                let version = listed.contents.as_ref().map(|snapshot| snapshot.version).ok();
+                let is_new = version.is_some_and(|version| version >= wanted);
+                if let Some(version) = version.filter(|_| !is_new) {
                     log::info!(wanted:% = wanted, got:% = version; "configuration read is too old");
                 }
                 let result = if is_new { "recent" } else { "recent_too_old" };
                 self.fleet.metrics().source_reads.count(result);
-                self.fleet.apply_configuration(configuration);
+                self.fleet.record_configuration(listed);
                 is_new
             }
             Ok(None) => false,
@@ -180,7 +180,7 @@
         }
         let read = || self.source.read_configuration(ReadRecency::Newest);
         let configuration = self.hedge(read).await?;
-        configuration.into_iter().for_each(|newest| self.fleet.apply_configuration(newest));
+        configuration.into_iter().for_each(|newest| self.fleet.record_configuration(newest));
         Ok(())
     }
 
@@ -324,8 +324,9 @@
         match read {
             ReadContents::All(full_read) => {
                 let FullRead { contents, changes, position } = *full_read;
-                if let Some(configuration) = contents.configuration {
-                    self.fleet.apply_configuration(configuration);
+                match contents.configuration {
+                    Some(configuration) => self.fleet.record_configuration(configuration),
+                    None => self.fleet.record_missing_configuration(contents.position),
                 }
                 contents.faults.iter().for_each(|fault| self.fleet.record_entry_fault(fault, now));
                 self.fleet.record_server_list(contents.servers, is_restored, now);
@@ -350,7 +351,7 @@
     fn apply_change(&self, change: SourceChange, now: Instant) {
         match change {
             SourceChange::Configuration(configuration) => {
-                self.fleet.apply_configuration(configuration);
+                self.fleet.record_configuration(configuration);
             }
             SourceChange::Server(server) => self.fleet.record_server(server, now),
             SourceChange::ServerRemoved(name) => self.fleet.record_departed_server(&name, now),
--- a/crates/papayamux-state/src/source.rs
+++ b/crates/papayamux-state/src/source.rs
@@ -44,11 +44,25 @@
     }
 }
 
+/// Why the configuration of a source can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{0}")]
+pub struct ConfigurationFault(pub String);
+
+/// A configuration as it was read from a source.
+#[derive(Debug)]
+pub struct ListedConfiguration {
+    /// The position at which it was written.
+    pub position: SourcePosition,
+    /// The configuration, or why it can't be read.
+    pub contents: Result<ConfigurationSnapshot, ConfigurationFault>,
+}
+
 /// The complete contents of a source.
 #[derive(Debug, Default)]
 pub struct SourceContents {
     /// The latest configuration, if there is one.
-    pub configuration: Option<ConfigurationSnapshot>,
+    pub configuration: Option<ListedConfiguration>,
     /// All listed servers.
     pub servers: Vec<BackendServer>,
     /// All evacuation orders in force.
@@ -66,8 +80,8 @@
 /// A change in the contents of a source.
 #[derive(Debug)]
 pub enum SourceChange {
-    /// There is a new configuration.
-    Configuration(ConfigurationSnapshot),
+    /// The configuration was written or removed.
+    Configuration(ListedConfiguration),
     /// A server's entry was added or changed.
     Server(BackendServer),
     /// A server's entry was removed.
