Read names and keys of any form that a configuration may hold

An evacuation of a failure domain with such a name was logged and had no effect, and servers there weren't used.

Cause: organisations, failure domains, regions, services and routes were read as identifiers of at most 128 graphic ASCII characters and keys of at most 512 bytes, limits that the platform doesn't set.

Why the fix works: names that operators choose are any text without control characters up to 16 KiB, and keys any text up to the size of a configuration. Changes that don't fit a datagram for their names go as a complete view. Names in teams' declarations are checked as before (DeclaredName).

--- a/crates/papayamux-declarations/src/file/reader.rs
+++ b/crates/papayamux-declarations/src/file/reader.rs
@@ -13,7 +13,9 @@
     OrganisationDeclaration, RouteDeclaration, ServerDeclaration, ServerKind,
 };
 use super::parsed_file::ParsedFile;
-use crate::values::{FileName, ItemKind, LoadBound, MethodName, PriorityClass, ShareFraction};
+use crate::values::{
+    DeclaredName, FileName, ItemKind, LoadBound, MethodName, PriorityClass, ShareFraction,
+};
 
 /// Reads all sections and reports findings to `file`.
 pub(super) fn read_file(file: &IniFile, name: &FileName) -> Option<ParsedFile> {
@@ -26,7 +28,10 @@
     }
     file.report_unknown_sections(&["team"], &ItemKind::ALL.map(ItemKind::label));
     let parsed = ParsedFile {
-        organisations: read_kind(file, Some(name), "organisation", read_organisation),
+        organisations: read_kind(file, Some(name), "organisation", read_organisation)
+            .into_iter()
+            .map(|(DeclaredName(id), declaration)| (id, declaration))
+            .collect(),
         models: read_kind(file, Some(name), "model", read_model),
         adapters: read_kind(file, Some(name), "adapter", read_adapter),
         servers: read_kind(file, Some(name), "server", read_server),
@@ -128,7 +133,7 @@
 
 fn read_server(section: &SectionReader<'_>) -> Option<ServerDeclaration> {
     let agent = section.required("agent");
-    let domain = section.required("failure_domain");
+    let domain = section.required("failure_domain").map(|DeclaredName(domain)| domain);
     let capacity = section.optional("capacity");
     let kind = read_server_kind(section);
     if agent.is_some_and(|agent: SocketAddr| agent.port() == 0) {
--- a/crates/papayamux-declarations/src/values/mod.rs
+++ b/crates/papayamux-declarations/src/values/mod.rs
@@ -5,7 +5,7 @@
 mod quantities;
 
 pub use item_kind::ItemKind;
-pub use names::{FileName, MethodName, PathPrefix, VersionName, WeightsName};
+pub use names::{DeclaredName, FileName, MethodName, PathPrefix, VersionName, WeightsName};
 pub use quantities::{FileRevision, LoadBound, PriorityClass, RequestRate, ShareFraction};
 
 use thiserror::Error;
--- a/crates/papayamux-declarations/src/values/names.rs
+++ b/crates/papayamux-declarations/src/values/names.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use http::Method;
+use papayamux_state::ids::{validate_id, IdError};
 use papayamux_state::text_newtype;
 
 use super::ValueError;
@@ -50,6 +51,18 @@
     is_path_prefix
 );
 
+/// A name in a declaration, of graphic ASCII characters, whatever else its type allows.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct DeclaredName<T>(pub T);
+
+impl<T: FromStr<Err = IdError>> FromStr for DeclaredName<T> {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        validate_id(text)?.parse().map(Self)
+    }
+}
+
 fn is_file_name(text: &str) -> bool {
     let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit();
     (1..=MAX_FILE_NAME_BYTES).contains(&text.len())
--- a/crates/papayamux-protocol/src/fleet_update.rs
+++ b/crates/papayamux-protocol/src/fleet_update.rs
@@ -53,6 +53,23 @@
     pub evacuations: Vec<EvacuationOrder>,
 }
 
+impl UpdateSpan {
+    /// Returns the total length of all names in bytes, which makes up nearly all of the encoded size.
+    pub fn name_bytes(&self) -> usize {
+        let changes = self.changes.iter().map(|change| match change {
+            ServerUpdate::Present(server) | ServerUpdate::Expired(server) => {
+                let software =
+                    server.software.as_ref().map_or(0, |software| software.as_str().len());
+                let place = server.service.as_str().len() + server.domain.as_str().len();
+                server.name.as_str().len() + place + software
+            }
+            ServerUpdate::Departed { name, .. } => name.as_str().len(),
+        });
+        let evacuations = self.evacuations.iter().map(|order| order.domain.as_str().len());
+        changes.chain(evacuations).sum()
+    }
+}
+
 /// A router's knowledge of the source, sent in answer to a [`FollowRequest`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FleetUpdate {
--- a/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
+++ b/crates/papayamux-router/src/direct/fleet/source_knowledge.rs
@@ -26,6 +26,9 @@
 /// Maximum number of changes in one datagram: at up to 100 bytes each, they take less than 13 KB. A
 /// follower that lacks more reads them from the source.
 const MAX_CHANGES: usize = 128;
+/// Maximum length of all names in one datagram, half of what it can hold. A follower that lacks more requests a
+/// complete view.
+const MAX_NAME_BYTES: usize = 32 * 1024;
 /// The known state of the source, and the router's role in reading and relaying it.
 pub(super) struct SourceKnowledge {
     view: Cell<SourceView>,
@@ -391,7 +394,8 @@
             grace_ms: u32::try_from(grace.as_millis()).unwrap_or(u32::MAX),
             span: span
                 .filter(|span| span.changes.len() <= MAX_CHANGES)
-                .map(|span| update_span(span, is_complete, self.evacuation_orders())),
+                .map(|span| update_span(span, is_complete, self.evacuation_orders()))
+                .filter(|span| span.name_bytes() <= MAX_NAME_BYTES),
         })
     }
 }
--- a/crates/papayamux-state/src/ids/mod.rs
+++ b/crates/papayamux-state/src/ids/mod.rs
@@ -11,8 +11,8 @@
 pub use server_key::ServerKey;
 pub use server_start::ServerStart;
 pub use text::{
-    AdapterId, ChatKey, FailureDomain, IdempotencyKey, ModelId, OrganisationId, Region, RouteId,
-    ServerId, ServerName, ServiceId, SoftwareVersion,
+    validate_id, AdapterId, ChatKey, FailureDomain, IdempotencyKey, ModelId, OrganisationId,
+    Region, RouteId, ServerId, ServerName, ServiceId, SoftwareVersion,
 };
 
 use thiserror::Error;
--- a/crates/papayamux-state/src/ids/text.rs
+++ b/crates/papayamux-state/src/ids/text.rs
@@ -1,38 +1,52 @@
-//! Text identifiers: graphic ASCII characters with a maximum length.
+//! Text identifiers: graphic ASCII characters, or the names that operators choose.
 
 use super::{IdError, ServerStart};
 
 /// Maximum length of a text identifier in bytes.
 pub const MAX_ID_BYTES: usize = 128;
 
-fn validate_id(text: &str) -> Result<String, IdError> {
-    if text.is_empty() {
-        return Err(IdError::Empty);
+fn validate_length(text: &str, limit: usize) -> Result<(), IdError> {
+    match text.len() {
+        0 => Err(IdError::Empty),
+        length if length > limit => Err(IdError::TooLong { length, limit }),
+        _ => Ok(()),
     }
-    if text.len() > MAX_ID_BYTES {
-        return Err(IdError::TooLong { length: text.len(), limit: MAX_ID_BYTES });
+}
+
+/// Maximum length in bytes of a name that operators choose: that of a common request head, in which it may be
+/// sent.
+const MAX_CHOSEN_NAME_BYTES: usize = 16 * 1024;
+
+/// Accepts the names that operators choose, in any language. Control characters would break log lines and
+/// headers.
+fn validate_chosen_name(text: &str) -> Result<String, IdError> {
+    validate_length(text, MAX_CHOSEN_NAME_BYTES)?;
+    match text.chars().find(|character| character.is_control()) {
+        Some(character) => Err(IdError::Character { character }),
+        None => Ok(text.to_string()),
     }
+}
+
+/// Accepts 1 to [`MAX_ID_BYTES`] graphic ASCII characters.
+pub fn validate_id(text: &str) -> Result<String, IdError> {
+    validate_length(text, MAX_ID_BYTES)?;
     match text.chars().find(|character| !character.is_ascii_graphic()) {
         Some(character) => Err(IdError::Character { character }),
         None => Ok(text.to_string()),
     }
 }
 
-/// Maximum length of a server name in bytes. It leaves room for the start time that follows the name
-/// in the server's identifier.
-const MAX_NAME_BYTES: usize = 96;
+/// Maximum length of a server name in bytes, the same as that of the key of its entry.
+const MAX_SERVER_NAME_BYTES: usize = 200;
 
 fn validate_name(text: &str) -> Result<String, IdError> {
-    let text = validate_id(text)?;
-    if text.len() > MAX_NAME_BYTES {
-        return Err(IdError::TooLong { length: text.len(), limit: MAX_NAME_BYTES });
-    }
+    validate_length(text, MAX_SERVER_NAME_BYTES)?;
     let allowed = |character: char| {
         character.is_ascii_alphanumeric() || matches!(character, '-' | '.' | '_' | ':')
     };
     match text.chars().find(|character| !allowed(*character)) {
         Some(character) => Err(IdError::Character { character }),
-        None => Ok(text),
+        None => Ok(text.to_string()),
     }
 }
 
@@ -68,7 +82,13 @@
     };
 }
 
-text_id!(
+macro_rules! chosen_name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $crate::text_newtype!($(#[$doc])* $name, IdError, validate_chosen_name);
+    };
+}
+
+chosen_name!(
     /// An organisation: a customer of the service.
     OrganisationId
 );
@@ -90,11 +110,11 @@
     /// keep its name when it restarts. Consists of letters, digits and `-._:`.
     ServerName, IdError, validate_name
 );
-text_id!(
+chosen_name!(
     /// A failure domain (zone).
     FailureDomain
 );
-text_id!(
+chosen_name!(
     /// A region: a group of nearby failure domains.
     Region
 );
@@ -106,11 +126,11 @@
     /// The key that a caller sends with a non-idempotent call and each retry of it.
     IdempotencyKey
 );
-text_id!(
+chosen_name!(
     /// A service: a group of backend servers that run the same application or models.
     ServiceId
 );
-text_id!(
+chosen_name!(
     /// A route from a host and path prefix to services.
     RouteId
 );
--- a/crates/papayamux-state/src/service_config/api_key.rs
+++ b/crates/papayamux-state/src/service_config/api_key.rs
@@ -5,8 +5,9 @@
 
 use thiserror::Error;
 
-/// Maximum length of a key in bytes. Longer keys are refused without a lookup.
-const MAX_KEY_BYTES: usize = 512;
+/// Maximum length of a key in bytes, that of a whole configuration. What a caller may send is bounded by the
+/// head of its request.
+const MAX_KEY_BYTES: usize = 1024 * 1024;
 
 /// The error of parsing an [`ApiKey`]. It doesn't contain the text, which is a secret.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
