Put the readable parts of a configuration in force

Cause: the configuration was parsed as one value, so that one part decided about all of them.

Why the fix works: each route, service and tenant is read by itself. A route that can't be read keeps its place, so that no shorter prefix gets its requests and none is told 404; keys that may be those of an unreadable tenant get 503 and not 401, and never run.

--- a/crates/papayamux-protocol/src/service_configuration.rs
+++ b/crates/papayamux-protocol/src/service_configuration.rs
@@ -133,6 +133,17 @@
 struct OrganisationsWire {
     #[prost(message, repeated, tag = "1")]
     organisations: Vec<OrganisationWire>,
+    #[prost(bool, tag = "2")]
+    is_incomplete: bool,
+}
+
+/// The place of a route that can't be read.
+#[derive(Clone, PartialEq, Message)]
+struct PlaceWire {
+    #[prost(string, tag = "1")]
+    host: String,
+    #[prost(string, tag = "2")]
+    prefix: String,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -148,6 +159,13 @@
     /// Absent if requests need no keys.
     #[prost(message, optional, tag = "5")]
     organisations: Option<OrganisationsWire>,
+    #[prost(message, repeated, tag = "6")]
+    unreadable_routes: Vec<PlaceWire>,
+    /// Set if there are routes of which not even the place can be read.
+    #[prost(bool, tag = "7")]
+    lacks_routes: bool,
+    #[prost(uint32, tag = "8")]
+    unreadable_parts: u32,
 }
 
 impl From<&ConfigurationSnapshot> for SnapshotWire {
@@ -162,6 +180,9 @@
                 .collect(),
             limits: Some(snapshot.limits.into()),
             organisations: snapshot.organisations.as_ref().map(OrganisationsWire::from),
+            unreadable_routes: snapshot.routes.unreadable().map(PlaceWire::from).collect(),
+            lacks_routes: !snapshot.routes.is_complete(),
+            unreadable_parts: snapshot.unreadable_parts,
         }
     }
 }
@@ -175,6 +196,12 @@
             let (host, prefix) = (route.host.clone(), route.prefix.clone());
             routes.add(&host, &prefix, Rc::new(route.try_into()?));
         }
+        for PlaceWire { host, prefix } in wire.unreadable_routes {
+            routes.add_unreadable(&host, &prefix);
+        }
+        if wire.lacks_routes {
+            routes.mark_incomplete();
+        }
         let mut services = HashMap::new();
         for service in wire.services {
             let id = service.id.parse().map_err(invalid("service"))?;
@@ -186,10 +213,17 @@
             services,
             limits: wire.limits.map(CallerLimits::from).unwrap_or_default(),
             organisations: wire.organisations.map(OrganisationKeys::try_from).transpose()?,
+            unreadable_parts: wire.unreadable_parts,
         })
     }
 }
 
+impl From<(&str, &str)> for PlaceWire {
+    fn from((host, prefix): (&str, &str)) -> Self {
+        Self { host: host.to_string(), prefix: prefix.to_string() }
+    }
+}
+
 impl From<(&str, &str, &Rc<Route>)> for RouteWire {
     fn from((host, prefix, route): (&str, &str, &Rc<Route>)) -> Self {
         let share = |share: &ServiceShare| ShareWire {
@@ -333,7 +367,10 @@
                 });
             organisation.keys.push(key.secret_text().to_string());
         }
-        Self { organisations: organisations.into_values().collect() }
+        Self {
+            organisations: organisations.into_values().collect(),
+            is_incomplete: !keys.is_complete(),
+        }
     }
 }
 
@@ -342,6 +379,9 @@
 
     fn try_from(wire: OrganisationsWire) -> Result<Self, ConfigurationError> {
         let mut organisations = Self::default();
+        if wire.is_incomplete {
+            organisations.mark_incomplete();
+        }
         for organisation in wire.organisations {
             let OrganisationWire { id, priority, homes, keys } = organisation;
             let keys: Result<Vec<_>, _> = keys.iter().map(|key| key.parse()).collect();
--- a/crates/papayamux-protocol/tests/fleet_view.rs
+++ b/crates/papayamux-protocol/tests/fleet_view.rs
@@ -49,7 +49,10 @@
     routes.add("a.example", "/once/", route("once", RequestKind::Once));
     routes.add("b.example", "/cut/", route("cut", RequestKind::Stream { resumable: false }));
     routes.add("b.example", "/on/", route("on", RequestKind::Stream { resumable: true }));
+    routes.add_unreadable("b.example", "/broken/");
+    routes.mark_incomplete();
     let mut organisations = OrganisationKeys::default();
+    organisations.mark_incomplete();
     let holder = |name: &str, priority| KeyHolder {
         organisation: name.parse().unwrap(),
         priority,
@@ -72,6 +75,7 @@
         services: [("chat".parse().unwrap(), chat), ("plain".parse().unwrap(), plain)].into(),
         limits: CallerLimits { head_bytes: ByteCount::new(9_000), ..CallerLimits::default() },
         organisations: Some(organisations),
+        unreadable_parts: 2,
     }
 }
 
--- a/crates/papayamux-router/src/direct/admission.rs
+++ b/crates/papayamux-router/src/direct/admission.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use papayamux_state::service_config::{ConfigurationSnapshot, KeyHolder, Route};
+use papayamux_state::service_config::{ConfigurationSnapshot, KeyHolder, Route, RouteLookup};
 
 use super::{CallFailure, CallHead, Fleet, NotRunReason};
 
@@ -13,7 +13,7 @@
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(60);
 /// Retry delay for a caller whose key could not be confirmed: another router can serve it at once.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(200);
-/// Retry delay for a caller while no router can read the newest configuration.
+/// Retry delay for a caller whose request depends on what no router can read of the configuration.
 const UNREADABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Retry delay for a caller while the router has no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -47,11 +47,13 @@
 
     /// Returns the failure of a request for which the configuration in force may not be the newest.
     fn unconfirmed(&self) -> CallFailure {
-        let (reason, retry_after) = match self.configuration_is_readable() {
-            true => (NotRunReason::StaleConfiguration, STALE_RETRY_AFTER),
-            false => (NotRunReason::UnreadableConfiguration, UNREADABLE_RETRY_AFTER),
-        };
-        CallFailure::NotRun { reason, retry_after: Some(retry_after) }
+        match self.configuration_is_readable() {
+            true => CallFailure::NotRun {
+                reason: NotRunReason::StaleConfiguration,
+                retry_after: Some(STALE_RETRY_AFTER),
+            },
+            false => unreadable(),
+        }
     }
 
     /// Returns whether the configuration is recent enough to refuse a request by it.
@@ -79,21 +81,35 @@
                 retry_after: Some(UNCONFIGURED_RETRY_AFTER),
             });
         };
-        let route = configuration.routes.find(&call.host, call.target.path());
-        let route = route.ok_or(CallFailure::UnknownRoute)?.clone();
+        let route = match configuration.routes.lookup(&call.host, call.target.path()) {
+            RouteLookup::Found(route) => route.clone(),
+            RouteLookup::Unreadable => return Err(unreadable()),
+            RouteLookup::Unknown => return Err(CallFailure::UnknownRoute),
+        };
         let needs_key = configuration.organisations.is_some() && !route.anonymous;
         // Where no key is needed, a key that may have been revoked in the meantime identifies no
         // holder.
         let may_be_named = needs_key || self.keys_are_fresh();
         let holder = key_holder(&configuration, call).filter(|_| may_be_named);
         if needs_key && holder.is_none() {
-            return Err(CallFailure::UnknownKey);
+            // The key may belong to an organisation that can't be read.
+            let may_be_held = call.key.is_some()
+                && configuration.organisations.as_ref().is_some_and(|keys| !keys.is_complete());
+            return Err(if may_be_held { unreadable() } else { CallFailure::UnknownKey });
         }
         let max_body_bytes = configuration.limits.body_bytes.get();
         Ok((AdmittedCall { route, holder, max_body_bytes }, needs_key))
     }
 }
 
+/// Returns the failure of a request that depends on what can't be read of the configuration.
+fn unreadable() -> CallFailure {
+    CallFailure::NotRun {
+        reason: NotRunReason::UnreadableConfiguration,
+        retry_after: Some(UNREADABLE_RETRY_AFTER),
+    }
+}
+
 fn key_holder(configuration: &ConfigurationSnapshot, call: &CallHead) -> Option<Rc<KeyHolder>> {
     configuration.organisations.as_ref()?.holder(call.key.as_ref()?).cloned()
 }
--- a/crates/papayamux-router/src/direct/call.rs
+++ b/crates/papayamux-router/src/direct/call.rs
@@ -90,8 +90,8 @@
     /// The router can't confirm that its configuration is still in force.
     #[error("the configuration could not be confirmed")]
     StaleConfiguration,
-    /// The newest configuration can't be read.
-    #[error("the newest configuration can't be read")]
+    /// The newest configuration, or the part of it that the request depends on, can't be read.
+    #[error("the configuration can't be read")]
     UnreadableConfiguration,
     /// The service has no server.
     #[error("no backend server is there")]
--- a/crates/papayamux-router/src/direct/fleet/configuration_freshness.rs
+++ b/crates/papayamux-router/src/direct/fleet/configuration_freshness.rs
@@ -35,8 +35,10 @@
         }
         log::info!(
             version:% = snapshot.version, routes = snapshot.routes.len(),
-            services = snapshot.services.len(); "configuration in force"
+            services = snapshot.services.len(), unreadable = snapshot.unreadable_parts;
+            "configuration in force"
         );
+        self.metrics.unreadable_parts.set(i64::from(snapshot.unreadable_parts));
         *configuration = Some(Rc::new(snapshot));
         drop(configuration);
         self.configuration_applied.take().trigger();
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -112,6 +112,8 @@
     pub configuration_faults: Counter,
     /// 1 while the newest configuration can't be read, else 0.
     pub unreadable_configuration: Gauge,
+    /// Parts of the configuration in force that can't be read.
+    pub unreadable_parts: Gauge,
     /// Number of evacuated failure domains.
     pub evacuated_domains: Gauge,
     /// Number of cold servers.
@@ -183,6 +185,7 @@
             entry_faults: ReasonCounters::default(),
             configuration_faults: Counter::default(),
             unreadable_configuration: Gauge::default(),
+            unreadable_parts: Gauge::default(),
             evacuated_domains: Gauge::default(),
             cold_servers: Gauge::default(),
             cold_requests: ReasonCounters::default(),
@@ -286,6 +289,12 @@
             "1 while the newest configuration can't be read",
             unreadable,
         );
+        let parts = self.unreadable_parts.clone();
+        registry.register(
+            "unreadable_parts",
+            "Parts of the configuration in force that can't be read",
+            parts,
+        );
         let evacuated = self.evacuated_domains.clone();
         registry.register("evacuated_domains", "Failure domains that get nothing", evacuated);
         let cold = self.cold_servers.clone();
--- a/crates/papayamux-state/src/service_config/mod.rs
+++ b/crates/papayamux-state/src/service_config/mod.rs
@@ -16,6 +16,6 @@
 pub use organisation_keys::{KeyHolder, OrganisationKeys};
 pub use request_kind::RequestKind;
 pub use route::{Route, ServiceShare};
-pub use route_table::RouteTable;
+pub use route_table::{RouteLookup, RouteTable};
 pub use service::{ColdStart, EngineProfile, Service};
 pub use snapshot::{ConfigVersion, ConfigurationSnapshot};
--- a/crates/papayamux-state/src/service_config/organisation_keys.rs
+++ b/crates/papayamux-state/src/service_config/organisation_keys.rs
@@ -21,6 +21,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OrganisationKeys {
     holders: HashMap<ApiKey, Rc<KeyHolder>>,
+    /// `true` if there are organisations that can't be read, so that a key may belong to one of them.
+    is_incomplete: bool,
 }
 
 impl OrganisationKeys {
@@ -30,6 +32,16 @@
         self.holders.extend(keys.into_iter().map(|key| (key, holder.clone())));
     }
 
+    /// Records that there are organisations that can't be read.
+    pub fn mark_incomplete(&mut self) {
+        self.is_incomplete = true;
+    }
+
+    /// Returns whether the keys of all organisations are known.
+    pub fn is_complete(&self) -> bool {
+        !self.is_incomplete
+    }
+
     /// Returns all keys with their holders, in no particular order.
     pub fn iter(&self) -> impl Iterator<Item = (&ApiKey, &Rc<KeyHolder>)> {
         self.holders.iter()
--- a/crates/papayamux-state/src/service_config/snapshot.rs
+++ b/crates/papayamux-state/src/service_config/snapshot.rs
@@ -29,4 +29,6 @@
     pub limits: CallerLimits,
     /// The API keys of organisations; `None` if requests need none.
     pub organisations: Option<OrganisationKeys>,
+    /// Number of parts that can't be read, such as routes and organisations. The other parts are in force.
+    pub unreadable_parts: u32,
 }
