Read the source as a whole when the changes since the last read are too large

What callers saw: after 25 configurations of 1.0 MB in 1.5 s no router learnt anything of the store for some 17 s.

Cause: the store returns all changes since a position in one response. Above 8 MiB the client gave it up as an outage, and the next read asked for the same changes and those since, until the store dropped its history.

Why the fix works: such a response is an error of its own, TooLarge, upon which the complete contents are read, in pages of about a megabyte, as when the history is lost. Followers get a complete view, as then. A page that is too large remains a failed read.

--- a/crates/papayamux-router/src/direct/source_follower.rs
+++ b/crates/papayamux-router/src/direct/source_follower.rs
@@ -309,6 +309,12 @@
                 self.fleet.forget_position();
                 return ReadResult::MoreAvailable;
             }
+            Err(error @ SourceError::TooLarge { .. }) if self.fleet.source_position().is_some() => {
+                self.fleet.metrics().source_reads.count("too_large");
+                log::warn!(error:% = error; "changes are too large, reading everything");
+                self.fleet.forget_position();
+                return ReadResult::MoreAvailable;
+            }
             Err(error) => {
                 self.record_read_failure(&error);
             }
--- a/crates/papayamux-state/src/ids/text.rs
+++ b/crates/papayamux-state/src/ids/text.rs
@@ -27,7 +27,7 @@
     }
 }
 
-/// Accepts 1 to [`MAX_ID_BYTES`] graphic ASCII characters.
+/// Accepts an identifier: 1 to 128 graphic ASCII characters.
 pub fn validate_id(text: &str) -> Result<String, IdError> {
     validate_length(text, MAX_ID_BYTES)?;
     match text.chars().find(|character| !character.is_ascii_graphic()) {
--- a/crates/papayamux-state/src/source.rs
+++ b/crates/papayamux-state/src/source.rs
@@ -158,6 +158,13 @@
     /// read again.
     #[error("the source no longer has the history after the last read")]
     HistoryLost,
+    /// The response to a read is too large, and so would be that to the same read later. Changes are too many or
+    /// too large; the complete contents, which are read in pages, have to be read instead.
+    #[error("the response exceeds {limit} bytes")]
+    TooLarge {
+        /// The maximum size of a response in bytes.
+        limit: usize,
+    },
     /// The source was restored from a copy, which may lack changes that were read before. Its complete contents
     /// have to be read again.
     #[error("the source was restored from a copy after the last read")]
