Keep the expected wait of a queue without progress unbounded

What callers saw: nothing.

That wait is compared and shown only, never added to a clock, and the digest is of its text as well.

--- a/crates/papayamux-coordination/src/service_queue/queue.rs
+++ b/crates/papayamux-coordination/src/service_queue/queue.rs
@@ -9,7 +9,6 @@
 
 use std::time::{Duration, Instant};
 
-use papayamux_state::durations::saturating_secs;
 use papayamux_state::quantities::TokenCount;
 
 use super::displacement::displaced_flows;
@@ -333,7 +332,7 @@
         };
         let flows = if request.time.is_late() { &self.late } else { &self.on_time };
         let work = self.work_before_flows(request) + WorkAhead::of(flows, request).work();
-        saturating_secs(work / completion_rate.max(0.0))
+        Duration::try_from_secs_f64(work / completion_rate.max(0.0)).unwrap_or(Duration::MAX)
     }
 
     /// Returns the rate at which the requests that are ordered like `request` complete, if it is
