--- a/crates/papayamux-router/src/direct/fleet/fleet_state.rs
+++ b/crates/papayamux-router/src/direct/fleet/fleet_state.rs
@@ -54,7 +54,7 @@
     pub(super) configuration: RefCell<Option<Rc<ConfigurationSnapshot>>>,
     pub(super) readability: Cell<ConfigurationReadability>,
     pub(super) freshness: RefCell<KeyFreshness>,
-    /// When servers, evacuations and the existence of configurations were last known to be the newest.
+    /// When the view of the source was last known to be the newest, whether or not its configuration can be read.
     pub(super) view_confirmed: Cell<Option<BootInstant>>,
     pub(super) confirmed: RefCell<ShutdownSignal>,
     pub(super) configuration_applied: RefCell<ShutdownSignal>,
