Account for the memory that all callers make a router hold

What callers saw: a router that ran out of memory ended, and with it every request on it. What they had sent: bodies of legal size, 200 at once, most a byte short of their end.

Cause: each body was kept whole for repeats, in a buffer that doubles and is copied as it grows; answers were collected up to 128 KiB, and up to 4 MiB for HTTP/1.0. Each had a limit, their sum had none, and nothing yielded.

Change: one account for all callers of a process, by connection: `papayamux-coordination::caller_memory` decides, `papayamux-transport::http:: callers` claims before it allocates. Connections, heads, bodies, and buffered answers count. A stalled holder yields to any claim; a body that still arrives yields to small claims only, so that large newcomers don't evict what is nearly complete; a complete request never yields, as it may run; a quarter of the limit is for small holders. What doesn't fit is refused with 503, not run, with the time to return. Bodies are kept in segments that go to the server as they are: nothing is copied as they grow.

Why it works: what is allocated for a caller was claimed before, so that the sum can't pass the limit; the rest of the process takes about 10 MB.

--- a/crates/papayamux-coordination/src/lib.rs
+++ b/crates/papayamux-coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt_plan;
 pub mod body_end;
 pub mod cache_survey;
+pub mod caller_memory;
 pub mod claims;
 pub mod cold_servers;
 pub mod configuration_readability;
--- a/crates/papayamux-protocol/src/link.rs
+++ b/crates/papayamux-protocol/src/link.rs
@@ -120,7 +120,7 @@
     body: &[u8],
 ) -> RequestFingerprint {
     let organisation = Some(organisation);
-    RequestContent { method, host: "", target: path, organisation, body }.into()
+    RequestContent { method, host: "", target: path, organisation, body: &[body] }.into()
 }
 
 /// The rule by which an agent queues, refuses or redirects a request.
--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::future::{select, Either};
 use http::header::CONTENT_TYPE;
 use http::request::Request;
@@ -15,6 +15,7 @@
 use papayamux_state::backend::{ReportedQueue, ServerNotice};
 use papayamux_state::quantities::ByteCount;
 use papayamux_transport::http::upstream::{UpstreamAnswer, UpstreamError};
+use papayamux_transport::http::{AnswerBuffer, RequestBody};
 use serde::de::IgnoredAny;
 
 use super::active_request::ActiveRequest;
@@ -119,7 +120,7 @@
 pub(super) enum CollectedBody {
     /// The complete body, and how it ended.
     Complete(Bytes, BodyEnd),
-    /// The beginning of a body that exceeds the buffer limit.
+    /// The beginning of a body that exceeds the buffer limit, or the memory that is left.
     Partial(Bytes),
 }
 
@@ -176,7 +177,7 @@
     interface: &dyn CallInterface,
     plan: &CallPlan,
     active: ActiveRequest,
-    request: Request<Bytes>,
+    request: Request<RequestBody>,
 ) -> Result<AttemptAnswer, LostAttempt> {
     let mut active = active;
     let sending = plan.fleet.pool().send(active.server().address, request);
@@ -321,15 +322,16 @@
     essence.trim().eq_ignore_ascii_case("application/json")
 }
 
-/// Reads the body of an answer up to the buffer limit.
+/// Reads the body of an answer up to the buffer limit, or as far as there is memory for it.
 pub(super) async fn collect_body(
     plan: &CallPlan,
     attempt: &mut AttemptAnswer,
 ) -> Result<CollectedBody, LostAttempt> {
-    let mut body = BytesMut::new();
+    let mut body = AnswerBuffer::new(plan.connection.clone());
     loop {
         match attempt.next_piece(plan).await {
             WaitResult::Done(None) => {
+                let body = body.into_bytes();
                 let end = body_end(&attempt.answer, &body);
                 plan.fleet.metrics().answer_ends.count(end.label());
                 if end == BodyEnd::Truncated {
@@ -337,12 +339,15 @@
                     let cause = "the answer broke off: truncated JSON".to_string();
                     return Err(LostAttempt::broken(&attempt.active, cause).await);
                 }
-                return Ok(CollectedBody::Complete(body.freeze(), end));
+                return Ok(CollectedBody::Complete(body, end));
             }
             WaitResult::Done(Some(Ok(piece))) => {
-                body.extend_from_slice(&piece);
-                if body.len() > MAX_BUFFERED_ANSWER_BYTES {
-                    return Ok(CollectedBody::Partial(body.freeze()));
+                let has_room = body.append(&piece).is_ok();
+                if !has_room {
+                    body.append_forced(&piece);
+                }
+                if !has_room || body.len() > MAX_BUFFERED_ANSWER_BYTES {
+                    return Ok(CollectedBody::Partial(body.into_bytes()));
                 }
             }
             WaitResult::Done(Some(Err(error))) => {
--- a/crates/papayamux-router/src/direct/call.rs
+++ b/crates/papayamux-router/src/direct/call.rs
@@ -129,6 +129,9 @@
     /// The body of the request did not arrive.
     #[error("the request's body did not arrive")]
     Incomplete,
+    /// The router has no memory for the body of the request.
+    #[error("the router has no memory for the request's body")]
+    NoMemory,
 }
 
 impl NotRunReason {
@@ -150,6 +153,7 @@
             NotRunReason::Late => "late",
             NotRunReason::Quarantined => "quarantined",
             NotRunReason::Incomplete => "incomplete",
+            NotRunReason::NoMemory => "no_memory",
         }
     }
 }
--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -7,18 +7,17 @@
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response};
-use hyper::body::Incoming;
 use papayamux_coordination::body_end::BodyEnd;
 use papayamux_state::backend::ServerSlowdown;
-use papayamux_transport::http::AnswerBody;
+use papayamux_state::quantities::ByteCount;
+use papayamux_transport::http::{AnswerBody, BodyReadError, CallerBody};
 
 use super::active_request::ActiveRequest;
 use super::attempt::{
     collect_body, send_attempt, AttemptAnswer, CollectedBody, LostAttempt, DEADLINE_PASSED,
 };
-use super::call_plan::CallPlan;
+use super::call_plan::{CallPlan, ReceivedCall};
 use super::interface::CallInterface;
-use super::request_body::read_body;
 use super::stream_relay::{InFlight, StreamRelay};
 use super::{CallFailure, CallHead, Fleet, NotRunReason};
 
@@ -29,6 +28,9 @@
 const CONNECTION_HEADERS: [&str; 5] =
     ["keep-alive", "proxy-connection", "te", "trailer", "upgrade"];
 
+/// Memory that a long answer takes while it is relayed: what the connections on both sides have buffered.
+const LONG_ANSWER_BYTES: ByteCount = ByteCount::new(64 * 1024);
+
 /// Handler for the requests of callers.
 pub struct CallHandler {
     fleet: Rc<Fleet>,
@@ -42,14 +44,16 @@
     }
 
     /// Handles a request and returns its answer.
-    pub async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    pub async fn handle(self: Rc<Self>, request: Request<CallerBody>) -> Response<AnswerBody> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let call = match self.interface.read_call(head) {
             Ok(call) => Rc::new(call),
             Err(failure) => return self.refuse(None, arrived, &failure),
         };
-        match self.serve(call.clone(), body, arrived).await {
+        let connection = body.connection();
+        let received = ReceivedCall { call: call.clone(), connection, arrived };
+        match self.serve(received, body).await {
             Ok(response) => response,
             Err(failure) => self.refuse(Some(&call), arrived, &failure),
         }
@@ -78,19 +82,18 @@
 
     async fn serve(
         &self,
-        call: Rc<CallHead>,
-        body: Incoming,
-        arrived: Instant,
+        received: ReceivedCall,
+        body: CallerBody,
     ) -> Result<Response<AnswerBody>, CallFailure> {
-        let admitted = self.fleet.admit(&call).await?;
+        let admitted = self.fleet.admit(&received.call).await?;
         let sample = rand::random::<f64>();
         let Some(service) = admitted.route.pick_service(sample).cloned() else {
             return Err(CallFailure::not_run(NotRunReason::NoServer));
         };
         let fleet = self.fleet.clone();
-        let mut plan =
-            CallPlan::new(fleet, call, admitted.route, service, admitted.holder, arrived);
-        plan.body = read_body(body, admitted.max_body_bytes, plan.left()).await?;
+        let mut plan = CallPlan::new(fleet, received, admitted.route, service, admitted.holder);
+        let body = body.read(admitted.max_body_bytes, plan.left()).await;
+        plan.body = body.map_err(|error| unread_body(&plan, error))?;
         plan.check_quarantine()?;
         plan.keep_origin().await?;
         plan.check_open()?;
@@ -205,6 +208,7 @@
         collected: Bytes,
         in_flight: InFlight,
     ) -> Response<AnswerBody> {
+        plan.connection.charge_for_exchange(LONG_ANSWER_BYTES);
         let mut head = answer_head(&attempt.answer.head);
         if let Some(length) = attempt.answer.declared_length() {
             head.headers.insert(CONTENT_LENGTH, HeaderValue::from(length.get()));
@@ -224,6 +228,14 @@
     Lost(LostAttempt),
 }
 
+fn unread_body(plan: &CallPlan, error: BodyReadError) -> CallFailure {
+    match error {
+        BodyReadError::TooLong { .. } => CallFailure::TooLong,
+        BodyReadError::Incomplete => plan.failure(NotRunReason::Incomplete),
+        BodyReadError::NoMemory => plan.failure(NotRunReason::NoMemory),
+    }
+}
+
 fn timed_out(failure: CallFailure) -> CallFailure {
     match failure {
         CallFailure::Unknown(_) => CallFailure::TimedOut,
--- a/crates/papayamux-router/src/direct/call_plan.rs
+++ b/crates/papayamux-router/src/direct/call_plan.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::uri::PathAndQuery;
 use papayamux_coordination::attempt_plan::{AttemptHistory, AttemptLoss, NextStep};
 use papayamux_coordination::mechanism::Mechanism;
@@ -23,6 +22,7 @@
 use papayamux_state::request_fingerprint::{RequestContent, RequestFingerprint};
 use papayamux_state::service_config::{KeyHolder, RequestKind, Route};
 use papayamux_state::stream_origin::{StreamKey, StreamOrigin};
+use papayamux_transport::http::{CallerConnection, RequestBody};
 
 use super::attempt::LostAttempt;
 use super::fleet::{ChosenServer, SentSuspect, ServerFilter, SharedSlot, SlotRefusal};
@@ -32,11 +32,22 @@
 /// Remaining time below which a further attempt is pointless: a round trip to the server.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(4);
 
+/// A request whose head was received.
+#[derive(Clone)]
+pub(super) struct ReceivedCall {
+    pub(super) call: Rc<CallHead>,
+    /// The account of the caller's connection.
+    pub(super) connection: Rc<CallerConnection>,
+    pub(super) arrived: Instant,
+}
+
 /// An admitted request with everything that its attempts need.
 pub(super) struct CallPlan {
     pub(super) fleet: Rc<Fleet>,
     pub(super) call: Rc<CallHead>,
-    pub(super) body: Bytes,
+    /// The account of the caller's connection.
+    pub(super) connection: Rc<CallerConnection>,
+    pub(super) body: RequestBody,
     pub(super) route: Rc<Route>,
     pub(super) service: ServiceId,
     pub(super) holder: Option<Rc<KeyHolder>>,
@@ -62,17 +73,18 @@
     /// Creates a plan without attempts.
     pub(super) fn new(
         fleet: Rc<Fleet>,
-        call: Rc<CallHead>,
+        received: ReceivedCall,
         route: Rc<Route>,
         service: ServiceId,
         holder: Option<Rc<KeyHolder>>,
-        arrived: Instant,
     ) -> Self {
+        let ReceivedCall { call, connection, arrived } = received;
         let longest = call.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
         Self {
             fleet,
             call,
-            body: Bytes::new(),
+            connection,
+            body: RequestBody::default(),
             route,
             service,
             holder,
@@ -97,7 +109,7 @@
                 host: &self.call.host,
                 target: self.call.target.path_and_query().map_or("", PathAndQuery::as_str),
                 organisation: self.organisation(),
-                body: &self.body,
+                body: &self.body.segments(),
             })
         })
     }
@@ -448,6 +460,7 @@
             | NotRunReason::OutsideHomes
             | NotRunReason::NoServerOfVersion
             | NotRunReason::UnknownOrigin
+            | NotRunReason::NoMemory
             | NotRunReason::Starting => Some(retry_delay(self.left(), rand::random())),
             _ => None,
         };
--- a/crates/papayamux-router/src/direct/daemon.rs
+++ b/crates/papayamux-router/src/direct/daemon.rs
@@ -12,11 +12,15 @@
 use http::header::CONNECTION;
 use http::{HeaderValue, Response};
 use monoio::task::JoinHandle;
+use papayamux_coordination::caller_memory::MemoryLimits;
 use papayamux_daemon::logging::start_logging;
 use papayamux_daemon::operations::{serve_operations, OperationsView};
 use papayamux_daemon::signals::{catch_signals, SignalReceiver, SIGHUP};
 use papayamux_settings::Findings;
-use papayamux_transport::http::{serve, AnswerBody, HttpLimits};
+use papayamux_state::service_config::ConfigVersion;
+use papayamux_transport::http::{
+    serve_callers, AnswerBody, CallerMemory, HeadLimitSource, HeadLimits, HttpLimits,
+};
 use papayamux_transport::listen::listen;
 use papayamux_transport::runtime;
 use papayamux_transport::shutdown::ShutdownSignal;
@@ -29,6 +33,7 @@
 use super::peers::PeerExchange;
 use super::source_follower::{follow_source, FleetSource};
 use super::{CallHandler, CallInterface, DirectSettings, Fleet};
+use crate::caller_memory_metrics::CallerMemoryMetrics;
 
 /// Share of the grace period during which new connections are still accepted: the balancer checks
 /// the router each second and needs two failed checks to see that it drains.
@@ -110,6 +115,8 @@
     let (caller_address, operator_address) = (callers.local_addr()?, operators.local_addr()?);
     let mut registry = Registry::default();
     fleet.metrics().register(&mut registry);
+    let metrics = CallerMemoryMetrics::default();
+    metrics.register(&mut registry);
     let registry = Rc::new(registry);
     if let Some(address) = settings.metrics {
         let listener = listen(address)?;
@@ -135,8 +142,13 @@
     monoio::spawn(follow_source(fleet.clone(), source, peers.clone()));
     monoio::spawn(survey_caches(fleet.clone(), peers.clone(), interface.clone()));
     let timer = TimerService::start();
-    monoio::spawn(prune_outdated(fleet.clone(), timer.clone()));
+    let memory = CallerMemory::new(MemoryLimits::of_machine(settings.memory));
+    let pruned = PrunedState { fleet: fleet.clone(), memory: memory.clone(), metrics };
+    monoio::spawn(pruned.run(timer.clone()));
     monoio::spawn(watch_attempts(fleet.clone(), timer));
+    let heads =
+        HeadLimits { timeout: IDLE_TIMEOUT, idle_timeout: IDLE_TIMEOUT, ..HeadLimits::default() };
+    let heads = HeadLimitSource(Rc::new(move || heads));
     let calls = CallHandler::new(fleet, interface);
     let handler_view = view.clone();
     let handler = Rc::new(move |request| {
@@ -145,11 +157,12 @@
     });
     let limits = HttpLimits {
         connections: settings.max_callers(),
-        head_timeout: IDLE_TIMEOUT,
+        heads,
+        memory: Some(memory),
         ..HttpLimits::default()
     };
     let shutdown = ShutdownSignal::new();
-    let served = monoio::spawn(serve(callers, limits, shutdown.clone(), handler));
+    let served = monoio::spawn(serve_callers(callers, limits, shutdown.clone(), handler));
     log::info!(
         instance:% = settings.instance, listen:% = caller_address,
         operations:% = operator_address, source:% = settings.source, peers:% = settings.peers;
@@ -162,10 +175,36 @@
     Ok(ServingRouter { view, peers, shutdown, served })
 }
 
-async fn prune_outdated(fleet: Rc<Fleet>, timer: TimerService) {
-    let mut ticks = timer.every(PRUNE_INTERVAL);
-    while ticks.tick().await.is_some() {
-        fleet.prune_outdated();
+/// State that is pruned, and metrics that are updated, from time to time.
+struct PrunedState {
+    fleet: Rc<Fleet>,
+    memory: Rc<CallerMemory>,
+    metrics: CallerMemoryMetrics,
+}
+
+impl PrunedState {
+    async fn run(self, timer: TimerService) {
+        let mut ticks = timer.every(PRUNE_INTERVAL);
+        let mut checked_version = ConfigVersion::default();
+        while ticks.tick().await.is_some() {
+            self.fleet.prune_outdated();
+            self.metrics.update(&self.memory);
+            checked_version = self.check_body_limit(checked_version);
+        }
+    }
+
+    /// Warns of a new configuration that allows bodies for which there is never memory. Returns its version.
+    fn check_body_limit(&self, checked_version: ConfigVersion) -> ConfigVersion {
+        let version = self.fleet.configuration_version();
+        let Some(configuration) = self.fleet.configuration() else { return version };
+        let (body, limit) = (configuration.limits.body_bytes, self.memory.limits().large);
+        if version != checked_version && body > limit {
+            log::warn!(
+                configuration:% = version, body_bytes = body.get(), limit_bytes = limit.get();
+                "the longest bodies exceed the memory for callers"
+            );
+        }
+        version
     }
 }
 
--- a/crates/papayamux-router/src/direct/interface.rs
+++ b/crates/papayamux-router/src/direct/interface.rs
@@ -12,7 +12,7 @@
 use papayamux_state::backend::{ReportedQueue, ServerNotice};
 use papayamux_state::ids::{OrganisationId, ServerName, ServerStart};
 use papayamux_state::prompt::PromptPart;
-use papayamux_transport::http::AnswerBody;
+use papayamux_transport::http::{AnswerBody, RequestBody};
 use thiserror::Error;
 
 use super::{CallFailure, CallHead};
@@ -74,8 +74,8 @@
         &self,
         call: &CallHead,
         dispatch: &Dispatch<'_>,
-        body: Bytes,
-    ) -> Request<Bytes>;
+        body: RequestBody,
+    ) -> Request<RequestBody>;
     /// Returns the queue that a server reports with an answer.
     fn reported_queue(&self, head: &ResponseParts) -> Option<ReportedQueue>;
     /// Returns what a server reports about its own state with an answer, regardless of the status.
--- a/crates/papayamux-router/src/direct/mod.rs
+++ b/crates/papayamux-router/src/direct/mod.rs
@@ -15,7 +15,6 @@
 mod interface;
 mod metrics;
 mod peers;
-mod request_body;
 mod retry_outcome;
 mod settings;
 mod source_follower;
--- a/crates/papayamux-router/src/direct/settings.rs
+++ b/crates/papayamux-router/src/direct/settings.rs
@@ -13,7 +13,7 @@
 use papayamux_coordination::recent_departures::DepartureBounds;
 use papayamux_coordination::service_retry_budget::RetryAllowance;
 use papayamux_coordination::source_polling::ReadBounds;
-use papayamux_settings::{DurationSetting, FactorSetting, Findings, IniFile};
+use papayamux_settings::{DurationSetting, FactorSetting, Findings, IniFile, MegabyteSetting};
 use papayamux_state::capacity_class::{CapacityClass, ProcessorShare};
 use papayamux_state::ids::{FailureDomain, Region};
 use papayamux_state::quantities::ByteCount;
@@ -119,6 +119,9 @@
     pub listen: SocketAddr,
     /// Maximum number of open file descriptors of the process.
     pub descriptors: usize,
+    /// Memory of the instance, of which callers may make the process hold a part.
+    #[builder(default = DEFAULT_MEMORY)]
+    pub memory: ByteCount,
     /// Where the balancer checks readiness and operators query the status.
     pub operations: SocketAddr,
     /// The path of the readiness check.
@@ -139,6 +142,8 @@
 
 /// Default number of descriptors: the usual limit of a service.
 const DEFAULT_DESCRIPTORS: usize = 4_096;
+/// Default memory of an instance.
+const DEFAULT_MEMORY: ByteCount = ByteCount::new(256_000_000);
 /// Descriptors that are not connections: listeners, the source, files.
 const OTHER_DESCRIPTORS: usize = 400;
 /// Share of the remaining descriptors for callers. Their requests need fewer connections to servers
@@ -189,6 +194,7 @@
     let ready_path = listen.or("ready_path", "/ready".to_string());
     let metrics = listen.optional("metrics");
     let descriptors = listen.or("descriptors", DEFAULT_DESCRIPTORS);
+    let memory: Option<MegabyteSetting> = listen.optional("memory_mb");
     listen.report_unknown_keys();
     let source_section = file.section("source");
     let source = source_section.required("address");
@@ -207,6 +213,7 @@
             .instance(name?)
             .listen(callers?)
             .descriptors(descriptors)
+            .maybe_memory(memory.map(|memory| memory.0))
             .operations(operations?)
             .ready_path(ready_path)
             .maybe_metrics(metrics)
--- a/crates/papayamux-router/src/lib.rs
+++ b/crates/papayamux-router/src/lib.rs
@@ -1,6 +1,7 @@
 //! The router: accepts requests from callers and forwards them to the agents of backend servers.
 
 mod agents;
+mod caller_memory_metrics;
 mod callers;
 pub mod claims;
 mod configuration;
--- a/crates/papayamux-state/src/request_fingerprint.rs
+++ b/crates/papayamux-state/src/request_fingerprint.rs
@@ -19,8 +19,8 @@
     pub target: &'a str,
     /// The organisation whose API key the request carries.
     pub organisation: Option<&'a OrganisationId>,
-    /// The request body.
-    pub body: &'a [u8],
+    /// The request body, in consecutive segments.
+    pub body: &'a [&'a [u8]],
 }
 
 /// The first 64 bits of the SHA-256 of a request's content. A cryptographic hash keeps callers from
@@ -46,14 +46,18 @@
             content.host.as_bytes(),
             content.target.as_bytes(),
             organisation.as_bytes(),
-            content.body,
         ];
         let mut hasher = Sha256::new();
+        // The length prefix marks where one field ends and the next begins.
         for field in fields {
-            // The length prefix marks where one field ends and the next begins.
             hasher.update((field.len() as u64).to_le_bytes());
             hasher.update(field);
         }
+        let body_bytes: u64 = content.body.iter().map(|segment| segment.len() as u64).sum();
+        hasher.update(body_bytes.to_le_bytes());
+        for segment in content.body {
+            hasher.update(segment);
+        }
         let digest = hasher.finalize();
         Self(
             digest.iter().take(size_of::<u64>()).fold(0, |bits, byte| bits << 8 | u64::from(*byte)),
--- a/crates/papayamux-state/tests/request_fingerprint.rs
+++ b/crates/papayamux-state/tests/request_fingerprint.rs
@@ -16,7 +16,7 @@
         host: "tickets.example",
         target: "/chat/a?b",
         organisation: Some(&harbour),
-        body: b"draft",
+        body: &[b"draft"],
     };
     let fingerprint = RequestFingerprint::from(content);
     assert_eq!(fingerprint, RequestFingerprint::from(content));
@@ -26,9 +26,9 @@
         RequestContent { target: "/chat/a", ..content },
         RequestContent { organisation: Some(&museum), ..content },
         RequestContent { organisation: None, ..content },
-        RequestContent { body: b"drafts", ..content },
+        RequestContent { body: &[b"drafts"], ..content },
         // The same sequence of bytes with another boundary between path and body.
-        RequestContent { target: "/chat/a?bd", body: b"raft", ..content },
+        RequestContent { target: "/chat/a?bd", body: &[b"raft"], ..content },
     ];
     for other in others {
         assert_ne!(fingerprint, RequestFingerprint::from(other), "{other:?}");
@@ -38,10 +38,21 @@
 #[test]
 fn fingerprint_stays_the_same_between_builds() {
     let content =
-        RequestContent { method: "GET", host: "h", target: "/", organisation: None, body: b"" };
+        RequestContent { method: "GET", host: "h", target: "/", organisation: None, body: &[b""] };
     assert_eq!(RequestFingerprint::from(content).to_string(), "0ca45f732480855c");
 }
 
+#[test]
+fn fingerprint_does_not_depend_on_the_segments_of_a_body() {
+    let fingerprint = |body: &[&[u8]]| {
+        let (method, host, target) = ("POST", "h", "/");
+        RequestFingerprint::from(RequestContent { method, host, target, organisation: None, body })
+    };
+    let whole = fingerprint(&[b"draft"]);
+    assert_eq!(whole, fingerprint(&[b"dr", b"", b"aft"]));
+    assert_ne!(whole, fingerprint(&[b"dr", b"aft", b"s"]));
+}
+
 /// The secret words that XXH3 uses for the first words of its third and fourth 64-byte stripes.
 const KEYS: [u64; 2] = [0xdb97_9083_e96d_d4de, 0x1f67_b3b7_a4a4_4072];
 
@@ -61,12 +72,14 @@
 #[test]
 fn bodies_crafted_to_collide_in_xxh3_have_different_fingerprints() {
     // The words are at the start of a stripe, because the other fields take up the 64 bytes before the body.
-    let content = |body| RequestContent {
-        method: "POST",
-        host: "tickets.example",
-        target: "/chat",
-        organisation: None,
-        body,
+    let fingerprint = |body: &[u8]| {
+        RequestFingerprint::from(RequestContent {
+            method: "POST",
+            host: "tickets.example",
+            target: "/chat",
+            organisation: None,
+            body: &[body],
+        })
     };
     let (first, second) = (64, 128);
     let pair = |high: [u64; 2]| {
@@ -74,6 +87,6 @@
         body_with([(first, word(high[0], KEYS[0])), (second, word(high[1], KEYS[1]))])
     };
     let (one, other) = (pair([1, 2]), pair([2, 1]));
-    let fingerprints = [&one, &other].map(|body| RequestFingerprint::from(content(body)));
+    let fingerprints = [&one, &other].map(|body| fingerprint(body));
     assert_ne!(fingerprints[0], fingerprints[1]);
 }
--- /dev/null
+++ b/crates/papayamux-transport/src/http/callers/caller_body.rs
@@ -0,0 +1,154 @@
+//! The body of a caller's request, while it is being received.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::{select, Either};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use papayamux_coordination::caller_memory::{HolderStage, MemoryShortage};
+use papayamux_state::quantities::ByteCount;
+use thiserror::Error;
+
+use super::caller_connection::{CallerConnection, MemoryHold};
+use crate::http::RequestBody;
+
+/// Size of a body's first segment, unless its declared length is smaller.
+const MIN_SEGMENT_BYTES: usize = 4 * 1024;
+/// Size up to which segments grow. Memory is claimed a segment at a time, so that a declared length reserves none.
+const MAX_SEGMENT_BYTES: usize = 64 * 1024;
+
+/// The reason that a body was not received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum BodyReadError {
+    /// The body exceeds the size limit.
+    #[error("the body is longer than {limit} bytes")]
+    TooLong {
+        /// Maximum size in bytes.
+        limit: u64,
+    },
+    /// The body did not arrive completely, or not in time.
+    #[error("the body did not arrive")]
+    Incomplete,
+    /// There is no memory for the body.
+    #[error("there is no memory for the body")]
+    NoMemory,
+}
+
+impl From<MemoryShortage> for BodyReadError {
+    fn from(_: MemoryShortage) -> Self {
+        Self::NoMemory
+    }
+}
+
+/// A body that has not been read yet, with the connection that pays for it.
+pub struct CallerBody {
+    incoming: Incoming,
+    connection: Rc<CallerConnection>,
+}
+
+impl CallerBody {
+    pub(in crate::http) fn new(incoming: Incoming, connection: Rc<CallerConnection>) -> Self {
+        Self { incoming, connection }
+    }
+
+    /// Returns the body as the HTTP library receives it. What is read of it isn't accounted for.
+    pub fn into_incoming(self) -> Incoming {
+        self.connection.stop_counting_progress();
+        self.incoming
+    }
+
+    /// Returns the account of the connection.
+    pub fn connection(&self) -> Rc<CallerConnection> {
+        self.connection.clone()
+    }
+
+    /// Reads the complete body within `within`, so that it can be sent more than once. Fails early if the body
+    /// exceeds `max_bytes` or others need the memory.
+    pub async fn read(
+        self,
+        max_bytes: u64,
+        within: Duration,
+    ) -> Result<RequestBody, BodyReadError> {
+        if self.incoming.size_hint().lower() > max_bytes {
+            return Err(BodyReadError::TooLong { limit: max_bytes });
+        }
+        let connection = self.connection.clone();
+        connection.set_stage(HolderStage::Receiving);
+        let read = monoio::time::timeout(within, self.collect(max_bytes));
+        let evicted = std::pin::pin!(connection.evicted().triggered());
+        match select(evicted, std::pin::pin!(read)).await {
+            Either::Left(_) => Err(BodyReadError::NoMemory),
+            Either::Right((Err(_), _)) => Err(BodyReadError::Incomplete),
+            Either::Right((Ok(result), _)) => result,
+        }
+    }
+
+    async fn collect(mut self, max_bytes: u64) -> Result<RequestBody, BodyReadError> {
+        let declared = self.incoming.size_hint().exact();
+        let mut segments = SegmentBuffer::new(self.connection.hold(), declared);
+        while let Some(frame) = self.incoming.frame().await {
+            let frame = frame.map_err(|_| BodyReadError::Incomplete)?;
+            if let Ok(piece) = frame.into_data() {
+                self.connection.record_progress();
+                self.connection.record_bytes(piece.len());
+                if segments.len() + piece.len() as u64 > max_bytes {
+                    return Err(BodyReadError::TooLong { limit: max_bytes });
+                }
+                segments.append(&piece)?;
+            }
+        }
+        self.connection.record_body_end();
+        Ok(segments.into_body())
+    }
+}
+
+/// Collects a body in segments. Nothing is copied when it grows, and what is received isn't kept in the buffers of
+/// the HTTP library, of which a small piece would keep a whole one.
+struct SegmentBuffer {
+    hold: MemoryHold,
+    complete: Vec<Bytes>,
+    current: BytesMut,
+    length: u64,
+    declared: Option<u64>,
+}
+
+impl SegmentBuffer {
+    fn new(hold: MemoryHold, declared: Option<u64>) -> Self {
+        Self { hold, complete: Vec::new(), current: BytesMut::new(), length: 0, declared }
+    }
+
+    fn len(&self) -> u64 {
+        self.length
+    }
+
+    fn append(&mut self, piece: &[u8]) -> Result<(), BodyReadError> {
+        let mut left = piece;
+        while !left.is_empty() {
+            if self.current.len() == self.current.capacity() {
+                self.begin_segment()?;
+            }
+            let room = (self.current.capacity() - self.current.len()).min(left.len());
+            self.current.extend_from_slice(&left[..room]);
+            self.length += room as u64;
+            left = &left[room..];
+        }
+        Ok(())
+    }
+
+    fn begin_segment(&mut self) -> Result<(), BodyReadError> {
+        let grown = (2 * self.current.capacity()).clamp(MIN_SEGMENT_BYTES, MAX_SEGMENT_BYTES);
+        let missing = self.declared.map_or(u64::MAX, |declared| declared - self.length);
+        let size = grown.min(usize::try_from(missing).unwrap_or(usize::MAX)).max(1);
+        self.hold.grow(ByteCount::new(size as u64))?;
+        let full = std::mem::replace(&mut self.current, BytesMut::with_capacity(size));
+        self.complete.extend((!full.is_empty()).then(|| full.freeze()));
+        Ok(())
+    }
+
+    fn into_body(mut self) -> RequestBody {
+        self.complete.extend((!self.current.is_empty()).then(|| self.current.freeze()));
+        RequestBody::new(self.complete, self.hold)
+    }
+}
--- a/crates/papayamux-transport/src/http/client.rs
+++ b/crates/papayamux-transport/src/http/client.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 use super::upstream::{PoolLimits, UpstreamAnswer, UpstreamError, UpstreamPool};
+use super::RequestBody;
 
 /// Timeout of connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -85,7 +86,8 @@
         &self,
         request: Request<Bytes>,
     ) -> Result<ClientAnswer, HttpClientError> {
-        let lost = match self.pool.send_over_idle(self.address, request.clone()).await {
+        let first = request.clone().map(RequestBody::from);
+        let lost = match self.pool.send_over_idle(self.address, first).await {
             None | Some(Err(UpstreamError::NotSent { .. })) => {
                 return self.send_once(request).await
             }
@@ -120,7 +122,7 @@
         if !may_send() {
             return Err(HttpClientError::NotAllowed);
         }
-        let answer = self.pool.send_over(connection, request).await?;
+        let answer = self.pool.send_over(connection, request.map(RequestBody::from)).await?;
         Ok(ClientAnswer::from(answer))
     }
 }
--- a/crates/papayamux-transport/src/http/mod.rs
+++ b/crates/papayamux-transport/src/http/mod.rs
@@ -1,11 +1,17 @@
 //! HTTP servers and clients for callers, operators and backend servers.
 
 mod body;
+mod callers;
 mod client;
+mod request_body;
 mod server;
-mod stall_guard;
 pub mod upstream;
 
 pub use body::{AnswerBody, BodyError};
+pub use callers::{
+    AnswerBuffer, BodyReadError, CallerBody, CallerConnection, CallerMemory, MemoryHold,
+    MemoryUsage,
+};
 pub use client::{ClientAnswer, HttpClient, HttpClientError};
-pub use server::{serve, AddressCheck, HttpLimits};
+pub use request_body::RequestBody;
+pub use server::{serve, serve_callers, AddressCheck, HeadLimitSource, HeadLimits, HttpLimits};
--- a/crates/papayamux-transport/src/http/server.rs
+++ b/crates/papayamux-transport/src/http/server.rs
@@ -2,26 +2,32 @@
 
 use std::cell::Cell;
 use std::fmt;
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::io;
 use std::net::IpAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::future::{select, Either};
 use futures_util::{Stream, StreamExt};
 use http::header::{CONNECTION, CONTENT_LENGTH};
 use http::{HeaderValue, Version};
 use hyper::body::Incoming;
+use hyper::rt::Write;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use monoio::io::IntoPollIo;
 use monoio::net::{TcpListener, TcpStream};
-use monoio_compat::hyper::{MonoioIo, MonoioTimer};
+use monoio_compat::hyper::MonoioIo;
+use papayamux_coordination::caller_memory::MemoryLimits;
 
-use super::stall_guard::StallGuard;
+use super::callers::{
+    AnswerBuffer, BusyResponse, CallerBody, CallerConnection, CallerMemory, CallerStream,
+    CallerTimeouts,
+};
 use super::{AnswerBody, BodyError};
 use crate::keepalive::set_stream_options;
 use crate::shutdown::ShutdownSignal;
@@ -36,16 +42,49 @@
     }
 }
 
+/// Timeouts and the size of heads, which may change while connections are open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeadLimits {
+    /// Maximum size of a request's head in bytes.
+    pub bytes: usize,
+    /// Timeout for receiving a request's head, from its first byte on.
+    pub timeout: Duration,
+    /// Timeout of a connection that is idle before a request.
+    pub idle_timeout: Duration,
+}
+
+impl Default for HeadLimits {
+    fn default() -> Self {
+        let timeout = Duration::from_secs(15);
+        Self { bytes: 32 * 1024, timeout, idle_timeout: timeout }
+    }
+}
+
+/// Returns the limits of heads in force.
+#[derive(Clone)]
+pub struct HeadLimitSource(pub Rc<dyn Fn() -> HeadLimits>);
+
+impl Default for HeadLimitSource {
+    fn default() -> Self {
+        Self(Rc::new(HeadLimits::default))
+    }
+}
+
+impl fmt::Debug for HeadLimitSource {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0().fmt(formatter)
+    }
+}
+
 /// Limits of a listener.
 #[derive(Debug, Clone)]
 pub struct HttpLimits {
     /// Maximum number of open connections; further ones wait in the kernel's backlog.
     pub connections: usize,
-    /// Maximum size of a request's head in bytes. It is checked after each read, so a head of up to
-    /// twice this size may pass.
-    pub head_bytes: usize,
-    /// Timeout for receiving a request's head.
-    pub head_timeout: Duration,
+    /// Limits of requests' heads.
+    pub heads: HeadLimitSource,
+    /// The memory that callers may hold; `None` for no limit.
+    pub memory: Option<Rc<CallerMemory>>,
     /// Maximum time for which a write may wait without the other side accepting anything.
     pub write_timeout: Duration,
     /// Addresses that may connect; `None` allows all.
@@ -56,8 +95,8 @@
     fn default() -> Self {
         Self {
             connections: 10_000,
-            head_bytes: 32 * 1024,
-            head_timeout: Duration::from_secs(15),
+            heads: HeadLimitSource::default(),
+            memory: None,
             write_timeout: Duration::from_secs(30),
             admits: None,
         }
@@ -76,6 +115,8 @@
 /// Share of the connection limit above which each answer asks its caller to close the connection.
 /// This frees idle connections before new callers have to wait in the kernel's backlog.
 const CROWDED_SHARE: f64 = 0.75;
+/// Smallest buffer that the HTTP library accepts.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
 struct OpenConnections {
     limit: usize,
@@ -98,12 +139,17 @@
         }
     }
 
-    fn is_crowded(&self) -> bool {
+    /// Returns whether so many connections are open that they must be closed for new ones.
+    fn has_too_many_kept(&self) -> bool {
         self.crowded.get()
     }
 
+    fn is_crowd(&self, count: usize) -> bool {
+        count as f64 > self.limit as f64 * CROWDED_SHARE
+    }
+
     fn update_crowded(&self) {
-        let crowded = self.count.get() as f64 > self.limit as f64 * CROWDED_SHARE;
+        let crowded = self.is_crowd(self.count.get());
         if self.crowded.replace(crowded) != crowded {
             let (count, limit) = (self.count.get(), self.limit);
             log::warn!(crowded = crowded, connections = count, limit = limit; "callers' connections");
@@ -112,11 +158,22 @@
 
     async fn wait_below(&self, limit: usize) {
         while self.count.get() >= limit {
-            let signal = ShutdownSignal::new();
-            self.closed.set(Some(signal.clone()));
-            signal.triggered().await;
+            self.next_close().await;
+        }
+    }
+
+    /// Waits until a connection is free.
+    async fn wait_for_room(&self) {
+        while self.count.get() >= self.limit {
+            self.next_close().await;
         }
     }
+
+    async fn next_close(&self) {
+        let signal = ShutdownSignal::new();
+        self.closed.set(Some(signal.clone()));
+        signal.triggered().await;
+    }
 }
 
 /// Serves connections until `shutdown` is triggered, then lets each connection finish its request
@@ -131,14 +188,33 @@
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
+    let handler = Rc::new(move |request: Request<CallerBody>| {
+        handler(request.map(CallerBody::into_incoming))
+    });
+    serve_callers(listener, limits, shutdown, handler).await
+}
+
+/// Like [`serve`], for callers that may misbehave: the handler reads bodies through the account of their connection.
+pub async fn serve_callers<H, F>(
+    listener: TcpListener,
+    limits: HttpLimits,
+    shutdown: ShutdownSignal,
+    handler: Rc<H>,
+) -> io::Result<()>
+where
+    H: Fn(Request<CallerBody>) -> F + 'static,
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    let unlimited = || CallerMemory::new(MemoryLimits::UNLIMITED);
+    let memory = limits.memory.clone().unwrap_or_else(unlimited);
     let open = Rc::new(OpenConnections {
-        limit: limits.connections,
+        limit: limits.connections.min(memory.limits().max_connections()),
         count: Cell::new(0),
         crowded: Cell::new(false),
         closed: Cell::new(None),
     });
     loop {
-        open.wait_below(limits.connections).await;
+        open.wait_for_room().await;
         let accept = std::pin::pin!(listener.accept());
         let triggered = std::pin::pin!(shutdown.triggered());
         let (stream, peer) = match select(triggered, accept).await {
@@ -153,11 +229,14 @@
         if limits.admits.as_ref().is_some_and(|check| !(check.0)(peer.ip())) {
             continue;
         }
+        // The shortage is logged; the connection is closed.
+        let Ok(connection) = memory.open() else { continue };
         open.record_open();
         let (open, shutdown, handler) = (open.clone(), shutdown.clone(), handler.clone());
         let limits = limits.clone();
         monoio::spawn(async move {
-            if let Err(error) = serve_connection(stream, limits, shutdown, &open, handler).await {
+            let accepted = AcceptedConnection { stream, connection, open: open.clone() };
+            if let Err(error) = accepted.serve(limits, shutdown, handler).await {
                 log::debug!(error:% = error; "caller's connection failed");
             }
             open.record_close();
@@ -168,66 +247,126 @@
     Ok(())
 }
 
-async fn serve_connection<H, F>(
+struct AcceptedConnection {
     stream: TcpStream,
-    limits: HttpLimits,
-    shutdown: ShutdownSignal,
-    open: &Rc<OpenConnections>,
+    connection: Rc<CallerConnection>,
+    open: Rc<OpenConnections>,
+}
+
+impl AcceptedConnection {
+    async fn serve<H, F>(
+        self,
+        limits: HttpLimits,
+        shutdown: ShutdownSignal,
+        handler: Rc<H>,
+    ) -> Result<(), Box<dyn std::error::Error>>
+    where
+        H: Fn(Request<CallerBody>) -> F + 'static,
+        F: Future<Output = Response<AnswerBody>> + 'static,
+    {
+        let Self { stream, connection, open } = self;
+        set_stream_options(&stream)?;
+        let request_seen = Rc::new(Cell::new(false));
+        let exchange = CallerExchange {
+            handler,
+            open,
+            connection: connection.clone(),
+            request_seen: request_seen.clone(),
+        };
+        let service = service_fn(move |request| Box::pin(exchange.clone().answer(request)));
+        let max_head_bytes = (limits.heads.0)().bytes.max(MIN_BUFFER_BYTES);
+        let timeouts = Rc::new(move || {
+            let heads = (limits.heads.0)();
+            CallerTimeouts {
+                idle: heads.idle_timeout,
+                head: heads.timeout,
+                write: limits.write_timeout,
+            }
+        });
+        let stream = CallerStream::new(stream.into_poll_io()?, connection.clone(), timeouts);
+        let mut served = http1::Builder::new()
+            .max_buf_size(max_head_bytes)
+            .serve_connection(MonoioIo::new(stream), service);
+        let result = {
+            let finished = std::pin::pin!(poll_fn(|context| served.poll_without_shutdown(context)));
+            let triggered = std::pin::pin!(shutdown.triggered());
+            match select(finished, triggered).await {
+                Either::Left((result, _)) => Some(result),
+                Either::Right(_) => None,
+            }
+        };
+        let result = match result {
+            Some(result) => result,
+            None => {
+                Pin::new(&mut served).graceful_shutdown();
+                let finished =
+                    std::pin::pin!(poll_fn(|context| served.poll_without_shutdown(context)));
+                let first = std::pin::pin!(wait_first_request(&request_seen));
+                match select(finished, first).await {
+                    Either::Left((result, _)) => result,
+                    Either::Right((true, finished)) => finished.await,
+                    Either::Right((false, _)) => return Ok(()),
+                }
+            }
+        };
+        let mut stream = served.into_parts().io;
+        poll_fn(|context| Pin::new(&mut stream).poll_shutdown(context)).await?;
+        Ok(result?)
+    }
+}
+
+/// Answers the requests of one connection.
+struct CallerExchange<H> {
     handler: Rc<H>,
-) -> Result<(), Box<dyn std::error::Error>>
+    open: Rc<OpenConnections>,
+    connection: Rc<CallerConnection>,
+    request_seen: Rc<Cell<bool>>,
+}
+
+impl<H> Clone for CallerExchange<H> {
+    fn clone(&self) -> Self {
+        Self {
+            handler: self.handler.clone(),
+            open: self.open.clone(),
+            connection: self.connection.clone(),
+            request_seen: self.request_seen.clone(),
+        }
+    }
+}
+
+impl<H, F> CallerExchange<H>
 where
-    H: Fn(Request<Incoming>) -> F + 'static,
+    H: Fn(Request<CallerBody>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
-    set_stream_options(&stream)?;
-    let request_seen = Rc::new(Cell::new(false));
-    let mark_seen = request_seen.clone();
-    let open = open.clone();
-    let service = service_fn(move |request| {
-        mark_seen.set(true);
-        let (handler, open) = (handler.clone(), open.clone());
-        async move {
-            let needs_length = request.version() == Version::HTTP_10;
-            let mut response = handler(request).await;
-            if needs_length {
-                response = with_length(response).await?;
-            }
-            if open.is_crowded() {
-                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            }
-            Ok::<_, BodyError>(response)
+    async fn answer(self, request: Request<Incoming>) -> Result<Response<BusyResponse>, BodyError> {
+        let connection = self.connection;
+        self.request_seen.set(true);
+        connection.begin_request();
+        let needs_length = request.version() == Version::HTTP_10;
+        let request = request.map(|body| CallerBody::new(body, connection.clone()));
+        let mut response = (self.handler)(request).await;
+        if needs_length {
+            response = with_length(response, &connection).await?;
         }
-    });
-    let guarded = StallGuard::new(MonoioIo::new(stream.into_poll_io()?), limits.write_timeout);
-    let connection = http1::Builder::new()
-        .timer(MonoioTimer)
-        .header_read_timeout(limits.head_timeout)
-        .max_buf_size(limits.head_bytes)
-        .serve_connection(guarded, service);
-    let mut connection = std::pin::pin!(connection);
-    let triggered = std::pin::pin!(shutdown.triggered());
-    match select(connection.as_mut(), triggered).await {
-        Either::Left((result, _)) => result?,
-        Either::Right(_) => {
-            connection.as_mut().graceful_shutdown();
-            let first = std::pin::pin!(wait_first_request(&request_seen));
-            match select(connection, first).await {
-                Either::Left((result, _)) => result?,
-                Either::Right((true, connection)) => connection.await?,
-                Either::Right((false, _)) => {}
-            }
+        connection.record_answer(response.status().is_success());
+        if self.open.has_too_many_kept() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        Ok(response.map(|body| BusyResponse { body, connection }))
     }
-    Ok(())
 }
 
 /// Buffers a stream without a length for a caller of HTTP/1.0, which has no chunks: ended by its connection,
 /// a truncated answer would look complete. An error closes the connection without an answer.
-async fn with_length(response: Response<AnswerBody>) -> Result<Response<AnswerBody>, BodyError> {
+async fn with_length(
+    response: Response<AnswerBody>,
+    connection: &Rc<CallerConnection>,
+) -> Result<Response<AnswerBody>, BodyError> {
     let (head, body) = response.into_parts();
     let body = match body {
         AnswerBody::Stream(stream) if !head.headers.contains_key(CONTENT_LENGTH) => {
-            AnswerBody::Whole(collect(stream).await?)
+            AnswerBody::Whole(collect(stream, connection).await?)
         }
         body => body,
     };
@@ -236,16 +375,18 @@
 
 async fn collect(
     mut stream: impl Stream<Item = Result<Bytes, BodyError>> + Unpin,
+    connection: &Rc<CallerConnection>,
 ) -> Result<Bytes, BodyError> {
-    let mut body = BytesMut::new();
+    let mut body = AnswerBuffer::new(connection.clone());
     while let Some(piece) = stream.next().await {
-        body.extend_from_slice(&piece?);
-        if body.len() > MAX_BUFFERED_BYTES {
+        let piece = piece?;
+        if body.len() + piece.len() > MAX_BUFFERED_BYTES {
             let message = format!("longer than {MAX_BUFFERED_BYTES} bytes, for HTTP/1.0");
             return Err(BodyError(message));
         }
+        body.append(&piece).map_err(|shortage| BodyError(shortage.to_string()))?;
     }
-    Ok(body.freeze())
+    Ok(body.into_bytes())
 }
 
 /// Returns whether a connection has sent a request, now or within `FIRST_REQUEST_TIMEOUT`. `hyper`
--- a/crates/papayamux-transport/src/http/upstream/connection.rs
+++ b/crates/papayamux-transport/src/http/upstream/connection.rs
@@ -3,11 +3,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use futures_channel::oneshot;
 use futures_util::future::{select, Either};
 use http::Request;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use monoio::io::IntoPollIo;
@@ -16,6 +14,7 @@
 use thiserror::Error;
 
 use super::read_guard::{ReadGuard, ReadProgress};
+use crate::http::RequestBody;
 use crate::keepalive::set_stream_options;
 
 /// Maximum size of the head of an answer, and of what is read of a body at once.
@@ -64,7 +63,7 @@
 /// An open connection. Dropping it closes the socket immediately, even during an answer.
 pub(in crate::http) struct UpstreamConnection {
     address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     _open: oneshot::Sender<()>,
     progress: ReadProgress,
     /// Time that connecting took, until it is taken.
@@ -152,14 +151,14 @@
     /// Sends a request and waits for the head of its answer.
     pub(super) async fn send(
         &mut self,
-        request: Request<Bytes>,
+        request: Request<RequestBody>,
     ) -> Result<http::Response<Incoming>, UpstreamError> {
         let address = self.address;
         // A new connection accepts its first request immediately, and the pool hands out others
         // only when they are ready. Waiting for readiness here would wake this task at each poll if
         // the compiler has made two copies of its waker's vtable, and would starve all other tasks.
         self.progress.record();
-        match self.sender.try_send_request(request.map(Full::new)).await {
+        match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.progress.record();
                 Ok(response)
--- a/crates/papayamux-transport/src/http/upstream/connection_pool.rs
+++ b/crates/papayamux-transport/src/http/upstream/connection_pool.rs
@@ -6,11 +6,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::Request;
 
 use super::connection::UpstreamConnection;
 use super::{UpstreamAnswer, UpstreamError};
+use crate::http::RequestBody;
 
 /// Limits on connections to servers.
 #[derive(Debug, Clone, Copy)]
@@ -59,11 +59,12 @@
 
     /// Sends a request once, over a usable idle connection if there is one. If that connection
     /// turns out to be closed before anything was written, a new one replaces it.
-    pub async fn send(
+    pub async fn send<B: Into<RequestBody>>(
         &self,
         address: SocketAddr,
-        request: Request<Bytes>,
+        request: Request<B>,
     ) -> Result<UpstreamAnswer, UpstreamError> {
+        let request = request.map(Into::into);
         match self.send_over_idle(address, request.clone()).await {
             None | Some(Err(UpstreamError::NotSent { .. })) => {}
             Some(outcome) => return outcome,
@@ -76,7 +77,7 @@
     pub(in crate::http) async fn send_over_idle(
         &self,
         address: SocketAddr,
-        request: Request<Bytes>,
+        request: Request<RequestBody>,
     ) -> Option<Result<UpstreamAnswer, UpstreamError>> {
         let connection = self.take(address)?;
         Some(self.send_over(connection, request).await)
@@ -94,7 +95,7 @@
     pub(in crate::http) async fn send_over(
         &self,
         mut connection: UpstreamConnection,
-        request: Request<Bytes>,
+        request: Request<RequestBody>,
     ) -> Result<UpstreamAnswer, UpstreamError> {
         let response = connection.send(request).await?;
         Ok(UpstreamAnswer::new(self.clone(), connection, response))
--- a/crates/papayamux-transport/tests/http_shutdown.rs
+++ b/crates/papayamux-transport/tests/http_shutdown.rs
@@ -10,7 +10,9 @@
 use bytes::Bytes;
 use futures_util::stream;
 use hyper::{body::Incoming, Request, Response};
-use papayamux_transport::http::{serve, AddressCheck, AnswerBody, HttpLimits};
+use papayamux_transport::http::{
+    serve, AddressCheck, AnswerBody, HeadLimitSource, HeadLimits, HttpLimits,
+};
 use papayamux_transport::listen::listen;
 use papayamux_transport::runtime;
 use papayamux_transport::shutdown::ShutdownSignal;
@@ -48,7 +50,10 @@
 
 #[test]
 fn shutdown_does_not_wait_for_connection_without_request() {
-    let limits = HttpLimits { head_timeout: Duration::from_secs(3_600), ..HttpLimits::default() };
+    let timeout = Duration::from_secs(3_600);
+    let heads = HeadLimits { timeout, idle_timeout: timeout, ..HeadLimits::default() };
+    let heads = HeadLimitSource(Rc::new(move || heads));
+    let limits = HttpLimits { heads, ..HttpLimits::default() };
     serve_callers(
         limits,
         |address| {
