Bound what the kernel holds unread for callers and servers

What callers saw: 160 callers that asked for 3 MiB and read nothing made a router take 147 MB, of them 99 MB in the kernel.

Cause: the router relays an answer at its caller's pace, so that what the server sends waits in the socket's receive buffer, which the kernel lets grow to megabytes. Pipelined requests and bodies wait in the same way. Bytes that are received and not yet read count as memory of the instance.

Change: receive buffers have a fixed size, 32 KiB for connections of callers and 64 KiB for connections to servers (Linux accounts for twice as much). It is set before a connection is established, as the window is agreed on then; the rest of an answer waits at the server.

--- a/crates/papayamux-router/src/direct/daemon.rs
+++ b/crates/papayamux-router/src/direct/daemon.rs
@@ -21,7 +21,7 @@
 use papayamux_transport::http::{
     serve_callers, AnswerBody, CallerMemory, HeadLimitSource, HeadLimits, HttpLimits,
 };
-use papayamux_transport::listen::listen;
+use papayamux_transport::listen::{listen, listen_for_callers};
 use papayamux_transport::runtime;
 use papayamux_transport::shutdown::ShutdownSignal;
 use papayamux_transport::timer::TimerService;
@@ -110,7 +110,7 @@
 ) -> Result<ServingRouter, Box<dyn Error>> {
     let fleet = Fleet::new(settings.fleet.clone());
     let view = Rc::new(DirectView { fleet: fleet.clone(), draining: Cell::new(false) });
-    let callers = listen(settings.listen)?;
+    let callers = listen_for_callers(settings.listen)?;
     let operators = listen(settings.operations)?;
     let (caller_address, operator_address) = (callers.local_addr()?, operators.local_addr()?);
     let mut registry = Registry::default();
--- a/crates/papayamux-transport/src/http/upstream/connection.rs
+++ b/crates/papayamux-transport/src/http/upstream/connection.rs
@@ -9,10 +9,10 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use monoio::io::IntoPollIo;
-use monoio::net::TcpStream;
 use monoio_compat::hyper::MonoioIo;
 use thiserror::Error;
 
+use super::bounded_connect::connect_bounded;
 use super::read_guard::{ReadGuard, ReadProgress};
 use crate::http::RequestBody;
 use crate::keepalive::set_stream_options;
@@ -79,7 +79,7 @@
     pub(super) async fn open(address: SocketAddr, limit: Duration) -> Result<Self, UpstreamError> {
         let connect_error = |source| UpstreamError::Connect { address, source };
         let started_at = Instant::now();
-        let connecting = monoio::time::timeout(limit, TcpStream::connect_addr(address));
+        let connecting = monoio::time::timeout(limit, connect_bounded(address));
         let stream = match connecting.await {
             Ok(result) => result.map_err(connect_error)?,
             Err(_) => {
--- a/crates/papayamux-transport/src/http/upstream/mod.rs
+++ b/crates/papayamux-transport/src/http/upstream/mod.rs
@@ -3,6 +3,7 @@
 //! The connections are `hyper`'s: it reads answers without a length, which end with their
 //! connection, and detects unsolicited bytes on an idle connection.
 
+mod bounded_connect;
 mod connection;
 mod connection_pool;
 mod exchange;
