Let callers that send on see their refusal

What callers saw: none of 60 callers that sent half a MiB piece by piece saw the 413, 401 or 404 that the router had sent at once; they saw a reset.

Cause: a refusal needs no body, and the connection was closed after it with received bytes unread. The kernel then resets the connection, and a caller whose write fails doesn't read what came before.

Change: after an answer to a request whose body wasn't read, and after bytes that are no request, the listener ends its sending half and drops what still arrives, until the caller closes, for two seconds at most. Such connections yield to others.

--- a/crates/papayamux-transport/src/http/callers/caller_connection.rs
+++ b/crates/papayamux-transport/src/http/callers/caller_connection.rs
@@ -34,6 +34,8 @@
     head_bytes: Cell<usize>,
     /// Bytes received since the last head or piece of a body; `None` if pieces aren't reported.
     bytes_without_progress: Cell<Option<usize>>,
+    /// Whether a request was answered before its body was read.
+    has_unread_body: Cell<bool>,
     /// Whether the last request was answered with success, and the answer is not written yet.
     is_answered: Cell<bool>,
 }
@@ -48,6 +50,7 @@
             exchange_bytes: Cell::default(),
             head_bytes: Cell::default(),
             bytes_without_progress: Cell::new(Some(0)),
+            has_unread_body: Cell::default(),
             is_answered: Cell::default(),
         }
     }
@@ -93,8 +96,8 @@
         self.memory.record_bytes(self.id, bytes);
     }
 
-    /// Records that a request has arrived.
-    pub(in crate::http) fn begin_request(&self) {
+    /// Records that a request has arrived, with or without a body.
+    pub(in crate::http) fn begin_request(&self, has_body: bool) {
         let head_bytes = self.head_bytes.take();
         // Between pipelined requests a connection is never idle. What the answers before took is in the kernel's
         // buffers by now, unless the caller doesn't read.
@@ -104,13 +107,20 @@
         }
         self.set_stage(HolderStage::Busy);
         self.record_progress();
+        self.has_unread_body.set(has_body);
     }
 
     /// Records that the body of the request was received completely.
     pub(super) fn record_body_end(&self) {
+        self.has_unread_body.set(false);
         self.set_stage(HolderStage::Busy);
     }
 
+    /// Returns whether the last request was answered before its body was read.
+    pub(in crate::http) fn has_unread_body(&self) -> bool {
+        self.has_unread_body.get()
+    }
+
     /// Adds received bytes of a head. Returns whether they are its first.
     pub(super) fn add_head_bytes(&self, count: usize) -> Result<bool, MemoryShortage> {
         self.memory.record_bytes(self.id, count);
--- a/crates/papayamux-transport/src/http/callers/caller_stream.rs
+++ b/crates/papayamux-transport/src/http/callers/caller_stream.rs
@@ -71,6 +71,10 @@
         }
     }
 
+    pub(in crate::http) fn into_inner(self) -> S {
+        self.inner
+    }
+
     /// Resets what was counted in an earlier stage.
     fn update_stage(&mut self) {
         let stage = self.connection.stage();
--- /dev/null
+++ b/crates/papayamux-transport/src/http/callers/lingering_close.rs
@@ -0,0 +1,38 @@
+//! Closes a connection on which an answer was sent before the request was received completely.
+
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::time::Duration;
+
+use monoio::io::poll_io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use super::caller_connection::CallerConnection;
+
+/// Maximum time for which further bytes are read and dropped.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes that are read at once.
+const BUFFER_BYTES: usize = 8 * 1024;
+
+/// Ends the sending half, and drops what still arrives until the caller has closed the connection as well. If a
+/// connection is closed while received bytes are unread, the kernel resets it, and the caller may lose the answer.
+pub(in crate::http) async fn close_lingering<S: AsyncRead + AsyncWrite + Unpin>(
+    mut stream: S,
+    connection: &CallerConnection,
+) {
+    let drain = async {
+        poll_fn(|context| Pin::new(&mut stream).poll_shutdown(context)).await?;
+        let mut buffer = vec![0; BUFFER_BYTES];
+        while !connection.evicted().is_triggered() {
+            let mut unfilled = ReadBuf::new(&mut buffer);
+            poll_fn(|context| Pin::new(&mut stream).poll_read(context, &mut unfilled)).await?;
+            if unfilled.filled().is_empty() {
+                break;
+            }
+        }
+        io::Result::Ok(())
+    };
+    if let Ok(Err(error)) = monoio::time::timeout(LINGER_TIMEOUT, drain).await {
+        log::debug!(error:% = error; "the caller closed its connection after its answer");
+    }
+}
--- a/crates/papayamux-transport/src/http/callers/mod.rs
+++ b/crates/papayamux-transport/src/http/callers/mod.rs
@@ -6,6 +6,7 @@
 mod caller_connection;
 mod caller_memory;
 mod caller_stream;
+mod lingering_close;
 
 pub use answer_buffer::AnswerBuffer;
 pub use caller_body::{BodyReadError, CallerBody};
@@ -13,3 +14,4 @@
 pub use caller_connection::{CallerConnection, MemoryHold};
 pub use caller_memory::{CallerMemory, MemoryUsage};
 pub(super) use caller_stream::{CallerStream, CallerTimeouts};
+pub(super) use lingering_close::close_lingering;
--- a/crates/papayamux-transport/src/http/server.rs
+++ b/crates/papayamux-transport/src/http/server.rs
@@ -14,8 +14,7 @@
 use futures_util::{Stream, StreamExt};
 use http::header::{CONNECTION, CONTENT_LENGTH};
 use http::{HeaderValue, Version};
-use hyper::body::Incoming;
-use hyper::rt::Write;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -25,8 +24,8 @@
 use papayamux_coordination::caller_memory::MemoryLimits;
 
 use super::callers::{
-    AnswerBuffer, BusyResponse, CallerBody, CallerConnection, CallerMemory, CallerStream,
-    CallerTimeouts,
+    close_lingering, AnswerBuffer, BusyResponse, CallerBody, CallerConnection, CallerMemory,
+    CallerStream, CallerTimeouts,
 };
 use super::{AnswerBody, BodyError};
 use crate::keepalive::set_stream_options;
@@ -309,8 +308,12 @@
                 }
             }
         };
-        let mut stream = served.into_parts().io;
-        poll_fn(|context| Pin::new(&mut stream).poll_shutdown(context)).await?;
+        let is_refused =
+            connection.has_unread_body() || result.as_ref().is_err_and(|error| error.is_parse());
+        if is_refused {
+            let stream = served.into_parts().io.inner().into_inner();
+            close_lingering(stream, &connection).await;
+        }
         Ok(result?)
     }
 }
@@ -342,7 +345,7 @@
     async fn answer(self, request: Request<Incoming>) -> Result<Response<BusyResponse>, BodyError> {
         let connection = self.connection;
         self.request_seen.set(true);
-        connection.begin_request();
+        connection.begin_request(!request.body().is_end_stream());
         let needs_length = request.version() == Version::HTTP_10;
         let request = request.map(|body| CallerBody::new(body, connection.clone()));
         let mut response = (self.handler)(request).await;
