Read bodies of many small pieces in turns

What callers saw: while 60 callers sent chunks of a byte, no ordinary call was answered within 20 s.

Cause: a byte in a chunk of its own costs as much processor time as 16 KiB in one, and the runtime fires timers only when no task is ready. A connection and the reader of its body keep each other ready, so that every wait of the other requests lasted as long as the chunks came.

Change: after 64 pieces a body gets turns of 32 pieces. After eight turns all such bodies pause for as long as these took, at least a millisecond: they get half of the processor at most, and timers fire. What a refused caller still sends is dropped in the same turns.

--- a/crates/papayamux-transport/src/http/callers/caller_body.rs
+++ b/crates/papayamux-transport/src/http/callers/caller_body.rs
@@ -88,6 +88,7 @@
     async fn collect(mut self, max_bytes: u64) -> Result<RequestBody, BodyReadError> {
         let declared = self.incoming.size_hint().exact();
         let mut segments = SegmentBuffer::new(self.connection.hold(), declared);
+        let mut pieces = 0;
         while let Some(frame) = self.incoming.frame().await {
             let frame = frame.map_err(|_| BodyReadError::Incomplete)?;
             if let Ok(piece) = frame.into_data() {
@@ -98,6 +99,8 @@
                 }
                 segments.append(&piece)?;
             }
+            self.connection.pacer().wait_for_turn(pieces).await;
+            pieces = pieces.saturating_add(1);
         }
         self.connection.record_body_end();
         Ok(segments.into_body())
--- a/crates/papayamux-transport/src/http/callers/caller_connection.rs
+++ b/crates/papayamux-transport/src/http/callers/caller_connection.rs
@@ -11,6 +11,7 @@
 use papayamux_state::quantities::ByteCount;
 
 use super::caller_memory::CallerMemory;
+use super::piece_pacer::PiecePacer;
 use crate::http::{AnswerBody, BodyError};
 use crate::shutdown::ShutdownSignal;
 
@@ -82,6 +83,10 @@
         MemoryHold { connection: self.clone(), bytes: ByteCount::default() }
     }
 
+    pub(super) fn pacer(&self) -> &PiecePacer {
+        &self.memory.pacer
+    }
+
     pub(super) fn stage(&self) -> HolderStage {
         self.stage.get()
     }
--- a/crates/papayamux-transport/src/http/callers/caller_memory.rs
+++ b/crates/papayamux-transport/src/http/callers/caller_memory.rs
@@ -12,6 +12,7 @@
 use papayamux_state::quantities::ByteCount;
 
 use super::caller_connection::CallerConnection;
+use super::piece_pacer::PiecePacer;
 use crate::shutdown::ShutdownSignal;
 
 /// What callers hold, and what was refused or taken from them so far.
@@ -33,6 +34,7 @@
     evicted: Cell<u64>,
     refused: Cell<u64>,
     log_limit: RefCell<LogLimit>,
+    pub(super) pacer: PiecePacer,
 }
 
 impl CallerMemory {
@@ -44,6 +46,7 @@
             evicted: Cell::new(0),
             refused: Cell::new(0),
             log_limit: RefCell::default(),
+            pacer: PiecePacer::default(),
         })
     }
 
--- a/crates/papayamux-transport/src/http/callers/lingering_close.rs
+++ b/crates/papayamux-transport/src/http/callers/lingering_close.rs
@@ -23,12 +23,15 @@
     let drain = async {
         poll_fn(|context| Pin::new(&mut stream).poll_shutdown(context)).await?;
         let mut buffer = vec![0; BUFFER_BYTES];
+        let mut pieces = 0;
         while !connection.evicted().is_triggered() {
             let mut unfilled = ReadBuf::new(&mut buffer);
             poll_fn(|context| Pin::new(&mut stream).poll_read(context, &mut unfilled)).await?;
             if unfilled.filled().is_empty() {
                 break;
             }
+            connection.pacer().wait_for_turn(pieces).await;
+            pieces = pieces.wrapping_add(1);
         }
         io::Result::Ok(())
     };
--- a/crates/papayamux-transport/src/http/callers/mod.rs
+++ b/crates/papayamux-transport/src/http/callers/mod.rs
@@ -7,6 +7,7 @@
 mod caller_memory;
 mod caller_stream;
 mod lingering_close;
+mod piece_pacer;
 
 pub use answer_buffer::AnswerBuffer;
 pub use caller_body::{BodyReadError, CallerBody};
