Close connections that bring no request before those of ordinary callers

What callers saw: beside 400 heads without an end, or 400 connections without a byte, no ordinary call was answered within 20 s; beside 400 bodies that had just begun, a caller lost the connection that it kept.

Cause: a head could take 75 s, as did an idle connection; the limits of the configuration were not used. Above three quarters of the connections each answer asked its caller to close, so that those who behave made room for those who don't.

Change: the size of heads, their timeout from the first byte on, and the timeout of idle connections are those of the configuration in force. While connections are scarce, a new one closes the one that has brought no request for longest; where all are taken, a stalled one is closed. Answers ask to close only where too many connections are kept for callers that have accepted an answer.

Why it works: an ordinary caller sends its request at once, so that of those that wait it is the youngest, and it is kept from its first answer on.

Evidence: the three tests *_leave_connections_to_others failed on and pass with this change; crowded_listener.rs, where all callers behave, passes as before.

--- a/crates/papayamux-router/src/direct/daemon.rs
+++ b/crates/papayamux-router/src/direct/daemon.rs
@@ -42,9 +42,13 @@
 const END_MARGIN: Duration = Duration::from_millis(700);
 /// Interval at which a draining router checks whether its last request has completed.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Timeout of idle connections and of request heads. It exceeds the time for which callers keep
-/// idle connections, so that no request is sent while the router closes the connection.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Timeout of idle connections and of request heads while there is no configuration. It exceeds the time for
+/// which callers keep idle connections, so that no request is sent while the router closes the connection.
+const UNCONFIGURED_TIMEOUT: Duration = Duration::from_secs(75);
+/// Minimum timeout of idle connections and of request heads.
+const MIN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum size of a request's head.
+const MAX_HEAD_BYTES: u64 = 1024 * 1024;
 /// Interval at which idle connections and outdated records are removed.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -146,9 +150,7 @@
     let pruned = PrunedState { fleet: fleet.clone(), memory: memory.clone(), metrics };
     monoio::spawn(pruned.run(timer.clone()));
     monoio::spawn(watch_attempts(fleet.clone(), timer));
-    let heads =
-        HeadLimits { timeout: IDLE_TIMEOUT, idle_timeout: IDLE_TIMEOUT, ..HeadLimits::default() };
-    let heads = HeadLimitSource(Rc::new(move || heads));
+    let heads = caller_heads(fleet.clone());
     let calls = CallHandler::new(fleet, interface);
     let handler_view = view.clone();
     let handler = Rc::new(move |request| {
@@ -208,6 +210,25 @@
     }
 }
 
+/// Returns the limits of heads that the configuration in force sets.
+fn caller_heads(fleet: Rc<Fleet>) -> HeadLimitSource {
+    HeadLimitSource(Rc::new(move || match fleet.configuration() {
+        None => HeadLimits {
+            timeout: UNCONFIGURED_TIMEOUT,
+            idle_timeout: UNCONFIGURED_TIMEOUT,
+            ..HeadLimits::default()
+        },
+        Some(configuration) => {
+            let limits = &configuration.limits;
+            HeadLimits {
+                bytes: limits.head_bytes.get().min(MAX_HEAD_BYTES) as usize,
+                timeout: limits.head_timeout.max(MIN_TIMEOUT),
+                idle_timeout: limits.idle_timeout.max(MIN_TIMEOUT),
+            }
+        }
+    }))
+}
+
 fn close_when_draining(
     view: &DirectView,
     mut response: Response<AnswerBody>,
--- a/crates/papayamux-transport/src/http/callers/caller_memory.rs
+++ b/crates/papayamux-transport/src/http/callers/caller_memory.rs
@@ -115,6 +115,30 @@
         self.ledger.borrow_mut().record_bytes(id, bytes, Instant::now());
     }
 
+    /// Returns the number of connections of callers that have accepted an answer.
+    pub(in crate::http) fn served_count(&self) -> usize {
+        self.ledger.borrow().served_count()
+    }
+
+    /// Evicts the connection that has waited for longest without a complete head.
+    pub(in crate::http) fn evict_longest_unserved(&self) {
+        let chosen = self.ledger.borrow().longest_unserved(Instant::now());
+        self.evict(chosen);
+    }
+
+    /// Evicts the connection that is stalled for longest.
+    pub(in crate::http) fn evict_longest_stalled(&self) {
+        let chosen = self.ledger.borrow().longest_stalled(Instant::now());
+        self.evict(chosen);
+    }
+
+    fn evict(&self, chosen: Option<HolderId>) {
+        let Some(id) = chosen else { return };
+        self.ledger.borrow_mut().evict(id);
+        self.log_shortage("a caller is evicted for want of connections", 1);
+        self.signal_eviction(id);
+    }
+
     fn signal_eviction(&self, id: HolderId) {
         self.evicted.set(self.evicted.get() + 1);
         // The signal's owner may close the connection at once, which removes it from the map.
--- a/crates/papayamux-transport/src/http/server.rs
+++ b/crates/papayamux-transport/src/http/server.rs
@@ -111,9 +111,12 @@
 /// Maximum size of an answer that is buffered to send it with a length.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
 
-/// Share of the connection limit above which each answer asks its caller to close the connection.
-/// This frees idle connections before new callers have to wait in the kernel's backlog.
+/// Share of the connection limit above which connections count as scarce: those that have brought no request yet
+/// are closed for new ones, and where so many are kept for callers whose requests were answered, each answer asks
+/// its caller to close the connection.
 const CROWDED_SHARE: f64 = 0.75;
+/// Interval at which a connection to evict is looked for while all are taken.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(100);
 /// Smallest buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -122,6 +125,7 @@
     count: Cell<usize>,
     crowded: Cell<bool>,
     closed: Cell<Option<ShutdownSignal>>,
+    memory: Rc<CallerMemory>,
 }
 
 impl OpenConnections {
@@ -138,9 +142,9 @@
         }
     }
 
-    /// Returns whether so many connections are open that they must be closed for new ones.
+    /// Returns whether so many connections are kept for callers that they must be closed for new ones.
     fn has_too_many_kept(&self) -> bool {
-        self.crowded.get()
+        self.is_crowd(self.memory.served_count())
     }
 
     fn is_crowd(&self, count: usize) -> bool {
@@ -161,10 +165,12 @@
         }
     }
 
-    /// Waits until a connection is free.
+    /// Waits until a connection is free. Evicts stalled ones meanwhile.
     async fn wait_for_room(&self) {
         while self.count.get() >= self.limit {
-            self.next_close().await;
+            self.memory.evict_longest_stalled();
+            // Without an eviction now, another connection may be stalled by then.
+            let _ = monoio::time::timeout(EVICTION_INTERVAL, self.next_close()).await;
         }
     }
 
@@ -211,6 +217,7 @@
         count: Cell::new(0),
         crowded: Cell::new(false),
         closed: Cell::new(None),
+        memory: memory.clone(),
     });
     loop {
         open.wait_for_room().await;
@@ -231,6 +238,9 @@
         // The shortage is logged; the connection is closed.
         let Ok(connection) = memory.open() else { continue };
         open.record_open();
+        if open.crowded.get() {
+            memory.evict_longest_unserved();
+        }
         let (open, shutdown, handler) = (open.clone(), shutdown.clone(), handler.clone());
         let limits = limits.clone();
         monoio::spawn(async move {
