Cut off callers that read nothing past their deadline

What callers saw: 60 callers that asked for 12 MiB and read nothing held all 60 slots of the servers, and no ordinary call was answered within 20 s.

Cause: the relay of an answer is polled only while its caller reads, so that it didn't see its deadline, and a server was held until the write timeout of 30 s.

Change: a connection knows until when its caller waits. An answer of which the caller reads nothing is given up at that time, after a second at least. A caller that reads, however late, gets what is ready as before.

--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -92,6 +92,7 @@
         };
         let fleet = self.fleet.clone();
         let mut plan = CallPlan::new(fleet, received, admitted.route, service, admitted.holder);
+        plan.connection.set_deadline(plan.give_up_at);
         let body = body.read(admitted.max_body_bytes, plan.left()).await;
         plan.body = body.map_err(|error| unread_body(&plan, error))?;
         plan.check_quarantine()?;
--- a/crates/papayamux-transport/src/http/callers/caller_connection.rs
+++ b/crates/papayamux-transport/src/http/callers/caller_connection.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -18,6 +19,9 @@
 /// Memory that a byte of a head takes: the HTTP library doubles its buffer as a head grows.
 const HEAD_BYTE_COST: u64 = 2;
 
+/// Time for which a caller may read nothing of its answer past its deadline.
+const MIN_STALL_LIMIT: Duration = Duration::from_secs(1);
+
 fn head_cost(bytes: usize) -> ByteCount {
     ByteCount::new(HEAD_BYTE_COST * bytes as u64)
 }
@@ -39,6 +43,8 @@
     has_unread_body: Cell<bool>,
     /// Whether the last request was answered with success, and the answer is not written yet.
     is_answered: Cell<bool>,
+    /// Until when the caller waits for the answer to its last request, if known.
+    deadline: Cell<Option<Instant>>,
 }
 
 impl CallerConnection {
@@ -53,6 +59,7 @@
             bytes_without_progress: Cell::new(Some(0)),
             has_unread_body: Cell::default(),
             is_answered: Cell::default(),
+            deadline: Cell::default(),
         }
     }
 
@@ -61,6 +68,20 @@
         &self.evicted
     }
 
+    /// Sets until when the caller waits for the answer to the current request. Past it, an answer of which the
+    /// caller reads nothing holds up a server for nothing.
+    pub fn set_deadline(&self, deadline: Instant) {
+        self.deadline.set(Some(deadline));
+    }
+
+    /// Returns for how long the caller may read nothing of its answer, `limit` at most.
+    pub(super) fn stall_limit(&self, limit: Duration) -> Duration {
+        let left = self.deadline.get().map_or(limit, |deadline| {
+            deadline.saturating_duration_since(Instant::now()).max(MIN_STALL_LIMIT)
+        });
+        left.min(limit)
+    }
+
     /// Claims memory for the current request's head or answer.
     pub fn claim_for_exchange(&self, bytes: ByteCount) -> Result<(), MemoryShortage> {
         self.claim(bytes)?;
@@ -113,6 +134,7 @@
         self.set_stage(HolderStage::Busy);
         self.record_progress();
         self.has_unread_body.set(has_body);
+        self.deadline.set(None);
     }
 
     /// Records that the body of the request was received completely.
--- a/crates/papayamux-transport/src/http/callers/caller_stream.rs
+++ b/crates/papayamux-transport/src/http/callers/caller_stream.rs
@@ -135,7 +135,7 @@
         if self.poll_evicted(context) {
             return Poll::Ready(Err(io::Error::other("the caller reads nothing and was evicted")));
         }
-        let limit = (self.timeouts)().write;
+        let limit = self.connection.stall_limit((self.timeouts)().write);
         if self.stall_timer.is_none() {
             self.stage_before_stall = self.connection.stage();
             self.connection.set_stage(HolderStage::Unread);
