Account for callers' memory on the path with agents

What callers saw: 160 bodies of 1 MiB, whole or a byte short, made a router with agents take 186 MB.

Cause: as on the direct path, bodies were kept whole without a sum, and without a timeout. A body is copied into one piece and again into a frame for an agent; the agent holds it while its request waits or runs, up to 320 of them.

Change: the router's listener uses the same account (`[router] memory_mb`); both copies are claimed before they are made. A body has to arrive within `start_within`. An agent accounts for the bodies of admitted requests (`[agent] memory_mb`) and refuses further ones, `no_memory`, not run, so that another server may be asked.

--- a/crates/papayamux-agent/src/admitted_run.rs
+++ b/crates/papayamux-agent/src/admitted_run.rs
@@ -10,11 +10,13 @@
 use papayamux_protocol::wire::agent_control_length;
 use papayamux_state::ids::ServerId;
 use papayamux_state::load::GroupId;
+use papayamux_state::quantities::ByteCount;
 use papayamux_state::refusal::RefusalReason;
 
 use crate::agent_core::AgentCore;
 use crate::answers::{AnswerRecord, Attachment};
 use crate::orders::GatePass;
+use crate::request_memory::BodyHold;
 use crate::run::run_request;
 
 /// Minimum retry delay of a refused request.
@@ -34,6 +36,7 @@
     pub record: Rc<AnswerRecord>,
     admission: Admission,
     pass: Option<GatePass>,
+    hold: BodyHold,
 }
 
 impl OpenedStream<'_> {
@@ -52,18 +55,20 @@
             self.refuse(open, RefusalReason::ContextElsewhere, elsewhere);
             return None;
         }
-        let pass = core.gate_pass(open);
-        match pass {
+        let body_bytes = ByteCount::new(open.body.len() as u64);
+        let hold = core.request_memory.hold(body_bytes).ok_or(RefusalReason::NoMemory);
+        let means = core.gate_pass(open).and_then(|pass| Ok((pass, hold?)));
+        match means {
             Err(reason) if core.admissions.refuse_unseen(open.id, open.start_before, now) => {
                 self.refuse(open, reason, None);
                 return None;
             }
             _ => {}
         }
-        match (core.admissions.admit(open, now), pass) {
-            (Ok(admission), Ok(pass)) => {
+        match (core.admissions.admit(open, now), means) {
+            (Ok(admission), Ok((pass, hold))) => {
                 let record = core.answers.start_record(open, self.attachment);
-                Some(AdmittedRequest { record, admission, pass })
+                Some(AdmittedRequest { record, admission, pass, hold })
             }
             (Err(reason), _) | (Ok(_), Err(reason)) => {
                 self.refuse(open, reason, None);
@@ -115,7 +120,7 @@
 
 /// Waits for a slot and runs the request.
 pub async fn run_admitted(core: Rc<AgentCore>, open: OpenRequest, admitted: AdmittedRequest) {
-    let AdmittedRequest { record, admission, pass: _pass } = admitted;
+    let AdmittedRequest { record, admission, pass: _pass, hold: _hold } = admitted;
     let permit = match admission {
         Admission::Admitted(permit) => Ok(permit),
         Admission::Waiting(ticket) => wait_for_slot(&core, &open, &record, ticket).await,
--- a/crates/papayamux-agent/src/agent_core.rs
+++ b/crates/papayamux-agent/src/agent_core.rs
@@ -19,6 +19,7 @@
 use crate::engine_view::EngineView;
 use crate::metrics::AgentMetrics;
 use crate::orders::OrderCore;
+use crate::request_memory::RequestMemory;
 use crate::trust::RouterTrust;
 
 /// The state shared by all connections and tasks of an agent.
@@ -55,6 +56,8 @@
     pub answers: Rc<AnswerStore>,
     /// The rules for which routers may connect.
     pub trust: RouterTrust,
+    /// The memory of admitted requests' bodies.
+    pub request_memory: RequestMemory,
     /// Maximum size of an answer that is no stream of events.
     pub longest_answer: ByteCount,
     /// The time without progress after which the server is checked.
--- a/crates/papayamux-agent/src/daemon.rs
+++ b/crates/papayamux-agent/src/daemon.rs
@@ -8,6 +8,7 @@
 use futures_util::future::{select, Either};
 use futures_util::StreamExt;
 use papayamux_coordination::admission::AdmissionController;
+use papayamux_coordination::caller_memory::MemoryLimits;
 use papayamux_daemon::logging::start_logging;
 use papayamux_daemon::operations::{serve_operations, OperationsView, READY_PATH};
 use papayamux_daemon::signals::catch_termination_signals;
@@ -32,6 +33,7 @@
 use crate::engine_view::EngineView;
 use crate::metrics::AgentMetrics;
 use crate::orders::{OrderCore, OrderMetrics, OrderTask};
+use crate::request_memory::RequestMemory;
 use crate::settings::AgentSettings;
 use crate::trust::RouterTrust;
 
@@ -69,6 +71,7 @@
             "configuration": self.configuration.as_ref().map(ConfigurationView::status),
             "waiting": self.core.admissions.waiting().get(),
             "running": self.core.admissions.running().get(),
+            "held_body_bytes": self.core.request_memory.held().get(),
             "held_answer_bytes": self.core.answers.buffered_bytes(),
             "witness_ready_in_ms":
                 self.core.witness.ready_in(self.core.started.elapsed()).as_millis() as u64,
@@ -211,6 +214,7 @@
         closing: ShutdownSignal::new(),
         answers: AnswerStore::new(store_limits(settings)),
         trust: RouterTrust { secret: settings.secret.clone(), allow: settings.allow.clone() },
+        request_memory: RequestMemory::new(MemoryLimits::of_machine(settings.memory).total),
         longest_answer: settings.longest_answer,
         progress_within: settings.progress_within,
         next_link: Cell::new(0),
--- a/crates/papayamux-agent/src/lib.rs
+++ b/crates/papayamux-agent/src/lib.rs
@@ -13,6 +13,7 @@
 mod link_shutdown;
 pub mod metrics;
 pub mod orders;
+mod request_memory;
 mod router_link;
 mod run;
 mod server_exchange;
--- a/crates/papayamux-agent/src/settings.rs
+++ b/crates/papayamux-agent/src/settings.rs
@@ -6,7 +6,7 @@
 use bon::Builder;
 use papayamux_coordination::admission::AdmissionLimits;
 use papayamux_protocol::proof::SharedSecret;
-use papayamux_settings::{DurationSetting, Findings, IniFile};
+use papayamux_settings::{DurationSetting, Findings, IniFile, MegabyteSetting};
 use papayamux_spread::settings::{read_spread, SpreadSettings, SPREAD_SECTION};
 use papayamux_state::address_range::AddressRange;
 use papayamux_state::ids::{FailureDomain, ServerId};
@@ -16,6 +16,9 @@
 use crate::claims::ClaimSettings;
 use crate::orders::{read_orders, OrderSettings};
 
+/// Default memory of an instance.
+const DEFAULT_MEMORY: ByteCount = ByteCount::new(192_000_000);
+
 /// All settings of an agent.
 #[derive(Debug, Clone, PartialEq, Eq, Builder)]
 pub struct AgentSettings {
@@ -63,6 +66,9 @@
     /// Maximum size of an answer that is no stream of events.
     #[builder(default = ByteCount::new(16 * 1024 * 1024))]
     pub longest_answer: ByteCount,
+    /// Memory of the instance, of which the bodies of requests may take a part.
+    #[builder(default = DEFAULT_MEMORY)]
+    pub memory: ByteCount,
     /// The time without progress after which the server is checked.
     #[builder(default = Duration::from_secs(10))]
     pub progress_within: Duration,
@@ -114,6 +120,7 @@
     let keep_answers_for = section.optional("keep_answers_for");
     let keep_answer_bytes = section.optional("keep_answer_bytes");
     let longest_answer = section.optional("longest_answer");
+    let memory: Option<MegabyteSetting> = section.optional("memory_mb");
     let secret = section.optional_secret("secret");
     let allow = section.list("allow");
     section.report_unknown_keys();
@@ -148,6 +155,7 @@
         .maybe_keep_answer_bytes(keep_answer_bytes)
         .maybe_longest_answer(longest_answer)
         .maybe_progress_within(progress_within.map(|within: DurationSetting| within.0))
+        .maybe_memory(memory.map(|memory| memory.0))
         .maybe_secret(secret)
         .allow(allow)
         .claims(claims)
--- a/crates/papayamux-router/src/callers/caller_request.rs
+++ b/crates/papayamux-router/src/callers/caller_request.rs
@@ -3,13 +3,20 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, Request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use papayamux_protocol::failure::{FailureBody, FailureCode};
 use papayamux_protocol::headers::{HOP_BY_HOP, ORGANISATION};
 use papayamux_protocol::link::HeaderField;
 use papayamux_state::ids::OrganisationId;
 use papayamux_state::quantities::ByteCount;
+use papayamux_state::refusal::RefusalReason;
+use papayamux_transport::http::{BodyReadError, CallerBody};
+
+use crate::settings::RouterSettings;
+
+/// Copies of a body beside its segments: the body in one piece, and the frame with it.
+const BODY_COPIES: u64 = 2;
+/// Time after which a caller may retry for whose body there was no memory.
+const NO_MEMORY_RETRY_SECONDS: u32 = 1;
 
 /// A request with its complete body.
 pub struct CallerRequest {
@@ -22,26 +29,33 @@
 }
 
 /// Reads a request with its whole body. Fails if the organisation is missing or invalid, or the
-/// body is too long or incomplete.
+/// body is too long or incomplete, or there is no memory for it.
 pub async fn read_request(
-    request: Request<Incoming>,
-    longest_body: ByteCount,
+    request: Request<CallerBody>,
+    settings: &RouterSettings,
 ) -> Result<CallerRequest, FailureBody> {
     let (head, body) = request.into_parts();
     let organisation = read_organisation(&head.headers)?;
-    let limit = longest_body.get() as usize;
-    let body = Limited::new(body, limit).collect().await.map_err(|error| {
-        if error.is::<LengthLimitError>() {
-            let message = format!("the body is longer than {longest_body} bytes");
-            FailureBody::not_run(FailureCode::BodyTooLarge, message)
-        } else {
-            let message = format!("the body did not arrive: {error}");
-            FailureBody::not_run(FailureCode::InvalidRequest, message)
-        }
-    })?;
+    let connection = body.connection();
+    let body = body.read(settings.longest_body.get(), settings.start_within).await;
+    let body = body.map_err(unread_body)?;
+    // The body is kept in one piece until the answer ends, and copied into a frame for an agent.
+    let copies = ByteCount::new(BODY_COPIES * body.len() as u64);
+    connection.claim_for_exchange(copies).map_err(|_| unread_body(BodyReadError::NoMemory))?;
     Ok(CallerRequest { head, body: body.to_bytes(), organisation })
 }
 
+fn unread_body(error: BodyReadError) -> FailureBody {
+    let message = error.to_string();
+    match error {
+        BodyReadError::TooLong { .. } => FailureBody::not_run(FailureCode::BodyTooLarge, message),
+        BodyReadError::Incomplete => FailureBody::not_run(FailureCode::InvalidRequest, message),
+        BodyReadError::NoMemory => FailureBody::not_run(FailureCode::Refused, message)
+            .with_reason(RefusalReason::NoMemory)
+            .retry_after(NO_MEMORY_RETRY_SECONDS),
+    }
+}
+
 fn read_organisation(headers: &HeaderMap) -> Result<OrganisationId, FailureBody> {
     let unknown = |message: String| FailureBody::not_run(FailureCode::UnknownOrganisation, message);
     let value = headers
--- a/crates/papayamux-router/src/callers/request_handler.rs
+++ b/crates/papayamux-router/src/callers/request_handler.rs
@@ -4,12 +4,11 @@
 
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Method, Request, Response};
-use hyper::body::Incoming;
 use papayamux_protocol::engine::CHAT_PATH;
 use papayamux_protocol::failure::{FailureBody, FailureCode};
 use papayamux_protocol::headers::LAST_EVENT_ID;
 use papayamux_state::ids::{Incarnation, RequestIdSource};
-use papayamux_transport::http::AnswerBody;
+use papayamux_transport::http::{AnswerBody, CallerBody};
 
 use super::answer_stream::answer_response;
 use super::caller_request::read_request;
@@ -53,7 +52,7 @@
     }
 
     /// Handles one request and returns the response.
-    pub async fn handle(self: &Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    pub async fn handle(self: &Rc<Self>, request: Request<CallerBody>) -> Response<AnswerBody> {
         let in_flight = InFlightGuard::new(&self.metrics);
         match self.route_request(request).await {
             Ok(accepted) => answer_response(accepted, in_flight),
@@ -63,14 +62,14 @@
 
     async fn route_request(
         self: &Rc<Self>,
-        request: Request<Incoming>,
+        request: Request<CallerBody>,
     ) -> Result<AcceptedRequest, FailureBody> {
         let is_chat = request.uri().path() == CHAT_PATH;
         if is_chat && request.method() != Method::POST {
             let message = format!("{CHAT_PATH} takes POST only");
             return Err(FailureBody::not_run(FailureCode::InvalidRequest, message));
         }
-        let request = read_request(request, self.settings.longest_body).await?;
+        let request = read_request(request, &self.settings).await?;
         match is_chat {
             true if request.head.headers.contains_key(LAST_EVENT_ID) => {
                 handle_resume(self, &request).await
--- a/crates/papayamux-router/src/daemon.rs
+++ b/crates/papayamux-router/src/daemon.rs
@@ -4,12 +4,14 @@
 use std::error::Error;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures_util::future::{select, Either};
 use futures_util::StreamExt;
 use http::header::CONNECTION;
 use http::{HeaderValue, Response};
 use monoio::task::JoinHandle;
+use papayamux_coordination::caller_memory::MemoryLimits;
 use papayamux_daemon::logging::start_logging;
 use papayamux_daemon::operations::{serve_operations, OperationsView, READY_PATH};
 use papayamux_daemon::signals::catch_termination_signals;
@@ -17,15 +19,19 @@
 use papayamux_spread::SpreadIdentity;
 use papayamux_state::address_range::admits;
 use papayamux_state::ids::Incarnation;
-use papayamux_transport::http::{serve, AddressCheck, AnswerBody, HttpLimits};
-use papayamux_transport::listen::listen;
+use papayamux_transport::http::{
+    serve_callers, AddressCheck, AnswerBody, CallerMemory, HttpLimits,
+};
+use papayamux_transport::listen::{listen, listen_for_callers};
 use papayamux_transport::runtime;
 use papayamux_transport::shutdown::ShutdownSignal;
+use papayamux_transport::timer::TimerService;
 use prometheus_client::registry::Registry;
 use serde_json::json;
 use thiserror::Error;
 
 use crate::agents::{AgentUpdates, RouterIdentity};
+use crate::caller_memory_metrics::CallerMemoryMetrics;
 use crate::callers::CallerFrontend;
 use crate::configuration::{follow_configuration, start_configuration};
 use crate::directory::ServerDirectory;
@@ -33,6 +39,9 @@
 use crate::routing::RoutePlanner;
 use crate::settings::RouterSettings;
 
+/// Interval at which the metrics of the memory that callers hold are updated.
+const MEMORY_METRICS_INTERVAL: Duration = Duration::from_secs(1);
+
 struct RouterView {
     incarnation: Incarnation,
     settings: RouterSettings,
@@ -128,7 +137,9 @@
     let metrics = RouterMetrics::default();
     let mut registry = Registry::default();
     metrics.register(&mut registry);
-    let callers = listen(settings.listen)?;
+    let memory_metrics = CallerMemoryMetrics::default();
+    memory_metrics.register(&mut registry);
+    let callers = listen_for_callers(settings.listen)?;
     let operators = listen(settings.operations)?;
     let spread_identity = SpreadIdentity {
         incarnation: identity.incarnation,
@@ -165,7 +176,9 @@
     let servers = settings.servers.clone();
     let directory = ServerDirectory::new(identity, metrics.clone(), updates, servers);
     let planner = RoutePlanner::new(settings.policy, loads, metrics.clone());
-    let limits = caller_limits(&settings, &metrics);
+    let memory = CallerMemory::new(MemoryLimits::of_machine(settings.memory));
+    monoio::spawn(follow_memory(memory_metrics, memory.clone()));
+    let limits = HttpLimits { memory: Some(memory), ..caller_limits(&settings, &metrics) };
     if let Some(view) = configuration {
         monoio::spawn(follow_configuration(view, directory.clone()));
     }
@@ -175,10 +188,18 @@
         let (frontend, router_view) = (frontend.clone(), router_view.clone());
         async move { close_when_draining(&router_view, frontend.handle(request).await) }
     });
-    let served = monoio::spawn(serve(callers, limits, shutdown.clone(), handler));
+    let served = monoio::spawn(serve_callers(callers, limits, shutdown.clone(), handler));
     Ok(ServingRouter { view, shutdown, served })
 }
 
+/// Updates the metrics of the memory that callers hold.
+async fn follow_memory(metrics: CallerMemoryMetrics, memory: Rc<CallerMemory>) {
+    let mut ticks = TimerService::start().every(MEMORY_METRICS_INTERVAL);
+    while ticks.tick().await.is_some() {
+        metrics.update(&memory);
+    }
+}
+
 fn caller_limits(settings: &RouterSettings, metrics: &RouterMetrics) -> HttpLimits {
     let (allow, refused) = (settings.allow.clone(), metrics.refused_callers.clone());
     let check = move |address| {
--- a/crates/papayamux-router/src/settings.rs
+++ b/crates/papayamux-router/src/settings.rs
@@ -6,7 +6,7 @@
 
 use bon::Builder;
 use papayamux_protocol::proof::SharedSecret;
-use papayamux_settings::{DurationSetting, Findings, IniFile};
+use papayamux_settings::{DurationSetting, Findings, IniFile, MegabyteSetting};
 use papayamux_spread::settings::{read_spread, SpreadSettings, SPREAD_SECTION};
 use papayamux_state::address_range::AddressRange;
 use papayamux_state::ids::{FailureDomain, ModelId, OrganisationId, ServerId};
@@ -18,6 +18,9 @@
 /// Default for the time that a request may wait before it starts.
 const DEFAULT_START_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Default memory of an instance.
+const DEFAULT_MEMORY: ByteCount = ByteCount::new(256_000_000);
+
 /// The router's entry for one backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerEntry {
@@ -65,6 +68,9 @@
     /// Maximum length of a request body in bytes.
     #[builder(default = ByteCount::new(4 * 1024 * 1024))]
     pub longest_body: ByteCount,
+    /// Memory of the instance, of which callers may make the process hold a part.
+    #[builder(default = DEFAULT_MEMORY)]
+    pub memory: ByteCount,
     /// Maximum time that a request may wait before it starts.
     #[builder(default = DEFAULT_START_TIMEOUT)]
     pub start_within: Duration,
@@ -126,6 +132,7 @@
     let operations = section.required("operations");
     let domain = section.required("failure_domain");
     let longest_body = section.optional("longest_body");
+    let memory: Option<MegabyteSetting> = section.optional("memory_mb");
     let start_within = section.optional("start_within");
     let most_offers = section.optional("most_offers");
     let balancer_delay = section.optional("balancer_delay");
@@ -154,6 +161,7 @@
         .operations(operations?)
         .domain(domain?)
         .maybe_longest_body(longest_body)
+        .maybe_memory(memory.map(|memory| memory.0))
         .maybe_start_within(start_within.map(|within: DurationSetting| within.0))
         .claims(claims)
         .maybe_most_offers(most_offers)
--- a/crates/papayamux-state/src/refusal.rs
+++ b/crates/papayamux-state/src/refusal.rs
@@ -86,6 +86,8 @@
     ContextElsewhere = 14, "context_elsewhere";
     /// Servers crashed while they ran the request.
     Quarantined = 15, "quarantined";
+    /// The agent has no memory for the request's body.
+    NoMemory = 16, "no_memory";
     /// The engine doesn't have the model loaded.
     ModelNotLoaded = 50, "model_not_loaded";
     /// The engine doesn't have the adapter loaded.
--- a/crates/papayamux-testbed/tests/misbehaving_callers.rs
+++ b/crates/papayamux-testbed/tests/misbehaving_callers.rs
@@ -31,9 +31,11 @@
 
 fn start() -> Result<Fleet, Box<dyn Error>> {
     let arguments = ["--call-ms", CALL_MILLIS].map(str::to_string).into();
-    let lines = format!("longest_body = {BODY_BYTES}\n");
+    let memory = format!("memory_mb = {}\n", INSTANCE_MEMORY as f64 / 1e6);
+    let lines = format!("longest_body = {BODY_BYTES}\n{memory}");
     let plan = FleetPlan::builder().engines(0).services(1).routers(1);
-    Ok(Fleet::start(plan.service_arguments(arguments).router_lines(lines).build())?)
+    let plan = plan.service_arguments(arguments).router_lines(lines).agent_lines(memory);
+    Ok(Fleet::start(plan.build())?)
 }
 
 /// Callers that each send a head that ends with `framing` and some bytes of a body, and then keep their
