Count the metrics of callers' memory among those of each router

The page of metrics is compared with what `RouterMetrics` registers; the new metrics were registered beside it. They are a part of both routers' metrics now.

--- a/crates/papayamux-router/src/caller_memory_metrics.rs
+++ b/crates/papayamux-router/src/caller_memory_metrics.rs
@@ -15,9 +15,8 @@
 }
 
 impl CallerMemoryMetrics {
-    /// Registers all metrics.
+    /// Registers all metrics in a registry whose prefix names the program.
     pub fn register(&self, registry: &mut Registry) {
-        let registry = registry.sub_registry_with_prefix("papayamux_router");
         registry.register(
             "caller_memory_bytes",
             "Bytes that callers make the router hold",
--- a/crates/papayamux-router/src/daemon.rs
+++ b/crates/papayamux-router/src/daemon.rs
@@ -137,8 +137,6 @@
     let metrics = RouterMetrics::default();
     let mut registry = Registry::default();
     metrics.register(&mut registry);
-    let memory_metrics = CallerMemoryMetrics::default();
-    memory_metrics.register(&mut registry);
     let callers = listen_for_callers(settings.listen)?;
     let operators = listen(settings.operations)?;
     let spread_identity = SpreadIdentity {
@@ -177,7 +175,7 @@
     let directory = ServerDirectory::new(identity, metrics.clone(), updates, servers);
     let planner = RoutePlanner::new(settings.policy, loads, metrics.clone());
     let memory = CallerMemory::new(MemoryLimits::of_machine(settings.memory));
-    monoio::spawn(follow_memory(memory_metrics, memory.clone()));
+    monoio::spawn(follow_memory(metrics.caller_memory.clone(), memory.clone()));
     let limits = HttpLimits { memory: Some(memory), ..caller_limits(&settings, &metrics) };
     if let Some(view) = configuration {
         monoio::spawn(follow_configuration(view, directory.clone()));
--- a/crates/papayamux-router/src/direct/daemon.rs
+++ b/crates/papayamux-router/src/direct/daemon.rs
@@ -33,7 +33,6 @@
 use super::peers::PeerExchange;
 use super::source_follower::{follow_source, FleetSource};
 use super::{CallHandler, CallInterface, DirectSettings, Fleet};
-use crate::caller_memory_metrics::CallerMemoryMetrics;
 
 /// Share of the grace period during which new connections are still accepted: the balancer checks
 /// the router each second and needs two failed checks to see that it drains.
@@ -119,8 +118,6 @@
     let (caller_address, operator_address) = (callers.local_addr()?, operators.local_addr()?);
     let mut registry = Registry::default();
     fleet.metrics().register(&mut registry);
-    let metrics = CallerMemoryMetrics::default();
-    metrics.register(&mut registry);
     let registry = Rc::new(registry);
     if let Some(address) = settings.metrics {
         let listener = listen(address)?;
@@ -147,7 +144,7 @@
     monoio::spawn(survey_caches(fleet.clone(), peers.clone(), interface.clone()));
     let timer = TimerService::start();
     let memory = CallerMemory::new(MemoryLimits::of_machine(settings.memory));
-    let pruned = PrunedState { fleet: fleet.clone(), memory: memory.clone(), metrics };
+    let pruned = PrunedState { fleet: fleet.clone(), memory: memory.clone() };
     monoio::spawn(pruned.run(timer.clone()));
     monoio::spawn(watch_attempts(fleet.clone(), timer));
     let heads = caller_heads(fleet.clone());
@@ -181,7 +178,6 @@
 struct PrunedState {
     fleet: Rc<Fleet>,
     memory: Rc<CallerMemory>,
-    metrics: CallerMemoryMetrics,
 }
 
 impl PrunedState {
@@ -190,7 +186,7 @@
         let mut checked_version = ConfigVersion::default();
         while ticks.tick().await.is_some() {
             self.fleet.prune_outdated();
-            self.metrics.update(&self.memory);
+            self.fleet.metrics().caller_memory.update(&self.memory);
             checked_version = self.check_body_limit(checked_version);
         }
     }
--- a/crates/papayamux-router/src/direct/metrics.rs
+++ b/crates/papayamux-router/src/direct/metrics.rs
@@ -13,6 +13,8 @@
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::Registry;
 
+use crate::caller_memory_metrics::CallerMemoryMetrics;
+
 /// Upper bound of the first latency bucket in seconds; each further bucket doubles it, up to 16 s.
 const FIRST_BUCKET: f64 = 0.001;
 /// Number of latency buckets.
@@ -151,6 +153,8 @@
     pub contended_services: Gauge,
     /// Number of shared queues that this router owns.
     pub owned_queues: Gauge,
+    /// The memory that callers hold.
+    pub caller_memory: CallerMemoryMetrics,
     /// Age of the source state in updates from other routers, in seconds since it was known to be
     /// the newest.
     pub update_age: Histogram,
@@ -199,6 +203,7 @@
             shared_queue_bytes: Counter::default(),
             contended_services: Gauge::default(),
             owned_queues: Gauge::default(),
+            caller_memory: CallerMemoryMetrics::default(),
             update_age: Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS)),
             update_hops: Histogram::new(HOP_BUCKETS),
             heads: latency_family(),
@@ -247,6 +252,7 @@
     /// Registers the metrics.
     pub fn register(&self, registry: &mut Registry) {
         let registry = registry.sub_registry_with_prefix("papayamux_router");
+        self.caller_memory.register(registry);
         registry.register("outcomes", "Requests by outcome", self.outcomes.0.clone());
         let lost = self.lost_attempts.0.clone();
         registry.register("lost_attempts", "Attempts that brought no answer", lost);
--- a/crates/papayamux-router/src/metrics.rs
+++ b/crates/papayamux-router/src/metrics.rs
@@ -5,6 +5,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use crate::caller_memory_metrics::CallerMemoryMetrics;
+
 /// All metrics of a router.
 #[derive(Debug, Clone, Default)]
 pub struct RouterMetrics {
@@ -12,6 +14,8 @@
     pub requests: Counter,
     /// Requests in flight.
     pub in_flight: Gauge,
+    /// The memory that callers hold.
+    pub caller_memory: CallerMemoryMetrics,
     /// Refusals that agents gave, by reason.
     pub refusals: ReasonCounters,
     /// Failures returned to callers, by code.
@@ -52,6 +56,7 @@
     /// Registers the metrics.
     pub fn register(&self, registry: &mut Registry) {
         let registry = registry.sub_registry_with_prefix("papayamux_router");
+        self.caller_memory.register(registry);
         registry.register("requests", "Requests of callers", self.requests.clone());
         registry.register("in_flight_requests", "Requests in flight", self.in_flight.clone());
         registry.register("refusals", "Refusals by agents", self.refusals.0.clone());
