Count what is buffered of every answer that its caller doesn't read

What callers saw: nothing yet. Read in the code while documenting: only long plain answers of the direct path were charged for what connections buffer. An event stream, or an answer beside agents (up to 256 KiB of its window), that nobody reads was held without an account.

Change: when a write to a caller first has to wait, the connection is charged with what is buffered behind it: 128 KiB, 512 KiB beside agents. It replaces the charge for long answers, is released with the exchange, and costs callers that read nothing.

--- a/crates/papayamux-router/src/daemon.rs
+++ b/crates/papayamux-router/src/daemon.rs
@@ -15,10 +15,12 @@
 use papayamux_daemon::logging::start_logging;
 use papayamux_daemon::operations::{serve_operations, OperationsView, READY_PATH};
 use papayamux_daemon::signals::catch_termination_signals;
+use papayamux_protocol::link::STREAM_WINDOW_BYTES;
 use papayamux_spread::configuration::ConfigurationView;
 use papayamux_spread::SpreadIdentity;
 use papayamux_state::address_range::admits;
 use papayamux_state::ids::Incarnation;
+use papayamux_state::quantities::ByteCount;
 use papayamux_transport::http::{
     serve_callers, AddressCheck, AnswerBody, CallerMemory, HttpLimits,
 };
@@ -39,6 +41,9 @@
 use crate::routing::RoutePlanner;
 use crate::settings::RouterSettings;
 
+/// What is buffered of an answer that its caller doesn't read: the window of its stream, and as much again in the
+/// connections on both sides.
+const UNREAD_ANSWER_BYTES: ByteCount = ByteCount::new(2 * STREAM_WINDOW_BYTES);
 /// Interval at which the metrics of the memory that callers hold are updated.
 const MEMORY_METRICS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -209,6 +214,7 @@
     };
     HttpLimits {
         write_timeout: settings.caller_stall,
+        unread_answer_bytes: UNREAD_ANSWER_BYTES,
         admits: Some(AddressCheck(Rc::new(check))),
         ..HttpLimits::default()
     }
--- a/crates/papayamux-router/src/direct/call_handler.rs
+++ b/crates/papayamux-router/src/direct/call_handler.rs
@@ -9,7 +9,6 @@
 use http::{HeaderMap, HeaderValue, Request, Response};
 use papayamux_coordination::body_end::BodyEnd;
 use papayamux_state::backend::ServerSlowdown;
-use papayamux_state::quantities::ByteCount;
 use papayamux_transport::http::{AnswerBody, BodyReadError, CallerBody};
 
 use super::active_request::ActiveRequest;
@@ -28,9 +27,6 @@
 const CONNECTION_HEADERS: [&str; 5] =
     ["keep-alive", "proxy-connection", "te", "trailer", "upgrade"];
 
-/// Memory that a long answer takes while it is relayed: what the connections on both sides have buffered.
-const LONG_ANSWER_BYTES: ByteCount = ByteCount::new(64 * 1024);
-
 /// Handler for the requests of callers.
 pub struct CallHandler {
     fleet: Rc<Fleet>,
@@ -209,7 +205,6 @@
         collected: Bytes,
         in_flight: InFlight,
     ) -> Response<AnswerBody> {
-        plan.connection.charge_for_exchange(LONG_ANSWER_BYTES);
         let mut head = answer_head(&attempt.answer.head);
         if let Some(length) = attempt.answer.declared_length() {
             head.headers.insert(CONTENT_LENGTH, HeaderValue::from(length.get()));
--- a/crates/papayamux-transport/src/http/callers/caller_connection.rs
+++ b/crates/papayamux-transport/src/http/callers/caller_connection.rs
@@ -43,6 +43,8 @@
     has_unread_body: Cell<bool>,
     /// Whether the last request was answered with success, and the answer is not written yet.
     is_answered: Cell<bool>,
+    /// Whether what is buffered of an unread answer was charged.
+    is_unread_charged: Cell<bool>,
     /// Until when the caller waits for the answer to its last request, if known.
     deadline: Cell<Option<Instant>>,
 }
@@ -59,6 +61,7 @@
             bytes_without_progress: Cell::new(Some(0)),
             has_unread_body: Cell::default(),
             is_answered: Cell::default(),
+            is_unread_charged: Cell::default(),
             deadline: Cell::default(),
         }
     }
@@ -90,11 +93,18 @@
     }
 
     /// Charges memory that the current request's answer takes in any case.
-    pub fn charge_for_exchange(&self, bytes: ByteCount) {
+    pub(super) fn charge_for_exchange(&self, bytes: ByteCount) {
         self.memory.charge(self.id, bytes);
         self.exchange_bytes.set(self.exchange_bytes.get() + bytes);
     }
 
+    /// Charges what connections and relays have buffered of an answer that the caller doesn't read.
+    pub(super) fn charge_unread(&self, bytes: ByteCount) {
+        if !self.is_unread_charged.replace(true) {
+            self.charge_for_exchange(bytes);
+        }
+    }
+
     pub(super) fn claim(&self, bytes: ByteCount) -> Result<(), MemoryShortage> {
         self.memory.claim(self.id, bytes)
     }
@@ -184,6 +194,7 @@
         if self.is_answered.take() {
             self.memory.record_served(self.id);
         }
+        self.is_unread_charged.set(false);
         let bytes = self.exchange_bytes.take();
         if bytes > ByteCount::default() {
             self.memory.release(self.id, bytes);
--- a/crates/papayamux-transport/src/http/callers/caller_stream.rs
+++ b/crates/papayamux-transport/src/http/callers/caller_stream.rs
@@ -9,6 +9,7 @@
 
 use monoio::io::poll_io::{AsyncRead, AsyncWrite, ReadBuf};
 use papayamux_coordination::caller_memory::HolderStage;
+use papayamux_state::quantities::ByteCount;
 
 use super::caller_connection::CallerConnection;
 use crate::shutdown::SignalWait;
@@ -16,15 +17,17 @@
 /// Maximum number of bytes of a body's framing between two pieces of it, with what is read ahead.
 const MAX_BYTES_WITHOUT_PROGRESS: usize = 128 * 1024;
 
-/// Timeouts of a caller's connection.
+/// Timeouts of a caller's connection, and what an unread answer costs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(in crate::http) struct CallerTimeouts {
+pub(in crate::http) struct StreamLimits {
     /// For the first byte of a head.
     pub(in crate::http) idle: Duration,
     /// For a complete head, from its first byte on.
     pub(in crate::http) head: Duration,
     /// For a write, of which the other side accepts nothing.
     pub(in crate::http) write: Duration,
+    /// What is buffered of an answer while the other side accepts nothing.
+    pub(in crate::http) unread_bytes: ByteCount,
 }
 
 /// Wraps the connection of a caller. Ends reading when a timeout passes or the caller is evicted, and fails a write
@@ -32,7 +35,7 @@
 pub(in crate::http) struct CallerStream<S> {
     inner: S,
     connection: Rc<CallerConnection>,
-    timeouts: Rc<dyn Fn() -> CallerTimeouts>,
+    limits: Rc<dyn Fn() -> StreamLimits>,
     read_timer: Option<(HeadProgress, Pin<Box<monoio::time::Sleep>>)>,
     stall_timer: Option<Pin<Box<monoio::time::Sleep>>>,
     evicted: SignalWait,
@@ -55,13 +58,13 @@
     pub(in crate::http) fn new(
         inner: S,
         connection: Rc<CallerConnection>,
-        timeouts: Rc<dyn Fn() -> CallerTimeouts>,
+        limits: Rc<dyn Fn() -> StreamLimits>,
     ) -> Self {
         let evicted = connection.evicted().triggered();
         Self {
             inner,
             connection,
-            timeouts,
+            limits,
             read_timer: None,
             stall_timer: None,
             evicted,
@@ -105,10 +108,10 @@
             true => HeadProgress::Completion,
         };
         if !matches!(&self.read_timer, Some((awaited, _)) if *awaited == progress) {
-            let timeouts = (self.timeouts)();
+            let limits = (self.limits)();
             let limit = match progress {
-                HeadProgress::FirstByte => timeouts.idle,
-                HeadProgress::Completion => timeouts.head.saturating_sub(self.head_start.elapsed()),
+                HeadProgress::FirstByte => limits.idle,
+                HeadProgress::Completion => limits.head.saturating_sub(self.head_start.elapsed()),
             };
             self.read_timer = Some((progress, Box::pin(monoio::time::sleep(limit))));
         }
@@ -135,8 +138,10 @@
         if self.poll_evicted(context) {
             return Poll::Ready(Err(io::Error::other("the caller reads nothing and was evicted")));
         }
-        let limit = self.connection.stall_limit((self.timeouts)().write);
+        let limits = (self.limits)();
+        let limit = self.connection.stall_limit(limits.write);
         if self.stall_timer.is_none() {
+            self.connection.charge_unread(limits.unread_bytes);
             self.stage_before_stall = self.connection.stage();
             self.connection.set_stage(HolderStage::Unread);
         }
--- a/crates/papayamux-transport/src/http/callers/mod.rs
+++ b/crates/papayamux-transport/src/http/callers/mod.rs
@@ -14,5 +14,5 @@
 pub(super) use caller_connection::BusyResponse;
 pub use caller_connection::{CallerConnection, MemoryHold};
 pub use caller_memory::{CallerMemory, MemoryUsage};
-pub(super) use caller_stream::{CallerStream, CallerTimeouts};
+pub(super) use caller_stream::{CallerStream, StreamLimits};
 pub(super) use lingering_close::close_lingering;
--- a/crates/papayamux-transport/src/http/server.rs
+++ b/crates/papayamux-transport/src/http/server.rs
@@ -22,10 +22,11 @@
 use monoio::net::{TcpListener, TcpStream};
 use monoio_compat::hyper::MonoioIo;
 use papayamux_coordination::caller_memory::MemoryLimits;
+use papayamux_state::quantities::ByteCount;
 
 use super::callers::{
     close_lingering, AnswerBuffer, BusyResponse, CallerBody, CallerConnection, CallerMemory,
-    CallerStream, CallerTimeouts,
+    CallerStream, StreamLimits,
 };
 use super::{AnswerBody, BodyError};
 use crate::keepalive::set_stream_options;
@@ -86,6 +87,8 @@
     pub memory: Option<Rc<CallerMemory>>,
     /// Maximum time for which a write may wait without the other side accepting anything.
     pub write_timeout: Duration,
+    /// What is buffered of an answer, here and by the handler, while its caller accepts nothing.
+    pub unread_answer_bytes: ByteCount,
     /// Addresses that may connect; `None` allows all.
     pub admits: Option<AddressCheck>,
 }
@@ -97,6 +100,7 @@
             heads: HeadLimitSource::default(),
             memory: None,
             write_timeout: Duration::from_secs(30),
+            unread_answer_bytes: ByteCount::new(128 * 1024),
             admits: None,
         }
     }
@@ -284,15 +288,16 @@
         };
         let service = service_fn(move |request| Box::pin(exchange.clone().answer(request)));
         let max_head_bytes = (limits.heads.0)().bytes.max(MIN_BUFFER_BYTES);
-        let timeouts = Rc::new(move || {
+        let stream_limits = Rc::new(move || {
             let heads = (limits.heads.0)();
-            CallerTimeouts {
+            StreamLimits {
                 idle: heads.idle_timeout,
                 head: heads.timeout,
                 write: limits.write_timeout,
+                unread_bytes: limits.unread_answer_bytes,
             }
         });
-        let stream = CallerStream::new(stream.into_poll_io()?, connection.clone(), timeouts);
+        let stream = CallerStream::new(stream.into_poll_io()?, connection.clone(), stream_limits);
         let mut served = http1::Builder::new()
             .max_buf_size(max_head_bytes)
             .serve_connection(MonoioIo::new(stream), service);
