Write the whole answer before a refused connection is read on

What callers saw: nothing yet; found while reading the change. A caller whose request was answered before its body was read, and that read slowly, got only as much of a long answer as the socket's buffer held.

Cause: the connection was polled without its shutdown, to get the stream back for the lingering close. The library reports such a connection as done once it has taken the answer's last piece, which may not be written yet.

Change: the connection is polled to its end, with flush and shutdown of the sending half; the stream is taken out of it afterwards and only read on.

Evidence: closing_answers.rs, 24 MiB to a caller that reads after 300 ms, failed for a request whose body wasn't read, and passes with this change, as it did for a request that asks to close. The four tests refusal_of_* pass as before.

--- a/crates/papayamux-transport/src/http/callers/lingering_close.rs
+++ b/crates/papayamux-transport/src/http/callers/lingering_close.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use monoio::io::poll_io::{AsyncRead, AsyncWrite, ReadBuf};
+use monoio::io::poll_io::{AsyncRead, ReadBuf};
 
 use super::caller_connection::CallerConnection;
 
@@ -14,14 +14,13 @@
 /// Bytes that are read at once.
 const BUFFER_BYTES: usize = 8 * 1024;
 
-/// Ends the sending half, and drops what still arrives until the caller has closed the connection as well. If a
-/// connection is closed while received bytes are unread, the kernel resets it, and the caller may lose the answer.
-pub(in crate::http) async fn close_lingering<S: AsyncRead + AsyncWrite + Unpin>(
+/// Drops what still arrives on a connection whose sending half has ended, until the caller has closed it as well. If
+/// a connection is closed while received bytes are unread, the kernel resets it, and the caller may lose the answer.
+pub(in crate::http) async fn close_lingering<S: AsyncRead + Unpin>(
     mut stream: S,
     connection: &CallerConnection,
 ) {
     let drain = async {
-        poll_fn(|context| Pin::new(&mut stream).poll_shutdown(context)).await?;
         let mut buffer = vec![0; BUFFER_BYTES];
         let mut pieces = 0;
         while !connection.evicted().is_triggered() {
--- a/crates/papayamux-transport/src/http/server.rs
+++ b/crates/papayamux-transport/src/http/server.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::fmt;
-use std::future::{poll_fn, Future};
+use std::future::Future;
 use std::io;
 use std::net::IpAddr;
 use std::pin::Pin;
@@ -286,7 +286,7 @@
             connection: connection.clone(),
             request_seen: request_seen.clone(),
         };
-        let service = service_fn(move |request| Box::pin(exchange.clone().answer(request)));
+        let service = service_fn(move |request| exchange.clone().answer(request));
         let max_head_bytes = (limits.heads.0)().bytes.max(MIN_BUFFER_BYTES);
         let stream_limits = Rc::new(move || {
             let heads = (limits.heads.0)();
@@ -301,24 +301,15 @@
         let mut served = http1::Builder::new()
             .max_buf_size(max_head_bytes)
             .serve_connection(MonoioIo::new(stream), service);
-        let result = {
-            let finished = std::pin::pin!(poll_fn(|context| served.poll_without_shutdown(context)));
-            let triggered = std::pin::pin!(shutdown.triggered());
-            match select(finished, triggered).await {
-                Either::Left((result, _)) => Some(result),
-                Either::Right(_) => None,
-            }
-        };
-        let result = match result {
-            Some(result) => result,
-            None => {
-                Pin::new(&mut served).graceful_shutdown();
-                let finished =
-                    std::pin::pin!(poll_fn(|context| served.poll_without_shutdown(context)));
+        let triggered = std::pin::pin!(shutdown.triggered());
+        let result = match select(&mut served, triggered).await {
+            Either::Left((result, _)) => result,
+            Either::Right((_, served)) => {
+                Pin::new(&mut *served).graceful_shutdown();
                 let first = std::pin::pin!(wait_first_request(&request_seen));
-                match select(finished, first).await {
+                match select(served, first).await {
                     Either::Left((result, _)) => result,
-                    Either::Right((true, finished)) => finished.await,
+                    Either::Right((true, served)) => served.await,
                     Either::Right((false, _)) => return Ok(()),
                 }
             }
