Move a listener's limits and its count of connections to files of their own

`http/server.rs` had the limits, the count with its evictions and the exchange of requests in one file.

--- a/crates/papayamux-transport/src/http/mod.rs
+++ b/crates/papayamux-transport/src/http/mod.rs
@@ -3,6 +3,8 @@
 mod body;
 mod callers;
 mod client;
+mod http_limits;
+mod open_connections;
 mod request_body;
 mod server;
 pub mod upstream;
@@ -13,5 +15,6 @@
     MemoryUsage,
 };
 pub use client::{ClientAnswer, HttpClient, HttpClientError};
+pub use http_limits::{AddressCheck, HeadLimitSource, HeadLimits, HttpLimits};
 pub use request_body::RequestBody;
-pub use server::{serve, serve_callers, AddressCheck, HeadLimitSource, HeadLimits, HttpLimits};
+pub use server::{serve, serve_callers};
--- a/crates/papayamux-transport/src/http/server.rs
+++ b/crates/papayamux-transport/src/http/server.rs
@@ -1,10 +1,8 @@
 //! HTTP/1.1 server with one task per connection.
 
 use std::cell::Cell;
-use std::fmt;
 use std::future::Future;
 use std::io;
-use std::net::IpAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,90 +20,17 @@
 use monoio::net::{TcpListener, TcpStream};
 use monoio_compat::hyper::MonoioIo;
 use papayamux_coordination::caller_memory::MemoryLimits;
-use papayamux_state::quantities::ByteCount;
 
 use super::callers::{
     close_lingering, AnswerBuffer, BusyResponse, CallerBody, CallerConnection, CallerMemory,
     CallerStream, StreamLimits,
 };
+use super::http_limits::HttpLimits;
+use super::open_connections::OpenConnections;
 use super::{AnswerBody, BodyError};
 use crate::keepalive::set_stream_options;
 use crate::shutdown::ShutdownSignal;
 
-/// Decides whether an address may connect.
-#[derive(Clone)]
-pub struct AddressCheck(pub Rc<dyn Fn(IpAddr) -> bool>);
-
-impl fmt::Debug for AddressCheck {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("AddressCheck")
-    }
-}
-
-/// Timeouts and the size of heads, which may change while connections are open.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HeadLimits {
-    /// Maximum size of a request's head in bytes.
-    pub bytes: usize,
-    /// Timeout for receiving a request's head, from its first byte on.
-    pub timeout: Duration,
-    /// Timeout of a connection that is idle before a request.
-    pub idle_timeout: Duration,
-}
-
-impl Default for HeadLimits {
-    fn default() -> Self {
-        let timeout = Duration::from_secs(15);
-        Self { bytes: 32 * 1024, timeout, idle_timeout: timeout }
-    }
-}
-
-/// Returns the limits of heads in force.
-#[derive(Clone)]
-pub struct HeadLimitSource(pub Rc<dyn Fn() -> HeadLimits>);
-
-impl Default for HeadLimitSource {
-    fn default() -> Self {
-        Self(Rc::new(HeadLimits::default))
-    }
-}
-
-impl fmt::Debug for HeadLimitSource {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0().fmt(formatter)
-    }
-}
-
-/// Limits of a listener.
-#[derive(Debug, Clone)]
-pub struct HttpLimits {
-    /// Maximum number of open connections; further ones wait in the kernel's backlog.
-    pub connections: usize,
-    /// Limits of requests' heads.
-    pub heads: HeadLimitSource,
-    /// The memory that callers may hold; `None` for no limit.
-    pub memory: Option<Rc<CallerMemory>>,
-    /// Maximum time for which a write may wait without the other side accepting anything.
-    pub write_timeout: Duration,
-    /// What is buffered of an answer, here and by the handler, while its caller accepts nothing.
-    pub unread_answer_bytes: ByteCount,
-    /// Addresses that may connect; `None` allows all.
-    pub admits: Option<AddressCheck>,
-}
-
-impl Default for HttpLimits {
-    fn default() -> Self {
-        Self {
-            connections: 10_000,
-            heads: HeadLimitSource::default(),
-            memory: None,
-            write_timeout: Duration::from_secs(30),
-            unread_answer_bytes: ByteCount::new(128 * 1024),
-            admits: None,
-        }
-    }
-}
-
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time after a shutdown signal within which a connection that has had no request may still send
@@ -115,76 +40,9 @@
 /// Maximum size of an answer that is buffered to send it with a length.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
 
-/// Share of the connection limit above which connections count as scarce: those that have brought no request yet
-/// are closed for new ones, and where so many are kept for callers whose requests were answered, each answer asks
-/// its caller to close the connection.
-const CROWDED_SHARE: f64 = 0.75;
-/// Interval at which a connection to evict is looked for while all are taken.
-const EVICTION_INTERVAL: Duration = Duration::from_millis(100);
 /// Smallest buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
-struct OpenConnections {
-    limit: usize,
-    count: Cell<usize>,
-    crowded: Cell<bool>,
-    closed: Cell<Option<ShutdownSignal>>,
-    memory: Rc<CallerMemory>,
-}
-
-impl OpenConnections {
-    fn record_open(&self) {
-        self.count.set(self.count.get() + 1);
-        self.update_crowded();
-    }
-
-    fn record_close(&self) {
-        self.count.set(self.count.get() - 1);
-        self.update_crowded();
-        if let Some(signal) = self.closed.take() {
-            signal.trigger();
-        }
-    }
-
-    /// Returns whether so many connections are kept for callers that they must be closed for new ones.
-    fn has_too_many_kept(&self) -> bool {
-        self.is_crowd(self.memory.served_count())
-    }
-
-    fn is_crowd(&self, count: usize) -> bool {
-        count as f64 > self.limit as f64 * CROWDED_SHARE
-    }
-
-    fn update_crowded(&self) {
-        let crowded = self.is_crowd(self.count.get());
-        if self.crowded.replace(crowded) != crowded {
-            let (count, limit) = (self.count.get(), self.limit);
-            log::warn!(crowded = crowded, connections = count, limit = limit; "callers' connections");
-        }
-    }
-
-    async fn wait_below(&self, limit: usize) {
-        while self.count.get() >= limit {
-            self.next_close().await;
-        }
-    }
-
-    /// Waits until a connection is free. Evicts stalled ones meanwhile.
-    async fn wait_for_room(&self) {
-        while self.count.get() >= self.limit {
-            self.memory.evict_longest_stalled();
-            // Without an eviction now, another connection may be stalled by then.
-            let _ = monoio::time::timeout(EVICTION_INTERVAL, self.next_close()).await;
-        }
-    }
-
-    async fn next_close(&self) {
-        let signal = ShutdownSignal::new();
-        self.closed.set(Some(signal.clone()));
-        signal.triggered().await;
-    }
-}
-
 /// Serves connections until `shutdown` is triggered, then lets each connection finish its request
 /// and returns when the last has closed.
 pub async fn serve<H, F>(
@@ -216,13 +74,7 @@
 {
     let unlimited = || CallerMemory::new(MemoryLimits::UNLIMITED);
     let memory = limits.memory.clone().unwrap_or_else(unlimited);
-    let open = Rc::new(OpenConnections {
-        limit: limits.connections.min(memory.limits().max_connections()),
-        count: Cell::new(0),
-        crowded: Cell::new(false),
-        closed: Cell::new(None),
-        memory: memory.clone(),
-    });
+    let open = OpenConnections::new(limits.connections, memory.clone());
     loop {
         open.wait_for_room().await;
         let accept = std::pin::pin!(listener.accept());
@@ -242,9 +94,6 @@
         // The shortage is logged; the connection is closed.
         let Ok(connection) = memory.open() else { continue };
         open.record_open();
-        if open.crowded.get() {
-            memory.evict_longest_unserved();
-        }
         let (open, shutdown, handler) = (open.clone(), shutdown.clone(), handler.clone());
         let limits = limits.clone();
         monoio::spawn(async move {
