Bound the log lines about scarce connections

A crowd that is kept at three quarters of the connections crosses that threshold with each connection that is opened and closed.

Measured: crowded_listener.rs, closing_answers.rs and http_shutdown.rs pass; the lines weren't counted again.

--- a/crates/papayamux-transport/src/http/open_connections.rs
+++ b/crates/papayamux-transport/src/http/open_connections.rs
@@ -1,8 +1,10 @@
 //! The number of open connections of a listener.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use papayamux_coordination::log_limit::LogLimit;
 
 use super::callers::CallerMemory;
 use crate::shutdown::ShutdownSignal;
@@ -13,11 +15,13 @@
 const CROWDED_SHARE: f64 = 0.75;
 /// Interval at which a connection to evict is looked for while all are taken.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Counts the open connections of a listener, and makes room for further ones.
 pub(super) struct OpenConnections {
     limit: usize,
     count: Cell<usize>,
     crowded: Cell<bool>,
+    log_limit: RefCell<LogLimit>,
     closed: Cell<Option<ShutdownSignal>>,
     memory: Rc<CallerMemory>,
 }
@@ -29,6 +33,7 @@
             limit: limit.min(memory.limits().max_connections()),
             count: Cell::new(0),
             crowded: Cell::new(false),
+            log_limit: RefCell::default(),
             closed: Cell::new(None),
             memory,
         })
@@ -63,10 +68,15 @@
 
     fn update_crowded(&self) {
         let crowded = self.is_crowd(self.count.get());
-        if self.crowded.replace(crowded) != crowded {
-            let (count, limit) = (self.count.get(), self.limit);
-            log::warn!(crowded = crowded, connections = count, limit = limit; "callers' connections");
+        if self.crowded.replace(crowded) == crowded {
+            return;
         }
+        // A crowd that is kept at the threshold crosses it with each connection.
+        let Some(suppressed) = self.log_limit.borrow_mut().next(Instant::now()) else { return };
+        log::warn!(
+            crowded = crowded, connections = self.count.get(), limit = self.limit,
+            suppressed = suppressed; "callers' connections"
+        );
     }
 
     /// Waits until fewer than `limit` connections are open.
