Say that a connection is closed after an answer before its body's end

Cause: a request that is refused before its body has arrived ends its connection, but the answer doesn't say so, as the library decides that later. The caller's next request crosses the close. It used to be reset at once; since refused connections are read on, it was dropped, and the caller learnt that two seconds later.

Change: a body of up to 64 KiB that arrives within 20 ms of the answer is dropped by the listener, and the connection stays open, as before for those that the library had received. Any other unread body makes the answer close its connection, so that no request follows; what arrives then belongs to the body.

--- a/crates/papayamux-transport/src/http/callers/caller_body.rs
+++ b/crates/papayamux-transport/src/http/callers/caller_body.rs
@@ -1,5 +1,6 @@
 //! The body of a caller's request, while it is being received.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,6 +20,11 @@
 /// Size up to which segments grow. Memory is claimed a segment at a time, so that a declared length reserves none.
 const MAX_SEGMENT_BYTES: usize = 64 * 1024;
 
+/// Size of a body that is dropped after an answer that didn't need it, so that the connection can be used again.
+const MAX_DRAINED_BYTES: u64 = 64 * 1024;
+/// Time within which such a body must have arrived: it was usually sent together with its head.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// The reason that a body was not received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum BodyReadError {
@@ -44,19 +50,45 @@
 
 /// A body that has not been read yet, with the connection that pays for it.
 pub struct CallerBody {
-    incoming: Incoming,
+    incoming: UnreadBody,
     connection: Rc<CallerConnection>,
 }
 
-impl CallerBody {
-    pub(in crate::http) fn new(incoming: Incoming, connection: Rc<CallerConnection>) -> Self {
-        Self { incoming, connection }
+/// A body until somebody reads it. Clones share it.
+#[derive(Clone)]
+pub(in crate::http) struct UnreadBody(Rc<RefCell<Option<Incoming>>>);
+
+impl UnreadBody {
+    pub(in crate::http) fn new(incoming: Incoming) -> Self {
+        Self(Rc::new(RefCell::new(Some(incoming))))
     }
 
-    /// Returns the body as the HTTP library receives it. What is read of it isn't accounted for.
-    pub fn into_incoming(self) -> Incoming {
-        self.connection.stop_counting_progress();
-        self.incoming
+    fn take(&self) -> Option<Incoming> {
+        self.0.borrow_mut().take()
+    }
+
+    /// Drops a short body that arrives right away, so that its connection can be used again. Returns whether it was
+    /// complete.
+    pub(in crate::http) async fn drain(&self) -> bool {
+        let Some(mut incoming) = self.take() else { return false };
+        if incoming.size_hint().upper().is_none_or(|bytes| bytes > MAX_DRAINED_BYTES) {
+            return false;
+        }
+        let drain = async {
+            while let Some(frame) = incoming.frame().await {
+                if frame.is_err() {
+                    return false;
+                }
+            }
+            true
+        };
+        monoio::time::timeout(DRAIN_TIMEOUT, drain).await.unwrap_or(false)
+    }
+}
+
+impl CallerBody {
+    pub(in crate::http) fn new(incoming: UnreadBody, connection: Rc<CallerConnection>) -> Self {
+        Self { incoming, connection }
     }
 
     /// Returns the account of the connection.
@@ -71,12 +103,13 @@
         max_bytes: u64,
         within: Duration,
     ) -> Result<RequestBody, BodyReadError> {
-        if self.incoming.size_hint().lower() > max_bytes {
+        let Some(incoming) = self.incoming.take() else { return Err(BodyReadError::Incomplete) };
+        if incoming.size_hint().lower() > max_bytes {
             return Err(BodyReadError::TooLong { limit: max_bytes });
         }
         let connection = self.connection.clone();
         connection.set_stage(HolderStage::Receiving);
-        let read = monoio::time::timeout(within, self.collect(max_bytes));
+        let read = monoio::time::timeout(within, self.collect(incoming, max_bytes));
         let evicted = std::pin::pin!(connection.evicted().triggered());
         match select(evicted, std::pin::pin!(read)).await {
             Either::Left(_) => Err(BodyReadError::NoMemory),
@@ -85,11 +118,15 @@
         }
     }
 
-    async fn collect(mut self, max_bytes: u64) -> Result<RequestBody, BodyReadError> {
-        let declared = self.incoming.size_hint().exact();
+    async fn collect(
+        self,
+        mut incoming: Incoming,
+        max_bytes: u64,
+    ) -> Result<RequestBody, BodyReadError> {
+        let declared = incoming.size_hint().exact();
         let mut segments = SegmentBuffer::new(self.connection.hold(), declared);
         let mut pieces = 0;
-        while let Some(frame) = self.incoming.frame().await {
+        while let Some(frame) = incoming.frame().await {
             let frame = frame.map_err(|_| BodyReadError::Incomplete)?;
             if let Ok(piece) = frame.into_data() {
                 self.connection.record_progress();
--- a/crates/papayamux-transport/src/http/callers/caller_connection.rs
+++ b/crates/papayamux-transport/src/http/callers/caller_connection.rs
@@ -148,7 +148,7 @@
     }
 
     /// Records that the body of the request was received completely.
-    pub(super) fn record_body_end(&self) {
+    pub(in crate::http) fn record_body_end(&self) {
         self.has_unread_body.set(false);
         self.set_stage(HolderStage::Busy);
     }
@@ -173,8 +173,10 @@
         self.bytes_without_progress.set(Some(0));
     }
 
-    pub(super) fn stop_counting_progress(&self) {
+    /// Records that the handler reads the body by itself, so that nothing is known of it.
+    pub(in crate::http) fn leave_body_to_handler(&self) {
         self.bytes_without_progress.set(None);
+        self.has_unread_body.set(false);
     }
 
     /// Adds bytes that are no head. Returns how many came since the last progress.
--- a/crates/papayamux-transport/src/http/callers/mod.rs
+++ b/crates/papayamux-transport/src/http/callers/mod.rs
@@ -10,6 +10,7 @@
 mod piece_pacer;
 
 pub use answer_buffer::AnswerBuffer;
+pub(super) use caller_body::UnreadBody;
 pub use caller_body::{BodyReadError, CallerBody};
 pub(super) use caller_connection::BusyResponse;
 pub use caller_connection::{CallerConnection, MemoryHold};
--- a/crates/papayamux-transport/src/http/server.rs
+++ b/crates/papayamux-transport/src/http/server.rs
@@ -23,7 +23,7 @@
 
 use super::callers::{
     close_lingering, AnswerBuffer, BusyResponse, CallerBody, CallerConnection, CallerMemory,
-    CallerStream, StreamLimits,
+    CallerStream, StreamLimits, UnreadBody,
 };
 use super::http_limits::HttpLimits;
 use super::open_connections::OpenConnections;
@@ -55,10 +55,11 @@
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
-    let handler = Rc::new(move |request: Request<CallerBody>| {
-        handler(request.map(CallerBody::into_incoming))
-    });
-    serve_callers(listener, limits, shutdown, handler).await
+    let answer = move |request: Request<Incoming>, connection: Rc<CallerConnection>| {
+        connection.leave_body_to_handler();
+        handler(request)
+    };
+    serve_exchanges(listener, limits, shutdown, Rc::new(answer)).await
 }
 
 /// Like [`serve`], for callers that may misbehave: the handler reads bodies through the account of their connection.
@@ -71,6 +72,33 @@
 where
     H: Fn(Request<CallerBody>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    let answer = move |request: Request<Incoming>, connection: Rc<CallerConnection>| {
+        let (head, body) = request.into_parts();
+        let body = UnreadBody::new(body);
+        let unread = CallerBody::new(body.clone(), connection.clone());
+        let answering = handler(Request::from_parts(head, unread));
+        async move {
+            let response = answering.await;
+            if connection.has_unread_body() && body.drain().await {
+                connection.record_body_end();
+            }
+            response
+        }
+    };
+    serve_exchanges(listener, limits, shutdown, Rc::new(answer)).await
+}
+
+/// Serves connections whose requests `answer` answers, each with the account of its connection.
+async fn serve_exchanges<H, F>(
+    listener: TcpListener,
+    limits: HttpLimits,
+    shutdown: ShutdownSignal,
+    answer: Rc<H>,
+) -> io::Result<()>
+where
+    H: Fn(Request<Incoming>, Rc<CallerConnection>) -> F + 'static,
+    F: Future<Output = Response<AnswerBody>> + 'static,
 {
     let unlimited = || CallerMemory::new(MemoryLimits::UNLIMITED);
     let memory = limits.memory.clone().unwrap_or_else(unlimited);
@@ -94,11 +122,11 @@
         // The shortage is logged; the connection is closed.
         let Ok(connection) = memory.open() else { continue };
         open.record_open();
-        let (open, shutdown, handler) = (open.clone(), shutdown.clone(), handler.clone());
+        let (open, shutdown, answer) = (open.clone(), shutdown.clone(), answer.clone());
         let limits = limits.clone();
         monoio::spawn(async move {
             let accepted = AcceptedConnection { stream, connection, open: open.clone() };
-            if let Err(error) = accepted.serve(limits, shutdown, handler).await {
+            if let Err(error) = accepted.serve(limits, shutdown, answer).await {
                 log::debug!(error:% = error; "caller's connection failed");
             }
             open.record_close();
@@ -120,17 +148,17 @@
         self,
         limits: HttpLimits,
         shutdown: ShutdownSignal,
-        handler: Rc<H>,
+        answer: Rc<H>,
     ) -> Result<(), Box<dyn std::error::Error>>
     where
-        H: Fn(Request<CallerBody>) -> F + 'static,
+        H: Fn(Request<Incoming>, Rc<CallerConnection>) -> F + 'static,
         F: Future<Output = Response<AnswerBody>> + 'static,
     {
         let Self { stream, connection, open } = self;
         set_stream_options(&stream)?;
         let request_seen = Rc::new(Cell::new(false));
         let exchange = CallerExchange {
-            handler,
+            answer,
             open,
             connection: connection.clone(),
             request_seen: request_seen.clone(),
@@ -175,7 +203,7 @@
 
 /// Answers the requests of one connection.
 struct CallerExchange<H> {
-    handler: Rc<H>,
+    answer: Rc<H>,
     open: Rc<OpenConnections>,
     connection: Rc<CallerConnection>,
     request_seen: Rc<Cell<bool>>,
@@ -184,7 +212,7 @@
 impl<H> Clone for CallerExchange<H> {
     fn clone(&self) -> Self {
         Self {
-            handler: self.handler.clone(),
+            answer: self.answer.clone(),
             open: self.open.clone(),
             connection: self.connection.clone(),
             request_seen: self.request_seen.clone(),
@@ -194,7 +222,7 @@
 
 impl<H, F> CallerExchange<H>
 where
-    H: Fn(Request<CallerBody>) -> F + 'static,
+    H: Fn(Request<Incoming>, Rc<CallerConnection>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     async fn answer(self, request: Request<Incoming>) -> Result<Response<BusyResponse>, BodyError> {
@@ -202,13 +230,13 @@
         self.request_seen.set(true);
         connection.begin_request(!request.body().is_end_stream());
         let needs_length = request.version() == Version::HTTP_10;
-        let request = request.map(|body| CallerBody::new(body, connection.clone()));
-        let mut response = (self.handler)(request).await;
+        let mut response = (self.answer)(request, connection.clone()).await;
         if needs_length {
             response = with_length(response, &connection).await?;
         }
         connection.record_answer(response.status().is_success());
-        if self.open.has_too_many_kept() {
+        // What follows a body that isn't read to its end is dropped.
+        if connection.has_unread_body() || self.open.has_too_many_kept() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response.map(|body| BusyResponse { body, connection }))
