Keep what unread and buffered answers take well below the bound

Cause: an answer's beginning was collected in a buffer that doubles from 4 to 256 KiB, so that 160 at once left small pieces of the heap behind, each server's connection had up to 128 KiB in the kernel, and for HTTP/1.0 a buffer of up to 4 MiB was copied as it grew.

Change: the buffer begins with the declared size and doubles up to 128 KiB only; receive buffers of connections to servers are 32 KiB; answers for HTTP/1.0 are collected in segments, as bodies are.

--- a/crates/papayamux-router/src/direct/attempt.rs
+++ b/crates/papayamux-router/src/direct/attempt.rs
@@ -327,7 +327,8 @@
     plan: &CallPlan,
     attempt: &mut AttemptAnswer,
 ) -> Result<CollectedBody, LostAttempt> {
-    let mut body = AnswerBuffer::new(plan.connection.clone());
+    let declared = attempt.answer.declared_length();
+    let mut body = AnswerBuffer::new(plan.connection.clone(), MAX_BUFFERED_ANSWER_BYTES, declared);
     loop {
         match attempt.next_piece(plan).await {
             WaitResult::Done(None) => {
--- a/crates/papayamux-transport/src/http/callers/answer_buffer.rs
+++ b/crates/papayamux-transport/src/http/callers/answer_buffer.rs
@@ -13,12 +13,21 @@
 pub struct AnswerBuffer {
     connection: Rc<CallerConnection>,
     bytes: BytesMut,
+    usual_limit: usize,
+    declared: usize,
 }
 
 impl AnswerBuffer {
-    /// Creates an empty buffer on the account of `connection`.
-    pub fn new(connection: Rc<CallerConnection>) -> Self {
-        Self { connection, bytes: BytesMut::new() }
+    /// Creates an empty buffer on the account of `connection`. It begins with the `declared` size of the answer, if
+    /// there is one, doubles as it grows, up to `usual_limit`, and is as large as needed beyond that.
+    pub fn new(
+        connection: Rc<CallerConnection>,
+        usual_limit: usize,
+        declared: Option<ByteCount>,
+    ) -> Self {
+        let declared = declared.map_or(0, |declared| declared.get());
+        let declared = usize::try_from(declared).unwrap_or(usize::MAX);
+        Self { connection, bytes: BytesMut::new(), usual_limit, declared }
     }
 
     /// Returns the number of bytes.
@@ -56,14 +65,22 @@
     /// Returns by how much the buffer must grow for a piece; `None` if there is room.
     fn growth(&self, piece: &[u8]) -> Option<ByteCount> {
         let (needed, capacity) = (self.bytes.len() + piece.len(), self.bytes.capacity());
-        (needed > capacity)
-            .then(|| ByteCount::new(needed.next_power_of_two().saturating_sub(capacity) as u64))
+        (needed > capacity).then(|| ByteCount::new((self.grown(needed) - capacity) as u64))
+    }
+
+    /// Returns the capacity of a buffer that needs more than it has.
+    fn grown(&self, needed: usize) -> usize {
+        let usual = match self.declared {
+            0 => needed.next_power_of_two(),
+            declared => declared,
+        };
+        usual.min(self.usual_limit).max(needed)
     }
 
     fn extend(&mut self, piece: &[u8]) {
         let needed = self.bytes.len() + piece.len();
         if needed > self.bytes.capacity() {
-            self.bytes.reserve(needed.next_power_of_two() - self.bytes.len());
+            self.bytes.reserve(self.grown(needed) - self.bytes.len());
         }
         self.bytes.extend_from_slice(piece);
     }
--- a/crates/papayamux-transport/src/http/callers/caller_body.rs
+++ b/crates/papayamux-transport/src/http/callers/caller_body.rs
@@ -4,22 +4,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use futures_util::future::{select, Either};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use papayamux_coordination::caller_memory::{HolderStage, MemoryShortage};
-use papayamux_state::quantities::ByteCount;
 use thiserror::Error;
 
-use super::caller_connection::{CallerConnection, MemoryHold};
+use super::caller_connection::CallerConnection;
+use super::segment_buffer::SegmentBuffer;
 use crate::http::RequestBody;
 
-/// Size of a body's first segment, unless its declared length is smaller.
-const MIN_SEGMENT_BYTES: usize = 4 * 1024;
-/// Size up to which segments grow. Memory is claimed a segment at a time, so that a declared length reserves none.
-const MAX_SEGMENT_BYTES: usize = 64 * 1024;
-
 /// Size of a body that is dropped after an answer that didn't need it, so that the connection can be used again.
 const MAX_DRAINED_BYTES: u64 = 64 * 1024;
 /// Time within which such a body must have arrived: it was usually sent together with its head.
@@ -140,55 +134,7 @@
             pieces = pieces.saturating_add(1);
         }
         self.connection.record_body_end();
-        Ok(segments.into_body())
-    }
-}
-
-/// Collects a body in segments. Nothing is copied when it grows, and what is received isn't kept in the buffers of
-/// the HTTP library, of which a small piece would keep a whole one.
-struct SegmentBuffer {
-    hold: MemoryHold,
-    complete: Vec<Bytes>,
-    current: BytesMut,
-    length: u64,
-    declared: Option<u64>,
-}
-
-impl SegmentBuffer {
-    fn new(hold: MemoryHold, declared: Option<u64>) -> Self {
-        Self { hold, complete: Vec::new(), current: BytesMut::new(), length: 0, declared }
-    }
-
-    fn len(&self) -> u64 {
-        self.length
-    }
-
-    fn append(&mut self, piece: &[u8]) -> Result<(), BodyReadError> {
-        let mut left = piece;
-        while !left.is_empty() {
-            if self.current.len() == self.current.capacity() {
-                self.begin_segment()?;
-            }
-            let room = (self.current.capacity() - self.current.len()).min(left.len());
-            self.current.extend_from_slice(&left[..room]);
-            self.length += room as u64;
-            left = &left[room..];
-        }
-        Ok(())
-    }
-
-    fn begin_segment(&mut self) -> Result<(), BodyReadError> {
-        let grown = (2 * self.current.capacity()).clamp(MIN_SEGMENT_BYTES, MAX_SEGMENT_BYTES);
-        let missing = self.declared.map_or(u64::MAX, |declared| declared - self.length);
-        let size = grown.min(usize::try_from(missing).unwrap_or(usize::MAX)).max(1);
-        self.hold.grow(ByteCount::new(size as u64))?;
-        let full = std::mem::replace(&mut self.current, BytesMut::with_capacity(size));
-        self.complete.extend((!full.is_empty()).then(|| full.freeze()));
-        Ok(())
-    }
-
-    fn into_body(mut self) -> RequestBody {
-        self.complete.extend((!self.current.is_empty()).then(|| self.current.freeze()));
-        RequestBody::new(self.complete, self.hold)
+        let (segments, hold) = segments.into_parts();
+        Ok(RequestBody::new(segments, hold))
     }
 }
--- a/crates/papayamux-transport/src/http/callers/caller_connection.rs
+++ b/crates/papayamux-transport/src/http/callers/caller_connection.rs
@@ -110,7 +110,7 @@
     }
 
     /// Creates an empty hold.
-    pub(super) fn hold(self: &Rc<Self>) -> MemoryHold {
+    pub(in crate::http) fn hold(self: &Rc<Self>) -> MemoryHold {
         MemoryHold { connection: self.clone(), bytes: ByteCount::default() }
     }
 
--- a/crates/papayamux-transport/src/http/callers/mod.rs
+++ b/crates/papayamux-transport/src/http/callers/mod.rs
@@ -8,6 +8,7 @@
 mod caller_stream;
 mod lingering_close;
 mod piece_pacer;
+mod segment_buffer;
 
 pub use answer_buffer::AnswerBuffer;
 pub(super) use caller_body::UnreadBody;
@@ -17,3 +18,4 @@
 pub use caller_memory::{CallerMemory, MemoryUsage};
 pub(super) use caller_stream::{CallerStream, StreamLimits};
 pub(super) use lingering_close::close_lingering;
+pub(super) use segment_buffer::SegmentBuffer;
--- a/crates/papayamux-transport/src/http/server.rs
+++ b/crates/papayamux-transport/src/http/server.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use futures_util::future::{select, Either};
+use futures_util::stream::iter;
 use futures_util::{Stream, StreamExt};
 use http::header::{CONNECTION, CONTENT_LENGTH};
 use http::{HeaderValue, Version};
@@ -22,8 +23,8 @@
 use papayamux_coordination::caller_memory::MemoryLimits;
 
 use super::callers::{
-    close_lingering, AnswerBuffer, BusyResponse, CallerBody, CallerConnection, CallerMemory,
-    CallerStream, StreamLimits, UnreadBody,
+    close_lingering, BusyResponse, CallerBody, CallerConnection, CallerMemory, CallerStream,
+    SegmentBuffer, StreamLimits, UnreadBody,
 };
 use super::http_limits::HttpLimits;
 use super::open_connections::OpenConnections;
@@ -38,7 +39,7 @@
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Maximum size of an answer that is buffered to send it with a length.
-const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
+const MAX_BUFFERED_BYTES: u64 = 4 * 1024 * 1024;
 
 /// Smallest buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
@@ -249,10 +250,16 @@
     response: Response<AnswerBody>,
     connection: &Rc<CallerConnection>,
 ) -> Result<Response<AnswerBody>, BodyError> {
-    let (head, body) = response.into_parts();
+    let (mut head, body) = response.into_parts();
     let body = match body {
         AnswerBody::Stream(stream) if !head.headers.contains_key(CONTENT_LENGTH) => {
-            AnswerBody::Whole(collect(stream, connection).await?)
+            let collected = collect(stream, connection).await?;
+            head.headers.insert(CONTENT_LENGTH, HeaderValue::from(collected.len()));
+            let (segments, hold) = collected.into_parts();
+            AnswerBody::Stream(Box::pin(iter(segments).map(move |segment| {
+                let _kept = &hold;
+                Ok(segment)
+            })))
         }
         body => body,
     };
@@ -262,17 +269,17 @@
 async fn collect(
     mut stream: impl Stream<Item = Result<Bytes, BodyError>> + Unpin,
     connection: &Rc<CallerConnection>,
-) -> Result<Bytes, BodyError> {
-    let mut body = AnswerBuffer::new(connection.clone());
+) -> Result<SegmentBuffer, BodyError> {
+    let mut body = SegmentBuffer::new(connection.hold(), None);
     while let Some(piece) = stream.next().await {
         let piece = piece?;
-        if body.len() + piece.len() > MAX_BUFFERED_BYTES {
+        if body.len() + piece.len() as u64 > MAX_BUFFERED_BYTES {
             let message = format!("longer than {MAX_BUFFERED_BYTES} bytes, for HTTP/1.0");
             return Err(BodyError(message));
         }
         body.append(&piece).map_err(|shortage| BodyError(shortage.to_string()))?;
     }
-    Ok(body.into_bytes())
+    Ok(body)
 }
 
 /// Returns whether a connection has sent a request, now or within `FIRST_REQUEST_TIMEOUT`. `hyper`
--- a/crates/papayamux-transport/src/http/upstream/bounded_connect.rs
+++ b/crates/papayamux-transport/src/http/upstream/bounded_connect.rs
@@ -8,7 +8,7 @@
 
 /// Size of the kernel's receive buffer, which also sets the window. Where a caller doesn't read its answer, the
 /// rest of the answer waits at the server.
-const RECEIVE_BYTES: usize = 64 * 1024;
+const RECEIVE_BYTES: usize = 32 * 1024;
 /// Error code of a connection that is being established.
 const IN_PROGRESS: i32 = nix::errno::Errno::EINPROGRESS as i32;
 
